Set up the workspaces, the core's message types and the design

Cause: the repository was empty. The core's contracts are typed so that its subsystems can be built side by side.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,108 @@
+import eslint from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+const clockAndRandomGlobals = [
+  'setTimeout',
+  'setInterval',
+  'setImmediate',
+  'queueMicrotask',
+  'performance',
+  'process',
+  'fetch',
+  'crypto',
+  'console',
+].map((name) => ({
+  name,
+  message: 'The core takes time and randomness as arguments and does no I/O.',
+}));
+
+/** Lower layers may not import higher ones: every dependency points towards the core. */
+const allowedDependencies = {
+  core: [],
+  language: [],
+  nodes: ['core'],
+  callers: ['core'],
+  upstreams: ['core'],
+  platform: ['core'],
+  operators: ['core', 'language'],
+  daemon: ['core', 'nodes', 'callers', 'upstreams', 'platform', 'operators', 'language'],
+  ctl: ['language'],
+  'stand-ins': ['core'],
+  'virtual-time': ['core'],
+  measure: ['stand-ins'],
+};
+
+const packageNames = Object.keys(allowedDependencies);
+
+function dependencyRule(name) {
+  const forbidden = packageNames.filter(
+    (other) => other !== name && !allowedDependencies[name].includes(other),
+  );
+  return {
+    files: [`packages/${name}/src/**/*.ts`],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: forbidden.map((other) => ({
+            name: `@peridotspring/${other}`,
+            message: `The package ${name} may not depend on ${other}; dependencies point towards the core.`,
+          })),
+          patterns:
+            name === 'core'
+              ? [{ group: ['node:*'], message: 'The core does no I/O and has no Node.js imports.' }]
+              : [],
+        },
+      ],
+    },
+  };
+}
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**', '.cache/**', 'results/**'] },
+  eslint.configs.recommended,
+  {
+    files: ['packages/**/*.ts'],
+    extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true, allowBoolean: true },
+      ],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'TSEnumDeclaration', message: 'Use a constant object in place of an enum.' },
+      ],
+    },
+  },
+  ...packageNames.map(dependencyRule),
+  {
+    files: ['packages/core/src/**/*.ts'],
+    rules: {
+      'no-restricted-globals': ['error', ...clockAndRandomGlobals],
+      'no-restricted-properties': [
+        'error',
+        { object: 'Date', property: 'now', message: 'The core takes the time as an argument.' },
+        { object: 'Math', property: 'random', message: 'The core takes a seeded random source.' },
+      ],
+    },
+  },
+  {
+    files: ['**/*.mjs'],
+    languageOptions: {
+      globals: {
+        process: 'readonly',
+        console: 'readonly',
+        clearTimeout: 'readonly',
+        setTimeout: 'readonly',
+        URL: 'readonly',
+        fetch: 'readonly',
+      },
+    },
+  },
+);
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,11 @@
+export * from './messages/index.js';
+export type { ClockReading } from './shared/clock-reading.js';
+export { assertInvariant, InvariantError } from './shared/invariant-error.js';
+export { nextInteger, pickRandom, SeededRandomSource, shuffled } from './shared/random-source.js';
+export type { RandomSource } from './shared/random-source.js';
+export * from './calls/call-contract.js';
+export * from './configuration/configuration-contract.js';
+export * from './gate/gate-contract.js';
+export * from './homes/home-contract.js';
+export * from './membership/membership-contract.js';
+export * from './routing/router-contract.js';
--- /dev/null
+++ b/packages/core/src/messages/member.ts
@@ -0,0 +1,33 @@
+export const MemberState = {
+  Dead: 'dead',
+  Draining: 'draining',
+  Left: 'left',
+  Serving: 'serving',
+  Suspect: 'suspect',
+  Warming: 'warming',
+} as const;
+export type MemberState = (typeof MemberState)[keyof typeof MemberState];
+
+/** What nodes tell each other of a node and the upstream beside it. */
+export interface MemberRecord {
+  readonly server: string;
+  readonly incarnation: number;
+  readonly availabilityZone: string;
+  readonly region: string;
+  readonly peerAddress: string;
+  /** Undefined while no upstream has announced itself to the node. */
+  readonly service: string | undefined;
+  readonly slots: number;
+  readonly state: MemberState;
+}
+
+/** What an upstream says of itself to the node beside it. */
+export interface UpstreamAnnouncement {
+  readonly service: string;
+  /** `host:port` of the upstream's HTTP server. */
+  readonly address: string;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  /** Connections that it accepts. */
+  readonly connections: number;
+}
--- /dev/null
+++ b/packages/core/src/messages/outcome.ts
@@ -0,0 +1,95 @@
+import type { LoadReport } from './load-report.js';
+
+export const RequestClass = {
+  Idempotent: 'idempotent',
+  NonIdempotent: 'non-idempotent',
+} as const;
+export type RequestClass = (typeof RequestClass)[keyof typeof RequestClass];
+
+/** Why a request was refused without having run. Each has a counter. */
+export const RefusalReason = {
+  // Said by a gate.
+  DeadlineTooShort: 'deadline-too-short',
+  Draining: 'draining',
+  NoSlot: 'no-slot',
+  NotServingService: 'not-serving-service',
+  QueueFull: 'queue-full',
+  TenantOverShare: 'tenant-over-share',
+  UpstreamDown: 'upstream-down',
+  WarmingUp: 'warming-up',
+  // Said by an entry.
+  AllTargetsRefused: 'all-targets-refused',
+  BodyTooLarge: 'body-too-large',
+  ConflictingLengths: 'conflicting-lengths',
+  DeadlineExpired: 'deadline-expired',
+  DeadlineMalformed: 'deadline-malformed',
+  DepthExceeded: 'depth-exceeded',
+  EntryBusy: 'entry-busy',
+  HeadersTooLarge: 'headers-too-large',
+  KeyMalformed: 'key-malformed',
+  KeyMissing: 'key-missing',
+  NodeStopping: 'node-stopping',
+  NoUpstream: 'no-upstream',
+  PeerCongested: 'peer-congested',
+  PeerUnreachable: 'peer-unreachable',
+  UnknownService: 'unknown-service',
+  // Said by a home.
+  KeyFromFuture: 'key-from-future',
+  KeyReused: 'key-reused',
+  KeyStoreFull: 'key-store-full',
+  VoidAttempt: 'void-attempt',
+} as const;
+export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
+
+/** Why nobody can say whether a request ran. Each has a counter. */
+export const UnknownReason = {
+  AnswerCut: 'answer-cut',
+  AnswerNotKept: 'answer-not-kept',
+  AnswerTooLarge: 'answer-too-large',
+  ConnectionLost: 'connection-lost',
+  CreatedBeforeTakeover: 'created-before-takeover',
+  DeadlineAfterStart: 'deadline-after-start',
+  HomeUnreachable: 'home-unreachable',
+  KeyTooOld: 'key-too-old',
+  NoHome: 'no-home',
+  NoLease: 'no-lease',
+  UpstreamFailed: 'upstream-failed',
+} as const;
+export type UnknownReason = (typeof UnknownReason)[keyof typeof UnknownReason];
+
+/** Why another attempt was made. Each has a counter. */
+export const RetryReason = {
+  AttemptFailed: 'attempt-failed',
+  Hedge: 'hedge',
+  RefusedElsewhere: 'refused-elsewhere',
+} as const;
+export type RetryReason = (typeof RetryReason)[keyof typeof RetryReason];
+
+/** A refusal by a gate: the request was not started there. */
+export interface Refusal {
+  readonly reason: RefusalReason;
+  readonly retryAfterMilliseconds?: number | undefined;
+  readonly load?: LoadReport | undefined;
+}
+
+export interface AnsweredOutcome {
+  readonly kind: 'answered';
+  readonly status: number;
+}
+
+export interface RefusedOutcome {
+  readonly kind: 'refused-not-run';
+  readonly reason: RefusalReason;
+  readonly retryAfterMilliseconds?: number | undefined;
+}
+
+export interface UnknownOutcome {
+  readonly kind: 'outcome-unknown';
+  readonly reason: UnknownReason;
+  /** Whether this attempt of the caller may have reached an upstream. */
+  readonly attemptStarted: boolean;
+  readonly retryAfterMilliseconds?: number | undefined;
+}
+
+/** What the caller of a request is told in the end. */
+export type CallOutcome = AnsweredOutcome | RefusedOutcome | UnknownOutcome;
