Add the node connections, the callers' server and the composed core

Cause: the request path needs adapters and one place that connects the subsystems of the core. Frames are length-prefixed cbor-x with a mutual proof of the peer secret. A keyed request that an entry turns away unsent is answered outcome-unknown, because an earlier attempt may have run.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -73,7 +73,10 @@
         'error',
         { allowNumber: true, allowBoolean: true },
       ],
-      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
       'no-restricted-syntax': [
         'error',
         { selector: 'TSEnumDeclaration', message: 'Use a constant object in place of an enum.' },
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export { HeaderName } from './caller-headers.js';
+export { CallerServer } from './caller-server.js';
+export type { CallerLimits, CallerServerOptions, FinishedRequest } from './caller-server.js';
+export { statusOf } from './outcome-status.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,3 +9,7 @@
 export * from './homes/home-contract.js';
 export * from './membership/membership-contract.js';
 export * from './routing/router-contract.js';
+export * from './entry/request-rules.js';
+export { CounterName } from './node/outbox.js';
+export { NodeCore } from './node/node-core.js';
+export type { NodeCoreOptions, NodeParts } from './node/node-core.js';
--- a/packages/core/src/messages/core-command.ts
+++ b/packages/core/src/messages/core-command.ts
@@ -1,4 +1,5 @@
 import type { BodyDirection, CoreFrame, HeaderFields, RequestHead } from './frames.js';
+import type { LoadReport } from './load-report.js';
 import type { CallOutcome } from './outcome.js';
 import type { Configuration } from './service-configuration.js';
 import type { StoreClient, StoreOperation } from './store.js';
@@ -118,6 +119,31 @@
   readonly fields: Readonly<Record<string, string | number | boolean>>;
 }
 
+export const JournalEvent = {
+  Answered: 'answered',
+  Cancelled: 'cancelled',
+  Concluded: 'concluded',
+  Dispatched: 'dispatched',
+  Failed: 'failed',
+  Forwarded: 'forwarded',
+  Refused: 'refused',
+} as const;
+export type JournalEvent = (typeof JournalEvent)[keyof typeof JournalEvent];
+
+/** One step of a request, kept for a time so that operators can ask why it was refused. */
+export interface JournalCommand {
+  readonly kind: 'journal';
+  readonly requestId: string;
+  readonly service: string;
+  readonly tenant: string;
+  readonly event: JournalEvent;
+  /** The server that the step concerns. */
+  readonly server?: string | undefined;
+  /** Refusal, retry or unknown reason, or the outcome's status. */
+  readonly reason?: string | undefined;
+  readonly load?: LoadReport | undefined;
+}
+
 /** Everything that the core asks of a driver. */
 export type CoreCommand =
   | SendFrameCommand
@@ -132,4 +158,5 @@
   | ProposalConcludedCommand
   | StoppedCommand
   | CountCommand
+  | JournalCommand
   | LogCommand;
--- a/packages/core/src/messages/core-message.ts
+++ b/packages/core/src/messages/core-message.ts
@@ -35,7 +35,15 @@
   readonly frame: CoreFrame;
 }
 
-/** A connection to a server was lost or could not be opened; frames to it since then are lost. */
+/** A frame that the core sent never left this node: no connection could be opened, or too much is queued. */
+export interface FrameNotSentMessage {
+  readonly kind: 'frame-not-sent';
+  readonly to: string;
+  readonly congested: boolean;
+  readonly frame: CoreFrame;
+}
+
+/** A connection to a server was lost; frames to it may be lost. */
 export interface PeerLostMessage {
   readonly kind: 'peer-lost';
   readonly server: string;
@@ -134,6 +142,7 @@
   | CallerRequestMessage
   | CallerGoneMessage
   | PeerFrameMessage
+  | FrameNotSentMessage
   | PeerLostMessage
   | UpstreamAnnouncedMessage
   | UpstreamDrainMessage
--- a/packages/core/src/messages/outcome.ts
+++ b/packages/core/src/messages/outcome.ts
@@ -41,7 +41,10 @@
 } as const;
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
 
-/** Why nobody can say whether a request ran. Each has a counter. */
+/**
+ * Why nobody can say whether a request ran. Each has a counter. Those that a refusal has too stand for
+ * a keyed request that this node turned away unsent: an earlier attempt under the key may have run.
+ */
 export const UnknownReason = {
   AnswerCut: 'answer-cut',
   AnswerNotKept: 'answer-not-kept',
@@ -49,9 +52,13 @@
   ConnectionLost: 'connection-lost',
   CreatedBeforeTakeover: 'created-before-takeover',
   DeadlineAfterStart: 'deadline-after-start',
+  DeadlineMalformed: 'deadline-malformed',
+  DepthExceeded: 'depth-exceeded',
+  EntryBusy: 'entry-busy',
   HomeUnreachable: 'home-unreachable',
   KeyTooOld: 'key-too-old',
   NoHome: 'no-home',
+  NodeStopping: 'node-stopping',
   NoLease: 'no-lease',
   UpstreamFailed: 'upstream-failed',
 } as const;
--- /dev/null
+++ b/packages/core/src/node/call-board.ts
@@ -0,0 +1,333 @@
+import { match } from 'ts-pattern';
+
+import type {
+  CallCommand,
+  CallEngineContract,
+  ConcludeCommand,
+  DispatchCommand,
+} from '../calls/call-contract.js';
+import type { KeyedAnswer } from '../homes/home-contract.js';
+import { JournalEvent } from '../messages/core-command.js';
+import type { BodyEndpoint } from '../messages/core-command.js';
+import type { AnswerFrame, CallFrame, RequestHead, RequestStartFrame } from '../messages/frames.js';
+import { RequestClass } from '../messages/outcome.js';
+import type { CallOutcome } from '../messages/outcome.js';
+import type { RouterContract } from '../routing/router-contract.js';
+import type { ClockReading } from '../shared/clock-reading.js';
+import { CallJournal, loadOf } from './call-journal.js';
+import { CounterName } from './outbox.js';
+import type { Outbox } from './outbox.js';
+
+/** Who waits for the outcome of a call. */
+export type CallOwner =
+  | { readonly kind: 'caller'; readonly requestNumber: number }
+  | { readonly kind: 'home'; readonly dispatchId: number };
+
+/** A call that this node makes, with what is needed to send it. */
+export interface OwnedCall {
+  readonly owner: CallOwner;
+  readonly head: RequestHead;
+  readonly requestClass: RequestClass;
+  readonly body: Uint8Array | undefined;
+  readonly streamedBody: boolean;
+}
+
+interface Attempt {
+  readonly callNumber: number;
+  readonly server: string;
+  answer: AnswerFrame | undefined;
+}
+
+/** A streamed answer that is on its way to a caller. */
+interface AnswerStream {
+  readonly server: string;
+  readonly callId: number;
+}
+
+export interface CallBoardOptions {
+  readonly self: string;
+  readonly engine: CallEngineContract;
+  readonly router: RouterContract;
+  readonly outbox: Outbox;
+  /** Offers an attempt to this node's own gate. */
+  readonly startLocally: (
+    frame: RequestStartFrame,
+    body: BodyEndpoint | undefined,
+    now: ClockReading,
+  ) => void;
+  readonly cancelLocally: (callId: number) => void;
+  readonly localAnswerStream: (callId: number) => BodyEndpoint | undefined;
+  readonly homeConcluded: (
+    dispatchId: number,
+    outcome: CallOutcome,
+    answer: KeyedAnswer | undefined,
+    now: ClockReading,
+  ) => void;
+}
+
+/** Connects the call engine with callers, homes and gates. */
+export class CallBoard {
+  private readonly calls = new Map<number, OwnedCall>();
+  private readonly callOfRequest = new Map<number, number>();
+  private readonly attempts = new Map<number, Attempt>();
+  private readonly streams = new Map<number, AnswerStream>();
+  private nextCallNumber = 1;
+
+  private readonly journal: CallJournal;
+
+  public constructor(private readonly options: CallBoardOptions) {
+    this.journal = new CallJournal(options.outbox);
+  }
+
+  /** Calls and streamed answers that are not finished. */
+  public get inProgress(): number {
+    return this.calls.size + this.streams.size;
+  }
+
+  public begin(call: OwnedCall, remainingMilliseconds: number, now: ClockReading): void {
+    const callNumber = this.nextCallNumber;
+    this.nextCallNumber += 1;
+    this.calls.set(callNumber, call);
+    if (call.owner.kind === 'caller') {
+      this.callOfRequest.set(call.owner.requestNumber, callNumber);
+    }
+    const commands = this.options.engine.begin(
+      {
+        bodyHeld: !call.streamedBody,
+        callNumber,
+        deadline: now.monotonic + remainingMilliseconds,
+        preferredServer: call.owner.kind === 'home' ? this.options.self : undefined,
+        requestClass: call.requestClass,
+        service: call.head.service,
+      },
+      now,
+    );
+    this.apply(commands, now);
+  }
+
+  /** A frame from a gate about an attempt of this node. */
+  public frame(from: string, frame: CallFrame, now: ClockReading): void {
+    const attempt = this.attempts.get(frame.callId);
+    if (attempt?.server !== from) {
+      this.dropLate(from, frame, now);
+      return;
+    }
+    const call = this.calls.get(attempt.callNumber);
+    if (call !== undefined) {
+      this.journal.frame(call.head, from, frame);
+    }
+    const { engine } = this.options;
+    match(frame)
+      .with({ kind: 'request-admitted' }, ({ callId }) => {
+        this.apply(engine.admitted(callId, now), now);
+        this.relayRequestBody(attempt, callId);
+      })
+      .with({ kind: 'request-refused' }, ({ callId, refusal }) => {
+        this.attempts.delete(callId);
+        this.apply(engine.refused(callId, refusal, now), now);
+      })
+      .with({ kind: 'answer' }, (answer) => {
+        attempt.answer = answer;
+        this.apply(engine.answered(answer.callId, answer.status, answer.load, now), now);
+        this.dropUnused(answer.callId, attempt);
+      })
+      .with({ kind: 'request-failed' }, ({ callId, load }) => {
+        this.attempts.delete(callId);
+        this.apply(engine.failed(callId, load, now), now);
+      })
+      .with({ kind: 'request-start' }, { kind: 'request-cancel' }, () => undefined)
+      .exhaustive();
+  }
+
+  public notSent(callId: number, now: ClockReading): void {
+    if (this.attempts.delete(callId)) {
+      this.apply(this.options.engine.notSent(callId, now), now);
+    }
+  }
+
+  public peerLost(server: string, now: ClockReading): void {
+    for (const [attemptId, attempt] of [...this.attempts]) {
+      if (attempt.server === server) {
+        this.attempts.delete(attemptId);
+      }
+    }
+    this.apply(this.options.engine.peerLost(server, now), now);
+  }
+
+  /** The caller closed its connection. */
+  public callerGone(requestNumber: number, now: ClockReading): void {
+    const callNumber = this.callOfRequest.get(requestNumber);
+    if (callNumber !== undefined) {
+      this.apply(this.options.engine.abandon(callNumber, now), now);
+      this.forget(callNumber);
+      return;
+    }
+    const stream = this.streams.get(requestNumber);
+    if (stream !== undefined) {
+      this.streams.delete(requestNumber);
+      this.cancel(stream.server, stream.callId);
+    }
+  }
+
+  public streamFinished(requestNumber: number): void {
+    this.streams.delete(requestNumber);
+  }
+
+  public tick(now: ClockReading): void {
+    this.apply(this.options.engine.tick(now), now);
+  }
+
+  private apply(commands: readonly CallCommand[], now: ClockReading): void {
+    for (const command of commands) {
+      match(command)
+        .with({ kind: 'dispatch' }, (dispatch) => {
+          this.dispatch(dispatch, now);
+        })
+        .with({ kind: 'cancel-attempt' }, ({ attemptId, target }) => {
+          this.attempts.delete(attemptId);
+          this.cancel(target.server, attemptId);
+        })
+        .with({ kind: 'conclude' }, (conclusion) => {
+          this.conclude(conclusion, now);
+        })
+        .exhaustive();
+    }
+  }
+
+  private dispatch(command: DispatchCommand, now: ClockReading): void {
+    const call = this.calls.get(command.callNumber);
+    if (call === undefined) {
+      return;
+    }
+    const { attemptId, remainingMilliseconds, retryReason, target } = command;
+    const { outbox, self } = this.options;
+    const { head, owner, requestClass, streamedBody } = call;
+    this.attempts.set(attemptId, {
+      answer: undefined,
+      callNumber: command.callNumber,
+      server: target.server,
+    });
+    this.journal.record(head, JournalEvent.Dispatched, target.server, retryReason);
+    if (retryReason !== undefined) {
+      outbox.count(CounterName.Retries, { reason: retryReason, service: head.service });
+    }
+    const frame: RequestStartFrame = {
+      body: call.body,
+      callId: attemptId,
+      head,
+      kind: 'request-start',
+      remainingMilliseconds,
+      requestClass,
+      streamedBody,
+    };
+    if (target.server !== self) {
+      outbox.push({ address: target.peerAddress, frame, kind: 'send-frame', to: target.server });
+      return;
+    }
+    const body: BodyEndpoint | undefined =
+      owner.kind === 'caller' ? { kind: 'caller', requestNumber: owner.requestNumber } : undefined;
+    this.options.startLocally(frame, body, now);
+  }
+
+  private conclude({ attemptId, callNumber, outcome }: ConcludeCommand, now: ClockReading): void {
+    const call = this.calls.get(callNumber);
+    if (call === undefined) {
+      return;
+    }
+    this.forget(callNumber);
+    const attempt = attemptId === undefined ? undefined : this.attempts.get(attemptId);
+    const answer = attempt?.answer;
+    if (attemptId !== undefined) {
+      this.attempts.delete(attemptId);
+    }
+    const reason = outcome.kind === 'answered' ? String(outcome.status) : outcome.reason;
+    const detail = `${outcome.kind} ${reason}`;
+    this.journal.record(call.head, JournalEvent.Concluded, attempt?.server, detail);
+    if (call.owner.kind === 'home') {
+      const { dispatchId } = call.owner;
+      const keyed = answer && { body: answer.body, headers: answer.headers, status: answer.status };
+      this.options.homeConcluded(dispatchId, outcome, keyed, now);
+      return;
+    }
+    this.replyToCaller(call.owner.requestNumber, outcome, attempt);
+  }
+
+  private replyToCaller(
+    requestNumber: number,
+    outcome: CallOutcome,
+    attempt: Attempt | undefined,
+  ): void {
+    const { outbox } = this.options;
+    const answer = outcome.kind === 'answered' ? attempt?.answer : undefined;
+    const streamedBody = answer?.streamedBody === true;
+    const { body, headers } = answer ?? {};
+    outbox.push({ body, headers, kind: 'reply-to-caller', outcome, requestNumber, streamedBody });
+    if (answer?.streamedBody !== true || attempt === undefined) {
+      return;
+    }
+    this.streams.set(requestNumber, { callId: answer.callId, server: attempt.server });
+    outbox.push({
+      direction: 'answer',
+      from: this.answerStream(attempt.server, answer.callId),
+      kind: 'relay-body',
+      to: { kind: 'caller', requestNumber },
+    });
+  }
+
+  private answerStream(server: string, callId: number): BodyEndpoint {
+    const local = server === this.options.self ? this.options.localAnswerStream(callId) : undefined;
+    return local ?? { callId, kind: 'peer', server };
+  }
+
+  /** The engine took another attempt's answer: this one's stream is not wanted. */
+  private dropUnused(callId: number, attempt: Attempt): void {
+    if (this.attempts.delete(callId) && attempt.answer?.streamedBody === true) {
+      this.cancel(attempt.server, callId);
+    }
+  }
+
+  private dropLate(from: string, frame: CallFrame, now: ClockReading): void {
+    const { outbox, router } = this.options;
+    const load = loadOf(frame);
+    if (load !== undefined) {
+      router.reported(from, load, now);
+    }
+    if (frame.kind === 'answer' || frame.kind === 'request-failed') {
+      outbox.count(CounterName.LateResults, { kind: frame.kind });
+    }
+    if (frame.kind === 'answer' && frame.streamedBody) {
+      this.cancel(from, frame.callId);
+    }
+  }
+
+  private cancel(server: string, callId: number): void {
+    const { cancelLocally, outbox, self } = this.options;
+    if (server === self) {
+      cancelLocally(callId);
+      return;
+    }
+    outbox.push({ endpoint: { callId, kind: 'peer', server }, kind: 'drop-body' });
+    outbox.send(server, { callId, kind: 'request-cancel' });
+  }
+
+  private relayRequestBody(attempt: Attempt, callId: number): void {
+    const owner = this.calls.get(attempt.callNumber)?.owner;
+    if (owner?.kind !== 'caller' || attempt.server === this.options.self) {
+      return;
+    }
+    this.options.outbox.push({
+      direction: 'request',
+      from: { kind: 'caller', requestNumber: owner.requestNumber },
+      kind: 'relay-body',
+      to: { callId, kind: 'peer', server: attempt.server },
+    });
+  }
+
+  private forget(callNumber: number): void {
+    const call = this.calls.get(callNumber);
+    if (call?.owner.kind === 'caller') {
+      this.callOfRequest.delete(call.owner.requestNumber);
+    }
+    this.calls.delete(callNumber);
+  }
+}
--- /dev/null
+++ b/packages/core/src/node/keyed-board.ts
@@ -0,0 +1,240 @@
+import { match } from 'ts-pattern';
+
+import { KeyedForwarder } from '../entry/keyed-forwarder.js';
+import type { ForwarderCommand, KeyedRequest } from '../entry/keyed-forwarder.js';
+import type {
+  HomeCommand,
+  HomeKeeperContract,
+  KeyedAnswer,
+  RunKeyedCommand,
+} from '../homes/home-contract.js';
+import { JournalEvent } from '../messages/core-command.js';
+import type { HomeFrame, KeyedFrame, KeyedOutcome } from '../messages/frames.js';
+import type { MemberRecord } from '../messages/member.js';
+import type { CallOutcome } from '../messages/outcome.js';
+import { StoreClient } from '../messages/store.js';
+import type { StoreResult } from '../messages/store.js';
+import type { RouterContract } from '../routing/router-contract.js';
+import type { ClockReading } from '../shared/clock-reading.js';
+import { pickRandom } from '../shared/random-source.js';
+import type { RandomSource } from '../shared/random-source.js';
+import type { Outbox } from './outbox.js';
+
+/** How often the home table of one service is asked for while requests wait for it. */
+const tableRequestMilliseconds = 200;
+
+export interface KeyedBoardOptions {
+  readonly self: string;
+  readonly homes: HomeKeeperContract;
+  readonly router: RouterContract;
+  readonly outbox: Outbox;
+  readonly random: RandomSource;
+  readonly nextCallId: () => number;
+  readonly run: (command: RunKeyedCommand, now: ClockReading) => void;
+  readonly handedOver: (now: ClockReading) => void;
+}
+
+/** Connects callers' keyed requests, this node's homes and the homes on other nodes. */
+export class KeyedBoard {
+  private readonly forwarder: KeyedForwarder;
+  private readonly requests = new Map<number, KeyedRequest>();
+  private readonly tableRequestedAt = new Map<string, number>();
+
+  public constructor(private readonly options: KeyedBoardOptions) {
+    const { homes, nextCallId } = options;
+    this.forwarder = new KeyedForwarder({
+      nextCallId,
+      rangeOf: (key) => homes.rangeOf(key),
+      table: (service) => homes.table(service),
+    });
+  }
+
+  public get inProgress(): number {
+    return this.forwarder.inProgress;
+  }
+
+  public begin(request: KeyedRequest, now: ClockReading): void {
+    this.requests.set(request.requestNumber, request);
+    this.applyForwarder(this.forwarder.begin(request, now), now);
+  }
+
+  public callerGone(requestNumber: number): void {
+    this.requests.delete(requestNumber);
+    this.forwarder.abandon(requestNumber);
+  }
+
+  public keyedFrame(from: string, frame: KeyedFrame, now: ClockReading): void {
+    match(frame)
+      .with({ kind: 'keyed-request' }, (request) => {
+        this.applyHomes(this.options.homes.request(from, request, now), now);
+      })
+      .with({ kind: 'key-question' }, (question) => {
+        this.applyHomes(this.options.homes.question(from, question, now), now);
+      })
+      .with({ kind: 'keyed-outcome' }, ({ callId, outcome }) => {
+        this.outcome(from, callId, outcome, now);
+      })
+      .with({ kind: 'key-answer' }, () => undefined)
+      .exhaustive();
+  }
+
+  public homeFrame(from: string, frame: HomeFrame, now: ClockReading): void {
+    this.applyHomes(this.options.homes.frame(from, frame, now), now);
+    if (frame.kind === 'home-table' || frame.kind === 'home-confirm') {
+      this.applyForwarder(this.forwarder.tableChanged(frame.service, now), now);
+    }
+  }
+
+  public concluded(
+    dispatchId: number,
+    outcome: CallOutcome,
+    answer: KeyedAnswer | undefined,
+    now: ClockReading,
+  ): void {
+    this.applyHomes(this.options.homes.concluded(dispatchId, outcome, answer, now), now);
+  }
+
+  public storeResult(operationId: number, result: StoreResult, now: ClockReading): void {
+    this.applyHomes(this.options.homes.storeResult(operationId, result, now), now);
+  }
+
+  public members(members: readonly MemberRecord[], now: ClockReading): void {
+    this.applyHomes(this.options.homes.members(members, now), now);
+  }
+
+  public handOver(now: ClockReading): void {
+    this.applyHomes(this.options.homes.handOver(now), now);
+  }
+
+  public notSent(callId: number, now: ClockReading): void {
+    this.applyForwarder(this.forwarder.notSent(callId), now);
+  }
+
+  public peerLost(server: string, now: ClockReading): void {
+    this.applyForwarder(this.forwarder.peerLost(server), now);
+  }
+
+  public tick(now: ClockReading): void {
+    this.applyHomes(this.options.homes.tick(now), now);
+    this.applyForwarder(this.forwarder.tick(now), now);
+    for (const service of this.forwarder.waitingServices()) {
+      this.applyForwarder(this.forwarder.tableChanged(service, now), now);
+    }
+  }
+
+  private outcome(from: string, callId: number, outcome: KeyedOutcome, now: ClockReading): void {
+    if (outcome.kind === 'not-home' && outcome.table !== undefined) {
+      const { table } = outcome;
+      this.homeFrame(from, { kind: 'home-table', service: table.service, table }, now);
+    }
+    this.applyForwarder(this.forwarder.outcome(from, callId, outcome, now), now);
+  }
+
+  private applyForwarder(commands: readonly ForwarderCommand[], now: ClockReading): void {
+    for (const command of commands) {
+      match(command)
+        .with({ kind: 'forward' }, ({ frame, to }) => {
+          const { requestId, service, tenant } = frame.head;
+          const event = JournalEvent.Forwarded;
+          this.options.outbox.journal({ event, requestId, server: to, service, tenant });
+          if (to === this.options.self) {
+            this.applyHomes(this.options.homes.request(to, frame, now), now);
+          } else if (!this.options.outbox.send(to, frame)) {
+            this.applyForwarder(this.forwarder.notSent(frame.callId), now);
+          }
+        })
+        .with({ kind: 'need-table' }, ({ service }) => {
+          this.requestTable(service, now);
+        })
+        .with({ kind: 'conclude' }, ({ outcome, requestNumber }) => {
+          this.conclude(requestNumber, outcome);
+        })
+        .exhaustive();
+    }
+  }
+
+  private conclude(
+    requestNumber: number,
+    outcome: Exclude<KeyedOutcome, { readonly kind: 'not-home' }>,
+  ): void {
+    const request = this.requests.get(requestNumber);
+    this.requests.delete(requestNumber);
+    const { outbox } = this.options;
+    if (request !== undefined) {
+      const { requestId, service, tenant } = request.head;
+      const detail = outcome.kind === 'answered' ? String(outcome.status) : outcome.reason;
+      const reason = `${outcome.kind} ${detail}`;
+      outbox.journal({ event: JournalEvent.Concluded, reason, requestId, service, tenant });
+    }
+    if (outcome.kind !== 'answered') {
+      outbox.push({ kind: 'reply-to-caller', outcome, requestNumber, streamedBody: false });
+      return;
+    }
+    const { body, headers, status } = outcome;
+    outbox.push({
+      body,
+      headers,
+      kind: 'reply-to-caller',
+      outcome: { kind: 'answered', status },
+      requestNumber,
+      streamedBody: false,
+    });
+  }
+
+  private requestTable(service: string, now: ClockReading): void {
+    const requestedAt = this.tableRequestedAt.get(service);
+    if (requestedAt !== undefined && now.monotonic - requestedAt < tableRequestMilliseconds) {
+      return;
+    }
+    this.tableRequestedAt.set(service, now.monotonic);
+    const { outbox, random, router, self } = this.options;
+    const others = router.targets(service).filter(({ server }) => server !== self);
+    const target = pickRandom(random, others);
+    if (target !== undefined) {
+      outbox.send(target.server, { kind: 'home-table-request', service });
+    }
+  }
+
+  private applyHomes(commands: readonly HomeCommand[], now: ClockReading): void {
+    const { outbox, self } = this.options;
+    for (const command of commands) {
+      match(command)
+        .with({ kind: 'run-keyed' }, (run) => {
+          this.options.run(run, now);
+        })
+        .with({ kind: 'keyed-reply' }, ({ callId, outcome, to }) => {
+          if (to === self) {
+            this.outcome(self, callId, outcome, now);
+          } else {
+            outbox.send(to, { callId, kind: 'keyed-outcome', outcome });
+          }
+        })
+        .with({ kind: 'send' }, ({ frame, to }) => {
+          this.sendFromHome(to, frame, now);
+        })
+        .with({ kind: 'store' }, ({ operation, operationId }) => {
+          outbox.push({ client: StoreClient.Homes, kind: 'store', operation, operationId });
+        })
+        .with({ kind: 'handed-over' }, () => {
+          this.options.handedOver(now);
+        })
+        .with({ kind: 'count' }, { kind: 'log' }, (own) => {
+          outbox.push(own);
+        })
+        .exhaustive();
+    }
+  }
+
+  private sendFromHome(
+    to: string,
+    frame: Extract<HomeCommand, { readonly kind: 'send' }>['frame'],
+    now: ClockReading,
+  ): void {
+    if (to !== this.options.self) {
+      this.options.outbox.send(to, frame);
+    } else if (frame.kind !== 'key-answer') {
+      // This node is a witness of its own home.
+      this.homeFrame(to, frame, now);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/node/outbox.ts
@@ -0,0 +1,53 @@
+import type { CoreCommand, JournalCommand, LogCommand } from '../messages/core-command.js';
+import type { CoreFrame } from '../messages/frames.js';
+
+/** Names of the counters that the core raises. */
+export const CounterName = {
+  Admitted: 'gate_admitted',
+  LateResults: 'late_results',
+  Refusals: 'refusals',
+  Requests: 'requests',
+  Retries: 'retries',
+  Unknowns: 'unknown_outcomes',
+} as const;
+export type CounterName = (typeof CounterName)[keyof typeof CounterName];
+
+/** Collects the commands that one message leads to. */
+export class Outbox {
+  private commands: CoreCommand[] = [];
+
+  public constructor(private readonly addressOf: (server: string) => string | undefined) {}
+
+  public push(command: CoreCommand): void {
+    this.commands.push(command);
+  }
+
+  /** Sends a frame to a known member. Returns false when its address is not known. */
+  public send(to: string, frame: CoreFrame): boolean {
+    const address = this.addressOf(to);
+    if (address === undefined) {
+      return false;
+    }
+    this.commands.push({ address, frame, kind: 'send-frame', to });
+    return true;
+  }
+
+  public count(counter: CounterName, labels: Readonly<Record<string, string>>): void {
+    this.commands.push({ by: 1, counter, kind: 'count', labels });
+  }
+
+  public journal(entry: Omit<JournalCommand, 'kind'>): void {
+    this.commands.push({ ...entry, kind: 'journal' });
+  }
+
+  public log(level: LogCommand['level'], event: string, fields: LogCommand['fields']): void {
+    this.commands.push({ event, fields, kind: 'log', level });
+  }
+
+  /** Returns what was collected and starts afresh. */
+  public take(): readonly CoreCommand[] {
+    const { commands } = this;
+    this.commands = [];
+    return commands;
+  }
+}
--- /dev/null
+++ b/packages/nodes/src/frame-shapes.ts
@@ -0,0 +1,114 @@
+import type { WireFrame } from './wire-frames.js';
+
+type FieldCheck = 'array' | 'boolean' | 'bytes' | 'number' | 'object' | 'string';
+
+const loadedCall = { callId: 'number', load: 'object' } as const;
+const bodyFrame = { callId: 'number', direction: 'string' } as const;
+
+/** The fields that the receiver of each frame relies on; optional ones are not listed. */
+const frameShapes: Readonly<Record<WireFrame['kind'], Readonly<Record<string, FieldCheck>>>> = {
+  acknowledgement: {
+    configurationRevision: 'number',
+    sequence: 'number',
+    server: 'string',
+    updates: 'array',
+  },
+  answer: { ...loadedCall, headers: 'object', status: 'number', streamedBody: 'boolean' },
+  'body-chunk': { ...bodyFrame, bytes: 'bytes' },
+  'body-credit': { ...bodyFrame, bytes: 'number' },
+  'body-cut': bodyFrame,
+  'body-end': bodyFrame,
+  'configuration-pull': { haveRevision: 'number' },
+  'configuration-push': {
+    baseRevision: 'number',
+    configuration: 'object',
+    removedServices: 'array',
+    revision: 'number',
+  },
+  heartbeat: {},
+  hello: { identity: 'object', nonce: 'bytes', version: 'number' },
+  'home-confirm': { released: 'boolean', sequence: 'number', service: 'string', table: 'object' },
+  'home-promise': {
+    accepted: 'boolean',
+    sequence: 'number',
+    service: 'string',
+    version: 'number',
+  },
+  'home-table': { service: 'string' },
+  'home-table-request': { service: 'string' },
+  'key-answer': { callId: 'number', state: 'string' },
+  'key-question': { callId: 'number', key: 'string', service: 'string' },
+  'keyed-outcome': { callId: 'number', outcome: 'object' },
+  'keyed-request': {
+    body: 'bytes',
+    callId: 'number',
+    digest: 'string',
+    head: 'object',
+    key: 'string',
+    receivedAt: 'number',
+    remainingMilliseconds: 'number',
+  },
+  'load-probe': { service: 'string' },
+  'load-report': {},
+  'member-sync': { digest: 'number', reply: 'boolean' },
+  'member-updates': { updates: 'array' },
+  'operator-answer': { answer: 'string', questionId: 'number' },
+  'operator-question': { question: 'string', questionId: 'number' },
+  ping: { configurationRevision: 'number', sequence: 'number', updates: 'array' },
+  'ping-request': { sequence: 'number', target: 'string' },
+  proof: { signature: 'bytes' },
+  'records-received': { part: 'number', range: 'number', service: 'string' },
+  'records-transfer': {
+    last: 'boolean',
+    part: 'number',
+    range: 'number',
+    records: 'array',
+    service: 'string',
+  },
+  'request-admitted': { callId: 'number' },
+  'request-cancel': { callId: 'number' },
+  'request-failed': { ...loadedCall, detail: 'string' },
+  'request-refused': { callId: 'number', refusal: 'object' },
+  'request-start': {
+    callId: 'number',
+    head: 'object',
+    remainingMilliseconds: 'number',
+    requestClass: 'string',
+    streamedBody: 'boolean',
+  },
+};
+
+function matches(value: unknown, check: FieldCheck): boolean {
+  switch (check) {
+    case 'array':
+      return Array.isArray(value);
+    case 'bytes':
+      return value instanceof Uint8Array;
+    case 'object':
+      return typeof value === 'object' && value !== null && !Array.isArray(value);
+    case 'number':
+      return typeof value === 'number' && !Number.isNaN(value);
+    case 'boolean':
+    case 'string':
+      return typeof value === check;
+  }
+}
+
+/** Says what is wrong with a decoded value, or nothing when it is a frame. */
+export function describeFrameFault(value: unknown): string | undefined {
+  if (typeof value !== 'object' || value === null || !('kind' in value)) {
+    return 'frame is not a map with a kind';
+  }
+  const { kind } = value;
+  if (typeof kind !== 'string' || !Object.hasOwn(frameShapes, kind)) {
+    return `unknown frame kind ${JSON.stringify(kind)}`;
+  }
+  const shape = frameShapes[kind as WireFrame['kind']];
+  const fields = value as Readonly<Record<string, unknown>>;
+  for (const [field, check] of Object.entries(shape)) {
+    if (!matches(fields[field], check)) {
+      return `field ${field} of frame ${kind} is not of type ${check}`;
+    }
+  }
+  return undefined;
+}
