--- a/packages/core/src/messages/frames.ts
+++ b/packages/core/src/messages/frames.ts
@@ -89,6 +89,13 @@
   readonly direction: BodyDirection;
 }
 
+/** Says that the receiver reads no more of the body. */
+export interface BodyStopFrame {
+  readonly kind: 'body-stop';
+  readonly callId: number;
+  readonly direction: BodyDirection;
+}
+
 /** Allows the sender of a body this many more bytes. */
 export interface BodyCreditFrame {
   readonly kind: 'body-credit';
@@ -97,7 +104,8 @@
   readonly bytes: number;
 }
 
-export type BodyFrame = BodyChunkFrame | BodyEndFrame | BodyCutFrame | BodyCreditFrame;
+export type BodyFrame =
+  BodyChunkFrame | BodyEndFrame | BodyCutFrame | BodyStopFrame | BodyCreditFrame;
 
 export type CallFrame =
   | RequestStartFrame
--- a/packages/nodes/src/frame-shapes.ts
+++ b/packages/nodes/src/frame-shapes.ts
@@ -18,6 +18,7 @@
   'body-credit': { ...bodyFrame, bytes: 'number' },
   'body-cut': bodyFrame,
   'body-end': bodyFrame,
+  'body-stop': bodyFrame,
   'configuration-pull': { haveRevision: 'number' },
   'configuration-push': {
     baseRevision: 'number',
