--- /dev/null
+++ b/packages/nodes/tests/node-connections.test.ts
@@ -0,0 +1,135 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+
+import { Encoder } from 'cbor-x';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { CloseReason, maximumFrameBytes } from '../src/index.js';
+import { closeNodes, startNode, waitUntil } from './shared/node-pair.js';
+
+const encoder = new Encoder({ tagUint8Array: false, useRecords: false });
+
+function framed(value: unknown): Buffer {
+  const encoded = encoder.encode(value);
+  const buffer = Buffer.alloc(4 + encoded.length);
+  buffer.writeUInt32BE(encoded.length, 0);
+  encoded.copy(buffer, 4);
+  return buffer;
+}
+
+const hello = {
+  identity: { server: 'intruder' },
+  kind: 'hello',
+  nonce: new Uint8Array(16),
+  version: 1,
+};
+const tooLong = Buffer.alloc(4);
+tooLong.writeUInt32BE(maximumFrameBytes + 1, 0);
+
+/** What a broken or hostile peer may send, and the reason that must be counted for it. */
+const malformedInputs: readonly (readonly [string, Buffer, CloseReason])[] = [
+  ['a frame that is too long', tooLong, CloseReason.TooLarge],
+  ['an HTTP request', Buffer.from('GET / HTTP/1.1\r\n\r\n'), CloseReason.TooLarge],
+  ['bytes that are not CBOR', Buffer.from([0, 0, 0, 2, 0x5b, 0xff]), CloseReason.BadEncoding],
+  ['a value that is no map', framed(5), CloseReason.BadShape],
+  ['an unknown kind', framed({ kind: 'surprise' }), CloseReason.BadShape],
+  ['a kind that every object has', framed({ kind: 'toString' }), CloseReason.BadShape],
+  ['a hello without a nonce', framed({ ...hello, nonce: 'text' }), CloseReason.BadShape],
+  ['another protocol version', framed({ ...hello, version: 99 }), CloseReason.VersionMismatch],
+  ['a frame before the hello', framed({ kind: 'load-probe', service: 'a' }), CloseReason.BadHello],
+  [
+    'a proof before the hello',
+    framed({ kind: 'proof', signature: new Uint8Array(32) }),
+    CloseReason.BadHello,
+  ],
+  ['two hellos', Buffer.concat([framed(hello), framed(hello)]), CloseReason.BadHello],
+  [
+    'a wrong proof',
+    Buffer.concat([framed(hello), framed({ kind: 'proof', signature: new Uint8Array(32) })]),
+    CloseReason.BadProof,
+  ],
+];
+
+async function dial(address: string): Promise<Socket> {
+  const socket = connect({ host: '127.0.0.1', port: Number(address.split(':')[1]) });
+  socket.on('error', () => undefined);
+  await once(socket, 'connect');
+  return socket;
+}
+
+test.after(closeNodes);
+
+test('frames reach the other node and its answers come back on the same connection', async () => {
+  const first = await startNode('first');
+  const second = await startNode('second');
+  first.connections.send('second', second.address, { kind: 'load-probe', service: 'a' });
+  await waitUntil(() => second.frames.length === 1, 'the first frame');
+  assert.is(second.frames[0]?.from, 'first');
+  // The address is wrong on purpose: the connection that exists must be used.
+  second.connections.send('first', '127.0.0.1:1', { kind: 'load-report', load: undefined });
+  await waitUntil(() => first.frames.length === 1, 'the answer');
+});
+
+for (const [name, bytes, reason] of malformedInputs) {
+  test(`${name} closes that connection with a counted reason and harms no other`, async () => {
+    const node = await startNode('victim');
+    const neighbour = await startNode('neighbour');
+    neighbour.connections.send('victim', node.address, { kind: 'load-probe', service: 'a' });
+    await waitUntil(() => node.frames.length === 1, 'the first frame of the neighbour');
+    const socket = await dial(node.address);
+    const closed = once(socket, 'close');
+    socket.resume();
+    socket.write(bytes);
+    await closed;
+    assert.is(node.connections.closeCounts.get(reason), 1);
+    assert.equal(node.rejected, [reason]);
+    neighbour.connections.send('victim', node.address, { kind: 'load-probe', service: 'b' });
+    await waitUntil(() => node.frames.length === 2, 'the second frame of the neighbour');
+    assert.equal(neighbour.lost, []);
+  });
+}
+
+test('a node with another secret gets nothing through and hears that nothing was sent', async () => {
+  const node = await startNode('guarded');
+  const stranger = await startNode('stranger', { current: 'guess' });
+  stranger.connections.send('guarded', node.address, { kind: 'load-probe', service: 'a' });
+  await waitUntil(() => stranger.unsent.length === 1, 'the frame to come back as unsent');
+  assert.equal(node.frames, []);
+});
+
+test('the previous secret is accepted while the current one is rolled out', async () => {
+  const updated = await startNode('updated', { current: 'new', previous: 'old' });
+  const behind = await startNode('behind', { current: 'old', previous: 'new' });
+  behind.connections.send('updated', updated.address, { kind: 'load-probe', service: 'a' });
+  await waitUntil(() => updated.frames.length === 1, 'the frame of the node with the old secret');
+});
+
+test('frames to an address where nobody listens come back as unsent, not as lost', async () => {
+  const node = await startNode('alone');
+  const gone = await startNode('gone');
+  await gone.connections.close();
+  node.connections.send('gone', gone.address, { callId: 1, kind: 'request-cancel' });
+  await waitUntil(() => node.unsent.length === 1, 'the unsent frame');
+  assert.equal(node.lost, []);
+});
+
+test('a server name that does not match the dialed address gets no frames', async () => {
+  const node = await startNode('dialer');
+  const other = await startNode('other');
+  node.connections.send('expected', other.address, { kind: 'load-probe', service: 'a' });
+  await waitUntil(() => node.unsent.length === 1, 'the unsent frame');
+  assert.equal(other.frames, []);
+});
+
+test('a lost connection is reported, so that attempts on it do not wait for their deadline', async () => {
+  const first = await startNode('stays');
+  const second = await startNode('dies');
+  first.connections.send('dies', second.address, { kind: 'load-probe', service: 'a' });
+  await waitUntil(() => second.frames.length === 1, 'the frame');
+  await second.connections.close();
+  await waitUntil(() => first.lost.includes('dies'), 'the report of the loss');
+});
+
+test.run();
