--- /dev/null
+++ b/packages/callers/tests/caller-server.test.ts
@@ -0,0 +1,347 @@
+import { Readable } from 'node:stream';
+import { pipeline } from 'node:stream/promises';
+
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { HeaderName } from '../src/index.js';
+import { exchange, rawRequest } from './shared/raw-http.js';
+import { TestServer } from './shared/test-server.js';
+
+const key = { 'idempotency-key': 'key-1' };
+const long = 'x'.repeat(5_000);
+
+/** Wrong input, with the status, the outcome, the reason and the words that name the field. */
+const rejectedInputs: readonly (readonly [string, string, number, string, string, string])[] = [
+  [
+    'an unknown service',
+    rawRequest('GET', '/nothing/a'),
+    404,
+    'refused-not-run',
+    'unknown-service',
+    'nothing',
+  ],
+  [
+    'a service named like an object field',
+    rawRequest('GET', '/constructor/a'),
+    404,
+    'refused-not-run',
+    'unknown-service',
+    'constructor',
+  ],
+  ['no service', rawRequest('GET', '/'), 404, 'refused-not-run', 'unknown-service', '/<service>/'],
+  [
+    'a deadline in words',
+    rawRequest('GET', '/provenance/a', { [HeaderName.Deadline]: 'soon' }),
+    400,
+    'refused-not-run',
+    'deadline-malformed',
+    'Peridotspring-Deadline-Ms',
+  ],
+  [
+    'a deadline of zero',
+    rawRequest('GET', '/provenance/a', { [HeaderName.Deadline]: '0' }),
+    400,
+    'refused-not-run',
+    'deadline-malformed',
+    '1 to 60000',
+  ],
+  [
+    'a deadline above the maximum',
+    rawRequest('GET', '/provenance/a', { [HeaderName.Deadline]: '60001' }),
+    400,
+    'refused-not-run',
+    'deadline-malformed',
+    '1 to 60000',
+  ],
+  [
+    'a deadline that is wrong on a keyed request',
+    rawRequest('POST', '/provenance/issue', { ...key, [HeaderName.Deadline]: '-1' }, 'a'),
+    400,
+    'outcome-unknown',
+    'deadline-malformed',
+    'Peridotspring-Deadline-Ms',
+  ],
+  [
+    'a depth beyond the limit',
+    rawRequest('GET', '/provenance/a', { [HeaderName.Depth]: '17' }),
+    400,
+    'refused-not-run',
+    'depth-exceeded',
+    '0 to 16',
+  ],
+  [
+    'a depth that is no number',
+    rawRequest('GET', '/provenance/a', { [HeaderName.Depth]: '1e1' }),
+    400,
+    'refused-not-run',
+    'depth-exceeded',
+    'Peridotspring-Depth',
+  ],
+  [
+    'a missing key',
+    rawRequest('POST', '/provenance/issue', {}, 'a'),
+    400,
+    'refused-not-run',
+    'key-missing',
+    'Idempotency-Key',
+  ],
+  [
+    'a key that is too long',
+    rawRequest('POST', '/provenance/issue', { 'idempotency-key': 'k'.repeat(129) }, 'a'),
+    400,
+    'refused-not-run',
+    'key-malformed',
+    '128',
+  ],
+  [
+    'a key with a space',
+    rawRequest('POST', '/provenance/issue', { 'idempotency-key': 'a b' }, 'a'),
+    400,
+    'refused-not-run',
+    'key-malformed',
+    'Idempotency-Key',
+  ],
+  [
+    'a key that stands twice',
+    rawRequest(
+      'POST',
+      '/provenance/issue',
+      { 'Idempotency-Key': 'b', 'idempotency-key': 'a' },
+      'a',
+    ),
+    400,
+    'refused-not-run',
+    'key-malformed',
+    'Idempotency-Key',
+  ],
+  [
+    'an undeclared method without a key',
+    rawRequest('DELETE', '/provenance/a'),
+    400,
+    'refused-not-run',
+    'key-missing',
+    'Idempotency-Key',
+  ],
+  [
+    'an oversized keyed body',
+    rawRequest('POST', '/provenance/issue', key, long),
+    413,
+    'refused-not-run',
+    'body-too-large',
+    '2048',
+  ],
+  [
+    'an oversized keyed body in chunks',
+    rawRequest('POST', '/provenance/issue', {
+      ...key,
+      'transfer-encoding': 'chunked',
+      'content-length': '',
+    }).replace('content-length: \r\n', '') + `1388\r\n${long}\r\n0\r\n\r\n`,
+    413,
+    'refused-not-run',
+    'body-too-large',
+    '2048',
+  ],
+  [
+    'an oversized head',
+    rawRequest('GET', '/provenance/a', { filler: long }),
+    431,
+    'refused-not-run',
+    'headers-too-large',
+    '4096',
+  ],
+  [
+    'two lengths',
+    rawRequest(
+      'POST',
+      '/provenance/issue',
+      { ...key, 'Content-Length': '3', 'content-length': '4' },
+      'abcd',
+    ),
+    400,
+    'refused-not-run',
+    'conflicting-lengths',
+    'Content-Length',
+  ],
+  [
+    'a length and chunks',
+    rawRequest(
+      'POST',
+      '/provenance/issue',
+      { ...key, 'content-length': '4', 'transfer-encoding': 'chunked' },
+      'abcd',
+    ),
+    400,
+    'refused-not-run',
+    'conflicting-lengths',
+    'Transfer-Encoding',
+  ],
+];
+
+for (const [name, request, status, outcome, reason, words] of rejectedInputs) {
+  test(`${name} is refused at once, names the field and never reaches the core`, async () => {
+    const server = new TestServer();
+    await server.start();
+    const answer = await exchange(server.port, request);
+    await server.callers.close();
+    assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `));
+    assert.match(answer.toLowerCase(), `${HeaderName.Outcome}: ${outcome}`);
+    assert.match(answer.toLowerCase(), `${HeaderName.Reason}: ${reason}`);
+    assert.match(answer, words);
+    assert.equal(server.requests, []);
+    assert.is(server.finished.length, 1);
+  });
+}
+
+test('a whole body reaches the core with its digest and the internal headers are dropped', async () => {
+  const server = new TestServer();
+  await server.start();
+  server.onRequest = ({ requestNumber }) => {
+    const headers = { 'peridotspring-outcome': 'forged', 'x-own': 'kept' };
+    const outcome = { kind: 'answered', status: 201 } as const;
+    const body = Buffer.from('done');
+    server.callers.reply({
+      body,
+      headers,
+      kind: 'reply-to-caller',
+      outcome,
+      requestNumber,
+      streamedBody: false,
+    });
+  };
+  const headers = {
+    ...key,
+    'peridotspring-forged': '1',
+    'peridotspring-tenant': 'cantons',
+    'x-own': '2',
+  };
+  const answer = await exchange(
+    server.port,
+    rawRequest('POST', '/provenance/issue?n=1', headers, 'abc'),
+  );
+  await server.callers.close();
+  const [request] = server.requests;
+  assert.is(Buffer.from(request?.body ?? []).toString(), 'abc');
+  assert.is(request?.key, 'key-1');
+  assert.is(request?.digest?.length, 64);
+  assert.is(request?.head.path, '/issue?n=1');
+  assert.is(request?.head.tenant, 'cantons');
+  assert.is(request?.head.depth, 1);
+  assert.is(request?.head.headers['peridotspring-forged'], undefined);
+  assert.is(request?.head.headers['x-own'], '2');
+  assert.match(answer, /^HTTP\/1.1 201 /);
+  assert.match(answer, 'x-own: kept');
+  assert.match(answer, 'peridotspring-outcome: answered');
+  assert.not.match(answer, 'forged');
+  assert.ok(answer.endsWith('\r\n\r\ndone'));
+});
+
+test('a long idempotent body is streamed whole, from its first byte', async () => {
+  const server = new TestServer();
+  await server.start();
+  server.onRequest = ({ requestNumber, streamedBody }) => {
+    assert.ok(streamedBody);
+    const outcome = { kind: 'answered', status: 200 } as const;
+    server.callers.reply({
+      headers: {},
+      kind: 'reply-to-caller',
+      outcome,
+      requestNumber,
+      streamedBody: true,
+    });
+    const body = server.callers.requestBody(requestNumber);
+    const sink = server.callers.answerSink(requestNumber);
+    assert.ok(body !== undefined && sink !== undefined);
+    void pipeline(body, sink);
+  };
+  const answer = await exchange(server.port, rawRequest('PUT', '/provenance/a', {}, long));
+  await server.callers.close();
+  assert.is(answer.split('x').length - 1, long.length);
+});
+
+test('an answer that is cut closes the connection, so that it never looks whole', async () => {
+  const server = new TestServer();
+  await server.start();
+  server.onRequest = ({ requestNumber }) => {
+    const outcome = { kind: 'answered', status: 200 } as const;
+    server.callers.reply({
+      headers: {},
+      kind: 'reply-to-caller',
+      outcome,
+      requestNumber,
+      streamedBody: true,
+    });
+    const sink = server.callers.answerSink(requestNumber);
+    const cut = Readable.from(
+      (function* () {
+        yield 'part';
+        throw new Error('cut');
+      })(),
+    );
+    if (sink !== undefined) {
+      pipeline(cut, sink).catch(() => undefined);
+    }
+  };
+  const answer = await exchange(server.port, rawRequest('GET', '/provenance/a'));
+  await server.callers.close();
+  assert.not.ok(answer.endsWith('0\r\n\r\n'));
+});
+
+test('a request body that the caller cuts never reaches the core', async () => {
+  const server = new TestServer();
+  await server.start();
+  const head = rawRequest('POST', '/provenance/issue', { ...key, 'content-length': '100' });
+  const { connect } = await import('node:net');
+  const socket = connect({ host: '127.0.0.1', port: server.port });
+  await new Promise<void>((resolve) =>
+    socket.write(`${head}only a part`, () => {
+      resolve();
+    }),
+  );
+  socket.destroy();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  await server.callers.close();
+  assert.equal(server.requests, []);
+});
+
+test('a stopping node turns requests away at once and never says of a key that it did not run', async () => {
+  const server = new TestServer();
+  await server.start();
+  server.isStopping = true;
+  const lookup = await exchange(server.port, rawRequest('GET', '/provenance/a'));
+  const keyed = await exchange(server.port, rawRequest('POST', '/provenance/issue', key, 'a'));
+  await server.callers.close();
+  assert.match(lookup, 'peridotspring-outcome: refused-not-run');
+  assert.match(lookup, 'retry-after: 1');
+  assert.match(keyed, 'peridotspring-outcome: outcome-unknown');
+  assert.match(keyed, 'peridotspring-attempt: not-started');
+});
+
+test('more requests than the limit are turned away, so that memory stays bounded', async () => {
+  const server = new TestServer({ requests: 1 });
+  await server.start();
+  const waiting = exchange(server.port, rawRequest('GET', '/provenance/a'));
+  while (server.requests.length === 0) {
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
+  const second = await exchange(server.port, rawRequest('GET', '/provenance/b'));
+  assert.match(second, 'peridotspring-reason: entry-busy');
+  await server.callers.close();
+  await waiting;
+});
+
+test('a caller that goes away is reported, so that its work can be cancelled', async () => {
+  const server = new TestServer();
+  await server.start();
+  const { connect } = await import('node:net');
+  const socket = connect({ host: '127.0.0.1', port: server.port });
+  server.onRequest = () => socket.destroy();
+  socket.write(rawRequest('GET', '/provenance/a'));
+  while (!server.delivered.some(({ kind }) => kind === 'caller-gone')) {
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
+  await server.callers.close();
+});
+
+test.run();
--- /dev/null
+++ b/packages/callers/tests/shared/test-server.ts
@@ -0,0 +1,76 @@
+import type {
+  CallerGoneMessage,
+  CallerRequestMessage,
+  Configuration,
+  RequestClass,
+} from '@peridotspring/core';
+import { emptyConfiguration, serviceDefaults } from '@peridotspring/core';
+
+import { CallerServer } from '../../src/index.js';
+import type { CallerLimits, FinishedRequest } from '../../src/index.js';
+
+export const testLimits: CallerLimits = {
+  connections: 100,
+  headerBytes: 4_096,
+  headersTimeoutMilliseconds: 10_000,
+  heldBodyBytes: 1_024,
+  keyedBodyBytes: 2_048,
+  requestTimeoutMilliseconds: 10_000,
+  requests: 50,
+};
+
+const idempotent: RequestClass = 'idempotent';
+const nonIdempotent: RequestClass = 'non-idempotent';
+
+export const testConfiguration: Configuration = {
+  ...emptyConfiguration,
+  revision: 1,
+  services: {
+    provenance: {
+      ...serviceDefaults,
+      name: 'provenance',
+      requestKinds: [
+        { method: 'PUT', name: 'upload', pathPrefix: '/', requestClass: idempotent },
+        { method: 'POST', name: 'issue', pathPrefix: '/issue', requestClass: nonIdempotent },
+      ],
+    },
+  },
+};
+
+export class TestServer {
+  public readonly delivered: (CallerRequestMessage | CallerGoneMessage)[] = [];
+  public readonly finished: FinishedRequest[] = [];
+  public isStopping = false;
+  public port = 0;
+  public readonly callers: CallerServer;
+  /** Called for each request, to answer it. */
+  public onRequest: (request: CallerRequestMessage) => void = () => undefined;
+
+  public constructor(limits: Partial<CallerLimits> = {}) {
+    this.callers = new CallerServer({
+      bindHost: '127.0.0.1',
+      bindPort: 0,
+      clock: () => performance.now(),
+      configuration: () => testConfiguration,
+      deliver: (message) => {
+        this.delivered.push(message);
+        if (message.kind === 'caller-request') {
+          this.onRequest(message);
+        }
+      },
+      finished: (request) => this.finished.push(request),
+      isStopping: () => this.isStopping,
+      limits: { ...testLimits, ...limits },
+      requestIdPrefix: 'test',
+      tenantHeader: 'peridotspring-tenant',
+    });
+  }
+
+  public async start(): Promise<void> {
+    this.port = await this.callers.listen();
+  }
+
+  public get requests(): readonly CallerRequestMessage[] {
+    return this.delivered.filter((message) => message.kind === 'caller-request');
+  }
+}
--- a/packages/nodes/tests/frame-codec.test.ts
+++ b/packages/nodes/tests/frame-codec.test.ts
@@ -22,7 +22,7 @@
     for (const result of decoder.push(bytes.subarray(offset, offset + length))) {
       assert.is(result.kind, 'frame');
       if (result.kind === 'frame') {
-        decoded.push(encodeFrame(result.frame as PeerFrame));
+        decoded.push(encodeFrame(result.frame));
       }
     }
     offset += length;
