--- /dev/null
+++ b/packages/core/src/gate/gradient-concurrency-limit.ts
@@ -0,0 +1,108 @@
+import type { ConcurrencyLimit, ConcurrencySample } from './concurrency-limit.js';
+
+/** Settings of {@link GradientConcurrencyLimit}. */
+export interface ConcurrencyLimitSettings {
+  /** Answers whose mean latency forms one measurement. */
+  readonly windowSamples: number;
+  /** Ratio of recent to minimum latency above which the limit is lowered. */
+  readonly tolerance: number;
+  /** Factor by which the minimum latency rises per window, so that it follows lasting changes. */
+  readonly baselineDrift: number;
+  /** A lower limit must bring the latency below this share of what it was, or it is taken back. */
+  readonly improvementShare: number;
+}
+
+/**
+ * Defaults of the learned limit.
+ * Means of 100 exponentially distributed latencies vary by 10 %, so a ratio of 1.5 is far outside
+ * of their noise; single minima would throttle every upstream whose service time varies.
+ */
+export const defaultConcurrencyLimitSettings: ConcurrencyLimitSettings = {
+  baselineDrift: 1.02,
+  improvementShare: 0.8,
+  tolerance: 1.5,
+  windowSamples: 100,
+};
+
+interface Decrease {
+  readonly fromLimit: number;
+  readonly fromLatency: number;
+}
+
+/**
+ * Lowers the limit by the ratio of the minimum to the recent mean latency and raises it by one per
+ * window otherwise. An upstream that is slow at any concurrency doesn't get faster from a lower
+ * limit; then the decrease is taken back and its latency becomes the new minimum.
+ */
+export class GradientConcurrencyLimit implements ConcurrencyLimit {
+  private slots = 1;
+  private learned = 1;
+  private baseline: number | undefined;
+  private decrease: Decrease | undefined;
+  /** Requests started before this time ran under the previous limit. */
+  private changedAt = Number.NEGATIVE_INFINITY;
+  private samples = 0;
+  private latencySum = 0;
+  private peakInFlight = 0;
+
+  public constructor(private readonly settings: ConcurrencyLimitSettings) {}
+
+  public get limit(): number {
+    return Math.max(1, Math.min(this.slots, Math.floor(this.learned)));
+  }
+
+  public announce(slots: number, isNewUpstream: boolean): void {
+    const wasUnlimited = this.learned >= this.slots;
+    this.slots = slots;
+    if (isNewUpstream) {
+      this.baseline = undefined;
+      this.decrease = undefined;
+      this.startWindow();
+    }
+    this.learned = isNewUpstream || wasUnlimited ? slots : Math.min(this.learned, slots);
+  }
+
+  public answered(sample: ConcurrencySample, now: number): void {
+    if (sample.startedAt < this.changedAt) return;
+    this.samples += 1;
+    this.latencySum += sample.latencyMilliseconds;
+    this.peakInFlight = Math.max(this.peakInFlight, sample.inFlight);
+    if (this.samples < this.settings.windowSamples) return;
+    this.adjust(this.latencySum / this.samples, now);
+    this.startWindow();
+  }
+
+  private startWindow(): void {
+    this.samples = 0;
+    this.latencySum = 0;
+    this.peakInFlight = 0;
+  }
+
+  private adjust(recent: number, now: number): void {
+    const decrease = this.decrease;
+    this.decrease = undefined;
+    if (decrease !== undefined && recent > decrease.fromLatency * this.settings.improvementShare) {
+      this.baseline = recent;
+      this.change(decrease.fromLimit, now);
+      return;
+    }
+    this.baseline =
+      this.baseline === undefined
+        ? recent
+        : Math.min(recent, this.baseline * this.settings.baselineDrift);
+    const ratio = this.baseline > 0 ? recent / this.baseline : 1;
+    if (ratio <= this.settings.tolerance) {
+      this.learned = Math.min(this.slots, this.learned + 1);
+      return;
+    }
+    // A few requests at once can't be the cause of the latency under a much higher limit.
+    if (this.peakInFlight * 2 < this.limit || this.limit === 1) return;
+    this.decrease = { fromLatency: recent, fromLimit: this.learned };
+    this.change(Math.max(1, Math.min(this.learned, this.peakInFlight) / ratio), now);
+  }
+
+  private change(limit: number, now: number): void {
+    this.learned = Math.min(this.slots, limit);
+    this.changedAt = now;
+  }
+}
--- /dev/null
+++ b/packages/core/tests/gate/gradient-concurrency-limit.test.ts
@@ -0,0 +1,89 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import {
+  defaultConcurrencyLimitSettings,
+  GradientConcurrencyLimit,
+  SeededRandomSource,
+} from '../../src/index.js';
+
+interface Upstream {
+  readonly realSlots: number;
+  readonly meanMilliseconds: number;
+  readonly exponential: boolean;
+}
+
+/** Limits after each window of an upstream that is kept full and shares its real slots fairly. */
+function limitsAfter(
+  limit: GradientConcurrencyLimit,
+  upstream: Upstream,
+  windows: number,
+): number[] {
+  const random = new SeededRandomSource(11);
+  const limits: number[] = [];
+  let time = 1;
+  for (let window = 0; window < windows; window += 1) {
+    for (let sample = 0; sample < defaultConcurrencyLimitSettings.windowSamples; sample += 1) {
+      const inFlight = limit.limit;
+      const slowdown = Math.max(1, inFlight / upstream.realSlots);
+      const draw = upstream.exponential ? -Math.log(1 - random.next()) : 1;
+      const latencyMilliseconds = upstream.meanMilliseconds * slowdown * draw;
+      time += latencyMilliseconds / inFlight;
+      limit.answered({ inFlight, latencyMilliseconds, startedAt: time }, time);
+    }
+    limits.push(limit.limit);
+  }
+  return limits;
+}
+
+function announced(slots: number): GradientConcurrencyLimit {
+  const limit = new GradientConcurrencyLimit(defaultConcurrencyLimitSettings);
+  limit.announce(slots, true);
+  return limit;
+}
+
+const mean = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / values.length;
+
+test('an honest upstream with varying service times is not throttled', () => {
+  const limits = limitsAfter(
+    announced(10),
+    { exponential: true, meanMilliseconds: 20, realSlots: 10 },
+    200,
+  );
+  assert.ok(mean(limits) > 9.5, `mean limit ${mean(limits)}`);
+});
+
+test('an upstream that announces 10 slots and has 4 is run at about 4', () => {
+  const limit = announced(4);
+  limitsAfter(limit, { exponential: false, meanMilliseconds: 20, realSlots: 4 }, 3);
+  limit.announce(10, false);
+  const limits = limitsAfter(limit, { exponential: true, meanMilliseconds: 20, realSlots: 4 }, 100);
+  const settled = mean(limits.slice(20));
+  assert.ok(settled > 4 && settled < 6.5, `mean limit ${settled}`);
+});
+
+test('an upstream that became slower at any concurrency gets its slots back', () => {
+  const limit = announced(10);
+  limitsAfter(limit, { exponential: false, meanMilliseconds: 20, realSlots: 10 }, 3);
+  const limits = limitsAfter(
+    limit,
+    { exponential: false, meanMilliseconds: 60, realSlots: 10 },
+    10,
+  );
+  assert.ok(Math.min(...limits) < 10, 'the slower latency was not noticed');
+  assert.is(limits.at(-1), 10);
+});
+
+test('the limit never leaves the range from 1 to the announced slots', () => {
+  const limit = announced(3);
+  limitsAfter(limit, { exponential: false, meanMilliseconds: 1, realSlots: 3 }, 1);
+  const limits = limitsAfter(
+    limit,
+    { exponential: true, meanMilliseconds: 500, realSlots: 0.1 },
+    50,
+  );
+  assert.ok(limits.every((value) => value >= 1 && value <= 3));
+});
+
+test.run();
