--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,3 +16,5 @@
 export { defaultConcurrencyLimitSettings } from './gate/gradient-concurrency-limit.js';
 export { GradientConcurrencyLimit } from './gate/gradient-concurrency-limit.js';
 export type { ConcurrencyLimitSettings } from './gate/gradient-concurrency-limit.js';
+export { defaultPollSettings, PollScheduler } from './probing/poll-scheduler.js';
+export type { PollBudget, PollSettings } from './probing/poll-scheduler.js';
