Add the upstream stand-in

Tests and the demo need an upstream whose slots, service times and faults are known, and whose own log tells what really ran.

Answers repeat a line that names their request, so that a reader can tell a foreign or cut answer from its own.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export { answerLine, answerPart } from './upstream/answer-body.js';
+export { ExecutionResult } from './upstream/execution-log.js';
+export type { Execution } from './upstream/execution-log.js';
+export { NodeLink } from './upstream/node-link.js';
+export type { NodeLinkAnswer } from './upstream/node-link.js';
+export type { ServiceTime } from './upstream/service-time.js';
+export { noUpstreamFaults, upstreamFaultsSchema } from './upstream/upstream-faults.js';
+export type { UpstreamFaults } from './upstream/upstream-faults.js';
+export { defaultUpstreamStandInOptions, UpstreamStandIn } from './upstream/upstream-stand-in.js';
+export type { UpstreamStandInOptions, UpstreamStandInState } from './upstream/upstream-stand-in.js';
