Choose targets by power of several choices

The entry needs a choice whose cost does not grow with the number of targets, from load reports that are already stale when they arrive.

The router keeps the targets of a service in pools with random access by standing (open, shunned, draining) and place. A choice draws three open targets and compares reported load, requests sent since the report and the cost of another availability zone. Slow and failing targets leave the choice and return through a trial request and a growing share.

Contract: choose takes avoidTrial, chooseServer serves the home's own server, SelectionPolicy moved to its own file and selects from pools.

Not measured yet.

--- /dev/null
+++ b/packages/core/src/routing/power-of-choices-policy.ts
@@ -0,0 +1,99 @@
+import type { ClockReading } from '../shared/clock-reading.js';
+import type { RandomSource } from '../shared/random-source.js';
+import type { SelectionPolicy, SelectionScope } from './selection-policy.js';
+import type { TargetState } from './target-state.js';
+
+/** A report counts for half after this time; the rest is the service's mean. */
+const reportHalfLifeMilliseconds = 100;
+/** Scores closer than this are equal, and the latency decides. */
+const scoreTolerance = 1e-6;
+/** Candidates from the own availability zone; one more comes from any. */
+const zoneCandidates = 2;
+const allCandidates = 3;
+
+/** Mechanisms of the policy that measurements switch off one at a time. */
+export interface PowerOfChoicesMechanisms {
+  readonly ageing: boolean;
+  readonly sentSinceReport: boolean;
+  readonly zoneCost: boolean;
+}
+
+/** Where the entry is, and what it costs to reach other availability zones. */
+export interface ZoneView {
+  readonly availabilityZone: string;
+  /** One-way delay to an availability zone; 0 for the own one. */
+  delayTo(availabilityZone: string): number;
+}
+
+/** Compares three random targets, two of them from the own availability zone, by their estimated load. */
+export class PowerOfChoicesPolicy implements SelectionPolicy {
+  public readonly name = 'power of choices';
+
+  public constructor(
+    private readonly random: RandomSource,
+    private readonly zones: ZoneView,
+    private readonly mechanisms: PowerOfChoicesMechanisms = {
+      ageing: true,
+      sentSinceReport: true,
+      zoneCost: true,
+    },
+  ) {}
+
+  public select(
+    scope: SelectionScope,
+    excluded: ReadonlySet<string>,
+    now: ClockReading,
+  ): TargetState | undefined {
+    const candidates = this.candidates(scope, excluded);
+    let best: TargetState | undefined;
+    let bestScore = Infinity;
+    for (const candidate of candidates) {
+      const score = this.score(candidate, scope, now.monotonic);
+      const isBetter =
+        Math.abs(score - bestScore) <= scoreTolerance
+          ? (candidate.latency ?? 0) < (best?.latency ?? 0)
+          : score < bestScore;
+      if (best === undefined || isBetter) {
+        best = candidate;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private candidates(scope: SelectionScope, excluded: ReadonlySet<string>): TargetState[] {
+    const picked: TargetState[] = [];
+    for (let draw = 0; draw < zoneCandidates && this.mechanisms.zoneCost; draw += 1) {
+      const candidate = scope.zone.draw(this.random, excluded, picked);
+      if (candidate !== undefined) picked.push(candidate);
+    }
+    while (picked.length < allCandidates) {
+      const candidate = scope.region.draw(this.random, excluded, picked);
+      if (candidate === undefined) break;
+      picked.push(candidate);
+    }
+    return picked;
+  }
+
+  /** Load with this request relative to what the target may get, plus the cost of the way there. */
+  private score(target: TargetState, scope: SelectionScope, now: number): number {
+    const ratio = this.estimatedRatio(target, scope, now);
+    const loadScore = (ratio + 1 / target.limit) / target.share(now);
+    return loadScore + this.zoneCost(target, scope);
+  }
+
+  private estimatedRatio(target: TargetState, scope: SelectionScope, now: number): number {
+    const sent = this.mechanisms.sentSinceReport ? target.sentSinceReport : 0;
+    const ratio = target.reportedRatio + sent / target.limit;
+    if (!this.mechanisms.ageing) return ratio;
+    const freshness = 2 ** (-(now - target.reportedAt) / reportHalfLifeMilliseconds);
+    return freshness * ratio + (1 - freshness) * scope.meanRatio;
+  }
+
+  private zoneCost(target: TargetState, scope: SelectionScope): number {
+    if (!this.mechanisms.zoneCost) return 0;
+    const delay = this.zones.delayTo(target.target.availabilityZone);
+    if (delay <= 0) return 0;
+    return delay / Math.max(1, scope.typicalLatency ?? 1);
+  }
+}
--- a/packages/core/src/routing/router-contract.ts
+++ b/packages/core/src/routing/router-contract.ts
@@ -29,7 +29,18 @@
   upsert(target: Target, now: ClockReading): void;
   remove(server: string): void;
   targets(service: string): readonly Target[];
-  choose(service: string, excluded: ReadonlySet<string>, now: ClockReading): Target | undefined;
+  /**
+   * `avoidTrial` is set for calls that can't be repeated: they become the trial request of a shunned
+   * target only when no other call did so for a time.
+   */
+  choose(
+    service: string,
+    excluded: ReadonlySet<string>,
+    now: ClockReading,
+    avoidTrial?: boolean,
+  ): Target | undefined;
+  /** The named server if it serves the service, is in the ordinary choice and seems to have room. */
+  chooseServer(service: string, server: string, now: ClockReading): Target | undefined;
   sent(server: string, now: ClockReading): void;
   reported(server: string, load: LoadReport, now: ClockReading): void;
   concluded(server: string, end: AttemptEnd, latencyMilliseconds: number, now: ClockReading): void;
@@ -38,9 +49,3 @@
   /** Targets from which nothing was heard for a time and which are due for a probe to their gate. */
   dueForProbe(now: ClockReading): readonly Target[];
 }
-
-/** Ranks candidates; the seam at which policies are compared. */
-export interface SelectionPolicy {
-  readonly name: string;
-  select(candidates: readonly Target[], now: ClockReading): Target | undefined;
-}
--- /dev/null
+++ b/packages/core/src/routing/service-targets.ts
@@ -0,0 +1,127 @@
+import { MinimumHeap } from '../shared/minimum-heap.js';
+import type { RandomSource } from '../shared/random-source.js';
+import { LatencyHistogram } from './latency-histogram.js';
+import type { Target } from './router-contract.js';
+import type { SelectionScope } from './selection-policy.js';
+import { TargetPool } from './target-pool.js';
+import { TargetStanding } from './target-state.js';
+import type { TargetState } from './target-state.js';
+
+/** Targets whose averages are read for the median; more would cost time without changing it much. */
+const medianSampleSize = 31;
+const medianIntervalMilliseconds = 250;
+const noneExcluded: ReadonlySet<string> = new Set();
+
+/** Where the entry is. */
+export interface EntryLocation {
+  readonly availabilityZone: string;
+  readonly region: string;
+}
+
+/** The targets of one service, sorted into pools by their standing and place. */
+export class ServiceTargets implements SelectionScope {
+  public readonly region = new TargetPool();
+  public readonly zone = new TargetPool();
+  public readonly otherRegions = new TargetPool();
+  public readonly shunned = new TargetPool();
+  public readonly draining = new TargetPool();
+  public readonly latencies = new LatencyHistogram();
+  /** When to send a trial request to which shunned target; entries may be outdated. */
+  public readonly trials = new MinimumHeap<TargetState>();
+  /** When to look whether a target needs a probe. */
+  public readonly probes = new MinimumHeap<TargetState>();
+  public lastChosenAt = -Infinity;
+  private readonly members = new Set<TargetState>();
+  private ratioSum = 0;
+  private readonly ratios = new Map<TargetState, number>();
+  private median: number | undefined;
+  private medianAt = -Infinity;
+
+  public constructor(
+    private readonly location: EntryLocation,
+    private readonly random: RandomSource,
+  ) {}
+
+  public get size(): number {
+    return this.members.size;
+  }
+
+  public get meanRatio(): number {
+    return this.ratios.size === 0 ? 0 : this.ratioSum / this.ratios.size;
+  }
+
+  public get typicalLatency(): number | undefined {
+    return this.latencies.quantile(0.5);
+  }
+
+  public list(): readonly Target[] {
+    return [...this.members].map((state) => state.target);
+  }
+
+  public has(state: TargetState): boolean {
+    return this.members.has(state);
+  }
+
+  /** Puts a target into the pools that fit its standing. */
+  public place(state: TargetState): void {
+    this.removeFromPools(state);
+    this.members.add(state);
+    if (state.standing === TargetStanding.Draining) this.draining.add(state);
+    else if (state.standing === TargetStanding.Shunned) this.shunned.add(state);
+    else this.placeOpen(state);
+  }
+
+  public remove(state: TargetState): void {
+    this.removeFromPools(state);
+    this.members.delete(state);
+    this.ratioSum -= this.ratios.get(state) ?? 0;
+    this.ratios.delete(state);
+  }
+
+  /** Keeps the service's mean load current without a scan. */
+  public ratioChanged(state: TargetState): void {
+    const ratio = state.reportedRatio;
+    this.ratioSum += ratio - (this.ratios.get(state) ?? 0);
+    this.ratios.set(state, ratio);
+  }
+
+  /** Median of the open targets' average latencies, from a bounded sample and at most each 250 ms. */
+  public medianLatency(now: number): number | undefined {
+    if (now - this.medianAt < medianIntervalMilliseconds) return this.median;
+    this.medianAt = now;
+    const latencies = this.sample().flatMap((state) =>
+      state.latency === undefined ? [] : [state.latency],
+    );
+    latencies.sort((first, second) => first - second);
+    this.median = latencies[Math.floor((latencies.length - 1) / 2)] ?? this.median;
+    return this.median;
+  }
+
+  private sample(): readonly TargetState[] {
+    if (this.region.size <= medianSampleSize) return this.region.all;
+    const sample: TargetState[] = [];
+    while (sample.length < medianSampleSize) {
+      const state = this.region.draw(this.random, noneExcluded, []);
+      if (state === undefined) break;
+      sample.push(state);
+    }
+    return sample;
+  }
+
+  private placeOpen(state: TargetState): void {
+    if (state.target.region !== this.location.region) {
+      this.otherRegions.add(state);
+      return;
+    }
+    this.region.add(state);
+    if (state.target.availabilityZone === this.location.availabilityZone) this.zone.add(state);
+  }
+
+  private removeFromPools(state: TargetState): void {
+    this.region.remove(state);
+    this.zone.remove(state);
+    this.otherRegions.remove(state);
+    this.shunned.remove(state);
+    this.draining.remove(state);
+  }
+}
