Run calls with retries, hedges and deadlines

An entry must answer every call once, must not repeat what may have run unless it is idempotent, and must not amplify an overload.

The call engine sends attempts, goes to another target after a refusal (at most 3) and repeats idempotent calls within one token bucket per service.

Contract: the engine counts late results.

--- a/packages/core/src/calls/call-contract.ts
+++ b/packages/core/src/calls/call-contract.ts
@@ -72,4 +72,6 @@
   abandon(callNumber: number, now: ClockReading): readonly CallCommand[];
   tick(now: ClockReading): readonly CallCommand[];
   readonly callsInProgress: number;
+  /** Results that came for attempts which were no longer wanted; they were ignored. */
+  readonly lateResults: number;
 }
--- /dev/null
+++ b/packages/core/src/calls/retry-budget.ts
@@ -0,0 +1,32 @@
+/**
+ * A token bucket that successes fill. Retries and hedges share it, so that repeats stay a fixed share
+ * of the successes however deep the chain of calls is.
+ */
+export class RetryBudget {
+  private tokens: number;
+
+  public constructor(
+    private ratio: number,
+    private maximum: number,
+  ) {
+    this.tokens = maximum;
+  }
+
+  public configure(ratio: number, maximum: number): void {
+    this.ratio = ratio;
+    this.maximum = maximum;
+    this.tokens = Math.min(this.tokens, maximum);
+  }
+
+  public succeeded(): void {
+    this.tokens = Math.min(this.maximum, this.tokens + this.ratio);
+  }
+
+  public get hasToken(): boolean {
+    return this.tokens >= 1;
+  }
+
+  public spend(): void {
+    this.tokens -= 1;
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export { nextInteger, pickRandom, SeededRandomSource, shuffled } from './shared/random-source.js';
 export type { RandomSource } from './shared/random-source.js';
 export * from './calls/call-contract.js';
+export { CallEngine } from './calls/call-engine.js';
 export * from './configuration/configuration-contract.js';
 export * from './gate/gate-contract.js';
 export * from './homes/home-contract.js';
