--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,6 +15,7 @@
 export * from './routing/router.js';
 export * from './routing/router-options.js';
 export * from './routing/selection-policy.js';
+export { MinimumHeap } from './shared/minimum-heap.js';
 export { TargetPool } from './routing/target-pool.js';
 export { TargetStanding, TargetState } from './routing/target-state.js';
 export type { ConcurrencyLimit, ConcurrencySample } from './gate/concurrency-limit.js';
