--- a/packages/virtual-time/src/run-result.ts
+++ b/packages/virtual-time/src/run-result.ts
@@ -1,5 +1,16 @@
 import type { CallOutcome, RequestClass } from '@peridotspring/core';
 
+/** The fields of a {@link ClassResult}; results from other threads have no methods. */
+export type ClassCounts = Pick<ClassResult, 'latencies' | 'refused' | 'unknown' | 'wronglyRefused'>;
+
+/** The fields of a {@link RunResult}. */
+export interface RunCounts {
+  readonly classes: Readonly<Record<RequestClass, ClassCounts>>;
+  readonly pollSlotMilliseconds: number;
+  readonly slotMilliseconds: number;
+  readonly started: number;
+}
+
 /** What was counted of the calls of one class. */
 export class ClassResult {
   public readonly latencies: number[] = [];
@@ -11,7 +22,7 @@
     return this.latencies.length + this.refused + this.unknown;
   }
 
-  public add(other: ClassResult): void {
+  public add(other: ClassCounts): void {
     for (const latency of other.latencies) this.latencies.push(latency);
     this.refused += other.refused;
     this.wronglyRefused += other.wronglyRefused;
@@ -54,7 +65,7 @@
   /** Attempts that upstreams started; more than calls when calls are repeated. */
   public started = 0;
 
-  public add(other: RunResult): void {
+  public add(other: RunCounts): void {
     this.classes.idempotent.add(other.classes.idempotent);
     this.classes['non-idempotent'].add(other.classes['non-idempotent']);
     this.pollSlotMilliseconds += other.pollSlotMilliseconds;
--- a/packages/virtual-time/src/tables.ts
+++ b/packages/virtual-time/src/tables.ts
@@ -8,6 +8,8 @@
 
 const quantiles = [0.5, 0.99, 0.999];
 const header = [
+  'scenario',
+  'variant',
   'p50 ms',
   'p99 ms',
   'p99.9 ms',
@@ -15,9 +17,13 @@
   'wrong refusals',
   'unknown',
   'polls of slot-time',
+  'attempts started',
 ];
 
-/** Runs a variant on the same seeds as every other one. */
+/** Results by scenario and then by variant, in the order of the rows. */
+export type TableResults = ReadonlyMap<string, ReadonlyMap<string, RunResult>>;
+
+/** Runs a variant with each seed and counts the results together. */
 export function runSeeds(
   deployment: Deployment,
   scenario: Scenario,
@@ -29,39 +35,36 @@
   return result;
 }
 
-/** One table for each class of requests: a row for each variant. */
-export function renderTables(
-  deployment: Deployment,
-  scenario: Scenario,
-  results: ReadonlyMap<string, RunResult>,
-): string {
+/** One table for each class of requests: a row for each scenario and variant. */
+export function renderTables(deployment: string, results: TableResults): string {
   return Object.values(RequestClass)
     .map((requestClass) => {
-      const title = `#### ${deployment.name}, ${scenario.name}, ${requestClass}`;
-      const rows = [...results].map(([name, result]) => row(name, result, requestClass));
-      return [
-        title,
-        '',
-        line(['', ...header]),
-        line(['', ...header].map(() => '---')),
-        ...rows,
-        '',
-      ].join('\n');
+      const rows = [...results].flatMap(([scenario, variants]) =>
+        [...variants].map(([variant, result]) => row(scenario, variant, result, requestClass)),
+      );
+      const title = `#### ${deployment}, ${requestClass}`;
+      return [title, '', line(header), line(header.map(() => '---')), ...rows, ''].join('\n');
     })
     .join('\n');
 }
 
-function row(name: string, result: RunResult, requestClass: RequestClass): string {
+function row(
+  scenario: string,
+  variant: string,
+  result: RunResult,
+  requestClass: RequestClass,
+): string {
   const counted = result.classes[requestClass];
   const latencies = counted.quantiles(quantiles).map((latency) => latency.toFixed(1));
-  const polls = percent(result.pollSlotMilliseconds, result.slotMilliseconds);
   return line([
-    name,
+    scenario,
+    variant,
     ...latencies,
     share(counted.refused, counted),
     share(counted.wronglyRefused, counted),
     share(counted.unknown, counted),
-    polls,
+    percent(result.pollSlotMilliseconds, result.slotMilliseconds),
+    String(result.started),
   ]);
 }
 
