Add the platform stand-in and the platform client

The core asks the platform's key-value service through store operations; until now nothing carried them out and no test could let the service fail.

--- /dev/null
+++ b/packages/platform/tests/platform-store.test.ts
@@ -0,0 +1,173 @@
+import { PlatformStandIn, type PlatformFault } from '@peridotspring/stand-ins';
+import type { StoreOperation, StoreResult } from '@peridotspring/core';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { PlatformStore } from '../src/index.js';
+
+interface Context {
+  standIn: PlatformStandIn;
+  store: PlatformStore;
+}
+
+const contract = suite<Context>('PlatformStore');
+
+contract.before.each(async (context) => {
+  context.standIn = new PlatformStandIn();
+  const url = await context.standIn.listen();
+  const options = { timeoutMilliseconds: 250, watchReadIntervalMilliseconds: 200 };
+  context.store = new PlatformStore({ url, ...options });
+});
+
+contract.after.each(async (context) => {
+  context.store.close();
+  await context.standIn.close();
+});
+
+function execute(store: PlatformStore, operation: StoreOperation): Promise<StoreResult> {
+  return new Promise((resolve) => {
+    store.execute(operation, resolve);
+  });
+}
+
+function swap(expectedVersion: number, value: string): StoreOperation {
+  return { kind: 'compare-and-swap', key: 'a', expectedVersion, value };
+}
+
+const readA: StoreOperation = { kind: 'read', key: 'a' };
+
+contract(
+  'writes only on the expected version, so that two writers cannot both win',
+  async ({ store }) => {
+    assert.equal(await execute(store, readA), { kind: 'missing' });
+    assert.equal(await execute(store, swap(0, 'één')), { kind: 'written', version: 1 });
+    const entry = { key: 'a', value: 'één', version: 1 };
+    assert.equal(await execute(store, swap(0, 'two')), { kind: 'conflict', entry });
+    assert.equal(await execute(store, swap(1, 'two')), { kind: 'written', version: 2 });
+    const newest = { key: 'a', value: 'two', version: 2 };
+    assert.equal(await execute(store, readA), { kind: 'found', entry: newest });
+  },
+);
+
+/** Result of a write during the fault, and whether it turns out to have taken effect. */
+const faultTable: readonly {
+  readonly name: string;
+  readonly fault: PlatformFault;
+  readonly end: PlatformFault;
+  readonly result: StoreResult['kind'];
+  readonly tookEffect: boolean;
+}[] = [
+  {
+    name: 'down',
+    fault: { kind: 'down', active: true },
+    end: { kind: 'down', active: false },
+    result: 'unknown',
+    tookEffect: false,
+  },
+  {
+    name: 'slow within the timeout',
+    fault: { kind: 'slow', milliseconds: 20 },
+    end: { kind: 'slow', milliseconds: 0 },
+    result: 'written',
+    tookEffect: true,
+  },
+  {
+    name: 'slow beyond the timeout, after the effect',
+    fault: { kind: 'slow', milliseconds: 600, when: 'after-effect' },
+    end: { kind: 'slow', milliseconds: 0 },
+    result: 'unknown',
+    tookEffect: true,
+  },
+  {
+    name: 'answer lost after the effect',
+    fault: { kind: 'lose-answers', transactions: 1 },
+    end: { kind: 'lose-answers', transactions: 0 },
+    result: 'unknown',
+    tookEffect: true,
+  },
+];
+
+for (const row of faultTable) {
+  contract(
+    `a write while the platform is ${row.name} never reports what it cannot know`,
+    async ({ standIn, store }) => {
+      standIn.inject(row.fault);
+      assert.is((await execute(store, swap(0, 'one'))).kind, row.result);
+      assert.is(store.reachable, row.result !== 'unknown');
+      standIn.inject(row.end);
+      assert.is((await execute(store, readA)).kind, row.tookEffect ? 'found' : 'missing');
+      assert.ok(store.reachable);
+    },
+  );
+}
+
+contract(
+  'a value over 1 MB is not stored, and the client does not claim that it was',
+  async ({ store }) => {
+    const result = await execute(store, swap(0, 'x'.repeat(1_000_001)));
+    assert.is(result.kind, 'unknown');
+    assert.equal(await execute(store, readA), { kind: 'missing' });
+  },
+);
+
+contract(
+  'waiters of one key share a stream, so that watches stay countable',
+  async ({ standIn, store }) => {
+    const waiting = [0, 0, 1].map((afterVersion) =>
+      execute(store, { kind: 'watch', key: 'a', afterVersion }),
+    );
+    await execute(store, swap(0, 'one'));
+    const first = await Promise.all(waiting.slice(0, 2));
+    assert.equal(
+      first.map((result) => result.kind),
+      ['found', 'found'],
+    );
+    await execute(store, swap(1, 'two'));
+    assert.is((await waiting[2])?.kind, 'found');
+    assert.is(standIn.callCounts['/v3/watch'], 1);
+    assert.is(store.counters.watches, 1);
+  },
+);
+
+contract('a change made before the watch started is not missed', async ({ store }) => {
+  await execute(store, swap(0, 'one'));
+  const result = await execute(store, { kind: 'watch', key: 'a', afterVersion: 0 });
+  assert.is(result.kind, 'found');
+});
+
+for (const fault of [
+  { kind: 'cut-watches' },
+  { kind: 'down', active: true },
+] satisfies PlatformFault[]) {
+  contract(
+    `a watch ends with unknown on ${fault.kind}, so that its owner starts another`,
+    async ({ standIn, store }) => {
+      const waiting = execute(store, { kind: 'watch', key: 'a', afterVersion: 0 });
+      while (standIn.openWatches === 0) await new Promise((resolve) => setTimeout(resolve, 5));
+      standIn.inject(fault);
+      assert.equal(await waiting, { kind: 'unknown' });
+    },
+  );
+}
+
+contract(
+  'a stream that is open but silent does not hide a change for ever',
+  async ({ standIn, store }) => {
+    standIn.inject({ kind: 'mute-watches', active: true });
+    const waiting = execute(store, { kind: 'watch', key: 'a', afterVersion: 0 });
+    await execute(store, swap(0, 'one'));
+    assert.is((await waiting).kind, 'found');
+  },
+);
+
+contract(
+  'closing delivers every waiting result, so that no owner waits for ever',
+  async ({ store }) => {
+    const waiting = execute(store, { kind: 'watch', key: 'a', afterVersion: 0 });
+    store.close();
+    assert.equal(await waiting, { kind: 'unknown' });
+    assert.equal(await execute(store, readA), { kind: 'unknown' });
+  },
+);
+
+contract.run();
