Add the configuration keeper

Operators' changes have to take effect everywhere or not at all, although the store loses answers and several operators write at the same time.

A change writes immutable values and pages and commits by a compare-and-swap of the root. A lost answer is resolved by looking for the change identifier in the root; while the root's version is unchanged only the identical write is repeated, because the lost one may still take effect. Pages are named by change and base revision, so that a rebased change writes new records. Revisions travel as pushes of the difference to four peers; nodes that lag pull. Watchers read only the pages and values that differ from those they have read before.

Drained servers and zones have a record of their own, referred to by the root, which keeps the root below 16 KB. configuration-push has a new field drainsChanged, so that a push does not carry unchanged lists.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,17 @@
 export type { RandomSource } from './shared/random-source.js';
 export * from './calls/call-contract.js';
 export * from './configuration/configuration-contract.js';
+export { ConfigurationKeeper } from './configuration/configuration-keeper.js';
+export type { ConfigurationKeeperOptions } from './configuration/configuration-keeper.js';
+export { changeIdPattern, configurationLimits } from './configuration/configuration-limits.js';
+export {
+  describeConfigurationFault,
+  isConfiguration,
+  parseService,
+  validateConfiguration,
+  validateService,
+} from './configuration/configuration-validation.js';
+export type { ConfigurationFault } from './configuration/field-checks.js';
 export * from './gate/gate-contract.js';
 export * from './homes/home-contract.js';
 export * from './membership/membership-contract.js';
--- a/packages/core/src/messages/frames.ts
+++ b/packages/core/src/messages/frames.ts
@@ -277,6 +277,8 @@
   /** The whole configuration, or only the changed services when `baseRevision` is above 0. */
   readonly configuration: Configuration;
   readonly removedServices: readonly string[];
+  /** False when the drained servers and zones are as at the base; they are then left out. */
+  readonly drainsChanged: boolean;
 }
 
 export interface ConfigurationPullFrame {
