--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,3 +8,6 @@
 export type { UpstreamFaults } from './upstream/upstream-faults.js';
 export { defaultUpstreamStandInOptions, UpstreamStandIn } from './upstream/upstream-stand-in.js';
 export type { UpstreamStandInOptions, UpstreamStandInState } from './upstream/upstream-stand-in.js';
+export { PlatformStandIn } from './platform-stand-in.js';
+export type { PlatformCallCounts } from './platform-stand-in.js';
+export type { PlatformFault } from './platform-requests.js';
