Add queries, changes, gathering and the operator port

Cause: operators ask any node what is in force, where the load is and why a request was refused, and change the configuration through it. Change: changes are applied as a pure function with a difference, questions run over rows with documented fields, and other nodes are asked with a deadline. OperatorServer checks bearer secrets in constant time and bounds bodies, headers, connections and queries. NodeView, PeerTransport and ChangePort are what the wiring implements. Conclusion: the tables of valid and invalid changes, questions, answers and requests pass.

--- a/packages/language/src/question-grammar.ts
+++ b/packages/language/src/question-grammar.ts
@@ -2,6 +2,7 @@
   Comparison,
   LoadGrouping,
   type Condition,
+  type Quantity,
   type Question,
   type QuestionStatement,
   type SortOrder,
@@ -102,9 +103,9 @@
     return { descending: descending ?? false, field };
   });
 
-  private readonly limit = this.RULE('limit', (): number => {
+  private readonly limit = this.RULE('limit', (): Quantity => {
     this.CONSUME(keyword.limit);
-    return this.SUBRULE(this.number).value;
+    return this.SUBRULE(this.number);
   });
 
   protected readonly questionStatement = this.RULE('questionStatement', (): QuestionStatement => {
--- a/packages/language/src/syntax-tree.ts
+++ b/packages/language/src/syntax-tree.ts
@@ -80,7 +80,7 @@
   /** All conditions have to hold. */
   readonly conditions: readonly Condition[];
   readonly order: SortOrder | undefined;
-  readonly limit: number | undefined;
+  readonly limit: Quantity | undefined;
 }
 
 /** One clause of `declare service` or `change service`. */
--- a/packages/language/tests/parse.test.ts
+++ b/packages/language/tests/parse.test.ts
@@ -53,7 +53,7 @@
     ],
   );
   assert.is(statement.order?.descending, true);
-  assert.is(statement.limit, 5);
+  assert.is(statement.limit?.value, 5);
 });
 
 test('a group, a dry run and a wait are kept, so that no change is made by mistake', () => {
--- /dev/null
+++ b/packages/operators/src/changes/apply-clauses.ts
@@ -0,0 +1,146 @@
+import type { RequestKind, ServiceConfiguration } from '@peridotspring/core';
+import type { LanguageError, Name, ServiceClause } from '@peridotspring/language';
+
+import {
+  checkName,
+  checkRange,
+  maximumRequestKinds,
+  maximumTenants,
+  nameForms,
+  ranges,
+  referenceFault,
+} from './checks.js';
+
+type Clause<Kind extends ServiceClause['kind']> = Extract<ServiceClause, { kind: Kind }>;
+
+/** A service after a clause, with the faults found so far. */
+export interface AppliedService {
+  readonly service: ServiceConfiguration;
+  readonly faults: readonly LanguageError[];
+}
+
+function placeKind(
+  kinds: readonly RequestKind[],
+  kind: RequestKind,
+  before: Name | undefined,
+): readonly RequestKind[] {
+  const others = kinds.filter(({ name }) => name !== kind.name);
+  if (before !== undefined) {
+    const index = others.findIndex(({ name }) => name === before.text);
+    return [...others.slice(0, index), kind, ...others.slice(index)];
+  }
+  const index = kinds.findIndex(({ name }) => name === kind.name);
+  return index < 0 ? [...kinds, kind] : kinds.map((old) => (old.name === kind.name ? kind : old));
+}
+
+function applyRequest(service: ServiceConfiguration, clause: Clause<'request'>): AppliedService {
+  const faults = [
+    ...checkName(clause.name, nameForms.requestName),
+    ...checkName(clause.method, nameForms.method),
+    ...checkName(clause.pathPrefix, nameForms.pathPrefix),
+  ];
+  const { before, name } = clause;
+  const isKnown = (wanted: string): boolean =>
+    wanted !== name.text && service.requestKinds.some((kind) => kind.name === wanted);
+  if (before !== undefined && !isKnown(before.text)) {
+    faults.push(referenceFault(before, `request \`${before.text}\``, 'another request above it'));
+    return { faults, service };
+  }
+  const kind: RequestKind = {
+    method: clause.method.text,
+    name: name.text,
+    pathPrefix: clause.pathPrefix.text,
+    requestClass: clause.requestClass,
+  };
+  const requestKinds = placeKind(service.requestKinds, kind, before);
+  if (requestKinds.length > maximumRequestKinds) {
+    const limit = `at most ${maximumRequestKinds} requests`;
+    faults.push(referenceFault(name, `${requestKinds.length} requests`, limit));
+  }
+  return { faults, service: { ...service, requestKinds } };
+}
+
+function applyTenant(service: ServiceConfiguration, clause: Clause<'tenant'>): AppliedService {
+  const faults = [
+    ...checkName(clause.tenant, nameForms.tenant),
+    ...checkRange(clause.weight, ranges.weight),
+  ];
+  const tenant = clause.tenant.text;
+  const tenants = [
+    ...service.tenants.filter((share) => share.tenant !== tenant),
+    { tenant, weight: clause.weight.value },
+  ];
+  if (tenants.length > maximumTenants) {
+    const limit = `at most ${maximumTenants} tenants`;
+    faults.push(referenceFault(clause.tenant, `${tenants.length} tenants`, limit));
+  }
+  return { faults, service: { ...service, tenants } };
+}
+
+function removeRequest(
+  service: ServiceConfiguration,
+  { name }: Clause<'remove-request'>,
+): AppliedService {
+  const requestKinds = service.requestKinds.filter((kind) => kind.name !== name.text);
+  const isMissing = requestKinds.length === service.requestKinds.length;
+  const found = `request \`${name.text}\``;
+  const faults = isMissing ? [referenceFault(name, found, 'a request of the service')] : [];
+  return { faults, service: { ...service, requestKinds } };
+}
+
+function removeTenant(
+  service: ServiceConfiguration,
+  { tenant }: Clause<'remove-tenant'>,
+): AppliedService {
+  const tenants = service.tenants.filter((share) => share.tenant !== tenant.text);
+  const isMissing = tenants.length === service.tenants.length;
+  const found = `tenant \`${tenant.text}\``;
+  const faults = isMissing ? [referenceFault(tenant, found, 'a tenant with a weight')] : [];
+  return { faults, service: { ...service, tenants } };
+}
+
+/** Applies one clause to a service. */
+export function applyClause(service: ServiceConfiguration, clause: ServiceClause): AppliedService {
+  switch (clause.kind) {
+    case 'request':
+      return applyRequest(service, clause);
+    case 'tenant':
+      return applyTenant(service, clause);
+    case 'remove-request':
+      return removeRequest(service, clause);
+    case 'remove-tenant':
+      return removeTenant(service, clause);
+    case 'default-deadline':
+      return {
+        faults: checkRange(clause.milliseconds, ranges.defaultDeadline),
+        service: { ...service, defaultDeadlineMilliseconds: clause.milliseconds.value },
+      };
+    case 'maximum-deadline':
+      return {
+        faults: checkRange(clause.milliseconds, ranges.maximumDeadline),
+        service: { ...service, maximumDeadlineMilliseconds: clause.milliseconds.value },
+      };
+    case 'retry-budget-ratio':
+      return {
+        faults: checkRange(clause.ratio, ranges.retryBudgetRatio),
+        service: { ...service, retryBudgetRatio: clause.ratio.value },
+      };
+    case 'retry-budget-maximum':
+      return {
+        faults: checkRange(clause.maximum, ranges.retryBudgetMaximum),
+        service: { ...service, retryBudgetMaximum: clause.maximum.value },
+      };
+    case 'hedging':
+      return { faults: [], service: { ...service, hedging: clause.enabled } };
+    case 'probe-budget':
+      return {
+        faults: checkRange(clause.share, ranges.probeBudget),
+        service: { ...service, probeBudgetShare: clause.share.value },
+      };
+    case 'ramp':
+      return {
+        faults: checkRange(clause.milliseconds, ranges.ramp),
+        service: { ...service, rampMilliseconds: clause.milliseconds.value },
+      };
+  }
+}
--- /dev/null
+++ b/packages/operators/src/gathering/peer-gatherer.ts
@@ -0,0 +1,125 @@
+import type { OperatorAnswerFrame, OperatorQuestionFrame } from '@peridotspring/core';
+
+import type {
+  GatheredRows,
+  GatherOptions,
+  MissingNode,
+  NodeRevision,
+} from '../operator-backend.js';
+import type { Row } from '../questions/rows.js';
+import { decodeAnswer, encodeQuestion, type NodeAnswer } from './node-question.js';
+
+/**
+ * Questions that wait for an answer at once. It bounds the connections that a question to every node
+ * of a large fleet opens at a time.
+ */
+export const gatheringConcurrency = 128;
+
+/** Sends questions to other nodes; the wiring implements it with the connections between nodes. */
+export interface PeerTransport {
+  /** Servers of all live members but this node. */
+  servers(): readonly string[];
+  /** Sends the frame, connecting first if need be. False when that is known to be impossible. */
+  send(server: string, frame: OperatorQuestionFrame): boolean;
+}
+
+interface PendingQuestion {
+  readonly server: string;
+  conclude(answer: NodeAnswer): void;
+}
+
+/** One question to many nodes, while it is being asked. */
+interface Gathering {
+  readonly payload: string;
+  readonly deadlineMilliseconds: number;
+  readonly endsAt: number;
+  readonly waiting: string[];
+  readonly rows: Row[];
+  readonly revisions: NodeRevision[];
+  readonly missing: MissingNode[];
+}
+
+/** Asks other nodes with a deadline and names those that did not answer. */
+export class PeerGatherer {
+  private readonly pending = new Map<number, PendingQuestion>();
+  private nextQuestionId = 1;
+
+  public constructor(private readonly transport: PeerTransport) {}
+
+  /** Asks a question in the language. Never rejects. */
+  public async gather(text: string, options: GatherOptions): Promise<GatheredRows> {
+    const { deadlineMilliseconds } = options;
+    const gathering: Gathering = {
+      deadlineMilliseconds,
+      endsAt: performance.now() + deadlineMilliseconds,
+      missing: [],
+      payload: encodeQuestion(text),
+      revisions: [],
+      rows: [],
+      waiting: [...(options.servers ?? this.transport.servers())],
+    };
+    const workers = Array.from(
+      { length: Math.min(gatheringConcurrency, gathering.waiting.length) },
+      () => this.work(gathering),
+    );
+    await Promise.all(workers);
+    return { missing: gathering.missing, revisions: gathering.revisions, rows: gathering.rows };
+  }
+
+  /** Takes an answer; one that came too late is dropped. */
+  public answered(from: string, frame: OperatorAnswerFrame): void {
+    const question = this.pending.get(frame.questionId);
+    // Only the server that was asked may answer.
+    if (question?.server === from) question.conclude(decodeAnswer(frame.answer));
+  }
+
+  /** The connection to a server was lost: its answers will not come. */
+  public peerLost(server: string): void {
+    for (const question of [...this.pending.values()]) {
+      if (question.server === server) {
+        question.conclude({ cause: 'connection lost', kind: 'failed' });
+      }
+    }
+  }
+
+  /** Ends every question in progress. */
+  public close(): void {
+    for (const question of [...this.pending.values()]) {
+      question.conclude({ cause: 'the node that was asked stops', kind: 'failed' });
+    }
+  }
+
+  private async work(gathering: Gathering): Promise<void> {
+    for (let server = gathering.waiting.shift(); server !== undefined;) {
+      const answer = await this.ask(server, gathering);
+      if (answer.kind === 'rows') {
+        gathering.rows.push(...answer.rows);
+        gathering.revisions.push({ revision: answer.revision, server });
+      } else {
+        gathering.missing.push({ cause: answer.cause, server });
+      }
+      server = gathering.waiting.shift();
+    }
+  }
+
+  private ask(server: string, gathering: Gathering): Promise<NodeAnswer> {
+    const cause = `no answer within ${gathering.deadlineMilliseconds} ms`;
+    const remaining = gathering.endsAt - performance.now();
+    if (remaining <= 0) return Promise.resolve({ cause, kind: 'failed' });
+    const questionId = this.nextQuestionId;
+    this.nextQuestionId += 1;
+    return new Promise((resolve) => {
+      const conclude = (answer: NodeAnswer): void => {
+        clearTimeout(timer);
+        this.pending.delete(questionId);
+        resolve(answer);
+      };
+      const timer = setTimeout(() => {
+        conclude({ cause, kind: 'failed' });
+      }, remaining);
+      this.pending.set(questionId, { conclude, server });
+      const frame = { kind: 'operator-question', question: gathering.payload, questionId } as const;
+      if (!this.transport.send(server, frame)) conclude({ cause: 'unreachable', kind: 'failed' });
+    });
+  }
+}
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -1,1 +1,58 @@
-export {};
+export { applyCommands } from './changes/apply-commands.js';
+export type { ApplyResult } from './changes/apply-commands.js';
+export { differenceOf } from './changes/difference.js';
+export type { ConfigurationDifference } from './changes/difference.js';
+export { answerNodeQuestion, decodeAnswer, encodeQuestion } from './gathering/node-question.js';
+export type { NodeAnswer } from './gathering/node-question.js';
+export { PeerGatherer } from './gathering/peer-gatherer.js';
+export type { PeerTransport } from './gathering/peer-gatherer.js';
+export { NodeBackend } from './node-backend.js';
+export type { NodeBackendParts } from './node-backend.js';
+export type {
+  BudgetUse,
+  KeyView,
+  MemberView,
+  NodeView,
+  PlatformUse,
+  Readiness,
+  TenantUse,
+} from './node-view.js';
+export { metricName, Metrics } from './observation/metrics.js';
+export type { GaugeDefinition } from './observation/metrics.js';
+export { RefusalHistory } from './observation/refusal-history.js';
+export { defaultJournalBounds, RequestJournal } from './observation/request-journal.js';
+export type {
+  JournalBounds,
+  JournalEntry,
+  JournalStep,
+  RequestStep,
+} from './observation/request-journal.js';
+export type {
+  ChangePort,
+  ChangeProposal,
+  ChangeState,
+  GatheredRows,
+  GatherOptions,
+  MissingNode,
+  NodeRevision,
+  OperatorBackend,
+} from './operator-backend.js';
+export { QueryRunner } from './query-runner.js';
+export type { Query } from './query-runner.js';
+export { fieldsOf } from './questions/fields.js';
+export type { LocalSources } from './questions/local-rows.js';
+export { FieldType, FieldUnit } from './questions/rows.js';
+export type { FieldDefinition, Row, RowValue } from './questions/rows.js';
+export { renderTable } from './render-table.js';
+export { ChangeStatus } from './results.js';
+export type {
+  ChangeResult,
+  FaultsResult,
+  InForceResult,
+  QueryResult,
+  RowsResult,
+} from './results.js';
+export { defaultOperatorServerLimits, OperatorServer } from './server/operator-server.js';
+export type { OperatorServerLimits, OperatorServerOptions } from './server/operator-server.js';
+export { SecretCheck } from './server/secret-check.js';
+export type { AcceptedSecrets } from './server/secret-check.js';
--- /dev/null
+++ b/packages/operators/src/node-backend.ts
@@ -0,0 +1,58 @@
+import type { Configuration, ProposalResult } from '@peridotspring/core';
+import type { Question } from '@peridotspring/language';
+
+import type { PeerGatherer } from './gathering/peer-gatherer.js';
+import type { MemberView, Readiness } from './node-view.js';
+import type {
+  ChangePort,
+  ChangeProposal,
+  ChangeState,
+  GatheredRows,
+  GatherOptions,
+  OperatorBackend,
+} from './operator-backend.js';
+import { localRows, type LocalSources } from './questions/local-rows.js';
+import type { Row } from './questions/rows.js';
+
+/** Parts that a `NodeBackend` is composed of. */
+export interface NodeBackendParts extends LocalSources {
+  readonly changes: ChangePort;
+  readonly gatherer: PeerGatherer;
+}
+
+/** The backend of a real node: its view, journal and history, the other nodes and the change port. */
+export class NodeBackend implements OperatorBackend {
+  public constructor(private readonly parts: NodeBackendParts) {}
+
+  public get server(): string {
+    return this.parts.view.identity.server;
+  }
+
+  public configuration(): Configuration {
+    return this.parts.view.configuration();
+  }
+
+  public members(): readonly MemberView[] {
+    return this.parts.view.members();
+  }
+
+  public readiness(): Readiness {
+    return this.parts.view.readiness();
+  }
+
+  public rows(question: Question): Promise<readonly Row[]> {
+    return localRows(this.parts, question);
+  }
+
+  public gather(text: string, options: GatherOptions): Promise<GatheredRows> {
+    return this.parts.gatherer.gather(text, options);
+  }
+
+  public propose(proposal: ChangeProposal): Promise<ProposalResult> {
+    return this.parts.changes.propose(proposal);
+  }
+
+  public stateOf(changeId: string): Promise<ChangeState> {
+    return this.parts.changes.stateOf(changeId);
+  }
+}
--- /dev/null
+++ b/packages/operators/src/observation/metrics.ts
@@ -0,0 +1,113 @@
+import type { CountCommand } from '@peridotspring/core';
+import { Counter, Gauge, Registry } from 'prom-client';
+
+import { LatencySummary } from './latency-summary.js';
+
+const prefix = 'peridotspring_';
+/** Series of one counter; a label with more values than that would fill the node's memory. */
+export const maximumSeriesPerCounter = 1_000;
+
+type Labels = Readonly<Record<string, string>>;
+
+interface BoundedCounter {
+  readonly counter: Counter;
+  readonly labelNames: readonly string[];
+  readonly series: Set<string>;
+}
+
+/** A value that is read whenever the metrics are. */
+export interface GaugeDefinition {
+  /** Without the prefix `peridotspring_`. */
+  readonly name: string;
+  readonly help: string;
+  read(): number;
+}
+
+/** Label names may not contain the hyphens of the core's names. */
+function cleanLabels(labels: Labels): Labels {
+  return Object.fromEntries(
+    Object.entries(labels).map(([name, value]) => [name.replace(/[^A-Za-z0-9_]/g, '_'), value]),
+  );
+}
+
+function labelNamesOf(labels: Labels): readonly string[] {
+  return Object.keys(labels).sort();
+}
+
+/** Name of a counter as Prometheus has it: `retries-refused` becomes `peridotspring_retries_refused_total`. */
+export function metricName(counter: string): string {
+  const name = counter.replace(/[^A-Za-z0-9_]/g, '_').replace(/_total$/, '');
+  return `${prefix}${name}_total`;
+}
+
+/** Counters, gauges and latencies of a node, exposed as Prometheus text. */
+export class Metrics {
+  private readonly registry = new Registry();
+  private readonly counters = new Map<string, BoundedCounter>();
+  private readonly latencies = new LatencySummary(`${prefix}request_duration_milliseconds`);
+  private readonly dropped = new Counter({
+    help: 'Counts dropped because of other label names than before or too many label values.',
+    labelNames: ['counter', 'cause'],
+    name: `${prefix}metrics_dropped_total`,
+    registers: [this.registry],
+  });
+
+  /** The content type of `text`. */
+  public readonly contentType = 'text/plain; version=0.0.4; charset=utf-8';
+
+  /** Raises the counter that a command of the core names; it is created on first use. */
+  public count(command: CountCommand): void {
+    const name = metricName(command.counter);
+    const labels = cleanLabels(command.labels);
+    const bounded = this.counters.get(name) ?? this.create(name, command.counter, labels);
+    const names = labelNamesOf(labels);
+    if (names.join() !== bounded.labelNames.join()) {
+      this.dropped.inc({ cause: 'label-names', counter: name }, command.by);
+      return;
+    }
+    const series = JSON.stringify(names.map((label) => labels[label]));
+    if (!bounded.series.has(series)) {
+      if (bounded.series.size >= maximumSeriesPerCounter) {
+        this.dropped.inc({ cause: 'label-values', counter: name }, command.by);
+        return;
+      }
+      bounded.series.add(series);
+    }
+    bounded.counter.inc({ ...labels }, command.by);
+  }
+
+  /** Adds the latency of one request. */
+  public recordLatency(service: string, outcome: string, milliseconds: number): void {
+    this.latencies.record(service, outcome, milliseconds);
+  }
+
+  /** Adds a gauge that is read at each scrape. */
+  public addGauge(definition: GaugeDefinition): void {
+    const gauge: Gauge = new Gauge({
+      collect: () => {
+        gauge.set(definition.read());
+      },
+      help: definition.help,
+      name: `${prefix}${definition.name}`,
+      registers: [this.registry],
+    });
+  }
+
+  /** Everything in the Prometheus text format. */
+  public async text(): Promise<string> {
+    return `${await this.registry.metrics()}\n${this.latencies.text()}`;
+  }
+
+  private create(name: string, counterName: string, labels: Labels): BoundedCounter {
+    const labelNames = labelNamesOf(labels);
+    const counter = new Counter({
+      help: `Count of ${counterName}.`,
+      labelNames: [...labelNames],
+      name,
+      registers: [this.registry],
+    });
+    const bounded = { counter, labelNames, series: new Set<string>() };
+    this.counters.set(name, bounded);
+    return bounded;
+  }
+}
--- /dev/null
+++ b/packages/operators/src/observation/request-journal.ts
@@ -0,0 +1,137 @@
+import type { CallOutcome, LoadReport, RequestClass, RetryReason } from '@peridotspring/core';
+
+/** A step of a request, as its entry saw it. */
+export type RequestStep =
+  | {
+      readonly kind: 'received';
+      readonly service: string;
+      readonly tenant: string;
+      readonly requestClass: RequestClass;
+      readonly method: string;
+      readonly deadlineMilliseconds: number;
+    }
+  | {
+      readonly kind: 'sent';
+      readonly server: string;
+      readonly retryReason?: RetryReason | undefined;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly server: string;
+      readonly reason: string;
+      readonly load?: LoadReport | undefined;
+    }
+  | {
+      readonly kind: 'answered';
+      readonly server: string;
+      readonly status: number;
+      readonly load?: LoadReport | undefined;
+    }
+  /** The attempt may have run and gave no answer. */
+  | {
+      readonly kind: 'failed';
+      readonly server: string;
+      readonly detail: string;
+      readonly load?: LoadReport | undefined;
+    }
+  | { readonly kind: 'concluded'; readonly outcome: CallOutcome };
+
+export interface JournalStep {
+  /** Wall time. */
+  readonly at: number;
+  readonly step: RequestStep;
+}
+
+/** A request and its steps in the order in which they happened. */
+export interface JournalEntry {
+  readonly requestId: string;
+  readonly steps: readonly JournalStep[];
+  /** Steps that were left out because the entry was full. */
+  readonly omittedSteps: number;
+}
+
+interface OpenEntry {
+  readonly requestId: string;
+  readonly steps: JournalStep[];
+  omittedSteps: number;
+}
+
+/** Bounds of a journal. */
+export interface JournalBounds {
+  /** Requests in progress and answered ones. */
+  readonly recentRequests: number;
+  /** Refused requests and such with an unknown outcome. */
+  readonly unsuccessfulRequests: number;
+  readonly stepsPerRequest: number;
+}
+
+/**
+ * An entry with three attempts takes about 1 KB, so these bounds keep the journal near 4 MB of the
+ * 64 MB that a node may use for control.
+ */
+export const defaultJournalBounds: JournalBounds = {
+  recentRequests: 2_048,
+  stepsPerRequest: 24,
+  unsuccessfulRequests: 2_048,
+};
+
+/**
+ * Remembers recent requests with every attempt. Unsuccessful requests have a ring of their own, so
+ * that a stream of answered ones doesn't displace the ones an operator asks about.
+ */
+export class RequestJournal {
+  private readonly recent = new Map<string, OpenEntry>();
+  private readonly unsuccessful = new Map<string, OpenEntry>();
+
+  public constructor(private readonly bounds: JournalBounds = defaultJournalBounds) {}
+
+  /** Adds a step. Only `received` opens an entry; steps of forgotten requests are dropped. */
+  public record(requestId: string, step: RequestStep, at: number): void {
+    const entry = this.find(requestId) ?? this.open(requestId, step);
+    if (entry === undefined) return;
+    // The conclusion is kept even when the entry is full: it says what the caller was told.
+    if (entry.steps.length < this.bounds.stepsPerRequest || step.kind === 'concluded') {
+      entry.steps.push({ at, step });
+    } else {
+      entry.omittedSteps += 1;
+    }
+    if (step.kind === 'concluded' && step.outcome.kind !== 'answered') this.keepLonger(entry);
+  }
+
+  /** The entry of a request, if it is still remembered. */
+  public entry(requestId: string): JournalEntry | undefined {
+    return this.find(requestId);
+  }
+
+  /** All remembered requests, the unsuccessful ones first, newest first within each. */
+  public entries(): readonly JournalEntry[] {
+    const newestFirst = (entries: Map<string, OpenEntry>): OpenEntry[] =>
+      [...entries.values()].reverse();
+    return [...newestFirst(this.unsuccessful), ...newestFirst(this.recent)];
+  }
+
+  private find(requestId: string): OpenEntry | undefined {
+    return this.recent.get(requestId) ?? this.unsuccessful.get(requestId);
+  }
+
+  private open(requestId: string, step: RequestStep): OpenEntry | undefined {
+    if (step.kind !== 'received') return undefined;
+    const entry: OpenEntry = { omittedSteps: 0, requestId, steps: [] };
+    this.recent.set(requestId, entry);
+    dropOldest(this.recent, this.bounds.recentRequests);
+    return entry;
+  }
+
+  private keepLonger(entry: OpenEntry): void {
+    this.recent.delete(entry.requestId);
+    this.unsuccessful.set(entry.requestId, entry);
+    dropOldest(this.unsuccessful, this.bounds.unsuccessfulRequests);
+  }
+}
+
+function dropOldest(entries: Map<string, OpenEntry>, bound: number): void {
+  for (const requestId of entries.keys()) {
+    if (entries.size <= bound) return;
+    entries.delete(requestId);
+  }
+}
--- /dev/null
+++ b/packages/operators/src/query-runner.ts
@@ -0,0 +1,129 @@
+import { randomUUID } from 'node:crypto';
+
+import {
+  parseStatement,
+  type ChangeStatement,
+  type Question,
+  type QuestionStatement,
+} from '@peridotspring/language';
+
+import { ChangeRunner } from './changes/change-runner.js';
+import { waitInForce } from './changes/wait-in-force.js';
+import type { GatheredRows, OperatorBackend } from './operator-backend.js';
+import { combineRows } from './questions/combine-rows.js';
+import { fieldsOf } from './questions/fields.js';
+import { checkQuestion, selectRows } from './questions/select-rows.js';
+import type { ChangeResult, FaultsResult, QueryResult, RowsResult } from './results.js';
+
+/** Time that other nodes have to answer a question. */
+export const gatherDeadlineMilliseconds = 2_000;
+
+/** A text of an operator. */
+export interface Query {
+  readonly text: string;
+  /** Chosen by the client for a change, so that it can ask for the result if the answer is lost. */
+  readonly changeId?: string | undefined;
+}
+
+const nothingGathered: GatheredRows = { missing: [], revisions: [], rows: [] };
+
+/** The question that the other nodes are asked; undefined when this node alone can answer. */
+function gatheredText(question: Question, text: string): string | undefined {
+  switch (question.kind) {
+    case 'change':
+    case 'key':
+    case 'members':
+    case 'services':
+      return undefined;
+    case 'configuration':
+      return 'show revision';
+    case 'budgets':
+    case 'load':
+    case 'platform':
+    case 'refusals':
+    case 'request':
+    case 'requests':
+    case 'revision':
+    case 'tenants':
+      return text;
+  }
+}
+
+/** Runs texts in the language against a backend. */
+export class QueryRunner {
+  private readonly changes: ChangeRunner;
+
+  public constructor(private readonly backend: OperatorBackend) {
+    this.changes = new ChangeRunner(backend);
+  }
+
+  /** Parses and runs a text. */
+  public async run(query: Query): Promise<QueryResult> {
+    const parsed = parseStatement(query.text);
+    if (parsed.kind === 'faulty') return { errors: parsed.errors, kind: 'faults' };
+    const { statement } = parsed;
+    switch (statement.kind) {
+      case 'question':
+        return this.answer(statement, query.text);
+      case 'change':
+        return this.change(statement, query);
+      case 'wait': {
+        const revision = statement.revision ?? this.backend.configuration().revision;
+        return waitInForce(this.backend, revision, statement.upToMilliseconds);
+      }
+    }
+  }
+
+  private async answer(
+    statement: QuestionStatement,
+    text: string,
+  ): Promise<FaultsResult | RowsResult> {
+    const errors = checkQuestion(statement);
+    if (errors.length > 0) return { errors, kind: 'faults' };
+    const { question } = statement;
+    const [own, gathered] = await Promise.all([
+      question.kind === 'change'
+        ? this.changes.rows(question.changeId)
+        : this.backend.rows(question),
+      this.gather(question, text),
+    ]);
+    const configuration = this.backend.configuration();
+    const others = question.kind === 'configuration' ? [] : gathered.rows;
+    const combined = combineRows(question, [...own, ...others], configuration);
+    const isAboutRevision = question.kind === 'configuration' || question.kind === 'revision';
+    const { revision } = configuration;
+    return {
+      ...selectRows(statement, combined),
+      answered: gathered.revisions.length + 1,
+      fields: fieldsOf(question),
+      kind: 'rows',
+      lacking: isAboutRevision ? gathered.revisions.filter((node) => node.revision < revision) : [],
+      missing: gathered.missing,
+      revision,
+    };
+  }
+
+  private gather(question: Question, text: string): Promise<GatheredRows> {
+    const gathered = gatheredText(question, text);
+    if (gathered === undefined) return Promise.resolve(nothingGathered);
+    return this.backend.gather(gathered, { deadlineMilliseconds: gatherDeadlineMilliseconds });
+  }
+
+  private async change(
+    statement: ChangeStatement,
+    query: Query,
+  ): Promise<ChangeResult | FaultsResult> {
+    const changeId = query.changeId ?? randomUUID();
+    const result = await this.changes.run({ changeId, statement, text: query.text });
+    const { wait } = statement;
+    if (wait === undefined || result.kind === 'faults' || result.revision === undefined) {
+      return result;
+    }
+    if (result.status !== 'accepted' && result.status !== 'unchanged') return result;
+    const { upToMilliseconds } = wait;
+    return {
+      ...result,
+      inForce: await waitInForce(this.backend, result.revision, upToMilliseconds),
+    };
+  }
+}
--- /dev/null
+++ b/packages/operators/src/questions/combine-rows.ts
@@ -0,0 +1,130 @@
+import type { Configuration } from '@peridotspring/core';
+import type { Question } from '@peridotspring/language';
+
+import { findService } from '../changes/find-service.js';
+import type { Row } from './rows.js';
+
+function numberOf(row: Row, field: string): number {
+  const value = row[field];
+  return typeof value === 'number' ? value : 0;
+}
+
+function textOf(row: Row, field: string): string {
+  const value = row[field];
+  return typeof value === 'string' ? value : '';
+}
+
+function sum(rows: readonly Row[], field: string): number {
+  return rows.reduce((total, row) => total + numberOf(row, field), 0);
+}
+
+function maximum(rows: readonly Row[], field: string): number {
+  return rows.reduce((highest, row) => Math.max(highest, numberOf(row, field)), 0);
+}
+
+/** Groups rows by the values of some fields, in order of those values. */
+function groupBy(rows: readonly Row[], fields: readonly string[]): (readonly [Row, Row[]])[] {
+  const groups = new Map<string, readonly [Row, Row[]]>();
+  for (const row of rows) {
+    const values = fields.map((field) => row[field] ?? null);
+    const key = JSON.stringify(values);
+    const group = groups.get(key);
+    if (group !== undefined) {
+      group[1].push(row);
+      continue;
+    }
+    const names = Object.fromEntries(fields.map((field, index) => [field, values[index] ?? null]));
+    groups.set(key, [names, [row]]);
+  }
+  return [...groups.entries()]
+    .sort(([left], [right]) => (left < right ? -1 : 1))
+    .map(([, group]) => group);
+}
+
+function combineLoad(rows: readonly Row[], fields: readonly string[]): readonly Row[] {
+  return groupBy(rows, fields).map(([names, members]) => {
+    const limit = sum(members, 'limit');
+    const inFlight = sum(members, 'in_flight');
+    const queued = sum(members, 'queued');
+    return {
+      ...names,
+      in_flight: inFlight,
+      latency_ms: maximum(members, 'latency_ms'),
+      limit,
+      queued,
+      servers: members.length,
+      utilisation: limit === 0 ? null : Number(((inFlight + queued) / limit).toFixed(4)),
+    };
+  });
+}
+
+function combineUse(rows: readonly Row[], fields: readonly string[]): readonly Row[] {
+  return groupBy(rows, fields).map(([names, members]) => ({
+    ...names,
+    in_flight: sum(members, 'in_flight'),
+    queued: sum(members, 'queued'),
+  }));
+}
+
+function combineTenants(rows: readonly Row[], configuration: Configuration): readonly Row[] {
+  // Declared tenants are shown with zero use as well.
+  const declared = Object.values(configuration.services).flatMap((service) =>
+    service.tenants.map(({ tenant }) => ({
+      in_flight: 0,
+      queued: 0,
+      service: service.name,
+      tenant,
+    })),
+  );
+  return combineUse([...rows, ...declared], ['service', 'tenant']).map((row) => {
+    const service = findService(configuration, textOf(row, 'service'));
+    const share = service?.tenants.find(({ tenant }) => tenant === row.tenant);
+    return { ...row, declared: share !== undefined, weight: share?.weight ?? 1 };
+  });
+}
+
+function combineRefusals(rows: readonly Row[]): readonly Row[] {
+  return groupBy(rows, ['service', 'outcome', 'reason'])
+    .map(([names, members]): Row => ({
+      ...names,
+      count: sum(members, 'count'),
+      last_at: members.map((row) => textOf(row, 'last_at')).reduce((a, b) => (a > b ? a : b)),
+    }))
+    .sort((left, right) => numberOf(right, 'count') - numberOf(left, 'count'));
+}
+
+/** Turns the rows of all nodes into the rows of the answer. */
+export function combineRows(
+  question: Question,
+  rows: readonly Row[],
+  configuration: Configuration,
+): readonly Row[] {
+  switch (question.kind) {
+    case 'load':
+      if (question.by === 'tenant') return combineUse(rows, ['tenant']);
+      return combineLoad(
+        rows,
+        question.by === 'server' ? ['server', 'zone', 'service', 'state'] : [question.by],
+      );
+    case 'refusals':
+      return combineRefusals(rows);
+    case 'tenants':
+      return combineTenants(rows, configuration);
+    case 'revision':
+      return rows.map((row) => ({
+        ...row,
+        in_force: numberOf(row, 'revision') >= configuration.revision,
+      }));
+    case 'request':
+      return [...rows].sort((left, right) => (textOf(left, 'at') < textOf(right, 'at') ? -1 : 1));
+    case 'budgets':
+    case 'change':
+    case 'configuration':
+    case 'key':
+    case 'members':
+    case 'platform':
+    case 'requests':
+    case 'services':
+      return rows;
+  }
+}
--- /dev/null
+++ b/packages/operators/tests/gathering.test.ts
@@ -0,0 +1,94 @@
+import type { OperatorQuestionFrame } from '@peridotspring/core';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import {
+  answerNodeQuestion,
+  decodeAnswer,
+  encodeQuestion,
+  PeerGatherer,
+  QueryRunner,
+} from '../src/index.js';
+import { createNode } from './in-memory-backend.js';
+
+test('rows of nodes that answer are kept, and the others are named with the cause', async () => {
+  const other = createNode();
+  const node = createNode({
+    send: (server, frame: OperatorQuestionFrame) => {
+      if (server === 'unreachable') return false;
+      if (server === 'lost')
+        setImmediate(() => {
+          node.gatherer.peerLost(server);
+        });
+      if (server === 'answers') {
+        void answerNodeQuestion(other.backend, frame.question).then((answer) => {
+          const { questionId } = frame;
+          node.gatherer.answered(server, { answer, kind: 'operator-answer', questionId });
+        });
+      }
+      return true;
+    },
+    servers: () => ['answers', 'unreachable', 'lost', 'silent'],
+  });
+  const gathered = await node.backend.gather('show load by zone', { deadlineMilliseconds: 50 });
+  assert.is(gathered.rows.length, 1);
+  assert.equal(
+    [...gathered.missing].sort((a, b) => (a.server < b.server ? -1 : 1)),
+    [
+      { cause: 'connection lost', server: 'lost' },
+      { cause: 'no answer within 50 ms', server: 'silent' },
+      { cause: 'unreachable', server: 'unreachable' },
+    ],
+  );
+});
+
+test('an answer of a server that was not asked is not taken for the one that was', async () => {
+  const gatherer: PeerGatherer = new PeerGatherer({
+    send: (_, { questionId }) => {
+      const answer = JSON.stringify({ kind: 'rows', revision: 9, rows: [] });
+      gatherer.answered('other', { answer, kind: 'operator-answer', questionId });
+      return true;
+    },
+    servers: () => ['asked'],
+  });
+  const gathered = await gatherer.gather('show revision', { deadlineMilliseconds: 20 });
+  assert.equal(gathered.revisions, []);
+});
+
+test('a wait names the node that lacks the revision', async () => {
+  const answer = JSON.stringify({ kind: 'rows', revision: 0, rows: [] });
+  const node = createNode({
+    send: (server, { questionId }) => {
+      setImmediate(() => {
+        node.gatherer.answered(server, { answer, kind: 'operator-answer', questionId });
+      });
+      return true;
+    },
+    servers: () => ['behind'],
+  });
+  const runner = new QueryRunner(node.backend);
+  const result = await runner.run({ text: 'drain server bern-1 wait up to 50ms' });
+  assert.is(result.kind, 'change');
+  if (result.kind !== 'change') return;
+  assert.is(result.status, 'accepted');
+  assert.is(result.inForce?.everywhere, false);
+  assert.equal(result.inForce?.lacking, [{ revision: 0, server: 'behind' }]);
+});
+
+const malformed = ['', '{}', 'null', '[]', '{"kind":"rows","revision":1,"rows":[{"a":{}}]}'];
+
+for (const payload of malformed) {
+  test(`a malformed answer counts as missing: ${payload}`, () => {
+    assert.is(decodeAnswer(payload).kind, 'failed');
+  });
+}
+
+for (const payload of ['', '{}', encodeQuestion('drain server a'), encodeQuestion('show x')]) {
+  test(`a node refuses anything but a question from another node: ${payload}`, async () => {
+    const { backend, changes } = createNode();
+    assert.is(decodeAnswer(await answerNodeQuestion(backend, payload)).kind, 'failed');
+    assert.is(changes.proposals, 0);
+  });
+}
+
+test.run();
--- /dev/null
+++ b/packages/operators/tests/observation.test.ts
@@ -0,0 +1,97 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { Metrics, RefusalHistory, RequestJournal } from '../src/index.js';
+
+const received = {
+  deadlineMilliseconds: 2_000,
+  kind: 'received',
+  method: 'GET',
+  requestClass: 'idempotent',
+  service: 'antrag',
+  tenant: 'labs',
+} as const;
+
+test('the journal keeps refused requests while answered ones push each other out', () => {
+  const journal = new RequestJournal({
+    recentRequests: 2,
+    stepsPerRequest: 3,
+    unsuccessfulRequests: 1,
+  });
+  journal.record('old', received, 1);
+  const refused = { kind: 'refused-not-run', reason: 'draining' } as const;
+  journal.record('old', { kind: 'concluded', outcome: refused }, 2);
+  for (const requestId of ['a', 'b', 'c']) journal.record(requestId, received, 3);
+  assert.equal(
+    journal.entries().map(({ requestId }) => requestId),
+    ['old', 'c', 'b'],
+  );
+});
+
+test('an entry is bounded and still says how the request ended', () => {
+  const journal = new RequestJournal({
+    recentRequests: 2,
+    stepsPerRequest: 2,
+    unsuccessfulRequests: 1,
+  });
+  journal.record('a', received, 1);
+  for (let attempt = 0; attempt < 5; attempt += 1) {
+    journal.record('a', { kind: 'sent', server: 's' }, 2);
+  }
+  journal.record('a', { kind: 'concluded', outcome: { kind: 'answered', status: 200 } }, 3);
+  const entry = journal.entry('a');
+  assert.equal([entry?.steps.length, entry?.omittedSteps], [3, 4]);
+  assert.is(entry?.steps.at(-1)?.step.kind, 'concluded');
+});
+
+test('refusals outside the time asked for are not counted, and buckets are bounded', () => {
+  const history = new RefusalHistory();
+  const outcome = { kind: 'refused-not-run', reason: 'no-slot' } as const;
+  history.record('antrag', outcome, 0);
+  history.record('antrag', outcome, 60_000);
+  history.record('antrag', { kind: 'answered', status: 200 }, 60_000);
+  assert.is(history.rowsSince(10_000, 60_000)[0]?.count, 1);
+  assert.is(history.rowsSince(100_000, 60_000)[0]?.count, 2);
+  for (let service = 0; service < 1_000; service += 1) {
+    history.record(`s${service}`, outcome, 70_000);
+  }
+  const rows = history.rowsSince(1, 70_000);
+  assert.ok(rows.length <= 257 + 1, String(rows.length));
+  assert.ok(rows.some((row) => row.service === '(other)'));
+});
+
+test('counters, gauges and percentiles are exposed under stable names', async () => {
+  const metrics = new Metrics();
+  const labels = { 'refusal-reason': 'no-slot' };
+  metrics.count({ by: 2, counter: 'refusals', kind: 'count', labels });
+  metrics.addGauge({ help: 'Requests in flight.', name: 'in_flight', read: () => 7 });
+  for (let latency = 1; latency <= 100; latency += 1) {
+    metrics.recordLatency('antrag', 'answered', latency);
+  }
+  const text = await metrics.text();
+  assert.ok(text.includes('peridotspring_refusals_total{refusal_reason="no-slot"} 2'), text);
+  assert.ok(text.includes('peridotspring_in_flight 7'));
+  assert.ok(text.includes('# TYPE peridotspring_request_duration_milliseconds summary'));
+  const p99 = /outcome="answered",quantile="0.99"} ([\d.]+)/.exec(text);
+  assert.ok(Math.abs(Number(p99?.[1]) - 99) < 1, text);
+});
+
+test('other label names or endless label values neither throw nor fill the memory', async () => {
+  const metrics = new Metrics();
+  const count = (labels: Record<string, string>): void => {
+    metrics.count({ by: 1, counter: 'x', kind: 'count', labels });
+  };
+  for (let value = 0; value < 1_100; value += 1) count({ tenant: `t${value}` });
+  count({ other: 'a' });
+  const text = await metrics.text();
+  assert.match(text, /dropped_total\{[^}]*cause="label-values"[^}]*\} 100/);
+  assert.match(text, /dropped_total\{[^}]*cause="label-names"[^}]*\} 1\n/);
+  for (let service = 0; service < 300; service += 1) {
+    metrics.recordLatency(`s"${service}\n`, 'answered', 1);
+  }
+  const latencies = await metrics.text();
+  assert.ok(latencies.includes('service="s\\"0\\n"'));
+  assert.ok(latencies.includes('service="(other)"'));
+});
+
+test.run();
