--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,7 +27,7 @@
 export * from './entry/request-rules.js';
 export { CounterName } from './node/outbox.js';
 export { NodeCore } from './node/node-core.js';
-export type { NodeCoreOptions, NodeParts } from './node/node-core.js';
+export type { NodeCoreOptions, NodeParts } from './node/node-parts.js';
 export * from './routing/baseline-policies.js';
 export * from './routing/power-of-choices-policy.js';
 export * from './routing/router.js';
--- a/packages/core/src/messages/core-command.ts
+++ b/packages/core/src/messages/core-command.ts
@@ -1,6 +1,7 @@
 import type { BodyDirection, CoreFrame, HeaderFields, RequestHead } from './frames.js';
+import type { KeyRecord } from './home-table.js';
 import type { LoadReport } from './load-report.js';
-import type { CallOutcome } from './outcome.js';
+import type { CallOutcome, RefusalReason, RetryReason } from './outcome.js';
 import type { Configuration } from './service-configuration.js';
 import type { StoreClient, StoreOperation } from './store.js';
 
@@ -86,6 +87,15 @@
   readonly result: ProposalResult;
 }
 
+/** What the home of a key knows; the state is undefined when no home could be asked in time. */
+export interface KeyKnownCommand {
+  readonly kind: 'key-known';
+  readonly questionId: number;
+  readonly home: string | undefined;
+  readonly state: KeyRecord['state'] | undefined;
+  readonly status: number | undefined;
+}
+
 export type ProposalResult =
   | { readonly kind: 'accepted'; readonly revision: number }
   /** Another change came first and touches the same parts. */
@@ -119,29 +129,38 @@
   readonly fields: Readonly<Record<string, string | number | boolean>>;
 }
 
-export const JournalEvent = {
-  Answered: 'answered',
-  Cancelled: 'cancelled',
-  Concluded: 'concluded',
-  Dispatched: 'dispatched',
-  Failed: 'failed',
-  Forwarded: 'forwarded',
-  Refused: 'refused',
-} as const;
-export type JournalEvent = (typeof JournalEvent)[keyof typeof JournalEvent];
+/** What happened to one attempt of a request. */
+export type AttemptStep =
+  | {
+      readonly kind: 'sent';
+      readonly server: string;
+      readonly retryReason?: RetryReason | undefined;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly server: string;
+      readonly reason: RefusalReason;
+      readonly load?: LoadReport | undefined;
+    }
+  | {
+      readonly kind: 'answered';
+      readonly server: string;
+      readonly status: number;
+      readonly load?: LoadReport | undefined;
+    }
+  /** The attempt may have run and gave no answer. */
+  | {
+      readonly kind: 'failed';
+      readonly server: string;
+      readonly detail: string;
+      readonly load?: LoadReport | undefined;
+    };
 
 /** One step of a request, kept for a time so that operators can ask why it was refused. */
 export interface JournalCommand {
   readonly kind: 'journal';
   readonly requestId: string;
-  readonly service: string;
-  readonly tenant: string;
-  readonly event: JournalEvent;
-  /** The server that the step concerns. */
-  readonly server?: string | undefined;
-  /** Refusal, retry or unknown reason, or the outcome's status. */
-  readonly reason?: string | undefined;
-  readonly load?: LoadReport | undefined;
+  readonly step: AttemptStep;
 }
 
 /** Everything that the core asks of a driver. */
@@ -156,6 +175,7 @@
   | StoreCommand
   | ConfigurationInForceCommand
   | ProposalConcludedCommand
+  | KeyKnownCommand
   | StoppedCommand
   | CountCommand
   | JournalCommand
--- a/packages/core/src/messages/core-message.ts
+++ b/packages/core/src/messages/core-message.ts
@@ -127,6 +127,14 @@
   readonly configuration: Configuration;
 }
 
+/** An operator asks what is known of a key; `key-known` answers. */
+export interface AskKeyMessage {
+  readonly kind: 'ask-key';
+  readonly questionId: number;
+  readonly service: string;
+  readonly key: string;
+}
+
 /** The process was asked to stop: hand over, finish what runs, then say so. */
 export interface StopMessage {
   readonly kind: 'stop';
@@ -153,5 +161,6 @@
   | UpstreamPolledMessage
   | StoreResultMessage
   | ProposeConfigurationMessage
+  | AskKeyMessage
   | StopMessage
   | TickMessage;
--- a/packages/core/src/node/call-board.ts
+++ b/packages/core/src/node/call-board.ts
@@ -7,14 +7,13 @@
   DispatchCommand,
 } from '../calls/call-contract.js';
 import type { KeyedAnswer } from '../homes/home-contract.js';
-import { JournalEvent } from '../messages/core-command.js';
 import type { BodyEndpoint } from '../messages/core-command.js';
 import type { AnswerFrame, CallFrame, RequestHead, RequestStartFrame } from '../messages/frames.js';
 import { RequestClass } from '../messages/outcome.js';
 import type { CallOutcome } from '../messages/outcome.js';
 import type { RouterContract } from '../routing/router-contract.js';
 import type { ClockReading } from '../shared/clock-reading.js';
-import { CallJournal, loadOf } from './call-journal.js';
+import { loadOf, stepOf } from './call-journal.js';
 import { CounterName } from './outbox.js';
 import type { Outbox } from './outbox.js';
 
@@ -73,11 +72,7 @@
   private readonly streams = new Map<number, AnswerStream>();
   private nextCallNumber = 1;
 
-  private readonly journal: CallJournal;
-
-  public constructor(private readonly options: CallBoardOptions) {
-    this.journal = new CallJournal(options.outbox);
-  }
+  public constructor(private readonly options: CallBoardOptions) {}
 
   /** Calls and streamed answers that are not finished. */
   public get inProgress(): number {
@@ -114,7 +109,7 @@
     }
     const call = this.calls.get(attempt.callNumber);
     if (call !== undefined) {
-      this.journal.frame(call.head, from, frame);
+      this.journalFrame(call.head.requestId, from, frame);
     }
     const { engine } = this.options;
     match(frame)
@@ -207,7 +202,7 @@
       callNumber: command.callNumber,
       server: target.server,
     });
-    this.journal.record(head, JournalEvent.Dispatched, target.server, retryReason);
+    outbox.journal(head.requestId, { kind: 'sent', retryReason, server: target.server });
     if (retryReason !== undefined) {
       outbox.count(CounterName.Retries, { reason: retryReason, service: head.service });
     }
@@ -240,9 +235,6 @@
     if (attemptId !== undefined) {
       this.attempts.delete(attemptId);
     }
-    const reason = outcome.kind === 'answered' ? String(outcome.status) : outcome.reason;
-    const detail = `${outcome.kind} ${reason}`;
-    this.journal.record(call.head, JournalEvent.Concluded, attempt?.server, detail);
     if (call.owner.kind === 'home') {
       const { dispatchId } = call.owner;
       const keyed = answer && { body: answer.body, headers: answer.headers, status: answer.status };
@@ -323,6 +315,13 @@
     });
   }
 
+  private journalFrame(requestId: string, from: string, frame: CallFrame): void {
+    const step = stepOf(from, frame);
+    if (step !== undefined) {
+      this.options.outbox.journal(requestId, step);
+    }
+  }
+
   private forget(callNumber: number): void {
     const call = this.calls.get(callNumber);
     if (call?.owner.kind === 'caller') {
--- a/packages/core/src/node/keyed-board.ts
+++ b/packages/core/src/node/keyed-board.ts
@@ -1,6 +1,8 @@
 import { match } from 'ts-pattern';
 
+import { KeyInquiry } from '../entry/key-inquiry.js';
 import { KeyedForwarder } from '../entry/keyed-forwarder.js';
+import type { InquiryCommand } from '../entry/key-inquiry.js';
 import type { ForwarderCommand, KeyedRequest } from '../entry/keyed-forwarder.js';
 import type {
   HomeCommand,
@@ -8,7 +10,7 @@
   KeyedAnswer,
   RunKeyedCommand,
 } from '../homes/home-contract.js';
-import { JournalEvent } from '../messages/core-command.js';
+import type { AskKeyMessage } from '../messages/core-message.js';
 import type { HomeFrame, KeyedFrame, KeyedOutcome } from '../messages/frames.js';
 import type { MemberRecord } from '../messages/member.js';
 import type { CallOutcome } from '../messages/outcome.js';
@@ -37,16 +39,18 @@
 /** Connects callers' keyed requests, this node's homes and the homes on other nodes. */
 export class KeyedBoard {
   private readonly forwarder: KeyedForwarder;
-  private readonly requests = new Map<number, KeyedRequest>();
+  private readonly inquiry: KeyInquiry;
   private readonly tableRequestedAt = new Map<string, number>();
 
   public constructor(private readonly options: KeyedBoardOptions) {
     const { homes, nextCallId } = options;
-    this.forwarder = new KeyedForwarder({
+    const lookup = {
       nextCallId,
-      rangeOf: (key) => homes.rangeOf(key),
-      table: (service) => homes.table(service),
-    });
+      rangeOf: (key: string) => homes.rangeOf(key),
+      table: (service: string) => homes.table(service),
+    };
+    this.forwarder = new KeyedForwarder(lookup);
+    this.inquiry = new KeyInquiry(lookup);
   }
 
   public get inProgress(): number {
@@ -54,12 +58,15 @@
   }
 
   public begin(request: KeyedRequest, now: ClockReading): void {
-    this.requests.set(request.requestNumber, request);
     this.applyForwarder(this.forwarder.begin(request, now), now);
   }
 
+  /** Asks the home of a key on an operator's behalf. */
+  public ask({ key, questionId, service }: AskKeyMessage, now: ClockReading): void {
+    this.applyInquiry(this.inquiry.begin({ key, questionId, service }, now), now);
+  }
+
   public callerGone(requestNumber: number): void {
-    this.requests.delete(requestNumber);
     this.forwarder.abandon(requestNumber);
   }
 
@@ -74,7 +81,9 @@
       .with({ kind: 'keyed-outcome' }, ({ callId, outcome }) => {
         this.outcome(from, callId, outcome, now);
       })
-      .with({ kind: 'key-answer' }, () => undefined)
+      .with({ kind: 'key-answer' }, (answer) => {
+        this.applyInquiry(this.inquiry.answered(from, answer), now);
+      })
       .exhaustive();
   }
 
@@ -117,6 +126,7 @@
   public tick(now: ClockReading): void {
     this.applyHomes(this.options.homes.tick(now), now);
     this.applyForwarder(this.forwarder.tick(now), now);
+    this.applyInquiry(this.inquiry.tick(now), now);
     for (const service of this.forwarder.waitingServices()) {
       this.applyForwarder(this.forwarder.tableChanged(service, now), now);
     }
@@ -134,9 +144,7 @@
     for (const command of commands) {
       match(command)
         .with({ kind: 'forward' }, ({ frame, to }) => {
-          const { requestId, service, tenant } = frame.head;
-          const event = JournalEvent.Forwarded;
-          this.options.outbox.journal({ event, requestId, server: to, service, tenant });
+          this.options.outbox.journal(frame.head.requestId, { kind: 'sent', server: to });
           if (to === this.options.self) {
             this.applyHomes(this.options.homes.request(to, frame, now), now);
           } else if (!this.options.outbox.send(to, frame)) {
@@ -153,19 +161,31 @@
     }
   }
 
+  private applyInquiry(commands: readonly InquiryCommand[], now: ClockReading): void {
+    for (const command of commands) {
+      match(command)
+        .with({ kind: 'ask' }, ({ frame, to }) => {
+          if (to === this.options.self) {
+            this.applyHomes(this.options.homes.question(to, frame, now), now);
+          } else {
+            this.options.outbox.send(to, frame);
+          }
+        })
+        .with({ kind: 'need-table' }, ({ service }) => {
+          this.requestTable(service, now);
+        })
+        .with({ kind: 'key-known' }, (known) => {
+          this.options.outbox.push(known);
+        })
+        .exhaustive();
+    }
+  }
+
   private conclude(
     requestNumber: number,
     outcome: Exclude<KeyedOutcome, { readonly kind: 'not-home' }>,
   ): void {
-    const request = this.requests.get(requestNumber);
-    this.requests.delete(requestNumber);
     const { outbox } = this.options;
-    if (request !== undefined) {
-      const { requestId, service, tenant } = request.head;
-      const detail = outcome.kind === 'answered' ? String(outcome.status) : outcome.reason;
-      const reason = `${outcome.kind} ${detail}`;
-      outbox.journal({ event: JournalEvent.Concluded, reason, requestId, service, tenant });
-    }
     if (outcome.kind !== 'answered') {
       outbox.push({ kind: 'reply-to-caller', outcome, requestNumber, streamedBody: false });
       return;
@@ -232,7 +252,9 @@
   ): void {
     if (to !== this.options.self) {
       this.options.outbox.send(to, frame);
-    } else if (frame.kind !== 'key-answer') {
+    } else if (frame.kind === 'key-answer') {
+      this.applyInquiry(this.inquiry.answered(to, frame), now);
+    } else {
       // This node is a witness of its own home.
       this.homeFrame(to, frame, now);
     }
--- a/packages/core/src/node/outbox.ts
+++ b/packages/core/src/node/outbox.ts
@@ -1,4 +1,4 @@
-import type { CoreCommand, JournalCommand, LogCommand } from '../messages/core-command.js';
+import type { AttemptStep, CoreCommand, LogCommand } from '../messages/core-command.js';
 import type { CoreFrame } from '../messages/frames.js';
 
 /** Names of the counters that the core raises. */
@@ -36,8 +36,8 @@
     this.commands.push({ by: 1, counter, kind: 'count', labels });
   }
 
-  public journal(entry: Omit<JournalCommand, 'kind'>): void {
-    this.commands.push({ ...entry, kind: 'journal' });
+  public journal(requestId: string, step: AttemptStep): void {
+    this.commands.push({ kind: 'journal', requestId, step });
   }
 
   public log(level: LogCommand['level'], event: string, fields: LogCommand['fields']): void {
--- a/packages/daemon/src/driver/node-driver.ts
+++ b/packages/daemon/src/driver/node-driver.ts
@@ -45,7 +45,13 @@
   CoreCommand,
   {
     readonly kind:
-      'configuration-in-force' | 'count' | 'journal' | 'log' | 'proposal-concluded' | 'stopped';
+      | 'configuration-in-force'
+      | 'count'
+      | 'journal'
+      | 'key-known'
+      | 'log'
+      | 'proposal-concluded'
+      | 'stopped';
   }
 >;
 
--- /dev/null
+++ b/packages/daemon/src/operators/core-change-port.ts
@@ -0,0 +1,68 @@
+import type {
+  CoreMessage,
+  ProposalConcludedCommand,
+  ProposalResult,
+  StoreOperation,
+  StoreResult,
+} from '@peridotspring/core';
+import { findChange, rootKey } from '@peridotspring/core';
+import type { ChangePort, ChangeProposal, ChangeState } from '@peridotspring/operators';
+
+export interface CoreChangePortOptions {
+  readonly deliver: (message: CoreMessage) => void;
+  readonly execute: (operation: StoreOperation, deliver: (result: StoreResult) => void) => void;
+}
+
+/** Proposes changes through the core and looks their identifiers up in the store. */
+export class CoreChangePort implements ChangePort {
+  private readonly pending = new Map<number, (result: ProposalResult) => void>();
+  private nextProposalId = 1;
+
+  public constructor(private readonly options: CoreChangePortOptions) {}
+
+  public propose(proposal: ChangeProposal): Promise<ProposalResult> {
+    const proposalId = this.nextProposalId;
+    this.nextProposalId += 1;
+    return new Promise((resolve) => {
+      this.pending.set(proposalId, resolve);
+      this.options.deliver({ ...proposal, kind: 'propose-configuration', proposalId });
+    });
+  }
+
+  public concluded({ proposalId, result }: ProposalConcludedCommand): void {
+    this.pending.get(proposalId)?.(result);
+    this.pending.delete(proposalId);
+  }
+
+  public stateOf(changeId: string): Promise<ChangeState> {
+    return new Promise((resolve) => {
+      this.options.execute({ key: rootKey, kind: 'read' }, (result) => {
+        resolve(changeStateOf(result, changeId));
+      });
+    });
+  }
+
+  /** Nobody can say any more what becomes of the proposals that wait. */
+  public close(): void {
+    for (const resolve of this.pending.values()) {
+      resolve({ kind: 'unresolved' });
+    }
+    this.pending.clear();
+  }
+}
+
+function changeStateOf(result: StoreResult, changeId: string): ChangeState {
+  if (result.kind === 'missing') {
+    return { kind: 'not-found', revision: 0 };
+  }
+  if (result.kind !== 'found') {
+    return { kind: 'unresolved' };
+  }
+  const found = findChange(result.entry.value, changeId);
+  if (found === undefined) {
+    return { kind: 'unresolved' };
+  }
+  return found.changeRevision === undefined
+    ? { kind: 'not-found', revision: found.rootRevision }
+    : { kind: 'in-force', revision: found.changeRevision };
+}
