--- a/packages/stand-ins/tests/upstream/upstream-stand-in.test.ts
+++ b/packages/stand-ins/tests/upstream/upstream-stand-in.test.ts
@@ -22,7 +22,11 @@
 }
 
 async function until(condition: () => boolean): Promise<void> {
-  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 2));
+  const latest = Date.now() + 30_000;
+  while (!condition()) {
+    if (Date.now() > latest) throw new Error('the condition did not come true');
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
 }
 
 async function setFaults(standIn: UpstreamStandIn, faults: unknown): Promise<Response> {
--- /dev/null
+++ b/packages/upstreams/tests/announcement-server.test.ts
@@ -0,0 +1,99 @@
+import { NodeLink } from '@peridotspring/stand-ins';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { AnnouncementServer, parseAnnouncement } from '../src/index.js';
+import type { AnnouncementMessage } from '../src/index.js';
+
+const valid = { address: '127.0.0.1:8080', connections: 200, service: 'antrag', slots: 6 };
+
+async function withServer(
+  use: (address: string, messages: AnnouncementMessage[]) => Promise<void>,
+): Promise<void> {
+  const messages: AnnouncementMessage[] = [];
+  const server = new AnnouncementServer((message) => messages.push(message));
+  const port = await server.listen(0, '127.0.0.1');
+  try {
+    await use(`127.0.0.1:${port}`, messages);
+  } finally {
+    await server.close();
+  }
+}
+
+test('the upstream stand-in and the port agree on announce, drain, restore and leave', async () => {
+  await withServer(async (address, messages) => {
+    const link = new NodeLink(address);
+    const answers = [
+      await link.announce(valid),
+      await link.drain(),
+      await link.restore(),
+      await link.leave(),
+    ];
+    assert.equal(
+      answers.map((answer) => answer.status),
+      [200, 200, 200, 200],
+    );
+    assert.equal(messages, [
+      { announcement: valid, kind: 'upstream-announced' },
+      { draining: true, kind: 'upstream-drain' },
+      { draining: false, kind: 'upstream-drain' },
+      { kind: 'upstream-left' },
+    ]);
+  });
+});
+
+const slotsRange = 'expected an integer from 1 to 10000';
+const addressRange = 'expected host:port with a port from 1 to 65535';
+const invalidFields: readonly [string, unknown, string][] = [
+  ['slots', 0, slotsRange],
+  ['slots', 2.5, slotsRange],
+  ['slots', '6', slotsRange],
+  ['slots', undefined, slotsRange],
+  ['slots', 10_001, slotsRange],
+  ['connections', 65_536, 'expected an integer from 1 to 65535'],
+  ['address', '127.0.0.1', addressRange],
+  ['address', '127.0.0.1:0', addressRange],
+  ['address', 'http://127.0.0.1:80', addressRange],
+  ['address', 7, addressRange],
+  [
+    'service',
+    'Antrag',
+    'expected 1 to 63 lower-case letters, digits and hyphens that begin with a letter',
+  ],
+  ['slot', 6, 'unknown field; expected service, address, slots and connections'],
+];
+
+for (const [field, value, message] of invalidFields) {
+  test(`${field} ${String(value)} is rejected with its range, so that the operator can mend it`, () => {
+    const parsed = parseAnnouncement({ ...valid, [field]: value });
+    assert.equal(parsed, { errors: [{ field, message }], kind: 'invalid' });
+  });
+}
+
+test('all faults of an announcement are told at once', () => {
+  const parsed = parseAnnouncement({ ...valid, connections: 0, slots: 0 });
+  assert.is(parsed.kind === 'invalid' && parsed.errors.length, 2);
+  assert.is(parseAnnouncement({ ...valid, address: '[::1]:80' }).kind, 'valid');
+});
+
+const requestCases = [
+  { body: '{', field: 'body', method: 'POST', path: '/announce', status: 400 },
+  { body: '[]', field: 'body', method: 'POST', path: '/announce', status: 400 },
+  { body: ' '.repeat(16_385), field: 'body', method: 'POST', path: '/drain', status: 413 },
+  { body: undefined, field: 'method', method: 'GET', path: '/drain', status: 405 },
+  { body: '{}', field: 'path', method: 'POST', path: '/announced', status: 404 },
+];
+
+for (const { body, field, method, path, status } of requestCases) {
+  test(`${method} ${path} is answered ${status} and changes nothing`, async () => {
+    await withServer(async (address, messages) => {
+      const answer = await fetch(`http://${address}${path}`, { body, method });
+      assert.is(answer.status, status);
+      const content = (await answer.json()) as { errors: { field: string }[] };
+      assert.is(content.errors[0]?.field, field);
+      assert.equal(messages, []);
+    });
+  });
+}
+
+test.run();
