Count the entry's own requests exactly in a target's load

Cause: ch-mittelland, idempotent, jump from trough to peak: least in-flight had p50 46.0 and p99.9 150.3 ms, power of choices 48.6 and 155.6 ms. With 11 entries and few targets a report is about two service times old when it is read, and ageing also discounted what the entry knows exactly: its own outstanding requests.

Change: a report is split into own and others' requests. Only the part of the others ages towards the mean.

--- a/packages/core/src/routing/power-of-choices-policy.ts
+++ b/packages/core/src/routing/power-of-choices-policy.ts
@@ -82,12 +82,13 @@
     return loadScore + this.zoneCost(target, scope);
   }
 
+  /** This entry's own part of the load is known exactly, so only the part of the others ages. */
   private estimatedRatio(target: TargetState, scope: SelectionScope, now: number): number {
-    const sent = this.mechanisms.sentSinceReport ? target.sentSinceReport : 0;
-    const ratio = target.reportedRatio + sent / target.limit;
-    if (!this.mechanisms.ageing) return ratio;
+    const unknown = this.mechanisms.sentSinceReport ? 0 : target.sentSinceReport;
+    const ownRatio = Math.max(0, target.outstanding - unknown) / target.limit;
+    if (!this.mechanisms.ageing) return ownRatio + target.othersRatio;
     const freshness = 2 ** (-(now - target.reportedAt) / reportHalfLifeMilliseconds);
-    return freshness * ratio + (1 - freshness) * scope.meanRatio;
+    return ownRatio + freshness * target.othersRatio + (1 - freshness) * scope.meanOthersRatio;
   }
 
   private zoneCost(target: TargetState, scope: SelectionScope): number {
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -111,10 +111,7 @@
   public reported(server: string, load: LoadReport, now: ClockReading): void {
     const state = this.states.get(server);
     if (state?.target.service !== load.service) return;
-    state.report = load;
-    state.reportedAt = now.monotonic;
-    state.lastHeardAt = now.monotonic;
-    state.sentSinceReport = 0;
+    state.takeReport(load, now.monotonic);
     const service = this.serviceOf(load.service);
     service.ratioChanged(state);
     this.followGateState(state, service, now.monotonic);
--- a/packages/core/src/routing/selection-policy.ts
+++ b/packages/core/src/routing/selection-policy.ts
@@ -8,8 +8,8 @@
   readonly region: TargetPool;
   /** Targets of the own availability zone. */
   readonly zone: TargetPool;
-  /** Mean of the reported load of the service's targets, relative to their limits. */
-  readonly meanRatio: number;
+  /** Mean load of the service's targets by other entries, relative to their limits. */
+  readonly meanOthersRatio: number;
   /** Typical latency of a request; undefined while nothing was answered. */
   readonly typicalLatency: number | undefined;
 }
--- a/packages/core/src/routing/service-targets.ts
+++ b/packages/core/src/routing/service-targets.ts
@@ -46,7 +46,7 @@
     return this.members.size;
   }
 
-  public get meanRatio(): number {
+  public get meanOthersRatio(): number {
     return this.ratios.size === 0 ? 0 : this.ratioSum / this.ratios.size;
   }
 
@@ -80,7 +80,7 @@
 
   /** Keeps the service's mean load current without a scan. */
   public ratioChanged(state: TargetState): void {
-    const ratio = state.reportedRatio;
+    const ratio = state.othersRatio;
     this.ratioSum += ratio - (this.ratios.get(state) ?? 0);
     this.ratios.set(state, ratio);
   }
--- a/packages/core/src/routing/target-state.ts
+++ b/packages/core/src/routing/target-state.ts
@@ -35,6 +35,8 @@
   public trialSentAt: number | undefined;
   public shunMilliseconds = 0;
   public returnedAt = -Infinity;
+  /** Requests of other entries at the time of the last report. */
+  private others = 0;
   private rampStart = -Infinity;
   private rampLength = 1;
 
@@ -50,10 +52,20 @@
     return Math.max(1, this.report?.limit ?? this.target.slots);
   }
 
-  /** Load according to the last report, relative to the limit. */
-  public get reportedRatio(): number {
-    if (this.report === undefined) return 0;
-    return (this.report.inFlight + this.report.queued) / this.limit;
+  /** Load by other entries according to the last report, relative to the limit. */
+  public get othersRatio(): number {
+    return this.others / this.limit;
+  }
+
+  /** Takes a report that came with the end of one of this node's requests, or by a probe. */
+  public takeReport(report: LoadReport, now: number): void {
+    this.report = report;
+    this.reportedAt = now;
+    this.lastHeardAt = now;
+    this.sentSinceReport = 0;
+    // The request that ended is still outstanding here and no longer part of the report.
+    const own = Math.max(0, this.outstanding - 1);
+    this.others = Math.max(0, report.inFlight + report.queued - own);
   }
 
   public startRamp(now: number, milliseconds: number): void {
