--- a/packages/core/src/membership/membership-links.ts
+++ b/packages/core/src/membership/membership-links.ts
@@ -13,8 +13,8 @@
   readonly ownZone: () => ZoneMembers;
   readonly configurationRevision: () => number;
   readonly send: (to: MemberRecord, frame: MembershipFrame) => void;
-  /** Takes a record that this node made or was sent. */
-  readonly learn: (record: MemberRecord, origin: RecordOrigin, now: ClockReading) => void;
+  /** Takes a record that this node made or was sent; returns whether it changed the table. */
+  readonly learn: (record: MemberRecord, origin: RecordOrigin, now: ClockReading) => boolean;
   readonly count: (counter: string, by?: number) => void;
   readonly report: (event: string, fields: Readonly<Record<string, string | number>>) => void;
 }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -1,11 +1,6 @@
-import type { MembershipFrame } from '../messages/frames.js';
+import type { MembershipFrame, MemberUpdatesFrame } from '../messages/frames.js';
 import type { NodeIdentity } from '../messages/identity.js';
-import {
-  MemberState,
-  type MemberRecord,
-  type UpstreamAnnouncement,
-  type ZoneReachability,
-} from '../messages/member.js';
+import { MemberState, type MemberRecord, type UpstreamAnnouncement } from '../messages/member.js';
 import type { StoreResult } from '../messages/store.js';
 import { assertInvariant } from '../shared/invariant-error.js';
 import type { ClockReading } from '../shared/clock-reading.js';
@@ -18,6 +13,7 @@
 import { MemberTable } from './member-table.js';
 import type { MembershipCommand, MembershipContract } from './membership-contract.js';
 import type { MembershipLinks, RecordOrigin } from './membership-links.js';
+import { PingExchange } from './ping-exchange.js';
 import { OwnRecord } from './own-record.js';
 import { NewsSpreader } from './news-spreader.js';
 import type { Seed } from './seed-layout.js';
@@ -36,7 +32,6 @@
 
 /** A tick comes every 10 ms; a longer gap means that the process did not run. */
 const pauseMilliseconds = 1_000;
-const endedPingIntervalMilliseconds = 10_000;
 /** Time for the rest of the zone to become known after its first member did. */
 const joinMilliseconds = 1_000;
 
@@ -53,32 +48,18 @@
   private readonly detector: FailureDetector;
   private readonly comparison: MemberComparison;
   private readonly bridge: ZoneBridge;
+  private readonly pings: PingExchange;
   private readonly seeds: SeedKeeper;
   private readonly server: string;
   private configurationRevision = 0;
   private lastTickAt: number | undefined;
-  private nextEndedPingAt = 0;
   private hasJoined = false;
   private isJoining = false;
 
   public constructor(private readonly options: MembershipOptions) {
-    const { identity, random } = options;
+    const { identity } = options;
     this.server = identity.server;
-    this.links = {
-      table: this.table,
-      random,
-      self: () => this.self(),
-      ownZone: () => this.ownZone(),
-      configurationRevision: () => this.configurationRevision,
-      send: (to, frame) => {
-        this.send(to.server, to.peerAddress, frame);
-      },
-      learn: (record, origin, now) => {
-        this.learn(record, origin, now);
-      },
-      count: (counter, by = 1) => this.commands.push({ kind: 'count', counter, labels: {}, by }),
-      report: (event, fields) => this.commands.push({ kind: 'log', level: 'info', event, fields }),
-    };
+    this.links = this.buildLinks();
     this.news = new NewsSpreader(this.links);
     this.own = new OwnRecord(this.links, this.news);
     this.reachability = new ZoneReachabilityKeeper(this.links, this.news, (member, reachable) =>
@@ -89,17 +70,19 @@
     this.bridge = new ZoneBridge(this.links, this.detector, (statement, now) => {
       this.reachability.learn(statement, this.bridge, now);
     });
-    this.seeds = new SeedKeeper(
-      this.links,
-      this.requests,
-      this.timers,
-      (seed) => {
+    const { links, news, detector, comparison, bridge } = this;
+    const revisionSeen = (server: string, revision: number): void => {
+      this.commands.push({ kind: 'revision-seen', server, revision });
+    };
+    this.pings = new PingExchange({ links, news, detector, comparison, bridge, revisionSeen });
+    this.seeds = new SeedKeeper(links, this.requests, this.timers, {
+      contact: (seed) => {
         this.contact(seed);
       },
-      () => {
+      settled: () => {
         this.hasJoined = true;
       },
-    );
+    });
     const start = { monotonic: 0, wall: identity.incarnation };
     this.table.apply(OwnRecord.initial(identity), start);
   }
@@ -115,19 +98,18 @@
   ): readonly MembershipCommand[] {
     switch (frame.kind) {
       case 'ping':
-        this.learnAll(frame.updates, from, now);
-        this.answerPing(from, frame.sequence, frame.configurationRevision);
+        this.learnAll(from, frame.updates, now);
+        this.pings.answer(from, frame);
         break;
       case 'acknowledgement':
-        this.learnAll(frame.updates, from, now);
-        this.acknowledged(from, frame.sequence, frame.server, now);
-        this.seeRevision(from, frame.configurationRevision);
+        this.learnAll(from, frame.updates, now);
+        this.pings.acknowledged(from, frame, now);
         break;
       case 'ping-request':
         this.detector.relay(from, frame.sequence, frame.target, now);
         break;
       case 'member-updates':
-        this.receiveUpdates(from, frame.updates, frame.zones ?? [], now);
+        this.receiveUpdates(from, frame, now);
         break;
       case 'member-sync':
         this.comparison.receive(from, frame, now);
@@ -192,7 +174,7 @@
       this.comparison.tick(now);
       this.bridge.tick(isBridge, now);
       this.seeds.tick(isBridge, now);
-      this.pingEnded(now);
+      this.pings.pingEnded(now);
     }
     return this.takeCommands();
   }
@@ -211,6 +193,21 @@
     return servers.filter((server) => server !== this.server);
   }
 
+  private buildLinks(): MembershipLinks {
+    return {
+      table: this.table,
+      random: this.options.random,
+      self: () => this.self(),
+      ownZone: () => this.ownZone(),
+      configurationRevision: () => this.configurationRevision,
+      send: ({ server, peerAddress }, frame) =>
+        this.commands.push({ kind: 'send', to: server, address: peerAddress, frame }),
+      learn: (record, origin, now) => this.learn(record, origin, now),
+      count: (counter, by = 1) => this.commands.push({ kind: 'count', counter, labels: {}, by }),
+      report: (event, fields) => this.commands.push({ kind: 'log', level: 'info', event, fields }),
+    };
+  }
+
   private self(): MemberEntry {
     const entry = this.table.get(this.server);
     assertInvariant(entry !== undefined, 'the own record is in the member table');
@@ -236,57 +233,25 @@
     this.comparison.start(target);
   }
 
-  private answerPing(from: string, sequence: number, revision: number): void {
-    const sender = this.table.get(from)?.record;
-    const isOwnZone = sender?.availabilityZone === this.ownZone().name;
-    const updates = isOwnZone ? this.news.updates.take() : [];
-    const isDoubted = sender?.state === MemberState.Suspect || sender?.state === MemberState.Dead;
-    this.send(from, sender?.peerAddress ?? '', {
-      kind: 'acknowledgement',
-      sequence,
-      server: this.server,
-      // A member that is believed dead and still pings has to learn of it to refute it.
-      updates: isDoubted ? [...updates, sender] : updates,
-      configurationRevision: this.configurationRevision,
-    });
-    if (sender === undefined) this.comparison.start(strangerRecord(this.self().record, from));
-    this.seeRevision(from, revision);
-  }
-
-  private acknowledged(from: string, sequence: number, server: string, now: ClockReading): void {
-    this.detector.acknowledged(sequence, server);
-    const sender = this.table.get(from);
-    const zone = sender && this.table.zone(sender.record.availabilityZone);
-    if (zone === undefined || zone === this.ownZone() || sender === undefined) return;
-    const wasReachable = zone.reachable;
-    this.bridge.heard(zone, now);
-    if (!wasReachable) this.comparison.start(sender.record);
+  private learnAll(from: string, updates: readonly MemberRecord[], now: ClockReading): void {
+    for (const record of updates) {
+      this.learn(record, { from, isNews: true }, now);
+    }
   }
 
-  private receiveUpdates(
-    from: string,
-    updates: readonly MemberRecord[],
-    zones: readonly ZoneReachability[],
-    now: ClockReading,
-  ): void {
-    for (const record of updates) {
+  private receiveUpdates(from: string, frame: MemberUpdatesFrame, now: ClockReading): void {
+    for (const record of frame.updates) {
       const isNew = this.learn(record, { from, isNews: true }, now);
       // Told early, the suspect can refute before it is declared dead.
       if (isNew && record.state === MemberState.Suspect && from !== record.server) {
         this.links.send(record, { kind: 'member-updates', updates: [record] });
       }
     }
-    for (const statement of zones) {
+    for (const statement of frame.zones ?? []) {
       this.reachability.learn(statement, this.bridge, now);
     }
   }
 
-  private learnAll(records: readonly MemberRecord[], from: string, now: ClockReading): void {
-    for (const record of records) {
-      this.learn(record, { from, isNews: true }, now);
-    }
-  }
-
   private learn(record: MemberRecord, origin: RecordOrigin, now: ClockReading): boolean {
     if (record.server === this.server && origin.from !== this.server) {
       this.own.refute(record, origin.from, now);
@@ -315,33 +280,9 @@
     });
   }
 
-  /** Members that ended may be back without knowing anybody, for example after a partition. */
-  private pingEnded(now: ClockReading): void {
-    if (now.monotonic < this.nextEndedPingAt) return;
-    const jitter = 0.75 + 0.5 * this.links.random.next();
-    this.nextEndedPingAt = now.monotonic + endedPingIntervalMilliseconds * jitter;
-    this.table.forgetEnded(now);
-    const entry = this.table.pickEnded(this.links.random);
-    if (entry?.record.state === MemberState.Dead) this.detector.ping(entry.record, [entry.record]);
-  }
-
-  private seeRevision(server: string, revision: number): void {
-    if (revision === this.configurationRevision) return;
-    this.commands.push({ kind: 'revision-seen', server, revision });
-  }
-
-  private send(to: string, address: string, frame: MembershipFrame): void {
-    this.commands.push({ kind: 'send', to, address, frame });
-  }
-
   private takeCommands(): readonly MembershipCommand[] {
     const { commands } = this;
     this.commands = [];
     return commands;
   }
 }
-
-/** Stands for a node whose record is not known; it is answered on the connection that it opened. */
-function strangerRecord(template: MemberRecord, server: string): MemberRecord {
-  return { ...template, server, peerAddress: '' };
-}
--- a/packages/core/src/membership/seed-keeper.ts
+++ b/packages/core/src/membership/seed-keeper.ts
@@ -21,6 +21,13 @@
 const missingZoneIntervalMilliseconds = 30_000;
 const zoneIntervalMilliseconds = 300_000;
 
+/** What the seeds lead to. */
+export interface SeedActions {
+  readonly contact: (seed: Seed) => void;
+  /** The node knows as much of its zone as the seeds can tell. */
+  readonly settled: () => void;
+}
+
 /** Finds the first members through the store and keeps the seeds of the own zone there. */
 export class SeedKeeper {
   private readonly backOff: BackOff;
@@ -34,9 +41,7 @@
     private readonly links: MembershipLinks,
     private readonly requests: StoreRequests,
     private readonly timers: Timers,
-    private readonly contact: (seed: Seed) => void,
-    /** The node knows as much of its zone as the seeds can tell. */
-    private readonly settled: () => void,
+    private readonly actions: SeedActions,
   ) {
     this.backOff = new BackOff(links.random, 500, 10_000);
   }
@@ -52,10 +57,10 @@
         return;
       }
       const seeds = result.kind === 'found' ? decodeSeeds(result.entry.value) : [];
-      if (this.contactUnknown(seeds) === 0) this.settled();
+      if (this.contactUnknown(seeds) === 0) this.actions.settled();
       else
         this.timers.after(later, seedAnswerMilliseconds, () => {
-          this.settled();
+          this.actions.settled();
         });
     });
   }
@@ -180,7 +185,7 @@
       ({ server }) => server !== own && (this.links.table.get(server)?.position ?? -1) < 0,
     );
     for (const seed of unknown) {
-      this.contact(seed);
+      this.actions.contact(seed);
     }
     return unknown.length;
   }
