--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -187,6 +187,11 @@
     return this.table.get(server)?.record;
   }
 
+  /** Whether the bridges of this zone reach the given zone. */
+  public isReachable(availabilityZone: string): boolean {
+    return this.table.zone(availabilityZone)?.reachable ?? false;
+  }
+
   /** Other live members of the own availability zone, for those who pass something on in it. */
   public zonePeers(): readonly string[] {
     const servers = this.ownZone().live.map((entry) => entry.record.server);
--- a/packages/core/src/membership/seed-keeper.ts
+++ b/packages/core/src/membership/seed-keeper.ts
@@ -17,9 +17,10 @@
 const seedAnswerMilliseconds = 3_000;
 /** Seeds are written once the bridges have not changed for this long, by the second bridge later. */
 const settleMilliseconds = 2_000;
-/** How often bridges look for zones: often while one is known by name only, else rarely. */
-const missingZoneIntervalMilliseconds = 30_000;
-const zoneIntervalMilliseconds = 300_000;
+/** How often bridges look for zones: while one is known by name only or there is no other, else rarely. */
+const firstZoneIntervalMilliseconds = 2_000;
+const longestZoneIntervalMilliseconds = 30_000;
+const settledZoneIntervalMilliseconds = 300_000;
 
 /** What the seeds lead to. */
 export interface SeedActions {
@@ -31,6 +32,7 @@
 /** Finds the first members through the store and keeps the seeds of the own zone there. */
 export class SeedKeeper {
   private readonly backOff: BackOff;
+  private readonly zoneBackOff: BackOff;
   private written = '';
   private wanted = '';
   private wantedSince = 0;
@@ -44,6 +46,11 @@
     private readonly actions: SeedActions,
   ) {
     this.backOff = new BackOff(links.random, 500, 10_000);
+    this.zoneBackOff = new BackOff(
+      links.random,
+      firstZoneIntervalMilliseconds,
+      longestZoneIntervalMilliseconds,
+    );
   }
 
   /** Reads the seeds of the own zone; tries again until the store answers. */
@@ -80,7 +87,7 @@
       this.compareSeeds(now);
     }
     if (now.monotonic >= this.nextZoneReadAt) {
-      this.nextZoneReadAt = now.monotonic + missingZoneIntervalMilliseconds;
+      this.nextZoneReadAt = now.monotonic + this.zoneBackOff.next();
       this.readZones(now);
     }
   }
@@ -158,8 +165,10 @@
         this.readSeedsOf(zone, later);
       }
       const isSettled = missing.length === 0 && zones.length > 1;
-      const interval = isSettled ? zoneIntervalMilliseconds : missingZoneIntervalMilliseconds;
-      this.nextZoneReadAt = later.monotonic + interval * (0.75 + 0.5 * this.links.random.next());
+      if (!isSettled) return;
+      this.zoneBackOff.reset();
+      const jitter = 0.75 + 0.5 * this.links.random.next();
+      this.nextZoneReadAt = later.monotonic + settledZoneIntervalMilliseconds * jitter;
     });
   }
 
