--- a/packages/core/src/membership/seed-keeper.ts
+++ b/packages/core/src/membership/seed-keeper.ts
@@ -17,13 +17,22 @@
 const seedAnswerMilliseconds = 3_000;
 /** Seeds are written once the bridges have not changed for this long, by the second bridge later. */
 const settleMilliseconds = 2_000;
-/** How often bridges look for zones: often while one is known by name only, else rarely. */
-const missingZoneIntervalMilliseconds = 30_000;
-const zoneIntervalMilliseconds = 300_000;
+/** How often bridges look for zones: while one is known by name only or there is no other, else rarely. */
+const firstZoneIntervalMilliseconds = 2_000;
+const longestZoneIntervalMilliseconds = 30_000;
+const settledZoneIntervalMilliseconds = 300_000;
+
+/** What the seeds lead to. */
+export interface SeedActions {
+  readonly contact: (seed: Seed) => void;
+  /** The node knows as much of its zone as the seeds can tell. */
+  readonly settled: () => void;
+}
 
 /** Finds the first members through the store and keeps the seeds of the own zone there. */
 export class SeedKeeper {
   private readonly backOff: BackOff;
+  private readonly zoneBackOff: BackOff;
   private written = '';
   private wanted = '';
   private wantedSince = 0;
@@ -34,11 +43,14 @@
     private readonly links: MembershipLinks,
     private readonly requests: StoreRequests,
     private readonly timers: Timers,
-    private readonly contact: (seed: Seed) => void,
-    /** The node knows as much of its zone as the seeds can tell. */
-    private readonly settled: () => void,
+    private readonly actions: SeedActions,
   ) {
     this.backOff = new BackOff(links.random, 500, 10_000);
+    this.zoneBackOff = new BackOff(
+      links.random,
+      firstZoneIntervalMilliseconds,
+      longestZoneIntervalMilliseconds,
+    );
   }
 
   /** Reads the seeds of the own zone; tries again until the store answers. */
@@ -52,10 +64,10 @@
         return;
       }
       const seeds = result.kind === 'found' ? decodeSeeds(result.entry.value) : [];
-      if (this.contactUnknown(seeds) === 0) this.settled();
+      if (this.contactUnknown(seeds) === 0) this.actions.settled();
       else
         this.timers.after(later, seedAnswerMilliseconds, () => {
-          this.settled();
+          this.actions.settled();
         });
     });
   }
@@ -75,7 +87,7 @@
       this.compareSeeds(now);
     }
     if (now.monotonic >= this.nextZoneReadAt) {
-      this.nextZoneReadAt = now.monotonic + missingZoneIntervalMilliseconds;
+      this.nextZoneReadAt = now.monotonic + this.zoneBackOff.next();
       this.readZones(now);
     }
   }
@@ -153,8 +165,10 @@
         this.readSeedsOf(zone, later);
       }
       const isSettled = missing.length === 0 && zones.length > 1;
-      const interval = isSettled ? zoneIntervalMilliseconds : missingZoneIntervalMilliseconds;
-      this.nextZoneReadAt = later.monotonic + interval * (0.75 + 0.5 * this.links.random.next());
+      if (!isSettled) return;
+      this.zoneBackOff.reset();
+      const jitter = 0.75 + 0.5 * this.links.random.next();
+      this.nextZoneReadAt = later.monotonic + settledZoneIntervalMilliseconds * jitter;
     });
   }
 
@@ -180,7 +194,7 @@
       ({ server }) => server !== own && (this.links.table.get(server)?.position ?? -1) < 0,
     );
     for (const seed of unknown) {
-      this.contact(seed);
+      this.actions.contact(seed);
     }
     return unknown.length;
   }
