--- a/packages/core/src/calls/call-contract.ts
+++ b/packages/core/src/calls/call-contract.ts
@@ -45,6 +45,13 @@
 
 export type CallCommand = DispatchCommand | CancelAttemptCommand | ConcludeCommand;
 
+/** Tokens that successes have earned and repeats have spent, since the start. */
+export interface RetryBudgetUse {
+  readonly service: string;
+  readonly earned: number;
+  readonly spent: number;
+}
+
 /** Runs calls: first attempts, retries, hedges, deadlines. */
 export interface CallEngineContract {
   configure(configuration: ServiceConfiguration): void;
@@ -71,6 +78,7 @@
   /** The caller went away. */
   abandon(callNumber: number, now: ClockReading): readonly CallCommand[];
   tick(now: ClockReading): readonly CallCommand[];
+  retryBudgets(): readonly RetryBudgetUse[];
   readonly callsInProgress: number;
   /** Results that came for attempts which were no longer wanted; they were ignored. */
   readonly lateResults: number;
--- a/packages/core/src/calls/call-engine.ts
+++ b/packages/core/src/calls/call-engine.ts
@@ -7,7 +7,7 @@
 import type { ClockReading } from '../shared/clock-reading.js';
 import { assertInvariant } from '../shared/invariant-error.js';
 import { AttemptRegister } from './attempt-register.js';
-import type { Call, CallCommand, CallEngineContract } from './call-contract.js';
+import type { Call, CallCommand, CallEngineContract, RetryBudgetUse } from './call-contract.js';
 import { CallState } from './call-state.js';
 import type { Attempt } from './call-state.js';
 import { CallTimers } from './call-timers.js';
@@ -40,6 +40,10 @@
     this.attempts = new AttemptRegister(router);
   }
 
+  public retryBudgets(): readonly RetryBudgetUse[] {
+    return this.services.uses();
+  }
+
   public get callsInProgress(): number {
     return this.calls.size;
   }
--- a/packages/core/src/calls/retry-budget.ts
+++ b/packages/core/src/calls/retry-budget.ts
@@ -4,12 +4,15 @@
  */
 export class RetryBudget {
   private tokens: number;
+  private earnedTokens: number;
+  private spentTokens = 0;
 
   public constructor(
     private ratio: number,
     private maximum: number,
   ) {
     this.tokens = maximum;
+    this.earnedTokens = maximum;
   }
 
   public configure(ratio: number, maximum: number): void {
@@ -20,6 +23,16 @@
 
   public succeeded(): void {
     this.tokens = Math.min(this.maximum, this.tokens + this.ratio);
+    this.earnedTokens += this.ratio;
+  }
+
+  /** Tokens at the start and from successes. */
+  public get earned(): number {
+    return this.earnedTokens;
+  }
+
+  public get spent(): number {
+    return this.spentTokens;
   }
 
   public get hasToken(): boolean {
@@ -28,5 +41,6 @@
 
   public spend(): void {
     this.tokens -= 1;
+    this.spentTokens += 1;
   }
 }
--- a/packages/core/src/calls/service-budgets.ts
+++ b/packages/core/src/calls/service-budgets.ts
@@ -1,5 +1,6 @@
 import { serviceDefaults } from '../messages/service-configuration.js';
 import type { ServiceConfiguration } from '../messages/service-configuration.js';
+import type { RetryBudgetUse } from './call-contract.js';
 import { RetryBudget } from './retry-budget.js';
 
 /** What a service allows beyond first attempts. */
@@ -19,6 +20,14 @@
     this.services.set(name, { budget, hedging });
   }
 
+  public uses(): readonly RetryBudgetUse[] {
+    return [...this.services].map(([service, { budget }]) => ({
+      earned: budget.earned,
+      service,
+      spent: budget.spent,
+    }));
+  }
+
   /** A service that was not configured has the default budget. */
   public of(name: string): ServiceBudget {
     const known = this.services.get(name);
--- a/packages/core/src/configuration/store-layout.ts
+++ b/packages/core/src/configuration/store-layout.ts
@@ -70,6 +70,15 @@
   return revision > root.revision - root.changeIds.length;
 }
 
+/** What the text of a root record says of a change; undefined when the text is not a root record. */
+export function findChange(
+  rootText: string,
+  changeId: string,
+): { readonly rootRevision: number; readonly changeRevision: number | undefined } | undefined {
+  const root = decodeRoot(rootText);
+  return root && { changeRevision: revisionOfChange(root, changeId), rootRevision: root.revision };
+}
+
 export function encodeRoot(root: RootRecord): string {
   return JSON.stringify({ ...root, pages: root.pages.map((page) => page ?? null) });
 }
--- a/packages/core/src/gate/gate-contract.ts
+++ b/packages/core/src/gate/gate-contract.ts
@@ -34,6 +34,13 @@
 } as const;
 export type ExecutionEnd = (typeof ExecutionEnd)[keyof typeof ExecutionEnd];
 
+/** What a tenant holds at the gate. */
+export interface TenantOccupation {
+  readonly tenant: string;
+  readonly running: number;
+  readonly waiting: number;
+}
+
 /** Decides what runs at the local upstream. It sees every request, so its in-flight count is exact. */
 export interface GateContract {
   configure(configuration: ServiceConfiguration, now: ClockReading): readonly GateDecision[];
@@ -53,6 +60,8 @@
   tick(now: ClockReading): readonly GateDecision[];
   /** Undefined while no upstream has announced itself. */
   load(now: ClockReading): LoadReport | undefined;
+  /** Tenants that run or wait. */
+  tenantUse(): readonly TenantOccupation[];
   /** Requests that run or wait. */
   readonly occupied: number;
 }
--- a/packages/core/src/gate/gate.ts
+++ b/packages/core/src/gate/gate.ts
@@ -5,7 +5,13 @@
 import type { ClockReading } from '../shared/clock-reading.js';
 import { assertInvariant } from '../shared/invariant-error.js';
 import type { ConcurrencyLimit } from './concurrency-limit.js';
-import type { ExecutionEnd, GateContract, GateDecision, GateRequest } from './gate-contract.js';
+import type {
+  ExecutionEnd,
+  GateContract,
+  GateDecision,
+  GateRequest,
+  TenantOccupation,
+} from './gate-contract.js';
 import { GateQueue } from './gate-queue.js';
 import type { WaitingRequest } from './gate-queue.js';
 import { defaultGateSettings } from './gate-settings.js';
@@ -45,6 +51,10 @@
     this.composer = new RefusalComposer(settings, this.capacity);
   }
 
+  public tenantUse(): readonly TenantOccupation[] {
+    return this.shares.uses();
+  }
+
   public get occupied(): number {
     return this.running.size + this.queue.size;
   }
--- a/packages/core/src/gate/tenant-shares.ts
+++ b/packages/core/src/gate/tenant-shares.ts
@@ -1,4 +1,5 @@
 import type { TenantShare } from '../messages/service-configuration.js';
+import type { TenantOccupation } from './gate-contract.js';
 import { DeadlineHeap } from './deadline-heap.js';
 import type { WaitingRequest } from './gate-queue.js';
 
@@ -43,6 +44,14 @@
     return account;
   }
 
+  public uses(): readonly TenantOccupation[] {
+    return [...this.accounts.values()].map(({ running, tenant, waiting }) => ({
+      running,
+      tenant,
+      waiting: waiting.size,
+    }));
+  }
+
   /** Drops the account if its tenant neither runs nor waits. */
   public close(account: TenantAccount): void {
     if (account.running > 0 || account.waiting.size > 0) return;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -45,3 +45,4 @@
 export type { ConcurrencyLimitSettings } from './gate/gradient-concurrency-limit.js';
 export { defaultPollSettings, PollScheduler } from './probing/poll-scheduler.js';
 export type { PollBudget, PollSettings } from './probing/poll-scheduler.js';
+export { findChange, rootKey } from './configuration/store-layout.js';
--- a/packages/daemon/src/operators/core-node-view.ts
+++ b/packages/daemon/src/operators/core-node-view.ts
@@ -59,7 +59,12 @@
     }
     return this.options.core.parts.gate
       .tenantUse()
-      .map(({ running, tenant, waiting }) => ({ inFlight: running, queued: waiting, service, tenant }));
+      .map(({ running, tenant, waiting }) => ({
+        inFlight: running,
+        queued: waiting,
+        service,
+        tenant,
+      }));
   }
 
   public budgets(): readonly BudgetUse[] {
--- a/packages/daemon/src/operators/node-observer.ts
+++ b/packages/daemon/src/operators/node-observer.ts
@@ -67,7 +67,13 @@
     this.countReason(service, outcome);
     this.options.log.command({
       event: 'request-not-answered',
-      fields: { detail: refusedDetail ?? '', outcome: outcome.kind, reason: outcome.reason, requestId, service },
+      fields: {
+        detail: refusedDetail ?? '',
+        outcome: outcome.kind,
+        reason: outcome.reason,
+        requestId,
+        service,
+      },
       kind: 'log',
       level: 'debug',
     });
--- a/packages/platform/src/platform-store.ts
+++ b/packages/platform/src/platform-store.ts
@@ -29,6 +29,8 @@
 
 const defaultTimeoutMilliseconds = 2_000;
 const defaultWatchReadIntervalMilliseconds = 30_000;
+/** Weight of the newest answer in the smoothed latency. */
+const latencyWeight = 0.1;
 /** Connections for reads and writes; more would only queue at the store. */
 const maximumConnections = 8;
 
@@ -38,6 +40,8 @@
   private readonly watches = new Map<string, KeyWatch>();
   private readonly counts = { reads: 0, writes: 0, watches: 0, unanswered: 0 };
   private lastCallAnswered = true;
+  private answeredAt: number | undefined;
+  private smoothedLatency = 0;
   private closed = false;
 
   public constructor(private readonly options: PlatformStoreOptions) {
@@ -50,6 +54,16 @@
     return this.lastCallAnswered;
   }
 
+  /** Wall time of the last answer; undefined before the first one. */
+  public get lastAnswerAt(): number | undefined {
+    return this.answeredAt;
+  }
+
+  /** Smoothed time from a call to its answer. */
+  public get latencyMilliseconds(): number {
+    return this.smoothedLatency;
+  }
+
   public get counters(): PlatformCallCounters {
     return { ...this.counts };
   }
@@ -90,9 +104,10 @@
 
   private read(key: string, deliver: (result: StoreEntry | 'missing' | undefined) => void): void {
     this.counts.reads += 1;
+    const startedAt = performance.now();
     this.client.call('/v3/kv/range', { key: encode(key) }, (reply) => {
       const parsed = rangeReply.safeParse(reply);
-      this.noteAnswer(parsed.success);
+      this.noteAnswer(parsed.success, startedAt);
       if (!parsed.success) {
         deliver(undefined);
         return;
@@ -104,6 +119,7 @@
 
   private write(operation: StoreCompareAndSwap, deliver: (result: StoreResult) => void): void {
     this.counts.writes += 1;
+    const startedAt = performance.now();
     const key = encode(operation.key);
     const version = String(operation.expectedVersion);
     const body = {
@@ -113,7 +129,7 @@
     };
     this.client.call('/v3/kv/txn', body, (reply) => {
       const parsed = transactionReply.safeParse(reply);
-      this.noteAnswer(parsed.success);
+      this.noteAnswer(parsed.success, startedAt);
       if (!parsed.success) {
         deliver({ kind: 'unknown' });
       } else if (parsed.data.succeeded) {
@@ -146,8 +162,15 @@
     return watch;
   }
 
-  private noteAnswer(answered: boolean): void {
+  private noteAnswer(answered: boolean, startedAt: number): void {
     this.lastCallAnswered = answered;
-    if (!answered) this.counts.unanswered += 1;
+    if (!answered) {
+      this.counts.unanswered += 1;
+      return;
+    }
+    const latency = performance.now() - startedAt;
+    const isFirst = this.answeredAt === undefined;
+    this.smoothedLatency += (latency - this.smoothedLatency) * (isFirst ? 1 : latencyWeight);
+    this.answeredAt = Date.now();
   }
 }
