--- a/packages/callers/src/caller-headers.ts
+++ b/packages/callers/src/caller-headers.ts
@@ -12,6 +12,7 @@
   Recorded: 'peridotspring-recorded',
   RequestId: 'peridotspring-request-id',
   RetryAfter: 'retry-after',
+  Tenant: 'peridotspring-tenant',
 } as const;
 
 const internalPrefix = 'peridotspring-';
--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -28,6 +28,8 @@
   readonly requests: number;
   /** Bodies up to this size are held, so that they can be sent again. */
   readonly heldBodyBytes: number;
+  /** Longest body of an idempotent request. */
+  readonly bodyBytes: number;
   /** Longest body of a non-idempotent request. */
   readonly keyedBodyBytes: number;
   readonly headersTimeoutMilliseconds: number;
@@ -48,7 +50,8 @@
 export interface CallerServerOptions {
   readonly bindHost: string;
   readonly bindPort: number;
-  readonly tenantHeader: string;
+  /** Tenant of a request that names none. */
+  readonly defaultTenant: string;
   readonly limits: CallerLimits;
   /** Starts every request identifier of this life of the node. */
   readonly requestIdPrefix: string;
@@ -72,7 +75,6 @@
 
 const stoppingRetryAfterMilliseconds = 1_000;
 const busyRetryAfterMilliseconds = 200;
-const defaultTenant = 'default';
 const maximumTenantLength = 64;
 
 /** The HTTP server for callers. Owns their connections and the bodies that are streamed. */
@@ -226,14 +228,15 @@
   }
 
   private async readBody(open: OpenRequest, checked: AcceptedRequest): Promise<void> {
-    const { heldBodyBytes, keyedBodyBytes } = this.options.limits;
+    const { bodyBytes, heldBodyBytes, keyedBodyBytes } = this.options.limits;
     const isKeyed = checked.requestClass === RequestClass.NonIdempotent;
     const limit = isKeyed ? keyedBodyBytes : heldBodyBytes;
+    const longest = isKeyed ? keyedBodyBytes : bodyBytes;
     const announced = Number(open.request.headers['content-length'] ?? 0);
     const collected =
-      isKeyed && announced > limit
+      announced > longest
         ? ({ kind: 'too-large' } as const)
-        : await collectBody(open.request, limit);
+        : await collectBody(open.request, limit, longest);
     if (!this.open.has(open.requestNumber) || collected.kind === 'cut') {
       open.request.destroy();
       return;
@@ -243,7 +246,8 @@
       return;
     }
     if (isKeyed || collected.kind === 'too-large') {
-      const detail = `the body of a non-idempotent request must be at most ${limit} bytes`;
+      const named = isKeyed ? 'a non-idempotent' : 'an idempotent';
+      const detail = `the body of ${named} request must be at most ${longest} bytes`;
       const reason = RefusalReason.BodyTooLarge;
       this.rejectRequest(open, { detail, kind: 'rejected', reason }, undefined);
       return;
@@ -289,9 +293,9 @@
   }
 
   private tenantOf(request: IncomingMessage): string {
-    const value = singleHeader(request.headers[this.options.tenantHeader]);
+    const value = singleHeader(request.headers[HeaderName.Tenant]);
     if (value === undefined || value === '') {
-      return defaultTenant;
+      return this.options.defaultTenant;
     }
     return value.slice(0, maximumTenantLength);
   }
@@ -399,7 +403,7 @@
       refusedDetail: detail,
       requestId: 'none',
       service: 'unknown',
-      tenant: defaultTenant,
+      tenant: this.options.defaultTenant,
     });
   }
 }
--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -16,26 +16,30 @@
   );
 }
 
-/** Reads a body up to the limit and leaves the rest unread. */
+/** Reads a body up to the limit and leaves the rest unread; a stream of more than `longestBytes` fails. */
 export async function collectBody(
   request: IncomingMessage,
   limitBytes: number,
+  longestBytes: number,
 ): Promise<CollectedBody> {
   // The iterator must not destroy the request when it is left early: that would close the connection
   // before the caller can read an answer.
-  const iterator = request.iterator({ destroyOnReturn: false });
+  const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
   const chunks: Buffer[] = [];
   let bytes = 0;
   try {
     for (;;) {
-      const next = (await iterator.next()) as IteratorResult<Buffer, undefined>;
+      const next = await iterator.next();
       if (next.done === true) {
         return request.complete ? { bytes: Buffer.concat(chunks), kind: 'whole' } : { kind: 'cut' };
       }
       chunks.push(next.value);
       bytes += next.value.length;
       if (bytes > limitBytes) {
-        return { kind: 'longer', stream: Readable.from(remaining(request, chunks, iterator)) };
+        return {
+          kind: 'longer',
+          stream: Readable.from(remaining(request, chunks, iterator, longestBytes)),
+        };
       }
     }
   } catch {
@@ -46,14 +50,23 @@
 async function* remaining(
   request: IncomingMessage,
   chunks: readonly Buffer[],
-  iterator: AsyncIterator<unknown>,
-): AsyncGenerator {
-  yield* chunks;
+  iterator: AsyncIterator<Buffer>,
+  longestBytes: number,
+): AsyncGenerator<Buffer> {
+  let bytes = 0;
+  for (const chunk of chunks) {
+    bytes += chunk.length;
+    yield chunk;
+  }
   for (;;) {
-    const next = (await iterator.next()) as IteratorResult<unknown, undefined>;
+    const next = await iterator.next();
     if (next.done === true) {
       break;
     }
+    bytes += next.value.length;
+    if (bytes > longestBytes) {
+      throw new Error('the request body is longer than the limit');
+    }
     yield next.value;
   }
   if (!request.complete) {
--- a/packages/callers/tests/shared/test-server.ts
+++ b/packages/callers/tests/shared/test-server.ts
@@ -10,6 +10,7 @@
 import type { CallerLimits, FinishedRequest } from '../../src/index.js';
 
 export const testLimits: CallerLimits = {
+  bodyBytes: 1_000_000,
   connections: 100,
   headerBytes: 4_096,
   headersTimeoutMilliseconds: 10_000,
@@ -52,6 +53,7 @@
       bindPort: 0,
       clock: () => performance.now(),
       configuration: () => testConfiguration,
+      defaultTenant: 'default',
       deliver: (message) => {
         this.delivered.push(message);
         if (message.kind === 'caller-request') {
@@ -62,7 +64,6 @@
       isStopping: () => this.isStopping,
       limits: { ...testLimits, ...limits },
       requestIdPrefix: 'test',
-      tenantHeader: 'peridotspring-tenant',
     });
   }
 
--- a/packages/daemon/src/driver/node-driver.ts
+++ b/packages/daemon/src/driver/node-driver.ts
@@ -5,6 +5,7 @@
 import type {
   ClockReading,
   CoreCommand,
+  CoreFrame,
   CoreMessage,
   NodeCore,
   NodeIdentity,
@@ -127,6 +128,15 @@
       });
   }
 
+  /** Frames to a server never left this node. */
+  public unsent(server: string, frames: readonly PeerFrame[]): void {
+    for (const frame of frames) {
+      if (isCoreFrame(frame)) {
+        this.deliver({ congested: false, frame, kind: 'frame-not-sent', to: server });
+      }
+    }
+  }
+
   /** The connection to a server is gone. */
   public peerLost(server: string): void {
     this.options.relay.peerLost(server);
@@ -174,3 +184,7 @@
     }
   }
 }
+
+function isCoreFrame(frame: PeerFrame): frame is CoreFrame {
+  return !frame.kind.startsWith('body-') && !frame.kind.startsWith('operator-');
+}
--- /dev/null
+++ b/packages/daemon/src/wiring.ts
@@ -0,0 +1,351 @@
+import { CallerServer } from '@peridotspring/callers';
+import type { FinishedRequest } from '@peridotspring/callers';
+import type {
+  CallerGoneMessage,
+  CallerRequestMessage,
+  ClockReading,
+  NodeCore,
+  NodeIdentity,
+  OperatorFrame,
+} from '@peridotspring/core';
+import { createNodeCore } from '@peridotspring/core';
+import { NodeConnections, SendResult } from '@peridotspring/nodes';
+import {
+  answerNodeQuestion,
+  Metrics,
+  NodeBackend,
+  OperatorServer,
+  PeerGatherer,
+  RefusalHistory,
+  RequestJournal,
+} from '@peridotspring/operators';
+import { PlatformStore } from '@peridotspring/platform';
+import { AnnouncementServer, UpstreamClient } from '@peridotspring/upstreams';
+import type { AnnouncementMessage } from '@peridotspring/upstreams';
+
+import { BodyRelay } from './driver/body-relay.js';
+import { NodeDriver } from './driver/node-driver.js';
+import type { ObservedCommand } from './driver/node-driver.js';
+import { createIdentity, hostAndPort, requestIdPrefix } from './node-identity.js';
+import { Logger } from './logging/logger.js';
+import { LogEvent } from './logging/log-event.js';
+import { registerGauges } from './operators/gauges.js';
+import { CoreChangePort } from './operators/core-change-port.js';
+import { CoreNodeView } from './operators/core-node-view.js';
+import { NodeObserver } from './operators/node-observer.js';
+import type { Settings } from './settings/settings.js';
+
+const heldBodyBytes = 65_536;
+const keyedBodyBytes = 1_048_576;
+const headersTimeoutMilliseconds = 10_000;
+const requestTimeoutMilliseconds = 120_000;
+
+/** A node that runs, as the process sees it. */
+export interface RunningNode {
+  readonly callerPort: number;
+  /** Begins a planned stop; `stopped` of the options follows when nothing is in progress. */
+  stop(): void;
+  close(): Promise<void>;
+}
+
+export interface NodeOptions {
+  readonly settings: Settings;
+  readonly stopped: () => void;
+}
+
+/** Creates every part of a node, connects them and starts to listen. The only module that does so. */
+export async function startNode({ settings, stopped }: NodeOptions): Promise<RunningNode> {
+  const clock = (): ClockReading => ({ monotonic: performance.now(), wall: Date.now() });
+  const log = new Logger(settings.logLevel);
+  const identity = createIdentity(settings, clock().wall);
+  const core = createNodeCore({
+    homes: homeSettingsOf(settings),
+    identity,
+    seed: (identity.incarnation ^ process.pid) >>> 0,
+  });
+  const store = new PlatformStore({ url: `http://${hostAndPort(settings.platformAddress)}` });
+  const parts = createOperatorParts(core, identity, store, log, clock, () => ports);
+  const upstream = new UpstreamClient((message) => {
+    ports.driver.deliver(message);
+  });
+  const ports = createPorts({ clock, core, identity, log, parts, settings, stopped, store, upstream });
+  const announcements = new AnnouncementServer((message) => {
+    announced(message, upstream, ports.driver, log);
+  });
+  const operators = new OperatorServer({
+    backend: parts.backend,
+    metrics: parts.metrics,
+    secrets: { current: settings.operatorSecret, previous: settings.previousOperatorSecret },
+  });
+  registerGauges(parts.metrics, { connections: ports.connections, core, store, view: parts.view });
+  await ports.connections.listen();
+  const callerPort = await ports.callers.listen();
+  await announcements.listen(settings.upstreamBindAddress.port, settings.upstreamBindAddress.host);
+  await operators.listen(settings.operatorBindAddress.port, settings.operatorBindAddress.host);
+  ports.driver.start();
+  log.info(LogEvent.NodeStarted, {
+    callers: hostAndPort(settings.callerAdvertisedAddress),
+    incarnation: identity.incarnation,
+    server: identity.server,
+  });
+  return {
+    callerPort,
+    close: async () => {
+      ports.driver.close();
+      parts.changes.close();
+      parts.gatherer.close();
+      upstream.close();
+      store.close();
+      await Promise.all([
+        announcements.close(),
+        operators.close(),
+        ports.callers.close(),
+        ports.connections.close(),
+      ]);
+    },
+    stop: () => {
+      log.info(LogEvent.NodeStopping);
+      ports.driver.deliver({ kind: 'stop' });
+    },
+  };
+}
+
+function homeSettingsOf(settings: Settings): Parameters<typeof createNodeCore>[0]['homes'] {
+  return {
+    clockSkewMilliseconds: settings.clockSkewMilliseconds,
+    futureKeyToleranceMilliseconds: settings.futureKeyToleranceMilliseconds,
+    keyRecordBytes: settings.keyRecordBytes,
+    keyRecords: settings.keyRecords,
+    leaseMilliseconds: settings.leaseMilliseconds,
+    retentionMilliseconds: settings.retentionMilliseconds,
+  };
+}
+
+interface OperatorParts {
+  readonly backend: NodeBackend;
+  readonly changes: CoreChangePort;
+  readonly gatherer: PeerGatherer;
+  readonly metrics: Metrics;
+  readonly observer: NodeObserver;
+  readonly view: CoreNodeView;
+}
+
+function createOperatorParts(
+  core: NodeCore,
+  identity: NodeIdentity,
+  store: PlatformStore,
+  log: Logger,
+  clock: () => ClockReading,
+  ports: () => Ports,
+): OperatorParts {
+  const metrics = new Metrics();
+  const journal = new RequestJournal();
+  const refusals = new RefusalHistory();
+  const now = (): number => clock().wall;
+  const observer = new NodeObserver({ journal, log, metrics, refusals, wallClock: now });
+  const view = new CoreNodeView({
+    clock,
+    core,
+    deliver: (message) => {
+      ports().driver.deliver(message);
+    },
+    identity,
+    store,
+  });
+  const changes = new CoreChangePort({
+    deliver: (message) => {
+      ports().driver.deliver(message);
+    },
+    execute: (operation, deliver) => {
+      store.execute(operation, deliver);
+    },
+  });
+  const gatherer = new PeerGatherer({
+    send: (server, frame) => {
+      const address = core.parts.membership.member(server)?.peerAddress;
+      return (
+        address !== undefined &&
+        ports().connections.send(server, address, frame) === SendResult.Accepted
+      );
+    },
+    servers: () =>
+      view
+        .members()
+        .filter(({ server, state }) => server !== identity.server && state !== 'dead' && state !== 'left')
+        .map(({ server }) => server),
+  });
+  const backend = new NodeBackend({ changes, gatherer, journal, now, refusals, view });
+  return { backend, changes, gatherer, metrics, observer, view };
+}
+
+interface Ports {
+  readonly callers: CallerServer;
+  readonly connections: NodeConnections;
+  readonly driver: NodeDriver;
+}
+
+interface PortOptions {
+  readonly clock: () => ClockReading;
+  readonly core: NodeCore;
+  readonly identity: NodeIdentity;
+  readonly log: Logger;
+  readonly parts: OperatorParts;
+  readonly settings: Settings;
+  readonly stopped: () => void;
+  readonly store: PlatformStore;
+  readonly upstream: UpstreamClient;
+}
+
+function createPorts(options: PortOptions): Ports {
+  const { clock, core, identity, parts, settings, store, upstream } = options;
+  const connections = createConnections(options, () => driver);
+  const callers = new CallerServer({
+    bindHost: settings.callerBindAddress.host,
+    bindPort: settings.callerBindAddress.port,
+    clock: () => performance.now(),
+    configuration: () => core.parts.configuration.inForce,
+    defaultTenant: settings.defaultTenant,
+    deliver: (message: CallerGoneMessage | CallerRequestMessage) => {
+      if (message.kind === 'caller-request') {
+        parts.observer.received(message);
+      }
+      driver.deliver(message);
+    },
+    finished: (request: FinishedRequest) => {
+      parts.observer.finished(request);
+    },
+    isStopping: () => core.isStopping,
+    limits: {
+      bodyBytes: settings.callerBodyBytes,
+      connections: settings.callerConnections,
+      headerBytes: settings.callerHeaderBytes,
+      headersTimeoutMilliseconds,
+      heldBodyBytes,
+      keyedBodyBytes,
+      requests: settings.callerRequests,
+      requestTimeoutMilliseconds,
+    },
+    requestIdPrefix: requestIdPrefix(identity),
+  });
+  const relay = new BodyRelay({
+    callerBody: (requestNumber) => callers.requestBody(requestNumber),
+    callerSink: (requestNumber) => callers.answerSink(requestNumber),
+    finished: (message) => {
+      driver.deliver(message);
+    },
+    sendFrame: (server, frame) => {
+      connections.send(server, core.parts.membership.member(server)?.peerAddress ?? '', frame);
+    },
+    upstreamAnswer: (executionId) => upstream.answerBody(executionId),
+  });
+  const driver: NodeDriver = new NodeDriver({
+    callers,
+    clock,
+    connections,
+    core,
+    observe: (command) => {
+      observe(command, options);
+    },
+    operatorFrame: (from, frame) => {
+      answerOperator(from, frame, parts, connections);
+    },
+    relay,
+    store,
+    upstream,
+  });
+  return { callers, connections, driver };
+}
+
+function createConnections(
+  { identity, log, parts, settings }: PortOptions,
+  driver: () => NodeDriver,
+): NodeConnections {
+  return new NodeConnections({
+    bindHost: settings.peerBindAddress.host,
+    bindPort: settings.peerBindAddress.port,
+    clock: () => performance.now(),
+    events: {
+      drained: () => undefined,
+      frame: (from, frame) => {
+        driver().frame(from, frame);
+      },
+      lost: (server, reason, detail) => {
+        log.info(LogEvent.PeerLost, { detail, reason, server });
+        parts.gatherer.peerLost(server);
+        driver().peerLost(server);
+      },
+      rejected: (reason, detail) => {
+        log.info(LogEvent.PeerRejected, { detail, reason });
+        const labels = { reason };
+        parts.metrics.count({ by: 1, counter: 'peer_connections_rejected', kind: 'count', labels });
+      },
+      unsent: (server, frames) => {
+        driver().unsent(server, frames);
+      },
+    },
+    identity,
+    random: () => Math.random(),
+    secrets: { current: settings.peerSecret, previous: settings.previousPeerSecret },
+  });
+}
+
+function observe(command: ObservedCommand, { log, parts, stopped }: PortOptions): void {
+  switch (command.kind) {
+    case 'count':
+    case 'journal':
+    case 'log':
+      parts.observer.command(command);
+      return;
+    case 'configuration-in-force':
+      log.info(LogEvent.ConfigurationInForce, { revision: command.configuration.revision });
+      return;
+    case 'key-known':
+      parts.view.keyKnown(command);
+      return;
+    case 'proposal-concluded':
+      parts.changes.concluded(command);
+      return;
+    case 'stopped':
+      log.info(LogEvent.NodeStopped);
+      stopped();
+  }
+}
+
+function answerOperator(
+  from: NodeIdentity,
+  frame: OperatorFrame,
+  { backend, gatherer }: OperatorParts,
+  connections: NodeConnections,
+): void {
+  if (frame.kind === 'operator-answer') {
+    gatherer.answered(from.server, frame);
+    return;
+  }
+  const { question, questionId } = frame;
+  void answerNodeQuestion(backend, question).then((answer) => {
+    const reply = { answer, kind: 'operator-answer', questionId } as const;
+    connections.send(from.server, from.peerAddress, reply);
+  });
+}
+
+function announced(
+  message: AnnouncementMessage,
+  upstream: UpstreamClient,
+  driver: NodeDriver,
+  log: Logger,
+): void {
+  switch (message.kind) {
+    case 'upstream-announced': {
+      const { address, connections, service, slots } = message.announcement;
+      upstream.setAddress(address, connections);
+      log.info(LogEvent.UpstreamAnnounced, { address, service, slots });
+      break;
+    }
+    case 'upstream-drain':
+      log.info(LogEvent.UpstreamDraining, { draining: message.draining });
+      break;
+    case 'upstream-left':
+      log.info(LogEvent.UpstreamLeft);
+  }
+  driver.deliver(message);
+}
