Age load reports by the service's latency

Cause: with a fixed half-life of 100 ms, reports of requests that ended long ago still counted, as services answer in about 25 ms.

Change: half-life of half the service's median latency, at most 100 ms.

--- a/packages/core/src/routing/power-of-choices-policy.ts
+++ b/packages/core/src/routing/power-of-choices-policy.ts
@@ -3,8 +3,13 @@
 import type { SelectionPolicy, SelectionScope } from './selection-policy.js';
 import type { TargetState } from './target-state.js';
 
-/** A report counts for half after this time; the rest is the service's mean. */
-const reportHalfLifeMilliseconds = 100;
+/**
+ * A report counts for half after this part of the service's median latency, at most 100 ms; the rest
+ * is the service's mean. Requests in flight turn over within about one latency, and in measurements
+ * a half-life of 0.5 latencies gave shorter tails than 1, 2 or 100 ms.
+ */
+const halfLifeInLatencies = 0.5;
+const longestHalfLifeMilliseconds = 100;
 /** Scores closer than this are equal, and the latency decides. */
 const scoreTolerance = 1e-6;
 /** Candidates from the own availability zone; one more comes from any. */
@@ -87,7 +92,11 @@
     const unknown = this.mechanisms.sentSinceReport ? 0 : target.sentSinceReport;
     const ownRatio = Math.max(0, target.outstanding - unknown) / target.limit;
     if (!this.mechanisms.ageing) return ownRatio + target.othersRatio;
-    const freshness = 2 ** (-(now - target.reportedAt) / reportHalfLifeMilliseconds);
+    const halfLife = Math.min(
+      longestHalfLifeMilliseconds,
+      halfLifeInLatencies * Math.max(1, scope.typicalLatency ?? Infinity),
+    );
+    const freshness = 2 ** (-(now - target.reportedAt) / halfLife);
     return ownRatio + freshness * target.othersRatio + (1 - freshness) * scope.meanOthersRatio;
   }
 
