--- /dev/null
+++ b/packages/daemon/src/logging/log-event.ts
@@ -0,0 +1,28 @@
+/**
+ * Names of the daemon's own events. They are stable: operators filter and alert by them. The core
+ * names its events itself.
+ */
+export const LogEvent = {
+  AddressInUse: 'address-in-use',
+  ConfigurationInForce: 'configuration-in-force',
+  HandedOver: 'handed-over',
+  InvariantBroken: 'invariant-broken',
+  NodeStarted: 'node-started',
+  NodeStarting: 'node-starting',
+  NodeStopped: 'node-stopped',
+  NodeStopping: 'node-stopping',
+  OperatorChange: 'operator-change',
+  PeerConnected: 'peer-connected',
+  PeerLost: 'peer-lost',
+  PeerRejected: 'peer-rejected',
+  PlatformAnswersAgain: 'platform-answers-again',
+  PlatformUnreachable: 'platform-unreachable',
+  SettingUnknown: 'setting-unknown',
+  StopGraceExpired: 'stop-grace-expired',
+  UnhandledError: 'unhandled-error',
+  UpstreamAnnounced: 'upstream-announced',
+  UpstreamDraining: 'upstream-draining',
+  UpstreamLeft: 'upstream-left',
+  UpstreamUnreachable: 'upstream-unreachable',
+} as const;
+export type LogEvent = (typeof LogEvent)[keyof typeof LogEvent];
