--- a/packages/language/src/index.ts
+++ b/packages/language/src/index.ts
@@ -4,3 +4,4 @@
 export type { ParseResult } from './parse.js';
 export { printDuration, printName, printNumber, printService, quote } from './print.js';
 export * from './syntax-tree.js';
+export { keywords } from './tokens.js';
--- a/packages/language/src/tokens.ts
+++ b/packages/language/src/tokens.ts
@@ -64,6 +64,9 @@
   'zone',
 ] as const;
 
+/** All words with a fixed meaning, for completion. */
+export const keywords: readonly string[] = words;
+
 /** A word with a fixed meaning. Every keyword may also be used as a name. */
 export type Keyword = (typeof words)[number];
 
