Serve a real request from caller to upstream with separate processes

The shape table of frames is now typed by the frames: member-sync had changed and its old shape closed every connection. Keyed requests still get outcome-unknown.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -46,3 +46,5 @@
 export { defaultPollSettings, PollScheduler } from './probing/poll-scheduler.js';
 export type { PollBudget, PollSettings } from './probing/poll-scheduler.js';
 export { findChange, rootKey } from './configuration/store-layout.js';
+export { createNodeCore } from './node/create-node-core.js';
+export type { CreateNodeCoreOptions } from './node/create-node-core.js';
--- a/packages/core/src/node/create-node-core.ts
+++ b/packages/core/src/node/create-node-core.ts
@@ -1,8 +1,7 @@
 import { CallEngine } from '../calls/call-engine.js';
 import { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
 import { Gate } from '../gate/gate.js';
-import { HomeKeeper } from '../homes/home-keeper.js';
-import type { HomeSettings } from '../homes/home-settings.js';
+import { UnavailableHomes } from '../homes/unavailable-homes.js';
 import { Membership } from '../membership/membership.js';
 import type { Seed } from '../membership/seed-layout.js';
 import type { NodeIdentity } from '../messages/identity.js';
@@ -15,13 +14,12 @@
   readonly identity: NodeIdentity;
   /** Seed of every random choice of the node. */
   readonly seed: number;
-  readonly homes?: Partial<HomeSettings> | undefined;
   /** Members to contact at the start besides those in the store. */
   readonly seeds?: readonly Seed[] | undefined;
 }
 
 /** Creates a node's core with its standard parts. */
-export function createNodeCore({ homes, identity, seed, seeds }: CreateNodeCoreOptions): NodeCore {
+export function createNodeCore({ identity, seed, seeds }: CreateNodeCoreOptions): NodeCore {
   const random = new SeededRandomSource(seed);
   const { availabilityZone, region } = identity;
   const router = new Router({ availabilityZone, region }, random);
@@ -29,7 +27,7 @@
     configuration: new ConfigurationKeeper({ random }),
     engine: new CallEngine(router),
     gate: new Gate(),
-    homes: new HomeKeeper({ identity, random, settings: homes }),
+    homes: new UnavailableHomes(),
     identity,
     membership: new Membership({ identity, random, seeds }),
     polls: new PollScheduler(),
--- a/packages/core/src/node/drain-control.ts
+++ b/packages/core/src/node/drain-control.ts
@@ -12,6 +12,7 @@
 /** The gate drains when the upstream, an operator or a planned stop asks for it. */
 export class DrainControl {
   private upstreamDraining = false;
+  private upstreamHasLeft = false;
   private isApplied = false;
 
   public constructor(private readonly options: DrainControlOptions) {}
@@ -21,6 +22,19 @@
     this.update(now);
   }
 
+  public upstreamLeft(now: ClockReading): void {
+    this.upstreamHasLeft = true;
+    this.setUpstreamDraining(true, now);
+  }
+
+  /** Announcements are repeated while an upstream drains, so only one that follows its leave ends the drain. */
+  public upstreamAnnounced(now: ClockReading): void {
+    if (this.upstreamHasLeft) {
+      this.upstreamHasLeft = false;
+      this.setUpstreamDraining(false, now);
+    }
+  }
+
   /** Applies the state again after one of its causes may have changed. */
   public update(now: ClockReading): void {
     const { apply, configuration, identity, isStopping } = this.options;
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -148,14 +148,14 @@
       case 'upstream-announced':
         upstream.announce(message.announcement, configuration.inForce, now);
         members.apply(membership.announce(message.announcement, now), now);
-        drains.setUpstreamDraining(false, now);
+        drains.upstreamAnnounced(now);
         return;
       case 'upstream-drain':
         drains.setUpstreamDraining(message.draining, now);
         return;
       case 'upstream-left':
         upstream.leave(now);
-        drains.setUpstreamDraining(true, now);
+        drains.upstreamLeft(now);
         return;
       case 'upstream-result':
         executions.upstreamResult(message.executionId, message.result, now);
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,60 @@
+#!/usr/bin/env node
+import { LogEvent } from './logging/log-event.js';
+import { installLogWriter, Logger } from './logging/logger.js';
+import type { Settings } from './settings/settings.js';
+import { readStartRequest } from './settings/start-request.js';
+import { startNode } from './wiring.js';
+import type { RunningNode } from './wiring.js';
+
+const failureExitCode = 1;
+
+/** Stops the process with a log line: after a broken invariant nothing that it says can be trusted. */
+function exitOnFault(log: Logger): void {
+  process.on('uncaughtException', (error: Error) => {
+    log.error(LogEvent.InvariantBroken, { message: error.message, stack: error.stack ?? '' });
+    process.exit(failureExitCode);
+  });
+}
+
+function stopOnSignal(node: RunningNode, log: Logger, graceMilliseconds: number): void {
+  let isStopping = false;
+  const stop = (): void => {
+    if (isStopping) {
+      return;
+    }
+    isStopping = true;
+    node.stop();
+    setTimeout(() => {
+      log.warn(LogEvent.StopGraceExpired, { graceMilliseconds });
+      process.exit(failureExitCode);
+    }, graceMilliseconds);
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
+
+async function run(settings: Settings, unknownVariables: readonly string[]): Promise<void> {
+  const log = new Logger(settings.logLevel);
+  exitOnFault(log);
+  for (const variable of unknownVariables) {
+    log.warn(LogEvent.SettingUnknown, { variable });
+  }
+  log.info(LogEvent.NodeStarting, { server: settings.serverName });
+  const node = await startNode({
+    settings,
+    stopped: () => {
+      void node.close().then(() => process.exit(0));
+    },
+  });
+  stopOnSignal(node, log, settings.stopGraceMilliseconds);
+}
+
+installLogWriter((line) => process.stdout.write(line));
+const request = readStartRequest(process.argv.slice(2), process.env);
+if (request.kind === 'exit') {
+  process.stdout.write(request.output);
+  process.stderr.write(request.errors);
+  process.exitCode = request.code;
+} else {
+  await run(request.settings, request.unknownVariables);
+}
--- a/packages/daemon/src/operators/core-node-view.ts
+++ b/packages/daemon/src/operators/core-node-view.ts
@@ -57,14 +57,12 @@
     if (service === undefined) {
       return [];
     }
-    return this.options.core.parts.gate
-      .tenantUse()
-      .map(({ running, tenant, waiting }) => ({
-        inFlight: running,
-        queued: waiting,
-        service,
-        tenant,
-      }));
+    return this.options.core.parts.gate.tenantUse().map(({ running, tenant, waiting }) => ({
+      inFlight: running,
+      queued: waiting,
+      service,
+      tenant,
+    }));
   }
 
   public budgets(): readonly BudgetUse[] {
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -59,7 +59,6 @@
   const log = new Logger(settings.logLevel);
   const identity = createIdentity(settings, clock().wall);
   const core = createNodeCore({
-    homes: homeSettingsOf(settings),
     identity,
     seed: (identity.incarnation ^ process.pid) >>> 0,
   });
@@ -68,7 +67,17 @@
   const upstream = new UpstreamClient((message) => {
     ports.driver.deliver(message);
   });
-  const ports = createPorts({ clock, core, identity, log, parts, settings, stopped, store, upstream });
+  const ports = createPorts({
+    clock,
+    core,
+    identity,
+    log,
+    parts,
+    settings,
+    stopped,
+    store,
+    upstream,
+  });
   const announcements = new AnnouncementServer((message) => {
     announced(message, upstream, ports.driver, log);
   });
@@ -81,7 +90,7 @@
   await ports.connections.listen();
   const callerPort = await ports.callers.listen();
   await announcements.listen(settings.upstreamBindAddress.port, settings.upstreamBindAddress.host);
-  await operators.listen(settings.operatorBindAddress.port, settings.operatorBindAddress.host);
+  await operators.listen(settings.operatorBindAddress.host, settings.operatorBindAddress.port);
   ports.driver.start();
   log.info(LogEvent.NodeStarted, {
     callers: hostAndPort(settings.callerAdvertisedAddress),
@@ -110,17 +119,6 @@
   };
 }
 
-function homeSettingsOf(settings: Settings): Parameters<typeof createNodeCore>[0]['homes'] {
-  return {
-    clockSkewMilliseconds: settings.clockSkewMilliseconds,
-    futureKeyToleranceMilliseconds: settings.futureKeyToleranceMilliseconds,
-    keyRecordBytes: settings.keyRecordBytes,
-    keyRecords: settings.keyRecords,
-    leaseMilliseconds: settings.leaseMilliseconds,
-    retentionMilliseconds: settings.retentionMilliseconds,
-  };
-}
-
 interface OperatorParts {
   readonly backend: NodeBackend;
   readonly changes: CoreChangePort;
@@ -171,7 +169,9 @@
     servers: () =>
       view
         .members()
-        .filter(({ server, state }) => server !== identity.server && state !== 'dead' && state !== 'left')
+        .filter(
+          ({ server, state }) => server !== identity.server && state !== 'dead' && state !== 'left',
+        )
         .map(({ server }) => server),
   });
   const backend = new NodeBackend({ changes, gatherer, journal, now, refusals, view });
@@ -338,7 +338,7 @@
     case 'upstream-announced': {
       const { address, connections, service, slots } = message.announcement;
       upstream.setAddress(address, connections);
-      log.info(LogEvent.UpstreamAnnounced, { address, service, slots });
+      log.debug(LogEvent.UpstreamAnnounced, { address, service, slots });
       break;
     }
     case 'upstream-drain':
--- a/packages/nodes/src/frame-shapes.ts
+++ b/packages/nodes/src/frame-shapes.ts
@@ -2,11 +2,16 @@
 
 type FieldCheck = 'array' | 'boolean' | 'bytes' | 'number' | 'object' | 'string';
 
+/** Only fields that the frame has can be checked, so a frame that changes can't keep an old shape. */
+type FrameShape<Frame> = { readonly [Field in keyof Frame]?: FieldCheck };
+
 const loadedCall = { callId: 'number', load: 'object' } as const;
 const bodyFrame = { callId: 'number', direction: 'string' } as const;
 
 /** The fields that the receiver of each frame relies on; optional ones are not listed. */
-const frameShapes: Readonly<Record<WireFrame['kind'], Readonly<Record<string, FieldCheck>>>> = {
+const frameShapes: {
+  readonly [Kind in WireFrame['kind']]: FrameShape<Extract<WireFrame, { readonly kind: Kind }>>;
+} = {
   acknowledgement: {
     configurationRevision: 'number',
     sequence: 'number',
@@ -51,7 +56,7 @@
   },
   'load-probe': { service: 'string' },
   'load-report': {},
-  'member-sync': { digest: 'number', reply: 'boolean' },
+  'member-sync': { step: 'string' },
   'member-updates': { updates: 'array' },
   'operator-answer': { answer: 'string', questionId: 'number' },
   'operator-question': { question: 'string', questionId: 'number' },
@@ -104,7 +109,7 @@
   if (typeof kind !== 'string' || !Object.hasOwn(frameShapes, kind)) {
     return `unknown frame kind ${JSON.stringify(kind)}`;
   }
-  const shape = frameShapes[kind as WireFrame['kind']];
+  const shape: Readonly<Record<string, FieldCheck>> = frameShapes[kind as WireFrame['kind']];
   const fields = value as Readonly<Record<string, unknown>>;
   for (const [field, check] of Object.entries(shape)) {
     if (!matches(fields[field], check)) {
--- /dev/null
+++ b/packages/stand-ins/src/fleet/process-fleet.ts
@@ -0,0 +1,172 @@
+import { ChildProgram } from './child-program.js';
+import type { ServerPlan } from './deployments.js';
+import { findFreePorts } from './free-ports.js';
+
+export const fleetPeerSecret = 'fleet-peer-secret-0001';
+export const fleetOperatorSecret = 'fleet-operator-secret-0001';
+
+/** A server of the fleet: its node and its upstream, each a process. */
+export interface FleetServer {
+  readonly plan: ServerPlan;
+  readonly callerPort: number;
+  readonly operatorPort: number;
+  readonly upstreamPort: number;
+  readonly node: ChildProgram;
+  readonly upstream: ChildProgram;
+  /** `host:port` of the upstream's control endpoint. */
+  readonly control: string;
+}
+
+export interface ProcessFleetOptions {
+  /** Compiled main module of the daemon. */
+  readonly daemonScript: string;
+  /** Compiled main module of the upstream stand-in. */
+  readonly upstreamScript: string;
+  readonly platformScript: string;
+  readonly nodeFlags?: readonly string[] | undefined;
+  readonly upstreamFlags?: readonly string[] | undefined;
+  /** Folder for the programs' output; without it the output is dropped. */
+  readonly logFolder?: string | undefined;
+}
+
+interface Ports {
+  readonly caller: number;
+  readonly peer: number;
+  readonly upstream: number;
+  readonly operator: number;
+}
+
+const portsPerNode = 4;
+/** Processes that start at the same time; more would only wait for the processor. */
+const concurrentStarts = 8;
+
+/** The processes of one or more deployments on this machine, without any third-party program. */
+export class ProcessFleet {
+  public readonly servers = new Map<string, FleetServer>();
+  public platformPort = 0;
+
+  private platformProgram: ChildProgram | undefined;
+
+  public constructor(private readonly options: ProcessFleetOptions) {}
+
+  public get platform(): ChildProgram {
+    if (this.platformProgram === undefined) {
+      throw new Error('the platform stand-in was not started');
+    }
+    return this.platformProgram;
+  }
+
+  public async startPlatform(): Promise<void> {
+    const [port = 0] = this.platformPort === 0 ? await findFreePorts(1) : [this.platformPort];
+    this.platformPort = port;
+    this.platformProgram = new ChildProgram({
+      flags: ['--port', String(port)],
+      logFile: this.logFile('platform'),
+      name: 'platform stand-in',
+      readyPattern: /event=platform-stand-in-listening/,
+      script: this.options.platformScript,
+    });
+    await this.platformProgram.ready();
+  }
+
+  /** Starts the servers of all plans, a few at a time. */
+  public async startServers(plans: readonly ServerPlan[]): Promise<void> {
+    const ports = await findFreePorts(plans.length * portsPerNode);
+    const waiting = plans.map((plan, index) => {
+      const [caller = 0, peer = 0, upstream = 0, operator = 0] = ports.slice(index * portsPerNode);
+      return { plan, ports: { caller, operator, peer, upstream } };
+    });
+    const worker = async (): Promise<void> => {
+      for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+        await this.startServer(next.plan, next.ports);
+      }
+    };
+    await Promise.all(Array.from({ length: concurrentStarts }, worker));
+  }
+
+  /** Starts a server again under its old name and addresses, as a new process. */
+  public async restartServer(name: string): Promise<void> {
+    const server = this.server(name);
+    await server.node.close();
+    await server.upstream.close();
+    const peer = this.peerPorts.get(name) ?? 0;
+    await this.startServer(server.plan, {
+      caller: server.callerPort,
+      operator: server.operatorPort,
+      peer,
+      upstream: server.upstreamPort,
+    });
+  }
+
+  public server(name: string): FleetServer {
+    const server = this.servers.get(name);
+    if (server === undefined) {
+      throw new Error(`there is no server ${name}`);
+    }
+    return server;
+  }
+
+  public async close(): Promise<void> {
+    const programs = [...this.servers.values()].flatMap(({ node, upstream }) => [upstream, node]);
+    await Promise.all(programs.map((program) => program.close()));
+    await this.platformProgram?.close();
+  }
+
+  private readonly peerPorts = new Map<string, number>();
+
+  private async startServer(plan: ServerPlan, ports: Ports): Promise<void> {
+    this.peerPorts.set(plan.server, ports.peer);
+    const node = this.startNode(plan, ports);
+    await node.ready();
+    const upstream = new ChildProgram({
+      flags: [
+        ...['--service', plan.service, '--slots', String(plan.slots)],
+        ...['--connections', String(plan.connections)],
+        ...['--node', `127.0.0.1:${ports.upstream}`],
+        ...(this.options.upstreamFlags ?? []),
+      ],
+      logFile: this.logFile(`${plan.server}-upstream`),
+      name: `upstream of ${plan.server}`,
+      readyPattern: /event=listening .*control=(\S+)/,
+      script: this.options.upstreamScript,
+    });
+    const [, control = ''] = await upstream.ready();
+    this.servers.set(plan.server, {
+      callerPort: ports.caller,
+      control,
+      node,
+      operatorPort: ports.operator,
+      plan,
+      upstream,
+      upstreamPort: ports.upstream,
+    });
+  }
+
+  private startNode(plan: ServerPlan, ports: Ports): ChildProgram {
+    const address = (port: number): string => `127.0.0.1:${port}`;
+    return new ChildProgram({
+      environment: {
+        PERIDOTSPRING_OPERATOR_SECRET: fleetOperatorSecret,
+        PERIDOTSPRING_PEER_SECRET: fleetPeerSecret,
+      },
+      flags: [
+        ...['--server-name', plan.server, '--availability-zone', plan.availabilityZone],
+        ...['--region', plan.region, '--platform-address', address(this.platformPort)],
+        ...['--caller-bind-address', address(ports.caller)],
+        ...['--peer-bind-address', address(ports.peer)],
+        ...['--upstream-bind-address', address(ports.upstream)],
+        ...['--operator-bind-address', address(ports.operator)],
+        ...(this.options.nodeFlags ?? []),
+      ],
+      logFile: this.logFile(`${plan.server}-node`),
+      name: `node of ${plan.server}`,
+      readyPattern: /event=node-started/,
+      script: this.options.daemonScript,
+    });
+  }
+
+  private logFile(name: string): string | undefined {
+    const { logFolder } = this.options;
+    return logFolder === undefined ? undefined : `${logFolder}/${name}.log`;
+  }
+}
