Bound what failures and refused connections say of the upstream

A failure counted as the whole time its caller would have waited, so one caller with a deadline of 60 s could raise the reported latency by 6 s; it now counts as at most the default deadline. Refused connections count as down only in a row: a lost connection in between shows that the port is open. With one announced connection, polls share it.

--- a/packages/core/src/gate/gate-settings.ts
+++ b/packages/core/src/gate/gate-settings.ts
@@ -1,3 +1,4 @@
+import { serviceDefaults } from '../messages/service-configuration.js';
 import type { ConcurrencyLimitSettings } from './gradient-concurrency-limit.js';
 import { defaultConcurrencyLimitSettings } from './gradient-concurrency-limit.js';
 
@@ -13,6 +14,8 @@
   readonly latencySmoothing: number;
   /** Answers over which the shortest service time is remembered. */
   readonly shortestServiceTimeSamples: number;
+  /** Latency that a failure counts as, at most; a caller with a long deadline must not set it. */
+  readonly failureLatencyMilliseconds: number;
   /** Refused connections in a row after which the upstream counts as down. */
   readonly refusedConnectionsUntilDown: number;
   /** Time between two requests that try whether an upstream that is down answers again. */
@@ -38,6 +41,7 @@
 export const defaultGateSettings: GateSettings = {
   answerEvidenceMilliseconds: 1_000,
   concurrencyLimit: defaultConcurrencyLimitSettings,
+  failureLatencyMilliseconds: serviceDefaults.defaultDeadlineMilliseconds,
   latencySmoothing: 0.1,
   maximumRetryAfterMilliseconds: 10_000,
   minimumRetryAfterMilliseconds: 10,
--- a/packages/core/src/gate/upstream-capacity.ts
+++ b/packages/core/src/gate/upstream-capacity.ts
@@ -27,7 +27,7 @@
   private progressAt = 0;
 
   public constructor(
-    settings: GateSettings,
+    private readonly settings: GateSettings,
     private readonly concurrency: ConcurrencyLimit,
   ) {
     this.estimate = new ServiceTimeEstimate(
@@ -138,16 +138,25 @@
         return;
       case ExecutionEnd.Cancelled:
         this.estimate.cancelled(elapsed);
-        this.health.unanswered(request.executionId, false, now);
+        this.health.unanswered(request.executionId, 'unknown', now);
         return;
       case ExecutionEnd.Failed:
+        this.estimate.failed(this.worstLatency(request, elapsed));
+        this.health.unanswered(request.executionId, 'reached', now);
+        return;
       case ExecutionEnd.NotReached:
-        this.estimate.failed(Math.max(elapsed, request.deadline - request.startedAt));
-        this.health.unanswered(request.executionId, end === ExecutionEnd.NotReached, now);
+        this.estimate.failed(this.worstLatency(request, elapsed));
+        this.health.unanswered(request.executionId, 'refused', now);
         return;
     }
   }
 
+  /** The caller would have waited until its deadline. */
+  private worstLatency(request: EndedRequest, elapsed: number): number {
+    const patience = request.deadline - request.startedAt;
+    return Math.max(elapsed, Math.min(patience, this.settings.failureLatencyMilliseconds));
+  }
+
   private answered(request: EndedRequest, elapsed: number, now: number): void {
     this.estimate.answered(elapsed);
     this.ramp.answered();
--- a/packages/core/src/gate/upstream-health.ts
+++ b/packages/core/src/gate/upstream-health.ts
@@ -46,9 +46,14 @@
     return isRestart;
   }
 
-  /** A request ended without an answer. */
-  public unanswered(executionId: number, isConnectionRefused: boolean, now: number): void {
-    if (isConnectionRefused) this.refusedConnections += 1;
+  /** A request ended without an answer; `contact` says whether a connection was established. */
+  public unanswered(
+    executionId: number,
+    contact: 'reached' | 'refused' | 'unknown',
+    now: number,
+  ): void {
+    if (contact === 'refused') this.refusedConnections += 1;
+    if (contact === 'reached' && !this.down) this.refusedConnections = 0;
     if (executionId === this.trialExecution) this.scheduleTrial(now);
     if (this.refusedConnections >= this.settings.refusedConnectionsUntilDown) this.setDown(now);
   }
--- a/packages/core/tests/gate/gate-refusals.test.ts
+++ b/packages/core/tests/gate/gate-refusals.test.ts
@@ -121,6 +121,14 @@
   assert.is(bench.stateOf(bench.offer()), 'start');
 });
 
+test('refused connections that are not in a row are no outage', () => {
+  const bench = new GateBench();
+  for (const end of ['not-reached', 'failed', 'not-reached', 'answered', 'not-reached'] as const) {
+    bench.finish(bench.offer(), end);
+  }
+  assert.is(bench.stateOf(bench.offer()), 'start');
+});
+
 test('a departed upstream receives no queued request, and its running ones are still counted', () => {
   const bench = new GateBench(1);
   const [running, waiting] = bench.offerMany(2);
@@ -174,8 +182,8 @@
 test('failures count as the worst latency, so that failing fast attracts no load', () => {
   const bench = new GateBench();
   bench.learn(10);
-  bench.finish(bench.offer({ within: 2_000 }), 'failed', 1);
-  assert.ok((bench.gate.load(bench.now)?.latencyMilliseconds ?? 0) > 200);
+  bench.finish(bench.offer({ within: 60_000 }), 'failed', 1);
+  assert.is(Math.round(bench.gate.load(bench.now)?.latencyMilliseconds ?? 0), 209);
 });
 
 test('a frozen upstream reports the time for which nothing has ended', () => {
--- a/packages/core/tests/gate/gate-setup.ts
+++ b/packages/core/tests/gate/gate-setup.ts
@@ -9,7 +9,8 @@
   private nextExecution = 1;
 
   public constructor(slots = 2, rampMilliseconds = 0, tenants: readonly TenantShare[] = []) {
-    this.configure(rampMilliseconds, tenants);
+    const configuration = { ...serviceDefaults, name: 'antrag', rampMilliseconds, tenants };
+    this.add(this.gate.configure(configuration, this.now));
     this.announce(slots);
   }
 
@@ -17,15 +18,6 @@
     return { monotonic: this.time, wall: this.time };
   }
 
-  public configure(rampMilliseconds: number, tenants: readonly TenantShare[]): void {
-    this.add(
-      this.gate.configure(
-        { ...serviceDefaults, name: 'antrag', rampMilliseconds, tenants },
-        this.now,
-      ),
-    );
-  }
-
   public announce(slots: number, service = 'antrag'): void {
     const announcement = { address: '127.0.0.1:9', connections: 20, service, slots };
     this.add(this.gate.announce(announcement, this.now));
--- a/packages/upstreams/src/upstream-connections.ts
+++ b/packages/upstreams/src/upstream-connections.ts
@@ -13,8 +13,7 @@
   public readonly host: string;
   public readonly port: number;
   public readonly agent: Agent;
-  /** Polls have a connection of their own, so that they don't wait behind requests. */
-  public readonly pollAgent = new Agent({
+  private readonly separatePollAgent = new Agent({
     keepAlive: true,
     maxSockets: 1,
     timeout: idleMilliseconds,
@@ -25,7 +24,7 @@
   /** `address` is `host:port`. */
   public constructor(
     public readonly address: string,
-    connections: number,
+    private connections: number,
   ) {
     const separator = address.lastIndexOf(':');
     this.host = address.slice(0, separator).replace(/^\[(.*)\]$/, '$1');
@@ -38,8 +37,14 @@
     });
   }
 
+  /** Polls have a connection of their own, if there are two, so that they don't wait behind requests. */
+  public get pollAgent(): Agent {
+    return this.connections > 1 ? this.separatePollAgent : this.agent;
+  }
+
   /** Changes the bound; connections above it close when their requests end. */
   public resize(connections: number): void {
+    this.connections = connections;
     this.agent.maxSockets = requestConnections(connections);
   }
 
@@ -55,7 +60,7 @@
   /** Closes the connections as soon as no request needs them. */
   public retire(): void {
     this.retired = true;
-    this.pollAgent.destroy();
+    this.separatePollAgent.destroy();
     if (this.active === 0) this.agent.destroy();
   }
 }
--- a/packages/upstreams/tests/upstream-client.test.ts
+++ b/packages/upstreams/tests/upstream-client.test.ts
@@ -11,27 +11,23 @@
 const expected = (path: string, bytes: number): Buffer =>
   answerPart(answerLine('GET', path, undefined), 0, bytes);
 
-interface BodyCase {
-  readonly path: string;
-  readonly bytes: number;
-  readonly kind: 'whole' | 'streamed' | 'dropped';
-  readonly collectAnswer?: boolean;
-}
+/** Path, length of the body, what becomes of it, and whether it is collected for a key's record. */
+type BodyCase = readonly [string, number, 'whole' | 'streamed' | 'dropped', boolean];
 
 const bodyCases: readonly BodyCase[] = [
-  { bytes: 0, kind: 'whole', path: '/?bytes=0' },
-  { bytes: 65_536, kind: 'whole', path: '/?bytes=65536' },
-  { bytes: 65_537, kind: 'streamed', path: '/?bytes=65537' },
-  { bytes: 65_536, kind: 'whole', path: '/?chunked=1&bytes=65536' },
-  { bytes: 65_537, kind: 'streamed', path: '/?chunked=1&bytes=65537' },
-  { bytes: 5_000_000, kind: 'streamed', path: '/?chunked=1&bytes=5000000' },
-  { bytes: 1_048_576, collectAnswer: true, kind: 'whole', path: '/?bytes=1048576' },
-  { bytes: 1_048_577, collectAnswer: true, kind: 'dropped', path: '/?bytes=1048577' },
-  { bytes: 1_048_577, collectAnswer: true, kind: 'dropped', path: '/?chunked=1&bytes=1048577' },
+  ['/?bytes=0', 0, 'whole', false],
+  ['/?bytes=65536', 65_536, 'whole', false],
+  ['/?bytes=65537', 65_537, 'streamed', false],
+  ['/?chunked=1&bytes=65536', 65_536, 'whole', false],
+  ['/?chunked=1&bytes=65537', 65_537, 'streamed', false],
+  ['/?chunked=1&bytes=5000000', 5_000_000, 'streamed', false],
+  ['/?bytes=1048576', 1_048_576, 'whole', true],
+  ['/?bytes=1048577', 1_048_577, 'dropped', true],
+  ['/?chunked=1&bytes=1048577', 1_048_577, 'dropped', true],
 ];
 
-for (const { path, bytes, kind, collectAnswer } of bodyCases) {
-  test(`${path} with collectAnswer ${collectAnswer === true} is ${kind}: no byte is lost or kept beyond the limit`, async () => {
+for (const [path, bytes, kind, collectAnswer] of bodyCases) {
+  test(`${path} with collectAnswer ${collectAnswer} is ${kind}: no byte is lost or kept beyond the limit`, async () => {
     await withStandIn({}, async (bench) => {
       const execution = bench.run(path, { collectAnswer });
       const result = await bench.result(execution);
@@ -123,18 +119,20 @@
   );
 });
 
-test('requests and polls together open no more connections than were announced', async () => {
-  await withStandIn(
-    {},
-    async (bench, standIn) => {
-      const executions = Array.from({ length: 40 }, () => bench.run('/'));
-      await bench.polled();
-      for (const execution of executions) assert.ok(await bench.finished(execution));
-      assert.ok(standIn.state.peakConnections <= 4, `${standIn.state.peakConnections}`);
-    },
-    { clientConnections: 4, slots: 40 },
-  );
-});
+for (const connections of [1, 4]) {
+  test(`requests and polls open no more than the ${connections} announced connections`, async () => {
+    await withStandIn(
+      {},
+      async (bench, standIn) => {
+        const executions = Array.from({ length: 40 }, () => bench.run('/'));
+        await bench.polled();
+        for (const execution of executions) assert.ok(await bench.finished(execution));
+        assert.ok(standIn.state.peakConnections <= connections, `${standIn.state.peakConnections}`);
+      },
+      { clientConnections: connections, slots: 40 },
+    );
+  });
+}
 
 test('a new address takes over while requests to the former one still finish', async () => {
   await withStandIn({ freeze: true }, async (bench, former) => {
