Shun only targets that fail more than the service does

Failures also counted as four times a median that contained earlier failures, which grew without bound.

Change: the failure rate must exceed the service's own recent rate by 0.45. A failed trial does not double the shun while failures are usual. A failure counts as four times the median latency of answers. chooseServer counts outstanding requests like the policy does.

Test: the case for one failure asserted on ties between idle targets, which the latency decides; all cases now load the other targets, which is stricter.

--- a/packages/core/src/routing/record-result.ts
+++ b/packages/core/src/routing/record-result.ts
@@ -3,7 +3,7 @@
 import { isFailure } from './shun-rule.js';
 import type { TargetState } from './target-state.js';
 
-/** A failure counts as this many times the service's median latency. */
+/** A failure counts as this many times the median latency of answers, which contains no failures. */
 const failureLatencyFactor = 4;
 
 /** Notes a result. A fast failure must not look like a short latency, so it counts as the worst one. */
@@ -12,12 +12,12 @@
   service: ServiceTargets,
   end: AttemptEnd,
   latencyMilliseconds: number,
-  medianLatency: number | undefined,
 ): void {
   if (end === AttemptEnd.Refused) return;
   state.recordOutcome(isFailure(end));
+  service.recordOutcome(isFailure(end));
   if (isFailure(end)) {
-    const worst = failureLatencyFactor * (medianLatency ?? 0);
+    const worst = failureLatencyFactor * (service.typicalLatency ?? 0);
     state.recordLatency(Math.max(latencyMilliseconds, worst));
     return;
   }
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -97,8 +97,7 @@
     if (state?.target.service !== service || state.standing !== TargetStanding.Open) {
       return undefined;
     }
-    const occupied = (state.report?.inFlight ?? 0) + (state.report?.queued ?? 0);
-    return occupied + state.sentSinceReport < state.limit ? state.target : undefined;
+    return state.hasRoom ? state.target : undefined;
   }
 
   public sent(server: string): void {
@@ -127,11 +126,15 @@
     if (state === undefined) return;
     state.outstanding = Math.max(0, state.outstanding - 1);
     const service = this.serviceOf(state.target.service);
-    const medianLatency = service.medianLatency(now.monotonic);
-    recordResult(state, service, end, latencyMilliseconds, medianLatency);
+    recordResult(state, service, end, latencyMilliseconds);
     if (this.options.shunning === false || state.standing === TargetStanding.Draining) return;
-    const result = { end, latencyMilliseconds, medianLatency, now: now.monotonic };
-    const verdict = judgeResult(state, result);
+    const verdict = judgeResult(state, {
+      end,
+      latencyMilliseconds,
+      medianLatency: service.medianLatency(now.monotonic),
+      now: now.monotonic,
+      serviceFailureRate: service.failureRate,
+    });
     if (verdict === 'keep') return;
     if (verdict === 'shun') this.shun(state, service, now.monotonic);
     else {
@@ -204,7 +207,7 @@
   }
 
   private shun(state: TargetState, service: ServiceTargets, now: number): void {
-    shun(state, now);
+    shun(state, service.failureRate, now);
     service.place(state);
     service.trials.push(state.trialAt, state);
   }
--- a/packages/core/src/routing/service-targets.ts
+++ b/packages/core/src/routing/service-targets.ts
@@ -10,6 +10,8 @@
 /** Targets whose averages are read for the median; more would cost time without changing it much. */
 const medianSampleSize = 31;
 const medianIntervalMilliseconds = 250;
+/** Weight of the newest result in the service's failure rate: it covers about 50 results. */
+const failureWeight = 0.02;
 const noneExcluded: ReadonlySet<string> = new Set();
 
 /** Where the entry is. */
@@ -34,6 +36,8 @@
   private readonly members = new Set<TargetState>();
   private ratioSum = 0;
   private readonly ratios = new Map<TargetState, number>();
+  /** Recent share of failures among the results of all targets. */
+  public failureRate = 0;
   private median: number | undefined;
   private medianAt = -Infinity;
 
@@ -97,6 +101,10 @@
     return this.median;
   }
 
+  public recordOutcome(isFailure: boolean): void {
+    this.failureRate += failureWeight * ((isFailure ? 1 : 0) - this.failureRate);
+  }
+
   private sample(): readonly TargetState[] {
     if (this.region.size <= medianSampleSize) return this.region.all;
     const sample: TargetState[] = [];
--- a/packages/core/src/routing/shun-rule.ts
+++ b/packages/core/src/routing/shun-rule.ts
@@ -10,6 +10,15 @@
 const slowFloorMilliseconds = 5;
 /** With the weight of the newest outcome, three failures in a row exceed this rate. */
 const failureRateLimit = 0.55;
+/**
+ * A target fails more than usual above the service's rate by this much. When all targets fail
+ * half of their requests, it takes about ten failures in a row, so that chance does not shun them.
+ */
+const failureRateMargin = 0.45;
+/** When everything failed lately, a target that fails about twenty times in a row still leaves. */
+const highestFailureRateLimit = 0.995;
+/** Above this failure rate of the service, a failed trial says little of its target. */
+const unusualServiceFailureRate = 0.3;
 const firstShunMilliseconds = 250;
 const longestShunMilliseconds = 10_000;
 /** Time over which a target that returned gets its full share again. */
@@ -23,6 +32,8 @@
   readonly latencyMilliseconds: number;
   /** Median of the moving averages of the service's targets. */
   readonly medianLatency: number | undefined;
+  /** Recent share of failures among the results of all targets. */
+  readonly serviceFailureRate: number;
   readonly now: number;
 }
 
@@ -34,7 +45,7 @@
   const isBad = isFailure(result.end);
   if (target.standing === TargetStanding.Shunned) return judgeTrial(target, result);
   if (result.end === AttemptEnd.Unreachable) return 'shun';
-  if (isBad && target.failureRate > failureRateLimit) return 'shun';
+  if (isBad && failsUnusuallyOften(target, result)) return 'shun';
   if (target.latencySamples >= slowSamples && isSlow(target.latency, result.medianLatency)) {
     return 'shun';
   }
@@ -42,11 +53,12 @@
 }
 
 /** Puts the target out of the ordinary choice, for twice as long as the last time. */
-export function shun(target: TargetState, now: number): void {
+export function shun(target: TargetState, serviceFailureRate: number, now: number): void {
   const isForgiven =
     now - target.returnedAt > forgiveMilliseconds && target.trialSentAt === undefined;
+  const isFirst = target.shunMilliseconds === 0 || isForgiven;
   target.shunMilliseconds =
-    target.shunMilliseconds === 0 || isForgiven
+    isFirst || serviceFailureRate > unusualServiceFailureRate
       ? firstShunMilliseconds
       : Math.min(longestShunMilliseconds, target.shunMilliseconds * 2);
   target.standing = TargetStanding.Shunned;
@@ -77,6 +89,11 @@
   return isSlow(result.latencyMilliseconds, result.medianLatency) ? 'shun' : 'restore';
 }
 
+function failsUnusuallyOften(target: TargetState, result: AttemptResult): boolean {
+  const limit = Math.max(failureRateLimit, result.serviceFailureRate + failureRateMargin);
+  return target.failureRate > Math.min(highestFailureRateLimit, limit);
+}
+
 function isSlow(latency: number | undefined, median: number | undefined): boolean {
   if (latency === undefined || median === undefined) return false;
   return latency > slowFactor * median && latency > median + slowFloorMilliseconds;
--- a/packages/core/src/routing/target-state.ts
+++ b/packages/core/src/routing/target-state.ts
@@ -57,6 +57,11 @@
     return this.others / this.limit;
   }
 
+  /** Whether one more request would start at once, as far as known. */
+  public get hasRoom(): boolean {
+    return this.outstanding + this.others < this.limit;
+  }
+
   /** Takes a report that came with the end of one of this node's requests, or by a probe. */
   public takeReport(report: LoadReport, now: number): void {
     this.report = report;
--- a/packages/core/tests/routing/router.test.ts
+++ b/packages/core/tests/routing/router.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { AttemptEnd } from '../../src/index.js';
+import { AttemptEnd, SeededRandomSource } from '../../src/index.js';
 import type { LoadReport, RouterContract, Target } from '../../src/index.js';
 import { at, load, none, routerWith, shares, target } from './setup.js';
 
@@ -150,10 +150,30 @@
 for (const { failure, isShunned, spoil } of shunCases) {
   test(`never: ${failure}`, () => {
     const router = healthyAndSpoiled(spoil);
+    // With the others loaded, only the shun keeps requests from the idle target.
+    for (const server of ['one', 'two', 'three']) router.reported(server, load(9), at(10));
+    router.reported('bad', load(0), at(10));
     assert.is(shares(router, 11).has('bad'), !isShunned);
   });
 }
 
+test('targets that all fail half of their requests stay in the choice most of the time', () => {
+  const servers = ['one', 'two', 'three', 'four'];
+  const router = routerWith(servers.map((server) => target(server)));
+  const random = new SeededRandomSource(9);
+  let shunned = 0;
+  for (let call = 0; call < 4_000; call += 1) {
+    const server = router.choose('lookup', none, at(10 * call))?.server ?? '';
+    router.sent(server, at(10 * call));
+    const end = random.next() < 0.5 ? AttemptEnd.Failed : AttemptEnd.Answered;
+    router.concluded(server, end, 5, at(10 * call + 5));
+    for (const each of servers) {
+      if (router.chooseServer('lookup', each, at(10 * call + 5)) === undefined) shunned += 1;
+    }
+  }
+  assert.ok(shunned < 0.1 * 4 * 4_000, `${shunned} of 16000`);
+});
+
 test('a shunned server gets one trial, and a growing share after its success', () => {
   const router = healthyAndSpoiled((each) => {
     conclude(each, 'bad', AttemptEnd.Failed, 4);
