Refuse rather than send a refused call to a failing target

Change: a failing target is chosen outside of its trials only when no other target answers, or when the whole service fails often. Slow targets are still chosen after refusals.

--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -8,7 +8,7 @@
 import { zoneView } from './router-options.js';
 import type { RouterOptions } from './router-options.js';
 import { ServiceTargets } from './service-targets.js';
-import { judgeResult, restore, shun } from './shun-rule.js';
+import { areFailuresUsual, isFailure, judgeResult, restore, shun } from './shun-rule.js';
 import { TargetStanding, TargetState } from './target-state.js';
 
 /** Silence after which a gate is asked for its load. */
@@ -87,7 +87,8 @@
       this.dueTrial(targets, excluded, now.monotonic, avoidTrial) ??
       this.policy.select(targets, excluded, now) ??
       targets.otherRegions.draw(this.random, excluded, []) ??
-      targets.shunned.draw(this.random, excluded, []) ??
+      targets.slow.draw(this.random, excluded, []) ??
+      (mayUseFailing(targets) ? targets.failing.draw(this.random, excluded, []) : undefined) ??
       targets.draining.draw(this.random, excluded, []);
     return state?.target;
   }
@@ -136,7 +137,7 @@
       serviceFailureRate: service.failureRate,
     });
     if (verdict === 'keep') return;
-    if (verdict === 'shun') this.shun(state, service, now.monotonic);
+    if (verdict === 'shun') this.shun(state, service, isFailure(end), now.monotonic);
     else {
       restore(state, now.monotonic);
       service.place(state);
@@ -206,7 +207,8 @@
     return state;
   }
 
-  private shun(state: TargetState, service: ServiceTargets, now: number): void {
+  private shun(state: TargetState, service: ServiceTargets, isFailing: boolean, now: number): void {
+    state.isFailing = isFailing;
     shun(state, service.failureRate, now);
     service.place(state);
     service.trials.push(state.trialAt, state);
@@ -222,7 +224,7 @@
       service.place(state);
     }
     const isDown = state.report?.state === GateState.Down;
-    if (isDown && state.standing === TargetStanding.Open) this.shun(state, service, now);
+    if (isDown && state.standing === TargetStanding.Open) this.shun(state, service, true, now);
   }
 
   private update(state: TargetState, target: Target): void {
@@ -249,3 +251,8 @@
     first.region === second.region
   );
 }
+
+/** A refusal is better for the caller than a target that fails, unless all fail about as often. */
+function mayUseFailing(targets: ServiceTargets): boolean {
+  return !targets.hasUsable || areFailuresUsual(targets.failureRate);
+}
--- a/packages/core/src/routing/service-targets.ts
+++ b/packages/core/src/routing/service-targets.ts
@@ -25,7 +25,9 @@
   public readonly region = new TargetPool();
   public readonly zone = new TargetPool();
   public readonly otherRegions = new TargetPool();
-  public readonly shunned = new TargetPool();
+  /** Shunned targets that answer, and those that don't. */
+  public readonly slow = new TargetPool();
+  public readonly failing = new TargetPool();
   public readonly draining = new TargetPool();
   public readonly latencies = new LatencyHistogram();
   /** When to send a trial request to which shunned target; entries may be outdated. */
@@ -50,6 +52,11 @@
     return this.members.size;
   }
 
+  /** Whether any target is likely to answer, even if slowly. */
+  public get hasUsable(): boolean {
+    return this.region.size + this.otherRegions.size + this.slow.size > 0;
+  }
+
   public get meanOthersRatio(): number {
     return this.ratios.size === 0 ? 0 : this.ratioSum / this.ratios.size;
   }
@@ -71,8 +78,9 @@
     this.removeFromPools(state);
     this.members.add(state);
     if (state.standing === TargetStanding.Draining) this.draining.add(state);
-    else if (state.standing === TargetStanding.Shunned) this.shunned.add(state);
-    else this.placeOpen(state);
+    else if (state.standing === TargetStanding.Shunned) {
+      (state.isFailing ? this.failing : this.slow).add(state);
+    } else this.placeOpen(state);
   }
 
   public remove(state: TargetState): void {
@@ -129,7 +137,8 @@
     this.region.remove(state);
     this.zone.remove(state);
     this.otherRegions.remove(state);
-    this.shunned.remove(state);
+    this.slow.remove(state);
+    this.failing.remove(state);
     this.draining.remove(state);
   }
 }
--- a/packages/core/src/routing/shun-rule.ts
+++ b/packages/core/src/routing/shun-rule.ts
@@ -17,7 +17,7 @@
 const failureRateMargin = 0.45;
 /** When everything failed lately, a target that fails about twenty times in a row still leaves. */
 const highestFailureRateLimit = 0.995;
-/** Above this failure rate of the service, a failed trial says little of its target. */
+/** Above this failure rate of the service, one failure says little of its target. */
 const unusualServiceFailureRate = 0.3;
 const firstShunMilliseconds = 250;
 const longestShunMilliseconds = 10_000;
@@ -58,7 +58,7 @@
     now - target.returnedAt > forgiveMilliseconds && target.trialSentAt === undefined;
   const isFirst = target.shunMilliseconds === 0 || isForgiven;
   target.shunMilliseconds =
-    isFirst || serviceFailureRate > unusualServiceFailureRate
+    isFirst || areFailuresUsual(serviceFailureRate)
       ? firstShunMilliseconds
       : Math.min(longestShunMilliseconds, target.shunMilliseconds * 2);
   target.standing = TargetStanding.Shunned;
@@ -80,6 +80,11 @@
   return end === AttemptEnd.Failed || end === AttemptEnd.Unreachable;
 }
 
+/** Whether the service as a whole fails so often that a failure says little of its target. */
+export function areFailuresUsual(serviceFailureRate: number): boolean {
+  return serviceFailureRate > unusualServiceFailureRate;
+}
+
 /** Only a request that was sent as the trial or after it says whether the target has recovered. */
 function judgeTrial(target: TargetState, result: AttemptResult): ShunVerdict {
   const sentAt = result.now - result.latencyMilliseconds;
--- a/packages/core/src/routing/target-state.ts
+++ b/packages/core/src/routing/target-state.ts
@@ -29,6 +29,8 @@
   public latencySamples = 0;
   public failureRate = 0;
   public lastHeardAt: number;
+  /** Whether the target was shunned because it gave no answers. */
+  public isFailing = false;
   /** Monotonic time of the next trial request while the target is shunned. */
   public trialAt = 0;
   /** Start of the running trial request. */
--- a/packages/core/tests/routing/router.test.ts
+++ b/packages/core/tests/routing/router.test.ts
@@ -218,6 +218,20 @@
   assert.is(shares(router, 11).size, 2);
 });
 
+test('a call that the open targets refused goes to a slow target, never to a failing one', () => {
+  const spoilers = {
+    failing: { chosen: undefined, end: AttemptEnd.Failed, latency: 1 },
+    slow: { chosen: 'bad', end: AttemptEnd.Answered, latency: 100 },
+  };
+  for (const { chosen, end, latency } of Object.values(spoilers)) {
+    const router = healthyAndSpoiled((each) => {
+      for (let call = 0; call < 12; call += 1) each.concluded('bad', end, latency, at(10));
+    });
+    const refused = new Set(['one', 'two', 'three']);
+    assert.is(router.choose('lookup', refused, at(11))?.server, chosen);
+  }
+});
+
 test('a new target starts with a small share', () => {
   const router = routerWith([], { rampMilliseconds: 10_000 });
   router.upsert(target('old'), at(-20_000));
