--- a/packages/core/src/routing/service-targets.ts
+++ b/packages/core/src/routing/service-targets.ts
@@ -10,6 +10,8 @@
 /** Targets whose averages are read for the median; more would cost time without changing it much. */
 const medianSampleSize = 31;
 const medianIntervalMilliseconds = 250;
+/** Weight of the newest result in the service's failure rate: it covers about 50 results. */
+const failureWeight = 0.02;
 const noneExcluded: ReadonlySet<string> = new Set();
 
 /** Where the entry is. */
@@ -23,7 +25,9 @@
   public readonly region = new TargetPool();
   public readonly zone = new TargetPool();
   public readonly otherRegions = new TargetPool();
-  public readonly shunned = new TargetPool();
+  /** Shunned targets that answer, and those that don't. */
+  public readonly slow = new TargetPool();
+  public readonly failing = new TargetPool();
   public readonly draining = new TargetPool();
   public readonly latencies = new LatencyHistogram();
   /** When to send a trial request to which shunned target; entries may be outdated. */
@@ -34,6 +38,8 @@
   private readonly members = new Set<TargetState>();
   private ratioSum = 0;
   private readonly ratios = new Map<TargetState, number>();
+  /** Recent share of failures among the results of all targets. */
+  public failureRate = 0;
   private median: number | undefined;
   private medianAt = -Infinity;
 
@@ -46,6 +52,11 @@
     return this.members.size;
   }
 
+  /** Whether any target is likely to answer, even if slowly. */
+  public get hasUsable(): boolean {
+    return this.region.size + this.otherRegions.size + this.slow.size > 0;
+  }
+
   public get meanOthersRatio(): number {
     return this.ratios.size === 0 ? 0 : this.ratioSum / this.ratios.size;
   }
@@ -67,8 +78,9 @@
     this.removeFromPools(state);
     this.members.add(state);
     if (state.standing === TargetStanding.Draining) this.draining.add(state);
-    else if (state.standing === TargetStanding.Shunned) this.shunned.add(state);
-    else this.placeOpen(state);
+    else if (state.standing === TargetStanding.Shunned) {
+      (state.isFailing ? this.failing : this.slow).add(state);
+    } else this.placeOpen(state);
   }
 
   public remove(state: TargetState): void {
@@ -97,6 +109,10 @@
     return this.median;
   }
 
+  public recordOutcome(isFailure: boolean): void {
+    this.failureRate += failureWeight * ((isFailure ? 1 : 0) - this.failureRate);
+  }
+
   private sample(): readonly TargetState[] {
     if (this.region.size <= medianSampleSize) return this.region.all;
     const sample: TargetState[] = [];
@@ -121,7 +137,8 @@
     this.region.remove(state);
     this.zone.remove(state);
     this.otherRegions.remove(state);
-    this.shunned.remove(state);
+    this.slow.remove(state);
+    this.failing.remove(state);
     this.draining.remove(state);
   }
 }
--- a/packages/core/src/routing/target-state.ts
+++ b/packages/core/src/routing/target-state.ts
@@ -29,6 +29,8 @@
   public latencySamples = 0;
   public failureRate = 0;
   public lastHeardAt: number;
+  /** Whether the target was shunned because it gave no answers. */
+  public isFailing = false;
   /** Monotonic time of the next trial request while the target is shunned. */
   public trialAt = 0;
   /** Start of the running trial request. */
@@ -57,6 +59,11 @@
     return this.others / this.limit;
   }
 
+  /** Whether one more request would start at once, as far as known. */
+  public get hasRoom(): boolean {
+    return this.outstanding + this.others < this.limit;
+  }
+
   /** Takes a report that came with the end of one of this node's requests, or by a probe. */
   public takeReport(report: LoadReport, now: number): void {
     this.report = report;
