--- a/packages/ctl/src/operator-client.ts
+++ b/packages/ctl/src/operator-client.ts
@@ -1,4 +1,4 @@
-import { request } from 'node:http';
+import { request, type IncomingMessage, type RequestOptions } from 'node:http';
 
 /** How the node is reached. */
 export interface Connection {
@@ -34,6 +34,37 @@
   }
 }
 
+/** Collects an answer; `fail` is called when the answer is not whole. */
+function collect(
+  response: IncomingMessage,
+  conclude: (reply: Reply) => void,
+  fail: (cause: string) => void,
+): void {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  response.on('data', (chunk: Buffer) => {
+    length += chunk.length;
+    if (length > maximumAnswerBytes) fail('the answer is too long');
+    else chunks.push(chunk);
+  });
+  response.on('error', (error) => {
+    fail(error.message);
+  });
+  response.on('end', () => {
+    conclude({ body: parseBody(chunks), kind: 'answered', status: response.statusCode ?? 0 });
+  });
+}
+
+function requestOptions(connection: Connection, length: number): RequestOptions {
+  const { host, port, secret } = connection;
+  const headers = {
+    authorization: `Bearer ${secret}`,
+    'content-length': length,
+    'content-type': 'application/json',
+  };
+  return { agent: false, headers, host, method: 'POST', path: '/query', port };
+}
+
 /**
  * Sends a query. `extraMilliseconds` is added to the connection's time limit, for texts that wait.
  * Never rejects.
@@ -44,6 +75,7 @@
   extraMilliseconds = 0,
 ): Promise<Reply> {
   const body = Buffer.from(JSON.stringify(message));
+  const limit = connection.timeoutMilliseconds + extraMilliseconds;
   return new Promise((resolve) => {
     let isConnected = false;
     const conclude = (reply: Reply): void => {
@@ -51,42 +83,20 @@
       resolve(reply);
       outgoing.destroy();
     };
-    const giveUp = (cause: string): void => {
+    const fail = (cause: string): void => {
       conclude({ cause, kind: isConnected ? 'lost' : 'not-sent' });
     };
-    const headers = {
-      authorization: `Bearer ${connection.secret}`,
-      'content-length': body.length,
-      'content-type': 'application/json',
-    };
-    const { host, port } = connection;
-    const outgoing = request(
-      { agent: false, headers, host, method: 'POST', path: '/query', port },
-      (response) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
-        response.on('data', (chunk: Buffer) => {
-          length += chunk.length;
-          if (length > maximumAnswerBytes) giveUp('the answer is too long');
-          else chunks.push(chunk);
-        });
-        response.on('error', (error) => {
-          giveUp(error.message);
-        });
-        response.on('end', () => {
-          conclude({ body: parseBody(chunks), kind: 'answered', status: response.statusCode ?? 0 });
-        });
-      },
-    );
-    const limit = connection.timeoutMilliseconds + extraMilliseconds;
     const timer = setTimeout(() => {
-      giveUp(`no answer within ${limit} ms`);
+      fail(`no answer within ${limit} ms`);
     }, limit);
+    const outgoing = request(requestOptions(connection, body.length), (response) => {
+      collect(response, conclude, fail);
+    });
     outgoing.on('socket', (socket) => {
       socket.on('connect', () => (isConnected = true));
     });
     outgoing.on('error', (error) => {
-      giveUp(error.message);
+      fail(error.message);
     });
     outgoing.end(body);
   });
--- a/packages/daemon/src/logging/format-line.ts
+++ b/packages/daemon/src/logging/format-line.ts
@@ -2,6 +2,7 @@
 export const logLevels = ['debug', 'info', 'warn', 'error'] as const;
 export type LogLevel = (typeof logLevels)[number];
 
+/** A value of a log field. */
 export type LogValue = boolean | number | string;
 
 /** An event as it is written to the log. */
--- a/packages/daemon/src/settings/setting-definitions.ts
+++ b/packages/daemon/src/settings/setting-definitions.ts
@@ -113,6 +113,7 @@
   }),
 } as const satisfies Readonly<Record<string, SettingDefinition<unknown>>>;
 
+/** Name of a setting. */
 export type SettingName = keyof typeof settingDefinitions;
 
 type ValueOf<Definition> = Definition extends SettingDefinition<infer Value> ? Value : never;
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -22,6 +22,7 @@
   readonly message: string;
 }
 
+/** The settings, or everything that is wrong with them. */
 export type SettingsResult =
   | { readonly kind: 'valid'; readonly settings: Settings }
   | { readonly kind: 'faulty'; readonly faults: readonly SettingFault[] };
--- a/packages/language/src/parse.ts
+++ b/packages/language/src/parse.ts
@@ -16,6 +16,7 @@
 /** Longest text that is parsed; a declaration of 300 request kinds stays below it. */
 export const maximumTextLength = 262_144;
 
+/** The statement of a text, or its faults. */
 export type ParseResult =
   | { readonly kind: 'parsed'; readonly statement: Statement }
   | { readonly kind: 'faulty'; readonly errors: readonly LanguageError[] };
--- a/packages/language/src/syntax-tree.ts
+++ b/packages/language/src/syntax-tree.ts
@@ -62,6 +62,7 @@
   | { readonly kind: 'number'; readonly value: number }
   | { readonly kind: 'text'; readonly value: string };
 
+/** A comparison of a field with a value. */
 export interface Condition {
   readonly field: Name;
   readonly comparison: Comparison;
@@ -69,11 +70,13 @@
   readonly valuePosition: Position;
 }
 
+/** The field that rows are sorted by. */
 export interface SortOrder {
   readonly field: Name;
   readonly descending: boolean;
 }
 
+/** A question with its filter, order and limit. */
 export interface QuestionStatement {
   readonly kind: 'question';
   readonly question: Question;
@@ -136,6 +139,7 @@
   readonly wait: WaitClause | undefined;
 }
 
+/** A wait until a revision is in force everywhere. */
 export interface WaitStatement {
   readonly kind: 'wait';
   /** Undefined stands for the revision in force on the node that is asked. */
--- a/packages/language/src/tokens.ts
+++ b/packages/language/src/tokens.ts
@@ -85,24 +85,28 @@
   words.map((word) => [word, createKeyword(word)]),
 ) as Readonly<Record<Keyword, TokenType>>;
 
+/** A number without a unit. */
 export const NumberLiteral = createToken({
   label: 'a number',
   name: 'Number',
   pattern: /-?\d+(?:\.\d+)?(?![A-Za-z0-9_.:%-])/,
 });
 
+/** A share such as `1%`. */
 export const Percentage = createToken({
   label: 'a percentage such as 1%',
   name: 'Percentage',
   pattern: /\d+(?:\.\d+)?%/,
 });
 
+/** A number with a unit of time. */
 export const Duration = createToken({
   label: 'a duration such as 500ms, 2s, 10m or 1h',
   name: 'Duration',
   pattern: /\d+(?:\.\d+)?(?:ms|s|m|h|d)(?![A-Za-z0-9_.:-])/,
 });
 
+/** A text in double quotes on one line. */
 export const StringLiteral = createToken({
   label: 'a text in double quotes',
   name: 'String',
@@ -119,14 +123,17 @@
   pattern: /"[^\r\n]*/,
 });
 
+/** Any comparison but `contains`. */
 export const ComparisonSign = createToken({
   label: 'a comparison (=, !=, <, <=, >, >=)',
   name: 'Comparison',
   pattern: /!=|<=|>=|=|<|>/,
 });
 
+/** Ends a command inside a group, or a statement. */
 export const Semicolon = createToken({ label: '`;`', name: 'Semicolon', pattern: ';' });
 
+/** Stands for every HTTP method. */
 export const Asterisk = createToken({ label: '`*`', name: 'Asterisk', pattern: '*' });
 
 const Space = createToken({
--- a/packages/operators/src/changes/apply-clauses.ts
+++ b/packages/operators/src/changes/apply-clauses.ts
@@ -1,5 +1,5 @@
 import type { RequestKind, ServiceConfiguration } from '@peridotspring/core';
-import type { LanguageError, Name, ServiceClause } from '@peridotspring/language';
+import type { LanguageError, Name, Quantity, ServiceClause } from '@peridotspring/language';
 
 import {
   checkName,
@@ -9,6 +9,7 @@
   nameForms,
   ranges,
   referenceFault,
+  type NumberRange,
 } from './checks.js';
 
 type Clause<Kind extends ServiceClause['kind']> = Extract<ServiceClause, { kind: Kind }>;
@@ -99,8 +100,23 @@
   return { faults, service: { ...service, tenants } };
 }
 
+type NumberField = {
+  [Field in keyof ServiceConfiguration]: ServiceConfiguration[Field] extends number ? Field : never;
+}[keyof ServiceConfiguration];
+
+function setNumber(
+  service: ServiceConfiguration,
+  field: NumberField,
+  quantity: Quantity,
+  range: NumberRange,
+): AppliedService {
+  return { faults: checkRange(quantity, range), service: { ...service, [field]: quantity.value } };
+}
+
 /** Applies one clause to a service. */
 export function applyClause(service: ServiceConfiguration, clause: ServiceClause): AppliedService {
+  const set = (field: NumberField, quantity: Quantity, range: NumberRange): AppliedService =>
+    setNumber(service, field, quantity, range);
   switch (clause.kind) {
     case 'request':
       return applyRequest(service, clause);
@@ -110,37 +126,19 @@
       return removeRequest(service, clause);
     case 'remove-tenant':
       return removeTenant(service, clause);
+    case 'hedging':
+      return { faults: [], service: { ...service, hedging: clause.enabled } };
     case 'default-deadline':
-      return {
-        faults: checkRange(clause.milliseconds, ranges.defaultDeadline),
-        service: { ...service, defaultDeadlineMilliseconds: clause.milliseconds.value },
-      };
+      return set('defaultDeadlineMilliseconds', clause.milliseconds, ranges.defaultDeadline);
     case 'maximum-deadline':
-      return {
-        faults: checkRange(clause.milliseconds, ranges.maximumDeadline),
-        service: { ...service, maximumDeadlineMilliseconds: clause.milliseconds.value },
-      };
+      return set('maximumDeadlineMilliseconds', clause.milliseconds, ranges.maximumDeadline);
     case 'retry-budget-ratio':
-      return {
-        faults: checkRange(clause.ratio, ranges.retryBudgetRatio),
-        service: { ...service, retryBudgetRatio: clause.ratio.value },
-      };
+      return set('retryBudgetRatio', clause.ratio, ranges.retryBudgetRatio);
     case 'retry-budget-maximum':
-      return {
-        faults: checkRange(clause.maximum, ranges.retryBudgetMaximum),
-        service: { ...service, retryBudgetMaximum: clause.maximum.value },
-      };
-    case 'hedging':
-      return { faults: [], service: { ...service, hedging: clause.enabled } };
+      return set('retryBudgetMaximum', clause.maximum, ranges.retryBudgetMaximum);
     case 'probe-budget':
-      return {
-        faults: checkRange(clause.share, ranges.probeBudget),
-        service: { ...service, probeBudgetShare: clause.share.value },
-      };
+      return set('probeBudgetShare', clause.share, ranges.probeBudget);
     case 'ramp':
-      return {
-        faults: checkRange(clause.milliseconds, ranges.ramp),
-        service: { ...service, rampMilliseconds: clause.milliseconds.value },
-      };
+      return set('rampMilliseconds', clause.milliseconds, ranges.ramp);
   }
 }
--- a/packages/operators/src/changes/checks.ts
+++ b/packages/operators/src/changes/checks.ts
@@ -33,7 +33,9 @@
 
 /** Bounds that keep a service's value below the platform's 1 MB and its root page small. */
 export const maximumRequestKinds = 300;
+/** Tenants of a service with a weight. */
 export const maximumTenants = 1_000;
+/** Characters of a path prefix. */
 export const maximumPathPrefixLength = 512;
 
 /** Form of a name, with its description for errors. */
--- a/packages/operators/src/node-view.ts
+++ b/packages/operators/src/node-view.ts
@@ -50,6 +50,7 @@
   readonly status: number | undefined;
 }
 
+/** Whether the node takes work. */
 export interface Readiness {
   readonly ready: boolean;
   /** Why the node is not ready, such as `draining` or `no configuration yet`. */
--- a/packages/operators/src/observation/request-journal.ts
+++ b/packages/operators/src/observation/request-journal.ts
@@ -36,6 +36,7 @@
     }
   | { readonly kind: 'concluded'; readonly outcome: CallOutcome };
 
+/** A step with its time. */
 export interface JournalStep {
   /** Wall time. */
   readonly at: number;
--- a/packages/operators/src/operator-backend.ts
+++ b/packages/operators/src/operator-backend.ts
@@ -24,6 +24,7 @@
   readonly missing: readonly MissingNode[];
 }
 
+/** How other nodes are asked. */
 export interface GatherOptions {
   readonly deadlineMilliseconds: number;
   /** Asks only these servers; all members by default. */
--- a/packages/operators/src/questions/rows.ts
+++ b/packages/operators/src/questions/rows.ts
@@ -4,6 +4,7 @@
 /** A line of a result; the keys are field names. */
 export type Row = Readonly<Record<string, RowValue>>;
 
+/** Type of the values of a field. */
 export const FieldType = {
   Boolean: 'boolean',
   Number: 'number',
--- a/packages/operators/src/questions/select-rows.ts
+++ b/packages/operators/src/questions/select-rows.ts
@@ -15,6 +15,7 @@
 /** Rows shown when a question has no limit. */
 export const defaultLimit = 1_000;
 
+/** The rows that a question shows. */
 export interface SelectedRows {
   readonly rows: readonly Row[];
   /** How many rows fulfil the conditions, shown or not. */
--- a/packages/operators/src/results.ts
+++ b/packages/operators/src/results.ts
@@ -45,6 +45,7 @@
 } as const;
 export type ChangeStatus = (typeof ChangeStatus)[keyof typeof ChangeStatus];
 
+/** The answer to a change. */
 export interface ChangeResult {
   readonly kind: 'change';
   readonly status: ChangeStatus;
--- a/packages/operators/src/server/operator-server.ts
+++ b/packages/operators/src/server/operator-server.ts
@@ -20,6 +20,7 @@
   readonly requestTimeoutMilliseconds: number;
 }
 
+/** Bounds that hold unless others are given. */
 export const defaultOperatorServerLimits: OperatorServerLimits = {
   // The longest text in the language, with room for its JSON escapes.
   bodyBytes: 600_000,
