--- a/packages/language/src/tokens.ts
+++ b/packages/language/src/tokens.ts
@@ -85,38 +85,55 @@
   words.map((word) => [word, createKeyword(word)]),
 ) as Readonly<Record<Keyword, TokenType>>;
 
+/** A number without a unit. */
 export const NumberLiteral = createToken({
   label: 'a number',
   name: 'Number',
   pattern: /-?\d+(?:\.\d+)?(?![A-Za-z0-9_.:%-])/,
 });
 
+/** A share such as `1%`. */
 export const Percentage = createToken({
   label: 'a percentage such as 1%',
   name: 'Percentage',
   pattern: /\d+(?:\.\d+)?%/,
 });
 
+/** A number with a unit of time. */
 export const Duration = createToken({
   label: 'a duration such as 500ms, 2s, 10m or 1h',
   name: 'Duration',
   pattern: /\d+(?:\.\d+)?(?:ms|s|m|h|d)(?![A-Za-z0-9_.:-])/,
 });
 
+/** A text in double quotes on one line. */
 export const StringLiteral = createToken({
   label: 'a text in double quotes',
   name: 'String',
   pattern: /"(?:[^"\\\r\n]|\\["\\])*"/,
 });
 
+/**
+ * A quote whose text does not end on its line. Without this token the lexer would try again at each
+ * further character of the line, which takes quadratic time.
+ */
+export const UnclosedText = createToken({
+  label: 'a text that is not closed',
+  name: 'UnclosedText',
+  pattern: /"[^\r\n]*/,
+});
+
+/** Any comparison but `contains`. */
 export const ComparisonSign = createToken({
   label: 'a comparison (=, !=, <, <=, >, >=)',
   name: 'Comparison',
   pattern: /!=|<=|>=|=|<|>/,
 });
 
+/** Ends a command inside a group, or a statement. */
 export const Semicolon = createToken({ label: '`;`', name: 'Semicolon', pattern: ';' });
 
+/** Stands for every HTTP method. */
 export const Asterisk = createToken({ label: '`*`', name: 'Asterisk', pattern: '*' });
 
 const Space = createToken({
@@ -141,6 +158,7 @@
   Asterisk,
   ComparisonSign,
   StringLiteral,
+  UnclosedText,
   Percentage,
   Duration,
   NumberLiteral,
