Abort overdue requests and count each hop once

Cause: the upstream's client counts the hop, and the entry counted it too. A frozen upstream held the slots of requests whose callers had gone for ever.

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -267,7 +267,8 @@
     const method = request.method ?? 'GET';
     const headers = forwardedHeaders(request.headers);
     const head: RequestHead = {
-      depth: depth + 1,
+      // The upstream's client counts the hop.
+      depth,
       headers,
       method,
       path,
--- a/packages/core/src/node/execution-board.ts
+++ b/packages/core/src/node/execution-board.ts
@@ -12,6 +12,12 @@
 import type { Outbox } from './outbox.js';
 
 const notReachedRetryAfterMilliseconds = 1_000;
+/**
+ * Time past its deadline after which a request is aborted whatever its class: a frozen upstream would
+ * hold the slot for ever. Its outcome has been unknown to everybody since the deadline.
+ */
+const overdueLimitMilliseconds = 60_000;
+const overdueCheckMilliseconds = 1_000;
 
 type ExecutionState = 'waiting' | 'running' | 'answered' | 'cancelled';
 
@@ -40,6 +46,7 @@
   private readonly executions = new Map<number, Execution>();
   private readonly byCall = new Map<string, Execution>();
   private nextExecutionId = 1;
+  private nextOverdueCheckAt = 0;
 
   public constructor(private readonly options: ExecutionBoardOptions) {}
 
@@ -185,6 +192,19 @@
     }
   }
 
+  /** Aborts requests that are long overdue. */
+  public tick(now: ClockReading): void {
+    if (now.monotonic < this.nextOverdueCheckAt) {
+      return;
+    }
+    this.nextOverdueCheckAt = now.monotonic + overdueCheckMilliseconds;
+    for (const execution of [...this.executions.values()]) {
+      if (now.monotonic - execution.deadline > overdueLimitMilliseconds) {
+        this.withdraw(execution);
+      }
+    }
+  }
+
   /** The stream of an answer that this node's own caller waits for. */
   public localAnswerStream(callId: number): BodyEndpoint | undefined {
     const execution = this.byCall.get(callKey(this.options.self, callId));
--- a/packages/core/src/node/upstream-board.ts
+++ b/packages/core/src/node/upstream-board.ts
@@ -55,6 +55,7 @@
   public tick(now: ClockReading): void {
     const { executions, gate, outbox, polls } = this.options;
     executions.apply(gate.tick(now), now);
+    executions.tick(now);
     if (polls.due(now)) {
       outbox.push({ kind: 'poll-upstream' });
     }
