--- a/packages/operators/src/observation/journal-rows.ts
+++ b/packages/operators/src/observation/journal-rows.ts
@@ -33,6 +33,10 @@
   }
 }
 
+function sentDetail({ retryReason, role }: Extract<RequestStep, { kind: 'sent' }>): string {
+  return retryReason === undefined ? `to the ${role}` : `to the ${role}, ${retryReason}`;
+}
+
 function stepCells(step: RequestStep): Row {
   switch (step.kind) {
     case 'received':
@@ -42,11 +46,13 @@
         server: null,
       };
     case 'sent':
-      return { detail: step.retryReason ?? 'first attempt', reason: null, server: step.server };
+      return { detail: sentDetail(step), reason: null, server: step.server };
     case 'refused':
       return { detail: null, reason: step.reason, server: step.server };
     case 'answered':
       return { detail: `status ${step.status}`, reason: null, server: step.server };
+    case 'cancelled':
+      return { detail: step.detail, reason: null, server: step.server ?? null };
     case 'failed':
       return { detail: step.detail, reason: null, server: step.server };
     case 'concluded':
--- a/packages/operators/src/observation/request-journal.ts
+++ b/packages/operators/src/observation/request-journal.ts
@@ -1,6 +1,8 @@
 import type { CallOutcome, LoadReport, RequestClass, RetryReason } from '@peridotspring/core';
 
-/** A step of a request, as its entry saw it. */
+import { dropOldest } from './bounded-map.js';
+
+/** A step of a request, as its entry or the home of its key saw it. */
 export type RequestStep =
   | {
       readonly kind: 'received';
@@ -13,6 +15,8 @@
   | {
       readonly kind: 'sent';
       readonly server: string;
+      /** What the receiver is asked as. */
+      readonly role: 'gate' | 'home';
       readonly retryReason?: RetryReason | undefined;
     }
   | {
@@ -34,6 +38,12 @@
       readonly detail: string;
       readonly load?: LoadReport | undefined;
     }
+  | {
+      readonly kind: 'cancelled';
+      /** Undefined when the whole request was cancelled. */
+      readonly server: string | undefined;
+      readonly detail: string;
+    }
   | { readonly kind: 'concluded'; readonly outcome: CallOutcome };
 
 /** A step with its time. */
@@ -129,10 +139,3 @@
     dropOldest(this.unsuccessful, this.bounds.unsuccessfulRequests);
   }
 }
-
-function dropOldest(entries: Map<string, OpenEntry>, bound: number): void {
-  for (const requestId of entries.keys()) {
-    if (entries.size <= bound) return;
-    entries.delete(requestId);
-  }
-}
--- a/packages/operators/src/questions/fields.ts
+++ b/packages/operators/src/questions/fields.ts
@@ -109,12 +109,12 @@
   request: [
     at,
     request,
-    text('entry', 'node that received the request'),
-    text('step', 'received, sent, refused, answered, failed or concluded'),
+    text('entry', 'node that recorded the step: the entry, or the home of the key'),
+    text('step', 'received, sent, refused, answered, failed, cancelled or concluded'),
     count('after_ms', 'time since the request was received', FieldUnit.Milliseconds),
     text('server', 'server that the step is about'),
     reason,
-    text('detail', 'class, retry reason, status or outcome, depending on the step'),
+    text('detail', 'class, receiver, retry reason, status or outcome, depending on the step'),
     ...seenLoadFields,
   ],
   requests: [
--- a/packages/operators/tests/observation.test.ts
+++ b/packages/operators/tests/observation.test.ts
@@ -36,7 +36,7 @@
   });
   journal.record('a', received, 1);
   for (let attempt = 0; attempt < 5; attempt += 1) {
-    journal.record('a', { kind: 'sent', server: 's' }, 2);
+    journal.record('a', { kind: 'sent', role: 'gate', server: 's' }, 2);
   }
   journal.record('a', { kind: 'concluded', outcome: { kind: 'answered', status: 200 } }, 3);
   const entry = journal.entry('a');
