Report flags without values and unknown arguments with the other faults

Cause: a flag without its value hid all other faults, and a misspelt variable was reported only at the start. Conclusion: the settings tests cover both.

--- a/packages/daemon/src/settings/start-request.ts
+++ b/packages/daemon/src/settings/start-request.ts
@@ -37,7 +37,7 @@
   readonly texts: SettingTexts;
   readonly checkSettings: boolean;
   readonly printSettings: boolean;
-  readonly unknownArguments: readonly string[];
+  readonly faults: readonly string[];
 }
 
 function createCommand(write: (text: string) => void): Command {
@@ -53,25 +53,41 @@
     const { defaultText, documentation, unit } = settingDefinitions[name];
     const shown = defaultText === undefined ? 'required' : `default: ${defaultText || 'none'}`;
     command.addOption(
-      new Option(`${flagOf(name)} <${unit}>`, `${documentation} (${shown}; ${variableOf(name)})`),
+      // The value is optional for commander, so that its absence is reported with the other faults.
+      new Option(`${flagOf(name)} [${unit}]`, `${documentation} (${shown}; ${variableOf(name)})`),
     );
   }
   return command;
 }
 
+/** Names unknown flags. Their values are left out, because a misspelt flag may carry a secret. */
+function describeUnknown(argumentList: readonly string[]): string[] {
+  const faults: string[] = [];
+  let isValue = false;
+  for (const text of argumentList) {
+    const isFlag = text.startsWith('--');
+    if (isFlag) faults.push(`there is no flag ${text.split('=')[0] ?? ''}`);
+    else if (!isValue) faults.push('there is an argument that belongs to no flag');
+    isValue = isFlag && !text.includes('=');
+  }
+  return faults;
+}
+
 function parseFlags(command: Command, argumentList: readonly string[]): ParsedFlags {
   command.parse([...argumentList], { from: 'user' });
   const options: Readonly<Record<string, unknown>> = command.opts();
   const texts: Partial<Record<SettingName, string>> = {};
+  const faults = describeUnknown(command.args);
   for (const name of settingNames) {
     const text = options[name];
     if (typeof text === 'string') texts[name] = text;
+    if (text === true) faults.push(`${name} (${flagOf(name)}) needs a value`);
   }
   return {
     checkSettings: options.checkSettings === true,
+    faults,
     printSettings: options.printSettings === true,
     texts,
-    unknownArguments: command.args,
   };
 }
 
@@ -103,18 +119,16 @@
     return error.exitCode === 0 ? exit(0, written) : exit(faultySettingsExitCode, '', written);
   }
   const result = checkSettings(mergeTexts(flags.texts, environment));
-  // The value of a misspelt flag may be a secret, so only what looks like a flag is repeated.
-  const faults = flags.unknownArguments
-    .filter((text, index) => text.startsWith('-') || index === 0)
-    .map(
-      (text) => `there is no flag ${text.startsWith('-') ? (text.split('=')[0] ?? '') : 'here'}`,
-    );
+  const faults = [...flags.faults];
   if (result.kind === 'faulty') faults.push(...result.faults.map(({ message }) => message));
   if (faults.length > 0 || result.kind === 'faulty') {
     return exit(faultySettingsExitCode, '', `${faults.join('\n')}\n`);
   }
   if (flags.printSettings) return exit(0, `${printSettings(result.settings)}\n`);
-  if (flags.checkSettings) return exit(0, 'the settings are valid\n');
   const unknownVariables = findUnknownVariables(environment);
+  if (flags.checkSettings) {
+    const warnings = unknownVariables.map((variable) => `no setting is called ${variable}\n`);
+    return exit(0, 'the settings are valid\n', warnings.join(''));
+  }
   return { kind: 'start', settings: result.settings, unknownVariables };
 }
--- a/packages/daemon/tests/settings/settings.test.ts
+++ b/packages/daemon/tests/settings/settings.test.ts
@@ -29,9 +29,12 @@
 });
 
 test('all faults are reported at once, each with the name of its setting', () => {
-  const errors = errorsOf(readStartRequest(['--lease-milliseconds', 'soon', '--lse', '1'], {}));
+  const errors = errorsOf(
+    readStartRequest(['--lease-milliseconds', 'soon', '--lse', '1', '--region'], {}),
+  );
   for (const words of [
     'there is no flag --lse',
+    'region (--region) needs a value',
     'serverName (--server-name, PERIDOTSPRING_SERVER_NAME) is required',
     'platformAddress',
     'must be a whole number of milliseconds from 500 to 30000, not "soon"',
@@ -94,7 +97,12 @@
   assert.equal(codes, [0, 2]);
 });
 
-test('a misspelt variable is pointed out', () => {
+test('a misspelt variable is pointed out, when it starts and when it checks', () => {
+  const checked = readStartRequest(['--check-settings'], {
+    ...complete,
+    PERIDOTSPRING_LEASE_MS: '1',
+  });
+  assert.is(errorsOf(checked), 'no setting is called PERIDOTSPRING_LEASE_MS\n');
   const request = readStartRequest([], { ...complete, PERIDOTSPRING_LEASE_MS: '1' });
   assert.equal(request.kind === 'start' ? request.unknownVariables : [], [
     'PERIDOTSPRING_LEASE_MS',
