--- a/packages/core/src/messages/core-command.ts
+++ b/packages/core/src/messages/core-command.ts
@@ -133,6 +133,8 @@
 export type AttemptStep =
   | {
       readonly kind: 'sent';
+      /** What the receiving node is to the request. */
+      readonly role: 'gate' | 'home';
       readonly server: string;
       readonly retryReason?: RetryReason | undefined;
     }
@@ -154,6 +156,12 @@
       readonly server: string;
       readonly detail: string;
       readonly load?: LoadReport | undefined;
+    }
+  | {
+      readonly kind: 'cancelled';
+      /** Undefined when the whole request was cancelled. */
+      readonly server: string | undefined;
+      readonly detail: string;
     };
 
 /** One step of a request, kept for a time so that operators can ask why it was refused. */
--- a/packages/core/src/node/call-board.ts
+++ b/packages/core/src/node/call-board.ts
@@ -153,6 +153,7 @@
   public callerGone(requestNumber: number, now: ClockReading): void {
     const callNumber = this.callOfRequest.get(requestNumber);
     if (callNumber !== undefined) {
+      this.journalGone(callNumber);
       this.apply(this.options.engine.abandon(callNumber, now), now);
       this.forget(callNumber);
       return;
@@ -179,6 +180,7 @@
           this.dispatch(dispatch, now);
         })
         .with({ kind: 'cancel-attempt' }, ({ attemptId, target }) => {
+          this.journalCancel(attemptId, target.server);
           this.attempts.delete(attemptId);
           this.cancel(target.server, attemptId);
         })
@@ -202,7 +204,12 @@
       callNumber: command.callNumber,
       server: target.server,
     });
-    outbox.journal(head.requestId, { kind: 'sent', retryReason, server: target.server });
+    outbox.journal(head.requestId, {
+      kind: 'sent',
+      retryReason,
+      role: 'gate',
+      server: target.server,
+    });
     if (retryReason !== undefined) {
       outbox.count(CounterName.Retries, { reason: retryReason, service: head.service });
     }
@@ -315,6 +322,23 @@
     });
   }
 
+  private journalCancel(attemptId: number, server: string): void {
+    const call = this.calls.get(this.attempts.get(attemptId)?.callNumber ?? -1);
+    if (call !== undefined) {
+      const detail = 'the answer is no longer wanted';
+      this.options.outbox.journal(call.head.requestId, { detail, kind: 'cancelled', server });
+    }
+  }
+
+  private journalGone(callNumber: number): void {
+    const call = this.calls.get(callNumber);
+    if (call !== undefined) {
+      const detail = 'the caller went away';
+      const step = { detail, kind: 'cancelled', server: undefined } as const;
+      this.options.outbox.journal(call.head.requestId, step);
+    }
+  }
+
   private journalFrame(requestId: string, from: string, frame: CallFrame): void {
     const step = stepOf(from, frame);
     if (step !== undefined) {
--- a/packages/core/src/node/keyed-board.ts
+++ b/packages/core/src/node/keyed-board.ts
@@ -144,7 +144,11 @@
     for (const command of commands) {
       match(command)
         .with({ kind: 'forward' }, ({ frame, to }) => {
-          this.options.outbox.journal(frame.head.requestId, { kind: 'sent', server: to });
+          this.options.outbox.journal(frame.head.requestId, {
+            kind: 'sent',
+            role: 'home',
+            server: to,
+          });
           if (to === this.options.self) {
             this.applyHomes(this.options.homes.request(to, frame, now), now);
           } else if (!this.options.outbox.send(to, frame)) {
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -17,8 +17,6 @@
   Readiness,
   TenantUse,
 } from './node-view.js';
-export { CoreObserver } from './observation/core-observer.js';
-export type { ObserverParts } from './observation/core-observer.js';
 export { metricName, Metrics } from './observation/metrics.js';
 export type { GaugeDefinition } from './observation/metrics.js';
 export { RefusalHistory } from './observation/refusal-history.js';
--- a/packages/operators/src/observation/request-journal.ts
+++ b/packages/operators/src/observation/request-journal.ts
@@ -1,4 +1,4 @@
-import type { CallOutcome, LoadReport, RequestClass, RetryReason } from '@peridotspring/core';
+import type { AttemptStep, CallOutcome, RequestClass } from '@peridotspring/core';
 
 import { dropOldest } from './bounded-map.js';
 
@@ -12,38 +12,7 @@
       readonly method: string;
       readonly deadlineMilliseconds: number;
     }
-  | {
-      readonly kind: 'sent';
-      readonly server: string;
-      /** What the receiver is asked as. */
-      readonly role: 'gate' | 'home';
-      readonly retryReason?: RetryReason | undefined;
-    }
-  | {
-      readonly kind: 'refused';
-      readonly server: string;
-      readonly reason: string;
-      readonly load?: LoadReport | undefined;
-    }
-  | {
-      readonly kind: 'answered';
-      readonly server: string;
-      readonly status: number;
-      readonly load?: LoadReport | undefined;
-    }
-  /** The attempt may have run and gave no answer. */
-  | {
-      readonly kind: 'failed';
-      readonly server: string;
-      readonly detail: string;
-      readonly load?: LoadReport | undefined;
-    }
-  | {
-      readonly kind: 'cancelled';
-      /** Undefined when the whole request was cancelled. */
-      readonly server: string | undefined;
-      readonly detail: string;
-    }
+  | AttemptStep
   | { readonly kind: 'concluded'; readonly outcome: CallOutcome };
 
 /** A step with its time. */
