--- a/packages/core/src/node/create-node-core.ts
+++ b/packages/core/src/node/create-node-core.ts
@@ -1,7 +1,9 @@
 import { CallEngine } from '../calls/call-engine.js';
 import { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
 import { Gate } from '../gate/gate.js';
-import { UnavailableHomes } from '../homes/unavailable-homes.js';
+import { HomeKeeper } from '../homes/home-keeper.js';
+import { defaultHomeSettings } from '../homes/home-settings.js';
+import type { HomeSettings } from '../homes/home-settings.js';
 import { Membership } from '../membership/membership.js';
 import type { Seed } from '../membership/seed-layout.js';
 import type { NodeIdentity } from '../messages/identity.js';
@@ -14,20 +16,22 @@
   readonly identity: NodeIdentity;
   /** Seed of every random choice of the node. */
   readonly seed: number;
+  /** Settings of the homes that differ from the defaults. */
+  readonly homes?: Partial<HomeSettings> | undefined;
   /** Members to contact at the start besides those in the store. */
   readonly seeds?: readonly Seed[] | undefined;
 }
 
 /** Creates a node's core with its standard parts. */
-export function createNodeCore({ identity, seed, seeds }: CreateNodeCoreOptions): NodeCore {
+export function createNodeCore({ homes, identity, seed, seeds }: CreateNodeCoreOptions): NodeCore {
   const random = new SeededRandomSource(seed);
-  const { availabilityZone, region } = identity;
+  const { availabilityZone, incarnation, region, server } = identity;
   const router = new Router({ availabilityZone, region }, random);
   return new NodeCore({
     configuration: new ConfigurationKeeper({ random }),
     engine: new CallEngine(router),
     gate: new Gate(),
-    homes: new UnavailableHomes(),
+    homes: new HomeKeeper({ incarnation, server }, { ...defaultHomeSettings, ...homes }),
     identity,
     membership: new Membership({ identity, random, seeds }),
     polls: new PollScheduler(),
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -4,6 +4,7 @@
   CallerGoneMessage,
   CallerRequestMessage,
   ClockReading,
+  CreateNodeCoreOptions,
   NodeCore,
   NodeIdentity,
   OperatorFrame,
@@ -59,6 +60,7 @@
   const log = new Logger(settings.logLevel);
   const identity = createIdentity(settings, clock().wall);
   const core = createNodeCore({
+    homes: homeSettingsOf(settings),
     identity,
     seed: (identity.incarnation ^ process.pid) >>> 0,
   });
@@ -119,6 +121,17 @@
   };
 }
 
+function homeSettingsOf(settings: Settings): CreateNodeCoreOptions['homes'] {
+  return {
+    futureToleranceMilliseconds: settings.futureKeyToleranceMilliseconds,
+    keyRecordBytes: settings.keyRecordBytes,
+    leaseMilliseconds: settings.leaseMilliseconds,
+    maximumRecords: settings.keyRecords,
+    retentionMilliseconds: settings.retentionMilliseconds,
+    skewMilliseconds: settings.clockSkewMilliseconds,
+  };
+}
+
 interface OperatorParts {
   readonly backend: NodeBackend;
   readonly changes: CoreChangePort;
