Settle a key's record by a late word of its gate

Cause: an answer that came after the deadline was dropped, so later questions about the key stayed unknown for ever, and a keyed request in the queue at its deadline was called unknown although it never ran. A running keyed request is no longer cancelled at its deadline.

--- a/packages/core/src/homes/home-contract.ts
+++ b/packages/core/src/homes/home-contract.ts
@@ -76,6 +76,13 @@
     answer: KeyedAnswer | undefined,
     now: ClockReading,
   ): readonly HomeCommand[];
+  /** What a gate said of a `run-keyed` whose end was unknown before: later questions get the truth. */
+  settled(
+    dispatchId: number,
+    outcome: CallOutcome,
+    answer: KeyedAnswer | undefined,
+    now: ClockReading,
+  ): readonly HomeCommand[];
   frame(from: string, frame: HomeFrame, now: ClockReading): readonly HomeCommand[];
   storeResult(operationId: number, result: StoreResult, now: ClockReading): readonly HomeCommand[];
   /** All members known to this node, whenever one of them changed. */
--- a/packages/core/src/homes/home-keeper.ts
+++ b/packages/core/src/homes/home-keeper.ts
@@ -108,6 +108,18 @@
     return this.finish(now);
   }
 
+  public settled(
+    dispatchId: number,
+    outcome: CallOutcome,
+    answer: KeyedAnswer | undefined,
+    now: ClockReading,
+  ): HomeCommand[] {
+    for (const { homes } of this.services.values()) {
+      homes.requests.settled(dispatchId, outcome, answer, now);
+    }
+    return this.finish(now);
+  }
+
   public frame(from: string, frame: HomeFrame, now: ClockReading): HomeCommand[] {
     this.receive(from, frame, now);
     return this.finish(now);
--- a/packages/core/src/homes/key-requests.ts
+++ b/packages/core/src/homes/key-requests.ts
@@ -10,6 +10,9 @@
 import type { KeyStore, StoredRecord } from './key-store.js';
 import type { RangeTenure } from './range-tenure.js';
 
+/** Attempts with an unknown end that a late word of their gate can still settle. */
+const maximumUnresolved = 10_000;
+
 interface RunningAttempt {
   readonly record: StoredRecord;
   readonly scope: string;
@@ -18,6 +21,8 @@
 /** Applies the rules for keys to requests of ranges that this node is the home of. */
 export class KeyRequests {
   private readonly running = new Map<number, RunningAttempt>();
+  /** Attempts whose end is unknown, oldest first. */
+  private readonly unresolved = new Map<number, RunningAttempt>();
 
   public constructor(
     private readonly settings: HomeSettings,
@@ -106,11 +111,43 @@
       case 'outcome-unknown':
         record.state = 'unknown';
         record.unknownReason = outcome.reason;
+        this.unresolved.set(dispatchId, attempt);
+        this.forgetOldest();
         for (const waiter of waiters) this.outbox.unknown(waiter, outcome.reason, true);
         break;
     }
   }
 
+  /** Replaces an unknown end by what a gate said later. */
+  public settled(
+    dispatchId: number,
+    outcome: CallOutcome,
+    answer: KeyedAnswer | undefined,
+    now: ClockReading,
+  ): void {
+    if (this.running.has(dispatchId)) {
+      this.concluded(dispatchId, outcome, answer, now);
+      return;
+    }
+    const attempt = this.unresolved.get(dispatchId);
+    this.unresolved.delete(dispatchId);
+    if (attempt?.record.state !== 'unknown') return;
+    const { record, scope } = attempt;
+    record.unknownReason = undefined;
+    if (outcome.kind === 'answered') this.answered(scope, record, [], outcome.status, answer);
+    else if (outcome.kind === 'refused-not-run') {
+      record.state = 'not-run';
+      record.recordedAt = Math.max(record.recordedAt, now.wall);
+    }
+  }
+
+  private forgetOldest(): void {
+    for (const dispatchId of this.unresolved.keys()) {
+      if (this.unresolved.size <= maximumUnresolved) return;
+      this.unresolved.delete(dispatchId);
+    }
+  }
+
   /**
    * Answers what is known of a key. "Not run" is recorded like a refusal, so that no earlier attempt
    * contradicts it later.
--- a/packages/core/src/node/call-board.ts
+++ b/packages/core/src/node/call-board.ts
@@ -15,6 +15,7 @@
 import type { ClockReading } from '../shared/clock-reading.js';
 import { loadOf, stepOf } from './call-journal.js';
 import { CounterName } from './outbox.js';
+import { LateAttempts } from './late-attempts.js';
 import type { Outbox } from './outbox.js';
 
 /** Who waits for the outcome of a call. */
@@ -48,13 +49,20 @@
   readonly engine: CallEngineContract;
   readonly router: RouterContract;
   readonly outbox: Outbox;
+  /** Tells a home the end of an attempt that it had to give up before. */
+  readonly homeSettled: (
+    dispatchId: number,
+    outcome: CallOutcome,
+    answer: KeyedAnswer | undefined,
+    now: ClockReading,
+  ) => void;
   /** Offers an attempt to this node's own gate. */
   readonly startLocally: (
     frame: RequestStartFrame,
     body: BodyEndpoint | undefined,
     now: ClockReading,
   ) => void;
-  readonly cancelLocally: (callId: number) => void;
+  readonly cancelLocally: (callId: number, now: ClockReading) => void;
   readonly localAnswerStream: (callId: number) => BodyEndpoint | undefined;
   readonly homeConcluded: (
     dispatchId: number,
@@ -70,6 +78,7 @@
   private readonly callOfRequest = new Map<number, number>();
   private readonly attempts = new Map<number, Attempt>();
   private readonly streams = new Map<number, AnswerStream>();
+  private readonly late = new LateAttempts();
   private nextCallNumber = 1;
 
   public constructor(private readonly options: CallBoardOptions) {}
@@ -124,7 +133,7 @@
       .with({ kind: 'answer' }, (answer) => {
         attempt.answer = answer;
         this.apply(engine.answered(answer.callId, answer.status, answer.load, now), now);
-        this.dropUnused(answer.callId, attempt);
+        this.dropUnused(answer.callId, attempt, now);
       })
       .with({ kind: 'request-failed' }, ({ callId, load }) => {
         this.attempts.delete(callId);
@@ -161,7 +170,7 @@
     const stream = this.streams.get(requestNumber);
     if (stream !== undefined) {
       this.streams.delete(requestNumber);
-      this.cancel(stream.server, stream.callId);
+      this.cancel(stream.server, stream.callId, now);
     }
   }
 
@@ -180,9 +189,7 @@
           this.dispatch(dispatch, now);
         })
         .with({ kind: 'cancel-attempt' }, ({ attemptId, target }) => {
-          this.journalCancel(attemptId, target.server);
-          this.attempts.delete(attemptId);
-          this.cancel(target.server, attemptId);
+          this.withdraw(attemptId, target.server, now);
         })
         .with({ kind: 'conclude' }, (conclusion) => {
           this.conclude(conclusion, now);
@@ -191,6 +198,19 @@
     }
   }
 
+  private withdraw(attemptId: number, server: string, now: ClockReading): void {
+    const call = this.calls.get(this.attempts.get(attemptId)?.callNumber ?? -1);
+    this.attempts.delete(attemptId);
+    if (call !== undefined) {
+      const detail = 'the answer is no longer wanted';
+      this.options.outbox.journal(call.head.requestId, { detail, kind: 'cancelled', server });
+    }
+    if (call?.owner.kind === 'home') {
+      this.late.add(attemptId, server, call.owner.dispatchId, now.monotonic);
+    }
+    this.cancel(server, attemptId, now);
+  }
+
   private dispatch(command: DispatchCommand, now: ClockReading): void {
     const call = this.calls.get(command.callNumber);
     if (call === undefined) {
@@ -279,14 +299,15 @@
   }
 
   /** The engine took another attempt's answer: this one's stream is not wanted. */
-  private dropUnused(callId: number, attempt: Attempt): void {
+  private dropUnused(callId: number, attempt: Attempt, now: ClockReading): void {
     if (this.attempts.delete(callId) && attempt.answer?.streamedBody === true) {
-      this.cancel(attempt.server, callId);
+      this.cancel(attempt.server, callId, now);
     }
   }
 
   private dropLate(from: string, frame: CallFrame, now: ClockReading): void {
     const { outbox, router } = this.options;
+    this.settleLate(from, frame, now);
     const load = loadOf(frame);
     if (load !== undefined) {
       router.reported(from, load, now);
@@ -295,14 +316,31 @@
       outbox.count(CounterName.LateResults, { kind: frame.kind });
     }
     if (frame.kind === 'answer' && frame.streamedBody) {
-      this.cancel(from, frame.callId);
+      this.cancel(from, frame.callId, now);
     }
   }
 
-  private cancel(server: string, callId: number): void {
+  /** What a gate says of an attempt that a home gave up is still the truth about the key. */
+  private settleLate(from: string, frame: CallFrame, now: ClockReading): void {
+    const dispatchId = this.late.take(frame.callId, from);
+    if (dispatchId === undefined) {
+      return;
+    }
+    const { homeSettled } = this.options;
+    if (frame.kind === 'answer') {
+      const { body, headers, status } = frame;
+      homeSettled(dispatchId, { kind: 'answered', status }, { body, headers, status }, now);
+    } else if (frame.kind === 'request-refused') {
+      const { reason, retryAfterMilliseconds } = frame.refusal;
+      const outcome = { kind: 'refused-not-run', reason, retryAfterMilliseconds } as const;
+      homeSettled(dispatchId, outcome, undefined, now);
+    }
+  }
+
+  private cancel(server: string, callId: number, now: ClockReading): void {
     const { cancelLocally, outbox, self } = this.options;
     if (server === self) {
-      cancelLocally(callId);
+      cancelLocally(callId, now);
       return;
     }
     outbox.push({ endpoint: { callId, kind: 'peer', server }, kind: 'drop-body' });
@@ -322,14 +360,6 @@
     });
   }
 
-  private journalCancel(attemptId: number, server: string): void {
-    const call = this.calls.get(this.attempts.get(attemptId)?.callNumber ?? -1);
-    if (call !== undefined) {
-      const detail = 'the answer is no longer wanted';
-      this.options.outbox.journal(call.head.requestId, { detail, kind: 'cancelled', server });
-    }
-  }
-
   private journalGone(callNumber: number): void {
     const call = this.calls.get(callNumber);
     if (call !== undefined) {
--- a/packages/core/src/node/execution-board.ts
+++ b/packages/core/src/node/execution-board.ts
@@ -171,10 +171,20 @@
   }
 
   /** The sender no longer wants the answer. */
-  public cancel(from: string, callId: number): void {
+  public cancel(from: string, callId: number, now: ClockReading): void {
     const execution = this.byCall.get(callKey(from, callId));
-    if (execution !== undefined) {
-      this.withdraw(execution);
+    if (execution === undefined) {
+      return;
+    }
+    const isKeyed = execution.frame.requestClass === RequestClass.NonIdempotent;
+    if (isKeyed && execution.state !== 'waiting') {
+      // Its effect is wanted, and its answer still settles the key's record.
+      return;
+    }
+    this.withdraw(execution);
+    if (isKeyed && !this.executions.has(execution.executionId)) {
+      const refusal = { reason: RefusalReason.DeadlineExpired };
+      this.reply(execution, { callId, kind: 'request-refused', refusal }, now);
     }
   }
 
--- a/packages/core/src/node/keyed-board.ts
+++ b/packages/core/src/node/keyed-board.ts
@@ -103,6 +103,16 @@
     this.applyHomes(this.options.homes.concluded(dispatchId, outcome, answer, now), now);
   }
 
+  /** The end of an attempt that its home had to give up before. */
+  public settled(
+    dispatchId: number,
+    outcome: CallOutcome,
+    answer: KeyedAnswer | undefined,
+    now: ClockReading,
+  ): void {
+    this.applyHomes(this.options.homes.settled(dispatchId, outcome, answer, now), now);
+  }
+
   public storeResult(operationId: number, result: StoreResult, now: ClockReading): void {
     this.applyHomes(this.options.homes.storeResult(operationId, result, now), now);
   }
--- a/packages/core/src/node/node-boards.ts
+++ b/packages/core/src/node/node-boards.ts
@@ -60,13 +60,16 @@
     self,
   });
   const calls = new CallBoard({
-    cancelLocally: (callId) => {
-      executions.cancel(self, callId);
+    cancelLocally: (callId, now) => {
+      executions.cancel(self, callId, now);
     },
     engine,
     homeConcluded: (dispatchId, outcome, answer, now) => {
       boards().keyed.concluded(dispatchId, outcome, answer, now);
     },
+    homeSettled: (dispatchId, outcome, answer, now) => {
+      boards().keyed.settled(dispatchId, outcome, answer, now);
+    },
     localAnswerStream: (callId) => executions.localAnswerStream(callId),
     outbox,
     router,
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -176,7 +176,7 @@
         executions.start(from, start, undefined, now);
       })
       .with({ kind: 'request-cancel' }, ({ callId }) => {
-        executions.cancel(from, callId);
+        executions.cancel(from, callId, now);
       })
       .with({ kind: P.union('request-admitted', 'request-refused') }, (result) => {
         calls.frame(from, result, now);
--- /dev/null
+++ b/packages/core/tests/node/single-node.ts
@@ -0,0 +1,171 @@
+import { createNodeCore, serviceDefaults } from '../../src/index.js';
+import type {
+  ClockReading,
+  CoreCommand,
+  CoreMessage,
+  NodeCore,
+  RequestClass,
+  RunUpstreamCommand,
+} from '../../src/index.js';
+
+const startWall = 1_800_000_000_000;
+const tickMilliseconds = 10;
+
+/** One node with its own clock and a store in memory, driven by hand. */
+export class SingleNode {
+  public readonly commands: CoreCommand[] = [];
+  public monotonic = 0;
+
+  private readonly core: NodeCore;
+  private readonly store = new Map<string, { value: string; version: number }>();
+  private nextRequestNumber = 1;
+
+  public constructor() {
+    this.core = createNodeCore({
+      identity: {
+        availabilityZone: 'zone-a',
+        incarnation: startWall,
+        peerAddress: '127.0.0.1:1',
+        region: 'region-a',
+        server: 'only',
+      },
+      seed: 5,
+    });
+  }
+
+  public get now(): ClockReading {
+    return { monotonic: this.monotonic, wall: startWall + this.monotonic };
+  }
+
+  public send(message: CoreMessage): void {
+    for (const command of this.core.handle(message, this.now)) {
+      this.commands.push(command);
+      if (command.kind === 'store') {
+        this.runStore(command);
+      }
+    }
+  }
+
+  public run(milliseconds: number): void {
+    const end = this.monotonic + milliseconds;
+    while (this.monotonic < end) {
+      this.monotonic += tickMilliseconds;
+      this.send({ kind: 'tick' });
+    }
+  }
+
+  /** Declares the service `antrag`, announces an upstream and waits until keyed requests are taken. */
+  public serve(slots: number): void {
+    const kinds = ['POST', 'GET'] as const;
+    const configuration = {
+      drainedAvailabilityZones: [],
+      drainedServers: [],
+      revision: 0,
+      services: {
+        antrag: {
+          ...serviceDefaults,
+          name: 'antrag',
+          rampMilliseconds: 0,
+          requestKinds: kinds.map((method) => ({
+            method,
+            name: method.toLowerCase(),
+            pathPrefix: '/',
+            requestClass: method === 'GET' ? 'idempotent' : 'non-idempotent',
+          })),
+        },
+      },
+    };
+    this.run(2_000);
+    const proposal = { baseRevision: 0, changeId: 'change-1', configuration, proposalId: 1 };
+    this.send({ ...proposal, kind: 'propose-configuration' });
+    const announcement = { address: '127.0.0.1:2', connections: 10, service: 'antrag', slots };
+    this.send({ announcement, kind: 'upstream-announced' });
+    this.run(15_000);
+  }
+
+  /** Sends a caller's request and returns its number. */
+  public request(
+    requestClass: RequestClass,
+    options: { readonly key?: string; readonly deadlineMilliseconds?: number } = {},
+  ): number {
+    const requestNumber = this.nextRequestNumber;
+    this.nextRequestNumber += 1;
+    this.send({
+      body: new Uint8Array([1]),
+      deadlineMilliseconds: options.deadlineMilliseconds ?? 2_000,
+      digest: 'digest',
+      head: {
+        depth: 0,
+        headers: {},
+        method: requestClass === 'idempotent' ? 'GET' : 'POST',
+        path: '/',
+        requestId: `request-${requestNumber}`,
+        service: 'antrag',
+        tenant: 'default',
+      },
+      key: options.key,
+      kind: 'caller-request',
+      requestClass,
+      requestNumber,
+      streamedBody: false,
+    });
+    return requestNumber;
+  }
+
+  public answer(executionId: number, status = 200, streamedBody = false): void {
+    const body = streamedBody ? undefined : new Uint8Array([7]);
+    const result = { body, headers: {}, kind: 'answered', status, streamedBody } as const;
+    this.send({ executionId, kind: 'upstream-result', result });
+    this.send({ complete: true, executionId, kind: 'upstream-finished' });
+  }
+
+  public of<Kind extends CoreCommand['kind']>(
+    kind: Kind,
+  ): Extract<CoreCommand, { readonly kind: Kind }>[] {
+    return this.commands.filter(
+      (command): command is Extract<CoreCommand, { readonly kind: Kind }> => command.kind === kind,
+    );
+  }
+
+  public get executions(): readonly RunUpstreamCommand[] {
+    return this.of('run-upstream');
+  }
+
+  /** The outcome of a request, in words. */
+  public outcomeOf(requestNumber: number): string | undefined {
+    const reply = this.of('reply-to-caller').find(
+      (command) => command.requestNumber === requestNumber,
+    );
+    if (reply === undefined) {
+      return undefined;
+    }
+    const { outcome } = reply;
+    return outcome.kind === 'answered'
+      ? `answered ${outcome.status}`
+      : `${outcome.kind} ${outcome.reason}`;
+  }
+
+  private runStore(command: Extract<CoreCommand, { readonly kind: 'store' }>): void {
+    const { client, operation, operationId } = command;
+    const found = this.store.get(operation.key);
+    const entry = found && { key: operation.key, ...found };
+    if (operation.kind === 'watch') {
+      return;
+    }
+    if (operation.kind === 'read') {
+      const result =
+        entry === undefined ? { kind: 'missing' as const } : { entry, kind: 'found' as const };
+      this.send({ client, kind: 'store-result', operationId, result });
+      return;
+    }
+    if ((found?.version ?? 0) !== operation.expectedVersion) {
+      const result = { entry, kind: 'conflict' } as const;
+      this.send({ client, kind: 'store-result', operationId, result });
+      return;
+    }
+    const version = operation.expectedVersion + 1;
+    this.store.set(operation.key, { value: operation.value, version });
+    const result = { kind: 'written', version } as const;
+    this.send({ client, kind: 'store-result', operationId, result });
+  }
+}
