--- /dev/null
+++ b/packages/core/tests/homes/home-keeper.test.ts
@@ -0,0 +1,207 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { HomeCommand, HomeSettings, KeyedOutcome, MemberRecord } from '../../src/index.js';
+import { defaultHomeSettings, HomeKeeper } from '../../src/index.js';
+import { MemberDirectory } from '../../src/homes/member-directory.js';
+import { keyCreatedAt } from './shared/home-checks.js';
+import { epoch } from './shared/home-network.js';
+
+const service = 'issuance';
+const key = keyCreatedAt(epoch + 4_000, 1);
+
+function member(server: string, zone: string, ofService = service): MemberRecord {
+  return {
+    availabilityZone: zone,
+    incarnation: 1,
+    peerAddress: server,
+    region: 'r',
+    server,
+    service: ofService,
+    slots: 1,
+    state: 'serving',
+  };
+}
+
+/** A single home that is its own witness, and a store that answers at once. */
+class SingleHome {
+  private now = 0;
+  private stored: { key: string; value: string; version: number } | undefined;
+  private readonly keeper: HomeKeeper;
+  private callId = 0;
+  public readonly dispatches: number[] = [];
+  public readonly replies = new Map<number, KeyedOutcome>();
+
+  public constructor(settings: Partial<HomeSettings> = {}) {
+    const self = { incarnation: 1, server: 'a' };
+    this.keeper = new HomeKeeper(self, { ...defaultHomeSettings, ...settings });
+    this.take(this.keeper.members([member('a', 'z')], this.clock()));
+    this.pass(4_000);
+  }
+
+  public pass(milliseconds: number): void {
+    for (const end = this.now + milliseconds; this.now < end; this.now += 100) {
+      this.take(this.keeper.tick(this.clock()));
+    }
+  }
+
+  /** Sends a request that entered that long ago and returns its outcome, if there is one. */
+  public request(ofKey: string, digest = 'd', age = 0): KeyedOutcome | undefined {
+    this.callId += 1;
+    const head = {
+      depth: 0,
+      headers: {},
+      method: 'POST',
+      path: '/',
+      requestId: '',
+      service,
+      tenant: '',
+    };
+    const frame = {
+      body: new Uint8Array(),
+      callId: this.callId,
+      digest,
+      head,
+      key: ofKey,
+      kind: 'keyed-request',
+      receivedAt: this.clock().wall - age,
+      remainingMilliseconds: 1_000,
+    } as const;
+    this.take(this.keeper.request('entry', frame, this.clock()));
+    return this.replies.get(this.callId);
+  }
+
+  public conclude(kind: 'answered' | 'refused' | 'unknown', bytes = 10): void {
+    const dispatchId = this.dispatches.shift() ?? 0;
+    const answer = { body: new Uint8Array(bytes), headers: {}, status: 201 };
+    const outcome =
+      kind === 'answered'
+        ? ({ kind, status: 201 } as const)
+        : kind === 'refused'
+          ? ({ kind: 'refused-not-run', reason: 'no-slot' } as const)
+          : ({ attemptStarted: true, kind: 'outcome-unknown', reason: 'connection-lost' } as const);
+    this.take(this.keeper.concluded(dispatchId, outcome, answer, this.clock()));
+  }
+
+  public question(ofKey: string): string {
+    const frame = { callId: 0, key: ofKey, kind: 'key-question', service } as const;
+    const [answer] = this.keeper.question('entry', frame, this.clock());
+    return answer?.kind === 'send' && answer.frame.kind === 'key-answer' ? answer.frame.state : '';
+  }
+
+  public get records(): number {
+    return this.keeper.recordUsage.records;
+  }
+
+  private clock(): { monotonic: number; wall: number } {
+    return { monotonic: this.now, wall: epoch + this.now };
+  }
+
+  private take(commands: readonly HomeCommand[]): void {
+    for (const command of commands) {
+      if (command.kind === 'run-keyed') this.dispatches.push(command.dispatchId);
+      if (command.kind === 'keyed-reply') this.replies.set(command.callId, command.outcome);
+      if (command.kind !== 'store') continue;
+      const { operation, operationId } = command;
+      if (operation.kind === 'compare-and-swap') {
+        const version = operation.expectedVersion + 1;
+        this.stored = { key: operation.key, value: operation.value, version };
+        this.take(this.keeper.storeResult(operationId, { kind: 'written', version }, this.clock()));
+      } else {
+        const result =
+          this.stored === undefined
+            ? ({ kind: 'missing' } as const)
+            : ({ entry: this.stored, kind: 'found' } as const);
+        this.take(this.keeper.storeResult(operationId, result, this.clock()));
+      }
+    }
+  }
+}
+
+function reasonOf(outcome: KeyedOutcome | undefined): string {
+  if (outcome === undefined) return 'waits';
+  if (outcome.kind === 'answered') return outcome.recorded ? 'recorded' : 'answered';
+  return outcome.kind === 'not-home' ? 'not-home' : outcome.reason;
+}
+
+test('a resend joins the running attempt and later gets the recorded answer', () => {
+  const home = new SingleHome();
+  home.request(key);
+  home.request(key);
+  assert.is(home.dispatches.length, 1);
+  home.conclude('answered');
+  assert.equal([...home.replies.values()].map(reasonOf), ['answered', 'recorded']);
+  assert.is(reasonOf(home.request(key)), 'recorded');
+  assert.is(home.question(key), 'ran');
+});
+
+test('a key with another body is refused in every state of the key', () => {
+  const home = new SingleHome();
+  home.request(key);
+  assert.is(reasonOf(home.request(key, 'other')), 'key-reused');
+  home.conclude('answered');
+  assert.is(reasonOf(home.request(key, 'other')), 'key-reused');
+  assert.is(home.dispatches.length, 0);
+});
+
+test('a lost dispatch is never dispatched again', () => {
+  const home = new SingleHome();
+  home.request(key);
+  home.conclude('unknown');
+  assert.is(reasonOf(home.request(key)), 'connection-lost');
+  assert.is(home.question(key), 'unknown');
+});
+
+test('an attempt from before a refusal is void, a later one runs', () => {
+  const home = new SingleHome();
+  home.request(key);
+  home.conclude('refused');
+  home.pass(200);
+  assert.is(reasonOf(home.request(key, 'd', 300)), 'void-attempt');
+  home.pass(1_100);
+  assert.is(reasonOf(home.request(key)), 'waits');
+  assert.is(home.dispatches.length, 1);
+});
+
+test('an answer that a question got is not contradicted by an earlier attempt', () => {
+  const home = new SingleHome();
+  assert.is(home.question(key), 'not-run');
+  home.pass(200);
+  assert.is(reasonOf(home.request(key, 'd', 300)), 'void-attempt');
+});
+
+test('a full store refuses new keys, and attempts from then stay void', () => {
+  const home = new SingleHome({ maximumRecords: 1, retentionMilliseconds: 10_000 });
+  home.request(key);
+  home.conclude('answered');
+  home.pass(5_000);
+  const late = keyCreatedAt(epoch + 9_000, 2);
+  assert.is(reasonOf(home.request(late)), 'key-store-full');
+  assert.is(home.records, 1);
+  home.pass(8_000);
+  assert.is(reasonOf(home.request(late, 'd', 8_000)), 'void-attempt');
+});
+
+test('kept answers are dropped before keys, and the answer says so', () => {
+  const home = new SingleHome({ keyRecordBytes: 1_000 });
+  home.request(key);
+  home.conclude('answered', 500);
+  home.request(keyCreatedAt(epoch + 4_000, 2));
+  home.conclude('answered', 500);
+  assert.is(reasonOf(home.request(key)), 'answer-not-kept');
+});
+
+test('witnesses are spread over zones, own servers first, in an odd number', () => {
+  const directory = new MemberDirectory(defaultHomeSettings);
+  const own = [member('a1', 'za'), member('a2', 'za'), member('b1', 'zb')];
+  const others = ['za', 'zb', 'zc'].map((zone) => member(`other-${zone}`, zone, 'retirement'));
+  directory.update(own);
+  assert.is(directory.chooseWitnesses(service, []).length, 3);
+  directory.update([...own, ...others]);
+  const chosen = directory.chooseWitnesses(service, []);
+  assert.is(chosen.length, 5);
+  assert.ok(chosen.includes('other-zc') && chosen.includes('b1'));
+  assert.ok(chosen.filter((server) => server.startsWith('a') || server === 'other-za').length <= 2);
+});
+
+test.run();
--- /dev/null
+++ b/packages/core/tests/homes/lease.test.ts
@@ -0,0 +1,145 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { HomeConfirmFrame, HomePromiseFrame, HomeTable } from '../../src/index.js';
+import { defaultHomeSettings as settings } from '../../src/index.js';
+import { Lease } from '../../src/homes/lease.js';
+import {
+  firstTable,
+  handOverTable,
+  takeoverTable,
+  witnessChangeTable,
+} from '../../src/homes/table-plan.js';
+import { Witness } from '../../src/homes/witness.js';
+
+const lease = settings.leaseMilliseconds;
+const a = { incarnation: 1, server: 'a' };
+const b = { incarnation: 1, server: 'b' };
+const first = firstTable('issuance', a, ['w1', 'w2', 'w3']);
+const second = takeoverTable(
+  first,
+  [b],
+  () => false,
+  () => [],
+);
+const third = handOverTable(first, new Map([[0, { home: b, transfer: 't' }]]));
+
+function confirm(table: HomeTable | undefined, released = false): HomeConfirmFrame {
+  if (table === undefined) throw new Error('the table is missing');
+  return { kind: 'home-confirm', released, sequence: 1, service: 'issuance', table };
+}
+
+function startedWitness(storedVersion = 1): Witness {
+  const witness = new Witness(settings);
+  witness.start(0);
+  witness.tableRead('issuance', storedVersion);
+  return witness;
+}
+
+function accepts(witness: Witness, from: string, frame: HomeConfirmFrame, at: number): boolean {
+  const answer = witness.confirm(from, frame, at);
+  return answer.kind === 'answer' && answer.frame.accepted;
+}
+
+test('a restarted witness may have forgotten a promise, so it waits a lease and reads the table', () => {
+  const witness = new Witness(settings);
+  witness.start(0);
+  assert.is(witness.confirm('a', confirm(first), lease).kind, 'read-first');
+  witness.tableRead('issuance', 1);
+  assert.not.ok(accepts(witness, 'a', confirm(first), lease - 1));
+  assert.ok(accepts(witness, 'a', confirm(first), lease));
+  assert.not.ok(accepts(startedWitness(2), 'a', confirm(first), lease));
+});
+
+const takeovers = [
+  {
+    name: 'takeover within the promise',
+    table: second,
+    from: 'b',
+    released: false,
+    at: 2 * lease - 1,
+    expected: false,
+  },
+  {
+    name: 'takeover after the promise',
+    table: second,
+    from: 'b',
+    released: false,
+    at: 2 * lease,
+    expected: true,
+  },
+  {
+    name: 'hand-over before the release',
+    table: third,
+    from: 'b',
+    released: false,
+    at: lease + 1,
+    expected: false,
+  },
+  {
+    name: 'hand-over released by the home',
+    table: third,
+    from: 'a',
+    released: true,
+    at: lease + 1,
+    expected: true,
+  },
+  {
+    name: 'release by another than the home',
+    table: third,
+    from: 'b',
+    released: true,
+    at: lease + 1,
+    expected: false,
+  },
+];
+
+for (const { at, expected, from, name, released, table } of takeovers) {
+  test(`two homes must not hold a range at once: ${name}`, () => {
+    const witness = startedWitness();
+    assert.ok(accepts(witness, 'a', confirm(first), lease));
+    assert.is(accepts(witness, from, confirm(table, released), at), expected);
+  });
+}
+
+test('a witness that accepted a newer table tells the old home and never goes back', () => {
+  const witness = startedWitness();
+  assert.ok(accepts(witness, 'b', confirm(second), lease));
+  const answer = witness.confirm('a', confirm(first), 5 * lease);
+  if (answer.kind !== 'answer') throw new Error('the witness has read the table');
+  assert.not.ok(answer.frame.accepted);
+  assert.is(answer.frame.table?.version, 2);
+});
+
+function promise(sequence: number, version: number, accepted = true): HomePromiseFrame {
+  return { accepted, kind: 'home-promise', sequence, service: 'issuance', version };
+}
+
+test('a lease counts from the sending of the request and needs a majority', () => {
+  const home = new Lease(settings, 0);
+  home.round(first, true, 100);
+  home.promised('w1', promise(1, 1));
+  assert.is(home.validUntil(first), Number.NEGATIVE_INFINITY);
+  home.promised('w2', promise(1, 1, false));
+  home.promised('w2', promise(7, 1));
+  home.promised('w2', promise(1, 2));
+  assert.is(home.validUntil(first), Number.NEGATIVE_INFINITY);
+  home.promised('w2', promise(1, 1));
+  assert.is(home.validUntil(first), 100 + lease);
+  home.round(first, true, 100 + settings.confirmRetryMilliseconds);
+  home.promised('w1', promise(2, 1));
+  assert.is(home.validUntil(first), 100 + lease, 'one renewed promise is no majority');
+});
+
+test('while witnesses change, a lease needs a majority of both sets', () => {
+  const changing = witnessChangeTable(first, ['w3', 'w4', 'w5']);
+  if (changing === undefined) throw new Error('the table is missing');
+  const home = new Lease(settings, 0);
+  home.round(changing, true, 0);
+  for (const witness of ['w1', 'w2', 'w4']) home.promised(witness, promise(1, 2));
+  assert.is(home.validUntil(changing), Number.NEGATIVE_INFINITY);
+  home.promised('w5', promise(1, 2));
+  assert.is(home.validUntil(changing), lease);
+});
+
+test.run();
