Keep ranges closed while a table without homes may still take effect

A stopping last server that gets a recipient late could abandon the hand-over and accept again while its lost write of the empty table was still under way; that table drops the quorums. The ranges now stay closed until the version has moved on. The random networks also report live nodes as dead, and a case covers a range that another home held in between.

--- a/packages/core/src/homes/table-maintenance.ts
+++ b/packages/core/src/homes/table-maintenance.ts
@@ -27,6 +27,8 @@
   private readonly needs: TableNeeds;
   private handOver: HandOver | undefined;
   private isStopping = false;
+  /** A table without homes was sent to the store and may still take effect. */
+  private mayBecomeEmpty = false;
   private nextLookAt = Number.NEGATIVE_INFINITY;
   private wokenAt = Number.NEGATIVE_INFINITY;
   private isRefreshWanted = false;
@@ -101,6 +103,7 @@
 
   public writing(table: HomeTable): void {
     if (this.handOver?.isCompletedBy(table) === true) this.handOver.writing();
+    if (table.quorums.length === 0) this.mayBecomeEmpty = true;
   }
 
   public committed(table: HomeTable, isOwn: boolean, now: ClockReading): void {
@@ -114,6 +117,7 @@
   /** Ends or continues a hand-over after a newer table was adopted, before tenures end by it. */
   public tableAdopted(table: HomeTable, previous: HomeTable | undefined, now: ClockReading): void {
     this.nextSpreadAt = now.monotonic + this.parts.settings.spreadIntervalMilliseconds;
+    this.mayBecomeEmpty = false;
     const { handOver } = this;
     if (handOver === undefined) return;
     const isCompleted = handOver.isCompletedBy(table);
@@ -163,6 +167,10 @@
   private abandonHandOver(): void {
     this.handOver?.abandon();
     this.handOver = undefined;
+    // The table without homes drops the quorums, so its late effect must find nothing accepting.
+    if (this.mayBecomeEmpty) {
+      for (const tenure of this.homes.tenures.values()) tenure.isAccepting = false;
+    }
     this.parts.outbox.count('home_hand_overs', { result: 'abandoned' });
   }
 
--- a/packages/core/tests/homes/home-keeper.test.ts
+++ b/packages/core/tests/homes/home-keeper.test.ts
@@ -45,6 +45,16 @@
     }
   }
 
+  /** Shows the home a table in which it has held its ranges only since the newest version. */
+  public loseAndRegain(): void {
+    const known = this.keeper.table(service);
+    if (known === undefined) throw new Error('the table is missing');
+    const version = known.version + 2;
+    const ranges = known.ranges.map((home) => home && { ...home, since: version });
+    const table = { ...known, ranges, version };
+    this.take(this.keeper.frame('b', { kind: 'home-table', service, table }, this.clock()));
+  }
+
   /** Sends a request that entered that long ago and returns its outcome, if there is one. */
   public request(ofKey: string, digest = 'd', age = 0): KeyedOutcome | undefined {
     this.callId += 1;
@@ -163,6 +173,15 @@
   assert.is(home.dispatches.length, 1);
 });
 
+test('a range that another home held in between starts again with a cutoff', () => {
+  const home = new SingleHome();
+  home.request(key);
+  home.conclude('answered');
+  home.loseAndRegain();
+  home.pass(4_000);
+  assert.is(reasonOf(home.request(key)), 'created-before-takeover');
+});
+
 test('an answer that a question got is not contradicted by an earlier attempt', () => {
   const home = new SingleHome();
   assert.is(home.question(key), 'not-run');
--- a/packages/core/tests/homes/home-network.test.ts
+++ b/packages/core/tests/homes/home-network.test.ts
@@ -24,7 +24,16 @@
 
 const fault = fc.record({
   at: fc.nat(faultyMilliseconds - 4_000),
-  kind: fc.constantFrom('crash', 'restart', 'freeze', 'cut', 'stop', 'outage', 'add'),
+  kind: fc.constantFrom(
+    'crash',
+    'restart',
+    'freeze',
+    'cut',
+    'false-alarm',
+    'stop',
+    'outage',
+    'add',
+  ),
   server: fc.nat(serverCount - 1),
   time: fc.integer({ max: 8_000, min: 200 }),
 });
@@ -42,6 +51,7 @@
     else if (network.nodes.get(name)?.state !== 'up') return;
     else if (kind === 'freeze') network.freeze(name, time);
     else if (kind === 'cut') network.cutOff(name, time);
+    else if (kind === 'false-alarm') network.reportDead(name, time);
     else if (kind === 'stop') network.stop(name);
     else {
       network.crash(name);
--- a/packages/core/tests/homes/shared/home-network.ts
+++ b/packages/core/tests/homes/shared/home-network.ts
@@ -180,6 +180,16 @@
     });
   }
 
+  /** Lets every node take a live one for dead for a while. */
+  public reportDead(server: string, milliseconds: number): void {
+    const node = this.node(server);
+    const { life } = node;
+    this.spreadMember(node, 'dead', 0);
+    this.after(milliseconds, () => {
+      if (node.life === life && node.state === 'up') this.rejoin(node);
+    });
+  }
+
   /** Cuts a node off from the other nodes, but not from the store. */
   public cutOff(server: string, milliseconds: number): void {
     const node = this.node(server);
