Test that only whole and named transfers are used

A mutation trial on a scratch copy showed that the random networks do not notice when records of an abandoned transfer are used; the case table does.

--- /dev/null
+++ b/packages/core/tests/homes/transfer-inbox.test.ts
@@ -0,0 +1,69 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { RecordsTransferFrame } from '../../src/index.js';
+import { defaultHomeSettings } from '../../src/index.js';
+import { KeyStore } from '../../src/homes/key-store.js';
+import { firstTable } from '../../src/homes/table-plan.js';
+import { TransferInbox } from '../../src/homes/transfer-inbox.js';
+
+function part(transfer: string, number: number, last: boolean): RecordsTransferFrame {
+  const key = `${transfer}-${number}`;
+  return {
+    cutoff: 5,
+    kind: 'records-transfer',
+    last,
+    part: number,
+    range: 0,
+    records: [{ digest: 'd', key, recordedAt: 1, state: 'ran', status: 201 }],
+    service: 'issuance',
+    transfer,
+    voidUntil: 6,
+  };
+}
+
+const wanted = 'a/1/2';
+const cases = [
+  {
+    name: 'whole, parts in any order',
+    parts: [part(wanted, 1, true), part(wanted, 0, false)],
+    count: 2,
+  },
+  { name: 'a part sent twice', parts: [part(wanted, 0, true), part(wanted, 0, true)], count: 1 },
+  { name: 'a part missing', parts: [part(wanted, 1, true)], count: undefined },
+  { name: 'the last part missing', parts: [part(wanted, 0, false)], count: undefined },
+  { name: 'an abandoned transfer', parts: [part('a/1/1', 0, true)], count: undefined },
+  {
+    name: 'mixed with an abandoned transfer',
+    parts: [part('a/1/1', 0, false), part(wanted, 1, true)],
+    count: undefined,
+  },
+];
+
+for (const { count, name, parts } of cases) {
+  test(`only the whole transfer that the table names is used, or keys would run again: ${name}`, () => {
+    const inbox = new TransferInbox(new KeyStore(defaultHomeSettings));
+    for (const frame of parts) assert.ok(inbox.receive('a', frame));
+    assert.is(inbox.take('issuance/0', wanted)?.records.length, count);
+  });
+}
+
+test('a transfer is dropped when its sender is no longer the home, and kept while it is', () => {
+  for (const [server, isKept] of [
+    ['a', true],
+    ['c', false],
+  ] as const) {
+    const inbox = new TransferInbox(new KeyStore(defaultHomeSettings));
+    inbox.receive('a', part(wanted, 0, true));
+    inbox.tableAdopted(firstTable('issuance', { incarnation: 1, server }, []));
+    assert.is(inbox.take('issuance/0', wanted) !== undefined, isKept);
+  }
+});
+
+test('records without room are not acknowledged, so the sender keeps them', () => {
+  const inbox = new TransferInbox(new KeyStore({ ...defaultHomeSettings, maximumRecords: 1 }));
+  assert.ok(inbox.receive('a', part(wanted, 0, false)));
+  assert.not.ok(inbox.receive('a', part(wanted, 1, true)));
+});
+
+test.run();
