--- a/packages/core/src/homes/home-keeper.ts
+++ b/packages/core/src/homes/home-keeper.ts
@@ -265,11 +265,14 @@
         }
       }
     }
-    const isDone = [...this.services.values()].every((service) => service.maintenance.isHandedOver);
-    if (this.isStopping && !this.hasHandedOver && isDone) {
+    if (this.isStopping && !this.hasHandedOver && this.isHandedOver()) {
       this.hasHandedOver = true;
       finished.push({ kind: 'handed-over' });
     }
     return finished;
   }
+
+  private isHandedOver(): boolean {
+    return [...this.services.values()].every(({ maintenance }) => maintenance.isHandedOver);
+  }
 }
--- a/packages/core/src/homes/home-outbox.ts
+++ b/packages/core/src/homes/home-outbox.ts
@@ -34,10 +34,6 @@
     this.commands.push({ kind: 'run-keyed', ...command });
   }
 
-  public handedOver(): void {
-    this.commands.push({ kind: 'handed-over' });
-  }
-
   public reply(to: Waiter, outcome: KeyedOutcome): void {
     this.commands.push({ callId: to.callId, kind: 'keyed-reply', outcome, to: to.from });
   }
--- a/packages/core/tests/homes/home-takeover.test.ts
+++ b/packages/core/tests/homes/home-takeover.test.ts
@@ -156,6 +156,19 @@
   assert.equal(violations(network), []);
 });
 
+test('a witness that is gone for good is replaced, and the old set is dropped', () => {
+  const network = settled(5, 6);
+  const [gone] = network.table()?.quorums[0] ?? [];
+  assert.ok(gone !== undefined);
+  network.crash(gone);
+  network.runFor(25_000);
+  const quorums = network.table()?.quorums ?? [];
+  assert.is(quorums.length, 1);
+  assert.is(quorums[0]?.length, 5);
+  assert.not.ok(quorums[0]?.includes(gone));
+  assert.ok(sendFresh(network, 500).every(isAnswered));
+});
+
 test('an outage of the store stops no live home', () => {
   const network = settled(4, 3);
   network.storeIsUp = false;
--- a/packages/core/tests/homes/transfer-inbox.test.ts
+++ b/packages/core/tests/homes/transfer-inbox.test.ts
@@ -3,7 +3,9 @@
 
 import type { RecordsTransferFrame } from '../../src/index.js';
 import { defaultHomeSettings } from '../../src/index.js';
+import { HandOver } from '../../src/homes/hand-over.js';
 import { KeyStore } from '../../src/homes/key-store.js';
+import { RangeTenure } from '../../src/homes/range-tenure.js';
 import { firstTable } from '../../src/homes/table-plan.js';
 import { TransferInbox } from '../../src/homes/transfer-inbox.js';
 
@@ -66,4 +68,31 @@
   assert.not.ok(inbox.receive('a', part(wanted, 1, true)));
 });
 
+test('the table is not written before the new home has acknowledged every part', () => {
+  const records = new KeyStore({ ...defaultHomeSettings });
+  const settings = { ...defaultHomeSettings, transferPartBytes: 1 };
+  for (const record of [part('x', 0, false), part('x', 1, true)].flatMap((sent) => sent.records)) {
+    records.restore('issuance/0', record);
+  }
+  const tenure = new RangeTenure('issuance/0', 0, { incarnation: 1, server: 'a', since: 1 });
+  tenure.isActivated = true;
+  const homes = new Map([[tenure, { incarnation: 1, server: 'b' }]]);
+  const handOver = new HandOver(wanted, homes, settings, 0);
+  assert.not.ok(tenure.isAccepting);
+  assert.is(handOver.tick(() => true, records, 0).length, 0, 'an attempt is still running');
+  const sent = handOver.tick(() => false, records, 10);
+  assert.is(sent.length, 2);
+  assert.is(handOver.tick(() => false, records, 600).length, 2, 'unacknowledged parts go again');
+  for (const { frame } of sent) {
+    assert.not.ok(handOver.mayBeWritten);
+    const { part: number, range, service } = frame;
+    const received = { kind: 'records-received', part: number, range, service } as const;
+    handOver.received('b', { ...received, transfer: 'a/1/1' });
+    handOver.received('c', { ...received, transfer: wanted });
+    assert.not.ok(handOver.mayBeWritten);
+    handOver.received('b', { ...received, transfer: wanted });
+  }
+  assert.ok(handOver.mayBeWritten);
+});
+
 test.run();
