--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,4 +19,7 @@
 export * from './gate/gate-contract.js';
 export * from './homes/home-contract.js';
 export * from './membership/membership-contract.js';
+export { Membership } from './membership/membership.js';
+export type { MembershipOptions } from './membership/membership.js';
+export type { Seed } from './membership/seed-layout.js';
 export * from './routing/router-contract.js';
--- a/packages/core/src/messages/frames.ts
+++ b/packages/core/src/messages/frames.ts
@@ -1,6 +1,6 @@
 import type { HomeTable, KeyRecord } from './home-table.js';
 import type { LoadReport } from './load-report.js';
-import type { MemberRecord } from './member.js';
+import type { MemberRecord, ZoneReachability } from './member.js';
 import type { Refusal, RefusalReason, RequestClass, UnknownReason } from './outcome.js';
 import type { Configuration } from './service-configuration.js';
 
@@ -231,7 +231,6 @@
 export interface PingFrame {
   readonly kind: 'ping';
   readonly sequence: number;
-  /** Server that the ping is meant for when it is sent on behalf of another node. */
   readonly updates: readonly MemberRecord[];
   readonly configurationRevision: number;
 }
@@ -255,17 +254,49 @@
 export interface MemberUpdatesFrame {
   readonly kind: 'member-updates';
   readonly updates: readonly MemberRecord[];
+  /** Reachability of other zones as the sender's bridges see it; only sent within a zone. */
+  readonly zones?: readonly ZoneReachability[] | undefined;
 }
 
-/** Compares what two nodes know; the receiver answers with the records that the sender lacks. */
-export interface MemberSyncFrame {
+/** Server, incarnation and rank of the state: enough to see which of two records is newer. */
+export type MemberStamp = readonly [server: string, incarnation: number, stateRank: number];
+
+/** First step of a comparison: digest of the live members of each availability zone. */
+export interface MemberSyncZonesFrame {
+  readonly kind: 'member-sync';
+  readonly step: 'zones';
+  readonly digests: Readonly<Record<string, number>>;
+}
+
+/** Second step: digests of the buckets of a zone whose digests differ. */
+export interface MemberSyncBucketsFrame {
   readonly kind: 'member-sync';
-  readonly digest: number;
-  /** Present when the digests differed: all records of the sender. */
-  readonly records?: readonly MemberRecord[] | undefined;
-  readonly reply: boolean;
+  readonly step: 'buckets';
+  readonly availabilityZone: string;
+  readonly digests: readonly number[];
 }
 
+/** Third step: what the sender has in the buckets that differ. */
+export interface MemberSyncStampsFrame {
+  readonly kind: 'member-sync';
+  readonly step: 'stamps';
+  readonly availabilityZone: string;
+  readonly buckets: readonly number[];
+  readonly stamps: readonly MemberStamp[];
+}
+
+/** Fourth step: records that are newer at the sender, and servers whose records it wants. */
+export interface MemberSyncRecordsFrame {
+  readonly kind: 'member-sync';
+  readonly step: 'records';
+  readonly records: readonly MemberRecord[];
+  readonly wanted: readonly string[];
+}
+
+/** Compares what two nodes know; each step answers the one before and is bounded in size. */
+export type MemberSyncFrame =
+  MemberSyncZonesFrame | MemberSyncBucketsFrame | MemberSyncStampsFrame | MemberSyncRecordsFrame;
+
 export type MembershipFrame =
   PingFrame | AcknowledgementFrame | PingRequestFrame | MemberUpdatesFrame | MemberSyncFrame;
 
--- a/packages/core/src/messages/member.ts
+++ b/packages/core/src/messages/member.ts
@@ -19,6 +19,19 @@
   readonly service: string | undefined;
   readonly slots: number;
   readonly state: MemberState;
+  /**
+   * Start of the process in Unix milliseconds. Unlike the incarnation it stays the same when a
+   * suspicion is refuted or a change is announced, so it tells a restart from those.
+   */
+  readonly startedAt?: number | undefined;
+}
+
+/** Whether an availability zone can be reached from the zone of those who say so. */
+export interface ZoneReachability {
+  readonly availabilityZone: string;
+  readonly reachable: boolean;
+  /** Orders the statements about a zone: wall time of the bridge, raised above earlier statements. */
+  readonly at: number;
 }
 
 /** What an upstream says of itself to the node beside it. */
