--- a/packages/core/src/configuration/configuration-writer.ts
+++ b/packages/core/src/configuration/configuration-writer.ts
@@ -1,4 +1,5 @@
 import type { Configuration } from '../messages/service-configuration.js';
+import type { StoreEntry } from '../messages/store.js';
 import { BackOff } from '../shared/back-off.js';
 import type { ClockReading } from '../shared/clock-reading.js';
 import type { RandomSource } from '../shared/random-source.js';
@@ -169,23 +170,40 @@
     }
   }
 
-  /** Creates a record. One that exists with the same text was written by an earlier try. */
+  /** Creates a record; a lost answer is resolved by reading. */
   private write(record: NewRecord, now: ClockReading, done: (now: ClockReading) => void): void {
     const operation = { kind: 'compare-and-swap', expectedVersion: 0, ...record } as const;
     this.parts.requests.start(operation, now, (result, later) => {
       if (this.parts.isStopped()) return;
-      if (result.kind === 'unknown') {
+      if (result.kind === 'written') done(later);
+      else if (result.kind === 'conflict') this.checkExisting(record, result.entry, later, done);
+      else this.resolve(record, later, done);
+    });
+  }
+
+  private resolve(record: NewRecord, now: ClockReading, done: (now: ClockReading) => void): void {
+    this.parts.requests.start({ kind: 'read', key: record.key }, now, (result, later) => {
+      if (this.parts.isStopped()) return;
+      if (result.kind === 'found') this.checkExisting(record, result.entry, later, done);
+      else if (result.kind === 'missing') this.write(record, later, done);
+      else
         this.retry(later, (time) => {
-          this.write(record, time, done);
+          this.resolve(record, time, done);
         });
-      } else if (result.kind === 'conflict' && result.entry?.value !== record.value) {
-        this.parts.refused(`change identifier ${this.changeId} belongs to another change`);
-      } else {
-        done(later);
-      }
     });
   }
 
+  /** A record that exists with the same text was written by an earlier try. */
+  private checkExisting(
+    record: NewRecord,
+    entry: StoreEntry | undefined,
+    now: ClockReading,
+    done: (now: ClockReading) => void,
+  ): void {
+    if (entry?.value === record.value) done(now);
+    else this.parts.refused(`change identifier ${this.changeId} belongs to another change`);
+  }
+
   private retry(now: ClockReading, action: (now: ClockReading) => void): void {
     this.parts.timers.after(now, this.backOff.next(), (later) => {
       if (!this.parts.isStopped()) action(later);
