State the reachability of all zones in one statement

A bridge now states the whole list of unreachable zones, the newest statement wins, and the first bridge repeats it every 30 s even when it is empty.

--- a/packages/core/src/membership/member-comparison.ts
+++ b/packages/core/src/membership/member-comparison.ts
@@ -167,7 +167,9 @@
 
   private pickPartner(): MemberEntry | undefined {
     const { table, random, self, ownZone } = this.links;
-    const others = [...table.zones.values()].filter((zone) => zone !== ownZone() && zone.reachable);
+    const others = [...table.zones.values()].filter(
+      (zone) => zone !== ownZone() && table.isReachable(zone),
+    );
     const other = random.next() < 1 / otherZoneEvery ? pickRandom(random, others) : undefined;
     return table.pick(other ?? ownZone(), random, (entry) => entry !== self());
   }
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -11,6 +11,8 @@
 /** All known members, by server and by availability zone. */
 export class MemberTable {
   public readonly zones = new Map<string, ZoneMembers>();
+  /** Zones that the bridges of this node's zone can't reach. */
+  public unreachable: ReadonlySet<string> = new Set();
   private readonly entries = new Map<string, MemberEntry>();
   private readonly ended = new Set<MemberEntry>();
   /** Zone, region and service names recur in every record, so each is kept once. */
@@ -28,6 +30,10 @@
     return this.zones.get(name);
   }
 
+  public isReachable(zone: ZoneMembers): boolean {
+    return !this.unreachable.has(zone.name);
+  }
+
   public records(): readonly MemberRecord[] {
     return Array.from(this.entries.values(), (entry) => entry.record);
   }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -67,8 +67,8 @@
     );
     this.detector = new FailureDetector(this.links, this.news.updates);
     this.comparison = new MemberComparison(this.links);
-    this.bridge = new ZoneBridge(this.links, this.detector, (statement, now) => {
-      this.reachability.learn(statement, this.bridge, now);
+    this.bridge = new ZoneBridge(this.links, this.detector, (zone, isReachable, now) => {
+      this.reachability.declare(zone, isReachable, this.bridge, now);
     });
     const { links, news, detector, comparison, bridge } = this;
     const revisionSeen = (server: string, revision: number): void => {
@@ -173,6 +173,7 @@
       this.detector.tick(now);
       this.comparison.tick(now);
       this.bridge.tick(isBridge, now);
+      this.reachability.tick(isBridge, this.bridge, now);
       this.seeds.tick(isBridge, now);
       this.pings.pingEnded(now);
     }
@@ -189,7 +190,8 @@
 
   /** Whether the bridges of this zone reach the given zone. */
   public isReachable(availabilityZone: string): boolean {
-    return this.table.zone(availabilityZone)?.reachable ?? false;
+    const zone = this.table.zone(availabilityZone);
+    return zone !== undefined && this.table.isReachable(zone);
   }
 
   /** Other live members of the own availability zone, for those who pass something on in it. */
@@ -252,9 +254,7 @@
         this.links.send(record, { kind: 'member-updates', updates: [record] });
       }
     }
-    for (const statement of frame.zones ?? []) {
-      this.reachability.learn(statement, this.bridge, now);
-    }
+    if (frame.zones !== undefined) this.reachability.learn(frame.zones, this.bridge, now);
   }
 
   private learn(record: MemberRecord, origin: RecordOrigin, now: ClockReading): boolean {
@@ -266,7 +266,8 @@
     if (applied === undefined) return false;
     const zone = this.table.zone(record.availabilityZone);
     const member = applied.entry.record;
-    this.commands.push({ kind: 'member-changed', member, reachable: zone?.reachable ?? true });
+    const reachable = zone === undefined || this.table.isReachable(zone);
+    this.commands.push({ kind: 'member-changed', member, reachable });
     this.detector.recordChanged(record, now);
     this.noticeZoneMember(record, now);
     if (!origin.isNews) return true;
--- a/packages/core/src/membership/news-spreader.ts
+++ b/packages/core/src/membership/news-spreader.ts
@@ -53,7 +53,7 @@
   public passReachability(statement: ZoneReachability): void {
     const targets = this.pickMembers([]);
     for (const { record } of targets) {
-      this.links.send(record, { kind: 'member-updates', updates: [], zones: [statement] });
+      this.links.send(record, { kind: 'member-updates', updates: [], zones: statement });
     }
   }
 
--- a/packages/core/src/membership/ping-exchange.ts
+++ b/packages/core/src/membership/ping-exchange.ts
@@ -53,7 +53,7 @@
     const sender = links.table.get(from);
     const zone = sender && links.table.zone(sender.record.availabilityZone);
     if (sender === undefined || zone === undefined || zone === links.ownZone()) return;
-    const wasReachable = zone.reachable;
+    const wasReachable = links.table.isReachable(zone);
     bridge.heard(zone, now);
     if (!wasReachable) comparison.start(sender.record);
   }
--- a/packages/core/src/membership/zone-bridge.ts
+++ b/packages/core/src/membership/zone-bridge.ts
@@ -1,4 +1,4 @@
-import { MemberState, type MemberRecord, type ZoneReachability } from '../messages/member.js';
+import { MemberState, type MemberRecord } from '../messages/member.js';
 import type { ClockReading } from '../shared/clock-reading.js';
 import type { FailureDetector } from './failure-detector.js';
 import type { MembershipLinks } from './membership-links.js';
@@ -12,8 +12,6 @@
 const doubtfulZonesPerRound = 4;
 /** Pings in a row, each to another member, after whose silence a zone counts as unreachable. */
 const silentPings = 4;
-/** A statement about a zone is repeated this often, for members that started since. */
-const repeatMilliseconds = 30_000;
 /** Updates of the own zone that are kept for the other zones; older ones are left to comparisons. */
 const logCapacity = 1_024;
 /** Urgent updates sent to every zone at once, per second and after a quiet time. */
@@ -36,7 +34,6 @@
   private logStart = 0;
   private isActive = false;
   private nextRoundAt = 0;
-  private nextRepeatAt = 0;
   private rotation: string[] = [];
   private urgentTokens = urgentBurst;
   private tokensAt = 0;
@@ -44,7 +41,7 @@
   public constructor(
     private readonly links: MembershipLinks,
     private readonly detector: FailureDetector,
-    private readonly state: (statement: ZoneReachability, now: ClockReading) => void,
+    private readonly declare: (zone: ZoneMembers, isReachable: boolean, now: ClockReading) => void,
   ) {}
 
   /** An update of the own zone that other zones have to learn. */
@@ -58,7 +55,7 @@
     }
     if (!isUrgent || !this.takeUrgentToken(now)) return;
     for (const zone of this.otherZones()) {
-      const bridge = zone.reachable ? this.pickBridge(zone) : undefined;
+      const bridge = this.links.table.isReachable(zone) ? this.pickBridge(zone) : undefined;
       if (bridge === undefined) continue;
       this.links.send(bridge.record, { kind: 'member-updates', updates: [record] });
     }
@@ -70,7 +67,7 @@
     if (link === undefined) return;
     link.lastHeard = now.monotonic;
     link.silent = 0;
-    if (!zone.reachable) this.declare(zone, true, now);
+    if (!this.links.table.isReachable(zone)) this.declare(zone, true, now);
   }
 
   /** Whether this node has itself heard from the zone a moment ago. */
@@ -102,7 +99,7 @@
     for (const zone of zones) {
       const link = this.linkOf(zone, now);
       this.checkAnswer(zone, link, now);
-      if (zone.reachable && link.silent > 0) doubtful.push(zone);
+      if (this.links.table.isReachable(zone) && link.silent > 0) doubtful.push(zone);
     }
     const asked = new Set(doubtful.slice(0, doubtfulZonesPerRound));
     for (const zone of this.takeTurns(zones)) {
@@ -111,7 +108,6 @@
     for (const zone of asked) {
       this.ping(zone, this.linkOf(zone, now), now);
     }
-    this.repeatStatements(zones, now);
   }
 
   private otherZones(): readonly ZoneMembers[] {
@@ -134,7 +130,9 @@
     if (link.pingedAt === undefined) return;
     if (link.lastHeard < link.pingedAt) link.silent += 1;
     link.pingedAt = undefined;
-    if (zone.reachable && link.silent >= silentPings) this.declare(zone, false, now);
+    if (link.silent < silentPings || !this.links.table.isReachable(zone)) return;
+    link.silent = 0;
+    this.declare(zone, false, now);
   }
 
   private takeTurns(zones: readonly ZoneMembers[]): readonly ZoneMembers[] {
@@ -150,7 +148,7 @@
 
   private ping(zone: ZoneMembers, link: ZoneLink, now: ClockReading): void {
     // The bridges of a silent zone may have gone; any of its members can show that it is reachable.
-    const isSilent = link.silent > 0 || !zone.reachable;
+    const isSilent = link.silent > 0 || !this.links.table.isReachable(zone);
     const target = isSilent
       ? this.links.table.pick(zone, this.links.random, () => true)
       : this.pickBridge(zone);
@@ -171,20 +169,6 @@
     return bridges[Math.floor(this.links.random.next() * bridges.length)];
   }
 
-  private declare(zone: ZoneMembers, reachable: boolean, now: ClockReading): void {
-    const at = Math.max(now.wall, zone.reachabilityAt + 1);
-    this.state({ availabilityZone: zone.name, reachable, at }, now);
-  }
-
-  private repeatStatements(zones: readonly ZoneMembers[], now: ClockReading): void {
-    if (now.monotonic < this.nextRepeatAt) return;
-    this.nextRepeatAt = now.monotonic + repeatMilliseconds;
-    if (this.links.ownZone().bridges()[0] !== this.links.self()) return;
-    for (const zone of zones) {
-      if (!zone.reachable) this.declare(zone, false, now);
-    }
-  }
-
   private takeUrgentToken(now: ClockReading): boolean {
     const refill = ((now.monotonic - this.tokensAt) * urgentPerSecond) / 1_000;
     this.tokensAt = now.monotonic;
--- a/packages/core/src/membership/zone-members.ts
+++ b/packages/core/src/membership/zone-members.ts
@@ -27,10 +27,6 @@
   public readonly digests = new Uint32Array(bucketCount);
   /** Digest of all live members. */
   public digest = 0;
-  /** Set when the zone's bridges can't be reached from here. */
-  public reachable = true;
-  /** Time of the newest statement about the zone's reachability. */
-  public reachabilityAt = 0;
   private ranked: MemberEntry[] = [];
   private isRankedComplete = true;
 
--- a/packages/core/src/messages/frames.ts
+++ b/packages/core/src/messages/frames.ts
@@ -255,7 +255,7 @@
   readonly kind: 'member-updates';
   readonly updates: readonly MemberRecord[];
   /** Reachability of other zones as the sender's bridges see it; only sent within a zone. */
-  readonly zones?: readonly ZoneReachability[] | undefined;
+  readonly zones?: ZoneReachability | undefined;
 }
 
 /** Server, incarnation and rank of the state: enough to see which of two records is newer. */
--- a/packages/core/src/messages/member.ts
+++ b/packages/core/src/messages/member.ts
@@ -26,11 +26,11 @@
   readonly startedAt?: number | undefined;
 }
 
-/** Whether an availability zone can be reached from the zone of those who say so. */
+/** The availability zones that can't be reached from the zone of the bridge that says so. */
 export interface ZoneReachability {
-  readonly availabilityZone: string;
-  readonly reachable: boolean;
-  /** Orders the statements about a zone: wall time of the bridge, raised above earlier statements. */
+  /** Every unreachable zone; all others can be reached. */
+  readonly unreachable: readonly string[];
+  /** Orders the statements: wall time of the bridge, raised above earlier statements. */
   readonly at: number;
 }
 
