--- a/packages/virtual-time/src/control-network.ts
+++ b/packages/virtual-time/src/control-network.ts
@@ -2,6 +2,7 @@
   SeededRandomSource,
   type ClockReading,
   type Configuration,
+  type MemberRecord,
   type NodeIdentity,
   type ProposalResult,
   type Seed,
@@ -22,7 +23,10 @@
   readonly lostFrames?: number | undefined;
   /** Size of an encoded frame; without it only frames are counted. */
   readonly sizeOf?: ((frame: ControlFrame) => number) | undefined;
+  /** Reads the real time in milliseconds, to measure what the nodes' own work takes. */
+  readonly processorClock?: (() => number) | undefined;
   readonly inForce?: ((node: ControlNode, configuration: Configuration) => void) | undefined;
+  readonly memberChanged?: ((node: ControlNode, member: MemberRecord) => void) | undefined;
   readonly concluded?:
     ((node: ControlNode, proposalId: number, result: ProposalResult) => void) | undefined;
 }
@@ -38,6 +42,8 @@
   public isCut: (from: NodeIdentity, to: NodeIdentity) => boolean = () => false;
   private readonly queue = new ControlEventQueue();
   private readonly random: SeededRandomSource;
+  /** Real time spent in the nodes, the encoding of frames included. */
+  public busyMilliseconds = 0;
   private time = 0;
   private nodeSeed: number;
 
@@ -76,11 +82,13 @@
       store: (from, client, operationId, operation) => {
         this.callStore(from, client, operationId, operation);
       },
+      memberChanged: this.options.memberChanged ?? ((): void => undefined),
       inForce: this.options.inForce ?? ((): void => undefined),
       concluded: this.options.concluded ?? ((): void => undefined),
     });
     this.nodes.set(server, node);
-    this.tickLater(node, this.random.next() * 100);
+    // Nodes that start together must not ping in step.
+    this.tickLater(node, this.random.next() * 1_000);
     return node;
   }
 
@@ -122,7 +130,9 @@
   private tickLater(node: ControlNode, delay: number): void {
     this.after(delay, () => {
       if (!node.isRunning || node.isFrozen) return;
-      node.tick(this.now);
+      this.meter(() => {
+        node.tick(this.now);
+      });
       this.tickLater(node, this.options.tickMilliseconds ?? 10);
     });
   }
@@ -156,7 +166,17 @@
   private deliver(node: ControlNode, action: () => void): void {
     if (!node.isRunning) return;
     if (node.isFrozen) node.inbox.push(action);
-    else action();
+    else this.meter(action);
+  }
+
+  private meter(action: () => void): void {
+    if (this.options.processorClock === undefined) {
+      action();
+      return;
+    }
+    const start = this.options.processorClock();
+    action();
+    this.busyMilliseconds += this.options.processorClock() - start;
   }
 
   /** One-way delays as in the requirements, 20 ms between regions. */
--- a/packages/virtual-time/src/control-node.ts
+++ b/packages/virtual-time/src/control-node.ts
@@ -6,6 +6,7 @@
   type Configuration,
   type ConfigurationCommand,
   type ConfigurationFrame,
+  type MemberRecord,
   type MembershipCommand,
   type MembershipFrame,
   type NodeIdentity,
@@ -29,6 +30,7 @@
     operationId: number,
     operation: StoreOperation,
   ) => void;
+  readonly memberChanged: (node: ControlNode, member: MemberRecord) => void;
   readonly inForce: (node: ControlNode, configuration: Configuration) => void;
   readonly concluded: (node: ControlNode, proposalId: number, result: ProposalResult) => void;
 }
@@ -126,6 +128,7 @@
           break;
         }
         case 'member-changed':
+          this.links.memberChanged(this, command.member);
           this.peersChanged ||= command.member.availabilityZone === this.identity.availabilityZone;
           break;
         case 'revision-seen':
