--- a/packages/core/src/membership/zone-members.ts
+++ b/packages/core/src/membership/zone-members.ts
@@ -83,6 +83,11 @@
     return this.ranked;
   }
 
+  public isBridge(entry: MemberEntry): boolean {
+    const position = this.rankedMembers().indexOf(entry);
+    return position >= 0 && position < bridgeCount;
+  }
+
   public bridges(): readonly MemberEntry[] {
     return this.rankedMembers().slice(0, bridgeCount);
   }
--- a/packages/virtual-time/src/control-node.ts
+++ b/packages/virtual-time/src/control-node.ts
@@ -35,8 +35,8 @@
   readonly concluded: (node: ControlNode, proposalId: number, result: ProposalResult) => void;
 }
 
-/** Interval at which the keeper is told of its zone's members, if they changed. */
-const peerRefreshMilliseconds = 500;
+/** Interval at which the keeper is told of its zone's members and of the watching role. */
+const refreshMilliseconds = 500;
 
 /** The membership and the configuration of one node, composed as the node's core composes them. */
 export class ControlNode {
@@ -48,7 +48,7 @@
   public readonly inbox: (() => void)[] = [];
   public readonly counts = { frames: 0, bytes: 0 };
   private peersChanged = true;
-  private nextPeerRefreshAt = 0;
+  private nextRefreshAt = 0;
 
   public constructor(
     public readonly identity: NodeIdentity,
@@ -102,13 +102,12 @@
 
   public tick(now: ClockReading): void {
     this.carryOut(this.membership.tick(now), now);
-    if (this.peersChanged && now.monotonic >= this.nextPeerRefreshAt) {
-      this.peersChanged = false;
-      this.nextPeerRefreshAt = now.monotonic + peerRefreshMilliseconds;
-      this.keeper.setPeers(this.membership.zonePeers());
-    }
-    this.carryOut(this.keeper.setWatching(this.membership.isBridge, now), now);
     this.carryOut(this.keeper.tick(now), now);
+    if (now.monotonic < this.nextRefreshAt) return;
+    this.nextRefreshAt = now.monotonic + refreshMilliseconds;
+    if (this.peersChanged) this.keeper.setPeers(this.membership.zonePeers());
+    this.peersChanged = false;
+    this.carryOut(this.keeper.setWatching(this.membership.isBridge, now), now);
   }
 
   private carryOut(
