Check suspicions on every tick and ping when a connection closes

They are now looked at on every tick, and the simulated network closes the connections of a crashed node, which makes its peers ping it at once. The heap measurement feeds members in frames of 500, because fewer at a time are also queued as news, which is not the steady state.

--- a/packages/core/src/membership/failure-detector.ts
+++ b/packages/core/src/membership/failure-detector.ts
@@ -107,9 +107,9 @@
 
   public tick(now: ClockReading): void {
     this.checkProbes(now);
+    this.checkSuspicions(now);
     if (now.monotonic < this.nextPingAt) return;
     this.nextPingAt = now.monotonic + pingIntervalMilliseconds;
-    this.checkSuspicions(now);
     for (const [sequence, relay] of this.relays) {
       if (now.monotonic >= relay.until) this.relays.delete(sequence);
     }
--- a/packages/virtual-time/src/control-memory.ts
+++ b/packages/virtual-time/src/control-memory.ts
@@ -3,6 +3,8 @@
 
 const encoder = new Encoder({ useRecords: false });
 const zoneCount = 22;
+/** As many as in a comparison after a start; few records at a time would also be queued as news. */
+const recordsPerFrame = 500;
 
 /** Heap that one node needs for the given number of members, in bytes. Needs an exposed collector. */
 export function measureMemberHeap(members: number): number {
@@ -16,10 +18,12 @@
   const before = collectedHeap();
   const membership = new Membership({ identity, random: new SeededRandomSource(1) });
   const now = { monotonic: 0, wall: identity.incarnation };
-  for (let index = 0; index < members; index += 1) {
+  for (let start = 0; start < members; start += recordsPerFrame) {
+    const indexes = Array.from({ length: recordsPerFrame }, (_, offset) => start + offset);
+    const sent = indexes.map(recordOf);
     // Decoded from bytes as on a connection, so that no text is shared with another record.
-    const record = encoder.decode(encoder.encode(recordOf(index))) as MemberRecord;
-    const frame = { kind: 'member-sync', step: 'records', records: [record], wanted: [] } as const;
+    const records = encoder.decode(encoder.encode(sent)) as readonly MemberRecord[];
+    const frame = { kind: 'member-sync', step: 'records', records, wanted: [] } as const;
     membership.frame('server-1', frame, now);
   }
   const used = collectedHeap() - before;
--- a/packages/virtual-time/src/control-network.ts
+++ b/packages/virtual-time/src/control-network.ts
@@ -1,5 +1,6 @@
 import {
   SeededRandomSource,
+  shuffled,
   type ClockReading,
   type Configuration,
   type MemberRecord,
@@ -31,6 +32,8 @@
     ((node: ControlNode, proposalId: number, result: ProposalResult) => void) | undefined;
 }
 
+/** Connections that close when a process ends; a minute of pings leaves up to 120 of them. */
+const closedConnections = 20;
 /** Wall time at the start of every run. */
 const startWall = 1_700_000_000_000;
 
@@ -92,9 +95,19 @@
     return node;
   }
 
+  /** Ends a process. Nodes that had a connection to it see the connection close. */
   public crash(server: string): void {
     const node = this.nodes.get(server);
-    if (node !== undefined) node.isRunning = false;
+    if (node?.isRunning !== true) return;
+    node.isRunning = false;
+    for (const peer of shuffled(this.random, this.running).slice(0, closedConnections)) {
+      if (this.isCut(node.identity, peer.identity)) continue;
+      this.after(this.delay(node.identity, peer.identity), () => {
+        this.deliver(peer, () => {
+          peer.peerLost(server, this.now);
+        });
+      });
+    }
   }
 
   /** Stops a node's time, as SIGSTOP does; frames to it wait. */
--- a/packages/virtual-time/src/control-node.ts
+++ b/packages/virtual-time/src/control-node.ts
@@ -73,6 +73,10 @@
     }
   }
 
+  public peerLost(server: string, now: ClockReading): void {
+    this.carryOut(this.membership.peerLost(server, now), now);
+  }
+
   public storeResult(
     client: StoreClient,
     operationId: number,
