--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,8 @@
 export type { MembershipOptions } from './membership/membership.js';
 export type { Seed } from './membership/seed-layout.js';
 export * from './routing/router-contract.js';
+export { HomeKeeper } from './homes/home-keeper.js';
+export { defaultHomeSettings } from './homes/home-settings.js';
+export type { HomeSettings } from './homes/home-settings.js';
+export { creationTimeOf } from './homes/creation-time.js';
+export { rendezvousHash } from './homes/key-hash.js';
