Leave the cold start of a reporting target to its gate

The gate reports a limit that ramps up with time and answers; the router's own ramp of 10 s multiplied with it.

Change: the router's ramp of a new target ends with its first load report. The ramp after a shun stays, as the gate does not know of it.

Test: the ramp case now also covers the time after the first report.

--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -50,7 +50,8 @@
     if (known !== undefined) this.remove(target.server);
     const state = new TargetState(target, now.monotonic);
     state.standing = target.draining ? TargetStanding.Draining : TargetStanding.Open;
-    state.startRamp(now.monotonic, this.options.rampMilliseconds ?? defaultRampMilliseconds);
+    const ramp = this.options.rampMilliseconds ?? defaultRampMilliseconds;
+    state.startRamp(now.monotonic, ramp, false);
     this.states.set(target.server, state);
     const service = this.serviceOf(target.service);
     service.place(state);
--- a/packages/core/src/routing/shun-rule.ts
+++ b/packages/core/src/routing/shun-rule.ts
@@ -46,10 +46,8 @@
   if (target.standing === TargetStanding.Shunned) return judgeTrial(target, result);
   if (result.end === AttemptEnd.Unreachable) return 'shun';
   if (isBad && failsUnusuallyOften(target, result)) return 'shun';
-  if (target.latencySamples >= slowSamples && isSlow(target.latency, result.medianLatency)) {
-    return 'shun';
-  }
-  return 'keep';
+  const hasSamples = target.latencySamples >= slowSamples;
+  return hasSamples && isSlow(target.latency, result.medianLatency) ? 'shun' : 'keep';
 }
 
 /** Puts the target out of the ordinary choice, for twice as long as the last time. */
@@ -72,7 +70,7 @@
   target.trialSentAt = undefined;
   target.returnedAt = now;
   target.forgetHistory();
-  target.startRamp(now, returnRampMilliseconds);
+  target.startRamp(now, returnRampMilliseconds, true);
 }
 
 /** Whether the end counts against the target: it gave no answer, or could not be reached. */
--- a/packages/core/src/routing/target-state.ts
+++ b/packages/core/src/routing/target-state.ts
@@ -39,6 +39,7 @@
   public returnedAt = -Infinity;
   /** Requests of other entries at the time of the last report. */
   private others = 0;
+  private isReturning = false;
   private rampStart = -Infinity;
   private rampLength = 1;
 
@@ -70,12 +71,16 @@
     this.reportedAt = now;
     this.lastHeardAt = now;
     this.sentSinceReport = 0;
+    // The gate's own ramp shows in its limit; two ramps in a row would keep a new server idle.
+    if (!this.isReturning) this.rampStart = -Infinity;
     // The request that ended is still outstanding here and no longer part of the report.
     const own = Math.max(0, this.outstanding - 1);
     this.others = Math.max(0, report.inFlight + report.queued - own);
   }
 
-  public startRamp(now: number, milliseconds: number): void {
+  /** `isReturning` keeps the ramp when load reports arrive: the gate does not know of a shun. */
+  public startRamp(now: number, milliseconds: number, isReturning: boolean): void {
+    this.isReturning = isReturning;
     this.rampStart = now;
     this.rampLength = Math.max(1, milliseconds);
   }
--- a/packages/core/tests/routing/router.test.ts
+++ b/packages/core/tests/routing/router.test.ts
@@ -232,13 +232,18 @@
   }
 });
 
-test('a new target starts with a small share', () => {
+test('a new target has a small share until its gate reports a limit of its own', () => {
   const router = routerWith([], { rampMilliseconds: 10_000 });
   router.upsert(target('old'), at(-20_000));
   router.upsert(target('new'), at(0));
   router.reported('old', load(2), at(1));
-  router.reported('new', load(2), at(1));
   assert.is(shares(router, 2).get('new') ?? 0, 0);
+  router.reported('new', load(1, { limit: 2, state: 'warming' }), at(3));
+  router.reported('old', load(2), at(3));
+  assert.is(shares(router, 3).get('new') ?? 0, 0);
+  router.reported('new', load(0, { limit: 8, state: 'warming' }), at(4));
+  router.reported('old', load(2), at(4));
+  assert.ok((shares(router, 4).get('new') ?? 0) > 0);
 });
 
 test('probes are due after silence, only while the service is used, and within the budget', () => {
