Do not shun a target while its gate reports a cold start

A cold server answers slowly, was shunned for that and then got too few requests to warm up.

Change: slowness does not shun while the gate reports 'warming'; the gate's limit bounds what the target gets.

--- a/packages/core/src/routing/shun-rule.ts
+++ b/packages/core/src/routing/shun-rule.ts
@@ -1,3 +1,4 @@
+import { GateState } from '../messages/load-report.js';
 import { AttemptEnd } from './router-contract.js';
 import { TargetStanding } from './target-state.js';
 import type { TargetState } from './target-state.js';
@@ -46,6 +47,8 @@
   if (target.standing === TargetStanding.Shunned) return judgeTrial(target, result);
   if (result.end === AttemptEnd.Unreachable) return 'shun';
   if (isBad && failsUnusuallyOften(target, result)) return 'shun';
+  // A cold server is slow at first, and its gate limits what it gets; without work it stays cold.
+  if (target.report?.state === GateState.Warming) return 'keep';
   const hasSamples = target.latencySamples >= slowSamples;
   return hasSamples && isSlow(target.latency, result.medianLatency) ? 'shun' : 'keep';
 }
--- a/packages/core/tests/routing/router.test.ts
+++ b/packages/core/tests/routing/router.test.ts
@@ -130,6 +130,16 @@
       conclude(router, 'bad', AttemptEnd.Failed, 1);
     },
   },
+  {
+    failure: 'a cold server is shunned as slow, so that it never warms up',
+    isShunned: false,
+    spoil: (router) => {
+      router.reported('bad', load(1, { limit: 2, state: 'warming' }), at(10));
+      for (let call = 0; call < 12; call += 1) {
+        router.concluded('bad', AttemptEnd.Answered, 100, at(10));
+      }
+    },
+  },
   {
     failure: 'refusals, which cost nothing, count as failures',
     isShunned: false,
