--- a/packages/core/tests/node/single-node.ts
+++ b/packages/core/tests/node/single-node.ts
@@ -56,7 +56,10 @@
 
   /** Declares the service `antrag`, announces an upstream and waits until keyed requests are taken. */
   public serve(slots: number): void {
-    const kinds = ['POST', 'GET'] as const;
+    const classes: Readonly<Record<string, RequestClass>> = {
+      GET: 'idempotent',
+      POST: 'non-idempotent',
+    };
     const configuration = {
       drainedAvailabilityZones: [],
       drainedServers: [],
@@ -66,11 +69,11 @@
           ...serviceDefaults,
           name: 'antrag',
           rampMilliseconds: 0,
-          requestKinds: kinds.map((method) => ({
+          requestKinds: Object.entries(classes).map(([method, requestClass]) => ({
             method,
             name: method.toLowerCase(),
             pathPrefix: '/',
-            requestClass: method === 'GET' ? 'idempotent' : 'non-idempotent',
+            requestClass,
           })),
         },
       },
