--- a/packages/core/src/calls/attempt-register.ts
+++ b/packages/core/src/calls/attempt-register.ts
@@ -8,10 +8,12 @@
 export class AttemptRegister {
   private readonly attempts = new Map<number, Attempt>();
   private readonly byServer = new Map<string, Set<number>>();
-  private lastAttemptId = 0;
   private late = 0;
 
-  public constructor(private readonly router: RouterContract) {}
+  public constructor(
+    private readonly router: RouterContract,
+    private nextAttemptId: number,
+  ) {}
 
   /** Results of attempts that were no longer wanted. */
   public get lateResults(): number {
@@ -19,13 +21,13 @@
   }
 
   public start(call: CallState, target: Target, now: ClockReading): Attempt {
-    this.lastAttemptId += 1;
     const attempt: Attempt = {
-      attemptId: this.lastAttemptId,
+      attemptId: this.nextAttemptId,
       call,
       sentAt: now.monotonic,
       target,
     };
+    this.nextAttemptId += 1;
     this.attempts.set(attempt.attemptId, attempt);
     call.live.add(attempt);
     call.tried.add(target.server);
--- a/packages/core/src/calls/call-engine.ts
+++ b/packages/core/src/calls/call-engine.ts
@@ -36,8 +36,12 @@
     (state) => this.calls.get(state.call.callNumber) === state,
   );
 
-  public constructor(private readonly router: RouterContract) {
-    this.attempts = new AttemptRegister(router);
+  /** Attempts are numbered from `firstAttemptId`; numbers of an earlier life must not come again. */
+  public constructor(
+    private readonly router: RouterContract,
+    firstAttemptId = 1,
+  ) {
+    this.attempts = new AttemptRegister(router, firstAttemptId);
   }
 
   public retryBudgets(): readonly RetryBudgetUse[] {
--- a/packages/core/src/node/create-node-core.ts
+++ b/packages/core/src/node/create-node-core.ts
@@ -10,6 +10,7 @@
 import { PollScheduler } from '../probing/poll-scheduler.js';
 import { Router } from '../routing/router.js';
 import { SeededRandomSource } from '../shared/random-source.js';
+import { firstCallIdentifier } from './call-identifiers.js';
 import { NodeCore } from './node-core.js';
 
 export interface CreateNodeCoreOptions {
@@ -29,7 +30,7 @@
   const router = new Router({ availabilityZone, region }, random);
   return new NodeCore({
     configuration: new ConfigurationKeeper({ random }),
-    engine: new CallEngine(router),
+    engine: new CallEngine(router, firstCallIdentifier(incarnation)),
     gate: new Gate(),
     homes: new HomeKeeper({ incarnation, server }, { ...defaultHomeSettings, ...homes }),
     identity,
--- a/packages/core/src/node/node-boards.ts
+++ b/packages/core/src/node/node-boards.ts
@@ -1,5 +1,6 @@
 import { RequestClass } from '../messages/outcome.js';
 import type { ClockReading } from '../shared/clock-reading.js';
+import { firstCallIdentifier } from './call-identifiers.js';
 import { CallBoard } from './call-board.js';
 import { ConfigurationBoard } from './configuration-board.js';
 import { DrainControl } from './drain-control.js';
@@ -36,9 +37,9 @@
   return boards;
 }
 
-/** Attempts count upwards from 1; keyed requests count downwards, so the two never meet. */
-function downwardCounter(): () => number {
-  let next = 0;
+/** Attempts have positive identifiers and keyed requests negative ones, so the two never meet. */
+function downwardCounter(incarnation: number): () => number {
+  let next = -firstCallIdentifier(incarnation);
   return () => {
     next -= 1;
     return next;
@@ -83,7 +84,7 @@
       boards().stop.handedOver(now);
     },
     homes,
-    nextCallId: downwardCounter(),
+    nextCallId: downwardCounter(identity.incarnation),
     outbox,
     random,
     router,
--- a/packages/core/tests/node/node-core.test.ts
+++ b/packages/core/tests/node/node-core.test.ts
@@ -118,4 +118,40 @@
   assert.is(node.of('stopped').length, 1);
 });
 
+test('a later life of a node uses no identifier again, so a late answer reaches no other caller', () => {
+  const startedAt = 1_800_000_000_000;
+  const identifiers = [startedAt, startedAt + 1_000].map((incarnation) => {
+    const node = new SingleNode(incarnation);
+    node.serve(1);
+    node.send({
+      frame: {
+        kind: 'member-updates',
+        updates: [
+          {
+            availabilityZone: 'zone-a',
+            incarnation: 1,
+            peerAddress: '127.0.0.1:3',
+            region: 'region-a',
+            server: 'other',
+            service: 'antrag',
+            slots: 1_000,
+            startedAt: 1,
+            state: 'serving',
+          },
+        ],
+      },
+      from: 'other',
+      kind: 'peer-frame',
+    });
+    for (let sent = 0; sent < 50; sent += 1) {
+      node.request('idempotent');
+    }
+    const frames = node.of('send-frame').map(({ frame }) => frame);
+    return frames.flatMap((frame) => (frame.kind === 'request-start' ? [frame.callId] : []));
+  });
+  const [former = [], later = []] = identifiers;
+  assert.ok(former.length > 0 && later.length > 0);
+  assert.ok(later.every((callId) => callId > Math.max(...former) && Number.isSafeInteger(callId)));
+});
+
 test.run();
--- a/packages/core/tests/node/single-node.ts
+++ b/packages/core/tests/node/single-node.ts
@@ -20,11 +20,11 @@
   private readonly store = new Map<string, { value: string; version: number }>();
   private nextRequestNumber = 1;
 
-  public constructor() {
+  public constructor(incarnation = startWall) {
     this.core = createNodeCore({
       identity: {
         availabilityZone: 'zone-a',
-        incarnation: startWall,
+        incarnation,
         peerAddress: '127.0.0.1:1',
         region: 'region-a',
         server: 'only',
--- a/packages/operators/src/gathering/peer-gatherer.ts
+++ b/packages/operators/src/gathering/peer-gatherer.ts
@@ -23,6 +23,8 @@
   send(server: string, frame: OperatorQuestionFrame): boolean;
 }
 
+const largestFirstQuestionId = 2 ** 40;
+
 interface PendingQuestion {
   readonly server: string;
   conclude(answer: NodeAnswer): void;
@@ -42,7 +44,8 @@
 /** Asks other nodes with a deadline and names those that did not answer. */
 export class PeerGatherer {
   private readonly pending = new Map<number, PendingQuestion>();
-  private nextQuestionId = 1;
+  /** Random, so that a late answer to an earlier life of this node is not taken for one of this life. */
+  private nextQuestionId = Math.floor(Math.random() * largestFirstQuestionId);
 
   public constructor(private readonly transport: PeerTransport) {}
 
