--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -48,3 +48,8 @@
 export { findChange, rootKey } from './configuration/store-layout.js';
 export { createNodeCore } from './node/create-node-core.js';
 export type { CreateNodeCoreOptions } from './node/create-node-core.js';
+export { HomeKeeper } from './homes/home-keeper.js';
+export { defaultHomeSettings } from './homes/home-settings.js';
+export type { HomeSettings } from './homes/home-settings.js';
+export { creationTimeOf } from './homes/creation-time.js';
+export { rendezvousHash } from './homes/key-hash.js';
