Give every node the home keeper

createNodeCore still built UnavailableHomes, which answers each keyed request with outcome-unknown, although HomeKeeper is there now. It builds HomeKeeper; the option homeSettings passes other durations, which must be equal on all nodes.

--- a/packages/core/src/node/create-node-core.ts
+++ b/packages/core/src/node/create-node-core.ts
@@ -1,7 +1,9 @@
 import { CallEngine } from '../calls/call-engine.js';
 import { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
 import { Gate } from '../gate/gate.js';
-import { UnavailableHomes } from '../homes/unavailable-homes.js';
+import { HomeKeeper } from '../homes/home-keeper.js';
+import { defaultHomeSettings } from '../homes/home-settings.js';
+import type { HomeSettings } from '../homes/home-settings.js';
 import { Membership } from '../membership/membership.js';
 import type { Seed } from '../membership/seed-layout.js';
 import type { NodeIdentity } from '../messages/identity.js';
@@ -16,10 +18,17 @@
   readonly seed: number;
   /** Members to contact at the start besides those in the store. */
   readonly seeds?: readonly Seed[] | undefined;
+  /** Durations and bounds of the homes; they must be equal on all nodes. */
+  readonly homeSettings?: HomeSettings | undefined;
 }
 
 /** Creates a node's core with its standard parts. */
-export function createNodeCore({ identity, seed, seeds }: CreateNodeCoreOptions): NodeCore {
+export function createNodeCore({
+  homeSettings = defaultHomeSettings,
+  identity,
+  seed,
+  seeds,
+}: CreateNodeCoreOptions): NodeCore {
   const random = new SeededRandomSource(seed);
   const { availabilityZone, region } = identity;
   const router = new Router({ availabilityZone, region }, random);
@@ -27,7 +36,7 @@
     configuration: new ConfigurationKeeper({ random }),
     engine: new CallEngine(router),
     gate: new Gate(),
-    homes: new UnavailableHomes(),
+    homes: new HomeKeeper(identity, homeSettings),
     identity,
     membership: new Membership({ identity, random, seeds }),
     polls: new PollScheduler(),
