--- a/packages/virtual-time/src/control-store.ts
+++ b/packages/virtual-time/src/control-store.ts
@@ -12,6 +12,8 @@
   duplicates: number;
   /** Share of watch results that arrive seconds late. */
   lateWatches: number;
+  /** Added to the time of every operation. */
+  slowMilliseconds: number;
 }
 
 interface Watcher {
@@ -33,6 +35,7 @@
     lateEffects: 0,
     duplicates: 0,
     lateWatches: 0,
+    slowMilliseconds: 0,
   };
   public readonly calls = { reads: 0, writes: 0, watches: 0 };
   private readonly entries = new Map<string, StoreEntry>();
@@ -130,7 +133,7 @@
   }
 
   private latency(): number {
-    return 1 + 2 * this.random.next();
+    return 1 + 2 * this.random.next() + this.faults.slowMilliseconds;
   }
 
   private hits(share: number): boolean {
--- /dev/null
+++ b/packages/virtual-time/src/fleet-node.ts
@@ -0,0 +1,63 @@
+import type {
+  ClockReading,
+  CoreCommand,
+  CoreMessage,
+  NodeCore,
+  NodeIdentity,
+} from '@peridotspring/core';
+
+import type { FleetConnection } from './fleet-network.js';
+
+/** What a node's process needs from its surroundings. */
+export interface FleetNodeLinks {
+  readonly now: () => number;
+  readonly carryOut: (node: FleetNode, command: CoreCommand) => void;
+}
+
+/** One life of a node's process: a core, its clocks, and what waits while it is frozen. */
+export class FleetNode {
+  public isRunning = true;
+  public isFrozen = false;
+  /** Open connections by the server at the other end. */
+  public readonly connections = new Map<string, FleetConnection>();
+  private readonly inbox: CoreMessage[] = [];
+  private readonly startedAt: number;
+
+  public constructor(
+    public readonly identity: NodeIdentity,
+    public readonly life: number,
+    public readonly core: NodeCore,
+    private readonly wallOffset: number,
+    private readonly links: FleetNodeLinks,
+  ) {
+    this.startedAt = links.now();
+  }
+
+  public get server(): string {
+    return this.identity.server;
+  }
+
+  /** The process's own clocks: the monotonic one starts with it, the wall clock is skewed. */
+  public get clock(): ClockReading {
+    const now = this.links.now();
+    return { monotonic: now - this.startedAt, wall: now + this.wallOffset };
+  }
+
+  /** Hands a message to the core, at once or when the process runs again. */
+  public deliver(message: CoreMessage): void {
+    if (!this.isRunning) return;
+    if (this.isFrozen) {
+      this.inbox.push(message);
+      return;
+    }
+    for (const command of this.core.handle(message, this.clock)) {
+      this.links.carryOut(this, command);
+    }
+  }
+
+  /** Everything that arrived while the process was frozen is delivered at once. */
+  public resume(): void {
+    this.isFrozen = false;
+    for (const message of this.inbox.splice(0)) this.deliver(message);
+  }
+}
