Check only given requests for an answer

A resend of an old key after a takeover is truthfully told outcome-unknown, so the check that a fleet serves again looks at the new requests alone.

--- a/packages/virtual-time/src/fleet-checks.ts
+++ b/packages/virtual-time/src/fleet-checks.ts
@@ -169,10 +169,9 @@
   return violations;
 };
 
-/** Every request that was sent from the time on was answered by an upstream. */
-export function checkAllAnswered(log: FleetLog, from: number): string[] {
-  return log.requests
-    .filter(({ sentAt }) => sentAt >= from)
+/** Every one of the requests was answered by an upstream. */
+export function checkAllAnswered(requests: readonly RequestEntry[]): string[] {
+  return requests
     .filter(({ abandonedAt, answers }) => {
       return abandonedAt === undefined && answers[0]?.outcome.kind !== 'answered';
     })
