--- a/packages/core/src/node/create-node-core.ts
+++ b/packages/core/src/node/create-node-core.ts
@@ -16,27 +16,22 @@
   readonly identity: NodeIdentity;
   /** Seed of every random choice of the node. */
   readonly seed: number;
+  /** Settings of the homes that differ from the defaults. */
+  readonly homes?: Partial<HomeSettings> | undefined;
   /** Members to contact at the start besides those in the store. */
   readonly seeds?: readonly Seed[] | undefined;
-  /** Durations and bounds of the homes; they must be equal on all nodes. */
-  readonly homeSettings?: HomeSettings | undefined;
 }
 
 /** Creates a node's core with its standard parts. */
-export function createNodeCore({
-  homeSettings = defaultHomeSettings,
-  identity,
-  seed,
-  seeds,
-}: CreateNodeCoreOptions): NodeCore {
+export function createNodeCore({ homes, identity, seed, seeds }: CreateNodeCoreOptions): NodeCore {
   const random = new SeededRandomSource(seed);
-  const { availabilityZone, region } = identity;
+  const { availabilityZone, incarnation, region, server } = identity;
   const router = new Router({ availabilityZone, region }, random);
   return new NodeCore({
     configuration: new ConfigurationKeeper({ random }),
     engine: new CallEngine(router),
     gate: new Gate(),
-    homes: new HomeKeeper(identity, homeSettings),
+    homes: new HomeKeeper({ incarnation, server }, { ...defaultHomeSettings, ...homes }),
     identity,
     membership: new Membership({ identity, random, seeds }),
     polls: new PollScheduler(),
--- a/packages/virtual-time/src/fleet.ts
+++ b/packages/virtual-time/src/fleet.ts
@@ -37,7 +37,7 @@
     ((store: ControlStore, operation: StoreOperation) => StoreOperation) | undefined;
   readonly alterResult?:
     ((operation: StoreOperation, result: StoreResult) => StoreResult) | undefined;
-  readonly homeSettings?: ((server: string) => HomeSettings | undefined) | undefined;
+  readonly homeSettings?: ((server: string) => Partial<HomeSettings> | undefined) | undefined;
 }
 
 /** Wall time at the start of every run. */
@@ -137,7 +137,7 @@
       .slice(0, 3)
       .map((other) => ({ address: addressOf(other.server), server: other.server }));
     const core = createNodeCore({
-      homeSettings: this.options.homeSettings?.(server),
+      homes: this.options.homeSettings?.(server),
       identity,
       seed: this.options.seed * 1_000_003 + life,
       seeds: seeds.filter((seed) => seed.server !== server),
