Show a home its newer table when it asks a witness with an old one

Cause: a home that missed a takeover (it was cut off while the table was written and was still a member when the cut ended) kept asking its witnesses with the old table. They renewed their promises, which kept them from accepting the newer table, and nobody told the home of it: the ranges had no lease for good.

Change: a node that knows a newer table than the one in home-confirm sends it back. The old home ends its tenure and its promises expire.

--- a/packages/core/src/homes/home-keeper.ts
+++ b/packages/core/src/homes/home-keeper.ts
@@ -192,6 +192,11 @@
 
   private confirm(from: string, frame: HomeConfirmFrame, now: ClockReading): void {
     this.adopt(frame.table, now);
+    // A home that missed a table would renew promises that keep its witnesses from accepting it.
+    const known = this.tables.get(frame.service);
+    if (known !== undefined && known.version > frame.table.version) {
+      this.outbox.send(from, { kind: 'home-table', service: frame.service, table: known });
+    }
     const answer = this.witness.confirm(from, frame, now.monotonic);
     if (answer.kind === 'answer') {
       this.outbox.send(from, answer.frame);
--- /dev/null
+++ b/packages/core/tests/homes/stale-home.test.ts
@@ -0,0 +1,35 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { HomeTable } from '../../src/index.js';
+import { HomeKeeper } from '../../src/index.js';
+import { epoch, service } from './shared/home-network.js';
+
+function table(version: number, home: string): HomeTable {
+  const assignment = { incarnation: 1, server: home, since: version };
+  return {
+    quorums: [['w']],
+    ranges: Array.from({ length: 16 }, () => assignment),
+    service,
+    version,
+  };
+}
+
+// Guards against a home that missed a takeover and renews its old lease at witnesses that know
+// better, so that no witness may ever accept the newer table and its range has no home.
+test('a witness shows its newest table to a home that asks with an older one', () => {
+  const keeper = new HomeKeeper({ incarnation: 1, server: 'w' });
+  const now = { monotonic: 10_000, wall: epoch };
+  const newest = table(2, 'b');
+  keeper.frame('b', { kind: 'home-table', service, table: newest }, now);
+  const confirm = { kind: 'home-confirm', released: false, sequence: 1, service } as const;
+  const shown = (asked: HomeTable): unknown[] =>
+    keeper
+      .frame('a', { ...confirm, table: asked }, now)
+      .filter((command) => command.kind === 'send' && command.frame.kind === 'home-table');
+  const frame = { kind: 'home-table', service, table: newest };
+  assert.equal(shown(table(1, 'a')), [{ frame, kind: 'send', to: 'a' }]);
+  assert.equal(shown(newest), []);
+});
+
+test.run();
