Return credit for bodies that flow past read()

A streamed body of more than 256 KiB between two nodes stalled for ever: a flowing stream hands a chunk on within push() without a call of read(), so the receiver counted nothing as consumed and returned no credit. Credit now follows from what was received and no longer waits in the stream. Ruled out: the sender and the relay (bodies up to the first credit passed whole, and local bodies of any length).

The process tests of lookups and bodies found it; they run on ProcessFleet, which takes flags for single nodes now.

--- a/packages/daemon/src/driver/peer-body-stream.ts
+++ b/packages/daemon/src/driver/peer-body-stream.ts
@@ -22,7 +22,8 @@
 
 /** A body that arrives from another node. */
 export class PeerBodySource extends Readable {
-  private consumedBytes = 0;
+  private receivedBytes = 0;
+  private creditedBytes = 0;
   private hasEnded = false;
 
   public constructor(private readonly body: PeerBodyOptions) {
@@ -33,7 +34,10 @@
   public frame(frame: BodyFrame): void {
     switch (frame.kind) {
       case 'body-chunk':
+        this.receivedBytes += frame.bytes.length;
         this.push(frame.bytes);
+        // A flowing stream hands the chunk on within `push`, without a call of `read`.
+        this.returnCredit();
         return;
       case 'body-end':
         this.hasEnded = true;
@@ -49,23 +53,25 @@
   }
 
   public override _read(): void {
-    const { identity, send } = this.body;
-    const consumed = this.consumedBytes;
-    if (consumed >= creditStepBytes) {
-      this.consumedBytes = 0;
-      send({ ...identity, bytes: consumed, kind: 'body-credit' });
-    }
+    this.returnCredit();
   }
 
   public override read(size?: number): unknown {
     const chunk: unknown = super.read(size);
-    if (chunk instanceof Uint8Array) {
-      this.consumedBytes += chunk.length;
-      this._read();
-    }
+    this.returnCredit();
     return chunk;
   }
 
+  /** Everything that was received and no longer waits here has been consumed. */
+  private returnCredit(): void {
+    const consumed = this.receivedBytes - this.readableLength - this.creditedBytes;
+    if (consumed < creditStepBytes || this.hasEnded || this.destroyed) {
+      return;
+    }
+    this.creditedBytes += consumed;
+    this.body.send({ ...this.body.identity, bytes: consumed, kind: 'body-credit' });
+  }
+
   public override _destroy(error: Error | null, callback: (error?: Error | null) => void): void {
     if (!this.hasEnded) {
       this.body.send({ ...this.body.identity, kind: 'body-stop' });
--- a/packages/stand-ins/src/fleet/process-fleet.ts
+++ b/packages/stand-ins/src/fleet/process-fleet.ts
@@ -24,6 +24,8 @@
   readonly upstreamScript: string;
   readonly platformScript: string;
   readonly nodeFlags?: readonly string[] | undefined;
+  /** Further flags of one node, for instance another advertised address. */
+  readonly nodeFlagsOf?: ((server: string, peerPort: number) => readonly string[]) | undefined;
   readonly upstreamFlags?: readonly string[] | undefined;
   /** Folder for the programs' output; without it the output is dropped. */
   readonly logFolder?: string | undefined;
@@ -56,6 +58,7 @@
     return this.platformProgram;
   }
 
+  /** Starts the platform stand-in; after its end it starts again, empty, at the same port. */
   public async startPlatform(): Promise<void> {
     const [port = 0] = this.platformPort === 0 ? await findFreePorts(1) : [this.platformPort];
     this.platformPort = port;
@@ -157,6 +160,7 @@
         ...['--upstream-bind-address', address(ports.upstream)],
         ...['--operator-bind-address', address(ports.operator)],
         ...(this.options.nodeFlags ?? []),
+        ...(this.options.nodeFlagsOf?.(plan.server, ports.peer) ?? []),
       ],
       logFile: this.logFile(`${plan.server}-node`),
       name: `node of ${plan.server}`,
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -11,3 +11,8 @@
 export { PlatformStandIn } from './platform-stand-in.js';
 export type { PlatformCallCounts } from './platform-stand-in.js';
 export type { PlatformFault } from './platform-requests.js';
+export type { ServerPlan } from './fleet/deployments.js';
+export { askOperator } from './fleet/operator-client.js';
+export type { OperatorReply } from './fleet/operator-client.js';
+export { fleetOperatorSecret, ProcessFleet } from './fleet/process-fleet.js';
+export type { FleetServer, ProcessFleetOptions } from './fleet/process-fleet.js';
