--- a/packages/core/src/homes/home-keeper.ts
+++ b/packages/core/src/homes/home-keeper.ts
@@ -203,10 +203,10 @@
   }
 
   private confirm(from: string, frame: HomeConfirmFrame, now: ClockReading): void {
-    this.adopt(frame.table, now);
+    if (frame.table !== undefined) this.adopt(frame.table, now);
     // A home that missed a table would renew promises that keep its witnesses from accepting it.
     const known = this.tables.get(frame.service);
-    if (known !== undefined && known.version > frame.table.version) {
+    if (known !== undefined && known.version > frame.version) {
       this.outbox.send(from, { kind: 'home-table', service: frame.service, table: known });
     }
     const answer = this.witness.confirm(from, frame, now.monotonic);
--- a/packages/core/src/homes/lease.ts
+++ b/packages/core/src/homes/lease.ts
@@ -3,6 +3,12 @@
 import type { HomeSettings } from './home-settings.js';
 import { majorityOf, witnessesOf } from './table-view.js';
 
+/** A request of one round. */
+export interface ConfirmRequest {
+  readonly witness: string;
+  readonly frame: HomeConfirmFrame;
+}
+
 /** A home's side of the lease of one service: asks the witnesses and counts their promises. */
 export class Lease {
   private nextRoundAt = Number.NEGATIVE_INFINITY;
@@ -10,39 +16,43 @@
   private readonly sentAt = new Map<number, number>();
   /** When the newest confirmed request was sent, for each witness that accepted this version. */
   private readonly confirmedSince = new Map<string, number>();
+  /** Witnesses that accepted this version in their last answer; they need not be sent the table again. */
+  private readonly acceptedBy = new Set<string>();
 
   public constructor(
     private readonly settings: HomeSettings,
     private sequence: number,
   ) {}
 
-  /** Starts a round when one is due; returns the request and whom to send it to. */
-  public round(
-    table: HomeTable,
-    isWaiting: boolean,
-    monotonic: number,
-  ): { readonly frame: HomeConfirmFrame; readonly witnesses: readonly string[] } | undefined {
+  /** Starts a round when one is due; returns the request for each witness. */
+  public round(table: HomeTable, isWaiting: boolean, monotonic: number): readonly ConfirmRequest[] {
     if (table.version !== this.version) this.restart(table.version);
-    if (monotonic < this.nextRoundAt) return undefined;
+    if (monotonic < this.nextRoundAt) return [];
     const { confirmIntervalMilliseconds, confirmRetryMilliseconds } = this.settings;
     this.nextRoundAt =
       monotonic + (isWaiting ? confirmRetryMilliseconds : confirmIntervalMilliseconds);
     this.sequence += 1;
     this.sentAt.set(this.sequence, monotonic);
     this.forgetOldRounds(monotonic);
-    const frame: HomeConfirmFrame = {
+    const { service, version } = table;
+    const frame = {
       kind: 'home-confirm',
       released: false,
       sequence: this.sequence,
-      service: table.service,
-      table,
-    };
-    return { frame, witnesses: witnessesOf(table) };
+      service,
+      version,
+    } as const;
+    return witnessesOf(table).map((witness) => ({
+      frame: this.acceptedBy.has(witness) ? frame : { ...frame, table },
+      witness,
+    }));
   }
 
   /** Counts a promise from the time at which it was asked for, which is before it was given. */
   public promised(witness: string, frame: HomePromiseFrame): void {
     const sentAt = this.sentAt.get(frame.sequence);
+    if (!frame.accepted) this.acceptedBy.delete(witness);
+    else if (frame.version === this.version) this.acceptedBy.add(witness);
     if (sentAt === undefined || !frame.accepted || frame.version !== this.version) return;
     const known = this.confirmedSince.get(witness) ?? Number.NEGATIVE_INFINITY;
     this.confirmedSince.set(witness, Math.max(known, sentAt));
@@ -68,6 +78,7 @@
     this.version = version;
     this.sentAt.clear();
     this.confirmedSince.clear();
+    this.acceptedBy.clear();
     this.nextRoundAt = Number.NEGATIVE_INFINITY;
   }
 
--- a/packages/core/src/homes/service-homes.ts
+++ b/packages/core/src/homes/service-homes.ts
@@ -108,9 +108,8 @@
     if (table === undefined || this.tenures.size === 0) return;
     const tenures = [...this.tenures.values()];
     const isWaiting = tenures.some((tenure) => !tenure.hasLease(now.monotonic));
-    const round = this.lease.round(table, isWaiting, now.monotonic);
-    for (const witness of round?.witnesses ?? []) {
-      if (round !== undefined) this.parts.outbox.send(witness, round.frame);
+    for (const { frame, witness } of this.lease.round(table, isWaiting, now.monotonic)) {
+      this.parts.outbox.send(witness, frame);
     }
     for (const tenure of tenures) this.serveHeld(tenure, now);
   }
--- a/packages/core/src/homes/table-maintenance.ts
+++ b/packages/core/src/homes/table-maintenance.ts
@@ -257,7 +257,9 @@
     const { service } = this.homes;
     const witnesses = previous === undefined ? [] : witnessesOf(previous);
     for (const witness of new Set([...witnesses, ...witnessesOf(table)])) {
-      outbox.send(witness, { kind: 'home-confirm', released: true, sequence: 0, service, table });
+      const { version } = table;
+      const kind = 'home-confirm';
+      outbox.send(witness, { kind, released: true, sequence: 0, service, table, version });
     }
     for (const server of recipients) outbox.send(server, { kind: 'home-table', service, table });
   }
--- a/packages/core/src/homes/witness.ts
+++ b/packages/core/src/homes/witness.ts
@@ -44,7 +44,7 @@
       witnessed.promises.set(from, monotonic + this.settings.leaseMilliseconds);
     }
     const { accepted } = witnessed;
-    const isNewer = accepted !== undefined && accepted.version > frame.table.version;
+    const isNewer = accepted !== undefined && accepted.version > frame.version;
     return {
       frame: {
         accepted: isAccepted,
@@ -52,7 +52,7 @@
         sequence: frame.sequence,
         service: frame.service,
         ...(isNewer ? { table: accepted } : {}),
-        version: isAccepted ? frame.table.version : (accepted?.version ?? 0),
+        version: isAccepted ? frame.version : (accepted?.version ?? 0),
       },
       kind: 'answer',
     };
@@ -61,15 +61,17 @@
   private accept(
     witnessed: WitnessedService,
     from: string,
-    { released, table }: HomeConfirmFrame,
+    { released, table, version }: HomeConfirmFrame,
     monotonic: number,
   ): boolean {
     const startedAt = this.startedAt ?? monotonic;
     if (monotonic < startedAt + this.settings.leaseMilliseconds) return false;
-    if (table.version < (witnessed.storedVersion ?? 0)) return false;
+    if (version < (witnessed.storedVersion ?? 0)) return false;
     const { accepted } = witnessed;
-    if (accepted !== undefined && table.version < accepted.version) return false;
-    if (accepted?.version === table.version) return true;
+    if (accepted !== undefined && version < accepted.version) return false;
+    if (accepted?.version === version) return true;
+    // The home believes that this witness knows the table; the refusal makes it send the table again.
+    if (table === undefined) return false;
     const isBound = (server: string): boolean =>
       !(released && server === from) && (witnessed.promises.get(server) ?? 0) > monotonic;
     if (accepted !== undefined && takesRangeFrom(accepted, table, isBound)) return false;
--- a/packages/core/src/messages/frames.ts
+++ b/packages/core/src/messages/frames.ts
@@ -178,7 +178,12 @@
 export interface HomeConfirmFrame {
   readonly kind: 'home-confirm';
   readonly service: string;
-  readonly table: HomeTable;
+  readonly version: number;
+  /**
+   * Left out once the witness has accepted this version: the table takes about 1 KB, and sent with each
+   * of a home's five requests a second it would take the whole control budget of 4 KB/s.
+   */
+  readonly table?: HomeTable | undefined;
   /** Sequence number that the promise repeats, so that the home knows when it asked. */
   readonly sequence: number;
   /** Ranges that the sender has given up in a planned stop; no promise holds for them any more. */
--- a/packages/core/tests/homes/lease.test.ts
+++ b/packages/core/tests/homes/lease.test.ts
@@ -26,7 +26,8 @@
 
 function confirm(table: HomeTable | undefined, released = false): HomeConfirmFrame {
   if (table === undefined) throw new Error('the table is missing');
-  return { kind: 'home-confirm', released, sequence: 1, service: 'issuance', table };
+  const { version } = table;
+  return { kind: 'home-confirm', released, sequence: 1, service: 'issuance', table, version };
 }
 
 function startedWitness(storedVersion = 1): Witness {
@@ -131,6 +132,26 @@
   assert.is(home.validUntil(first), 100 + lease, 'one renewed promise is no majority');
 });
 
+test('the table is sent to a witness until it accepts it, and again after it forgot it', () => {
+  const home = new Lease(settings, 0);
+  const sendsTable = (at: number): boolean[] =>
+    home.round(first, false, at).map(({ frame }) => frame.table !== undefined);
+  assert.equal(sendsTable(0), [true, true, true]);
+  home.promised('w1', promise(1, 1));
+  home.promised('w2', promise(1, 1));
+  assert.equal(sendsTable(1_000), [false, false, true]);
+  home.promised('w2', promise(2, 0, false));
+  assert.equal(sendsTable(2_000), [false, true, true]);
+});
+
+test('a witness that restarted does not accept a version whose table it has not seen', () => {
+  const short = { ...confirm(first), table: undefined };
+  assert.not.ok(accepts(startedWitness(), 'a', short, lease));
+  const witness = startedWitness();
+  assert.ok(accepts(witness, 'a', confirm(first), lease));
+  assert.ok(accepts(witness, 'a', short, lease + 1));
+});
+
 test('while witnesses change, a lease needs a majority of both sets', () => {
   const changing = witnessChangeTable(first, ['w3', 'w4', 'w5']);
   if (changing === undefined) throw new Error('the table is missing');
--- a/packages/core/tests/homes/stale-home.test.ts
+++ b/packages/core/tests/homes/stale-home.test.ts
@@ -25,7 +25,7 @@
   const confirm = { kind: 'home-confirm', released: false, sequence: 1, service } as const;
   const shown = (asked: HomeTable): unknown[] =>
     keeper
-      .frame('a', { ...confirm, table: asked }, now)
+      .frame('a', { ...confirm, table: asked, version: asked.version }, now)
       .filter((command) => command.kind === 'send' && command.frame.kind === 'home-table');
   const frame = { kind: 'home-table', service, table: newest };
   assert.equal(shown(table(1, 'a')), [{ frame, kind: 'send', to: 'a' }]);
--- a/packages/daemon/tests/shared/wait-for.ts
+++ b/packages/daemon/tests/shared/wait-for.ts
@@ -10,11 +10,10 @@
   condition: () => Promise<boolean> | boolean,
 ): Promise<void> {
   const endsAt = performance.now() + limitMilliseconds;
-  let detail = '';
   for (;;) {
+    let detail = '';
     try {
       if (await condition()) return;
-      detail = '';
     } catch (error) {
       detail = `: ${String(error)}`;
     }
--- a/packages/nodes/src/frame-shapes.ts
+++ b/packages/nodes/src/frame-shapes.ts
@@ -33,7 +33,7 @@
   },
   heartbeat: {},
   hello: { identity: 'object', nonce: 'bytes', version: 'number' },
-  'home-confirm': { released: 'boolean', sequence: 'number', service: 'string', table: 'object' },
+  'home-confirm': { released: 'boolean', sequence: 'number', service: 'string', version: 'number' },
   'home-promise': {
     accepted: 'boolean',
     sequence: 'number',
