--- a/packages/core/src/configuration/configuration-change.ts
+++ b/packages/core/src/configuration/configuration-change.ts
@@ -47,10 +47,12 @@
   };
 }
 
+/** Whether the change leaves everything as it is. */
 export function isEmptyChange(change: ConfigurationChange): boolean {
   return change.services.size === 0 && !changesDrains(change);
 }
 
+/** Whether the change drains or restores a server or an availability zone. */
 export function changesDrains(change: ConfigurationChange): boolean {
   return change.drainedServers.size > 0 || change.drainedAvailabilityZones.size > 0;
 }
--- a/packages/core/src/configuration/configuration-contract.ts
+++ b/packages/core/src/configuration/configuration-contract.ts
@@ -10,18 +10,21 @@
 import type { StoreOperation, StoreResult } from '../messages/store.js';
 import type { ClockReading } from '../shared/clock-reading.js';
 
+/** Sends a frame to another node. */
 export interface SendConfigurationFrameCommand {
   readonly kind: 'send';
   readonly to: string;
   readonly frame: ConfigurationFrame;
 }
 
+/** Asks for a store operation; its result comes back under the identifier. */
 export interface ConfigurationStoreCommand {
   readonly kind: 'store';
   readonly operationId: number;
   readonly operation: StoreOperation;
 }
 
+/** Everything that a keeper asks of its surroundings. */
 export type ConfigurationCommand =
   | SendConfigurationFrameCommand
   | ConfigurationStoreCommand
--- a/packages/core/src/configuration/field-checks.ts
+++ b/packages/core/src/configuration/field-checks.ts
@@ -16,10 +16,12 @@
 
 type Fields = Readonly<Record<string, unknown>>;
 
+/** Whether the value is an object and no list. */
 export function isRecord(value: unknown): value is Fields {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
+/** Checks that the value is a number within a range. */
 export function checkNumber(
   value: unknown,
   field: string,
@@ -36,6 +38,7 @@
   return [{ field, expected, found: describe(value) }];
 }
 
+/** Checks that the value is text of a given form. */
 export function checkPattern(
   value: unknown,
   field: string,
@@ -46,6 +49,7 @@
   return [{ field, expected, found: describe(value) }];
 }
 
+/** Checks that the value is true or false. */
 export function checkBoolean(value: unknown, field: string): ConfigurationFault[] {
   if (typeof value === 'boolean') return [];
   return [{ field, expected: 'true or false', found: describe(value) }];
--- a/packages/core/src/configuration/store-layout.ts
+++ b/packages/core/src/configuration/store-layout.ts
@@ -28,6 +28,7 @@
 /** Drained servers and availability zones. */
 export type DrainRecord = Pick<Configuration, 'drainedServers' | 'drainedAvailabilityZones'>;
 
+/** Stands for the root of a store that holds no configuration yet. */
 export const emptyRoot: RootRecord = {
   revision: 0,
   pages: Array.from({ length: pageCount }, () => undefined),
@@ -35,18 +36,22 @@
   changeIds: [],
 };
 
+/** Number of the page that lists a service. */
 export function pageOf(service: string): number {
   return hashString(service) % pageCount;
 }
 
+/** Key of a service's value as one change wrote it. */
 export function serviceKey(service: string, changeId: string): string {
   return `configuration/service/${service}/${changeId}`;
 }
 
+/** Key of a page record. */
 export function pageKey(page: number, pageId: string): string {
   return `configuration/page/${page}/${pageId}`;
 }
 
+/** Key of a record of drained servers and zones. */
 export function drainsKey(drainsId: string): string {
   return `configuration/drains/${drainsId}`;
 }
@@ -70,16 +75,19 @@
   return revision > root.revision - root.changeIds.length;
 }
 
+/** JSON text of a root record. */
 export function encodeRoot(root: RootRecord): string {
   return JSON.stringify({ ...root, pages: root.pages.map((page) => page ?? null) });
 }
 
+/** JSON text of a page; equal pages have equal text. */
 export function encodePage(page: PageRecord): string {
   return JSON.stringify(
     Object.fromEntries([...page].sort(([left], [right]) => compare(left, right))),
   );
 }
 
+/** JSON text of the drained servers and zones. */
 export function encodeDrains(drains: DrainRecord): string {
   const { drainedServers, drainedAvailabilityZones } = drains;
   return JSON.stringify({ drainedServers, drainedAvailabilityZones });
@@ -112,6 +120,7 @@
   return new Map(entries);
 }
 
+/** Returns undefined for text that is no valid service of this name. */
 export function decodeService(text: string, name: string): ServiceConfiguration | undefined {
   return parseService(parseJson(text), name);
 }
--- a/packages/core/src/membership/member-order.ts
+++ b/packages/core/src/membership/member-order.ts
@@ -27,6 +27,7 @@
   readonly rank: number;
 }
 
+/** The part of a record that decides which of two is newer. */
 export function versionOf(record: MemberRecord): RecordVersion {
   return { incarnation: record.incarnation, rank: stateRank(record.state) };
 }
--- a/packages/core/src/membership/membership-contract.ts
+++ b/packages/core/src/membership/membership-contract.ts
@@ -4,6 +4,7 @@
 import type { StoreOperation, StoreResult } from '../messages/store.js';
 import type { ClockReading } from '../shared/clock-reading.js';
 
+/** Sends a frame to another node. */
 export interface SendMembershipFrameCommand {
   readonly kind: 'send';
   readonly to: string;
@@ -12,6 +13,7 @@
   readonly frame: MembershipFrame;
 }
 
+/** Asks for a store operation; its result comes back under the identifier. */
 export interface MembershipStoreCommand {
   readonly kind: 'store';
   readonly operationId: number;
@@ -33,6 +35,7 @@
   readonly revision: number;
 }
 
+/** Everything that a membership asks of its surroundings. */
 export type MembershipCommand =
   | SendMembershipFrameCommand
   | MembershipStoreCommand
--- a/packages/core/src/membership/seed-layout.ts
+++ b/packages/core/src/membership/seed-layout.ts
@@ -8,14 +8,17 @@
 /** Key of the list of availability zones that have seeds. */
 export const zonesKey = 'members/zones';
 
+/** Key of the seeds of an availability zone. */
 export function seedsKey(availabilityZone: string): string {
   return `members/seeds/${availabilityZone}`;
 }
 
+/** JSON text of a list of seeds. */
 export function encodeSeeds(seeds: readonly Seed[]): string {
   return JSON.stringify({ seeds });
 }
 
+/** JSON text of a list of zones. */
 export function encodeZones(zones: readonly string[]): string {
   return JSON.stringify({ zones });
 }
--- a/packages/platform/src/gateway-replies.ts
+++ b/packages/platform/src/gateway-replies.ts
@@ -38,6 +38,7 @@
   return { key: decode(found.key), value: decode(found.value), version: found.version };
 }
 
+/** Encodes a key or value for the gateway. */
 export function encode(text: string): string {
   return Buffer.from(text, 'utf8').toString('base64');
 }
--- a/packages/stand-ins/src/platform-requests.ts
+++ b/packages/stand-ins/src/platform-requests.ts
@@ -49,7 +49,9 @@
   create_request: z.object({ key: base64, start_revision: integer.default('0') }),
 });
 
+/** Body of `/v3/lease/grant`. */
 export const leaseGrantRequest = z.object({ TTL: integer });
+/** Body of `/v3/lease/keepalive` and `/v3/lease/revoke`. */
 export const leaseRequest = z.object({ ID: integer });
 
 /** Faults that the control endpoint injects; a second request with other numbers replaces the first. */
--- a/packages/virtual-time/tests/control-properties.test.ts
+++ b/packages/virtual-time/tests/control-properties.test.ts
@@ -47,57 +47,51 @@
 
 type Fault = (typeof faultKinds)[number];
 
-function inject(network: ControlNetwork, kind: Fault, index: number): void {
-  const server = serverName(index);
-  const { faults: storeFaults } = network.store;
-  switch (kind) {
-    case 'crash':
-      network.crash(server);
-      return;
-    case 'restart':
-      startNode(network, index, zoneCount);
-      return;
-    case 'freeze':
-      network.freeze(server);
-      return;
-    case 'resume':
-      network.resume(server);
-      return;
-    case 'drain':
-      network.nodes.get(server)?.setDraining(true, network.now);
-      return;
-    case 'cut-zone': {
-      const zone = testZones[index % zoneCount]?.[0];
-      network.isCut = (from, to) =>
-        (from.availabilityZone === zone) !== (to.availabilityZone === zone);
-      return;
-    }
-    case 'cut-halves':
-      network.isCut = (from, to) => isInHalf(from.server) !== isInHalf(to.server);
-      return;
-    case 'join':
-      network.isCut = () => false;
-      return;
-    case 'store-down':
-    case 'store-up':
-      storeFaults.down = kind === 'store-down';
-      return;
-    case 'lose-answers':
-      storeFaults.lostAnswers = 0.5;
-      return;
-    case 'late-effects':
-      storeFaults.lateEffects = 0.3;
-      storeFaults.lateWatches = 0.5;
-      storeFaults.duplicates = 0.5;
-      return;
-    case 'cut-watches':
-      network.store.cutWatches();
-      return;
-    case 'propose':
-    case 'propose-twice':
-      return;
-  }
-}
+const injections: Readonly<Record<Fault, (network: ControlNetwork, index: number) => void>> = {
+  crash: (network, index) => {
+    network.crash(serverName(index));
+  },
+  restart: (network, index) => {
+    startNode(network, index, zoneCount);
+  },
+  freeze: (network, index) => {
+    network.freeze(serverName(index));
+  },
+  resume: (network, index) => {
+    network.resume(serverName(index));
+  },
+  drain: (network, index) => {
+    network.nodes.get(serverName(index))?.setDraining(true, network.now);
+  },
+  'cut-zone': (network, index) => {
+    const zone = testZones[index % zoneCount]?.[0];
+    network.isCut = (from, to) =>
+      (from.availabilityZone === zone) !== (to.availabilityZone === zone);
+  },
+  'cut-halves': (network) => {
+    network.isCut = (from, to) => isInHalf(from.server) !== isInHalf(to.server);
+  },
+  join: (network) => {
+    network.isCut = () => false;
+  },
+  'store-down': (network) => {
+    network.store.faults.down = true;
+  },
+  'store-up': (network) => {
+    network.store.faults.down = false;
+  },
+  'lose-answers': (network) => {
+    network.store.faults.lostAnswers = 0.5;
+  },
+  'late-effects': (network) => {
+    Object.assign(network.store.faults, { lateEffects: 0.3, lateWatches: 0.5, duplicates: 0.5 });
+  },
+  'cut-watches': (network) => {
+    network.store.cutWatches();
+  },
+  propose: () => undefined,
+  'propose-twice': () => undefined,
+};
 
 function isInHalf(server: string): boolean {
   return Number(server.split('-')[1]) < nodeCount / 2;
@@ -124,7 +118,7 @@
     fc.property(fc.nat(), faults, (seed, events) => {
       const network = startNetwork(nodeCount, zoneCount, { seed, tickMilliseconds: 50 });
       for (const { kind, index, wait } of events) {
-        inject(network, kind, index);
+        injections[kind](network, index);
         network.run(wait);
       }
       heal(network);
@@ -155,7 +149,7 @@
         run.propose(serverName(index), [...new Set([pick(), pick()])]);
         if (kind === 'propose-twice') run.propose(serverName((index + 5) % nodeCount), [pick()]);
         run.network.run(nextInteger(random, 10));
-        inject(run.network, kind, index);
+        injections[kind](run.network, index);
         run.network.run(wait);
       }
       heal(run.network);
--- a/packages/virtual-time/tests/control-setup.ts
+++ b/packages/virtual-time/tests/control-setup.ts
@@ -25,11 +25,13 @@
   return network;
 }
 
+/** Starts, or restarts, the node of an index in its zone. */
 export function startNode(network: ControlNetwork, index: number, zoneCount: number): void {
   const [zone, region] = testZones[index % zoneCount] ?? testZones[0];
   network.start(serverName(index), zone, region);
 }
 
+/** Name of the server of an index. */
 export function serverName(index: number): string {
   return `server-${index}`;
 }
