Announce revisions and let nodes pull their content

Cause: each node got every changed part from up to four others, 2,827 bytes per change; with the lease of homes and probes a node would pass 4 KB/s. Ruled out: a smaller fan-out (four reach 98 % of a zone at once, two do not). Change: four peers get the revision only; a node pulls it from the first that announced it.

--- a/packages/core/src/configuration/configuration-keeper.ts
+++ b/packages/core/src/configuration/configuration-keeper.ts
@@ -80,6 +80,9 @@
     now: ClockReading,
   ): readonly ConfigurationCommand[] {
     switch (frame.kind) {
+      case 'configuration-announcement':
+        this.spreader.announced(from, frame.revision, now);
+        break;
       case 'configuration-pull':
         this.spreader.answerPull(from, frame.haveRevision, now);
         break;
--- a/packages/core/src/configuration/configuration-spreader.ts
+++ b/packages/core/src/configuration/configuration-spreader.ts
@@ -4,13 +4,11 @@
 import { pickRandom, shuffled, type RandomSource } from '../shared/random-source.js';
 import type { ConfigurationHistory } from './configuration-history.js';
 
-/** Members that each node passes a new revision on to; four reach 98 % of a zone, pulls the rest. */
-const pushFanOut = 4;
-/** A revision that was only heard of usually arrives as a push within this time. */
+/** Members that each node announces a new revision to; four reach 98 % of a zone, pings the rest. */
+const announcementFanOut = 4;
+/** A revision that was only heard of by a ping is usually announced within this time. */
 const pullDelayMilliseconds = 300;
 const pullTimeoutMilliseconds = 500;
-/** Larger pushes are left to pulls, so that a mass change costs each node one copy and not four. */
-const maximumPushCharacters = 65_536;
 /** Whole configurations that a node sends per second; other nodes that start ask elsewhere. */
 const wholeAnswersPerSecond = 4;
 
@@ -23,6 +21,8 @@
 export class ConfigurationSpreader {
   private peers: readonly string[] = [];
   private newestSeen: SeenRevision | undefined;
+  /** The newest revision that was pulled on an announcement. */
+  private pulledRevision = 0;
   private nextPullAt = Number.POSITIVE_INFINITY;
   private wholeAnswers = 0;
   private wholeAnswersSince = 0;
@@ -82,19 +82,29 @@
     return configuration;
   }
 
-  /** Forwards the revision that has just come into force, once, unless it is a first whole copy. */
+  /**
+   * Announces the revision that has just come into force. The content is sent only to those that pull
+   * it, because each node hears of a revision from several others and needs one copy.
+   */
   public spread(previousRevision: number): void {
-    const push = this.history.pushFor(previousRevision);
-    const isFirstCopy = push.baseRevision === 0 && push.revision > 1;
-    if (isFirstCopy || JSON.stringify(push).length > maximumPushCharacters) {
-      this.count('configuration_pushes_left_to_pulls');
-      return;
-    }
-    for (const server of shuffled(this.random, this.peers).slice(0, pushFanOut)) {
-      this.send(server, push);
+    const { revision } = this.history.current;
+    // A node that has just started tells nobody anything new.
+    if (previousRevision === 0 && revision > 1) return;
+    for (const server of shuffled(this.random, this.peers).slice(0, announcementFanOut)) {
+      this.send(server, { kind: 'configuration-announcement', revision });
     }
   }
 
+  /** Pulls an announced revision from the first node that announced it. */
+  public announced(server: string, revision: number, now: ClockReading): void {
+    const isPulled = revision <= this.pulledRevision;
+    if (isPulled || revision <= this.history.current.revision) return;
+    this.pulledRevision = revision;
+    this.newestSeen = { server, revision };
+    this.nextPullAt = now.monotonic + pullTimeoutMilliseconds;
+    this.pull(server);
+  }
+
   public tick(now: ClockReading): void {
     if (now.monotonic < this.nextPullAt) return;
     const { newestSeen } = this;
--- a/packages/core/src/messages/frames.ts
+++ b/packages/core/src/messages/frames.ts
@@ -330,12 +330,19 @@
   readonly drainsChanged: boolean;
 }
 
+/** Says that a revision is in force at the sender; a receiver that lacks it pulls it. */
+export interface ConfigurationAnnouncementFrame {
+  readonly kind: 'configuration-announcement';
+  readonly revision: number;
+}
+
 export interface ConfigurationPullFrame {
   readonly kind: 'configuration-pull';
   readonly haveRevision: number;
 }
 
-export type ConfigurationFrame = ConfigurationPushFrame | ConfigurationPullFrame;
+export type ConfigurationFrame =
+  ConfigurationAnnouncementFrame | ConfigurationPushFrame | ConfigurationPullFrame;
 
 export interface LoadProbeFrame {
   readonly kind: 'load-probe';
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -204,9 +204,13 @@
           members.apply(membership.frame(from, own, now), now);
         },
       )
-      .with({ kind: P.union('configuration-push', 'configuration-pull') }, (own) => {
-        configuration.apply(keeper.frame(from, own, now), now);
-      })
+      .with(
+        { kind: 'configuration-announcement' },
+        { kind: P.union('configuration-push', 'configuration-pull') },
+        (own) => {
+          configuration.apply(keeper.frame(from, own, now), now);
+        },
+      )
       .with({ kind: 'load-probe' }, () => {
         outbox.send(from, { kind: 'load-report', load: gate.load(now) });
       })
--- a/packages/nodes/src/frame-shapes.ts
+++ b/packages/nodes/src/frame-shapes.ts
@@ -24,6 +24,7 @@
   'body-cut': bodyFrame,
   'body-end': bodyFrame,
   'body-stop': bodyFrame,
+  'configuration-announcement': { revision: 'number' },
   'configuration-pull': { haveRevision: 'number' },
   'configuration-push': {
     baseRevision: 'number',
--- a/packages/virtual-time/src/control-node.ts
+++ b/packages/virtual-time/src/control-node.ts
@@ -66,10 +66,14 @@
   }
 
   public receive(from: string, frame: ControlFrame, now: ClockReading): void {
-    if (frame.kind === 'configuration-push' || frame.kind === 'configuration-pull') {
-      this.carryOut(this.keeper.frame(from, frame, now), now);
-    } else {
-      this.carryOut(this.membership.frame(from, frame, now), now);
+    switch (frame.kind) {
+      case 'configuration-announcement':
+      case 'configuration-pull':
+      case 'configuration-push':
+        this.carryOut(this.keeper.frame(from, frame, now), now);
+        return;
+      default:
+        this.carryOut(this.membership.frame(from, frame, now), now);
     }
   }
 
