--- a/packages/nodes/src/peer-connection.ts
+++ b/packages/nodes/src/peer-connection.ts
@@ -27,7 +27,10 @@
 
 const heartbeatAfterMilliseconds = 1_000;
 const silenceLimitMilliseconds = 5_000;
-/** A connection without calls sends no heartbeats after this, so that idle ones cost nothing. */
+/**
+ * A connection without calls for this long sends no heartbeats: a node pings another member each
+ * second, and heartbeats on all those connections would cost more than the pings.
+ */
 const activeMilliseconds = 10_000;
 const idleLimitMilliseconds = 60_000;
 const handshakeLimitMilliseconds = 3_000;
@@ -63,13 +66,16 @@
   private isCorked = false;
   private lastReceivedAt: number;
   private lastSentAt: number;
-  private lastActiveAt: number;
+  /** When the last frame but a heartbeat passed. */
+  private lastUsedAt: number;
+  /** When the last frame of a call passed. */
+  private lastCallAt = Number.NEGATIVE_INFINITY;
 
   public constructor(private readonly options: PeerConnectionOptions) {
     const now = options.clock();
     this.lastReceivedAt = now;
     this.lastSentAt = now;
-    this.lastActiveAt = now;
+    this.lastUsedAt = now;
     const { socket } = options;
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => {
@@ -98,7 +104,7 @@
   }
 
   public send(frame: PeerFrame): void {
-    this.lastActiveAt = this.options.clock();
+    this.noteUse(frame, this.options.clock());
     this.write(frame);
   }
 
@@ -110,12 +116,11 @@
       }
       return;
     }
-    const idleFor = now - this.lastActiveAt;
-    if (idleFor > idleLimitMilliseconds) {
+    if (now - this.lastUsedAt > idleLimitMilliseconds) {
       this.close(CloseReason.Idle, '');
       return;
     }
-    if (idleFor > activeMilliseconds) {
+    if (now - this.lastCallAt > activeMilliseconds) {
       // The other side sends no heartbeats either, so its silence starts to count with the next call.
       this.lastReceivedAt = now;
       return;
@@ -138,6 +143,13 @@
     this.options.events.closed(this, reason, detail);
   }
 
+  private noteUse(frame: PeerFrame, now: number): void {
+    this.lastUsedAt = now;
+    if (isCallFrame(frame)) {
+      this.lastCallAt = now;
+    }
+  }
+
   private write(frame: WireFrame): void {
     if (this.isClosed) {
       return;
@@ -188,7 +200,7 @@
           this.close(CloseReason.BadHello, `${frame.kind} before the handshake was complete`);
           return;
         }
-        this.lastActiveAt = this.lastReceivedAt;
+        this.noteUse(frame, this.lastReceivedAt);
         this.options.events.frame(this, frame);
     }
   }
@@ -240,3 +252,13 @@
     this.options.events.ready(this);
   }
 }
+
+/** Whether somebody waits for the other side, so that its silence has to be noticed. */
+function isCallFrame({ kind }: PeerFrame): boolean {
+  return (
+    kind.startsWith('request-') ||
+    kind.startsWith('keyed-') ||
+    kind.startsWith('body-') ||
+    kind === 'answer'
+  );
+}
