--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -10,7 +10,11 @@
 
 /** Stops the process with a log line: after a broken invariant nothing that it says can be trusted. */
 function exitOnFault(log: Logger): void {
-  process.on('uncaughtException', (error: Error) => {
+  process.on('uncaughtException', (error: NodeJS.ErrnoException) => {
+    if (error.code === 'EADDRINUSE') {
+      log.error(LogEvent.AddressInUse, { message: error.message });
+      process.exit(failureExitCode);
+    }
     log.error(LogEvent.InvariantBroken, { message: error.message, stack: error.stack ?? '' });
     process.exit(failureExitCode);
   });
