--- a/packages/daemon/tests/shared/test-fleet.ts
+++ b/packages/daemon/tests/shared/test-fleet.ts
@@ -45,7 +45,7 @@
 export async function startTestFleet(options: TestFleetOptions): Promise<ProcessFleet> {
   const fleet = new ProcessFleet({
     daemonScript: program('daemon/dist/src/main.js'),
-    logFolder: process.env['TEST_FLEET_LOGS'],
+    logFolder: process.env.TEST_FLEET_LOGS,
     nodeFlags: options.nodeFlags,
     nodeFlagsOf: options.nodeFlagsOf,
     platformScript: program('stand-ins/dist/src/platform-main.js'),
--- a/packages/daemon/tests/shared/wait-for.ts
+++ b/packages/daemon/tests/shared/wait-for.ts
@@ -10,15 +10,19 @@
   condition: () => Promise<boolean> | boolean,
 ): Promise<void> {
   const endsAt = performance.now() + limitMilliseconds;
-  let detail = '';
   for (;;) {
-    try {
-      if (await condition()) return;
-      detail = '';
-    } catch (error) {
-      detail = `: ${String(error)}`;
-    }
-    if (performance.now() > endsAt) throw new Error(`waited in vain until ${description}${detail}`);
+    const detail = await faultOf(condition);
+    if (detail === undefined) return;
+    if (performance.now() > endsAt)
+      throw new Error(`waited in vain until ${description}: ${detail}`);
     await sleep(pauseMilliseconds);
   }
 }
+
+async function faultOf(condition: () => Promise<boolean> | boolean): Promise<string | undefined> {
+  try {
+    return (await condition()) ? undefined : 'it did not hold';
+  } catch (error) {
+    return String(error);
+  }
+}
