--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -77,17 +77,18 @@
     );
     this.detector = new FailureDetector(this.links, this.news.updates);
     this.comparison = new MemberComparison(this.links);
-    this.bridge = new ZoneBridge(this.links, this.detector, (zone, isReachable, now) => {
+    const { links, news, detector, comparison } = this;
+    this.bridge = new ZoneBridge(links, detector, comparison, (zone, isReachable, now) => {
       this.reachability.declare(zone, isReachable, this.bridge, now);
     });
-    const { links, news, detector, comparison, bridge } = this;
+    const { bridge } = this;
     const revisionSeen = (server: string, revision: number): void => {
       this.commands.push({ kind: 'revision-seen', server, revision });
     };
     this.pings = new PingExchange({ links, news, detector, comparison, bridge, revisionSeen });
     this.seeds = new SeedKeeper(links, this.requests, this.timers, {
-      contact: (seed) => {
-        this.contact(seed);
+      contact: (seed, asksForMembers) => {
+        this.contact(seed, asksForMembers);
       },
       settled: () => {
         this.hasJoined = true;
@@ -231,15 +232,15 @@
 
   private start(now: ClockReading): void {
     for (const seed of this.options.seeds ?? []) {
-      if (seed.server !== this.server) this.contact(seed);
+      if (seed.server !== this.server) this.contact(seed, true);
     }
     this.seeds.start(now);
   }
 
-  private contact(seed: Seed): void {
+  private contact(seed: Seed, asksForMembers: boolean): void {
     const target = { ...this.ownEntry.record, server: seed.server, peerAddress: seed.address };
     this.links.send(target, { kind: 'member-updates', updates: [this.ownEntry.record] });
-    this.comparison.start(target);
+    if (asksForMembers) this.comparison.start(target);
   }
 
   private learnAll(from: string, updates: readonly MemberRecord[], now: ClockReading): void {
