--- a/packages/stand-ins/src/fleet/process-fleet.ts
+++ b/packages/stand-ins/src/fleet/process-fleet.ts
@@ -13,6 +13,8 @@
   readonly upstreamPort: number;
   readonly node: ChildProgram;
   readonly upstream: ChildProgram;
+  /** `host:port` on which the upstream itself answers requests. */
+  readonly upstreamAddress: string;
   /** `host:port` of the upstream's control endpoint. */
   readonly control: string;
 }
@@ -130,10 +132,10 @@
       ],
       logFile: this.logFile(`${plan.server}-upstream`),
       name: `upstream of ${plan.server}`,
-      readyPattern: /event=listening .*control=(\S+)/,
+      readyPattern: /event=listening address=(\S+) control=(\S+)/,
       script: this.options.upstreamScript,
     });
-    const [, control = ''] = await upstream.ready();
+    const [, upstreamAddress = '', control = ''] = await upstream.ready();
     this.servers.set(plan.server, {
       callerPort: ports.caller,
       control,
@@ -141,6 +143,7 @@
       operatorPort: ports.operator,
       plan,
       upstream,
+      upstreamAddress,
       upstreamPort: ports.upstream,
     });
   }
