--- a/packages/daemon/tests/shared/wait-for.ts
+++ b/packages/daemon/tests/shared/wait-for.ts
@@ -11,18 +11,13 @@
 ): Promise<void> {
   const endsAt = performance.now() + limitMilliseconds;
   for (;;) {
-    const detail = await faultOf(condition);
-    if (detail === undefined) return;
-    if (performance.now() > endsAt)
-      throw new Error(`waited in vain until ${description}: ${detail}`);
+    let detail = '';
+    try {
+      if (await condition()) return;
+    } catch (error) {
+      detail = `: ${String(error)}`;
+    }
+    if (performance.now() > endsAt) throw new Error(`waited in vain until ${description}${detail}`);
     await sleep(pauseMilliseconds);
   }
 }
-
-async function faultOf(condition: () => Promise<boolean> | boolean): Promise<string | undefined> {
-  try {
-    return (await condition()) ? undefined : 'it did not hold';
-  } catch (error) {
-    return String(error);
-  }
-}
