Count cut answers and refuse a congested peer as such

Two reasons were never given. A streamed answer that broke off was counted nowhere, so operators could not see that callers got broken answers; the callers' server now reports it as answer-cut. A frame that a full write buffer turned away was told as peer-unreachable and made the router treat the target as failing; it is peer-congested now and counts as a refusal (CallEngineContract.notSent takes whether the peer was congested).

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -71,6 +71,8 @@
   service: string;
   tenant: string;
   body: Readable | undefined;
+  /** The head of a streamed answer is out, and its body follows. */
+  isStreaming: boolean;
 }
 
 const stoppingRetryAfterMilliseconds = 1_000;
@@ -141,6 +143,7 @@
     headers[HeaderName.RequestId] = open.requestId;
     headers[HeaderName.Outcome] = outcome.kind;
     if (command.streamedBody) {
+      open.isStreaming = true;
       response.writeHead(outcome.status, headers);
       response.once('finish', () => {
         this.report(open, outcome, undefined);
@@ -177,6 +180,7 @@
     this.nextRequestNumber += 1;
     const open: OpenRequest = {
       body: undefined,
+      isStreaming: false,
       request,
       requestId: `${this.options.requestIdPrefix}-${requestNumber.toString(36)}`,
       requestNumber,
@@ -368,6 +372,11 @@
   private closed(open: OpenRequest): void {
     this.open.delete(open.requestNumber);
     if (!open.response.writableFinished) {
+      // Only this side destroys the answer with an error; a caller that goes away just closes it.
+      if (open.isStreaming && open.response.errored !== null) {
+        const reason = UnknownReason.AnswerCut;
+        this.report(open, { attemptStarted: true, kind: 'outcome-unknown', reason }, undefined);
+      }
       this.options.deliver({ kind: 'caller-gone', requestNumber: open.requestNumber });
     }
   }
--- a/packages/callers/tests/caller-server.test.ts
+++ b/packages/callers/tests/caller-server.test.ts
@@ -286,6 +286,10 @@
   const answer = await exchange(server.port, rawRequest('GET', '/provenance/a'));
   await server.callers.close();
   assert.not.ok(answer.endsWith('0\r\n\r\n'));
+  // Without a report, operators would not see that callers get broken answers.
+  const [finished] = server.finished;
+  const reason = finished?.outcome.kind === 'outcome-unknown' ? finished.outcome.reason : '';
+  assert.is(reason, 'answer-cut');
 });
 
 test('a request body that the caller cuts never reaches the core', async () => {
@@ -314,6 +318,7 @@
   await server.callers.close();
   assert.match(lookup, 'peridotspring-outcome: refused-not-run');
   assert.match(lookup, 'retry-after: 1');
+  for (const answer of [lookup, keyed]) assert.match(answer, 'peridotspring-reason: node-stopping');
   assert.match(keyed, 'peridotspring-outcome: outcome-unknown');
   assert.match(keyed, 'peridotspring-attempt: not-started');
 });
--- a/packages/core/src/calls/call-contract.ts
+++ b/packages/core/src/calls/call-contract.ts
@@ -72,7 +72,7 @@
     now: ClockReading,
   ): readonly CallCommand[];
   /** The frame could not be sent at all: the attempt did not start. */
-  notSent(attemptId: number, now: ClockReading): readonly CallCommand[];
+  notSent(attemptId: number, congested: boolean, now: ClockReading): readonly CallCommand[];
   /** The connection to a server was lost: every attempt there may have run. */
   peerLost(server: string, now: ClockReading): readonly CallCommand[];
   /** The caller went away. */
--- a/packages/core/src/calls/call-engine.ts
+++ b/packages/core/src/calls/call-engine.ts
@@ -125,10 +125,13 @@
     return commands;
   }
 
-  public notSent(attemptId: number, now: ClockReading): readonly CallCommand[] {
-    const attempt = this.attempts.end(attemptId, AttemptEnd.Unreachable, undefined, now);
+  public notSent(attemptId: number, congested: boolean, now: ClockReading): readonly CallCommand[] {
+    // A full write buffer is no sign that the target fails.
+    const end = congested ? AttemptEnd.Refused : AttemptEnd.Unreachable;
+    const attempt = this.attempts.end(attemptId, end, undefined, now);
     if (attempt === undefined) return [];
-    return this.notStarted(attempt, { reason: RefusalReason.PeerUnreachable }, now);
+    const reason = congested ? RefusalReason.PeerCongested : RefusalReason.PeerUnreachable;
+    return this.notStarted(attempt, { reason }, now);
   }
 
   public peerLost(server: string, now: ClockReading): readonly CallCommand[] {
--- a/packages/core/src/node/call-board.ts
+++ b/packages/core/src/node/call-board.ts
@@ -143,9 +143,9 @@
       .exhaustive();
   }
 
-  public notSent(callId: number, now: ClockReading): void {
+  public notSent(callId: number, congested: boolean, now: ClockReading): void {
     if (this.attempts.delete(callId)) {
-      this.apply(this.options.engine.notSent(callId, now), now);
+      this.apply(this.options.engine.notSent(callId, congested, now), now);
     }
   }
 
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -128,7 +128,7 @@
         return;
       case 'frame-not-sent':
         if (message.frame.kind === 'request-start') {
-          calls.notSent(message.frame.callId, now);
+          calls.notSent(message.frame.callId, message.congested, now);
         } else if (message.frame.kind === 'keyed-request') {
           keyed.notSent(message.frame.callId, now);
         }
--- a/packages/core/tests/calls/call-engine.property.test.ts
+++ b/packages/core/tests/calls/call-engine.property.test.ts
@@ -83,7 +83,7 @@
       observer.see(
         step.result === 'refused'
           ? engine.refused(attemptId, { reason: 'no-slot' }, at(now))
-          : engine.notSent(attemptId, at(now)),
+          : engine.notSent(attemptId, false, at(now)),
       );
       return;
     case 'failed':
--- a/packages/core/tests/calls/call-engine.test.ts
+++ b/packages/core/tests/calls/call-engine.test.ts
@@ -20,6 +20,20 @@
 const streamed: Partial<Call> = { bodyHeld: false };
 
 const outcomeCases: readonly OutcomeCase[] = [
+  {
+    attempts: 2,
+    failure: 'a server without a connection is told as one that refused',
+    outcome: 'refused-not-run peer-unreachable',
+    script: ['not-sent', 'not-sent'],
+    servers: 2,
+  },
+  {
+    attempts: 2,
+    failure: 'a full connection is told as an unreachable server',
+    outcome: 'refused-not-run peer-congested',
+    script: ['not-sent congested', 'not-sent congested'],
+    servers: 2,
+  },
   {
     attempts: 1,
     failure: 'an answer is not delivered',
@@ -276,4 +290,10 @@
   assert.is(engine.callsInProgress, count - 1);
 });
 
+test('an attempt after a refusal says why it was made, so that its counter can rise', () => {
+  const { commands } = new ScriptedCall(engineWith(3)).play(['refused', 'answered 200']);
+  const reasons = dispatches(commands).map(({ retryReason }) => retryReason);
+  assert.equal(reasons, [undefined, 'refused-elsewhere']);
+});
+
 test.run();
--- a/packages/core/tests/calls/setup.ts
+++ b/packages/core/tests/calls/setup.ts
@@ -74,7 +74,7 @@
       case 'failed':
         return engine.failed(attempt, undefined, at(this.now));
       case 'not-sent':
-        return engine.notSent(attempt, at(this.now));
+        return engine.notSent(attempt, parameter === 'congested', at(this.now));
       case 'peer-lost':
         return engine.peerLost(server, at(this.now));
       case 'admitted':
--- a/packages/core/tests/homes/home-keeper.test.ts
+++ b/packages/core/tests/homes/home-keeper.test.ts
@@ -81,9 +81,13 @@
     return this.replies.get(this.callId);
   }
 
-  public conclude(kind: 'answered' | 'refused' | 'unknown', bytes = 10): void {
+  public conclude(
+    kind: 'answered' | 'refused' | 'unknown',
+    bytes: number | 'too-large' = 10,
+  ): void {
     const dispatchId = this.dispatches.shift() ?? 0;
-    const answer = { body: new Uint8Array(bytes), headers: {}, status: 201 };
+    const body = bytes === 'too-large' ? undefined : new Uint8Array(bytes);
+    const answer = { body, headers: {}, status: 201 };
     const outcome =
       kind === 'answered'
         ? ({ kind, status: 201 } as const)
@@ -210,6 +214,23 @@
   assert.is(reasonOf(home.request(key)), 'answer-not-kept');
 });
 
+test('an answer that was too large to collect is reported as such, and nothing runs again', () => {
+  const home = new SingleHome();
+  home.request(key);
+  home.conclude('answered', 'too-large');
+  assert.equal([...home.replies.values()].map(reasonOf), ['answer-too-large']);
+  assert.is(reasonOf(home.request(key)), 'answer-too-large');
+  assert.is(home.dispatches.length, 0);
+});
+
+test('a home whose witness promises nothing yet runs nothing and says no-lease', () => {
+  const home = new SingleHome({ leaseMilliseconds: 20_000 });
+  assert.is(reasonOf(home.request(key)), 'waits');
+  home.pass(1_500);
+  assert.equal([...home.replies.values()].map(reasonOf), ['no-lease']);
+  assert.is(home.dispatches.length, 0);
+});
+
 test('witnesses are spread over zones, own servers first, in an odd number', () => {
   const directory = new MemberDirectory(defaultHomeSettings);
   const own = [member('a1', 'za'), member('a2', 'za'), member('b1', 'zb')];
--- a/packages/daemon/tests/lookups.process.test.ts
+++ b/packages/daemon/tests/lookups.process.test.ts
@@ -127,6 +127,9 @@
   }
   assert.ok((await counterOf(entry, 'retries', { reason: 'attempt-failed' })) > 0);
   assert.ok((await counterOf(entry, 'unknown_outcomes', { reason: 'upstream-failed' })) > 0);
+  await waitFor('the cut answers are counted', async () => {
+    return (await counterOf(entry, 'unknown_outcomes', { reason: 'answer-cut' })) >= 4;
+  });
 });
 
 // The entry must not tell callers of a refused connection as if the request might have run.
