Follow a home that moved while its old one can't be reached

Cause: an entry that still knew the table of a home that had left answered every keyed request at once with outcome-unknown/home-unreachable and never asked for a newer table. An entry also sent a request four times within 40 ms to a home that answered not-home under the same table, and then gave it up.

Change: a request whose frame never left the node waits for a newer table, as one that was answered not-home does, for at most 1 s; the same home is tried again under the same table only after 200 ms.

--- a/packages/core/src/entry/keyed-forwarder.ts
+++ b/packages/core/src/entry/keyed-forwarder.ts
@@ -8,6 +8,8 @@
 /** How long a request waits for the home table of a service that this node has not used yet. */
 const tableWaitMilliseconds = 1_000;
 const retryAfterMilliseconds = 1_000;
+/** Time until a home that could not take a request is tried again if no newer table came. */
+const sameHomeRetryMilliseconds = 200;
 
 /** A keyed request of one of this node's callers. */
 export interface KeyedRequest {
@@ -31,12 +33,23 @@
       readonly outcome: Exclude<KeyedOutcome, { readonly kind: 'not-home' }>;
     };
 
+/** Why the home that a table named did not take a request. */
+interface HomeFailure {
+  readonly home: string;
+  readonly version: number;
+  readonly reason: UnknownReason;
+  /** Monotonic time. */
+  readonly retryAt: number;
+}
+
 interface Forwarded {
   readonly request: KeyedRequest;
   readonly callId: number;
   hops: number;
   /** The home that holds the request now; undefined while the table is awaited. */
   home: string | undefined;
+  /** The last home that did not take it. */
+  failure: HomeFailure | undefined;
   waitingSince: number;
 }
 
@@ -59,6 +72,7 @@
   public begin(request: KeyedRequest, now: ClockReading): ForwarderCommand[] {
     const entry: Forwarded = {
       callId: this.options.nextCallId(),
+      failure: undefined,
       home: undefined,
       hops: 0,
       request,
@@ -82,19 +96,7 @@
     if (outcome.kind !== 'not-home') {
       return this.conclude(entry, outcome);
     }
-    entry.home = undefined;
-    entry.hops += 1;
-    entry.waitingSince = now.monotonic;
-    if (entry.hops > maximumHops) {
-      return this.unknown(entry, 'no-home', false);
-    }
-    const { head, key } = entry.request;
-    const known = this.options.table(head.service)?.ranges[this.options.rangeOf(key)];
-    if (known?.server === from) {
-      // This node's table still names the node that has just said it is not the home.
-      return [{ kind: 'need-table', service: head.service }];
-    }
-    return this.send(entry, now);
+    return this.tryAgain(entry, 'no-home', now);
   }
 
   /** Services whose table is awaited by a request. */
@@ -109,9 +111,9 @@
   }
 
   /** The frame to the home never left this node. */
-  public notSent(callId: number): ForwarderCommand[] {
+  public notSent(callId: number, now: ClockReading): ForwarderCommand[] {
     const entry = this.forwarded.get(callId);
-    return entry === undefined ? [] : this.unknown(entry, 'home-unreachable', false);
+    return entry === undefined ? [] : this.tryAgain(entry, 'home-unreachable', now);
   }
 
   /** A home can't be asked any more whether it started a request. */
@@ -153,21 +155,40 @@
       if (now.monotonic >= entry.request.deadline) {
         commands.push(
           ...(isWaiting
-            ? this.unknown(entry, 'no-home', false)
+            ? this.unknown(entry, entry.failure?.reason ?? 'no-home', false)
             : this.unknown(entry, 'deadline-after-start', true)),
         );
       } else if (isWaiting && now.monotonic - entry.waitingSince >= tableWaitMilliseconds) {
-        commands.push(...this.unknown(entry, 'no-home', false));
+        commands.push(...this.unknown(entry, entry.failure?.reason ?? 'no-home', false));
       }
     }
     return commands;
   }
 
+  /** Nothing was started, so the request may go to the home that a newer table names. */
+  private tryAgain(entry: Forwarded, reason: UnknownReason, now: ClockReading): ForwarderCommand[] {
+    const { home, request } = entry;
+    if (home === undefined) {
+      return [];
+    }
+    const version = this.options.table(request.head.service)?.version ?? 0;
+    const retryAt = now.monotonic + sameHomeRetryMilliseconds;
+    entry.failure = { home, reason, retryAt, version };
+    entry.home = undefined;
+    entry.hops += 1;
+    entry.waitingSince = now.monotonic;
+    return entry.hops > maximumHops ? this.unknown(entry, reason, false) : this.send(entry, now);
+  }
+
   private send(entry: Forwarded, now: ClockReading): ForwarderCommand[] {
-    const { request } = entry;
+    const { failure, request } = entry;
     const table = this.options.table(request.head.service);
     const home = table?.ranges[this.options.rangeOf(request.key)];
-    if (home === undefined) {
+    const hasJustFailed =
+      failure?.home === home?.server &&
+      failure?.version === table?.version &&
+      now.monotonic < (failure?.retryAt ?? 0);
+    if (home === undefined || hasJustFailed) {
       return [{ kind: 'need-table', service: request.head.service }];
     }
     entry.home = home.server;
--- a/packages/core/src/node/keyed-board.ts
+++ b/packages/core/src/node/keyed-board.ts
@@ -116,7 +116,7 @@
   }
 
   public notSent(callId: number, now: ClockReading): void {
-    this.applyForwarder(this.forwarder.notSent(callId), now);
+    this.applyForwarder(this.forwarder.notSent(callId, now), now);
   }
 
   public peerLost(server: string, now: ClockReading): void {
@@ -152,7 +152,7 @@
           if (to === this.options.self) {
             this.applyHomes(this.options.homes.request(to, frame, now), now);
           } else if (!this.options.outbox.send(to, frame)) {
-            this.applyForwarder(this.forwarder.notSent(frame.callId), now);
+            this.applyForwarder(this.forwarder.notSent(frame.callId, now), now);
           }
         })
         .with({ kind: 'need-table' }, ({ service }) => {
