Answer a sender that is not a known member on its connection

Cause: replies looked the sender's address up among the members and were dropped when it was not there yet.

Change: replies to calls, keyed requests, homes' questions, load probes and configuration pulls go out with an empty address, as those of the membership did already; the driver sends such frames only over an open connection, and so does the one in virtual time.

--- a/packages/core/src/node/configuration-board.ts
+++ b/packages/core/src/node/configuration-board.ts
@@ -24,7 +24,7 @@
     for (const command of commands) {
       match(command)
         .with({ kind: 'send' }, ({ frame, to }) => {
-          outbox.send(to, frame);
+          outbox.reply(to, frame);
         })
         .with({ kind: 'store' }, ({ operation, operationId }) => {
           const client = StoreClient.Configuration;
--- a/packages/core/src/node/execution-board.ts
+++ b/packages/core/src/node/execution-board.ts
@@ -258,7 +258,7 @@
       this.options.localResult(frame, now);
       return;
     }
-    this.options.outbox.send(execution.from, frame);
+    this.options.outbox.reply(execution.from, frame);
   }
 
   private remove(execution: Execution): void {
--- a/packages/core/src/node/keyed-board.ts
+++ b/packages/core/src/node/keyed-board.ts
@@ -230,7 +230,7 @@
           if (to === self) {
             this.outcome(self, callId, outcome, now);
           } else {
-            outbox.send(to, { callId, kind: 'keyed-outcome', outcome });
+            outbox.reply(to, { callId, kind: 'keyed-outcome', outcome });
           }
         })
         .with({ kind: 'send' }, ({ frame, to }) => {
@@ -255,7 +255,7 @@
     now: ClockReading,
   ): void {
     if (to !== this.options.self) {
-      this.options.outbox.send(to, frame);
+      this.options.outbox.reply(to, frame);
     } else if (frame.kind === 'key-answer') {
       this.applyInquiry(this.inquiry.answered(to, frame), now);
     } else {
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -208,7 +208,7 @@
         configuration.apply(keeper.frame(from, own, now), now);
       })
       .with({ kind: 'load-probe' }, () => {
-        outbox.send(from, { kind: 'load-report', load: gate.load(now) });
+        outbox.reply(from, { kind: 'load-report', load: gate.load(now) });
       })
       .with({ kind: 'load-report' }, ({ load }) => {
         if (load !== undefined) {
--- a/packages/core/src/node/outbox.ts
+++ b/packages/core/src/node/outbox.ts
@@ -32,6 +32,11 @@
     return true;
   }
 
+  /** Answers a server; one that is not known yet is answered on the connection that it opened. */
+  public reply(to: string, frame: CoreFrame): void {
+    this.commands.push({ address: this.addressOf(to) ?? '', frame, kind: 'send-frame', to });
+  }
+
   public count(counter: CounterName, labels: Readonly<Record<string, string>>): void {
     this.commands.push({ by: 1, counter, kind: 'count', labels });
   }
--- a/packages/virtual-time/src/fleet-network.ts
+++ b/packages/virtual-time/src/fleet-network.ts
@@ -45,8 +45,9 @@
 
   public constructor(private readonly options: FleetNetworkOptions) {}
 
-  public send(from: FleetNode, to: string, frame: CoreFrame): void {
-    const connection = from.connections.get(to) ?? this.dial(from, to, frame);
+  /** Sends a frame; without an address only over a connection that is open. */
+  public send(from: FleetNode, to: string, address: string, frame: CoreFrame): void {
+    const connection = from.connections.get(to) ?? this.dial(from, to, address, frame);
     if (connection === undefined) return;
     const [first, second] = connection.ends;
     const receiver = first === from ? second : first;
@@ -83,9 +84,14 @@
     }
   }
 
-  private dial(from: FleetNode, to: string, frame: CoreFrame): FleetConnection | undefined {
+  private dial(
+    from: FleetNode,
+    to: string,
+    address: string,
+    frame: CoreFrame,
+  ): FleetConnection | undefined {
     const { after, listener, now } = this.options;
-    const target = listener(to);
+    const target = address === '' ? undefined : listener(to);
     const pair = `${from.life} ${to}`;
     const failsAt = this.failingDials.get(pair) ?? 0;
     if (failsAt > now()) {
--- a/packages/virtual-time/src/fleet.ts
+++ b/packages/virtual-time/src/fleet.ts
@@ -221,7 +221,7 @@
     const { server } = node;
     switch (command.kind) {
       case 'send-frame':
-        this.network.send(node, command.to, command.frame);
+        this.network.send(node, command.to, command.address, command.frame);
         return;
       case 'reply-to-caller':
         this.callers.replied(node, command);
