Compare members often in the first seconds of a node

Cause: a comparison examines at most two zones, and the next follows 10 s later.

Change: for 5 s after its start a node compares every 500 ms.

--- a/packages/core/src/membership/member-comparison.ts
+++ b/packages/core/src/membership/member-comparison.ts
@@ -17,6 +17,9 @@
 /** Interval while the last comparison still brought many records, as after a start or a partition. */
 const catchUpIntervalMilliseconds = 100;
 const catchUpRecords = 20;
+/** A new node compares often at first: each comparison examines few zones, and it must know all. */
+const startMilliseconds = 5_000;
+const startIntervalMilliseconds = 500;
 /** One comparison in this many is with a member of another zone. */
 const otherZoneEvery = 4;
 /** Zones and buckets examined per comparison; the rest is left to the next. */
@@ -31,6 +34,7 @@
 /** Compares members with random other nodes, so that updates lost on the way arrive in the end. */
 export class MemberComparison {
   private nextAt = 0;
+  private startedAt: number | undefined;
   private recordsReceived = 0;
   private recordTokens = recordBurst;
   private tokensAt = 0;
@@ -48,10 +52,8 @@
 
   public tick(now: ClockReading): void {
     if (now.monotonic < this.nextAt) return;
-    const isCatchingUp = this.recordsReceived >= catchUpRecords;
+    this.nextAt = now.monotonic + this.interval(now) * (0.75 + 0.5 * this.links.random.next());
     this.recordsReceived = 0;
-    const interval = isCatchingUp ? catchUpIntervalMilliseconds : intervalMilliseconds;
-    this.nextAt = now.monotonic + interval * (0.75 + 0.5 * this.links.random.next());
     const partner = this.pickPartner();
     if (partner !== undefined) this.start(partner.record);
   }
@@ -79,6 +81,13 @@
     }
   }
 
+  private interval(now: ClockReading): number {
+    this.startedAt ??= now.monotonic;
+    if (this.recordsReceived >= catchUpRecords) return catchUpIntervalMilliseconds;
+    const isNew = now.monotonic - this.startedAt < startMilliseconds;
+    return isNew ? startIntervalMilliseconds : intervalMilliseconds;
+  }
+
   private compareZones(
     frame: MemberSyncZonesFrame,
     reply: (answer: MemberSyncFrame) => void,
