Replace a home only for the end of the life that the table names

Cause: a node that knew a server as left or dead replaced it as a home at once, even where the table named a later incarnation of it.

--- a/packages/core/src/homes/member-directory.ts
+++ b/packages/core/src/homes/member-directory.ts
@@ -1,4 +1,5 @@
 import { maximumWitnesses } from '../messages/home-table.js';
+import type { ServerIncarnation } from '../messages/identity.js';
 import { MemberState } from '../messages/member.js';
 import type { MemberRecord } from '../messages/member.js';
 import type { HomeSettings } from './home-settings.js';
@@ -40,10 +41,13 @@
   }
 
   /** Whether a home has to be replaced. Absence counts only after a while, because lists may be incomplete. */
-  public isGoneHome(server: string, service: string, monotonic: number): boolean {
+  public isGoneHome(home: ServerIncarnation, service: string, monotonic: number): boolean {
+    const { server } = home;
     const member = this.byServer.get(server);
-    if (member !== undefined && isDead(member)) return true;
-    const isAway = member?.service !== service;
+    // The end of an earlier life says nothing of the one that the table names.
+    const hasEnded = member !== undefined && isDead(member);
+    if (hasEnded && member.incarnation >= home.incarnation) return true;
+    const isAway = hasEnded || member?.service !== service;
     return this.hasLasted(
       `${service}/${server}`,
       isAway,
--- a/packages/core/src/homes/table-needs.ts
+++ b/packages/core/src/homes/table-needs.ts
@@ -40,7 +40,7 @@
       (assignment) =>
         assignment.server === self.server
           ? namesThisLife(assignment, self)
-          : !members.isGoneHome(assignment.server, service, now.monotonic),
+          : !members.isGoneHome(assignment, service, now.monotonic),
       () => members.chooseWitnesses(service, []),
     );
     return takeover ?? this.desiredWitnesses(current, now.monotonic);
--- a/packages/core/tests/homes/stale-home.test.ts
+++ b/packages/core/tests/homes/stale-home.test.ts
@@ -2,7 +2,8 @@
 import * as assert from 'uvu/assert';
 
 import type { HomeTable } from '../../src/index.js';
-import { HomeKeeper } from '../../src/index.js';
+import { defaultHomeSettings, HomeKeeper } from '../../src/index.js';
+import { MemberDirectory } from '../../src/homes/member-directory.js';
 import { epoch, service } from './shared/home-network.js';
 
 function table(version: number, home: string): HomeTable {
@@ -32,4 +33,17 @@
   assert.equal(shown(newest), []);
 });
 
+// Guards against a takeover, with unknown outcomes, of ranges that were just handed over to a
+// restarted server by a node that has heard of the end of its earlier life only.
+test('the end of an earlier life of a home does not count', () => {
+  const members = new MemberDirectory(defaultHomeSettings);
+  const place = { availabilityZone: 'z', peerAddress: 'a', region: 'r', server: 'a', slots: 1 };
+  members.update([{ ...place, incarnation: 5, service, state: 'left' }]);
+  const isGone = (incarnation: number, at: number): boolean =>
+    members.isGoneHome({ incarnation, server: 'a' }, service, at);
+  assert.is(isGone(5, 0), true);
+  assert.is(isGone(6, 0), false);
+  assert.is(isGone(6, defaultHomeSettings.absentMilliseconds), true);
+});
+
 test.run();
