--- a/packages/virtual-time/src/fleet-faults.ts
+++ b/packages/virtual-time/src/fleet-faults.ts
@@ -2,6 +2,7 @@
 
 import type { Fleet, FleetServer } from './fleet.js';
 import { proposeChange } from './fleet-changes.js';
+import type { FleetLoad } from './fleet-load.js';
 
 /** Everything that can happen to a fleet. Each ends by itself after its duration. */
 export const faultKinds = [
@@ -21,6 +22,7 @@
   'stop',
   'change',
   'racing-changes',
+  'surge',
 ] as const;
 
 /** A kind of fault. */
@@ -41,7 +43,10 @@
 export class FleetFaults {
   private readonly cuts = new Set<Cut>();
 
-  public constructor(private readonly fleet: Fleet) {}
+  public constructor(
+    private readonly fleet: Fleet,
+    private readonly load: FleetLoad,
+  ) {}
 
   /** Lets the fault begin now and end after its duration. */
   public inject({ durationMilliseconds, index, kind }: FleetFault): void {
@@ -81,6 +86,9 @@
       case 'racing-changes':
         this.propose(index, kind === 'racing-changes');
         return () => undefined;
+      case 'surge':
+        this.load.surge(place.service);
+        return () => undefined;
       default:
         return this.beginAtStore(kind);
     }
--- a/packages/virtual-time/src/fleet-load.ts
+++ b/packages/virtual-time/src/fleet-load.ts
@@ -15,12 +15,15 @@
   readonly abandonedShare: number;
   /** Share of the keyed requests that are also sent through another node soon. */
   readonly doubledShare: number;
+  /** Age from which callers choose a node as entry, as a readiness probe would have it. */
+  readonly entryAgeMilliseconds: number;
 }
 
 /** A load that is enough to have requests on the way at every fault. */
 export const usualLoad: Omit<FleetLoadOptions, 'seed'> = {
   abandonedShare: 0.05,
   doubledShare: 0.3,
+  entryAgeMilliseconds: 0,
   intervalMilliseconds: 15,
   keyedShare: 0.7,
 };
@@ -28,6 +31,10 @@
 const deadlines = [300, 1_000, 2_000, 2_000, 4_000];
 const resendDelays = [0, 1, 5, 50, 400, 1_200, 2_500, 5_000];
 const maximumResends = 4;
+/** More than the slots and the queues of a service's usual servers hold. */
+const surgeRequests = 250;
+/** Share of the keys that a home may refuse because they were made too far ahead of its clock. */
+const futureShare = 0.03;
 
 /** Callers who send requests at random times and resend keys until they have an answer. */
 export class FleetLoad {
@@ -50,6 +57,11 @@
     this.isRunning = false;
   }
 
+  /** Sends many requests of one service at once, so that gates refuse some. */
+  public surge(service: string): void {
+    for (let sent = 0; sent < surgeRequests; sent += 1) this.sendKeyed(service);
+  }
+
   private sendLater(): void {
     const wait = -Math.log(1 - this.random.next()) * this.options.intervalMilliseconds;
     this.fleet.after(wait, () => {
@@ -62,12 +74,15 @@
   private sendNew(): void {
     const { fleet, options, random } = this;
     const service = pickRandom(random, fleet.servers)?.service ?? '';
-    if (random.next() >= options.keyedShare) {
-      this.send(service, undefined, 0);
-      return;
-    }
-    // Callers' clocks are off by as much as the nodes' are.
-    const key = fleet.callers.createKey(fleet.wall + 400 * (random.next() - 0.5));
+    if (random.next() < options.keyedShare) this.sendKeyed(service);
+    else this.send(service, undefined, 0);
+  }
+
+  private sendKeyed(service: string): void {
+    const { fleet, options, random } = this;
+    // Callers' clocks are off by as much as the nodes' are, and a few by more.
+    const ahead = random.next() < futureShare ? 1_000 * random.next() : 0;
+    const key = fleet.callers.createKey(fleet.wall + 400 * (random.next() - 0.5) + ahead);
     this.send(service, key, maximumResends);
     if (random.next() < options.doubledShare) {
       fleet.after(this.resendDelay(), () => {
@@ -97,7 +112,10 @@
 
   /** Nodes that callers may choose; those that stop tell them to go elsewhere. */
   private entries(): FleetNode[] {
-    return this.fleet.running.filter(({ core }) => !core.isStopping);
+    const { entryAgeMilliseconds } = this.options;
+    return this.fleet.running.filter(
+      ({ clock, core }) => !core.isStopping && clock.monotonic >= entryAgeMilliseconds,
+    );
   }
 
   private resendDelay(): number {
--- a/packages/virtual-time/src/fleet-run.ts
+++ b/packages/virtual-time/src/fleet-run.ts
@@ -44,8 +44,8 @@
 
   public constructor({ load, ...options }: FleetRunOptions) {
     this.fleet = new Fleet({ servers: fleetServers(), tickMilliseconds: 25, ...options });
-    this.faults = new FleetFaults(this.fleet);
     this.load = new FleetLoad(this.fleet, { ...usualLoad, seed: options.seed, ...load });
+    this.faults = new FleetFaults(this.fleet, this.load);
     const [node] = this.fleet.running;
     this.fleet.run(1_500);
     if (node !== undefined) proposeChange(this.fleet, node, this.services);
