--- a/packages/core/src/node/keyed-board.ts
+++ b/packages/core/src/node/keyed-board.ts
@@ -126,7 +126,7 @@
   }
 
   public notSent(callId: number, now: ClockReading): void {
-    this.applyForwarder(this.forwarder.notSent(callId), now);
+    this.applyForwarder(this.forwarder.notSent(callId, now), now);
   }
 
   public peerLost(server: string, now: ClockReading): void {
@@ -162,7 +162,7 @@
           if (to === this.options.self) {
             this.applyHomes(this.options.homes.request(to, frame, now), now);
           } else if (!this.options.outbox.send(to, frame)) {
-            this.applyForwarder(this.forwarder.notSent(frame.callId), now);
+            this.applyForwarder(this.forwarder.notSent(frame.callId, now), now);
           }
         })
         .with({ kind: 'need-table' }, ({ service }) => {
@@ -240,7 +240,7 @@
           if (to === self) {
             this.outcome(self, callId, outcome, now);
           } else {
-            outbox.send(to, { callId, kind: 'keyed-outcome', outcome });
+            outbox.reply(to, { callId, kind: 'keyed-outcome', outcome });
           }
         })
         .with({ kind: 'send' }, ({ frame, to }) => {
@@ -265,7 +265,7 @@
     now: ClockReading,
   ): void {
     if (to !== this.options.self) {
-      this.options.outbox.send(to, frame);
+      this.options.outbox.reply(to, frame);
     } else if (frame.kind === 'key-answer') {
       this.applyInquiry(this.inquiry.answered(to, frame), now);
     } else {
