--- a/packages/stand-ins/src/fleet/demo.ts
+++ b/packages/stand-ins/src/fleet/demo.ts
@@ -82,7 +82,9 @@
   upstreamFlags: ['--service-time', 'exponential:5'],
   upstreamScript: scriptPath('../upstream/main.js'),
 });
+const shutdown = { requested: false };
 const stop = (): void => {
+  shutdown.requested = true;
   void fleet.close().then(() => process.exit(0));
 };
 process.on('SIGINT', stop);
@@ -101,7 +103,10 @@
   }
   printHelp(servers, fleet.platformPort);
 } catch (error) {
-  process.stderr.write(`${String(error)}\n`);
-  await fleet.close();
-  process.exitCode = 1;
+  // A start that a signal broke off is no failure.
+  if (!shutdown.requested) {
+    process.stderr.write(`${String(error)}\n`);
+    await fleet.close();
+    process.exitCode = 1;
+  }
 }
--- a/packages/stand-ins/src/fleet/process-fleet.ts
+++ b/packages/stand-ins/src/fleet/process-fleet.ts
@@ -1,4 +1,5 @@
 import { ChildProgram } from './child-program.js';
+import type { ChildProgramOptions } from './child-program.js';
 import type { ServerPlan } from './deployments.js';
 import { findFreePorts } from './free-ports.js';
 
@@ -46,6 +47,9 @@
   public platformPort = 0;
 
   private platformProgram: ChildProgram | undefined;
+  /** Every program that was started, so that `close` ends those that aren't ready yet as well. */
+  private readonly programs = new Set<ChildProgram>();
+  private isClosing = false;
 
   public constructor(private readonly options: ProcessFleetOptions) {}
 
@@ -59,7 +63,7 @@
   public async startPlatform(): Promise<void> {
     const [port = 0] = this.platformPort === 0 ? await findFreePorts(1) : [this.platformPort];
     this.platformPort = port;
-    this.platformProgram = new ChildProgram({
+    this.platformProgram = this.start({
       flags: ['--port', String(port)],
       logFile: this.logFile('platform'),
       name: 'platform stand-in',
@@ -107,9 +111,18 @@
   }
 
   public async close(): Promise<void> {
-    const programs = [...this.servers.values()].flatMap(({ node, upstream }) => [upstream, node]);
-    await Promise.all(programs.map((program) => program.close()));
-    await this.platformProgram?.close();
+    this.isClosing = true;
+    await Promise.all([...this.programs].map((program) => program.close()));
+  }
+
+  /** Starts a program, unless the fleet was closed in the meantime. */
+  private start(options: ChildProgramOptions): ChildProgram {
+    if (this.isClosing) {
+      throw new Error(`${options.name} is not started because the fleet is closed`);
+    }
+    const program = new ChildProgram(options);
+    this.programs.add(program);
+    return program;
   }
 
   private readonly peerPorts = new Map<string, number>();
@@ -118,7 +131,7 @@
     this.peerPorts.set(plan.server, ports.peer);
     const node = this.startNode(plan, ports);
     await node.ready();
-    const upstream = new ChildProgram({
+    const upstream = this.start({
       flags: [
         ...['--service', plan.service, '--slots', String(plan.slots)],
         ...['--connections', String(plan.connections)],
@@ -144,7 +157,7 @@
 
   private startNode(plan: ServerPlan, ports: Ports): ChildProgram {
     const address = (port: number): string => `127.0.0.1:${port}`;
-    return new ChildProgram({
+    return this.start({
       environment: {
         PERIDOTSPRING_OPERATOR_SECRET: fleetOperatorSecret,
         PERIDOTSPRING_PEER_SECRET: fleetPeerSecret,
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs, builds and starts the demo from a fresh clone; Ctrl-C or SIGTERM stops everything.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ ! -d node_modules ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
+  npm ci --no-audit --no-fund --prefer-offline >/dev/null
+fi
+npx tsc -b
+# Replaces the shell, so that a signal to this script reaches the demo.
+exec node packages/stand-ins/dist/src/fleet/demo.js "$@"
