--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -38,7 +38,8 @@
 
 /** A request that was refused or answered, for counters and the journal. */
 export interface FinishedRequest {
-  readonly requestId: string;
+  /** Undefined when the head could not be read, so that no request came to be. */
+  readonly requestId: string | undefined;
   readonly service: string;
   readonly tenant: string;
   readonly outcome: CallOutcome;
@@ -200,11 +201,11 @@
       },
       this.options.configuration(),
     );
+    open.service = checked.service ?? open.service;
     if (checked.kind === 'rejected') {
       this.rejectRequest(open, checked, undefined);
       return;
     }
-    open.service = checked.service;
     if (this.rejectWhenBusy(open, checked)) {
       return;
     }
@@ -402,7 +403,7 @@
       milliseconds: 0,
       outcome,
       refusedDetail: detail,
-      requestId: 'none',
+      requestId: undefined,
       service: 'unknown',
       tenant: this.options.defaultTenant,
     });
--- a/packages/core/src/entry/request-rules.ts
+++ b/packages/core/src/entry/request-rules.ts
@@ -36,6 +36,8 @@
   readonly detail: string;
   /** Present when the request was recognised; what is said of a keyed request depends on it. */
   readonly requestClass?: RequestClass | undefined;
+  /** Present when the path names a declared service. */
+  readonly service?: string | undefined;
 }
 
 function rejected(reason: RefusalReason, detail: string): RejectedRequest {
@@ -134,15 +136,15 @@
   const { requestClass, requestKind } = classifyRequest(service, raw.method, path);
   const key = requestClass === RequestClass.NonIdempotent ? checkKey(raw.key) : undefined;
   if (typeof key === 'object') {
-    return key;
+    return { ...key, requestClass, service: name };
   }
   const deadlineMilliseconds = parseDeadline(raw.deadline, service);
   if (typeof deadlineMilliseconds !== 'number') {
-    return { ...deadlineMilliseconds, requestClass };
+    return { ...deadlineMilliseconds, requestClass, service: name };
   }
   const depth = parseDepth(raw.depth);
   if (typeof depth !== 'number') {
-    return { ...depth, requestClass };
+    return { ...depth, requestClass, service: name };
   }
   return {
     deadlineMilliseconds,
--- a/packages/core/src/homes/home-contract.ts
+++ b/packages/core/src/homes/home-contract.ts
@@ -94,4 +94,6 @@
   table(service: string): HomeTable | undefined;
   /** The range of a key: 0 to 15. */
   rangeOf(key: string): number;
+  /** Number of key records held and their approximate bytes. */
+  readonly recordUsage: { readonly records: number; readonly bytes: number };
 }
--- a/packages/ctl/src/connection-options.ts
+++ b/packages/ctl/src/connection-options.ts
@@ -40,7 +40,8 @@
 }
 
 const defaultAddress: Address = { host: '127.0.0.1', port: 7103 };
-const defaultTimeoutMilliseconds = 10_000;
+/** A node gives up a change after 10 s and says why; that answer must not be missed. */
+const defaultTimeoutMilliseconds = 15_000;
 
 /** Adds the flags that say how the node is reached; each also comes from the environment. */
 export function addConnectionOptions(program: Command): void {
@@ -64,7 +65,7 @@
     .addOption(
       new Option('--timeout <duration>', 'time for one answer of the node')
         .env('PERIDOTCTL_TIMEOUT')
-        .default(defaultTimeoutMilliseconds, '10s')
+        .default(defaultTimeoutMilliseconds, '15s')
         .argParser(parseDurationFlag),
     )
     .addOption(
--- a/packages/daemon/src/operators/core-node-view.ts
+++ b/packages/daemon/src/operators/core-node-view.ts
@@ -24,6 +24,7 @@
   readonly store: PlatformStore;
   readonly clock: () => ClockReading;
   readonly deliver: (message: CoreMessage) => void;
+  readonly keyRecordLimits: { readonly records: number; readonly bytes: number };
 }
 
 /** The state of this node for operators' questions, read from the core and the adapters. */
@@ -66,7 +67,8 @@
   }
 
   public budgets(): readonly BudgetUse[] {
-    const { clock, core } = this.options;
+    const { clock, core, keyRecordLimits } = this.options;
+    const held = core.parts.homes.recordUsage;
     const polls = core.pollBudget(clock());
     const retries = core.parts.engine.retryBudgets();
     return [
@@ -84,6 +86,13 @@
         spent,
         unit: 'tokens',
       })),
+      ...(['records', 'bytes'] as const).map((unit) => ({
+        allowed: keyRecordLimits[unit],
+        budget: 'key-records',
+        service: '',
+        spent: held[unit],
+        unit,
+      })),
     ];
   }
 
--- a/packages/daemon/src/operators/node-observer.ts
+++ b/packages/daemon/src/operators/node-observer.ts
@@ -54,10 +54,12 @@
 
   /** A request that got its final outcome. */
   public finished(request: FinishedRequest): void {
-    const { milliseconds, outcome, refusedDetail, requestId, service } = request;
+    const { milliseconds, outcome, refusedDetail: detail, requestId, service, tenant } = request;
     const { journal, metrics, refusals, wallClock } = this.options;
     const now = wallClock();
-    journal.record(requestId, { kind: 'concluded', outcome }, now);
+    if (requestId !== undefined) {
+      journal.record(requestId, { detail, kind: 'concluded', outcome, service, tenant }, now);
+    }
     refusals.record(service, outcome, now);
     metrics.recordLatency(service, outcome.kind, milliseconds);
     this.count(CounterName.Requests, { outcome: outcome.kind, service });
@@ -68,10 +70,10 @@
     this.options.log.command({
       event: 'request-not-answered',
       fields: {
-        detail: refusedDetail ?? '',
+        detail: detail ?? '',
         outcome: outcome.kind,
         reason: outcome.reason,
-        requestId,
+        requestId: requestId ?? '',
         service,
       },
       kind: 'log',
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -65,7 +65,7 @@
     seed: (identity.incarnation ^ process.pid) >>> 0,
   });
   const store = new PlatformStore({ url: `http://${hostAndPort(settings.platformAddress)}` });
-  const parts = createOperatorParts(core, identity, store, log, clock, () => ports);
+  const parts = createOperatorParts(settings, core, identity, store, log, clock, () => ports);
   const upstream = new UpstreamClient((message) => {
     ports.driver.deliver(message);
   });
@@ -142,6 +142,7 @@
 }
 
 function createOperatorParts(
+  settings: Settings,
   core: NodeCore,
   identity: NodeIdentity,
   store: PlatformStore,
@@ -161,6 +162,7 @@
       ports().driver.deliver(message);
     },
     identity,
+    keyRecordLimits: { bytes: settings.keyRecordBytes, records: settings.keyRecords },
     store,
   });
   const changes = new CoreChangePort({
@@ -283,7 +285,9 @@
         driver().frame(from, frame);
       },
       lost: (server, reason, detail) => {
-        log.info(LogEvent.PeerLost, { detail, reason, server });
+        // The end of an unused connection is no fault; a busy fleet has many of them.
+        const level = reason === 'idle' ? 'debug' : 'info';
+        log[level](LogEvent.PeerLost, { detail, reason, server });
         parts.gatherer.peerLost(server);
         driver().peerLost(server);
       },
--- a/packages/operators/src/observation/journal-rows.ts
+++ b/packages/operators/src/observation/journal-rows.ts
@@ -22,7 +22,12 @@
   return outcome.kind === 'answered' ? null : outcome.reason;
 }
 
-function outcomeDetail(outcome: CallOutcome): string {
+function outcomeDetail({ detail, outcome }: Extract<RequestStep, { kind: 'concluded' }>): string {
+  const text = outcomeText(outcome);
+  return detail === undefined ? text : `${text}: ${detail}`;
+}
+
+function outcomeText(outcome: CallOutcome): string {
   switch (outcome.kind) {
     case 'answered':
       return `answered ${outcome.status}`;
@@ -56,7 +61,7 @@
     case 'failed':
       return { detail: step.detail, reason: null, server: step.server };
     case 'concluded':
-      return { detail: outcomeDetail(step.outcome), reason: reasonOf(step.outcome), server: null };
+      return { detail: outcomeDetail(step), reason: reasonOf(step.outcome), server: null };
   }
 }
 
@@ -80,9 +85,9 @@
 
 function conclusionOf(
   steps: readonly JournalStep[],
-): { at: number; outcome: CallOutcome } | undefined {
+): ({ readonly at: number } & Extract<RequestStep, { kind: 'concluded' }>) | undefined {
   const last = steps.at(-1);
-  return last?.step.kind === 'concluded' ? { at: last.at, outcome: last.step.outcome } : undefined;
+  return last?.step.kind === 'concluded' ? { at: last.at, ...last.step } : undefined;
 }
 
 /** One row for a whole request. */
@@ -100,8 +105,8 @@
     outcome: outcome?.kind ?? '',
     reason: outcome === undefined ? null : reasonOf(outcome),
     request: entry.requestId,
-    service: received?.service ?? null,
+    service: received?.service ?? conclusion?.service ?? null,
     status: outcome?.kind === 'answered' ? outcome.status : null,
-    tenant: received?.tenant ?? null,
+    tenant: received?.tenant ?? conclusion?.tenant ?? null,
   };
 }
--- a/packages/operators/src/observation/request-journal.ts
+++ b/packages/operators/src/observation/request-journal.ts
@@ -13,7 +13,14 @@
       readonly deadlineMilliseconds: number;
     }
   | AttemptStep
-  | { readonly kind: 'concluded'; readonly outcome: CallOutcome };
+  | {
+      readonly kind: 'concluded';
+      readonly outcome: CallOutcome;
+      readonly service: string;
+      readonly tenant: string;
+      /** What the entry found wrong with a request that it refused itself. */
+      readonly detail?: string | undefined;
+    };
 
 /** A step with its time. */
 export interface JournalStep {
@@ -65,7 +72,11 @@
 
   public constructor(private readonly bounds: JournalBounds = defaultJournalBounds) {}
 
-  /** Adds a step. Only `received` opens an entry; steps of forgotten requests are dropped. */
+  /**
+   * Adds a step. An entry is opened by the receipt of a request, by an attempt that a home sends on, and
+   * by the conclusion of a request that was refused on receipt; other steps of forgotten requests are
+   * dropped.
+   */
   public record(requestId: string, step: RequestStep, at: number): void {
     const entry = this.find(requestId) ?? this.open(requestId, step);
     if (entry === undefined) return;
@@ -75,7 +86,7 @@
     } else {
       entry.omittedSteps += 1;
     }
-    if (step.kind === 'concluded' && step.outcome.kind !== 'answered') this.keepLonger(entry);
+    if (isUnsuccessful(entry, step)) this.keepLonger(entry);
   }
 
   /** The entry of a request, if it is still remembered. */
@@ -95,7 +106,8 @@
   }
 
   private open(requestId: string, step: RequestStep): OpenEntry | undefined {
-    if (step.kind !== 'received') return undefined;
+    const isRefusedOnReceipt = step.kind === 'concluded' && step.outcome.kind !== 'answered';
+    if (step.kind !== 'received' && step.kind !== 'sent' && !isRefusedOnReceipt) return undefined;
     const entry: OpenEntry = { omittedSteps: 0, requestId, steps: [] };
     this.recent.set(requestId, entry);
     dropOldest(this.recent, this.bounds.recentRequests);
@@ -108,3 +120,14 @@
     dropOldest(this.unsuccessful, this.bounds.unsuccessfulRequests);
   }
 }
+
+/** Whether this node was the entry of the request; otherwise it is the home of the request's key. */
+export function isEntryOf({ steps }: Pick<JournalEntry, 'steps'>): boolean {
+  return steps[0]?.step.kind !== 'sent';
+}
+
+function isUnsuccessful(entry: OpenEntry, step: RequestStep): boolean {
+  if (step.kind === 'concluded') return step.outcome.kind !== 'answered';
+  // A home is not told the conclusion, and its own steps say why its entry got none.
+  return !isEntryOf(entry) && (step.kind === 'refused' || step.kind === 'failed');
+}
--- a/packages/operators/src/questions/combine-rows.ts
+++ b/packages/operators/src/questions/combine-rows.ts
@@ -93,6 +93,15 @@
     .sort((left, right) => numberOf(right, 'count') - numberOf(left, 'count'));
 }
 
+/** Sorts rows by the texts of some fields, so that an answer does not depend on which node was fastest. */
+function inOrderOf(rows: readonly Row[], ...fields: readonly string[]): readonly Row[] {
+  const keyOf = (row: Row): string => fields.map((field) => textOf(row, field)).join('\n');
+  return [...rows].sort((left, right) => {
+    const [leftKey, rightKey] = [keyOf(left), keyOf(right)];
+    return leftKey === rightKey ? 0 : leftKey < rightKey ? -1 : 1;
+  });
+}
+
 /** Turns the rows of all nodes into the rows of the answer. */
 export function combineRows(
   question: Question,
@@ -111,19 +120,24 @@
     case 'tenants':
       return combineTenants(rows, configuration);
     case 'revision':
-      return rows.map((row) => ({
+      return inOrderOf(rows, 'server').map((row) => ({
         ...row,
         in_force: numberOf(row, 'revision') >= configuration.revision,
       }));
     case 'request':
-      return [...rows].sort((left, right) => (textOf(left, 'at') < textOf(right, 'at') ? -1 : 1));
+      return inOrderOf(rows, 'at');
+    case 'requests':
+      // Newest first; the rows of one moment stay in their order.
+      return [...inOrderOf([...rows].reverse(), 'at')].reverse();
     case 'budgets':
+      return inOrderOf(rows, 'server', 'budget', 'service');
+    case 'members':
+      return inOrderOf(rows, 'zone', 'server');
+    case 'platform':
+      return inOrderOf(rows, 'server');
     case 'change':
     case 'configuration':
     case 'key':
-    case 'members':
-    case 'platform':
-    case 'requests':
     case 'services':
       return rows;
   }
--- a/packages/operators/src/questions/fields.ts
+++ b/packages/operators/src/questions/fields.ts
@@ -111,7 +111,11 @@
     request,
     text('entry', 'node that recorded the step: the entry, or the home of the key'),
     text('step', 'received, sent, refused, answered, failed, cancelled or concluded'),
-    count('after_ms', 'time since the request was received', FieldUnit.Milliseconds),
+    count(
+      'after_ms',
+      'time since the node that recorded the step learned of the request',
+      FieldUnit.Milliseconds,
+    ),
     text('server', 'server that the step is about'),
     reason,
     text('detail', 'class, receiver, retry reason, status or outcome, depending on the step'),
--- a/packages/operators/src/questions/local-rows.ts
+++ b/packages/operators/src/questions/local-rows.ts
@@ -4,7 +4,7 @@
 import type { MemberView, NodeView } from '../node-view.js';
 import { requestRow, stepRows } from '../observation/journal-rows.js';
 import type { RefusalHistory } from '../observation/refusal-history.js';
-import type { RequestJournal } from '../observation/request-journal.js';
+import { isEntryOf, type RequestJournal } from '../observation/request-journal.js';
 import { isDrained, liveMembers } from './drained.js';
 import type { Row } from './rows.js';
 
@@ -188,7 +188,10 @@
     case 'request':
       return requestRows(sources, question.requestId);
     case 'requests':
-      return journal.entries().map((entry) => requestRow(entry, server));
+      return journal
+        .entries()
+        .filter(isEntryOf)
+        .map((entry) => requestRow(entry, server));
     case 'revision':
       return [{ revision: view.configuration().revision, server, zone: availabilityZone }];
     case 'services':
--- a/packages/operators/src/render-table.ts
+++ b/packages/operators/src/render-table.ts
@@ -1,24 +1,38 @@
 import { markError } from '@peridotspring/language';
 
 import type { MissingNode, NodeRevision } from './operator-backend.js';
-import type { RowValue } from './questions/rows.js';
+import { FieldType, type RowValue } from './questions/rows.js';
 import type { ChangeResult, InForceResult, QueryResult, RowsResult } from './results.js';
 
+/** Whole numbers are shown whole, others with four significant digits or, from 1,000 on, without a fraction. */
+function numberText(value: number): string {
+  if (Number.isInteger(value)) return String(value);
+  return Math.abs(value) >= 1_000 ? value.toFixed(0) : String(Number(value.toPrecision(4)));
+}
+
 function cell(value: RowValue | undefined): string {
   if (value === null || value === undefined) return '-';
+  if (typeof value === 'number') return numberText(value);
   // Names come from callers and upstreams, so control characters must not reach the terminal.
   // eslint-disable-next-line no-control-regex
   return String(value).replace(/[\u0000-\u0009\u000b-\u001f\u007f-\u009f]/g, '?');
 }
 
-function renderGrid(lines: readonly (readonly string[])[]): string {
+function counted(count: number, noun: string): string {
+  return `${count} ${noun}${count === 1 ? '' : 's'}`;
+}
+
+function renderGrid(lines: readonly (readonly string[])[], isNumber: readonly boolean[]): string {
   const widths = (lines[0] ?? []).map((_, column) =>
     lines.reduce((width, line) => Math.max(width, (line[column] ?? '').length), 0),
   );
   return lines
     .map((line) =>
       line
-        .map((text, column) => text.padEnd(widths[column] ?? 0))
+        .map((text, column) => {
+          const width = widths[column] ?? 0;
+          return isNumber[column] === true ? text.padStart(width) : text.padEnd(width);
+        })
         .join('  ')
         .trimEnd(),
     )
@@ -40,14 +54,17 @@
   const isConfiguration = header.includes('declaration');
   const body = isConfiguration
     ? result.rows.map((row) => cell(row.declaration)).join('\n')
-    : renderGrid([
-        header,
-        ...result.rows.map((row) => header.map((name) => cell(row[name]).replace(/\n/g, ' '))),
-      ]);
+    : renderGrid(
+        [
+          header,
+          ...result.rows.map((row) => header.map((name) => cell(row[name]).replace(/\n/g, ' '))),
+        ],
+        result.fields.map(({ type }) => type === FieldType.Number),
+      );
   const hidden = result.matched - result.rows.length;
   return [
     body,
-    `${result.rows.length} rows, ${result.answered} nodes, revision ${result.revision}`,
+    `${counted(result.rows.length, 'row')}, ${counted(result.answered, 'node')}, revision ${result.revision}`,
     ...(hidden > 0 ? [`${hidden} more rows match; raise the limit or add conditions`] : []),
     ...renderLacking(result.lacking, result.revision),
     ...renderMissing(result.missing),
--- a/packages/operators/tests/observation.test.ts
+++ b/packages/operators/tests/observation.test.ts
@@ -2,6 +2,8 @@
 import * as assert from 'uvu/assert';
 
 import { Metrics, RefusalHistory, RequestJournal } from '../src/index.js';
+import { requestRow, stepRows } from '../src/observation/journal-rows.js';
+import { isEntryOf } from '../src/observation/request-journal.js';
 
 const received = {
   deadlineMilliseconds: 2_000,
@@ -12,6 +14,13 @@
   tenant: 'labs',
 } as const;
 
+const refused = {
+  kind: 'concluded',
+  outcome: { kind: 'refused-not-run', reason: 'draining' },
+  service: 'antrag',
+  tenant: 'labs',
+} as const;
+
 test('the journal keeps refused requests while answered ones push each other out', () => {
   const journal = new RequestJournal({
     recentRequests: 2,
@@ -19,8 +28,7 @@
     unsuccessfulRequests: 1,
   });
   journal.record('old', received, 1);
-  const refused = { kind: 'refused-not-run', reason: 'draining' } as const;
-  journal.record('old', { kind: 'concluded', outcome: refused }, 2);
+  journal.record('old', refused, 2);
   for (const requestId of ['a', 'b', 'c']) journal.record(requestId, received, 3);
   assert.equal(
     journal.entries().map(({ requestId }) => requestId),
@@ -38,12 +46,42 @@
   for (let attempt = 0; attempt < 5; attempt += 1) {
     journal.record('a', { kind: 'sent', role: 'gate', server: 's' }, 2);
   }
-  journal.record('a', { kind: 'concluded', outcome: { kind: 'answered', status: 200 } }, 3);
+  journal.record('a', { ...refused, outcome: { kind: 'answered', status: 200 } }, 3);
   const entry = journal.entry('a');
   assert.equal([entry?.steps.length, entry?.omittedSteps], [3, 4]);
   assert.is(entry?.steps.at(-1)?.step.kind, 'concluded');
 });
 
+test('a request that was refused on receipt can be explained by its identifier', () => {
+  const journal = new RequestJournal();
+  journal.record('a', { ...refused, detail: 'Idempotency-Key is required' }, 1);
+  const [entry] = journal.entries();
+  if (entry === undefined) throw new Error('the request was not kept');
+  const row = requestRow(entry, 'bern-1');
+  assert.equal([row.service, row.outcome, row.reason], ['antrag', 'refused-not-run', 'draining']);
+  const [step] = stepRows(entry, 'bern-1');
+  assert.is(step?.detail, 'refused-not-run: Idempotency-Key is required');
+});
+
+test('a home remembers its attempts, and refused ones longer than others', () => {
+  const journal = new RequestJournal({
+    recentRequests: 1,
+    stepsPerRequest: 8,
+    unsuccessfulRequests: 1,
+  });
+  journal.record('a', { kind: 'sent', role: 'gate', server: 'bern-2' }, 1);
+  journal.record('a', { kind: 'refused', reason: 'no-slot', server: 'bern-2' }, 2);
+  journal.record('b', { kind: 'sent', role: 'gate', server: 'bern-2' }, 3);
+  journal.record('c', { kind: 'sent', role: 'gate', server: 'bern-2' }, 4);
+  const entries = journal.entries();
+  assert.equal(
+    entries.map(({ requestId }) => requestId),
+    ['a', 'c'],
+  );
+  // Otherwise `show requests` would list the request twice.
+  assert.not.ok(entries.some(isEntryOf));
+});
+
 test('refusals outside the time asked for are not counted, and buckets are bounded', () => {
   const history = new RefusalHistory();
   const outcome = { kind: 'refused-not-run', reason: 'no-slot' } as const;
--- a/packages/operators/tests/queries.test.ts
+++ b/packages/operators/tests/queries.test.ts
@@ -27,7 +27,11 @@
       1_000,
     );
     const outcome = { kind: 'answered', status: 200 } as const;
-    node.journal.record(requestId, { kind: 'concluded', outcome }, 1_000 + number * 100);
+    node.journal.record(
+      requestId,
+      { kind: 'concluded', outcome, service: 'antrag', tenant: 'labs' },
+      1_000 + number * 100,
+    );
   }
   return node;
 }
