--- /dev/null
+++ b/packages/daemon/tests/operators/metrics-page.test.ts
@@ -0,0 +1,50 @@
+import { readdirSync, readFileSync } from 'node:fs';
+
+import { CounterName } from '@peridotspring/core';
+import { Metrics } from '@peridotspring/operators';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { registerGauges } from '../../src/operators/gauges.js';
+import type { GaugeSources } from '../../src/operators/gauges.js';
+
+const root = new URL('../../../../../', import.meta.url);
+
+function sourceTexts(): string[] {
+  return readdirSync(new URL('packages/', root)).flatMap((name) => {
+    const folder = new URL(`packages/${name}/src/`, root);
+    return readdirSync(folder, { recursive: true })
+      .map(String)
+      .filter((file) => file.endsWith('.ts'))
+      .map((file) => readFileSync(new URL(file, folder), 'utf8'));
+  });
+}
+
+/** Counters come to be when they are first raised, so their names are read from the sources. */
+function counterNames(): string[] {
+  const literals = sourceTexts().flatMap((text) =>
+    [...text.matchAll(/\.count\('([a-z_]+)'|\bcounter: '([a-z_]+)'/g)].map(
+      ([, argument, field]) => argument ?? field ?? '',
+    ),
+  );
+  return [...literals, ...Object.values(CounterName)].map((name) => `${name}_total`);
+}
+
+async function registeredNames(): Promise<string[]> {
+  const metrics = new Metrics();
+  const own = [...(await metrics.text()).matchAll(/^# TYPE peridotspring_(\S+)/gm)];
+  const gauges: string[] = [];
+  metrics.addGauge = ({ name }) => gauges.push(name);
+  // Only the names are asked for, so the sources of the values are never read.
+  registerGauges(metrics, {} as GaugeSources);
+  return [...own.map(([, name]) => name ?? ''), ...gauges];
+}
+
+test('operators find every metric on the page, and no metric that does not exist', async () => {
+  const page = readFileSync(new URL('docs/operators.md', root), 'utf8');
+  const listed = [...page.matchAll(/^\| `peridotspring_([a-z_]+)`/gm)].map(([, name]) => name);
+  const defined = new Set([...counterNames(), ...(await registeredNames())]);
+  assert.equal([...listed].sort(), [...defined].sort());
+});
+
+test.run();
