--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -16,6 +16,19 @@
   });
 }
 
+/** An address that is taken is a fault of the settings or of a process that still runs. */
+function exitWhenAddressInUse(error: unknown, log: Logger): never {
+  const { address, code, port } = error as NodeJS.ErrnoException & {
+    readonly address?: string;
+    readonly port?: number;
+  };
+  if (code !== 'EADDRINUSE') {
+    throw error;
+  }
+  log.error(LogEvent.AddressInUse, { address: `${address ?? ''}:${port ?? ''}` });
+  process.exit(failureExitCode);
+}
+
 function stopOnSignal(node: RunningNode, log: Logger, graceMilliseconds: number): void {
   let isStopping = false;
   const stop = (): void => {
@@ -40,12 +53,13 @@
     log.warn(LogEvent.SettingUnknown, { variable });
   }
   log.info(LogEvent.NodeStarting, { server: settings.serverName });
-  const node = await startNode({
+  const starting = startNode({
     settings,
     stopped: () => {
-      void node.close().then(() => process.exit(0));
+      void starting.then((node) => node.close()).then(() => process.exit(0));
     },
-  });
+  }).catch((error: unknown) => exitWhenAddressInUse(error, log));
+  const node = await starting;
   stopOnSignal(node, log, settings.stopGraceMilliseconds);
 }
 
