Let a limit on requests keep the newest ones of all nodes

Cause: other nodes cut their rows of show requests before they were put in order, unsuccessful ones first. Change: rows are ordered before the limit, and the count of further rows says that it is a lower bound.

--- a/packages/operators/src/gathering/node-question.ts
+++ b/packages/operators/src/gathering/node-question.ts
@@ -1,6 +1,7 @@
 import { parseStatement } from '@peridotspring/language';
 
 import type { OperatorBackend } from '../operator-backend.js';
+import { combineRows } from '../questions/combine-rows.js';
 import type { Row, RowValue } from '../questions/rows.js';
 import { checkQuestion, selectRows } from '../questions/select-rows.js';
 
@@ -69,7 +70,9 @@
   if (checkQuestion(statement).length > 0) {
     return { cause: 'the node does not know a field of this question', kind: 'failed' };
   }
-  return { kind: 'rows', revision, rows: selectRows(statement, rows).rows };
+  // A limit has to keep the rows that come first in the whole answer.
+  const ordered = combineRows(statement.question, rows, backend.configuration());
+  return { kind: 'rows', revision, rows: selectRows(statement, ordered).rows };
 }
 
 /** Answers an `operator-question` frame: returns the payload of the `operator-answer`. */
--- a/packages/operators/src/render-table.ts
+++ b/packages/operators/src/render-table.ts
@@ -65,7 +65,10 @@
   return [
     body,
     `${counted(result.rows.length, 'row')}, ${counted(result.answered, 'node')}, revision ${result.revision}`,
-    ...(hidden > 0 ? [`${hidden} more rows match; raise the limit or add conditions`] : []),
+    // Other nodes send no more rows than the limit, so there may be more than are known here.
+    ...(hidden > 0
+      ? [`at least ${counted(hidden, 'more row')} match; raise the limit or add conditions`]
+      : []),
     ...renderLacking(result.lacking, result.revision),
     ...renderMissing(result.missing),
   ].join('\n');
