--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -11,3 +11,6 @@
 export { PlatformStandIn } from './platform-stand-in.js';
 export type { PlatformCallCounts } from './platform-stand-in.js';
 export type { PlatformFault } from './platform-requests.js';
+export type { ServerPlan } from './fleet/deployments.js';
+export { fleetOperatorSecret, ProcessFleet } from './fleet/process-fleet.js';
+export type { FleetServer, ProcessFleetOptions } from './fleet/process-fleet.js';
