--- a/packages/stand-ins/src/fleet/demo.ts
+++ b/packages/stand-ins/src/fleet/demo.ts
@@ -67,6 +67,9 @@
     'A question:',
     `  export PERIDOTCTL_ADDRESS=127.0.0.1:${issuer?.operatorPort ?? 0} PERIDOTCTL_SECRET=${fleetOperatorSecret}`,
     `  npx peridotctl query 'show load by service'`,
+    'An outage of the platform, and its end:',
+    `  curl -d '{"kind":"down","active":true}' http://127.0.0.1:${platformPort}/control/fault`,
+    `  curl -d '{"kind":"down","active":false}' http://127.0.0.1:${platformPort}/control/fault`,
     '',
     'Ctrl-C stops everything.',
   ];
