Count a watch that the platform does not answer as a failed call

Cause: in an outage the watching nodes call nothing but their watch, and show platform said reachable=true of them with no failed call. Change: a stream that ends before the watch is confirmed counts as unanswered.

--- a/packages/platform/src/key-watch.ts
+++ b/packages/platform/src/key-watch.ts
@@ -19,6 +19,7 @@
   private readonly waiters = new Set<Waiter>();
   private newest: StoreEntry | undefined;
   private hasEnded = false;
+  private isAnswered = false;
   private readonly endStream: () => void;
   private readonly readTimer: NodeJS.Timeout;
 
@@ -28,7 +29,8 @@
     private readonly read: ReadKey,
     /** A stream can stay open and carry nothing, so the key is also read this often. */
     readIntervalMilliseconds: number,
-    private readonly ended: () => void,
+    /** Told whether the store had confirmed the watch, or nobody waited for that any more. */
+    private readonly ended: (wasAnswered: boolean) => void,
   ) {
     const body = { create_request: { key: encode(key) } };
     this.endStream = client.stream('/v3/watch', body, {
@@ -57,6 +59,8 @@
   }
 
   public close(): void {
+    // A stream that this side ends says nothing of the store.
+    this.isAnswered = true;
     this.endStream();
     this.end();
   }
@@ -67,6 +71,7 @@
       this.close();
       return;
     }
+    this.isAnswered = true;
     // What changed before the stream was open is found by reading once it is.
     if (parsed.data.result.created) this.refresh();
     for (const event of parsed.data.result.events) {
@@ -102,7 +107,7 @@
     if (this.hasEnded) return;
     this.hasEnded = true;
     clearInterval(this.readTimer);
-    this.ended();
+    this.ended(this.isAnswered);
     for (const waiter of this.waiters) {
       waiter.deliver({ kind: 'unknown' });
     }
--- a/packages/platform/src/platform-store.ts
+++ b/packages/platform/src/platform-store.ts
@@ -154,7 +154,9 @@
         this.read(readKey, deliver);
       },
       interval,
-      () => {
+      (wasAnswered) => {
+        // During an outage a watcher may call nothing but its watch.
+        if (!wasAnswered) this.noteAnswer(false, 0);
         if (this.watches.get(key) === watch) this.watches.delete(key);
       },
     );
--- a/packages/platform/tests/platform-store.test.ts
+++ b/packages/platform/tests/platform-store.test.ts
@@ -170,4 +170,13 @@
   },
 );
 
+contract('a watch that is not answered shows operators the outage', async ({ standIn, store }) => {
+  await execute(store, readA);
+  standIn.inject({ kind: 'down', active: true });
+  const watched = await execute(store, { kind: 'watch', key: 'a', afterVersion: 0 });
+  assert.equal(watched, { kind: 'unknown' });
+  assert.not.ok(store.reachable);
+  assert.is(store.counters.unanswered, 1);
+});
+
 contract.run();
