--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -38,7 +38,8 @@
 
 /** A request that was refused or answered, for counters and the journal. */
 export interface FinishedRequest {
-  readonly requestId: string;
+  /** Undefined when the head could not be read, so that no request came to be. */
+  readonly requestId: string | undefined;
   readonly service: string;
   readonly tenant: string;
   readonly outcome: CallOutcome;
@@ -71,6 +72,8 @@
   service: string;
   tenant: string;
   body: Readable | undefined;
+  /** The head of a streamed answer is out, and its body follows. */
+  isStreaming: boolean;
 }
 
 const stoppingRetryAfterMilliseconds = 1_000;
@@ -141,6 +144,7 @@
     headers[HeaderName.RequestId] = open.requestId;
     headers[HeaderName.Outcome] = outcome.kind;
     if (command.streamedBody) {
+      open.isStreaming = true;
       response.writeHead(outcome.status, headers);
       response.once('finish', () => {
         this.report(open, outcome, undefined);
@@ -177,6 +181,7 @@
     this.nextRequestNumber += 1;
     const open: OpenRequest = {
       body: undefined,
+      isStreaming: false,
       request,
       requestId: `${this.options.requestIdPrefix}-${requestNumber.toString(36)}`,
       requestNumber,
@@ -200,11 +205,11 @@
       },
       this.options.configuration(),
     );
+    open.service = checked.service ?? open.service;
     if (checked.kind === 'rejected') {
       this.rejectRequest(open, checked, undefined);
       return;
     }
-    open.service = checked.service;
     if (this.rejectWhenBusy(open, checked)) {
       return;
     }
@@ -368,6 +373,11 @@
   private closed(open: OpenRequest): void {
     this.open.delete(open.requestNumber);
     if (!open.response.writableFinished) {
+      // Only this side destroys the answer with an error; a caller that goes away just closes it.
+      if (open.isStreaming && open.response.errored !== null) {
+        const reason = UnknownReason.AnswerCut;
+        this.report(open, { attemptStarted: true, kind: 'outcome-unknown', reason }, undefined);
+      }
       this.options.deliver({ kind: 'caller-gone', requestNumber: open.requestNumber });
     }
   }
@@ -402,7 +412,7 @@
       milliseconds: 0,
       outcome,
       refusedDetail: detail,
-      requestId: 'none',
+      requestId: undefined,
       service: 'unknown',
       tenant: this.options.defaultTenant,
     });
--- a/packages/stand-ins/src/fleet/demo.ts
+++ b/packages/stand-ins/src/fleet/demo.ts
@@ -67,6 +67,9 @@
     'A question:',
     `  export PERIDOTCTL_ADDRESS=127.0.0.1:${issuer?.operatorPort ?? 0} PERIDOTCTL_SECRET=${fleetOperatorSecret}`,
     `  npx peridotctl query 'show load by service'`,
+    'An outage of the platform, and its end:',
+    `  curl -d '{"kind":"down","active":true}' http://127.0.0.1:${platformPort}/control/fault`,
+    `  curl -d '{"kind":"down","active":false}' http://127.0.0.1:${platformPort}/control/fault`,
     '',
     'Ctrl-C stops everything.',
   ];
@@ -82,7 +85,9 @@
   upstreamFlags: ['--service-time', 'exponential:5'],
   upstreamScript: scriptPath('../upstream/main.js'),
 });
+const shutdown = { requested: false };
 const stop = (): void => {
+  shutdown.requested = true;
   void fleet.close().then(() => process.exit(0));
 };
 process.on('SIGINT', stop);
@@ -101,7 +106,10 @@
   }
   printHelp(servers, fleet.platformPort);
 } catch (error) {
-  process.stderr.write(`${String(error)}\n`);
-  await fleet.close();
-  process.exitCode = 1;
+  // A start that a signal broke off is no failure.
+  if (!shutdown.requested) {
+    process.stderr.write(`${String(error)}\n`);
+    await fleet.close();
+    process.exitCode = 1;
+  }
 }
