--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=2
 import { LogEvent } from './logging/log-event.js';
 import { installLogWriter, Logger } from './logging/logger.js';
 import type { Settings } from './settings/settings.js';
--- a/packages/measure/src/request-path.ts
+++ b/packages/measure/src/request-path.ts
@@ -37,10 +37,14 @@
 /** One server of `provenance`; two of `issuance`, so that keyed requests cross nodes as well. */
 const plans = [planOf('p1', 'provenance'), planOf('i1', 'issuance'), planOf('i2', 'issuance')];
 
-async function startFleet(daemonScript: string): Promise<ProcessFleet> {
+async function startFleet(
+  daemonScript: string,
+  executableFlags: readonly string[],
+): Promise<ProcessFleet> {
   const program = (path: string): string => fileURLToPath(new URL(path, import.meta.url));
   const fleet = new ProcessFleet({
     daemonScript,
+    executableFlags,
     platformScript: program('../../../stand-ins/dist/src/platform-main.js'),
     upstreamFlags: ['--service-time', 'fixed:2'],
     upstreamScript: program('../../../stand-ins/dist/src/upstream/main.js'),
@@ -102,8 +106,9 @@
   const fleets: NamedFleet[] = [];
   try {
     for (const text of flags.daemon) {
-      const [name = '', script = ''] = text.split('=');
-      fleets.push({ fleet: await startFleet(script), name });
+      const [name = '', ...rest] = text.split('=');
+      const [script = '', ...executableFlags] = rest.join('=').split(',');
+      fleets.push({ fleet: await startFleet(script, executableFlags), name });
     }
     await sleep(flags.settle * 1_000);
     const processes = processesOf(fleets);
@@ -135,7 +140,12 @@
 
 const program = new Command('request-path')
   .description('Measures what nodes add to a call, against the same upstream without a node')
-  .requiredOption('--daemon <name=main.js>', 'daemon to measure; may be repeated', collect, [])
+  .requiredOption(
+    '--daemon <name=main.js[,flag]>',
+    'daemon to measure, with flags of Node.js; may be repeated',
+    collect,
+    [],
+  )
   .option('--rate <list>', 'requests/s to each target, separated by commas', parseRates, [100, 500])
   .option('--seconds <s>', 'recorded time of each rate', Number, 10)
   .option('--settle <s>', 'time between the start and the load', Number, 6)
--- a/packages/operators/src/observation/latency-summary.ts
+++ b/packages/operators/src/observation/latency-summary.ts
@@ -1,9 +1,13 @@
-import * as hdr from 'hdr-histogram-js';
+import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js';
+
+// The library's main module loads a WebAssembly build and a compressor too, which takes 10 MB.
+const Int32Histogram = histogramModule.default;
 
 /** Pairs of service and outcome with a histogram of their own, at about 10 KB each. */
 export const maximumLatencySeries = 256;
 
 const quantiles = [0.5, 0.9, 0.99, 0.999] as const;
+const significantDigits = 2;
 const highestMicroseconds = 120_000_000;
 const microsecondsPerMillisecond = 1_000;
 const otherServices = '(other)';
@@ -11,7 +15,7 @@
 interface Series {
   readonly service: string;
   readonly outcome: string;
-  readonly histogram: hdr.Histogram;
+  readonly histogram: InstanceType<typeof Int32Histogram>;
   sumMilliseconds: number;
 }
 
@@ -60,11 +64,7 @@
       return this.find(otherServices, outcome);
     }
     const series: Series = {
-      histogram: hdr.build({
-        autoResize: false,
-        highestTrackableValue: highestMicroseconds,
-        numberOfSignificantValueDigits: 2,
-      }),
+      histogram: new Int32Histogram(1, highestMicroseconds, significantDigits),
       outcome,
       service,
       sumMilliseconds: 0,
--- a/packages/stand-ins/src/fleet/child-program.ts
+++ b/packages/stand-ins/src/fleet/child-program.ts
@@ -9,6 +9,8 @@
   readonly name: string;
   readonly script: string;
   readonly flags: readonly string[];
+  /** Flags of Node.js itself. */
+  readonly executableFlags?: readonly string[] | undefined;
   readonly environment?: Readonly<Record<string, string>> | undefined;
   /** A line of standard output that shows that the program is ready. */
   readonly readyPattern: RegExp;
@@ -23,8 +25,8 @@
   private readonly exited: Promise<number | null>;
 
   public constructor(private readonly options: ChildProgramOptions) {
-    const { environment, flags, logFile, script } = options;
-    this.child = spawn(process.execPath, [script, ...flags], {
+    const { environment, executableFlags = [], flags, logFile, script } = options;
+    this.child = spawn(process.execPath, [...executableFlags, script, ...flags], {
       env: { ...process.env, ...environment },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/packages/stand-ins/src/fleet/process-fleet.ts
+++ b/packages/stand-ins/src/fleet/process-fleet.ts
@@ -3,6 +3,8 @@
 import { findFreePorts } from './free-ports.js';
 
 export const fleetPeerSecret = 'fleet-peer-secret-0001';
+/** Flags of Node.js with which a node is started, as the first line of the daemon's program has them. */
+export const nodeExecutableFlags = ['--max-semi-space-size=2'] as const;
 export const fleetOperatorSecret = 'fleet-operator-secret-0001';
 
 /** A server of the fleet: its node and its upstream, each a process. */
@@ -25,6 +27,8 @@
   /** Compiled main module of the upstream stand-in. */
   readonly upstreamScript: string;
   readonly platformScript: string;
+  /** Flags of Node.js for the nodes; {@link nodeExecutableFlags} unless given. */
+  readonly executableFlags?: readonly string[] | undefined;
   readonly nodeFlags?: readonly string[] | undefined;
   /** Further flags of one node, for instance another advertised address. */
   readonly nodeFlagsOf?: ((server: string, peerPort: number) => readonly string[]) | undefined;
@@ -151,6 +155,7 @@
   private startNode(plan: ServerPlan, ports: Ports): ChildProgram {
     const address = (port: number): string => `127.0.0.1:${port}`;
     return new ChildProgram({
+      executableFlags: this.options.executableFlags ?? nodeExecutableFlags,
       environment: {
         PERIDOTSPRING_OPERATOR_SECRET: fleetOperatorSecret,
         PERIDOTSPRING_PEER_SECRET: fleetPeerSecret,
