Date requests that were read after a pause to its start

Ruled out: making every refusal of a key final, because plain clients resend a refused request with the same key. Change: an entry dates requests of the two seconds after a pause of its process to the start of the pause, so that the home takes them for void. The check is as strict as before again.

--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -1,3 +1,4 @@
+import { EntryClock } from '../entry/entry-clock.js';
 import type { CoreCommand } from '../messages/core-command.js';
 import type {
   CallerRequestMessage,
@@ -32,6 +33,7 @@
  */
 export class NodeCore {
   private readonly boards: NodeBoards;
+  private readonly entryClock = new EntryClock();
 
   public constructor(private readonly options: NodeCoreOptions) {
     this.boards = createBoards(options);
@@ -116,7 +118,7 @@
     );
     const deadline = now.monotonic + deadlineMilliseconds;
     const whole = body ?? new Uint8Array();
-    const receivedAt = now.wall;
+    const receivedAt = this.entryClock.receivedAt(now);
     const keyed = { body: whole, deadline, digest, head, key, receivedAt, requestNumber };
     this.boards.keyed.begin(keyed, now);
   }
@@ -242,6 +244,7 @@
   }
 
   private tick(now: ClockReading): void {
+    this.entryClock.tick(now);
     const { calls, configuration, keyed, members, outbox, stop, upstream } = this.boards;
     const { membership, router } = this.options;
     upstream.tick(now);
--- a/packages/virtual-time/src/fleet-checks.ts
+++ b/packages/virtual-time/src/fleet-checks.ts
@@ -31,8 +31,7 @@
     for (const { at, outcome } of key === undefined ? [] : answers) {
       const told = `${requestId} was told ${outcome.kind} at ${at}`;
       for (const { requestId: attempt, startedAt } of byKey.get(key ?? '') ?? []) {
-        const other = requests.get(attempt);
-        const enteredAt = other === undefined ? 0 : enteredAtOf(log, other);
+        const enteredAt = requests.get(attempt)?.sentAt ?? 0;
         const isRefused = outcome.kind === 'refused-not-run';
         if (isRefused && (startedAt <= at || enteredAt <= at)) {
           violations.push(`${told}, and ${attempt} of ${enteredAt} ran at ${startedAt}`);
@@ -205,14 +204,6 @@
   return byKey;
 }
 
-/** A request enters when its entry's process reads it; a frozen process does so when it resumes. */
-function enteredAtOf(log: FleetLog, { entry, sentAt }: RequestEntry): number {
-  const covering = log
-    .of('frozen', entry)
-    .find(({ from, to }) => from <= sentAt && (to ?? Infinity) >= sentAt);
-  return covering === undefined ? sentAt : (covering.to ?? Infinity);
-}
-
 function dueAt(log: FleetLog, { deadlineAt, entry, sentAt }: RequestEntry): number {
   let due = deadlineAt;
   for (const { from, to } of log.of('frozen', entry)) {
