--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -4,7 +4,12 @@
   CoreMessage,
   StoreResultMessage,
 } from '../messages/core-message.js';
-import type { CoreFrame, HomeFrame } from '../messages/frames.js';
+import type {
+  ConfigurationFrame,
+  CoreFrame,
+  HomeFrame,
+  MembershipFrame,
+} from '../messages/frames.js';
 import { RequestClass } from '../messages/outcome.js';
 import { StoreClient } from '../messages/store.js';
 import type { PollBudget } from '../probing/poll-scheduler.js';
@@ -18,21 +23,7 @@
   CoreMessage,
   { readonly kind: 'frame-not-sent' | 'peer-frame' | 'peer-lost' }
 >;
-type ControlFrame =
-  | HomeFrame
-  | Extract<
-      CoreFrame,
-      {
-        readonly kind:
-          | 'acknowledgement'
-          | 'configuration-pull'
-          | 'configuration-push'
-          | 'member-sync'
-          | 'member-updates'
-          | 'ping'
-          | 'ping-request';
-      }
-    >;
+type ControlFrame = HomeFrame | MembershipFrame | ConfigurationFrame;
 type UpstreamMessage = Extract<CoreMessage, { readonly kind: `upstream-${string}` }>;
 
 /**
@@ -201,7 +192,7 @@
         keyed.keyedFrame(from, frame, now);
         return;
       case 'load-probe':
-        outbox.send(from, { kind: 'load-report', load: gate.load(now) });
+        outbox.reply(from, { kind: 'load-report', load: gate.load(now) });
         return;
       case 'load-report':
         if (frame.load !== undefined) {
@@ -217,6 +208,7 @@
     const { configuration, keyed, members } = this.boards;
     const { configuration: keeper, membership } = this.options;
     switch (frame.kind) {
+      case 'configuration-announcement':
       case 'configuration-push':
       case 'configuration-pull':
         configuration.apply(keeper.frame(from, frame, now), now);
