--- a/packages/callers/src/caller-headers.ts
+++ b/packages/callers/src/caller-headers.ts
@@ -9,7 +9,6 @@
   IdempotencyKey: 'idempotency-key',
   Outcome: 'peridotspring-outcome',
   Reason: 'peridotspring-reason',
-  Recorded: 'peridotspring-recorded',
   RequestId: 'peridotspring-request-id',
   RetryAfter: 'retry-after',
   Tenant: 'peridotspring-tenant',
--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -11,14 +10,17 @@
   CallerRequestMessage,
   CallOutcome,
   Configuration,
+  RefusedOutcome,
   RejectedRequest,
   ReplyToCallerCommand,
-  RequestHead,
+  UnknownOutcome,
 } from '@peridotspring/core';
 
-import { answerHeaders, forwardedHeaders, HeaderName, singleHeader } from './caller-headers.js';
-import { statusOf } from './outcome-status.js';
+import { answerHeaders, HeaderName, singleHeader } from './caller-headers.js';
+import { badRequestResponse, describeConnectionFault } from './connection-fault.js';
+import { outcomeOfRejection, writeOutcome } from './outcome-response.js';
 import { announcesBody, collectBody } from './request-body.js';
+import { createRequestMessage } from './request-message.js';
 
 /** Bounds on what callers may send. */
 export interface CallerLimits {
@@ -214,7 +216,7 @@
       return;
     }
     if (!announcesBody(request)) {
-      this.deliver(open, checked, new Uint8Array(), false);
+      this.options.deliver(createRequestMessage(open, checked, new Uint8Array()));
       return;
     }
     void this.readBody(open, checked);
@@ -247,7 +249,7 @@
       return;
     }
     if (collected.kind === 'whole') {
-      this.deliver(open, checked, collected.bytes, false);
+      this.options.deliver(createRequestMessage(open, checked, collected.bytes));
       return;
     }
     if (isKeyed || collected.kind === 'too-large') {
@@ -258,44 +260,7 @@
       return;
     }
     open.body = collected.stream;
-    this.deliver(open, checked, undefined, true);
-  }
-
-  private deliver(
-    open: OpenRequest,
-    checked: AcceptedRequest,
-    body: Uint8Array | undefined,
-    streamedBody: boolean,
-  ): void {
-    const { deadlineMilliseconds, depth, key, path, requestClass, service } = checked;
-    const { request, requestId, requestNumber, tenant } = open;
-    const method = request.method ?? 'GET';
-    const headers = forwardedHeaders(request.headers);
-    const head: RequestHead = {
-      // The upstream's client counts the hop.
-      depth,
-      headers,
-      method,
-      path,
-      requestId,
-      service,
-      tenant,
-    };
-    const digest =
-      requestClass === RequestClass.NonIdempotent && body !== undefined
-        ? createHash('sha256').update(`${method}\n${path}\n`).update(body).digest('hex')
-        : undefined;
-    this.options.deliver({
-      body,
-      deadlineMilliseconds,
-      digest,
-      head,
-      key,
-      kind: 'caller-request',
-      requestClass,
-      requestNumber,
-      streamedBody,
-    });
+    this.options.deliver(createRequestMessage(open, checked, undefined));
   }
 
   private tenantOf(request: IncomingMessage): string {
@@ -308,53 +273,21 @@
 
   private rejectRequest(
     open: OpenRequest,
-    { detail, reason, requestClass }: RejectedRequest,
+    rejected: RejectedRequest,
     retryAfterMilliseconds: number | undefined,
   ): void {
-    const unknownReason = Object.values(UnknownReason).find((known) => known === reason);
-    if (requestClass === RequestClass.NonIdempotent && unknownReason !== undefined) {
-      // Only the home of the key knows whether an earlier attempt ran.
-      const kind = 'outcome-unknown';
-      const attemptStarted = false;
-      const outcome = {
-        attemptStarted,
-        kind,
-        reason: unknownReason,
-        retryAfterMilliseconds,
-      } as const;
-      this.finishWithOutcome(open, outcome, detail);
-      return;
-    }
-    this.finishWithOutcome(
-      open,
-      { kind: 'refused-not-run', reason, retryAfterMilliseconds },
-      detail,
-    );
+    const outcome = outcomeOfRejection(rejected, retryAfterMilliseconds);
+    this.finishWithOutcome(open, outcome, rejected.detail);
   }
 
   private finishWithOutcome(
     open: OpenRequest,
-    outcome: Exclude<CallOutcome, { readonly kind: 'answered' }>,
-    refusedDetail: string | undefined,
+    outcome: RefusedOutcome | UnknownOutcome,
+    detail: string | undefined,
   ): void {
-    const { requestId, response } = open;
     this.discardUnreadBody(open);
-    const { kind, reason, retryAfterMilliseconds } = outcome;
-    const started = outcome.kind === 'outcome-unknown' && outcome.attemptStarted;
-    response.setHeader('content-type', 'application/json');
-    response.setHeader(HeaderName.RequestId, requestId);
-    response.setHeader(HeaderName.Outcome, kind);
-    response.setHeader(HeaderName.Reason, reason);
-    response.setHeader(HeaderName.Attempt, started ? 'started' : 'not-started');
-    if (retryAfterMilliseconds !== undefined) {
-      // The header has whole seconds; the body has the exact time.
-      response.setHeader(HeaderName.RetryAfter, Math.ceil(retryAfterMilliseconds / 1_000));
-    }
-    response.statusCode = statusOf(outcome);
-    const detail = refusedDetail;
-    const body = { detail, outcome: kind, reason, requestId, retryAfterMilliseconds };
-    response.end(`${JSON.stringify(body)}\n`);
-    this.report(open, outcome, refusedDetail);
+    writeOutcome(open.response, open.requestId, outcome, detail);
+    this.report(open, outcome, detail);
   }
 
   /** A body that nobody reads would block the connection for the next request. */
@@ -383,35 +316,20 @@
   }
 
   private rejectConnection(error: NodeJS.ErrnoException, socket: Socket): void {
-    const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
-    const reason = isTooLarge ? RefusalReason.HeadersTooLarge : RefusalReason.ConflictingLengths;
-    const isLengthFault =
-      error.code === 'HPE_UNEXPECTED_CONTENT_LENGTH' ||
-      error.code === 'HPE_INVALID_CONTENT_LENGTH' ||
-      error.code === 'HPE_INVALID_TRANSFER_ENCODING';
     if (!socket.writable) {
       socket.destroy();
       return;
     }
-    if (!isTooLarge && !isLengthFault) {
-      socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
+    const fault = describeConnectionFault(error.code, this.options.limits.headerBytes);
+    if (fault === undefined) {
+      socket.end(badRequestResponse);
       return;
     }
-    const outcome = { kind: 'refused-not-run', reason } as const;
-    const detail = isTooLarge
-      ? `the request head must be at most ${this.options.limits.headerBytes} bytes`
-      : 'Content-Length and Transfer-Encoding must describe one length';
-    const body = `${JSON.stringify({ detail, outcome: outcome.kind, reason })}\n`;
-    const status = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
-    socket.end(
-      `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\n` +
-        `${HeaderName.Outcome}: ${outcome.kind}\r\n${HeaderName.Reason}: ${reason}\r\n` +
-        `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
-    );
+    socket.end(fault.response);
     this.options.finished({
       milliseconds: 0,
-      outcome,
-      refusedDetail: detail,
+      outcome: fault.outcome,
+      refusedDetail: fault.detail,
       requestId: undefined,
       service: 'unknown',
       tenant: this.options.defaultTenant,
--- /dev/null
+++ b/packages/callers/src/request-message.ts
@@ -0,0 +1,42 @@
+import { createHash } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
+
+import { RequestClass } from '@peridotspring/core';
+import type { AcceptedRequest, CallerRequestMessage } from '@peridotspring/core';
+
+import { forwardedHeaders } from './caller-headers.js';
+
+export interface ReceivedRequest {
+  readonly request: IncomingMessage;
+  readonly requestId: string;
+  readonly requestNumber: number;
+  readonly tenant: string;
+}
+
+/** The core's message for a request; without a body it is streamed. */
+export function createRequestMessage(
+  { request, requestId, requestNumber, tenant }: ReceivedRequest,
+  checked: AcceptedRequest,
+  body: Uint8Array | undefined,
+): CallerRequestMessage {
+  const { deadlineMilliseconds, depth, key, path, requestClass, service } = checked;
+  const method = request.method ?? 'GET';
+  const headers = forwardedHeaders(request.headers);
+  const isKeyed = requestClass === RequestClass.NonIdempotent;
+  return {
+    body,
+    deadlineMilliseconds,
+    digest: isKeyed && body !== undefined ? digestOf(method, path, body) : undefined,
+    // The upstream's client counts the hop, so the depth goes on as it came.
+    head: { depth, headers, method, path, requestId, service, tenant },
+    key,
+    kind: 'caller-request',
+    requestClass,
+    requestNumber,
+    streamedBody: body === undefined,
+  };
+}
+
+function digestOf(method: string, path: string, body: Uint8Array): string {
+  return createHash('sha256').update(`${method}\n${path}\n`).update(body).digest('hex');
+}
--- a/packages/core/src/node/call-board.ts
+++ b/packages/core/src/node/call-board.ts
@@ -11,6 +11,7 @@
 import type { CallOutcome } from '../messages/outcome.js';
 import type { RouterContract } from '../routing/router-contract.js';
 import type { ClockReading } from '../shared/clock-reading.js';
+import { AnswerStreams } from './answer-streams.js';
 import { loadOf, stepOf } from './call-journal.js';
 import { CounterName } from './outbox.js';
 import { LateAttempts } from './late-attempts.js';
@@ -36,12 +37,6 @@
   answer: AnswerFrame | undefined;
 }
 
-/** A streamed answer that is on its way to a caller. */
-interface AnswerStream {
-  readonly server: string;
-  readonly callId: number;
-}
-
 export interface CallBoardOptions {
   readonly self: string;
   readonly engine: CallEngineContract;
@@ -75,11 +70,13 @@
   private readonly calls = new Map<number, OwnedCall>();
   private readonly callOfRequest = new Map<number, number>();
   private readonly attempts = new Map<number, Attempt>();
-  private readonly streams = new Map<number, AnswerStream>();
+  private readonly streams: AnswerStreams;
   private readonly late = new LateAttempts();
   private nextCallNumber = 1;
 
-  public constructor(private readonly options: CallBoardOptions) {}
+  public constructor(private readonly options: CallBoardOptions) {
+    this.streams = new AnswerStreams(options);
+  }
 
   /** Calls and streamed answers that are not finished. */
   public get inProgress(): number {
@@ -166,15 +163,14 @@
       this.forget(callNumber);
       return;
     }
-    const stream = this.streams.get(requestNumber);
+    const stream = this.streams.end(requestNumber);
     if (stream !== undefined) {
-      this.streams.delete(requestNumber);
       this.cancel(stream.server, stream.callId, now);
     }
   }
 
   public streamFinished(requestNumber: number): void {
-    this.streams.delete(requestNumber);
+    this.streams.end(requestNumber);
   }
 
   public tick(now: ClockReading): void {
@@ -266,34 +262,7 @@
       this.options.homeConcluded(dispatchId, outcome, keyed, now);
       return;
     }
-    this.replyToCaller(call.owner.requestNumber, outcome, attempt);
-  }
-
-  private replyToCaller(
-    requestNumber: number,
-    outcome: CallOutcome,
-    attempt: Attempt | undefined,
-  ): void {
-    const { outbox } = this.options;
-    const answer = outcome.kind === 'answered' ? attempt?.answer : undefined;
-    const streamedBody = answer?.streamedBody === true;
-    const { body, headers } = answer ?? {};
-    outbox.push({ body, headers, kind: 'reply-to-caller', outcome, requestNumber, streamedBody });
-    if (answer?.streamedBody !== true || attempt === undefined) {
-      return;
-    }
-    this.streams.set(requestNumber, { callId: answer.callId, server: attempt.server });
-    outbox.push({
-      direction: 'answer',
-      from: this.answerStream(attempt.server, answer.callId),
-      kind: 'relay-body',
-      to: { kind: 'caller', requestNumber },
-    });
-  }
-
-  private answerStream(server: string, callId: number): BodyEndpoint {
-    const local = server === this.options.self ? this.options.localAnswerStream(callId) : undefined;
-    return local ?? { callId, kind: 'peer', server };
+    this.streams.reply(call.owner.requestNumber, outcome, attempt?.server, answer);
   }
 
   /** The engine took another attempt's answer: this one's stream is not wanted. */
