List the log events and drop those that were never logged

Operators' changes and the reachability of the platform are logged now; a test holds page and code together.

--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -64,7 +64,13 @@
     identity,
     seed: (identity.incarnation ^ process.pid) >>> 0,
   });
-  const store = new PlatformStore({ url: `http://${hostAndPort(settings.platformAddress)}` });
+  const store = new PlatformStore({
+    reachabilityChanged: (isReachable) => {
+      if (isReachable) log.info(LogEvent.PlatformAnswersAgain);
+      else log.warn(LogEvent.PlatformUnreachable);
+    },
+    url: `http://${hostAndPort(settings.platformAddress)}`,
+  });
   const parts = createOperatorParts(settings, core, identity, store, log, clock, () => ports);
   const upstream = new UpstreamClient((message) => {
     ports.driver.deliver(message);
@@ -320,6 +326,11 @@
       parts.view.keyKnown(command);
       return;
     case 'proposal-concluded':
+      log.info(LogEvent.OperatorChange, {
+        proposalId: command.proposalId,
+        result: command.result.kind,
+        revision: 'revision' in command.result ? command.result.revision : 0,
+      });
       parts.changes.concluded(command);
       return;
     case 'stopped':
--- /dev/null
+++ b/packages/daemon/tests/logging/log-events-page.test.ts
@@ -0,0 +1,39 @@
+import { readdirSync, readFileSync } from 'node:fs';
+
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { LogEvent } from '../../src/logging/log-event.js';
+
+const root = new URL('../../../../../', import.meta.url);
+
+function sourceText(folder: string): string {
+  const base = new URL(folder, root);
+  return readdirSync(base, { recursive: true })
+    .map(String)
+    .filter((file) => file.endsWith('.ts') && !file.endsWith('log-event.ts'))
+    .map((file) => readFileSync(new URL(file, base), 'utf8'))
+    .join('\n');
+}
+
+const page = readFileSync(new URL('docs/operators.md', root), 'utf8');
+
+// Operators alert by event names: one that is on no page, or is never logged, misleads them.
+test('each event of the daemon is logged and stands on the page', () => {
+  const source = sourceText('packages/daemon/src/');
+  for (const [name, event] of Object.entries(LogEvent)) {
+    assert.ok(source.includes(`LogEvent.${name}`), `${event} is never logged`);
+    assert.ok(page.includes(`| \`${event}\``), `${event} is not in docs/operators.md`);
+  }
+});
+
+test('each event of the core stands on the page', () => {
+  const source = sourceText('packages/core/src/');
+  const events = [...source.matchAll(/\.log\((?:'info', |'warn', )?'([a-z-]+)'/g)];
+  assert.ok(events.length >= 3);
+  for (const [, event = ''] of events) {
+    assert.ok(page.includes(`| \`${event}\``), `${event} is not in docs/operators.md`);
+  }
+});
+
+test.run();
--- a/packages/daemon/tests/logging/logger.test.ts
+++ b/packages/daemon/tests/logging/logger.test.ts
@@ -23,7 +23,7 @@
 
 test('events below the level are left out', () => {
   const lines = linesOf((logger) => {
-    logger.debug(LogEvent.PeerConnected);
+    logger.debug(LogEvent.PeerLost);
     logger.command({ event: 'suspected', fields: {}, kind: 'log', level: 'debug' });
     logger.command({ event: 'suspected', fields: { server: 'a' }, kind: 'log', level: 'warn' });
   });
--- a/packages/platform/src/platform-store.ts
+++ b/packages/platform/src/platform-store.ts
@@ -13,6 +13,8 @@
 export interface PlatformStoreOptions {
   /** Base URL, for example `http://127.0.0.1:2379`. */
   readonly url: string;
+  /** Called when the service stops answering and when it answers again. */
+  readonly reachabilityChanged?: ((isReachable: boolean) => void) | undefined;
   /** Time after which a call counts as unanswered; default 2,000. */
   readonly timeoutMilliseconds?: number | undefined;
   /** How often a watched key is also read, in case its stream is silently dead; default 30,000. */
@@ -165,6 +167,7 @@
   }
 
   private noteAnswer(answered: boolean, startedAt: number): void {
+    if (answered !== this.lastCallAnswered) this.options.reachabilityChanged?.(answered);
     this.lastCallAnswered = answered;
     if (!answered) {
       this.counts.unanswered += 1;
