--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -3,7 +3,13 @@
 import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
 
-import { checkRequest, RefusalReason, RequestClass, UnknownReason } from '@peridotspring/core';
+import {
+  checkRequest,
+  HeaderName,
+  RefusalReason,
+  RequestClass,
+  UnknownReason,
+} from '@peridotspring/core';
 import type {
   AcceptedRequest,
   CallerGoneMessage,
@@ -16,7 +22,7 @@
   UnknownOutcome,
 } from '@peridotspring/core';
 
-import { answerHeaders, HeaderName, singleHeader } from './caller-headers.js';
+import { answerHeaders, singleHeader } from './caller-headers.js';
 import { badRequestResponse, describeConnectionFault } from './connection-fault.js';
 import { outcomeOfRejection, writeOutcome } from './outcome-response.js';
 import { announcesBody, collectBody } from './request-body.js';
--- a/packages/callers/src/connection-fault.ts
+++ b/packages/callers/src/connection-fault.ts
@@ -1,8 +1,6 @@
-import { RefusalReason } from '@peridotspring/core';
+import { HeaderName, RefusalReason } from '@peridotspring/core';
 import type { RefusedOutcome } from '@peridotspring/core';
 
-import { HeaderName } from './caller-headers.js';
-
 /** Parser faults that callers cause with contradicting lengths. */
 const lengthFaults: ReadonlySet<string> = new Set([
   'HPE_INVALID_CONTENT_LENGTH',
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -1,4 +1,3 @@
-export { HeaderName } from './caller-headers.js';
 export { CallerServer } from './caller-server.js';
 export type { CallerLimits, CallerServerOptions, FinishedRequest } from './caller-server.js';
 export { statusOf } from './outcome-status.js';
--- a/packages/callers/src/outcome-response.ts
+++ b/packages/callers/src/outcome-response.ts
@@ -1,9 +1,8 @@
 import type { ServerResponse } from 'node:http';
 
-import { RequestClass, UnknownReason } from '@peridotspring/core';
+import { HeaderName, RequestClass, UnknownReason } from '@peridotspring/core';
 import type { RefusedOutcome, RejectedRequest, UnknownOutcome } from '@peridotspring/core';
 
-import { HeaderName } from './caller-headers.js';
 import { statusOf } from './outcome-status.js';
 
 /** What a caller is told of a request that this node turns away before anything was sent. */
--- a/packages/callers/src/request-message.ts
+++ b/packages/callers/src/request-message.ts
@@ -1,11 +1,9 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 
-import { RequestClass } from '@peridotspring/core';
+import { endToEndFields, RequestClass } from '@peridotspring/core';
 import type { AcceptedRequest, CallerRequestMessage } from '@peridotspring/core';
 
-import { forwardedHeaders } from './caller-headers.js';
-
 export interface ReceivedRequest {
   readonly request: IncomingMessage;
   readonly requestId: string;
@@ -21,7 +19,7 @@
 ): CallerRequestMessage {
   const { deadlineMilliseconds, depth, key, path, requestClass, service } = checked;
   const method = request.method ?? 'GET';
-  const headers = forwardedHeaders(request.headers);
+  const headers = endToEndFields(request.headers);
   const isKeyed = requestClass === RequestClass.NonIdempotent;
   return {
     body,
--- a/packages/callers/tests/caller-server.test.ts
+++ b/packages/callers/tests/caller-server.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { HeaderName } from '../src/index.js';
+import { HeaderName } from '@peridotspring/core';
 import { exchange, rawRequest } from './shared/raw-http.js';
 import { TestServer } from './shared/test-server.js';
 
--- a/packages/core/src/messages/index.ts
+++ b/packages/core/src/messages/index.ts
@@ -1,6 +1,7 @@
 export * from './core-command.js';
 export * from './core-message.js';
 export * from './frames.js';
+export * from './header-fields.js';
 export * from './home-table.js';
 export * from './identity.js';
 export * from './load-report.js';
