Hold requests of a range until its hand-over ends

Cause: a planned stop stops accepting for its ranges until the running attempts have ended, but requests for them were given up after 1 s as for a missing lease.

It now waits until all six run and lets them run longer than the old limit.

Ruled out: the lease (valid throughout), the new home (activated at once).

Change: a request waits for a hand-over until 100 ms of its time remain, bounded as before by the number and bytes of held requests. For a missing lease the limit stays at 1 s.

Not done: handing running attempts over, so that a request whose deadline is shorter than a running attempt is served too.

--- a/packages/core/src/homes/home-settings.ts
+++ b/packages/core/src/homes/home-settings.ts
@@ -16,8 +16,10 @@
   readonly keyRecordBytes: number;
   /** Largest answer that is kept with its key. */
   readonly maximumKeptAnswerBytes: number;
-  /** How long a request waits for a range that is being handed over or activated. */
+  /** How long a request waits for a range whose lease is missing. */
   readonly holdMilliseconds: number;
+  /** A request that waits is answered at the latest when this much of its time remains. */
+  readonly heldReplyMilliseconds: number;
   readonly maximumHeldRequests: number;
   readonly maximumHeldBytes: number;
   /** Advice to callers with a temporary refusal; longer than twice the skew, so that the void rule has ended. */
@@ -45,6 +47,7 @@
   confirmIntervalMilliseconds: 1_000,
   confirmRetryMilliseconds: 100,
   futureToleranceMilliseconds: 500,
+  heldReplyMilliseconds: 100,
   holdMilliseconds: 1_000,
   keyRecordBytes: 32 * 1024 * 1024,
   leaseMilliseconds: 3_000,
--- a/packages/core/src/homes/service-homes.ts
+++ b/packages/core/src/homes/service-homes.ts
@@ -152,7 +152,7 @@
     for (const held of tenure.takeHeld()) {
       const waited = now.monotonic - held.heldAt;
       const remainingMilliseconds = held.frame.remainingMilliseconds - waited;
-      const isOver = waited >= this.parts.settings.holdMilliseconds || remainingMilliseconds <= 0;
+      const isOver = remainingMilliseconds <= this.holdEnd(tenure, held);
       if (!mayAccept && !isOver) {
         tenure.held.push(held);
         continue;
@@ -165,6 +165,16 @@
     }
   }
 
+  /**
+   * The remaining time at which a request is given up. A hand-over ends with the running attempts, so
+   * its requests wait for it; the entry has to hear in time that they were not started.
+   */
+  private holdEnd({ isAccepting }: RangeTenure, { frame }: HeldRequest): number {
+    const { heldReplyMilliseconds, holdMilliseconds } = this.parts.settings;
+    if (!isAccepting) return heldReplyMilliseconds;
+    return Math.max(heldReplyMilliseconds, frame.remainingMilliseconds - holdMilliseconds);
+  }
+
   private replyNoLease({ frame, from }: HeldRequest): void {
     const { outbox, settings } = this.parts;
     const waiter = { callId: frame.callId, from };
--- a/packages/daemon/tests/planned-stop.process.test.ts
+++ b/packages/daemon/tests/planned-stop.process.test.ts
@@ -5,7 +5,13 @@
 import { call, countSummaries, newKey } from './shared/caller.js';
 import { executionsByKey, issue, waitForHomes } from './shared/keyed-calls.js';
 import { SteadyLoad } from './shared/steady-load.js';
-import { counterOf, inFlightOf, planOf, startTestFleet } from './shared/test-fleet.js';
+import {
+  allExecutions,
+  counterOf,
+  inFlightOf,
+  planOf,
+  startTestFleet,
+} from './shared/test-fleet.js';
 import { waitFor } from './shared/wait-for.js';
 
 interface Context {
@@ -43,9 +49,14 @@
   const lookups = new SteadyLoad(6, (caller) => call(at(caller), '/issuance/status?ms=40'));
   await waitFor('the load runs', () => keyed.results.length > 50 && lookups.results.length > 50);
   const own = [
-    ...Array.from({ length: 3 }, () => issue(leaving, newKey(), '?ms=700')),
-    ...Array.from({ length: 3 }, () => call(leaving, '/issuance/status?ms=700')),
+    ...Array.from({ length: 3 }, () => issue(leaving, newKey(), '?ms=1500')),
+    ...Array.from({ length: 3 }, () => call(leaving, '/issuance/status?ms=1500')),
   ];
+  // A request that reaches a node after its stop began is refused, so all have to run before it.
+  await waitFor('the requests of the leaving node run', async () => {
+    const executions = await allExecutions(fleet);
+    return executions.filter(({ path }) => path.endsWith('?ms=1500')).length === own.length;
+  });
   await waitFor('the leaving server works', async () => (await inFlightOf(leaving)) > 0);
   await stop(leaving);
   const count = keyed.results.length;
