Replace homes only on the word of the witnesses

Cause: a server that is cut off from all nodes but not from the store takes the others for dead and writes tables that give it every range. They can't come into force, but the homes that serve these ranges give them up, the others take them back as a takeover, and so on: 12 versions in 20 s. When the cut ended, the server's old view caused one more.

Change: the survey that was made for unreachable zones is asked before every takeover. A home that seems gone is replaced once a majority of every quorum has no promise to it; a change of witnesses needs answers from a majority.

--- a/packages/core/src/homes/table-needs.ts
+++ b/packages/core/src/homes/table-needs.ts
@@ -1,13 +1,12 @@
 import type { HomeLeaseAnswerFrame } from '../messages/frames.js';
 import type { HomeAssignment, HomeTable } from '../messages/home-table.js';
-import type { ServerIncarnation } from '../messages/identity.js';
 import type { ClockReading } from '../shared/clock-reading.js';
 import { LeaseSurvey } from './lease-survey.js';
 import type { HomeParts, ServiceHomes } from './service-homes.js';
 import * as tablePlan from './table-plan.js';
 import { namesThisLife } from './table-view.js';
 
-/** Only so many servers, the first in rank order, ask the witnesses about homes out of reach. */
+/** Only so many servers, the first in rank order, ask the witnesses about homes that seem gone. */
 const maximumSurveyors = 3;
 
 /** Says which table a service needs in place of the current one, and whether it is this node's turn. */
@@ -28,13 +27,18 @@
 
   /** The table that this node is to propose now. */
   public next(current: HomeTable | undefined, now: ClockReading): HomeTable | undefined {
+    const isSurveyor = this.rank() < maximumSurveyors;
+    if (isSurveyor && this.misses(current, now.monotonic)) this.ask(current, now.monotonic);
     const next = this.desired(current, now);
     if (next === undefined) {
       this.neededSince = undefined;
       return undefined;
     }
     this.neededSince ??= now.monotonic;
-    return this.isMyTurn(current, now) ? next : undefined;
+    if (!this.isMyTurn(current, now)) return undefined;
+    if (current === undefined) return next;
+    this.ask(current, now.monotonic);
+    return this.survey.isMajorityReachable(current, now.monotonic) ? next : undefined;
   }
 
   /** The table that is needed, whoever is to write it. */
@@ -47,7 +51,6 @@
       if (own === undefined) return undefined;
       return tablePlan.firstTable(service, own, members.chooseWitnesses(service, []));
     }
-    this.askAboutUnreachable(current, eligible, now.monotonic);
     const takeover = tablePlan.takeoverTable(
       current,
       eligible,
@@ -58,28 +61,39 @@
   }
 
   private isUsable(assignment: HomeAssignment, current: HomeTable, monotonic: number): boolean {
-    const { members, self } = this.parts;
+    const { self } = this.parts;
     const { server } = assignment;
     if (server === self.server) return namesThisLife(assignment, self);
-    if (members.isGoneHome(assignment, this.homes.service, monotonic)) return false;
-    return !members.isUnreachable(server) || !this.survey.hasLapsed(server, current, monotonic);
+    if (!this.isMissing(assignment, monotonic)) return true;
+    return !this.survey.hasLapsed(server, current, monotonic);
   }
 
   /**
-   * A zone out of reach keeps its members, because nobody can tell which of them live. Its homes are
-   * replaced when their lease has lapsed: a zone that lost its power must not keep its keys.
+   * Whether this node can't tell that a home lives. A zone out of reach keeps its members, and a node
+   * that was cut off takes live members for dead, so the witnesses decide.
    */
-  private askAboutUnreachable(
-    current: HomeTable,
-    eligible: readonly ServerIncarnation[],
-    monotonic: number,
-  ): void {
-    const { members, self } = this.parts;
-    const rank = eligible.findIndex(({ server }) => server === self.server);
-    if (rank < 0 || rank >= maximumSurveyors) return;
+  private isMissing(assignment: HomeAssignment, monotonic: number): boolean {
+    const { members } = this.parts;
+    const isGone = members.isGoneHome(assignment, this.homes.service, monotonic);
+    return isGone || members.isUnreachable(assignment.server);
+  }
+
+  private misses(current: HomeTable | undefined, monotonic: number): current is HomeTable {
+    const homes = current?.ranges ?? [];
+    return homes.some((assignment) => assignment && this.isMissing(assignment, monotonic));
+  }
+
+  private ask(current: HomeTable, monotonic: number): void {
     const homes = new Set(current.ranges.flatMap((assignment) => assignment?.server ?? []));
-    const unreachable = [...homes].filter((server) => members.isUnreachable(server));
-    if (unreachable.length > 0) this.survey.ask(unreachable, current, monotonic);
+    this.survey.ask([...homes], current, monotonic);
+  }
+
+  /** Position of this server in the order in which the service's servers propose. */
+  private rank(): number {
+    const { members, self } = this.parts;
+    const eligible = members.eligible(this.homes.service);
+    const position = eligible.findIndex(({ server }) => server === self.server);
+    return position < 0 ? Number.POSITIVE_INFINITY : position;
   }
 
   private desiredWitnesses(current: HomeTable, monotonic: number): HomeTable | undefined {
@@ -100,12 +114,11 @@
 
   /** Servers propose in rank order, so that they don't all write at once. */
   private isMyTurn(current: HomeTable | undefined, now: ClockReading): boolean {
-    const { members, self, settings } = this.parts;
+    const { self, settings } = this.parts;
     if (current !== undefined && current.quorums.length > 1 && this.isFirstHome(current))
       return true;
-    const eligible = members.eligible(this.homes.service);
-    const rank = eligible.findIndex(({ server }) => server === self.server);
-    if (rank < 0) return false;
+    const rank = this.rank();
+    if (rank === Number.POSITIVE_INFINITY) return false;
     const hasEarlierLife = current?.ranges.some(
       (assignment) => assignment?.server === self.server && !namesThisLife(assignment, self),
     );
