Show the homes of a service and their silent witnesses

Cause: when a majority of a service's witnesses was lost, its keyed requests got no-lease, and nothing told an operator which witnesses were missing or what to do.

Ruled out: a command that replaces the set of witnesses. If the lost witnesses are only cut off, homes behind the cut go on accepting, and a request could run twice.

Change: `show homes` lists for each home its ranges, how many of them accept keys, its witnesses and those that are silent.

--- a/packages/core/src/homes/home-contract.ts
+++ b/packages/core/src/homes/home-contract.ts
@@ -64,6 +64,19 @@
   readonly body: Uint8Array | undefined;
 }
 
+/** What a node holds of one service as a home of its keys. */
+export interface HeldHome {
+  readonly service: string;
+  readonly ranges: number;
+  /** Of them, those that accept new keys now. */
+  readonly accepting: number;
+  /** Version of the table that this node goes by. */
+  readonly version: number;
+  readonly witnesses: readonly string[];
+  /** Witnesses whose promise has ended or was never given. */
+  readonly silentWitnesses: readonly string[];
+}
+
 /** Makes non-idempotent requests run at most once. */
 export interface HomeKeeperContract {
   /** A request for a key, from this node's entry (`from` is the own server) or another node's. */
@@ -98,6 +111,8 @@
   table(service: string): HomeTable | undefined;
   /** The range of a key: 0 to 15. */
   rangeOf(key: string): number;
+  /** The services of which this node is a home, for operators. */
+  held(now: ClockReading): readonly HeldHome[];
   /** Number of key records held and their approximate bytes. */
   readonly recordUsage: { readonly records: number; readonly bytes: number };
 }
--- a/packages/core/src/homes/home-keeper.ts
+++ b/packages/core/src/homes/home-keeper.ts
@@ -13,7 +13,7 @@
 import type { StoreResult } from '../messages/store.js';
 import type { ClockReading } from '../shared/clock-reading.js';
 import { HeldBudget } from './held-budget.js';
-import type { HomeCommand, HomeKeeperContract, KeyedAnswer } from './home-contract.js';
+import type { HeldHome, HomeCommand, HomeKeeperContract, KeyedAnswer } from './home-contract.js';
 import { HomeOutbox } from './home-outbox.js';
 import { defaultHomeSettings } from './home-settings.js';
 import type { HomeSettings } from './home-settings.js';
@@ -176,6 +176,10 @@
     return rangeOfKey(key);
   }
 
+  public held(now: ClockReading): readonly HeldHome[] {
+    return [...this.services.values()].flatMap(({ homes }) => homes.held(now.monotonic) ?? []);
+  }
+
   /** Number of key records held and their approximate bytes. */
   public get recordUsage(): { readonly records: number; readonly bytes: number } {
     return { bytes: this.records.heldBytes, records: this.records.size };
--- a/packages/core/src/homes/lease.ts
+++ b/packages/core/src/homes/lease.ts
@@ -67,6 +67,15 @@
     return since + this.settings.leaseMilliseconds;
   }
 
+  /** Witnesses of this table whose promise has ended or was never given. */
+  public silentWitnesses(table: HomeTable, monotonic: number): readonly string[] {
+    const { leaseMilliseconds } = this.settings;
+    return witnessesOf(table).filter((witness) => {
+      const since = this.confirmedSince.get(witness) ?? Number.NEGATIVE_INFINITY;
+      return table.version !== this.version || since + leaseMilliseconds <= monotonic;
+    });
+  }
+
   private majoritySince(quorum: readonly string[]): number {
     const times = quorum
       .map((witness) => this.confirmedSince.get(witness) ?? Number.NEGATIVE_INFINITY)
--- a/packages/core/src/homes/service-homes.ts
+++ b/packages/core/src/homes/service-homes.ts
@@ -4,6 +4,7 @@
 import { UnknownReason } from '../messages/outcome.js';
 import type { ClockReading } from '../shared/clock-reading.js';
 import type { HeldBudget } from './held-budget.js';
+import type { HeldHome } from './home-contract.js';
 import type { HomeOutbox } from './home-outbox.js';
 import type { HomeSettings } from './home-settings.js';
 import { rangeOfKey } from './key-hash.js';
@@ -15,7 +16,7 @@
 import { RangeTenure, scopeOf } from './range-tenure.js';
 import type { HeldRequest } from './range-tenure.js';
 import type { TableBook } from './table-book.js';
-import { namesThisLife } from './table-view.js';
+import { namesThisLife, witnessesOf } from './table-view.js';
 import type { TransferInbox } from './transfer-inbox.js';
 
 /** What the homes of all services share on one node. */
@@ -103,6 +104,21 @@
     return this.tenures.size > 0 && this.lease.validUntil(table) > monotonic;
   }
 
+  /** Undefined while this node is the home of no range. */
+  public held(monotonic: number): HeldHome | undefined {
+    const table = this.parts.tables.get(this.service);
+    if (table === undefined || this.tenures.size === 0) return undefined;
+    const accepting = [...this.tenures.values()].filter((tenure) => tenure.mayAccept(monotonic));
+    return {
+      accepting: accepting.length,
+      ranges: this.tenures.size,
+      service: this.service,
+      silentWitnesses: this.lease.silentWitnesses(table, monotonic),
+      version: table.version,
+      witnesses: witnessesOf(table),
+    };
+  }
+
   public tick(now: ClockReading): void {
     const table = this.parts.tables.get(this.service);
     if (table === undefined || this.tenures.size === 0) return;
--- a/packages/daemon/src/operators/core-node-view.ts
+++ b/packages/daemon/src/operators/core-node-view.ts
@@ -2,6 +2,7 @@
   ClockReading,
   Configuration,
   CoreMessage,
+  HeldHome,
   KeyKnownCommand,
   LoadReport,
   NodeCore,
@@ -53,6 +54,10 @@
     return this.options.core.parts.gate.load(this.options.clock());
   }
 
+  public homes(): readonly HeldHome[] {
+    return this.options.core.parts.homes.held(this.options.clock());
+  }
+
   public tenantUse(): readonly TenantUse[] {
     const service = this.load()?.service;
     if (service === undefined) {
--- a/packages/language/src/question-grammar.ts
+++ b/packages/language/src/question-grammar.ts
@@ -27,6 +27,7 @@
     this.OR<Question>([
       this.wordFor(keyword.configuration, { kind: 'configuration' as const }),
       this.wordFor(keyword.services, { kind: 'services' as const }),
+      this.wordFor(keyword.homes, { kind: 'homes' as const }),
       this.wordFor(keyword.tenants, { kind: 'tenants' as const }),
       this.wordFor(keyword.members, { kind: 'members' as const }),
       this.wordFor(keyword.requests, { kind: 'requests' as const }),
--- a/packages/language/src/syntax-tree.ts
+++ b/packages/language/src/syntax-tree.ts
@@ -33,6 +33,8 @@
   /** Whether a change that was sent under this identifier is in force. */
   | { readonly kind: 'change'; readonly changeId: string }
   | { readonly kind: 'configuration' }
+  /** Which nodes decide about keys, and which of their witnesses are silent. */
+  | { readonly kind: 'homes' }
   | { readonly kind: 'key'; readonly service: string; readonly key: string }
   | { readonly kind: 'load'; readonly by: LoadGrouping }
   | { readonly kind: 'members' }
--- a/packages/language/src/tokens.ts
+++ b/packages/language/src/tokens.ts
@@ -27,6 +27,7 @@
   'dry',
   'for',
   'hedging',
+  'homes',
   'idempotent',
   'key',
   'limit',
--- a/packages/language/tests/parse.test.ts
+++ b/packages/language/tests/parse.test.ts
@@ -26,6 +26,7 @@
   ['show key service "a b"', { key: 'a b', kind: 'key', service: 'service' }],
   ['show requests', { kind: 'requests' }],
   ['show budgets', { kind: 'budgets' }],
+  ['show homes', { kind: 'homes' }],
   ['show platform', { kind: 'platform' }],
   ['show revision', { kind: 'revision' }],
 ];
--- a/packages/operators/src/node-view.ts
+++ b/packages/operators/src/node-view.ts
@@ -1,5 +1,6 @@
 import type {
   Configuration,
+  HeldHome,
   KeyRecord,
   LoadReport,
   MemberRecord,
@@ -69,6 +70,8 @@
   members(): readonly MemberView[];
   /** Undefined while no upstream has announced itself. */
   load(): LoadReport | undefined;
+  /** The services of which this node is a home. */
+  homes(): readonly HeldHome[];
   tenantUse(): readonly TenantUse[];
   budgets(): readonly BudgetUse[];
   platform(): PlatformUse;
--- a/packages/operators/src/query-runner.ts
+++ b/packages/operators/src/query-runner.ts
@@ -38,6 +38,7 @@
     case 'configuration':
       return 'show revision';
     case 'budgets':
+    case 'homes':
     case 'load':
     case 'platform':
     case 'refusals':
--- a/packages/operators/src/questions/combine-rows.ts
+++ b/packages/operators/src/questions/combine-rows.ts
@@ -131,6 +131,8 @@
       return [...inOrderOf([...rows].reverse(), 'at')].reverse();
     case 'budgets':
       return inOrderOf(rows, 'server', 'budget', 'service');
+    case 'homes':
+      return inOrderOf(rows, 'service', 'server');
     case 'members':
       return inOrderOf(rows, 'zone', 'server');
     case 'platform':
--- a/packages/operators/src/questions/fields.ts
+++ b/packages/operators/src/questions/fields.ts
@@ -70,6 +70,16 @@
     text('name', 'name of the object'),
     text('declaration', 'its declaration in the language'),
   ],
+  homes: [
+    service,
+    server,
+    zone,
+    count('ranges', 'key ranges of which the server is the home, out of 16 of the service'),
+    count('accepting', 'of them those that accept new keys now'),
+    text('witnesses', 'servers that confirm the lease, a majority of which has to answer'),
+    text('silent_witnesses', 'of them those without a valid promise to this home'),
+    count('version', 'version of the home table that the server goes by'),
+  ],
   key: [
     service,
     text('key', 'the idempotency key'),
--- a/packages/operators/src/questions/local-rows.ts
+++ b/packages/operators/src/questions/local-rows.ts
@@ -143,6 +143,21 @@
   ];
 }
 
+function homeRows(view: NodeView): readonly Row[] {
+  return view
+    .homes()
+    .map(({ accepting, ranges, service, silentWitnesses, version, witnesses }) => ({
+      accepting,
+      ranges,
+      server: view.identity.server,
+      service,
+      silent_witnesses: silentWitnesses.join(' '),
+      version,
+      witnesses: witnesses.join(' '),
+      zone: view.identity.availabilityZone,
+    }));
+}
+
 async function keyRows(view: NodeView, service: string, key: string): Promise<readonly Row[]> {
   const answer = await view.key(service, key);
   return [
@@ -175,6 +190,8 @@
       return [];
     case 'configuration':
       return configurationRows(view.configuration());
+    case 'homes':
+      return homeRows(view);
     case 'key':
       return keyRows(view, question.service, question.key);
     case 'load':
--- a/packages/operators/tests/in-memory-backend.ts
+++ b/packages/operators/tests/in-memory-backend.ts
@@ -88,6 +88,16 @@
   const view: NodeView = {
     budgets: () => [{ allowed: 20, budget: 'retry', service: 'antrag', spent: 5, unit: 'tokens' }],
     configuration: () => changes.configuration,
+    homes: () => [
+      {
+        accepting: 0,
+        ranges: 16,
+        service: 'antrag',
+        silentWitnesses: ['bern-2', 'thun-1'],
+        version: 4,
+        witnesses: ['bern-1', 'bern-2', 'thun-1'],
+      },
+    ],
     identity,
     key: () => Promise.resolve({ home: 'bern-1', state: 'ran', status: 201 }),
     load: () => ({
--- a/packages/operators/tests/pages.test.ts
+++ b/packages/operators/tests/pages.test.ts
@@ -40,6 +40,7 @@
   'budgets',
   'change',
   'configuration',
+  'homes',
   'key',
   'members',
   'platform',
