Bound the requests that wait for one running key

Cause: each resend of a running key was kept until the attempt ended, for up to 60 s, so one caller could fill the home's memory with one key.

Change: 64 requests may wait for a key; further ones get outcome-unknown with the new reason key-busy (503, attempt not started, Retry-After) at once. The reason has a counter like all others.

Before, the new test's 65th request waited; now it is told key-busy, and the 64 get the answer.

--- a/packages/callers/src/outcome-status.ts
+++ b/packages/callers/src/outcome-status.ts
@@ -41,6 +41,7 @@
   'depth-exceeded': 400,
   'entry-busy': 503,
   'home-unreachable': 502,
+  'key-busy': 503,
   'key-too-old': 502,
   'no-home': 502,
   'no-lease': 502,
--- a/packages/core/src/homes/key-requests.ts
+++ b/packages/core/src/homes/key-requests.ts
@@ -13,6 +13,9 @@
 /** Attempts with an unknown end that a late word of their gate can still settle. */
 const maximumUnresolved = 10_000;
 
+/** Requests that wait for one running attempt; a caller that resends without pause must not fill the memory. */
+const maximumWaiters = 64;
+
 interface RunningAttempt {
   readonly record: StoredRecord;
   readonly scope: string;
@@ -48,11 +51,14 @@
     if (record === undefined || record.state === 'not-run') return false;
     if (record.digest !== frame.digest) return false;
     const waiter = { callId: frame.callId, from };
+    const { retryAfterMilliseconds } = this.settings;
     if (record.state === 'running') {
       const isKnown = record.waiters.some(
         (other) => other.from === from && other.callId === frame.callId,
       );
-      if (!isKnown) record.waiters.push(waiter);
+      if (isKnown) return true;
+      if (record.waiters.length < maximumWaiters) record.waiters.push(waiter);
+      else this.outbox.unknown(waiter, UnknownReason.KeyBusy, false, retryAfterMilliseconds);
       return true;
     }
     this.replyRecorded(waiter, record);
--- a/packages/core/src/messages/outcome.ts
+++ b/packages/core/src/messages/outcome.ts
@@ -56,6 +56,7 @@
   DepthExceeded: 'depth-exceeded',
   EntryBusy: 'entry-busy',
   HomeUnreachable: 'home-unreachable',
+  KeyBusy: 'key-busy',
   KeyTooOld: 'key-too-old',
   NoHome: 'no-home',
   NodeStopping: 'node-stopping',
--- a/packages/core/tests/homes/home-keeper.test.ts
+++ b/packages/core/tests/homes/home-keeper.test.ts
@@ -214,6 +214,18 @@
   assert.is(reasonOf(home.request(key)), 'answer-not-kept');
 });
 
+// Guards against a caller that fills the memory of the home with resends of one key.
+test('a key that runs has a bounded number of waiting requests, which all get its answer', () => {
+  const home = new SingleHome();
+  const waiting = 64;
+  for (let count = 0; count < waiting; count += 1) home.request(key);
+  assert.is(reasonOf(home.request(key)), 'key-busy');
+  home.conclude('answered');
+  const outcomes = [...home.replies.values()];
+  assert.is(outcomes.filter(({ kind }) => kind === 'answered').length, waiting);
+  assert.is(home.dispatches.length, 0);
+});
+
 test('an answer that was too large to collect is reported as such, and nothing runs again', () => {
   const home = new SingleHome();
   home.request(key);
--- a/packages/daemon/tests/reasons.test.ts
+++ b/packages/daemon/tests/reasons.test.ts
@@ -58,6 +58,7 @@
   'depth-exceeded': callerServer,
   'entry-busy': callerServer,
   'home-unreachable': forwarder,
+  'key-busy': home,
   'key-too-old': keyRules,
   'no-home': forwarder,
   'no-lease': home,
