Forget the oldest keys instead of refusing new ones at the bound

Cause: a home kept every key for 24 h and refused all new ones once its memory was full. At 100 keys/s that is after 19 minutes.

Ruled out: dropping answers (done first already), a shorter retention (the operator would have to know the peak), compact records (gains a factor of three at most).

Change: when there is no room, the 256 oldest keys with a creation time that are older than minimumRetentionMilliseconds (new setting, 5 min) are forgotten. Their range answers every key created until then as outcome-unknown key-too-old, and hands that bound over, so a forgotten key never runs again. The default of keyRecordBytes is 24 MiB, so that the sum of a node's control memory at 27,000 servers is 63 MB of 64. Gauge keys_forgotten_early.

--- a/packages/core/src/homes/hand-over.ts
+++ b/packages/core/src/homes/hand-over.ts
@@ -122,6 +122,7 @@
       for (const [part, partRecords] of parts.entries()) {
         const frame: RecordsTransferFrame = {
           cutoff: tenure.bounds.cutoff,
+          forgottenUntil: records.forgottenUntil(tenure.scope),
           kind: 'records-transfer',
           last: part === parts.length - 1,
           part,
--- a/packages/core/src/homes/home-contract.ts
+++ b/packages/core/src/homes/home-contract.ts
@@ -64,6 +64,15 @@
   readonly body: Uint8Array | undefined;
 }
 
+/** The key records of a node. */
+export interface RecordUsage {
+  readonly records: number;
+  /** Approximate memory of the records and their answers. */
+  readonly bytes: number;
+  /** Keys that were forgotten before their retention time since the start, for lack of room. */
+  readonly forgotten: number;
+}
+
 /** What a node holds of one service as a home of its keys. */
 export interface HeldHome {
   readonly service: string;
@@ -113,6 +122,5 @@
   rangeOf(key: string): number;
   /** The services of which this node is a home, for operators. */
   held(now: ClockReading): readonly HeldHome[];
-  /** Number of key records held and their approximate bytes. */
-  readonly recordUsage: { readonly records: number; readonly bytes: number };
+  readonly recordUsage: RecordUsage;
 }
--- a/packages/core/src/homes/home-keeper.ts
+++ b/packages/core/src/homes/home-keeper.ts
@@ -13,7 +13,13 @@
 import type { StoreResult } from '../messages/store.js';
 import type { ClockReading } from '../shared/clock-reading.js';
 import { HeldBudget } from './held-budget.js';
-import type { HeldHome, HomeCommand, HomeKeeperContract, KeyedAnswer } from './home-contract.js';
+import type {
+  HeldHome,
+  HomeCommand,
+  HomeKeeperContract,
+  KeyedAnswer,
+  RecordUsage,
+} from './home-contract.js';
 import { HomeOutbox } from './home-outbox.js';
 import { defaultHomeSettings } from './home-settings.js';
 import type { HomeSettings } from './home-settings.js';
@@ -181,8 +187,9 @@
   }
 
   /** Number of key records held and their approximate bytes. */
-  public get recordUsage(): { readonly records: number; readonly bytes: number } {
-    return { bytes: this.records.heldBytes, records: this.records.size };
+  public get recordUsage(): RecordUsage {
+    const { forgottenKeys, heldBytes, size } = this.records;
+    return { bytes: heldBytes, forgotten: forgottenKeys, records: size };
   }
 
   private receive(from: string, frame: HomeFrame, now: ClockReading): void {
@@ -211,7 +218,7 @@
         if (frame.table !== undefined) this.adopt(frame.table, now);
         break;
       case 'records-transfer':
-        this.receiveRecords(from, frame);
+        this.receiveRecords(from, frame, now);
         break;
       case 'records-received':
         this.services.get(frame.service)?.maintenance.received(from, frame, now);
@@ -250,8 +257,8 @@
     this.services.get(frame.service)?.homes.promised(from, frame, now);
   }
 
-  private receiveRecords(from: string, frame: RecordsTransferFrame): void {
-    if (!this.inbox.receive(from, frame)) {
+  private receiveRecords(from: string, frame: RecordsTransferFrame, now: ClockReading): void {
+    if (!this.inbox.receive(from, frame, now.wall)) {
       this.outbox.count('home_transfers_without_room', { service: frame.service });
       return;
     }
--- a/packages/core/src/homes/home-settings.ts
+++ b/packages/core/src/homes/home-settings.ts
@@ -12,6 +12,8 @@
   readonly skewMilliseconds: number;
   /** How long keys are remembered. */
   readonly retentionMilliseconds: number;
+  /** How long a key with a creation time is remembered even when there is no room for new ones. */
+  readonly minimumRetentionMilliseconds: number;
   readonly maximumRecords: number;
   readonly keyRecordBytes: number;
   /** Largest answer that is kept with its key. */
@@ -49,12 +51,13 @@
   futureToleranceMilliseconds: 500,
   heldReplyMilliseconds: 100,
   holdMilliseconds: 1_000,
-  keyRecordBytes: 32 * 1024 * 1024,
+  keyRecordBytes: 24 * 1024 * 1024,
   leaseMilliseconds: 3_000,
   maximumHeldBytes: 8 * 1024 * 1024,
   maximumHeldRequests: 1_000,
   maximumKeptAnswerBytes: 64 * 1024,
   maximumRecords: 200_000,
+  minimumRetentionMilliseconds: 5 * 60 * 1_000,
   proposalStaggerMilliseconds: 1_000,
   retentionMilliseconds: 24 * 60 * 60 * 1_000,
   retryAfterMilliseconds: 1_100,
--- a/packages/core/src/homes/key-requests.ts
+++ b/packages/core/src/homes/key-requests.ts
@@ -7,6 +7,7 @@
 import type { HomeOutbox, Waiter } from './home-outbox.js';
 import type { HomeSettings } from './home-settings.js';
 import { isVoid, judgeNewKey } from './key-rules.js';
+import type { TenureBounds } from './key-rules.js';
 import type { KeyStore, StoredRecord } from './key-store.js';
 import type { RangeTenure } from './range-tenure.js';
 
@@ -175,7 +176,7 @@
     const verdict = judgeNewKey(
       creationTimeOf(frame.key),
       Number.POSITIVE_INFINITY,
-      tenure.bounds,
+      this.boundsOf(tenure),
       now.wall,
       this.settings,
     );
@@ -192,7 +193,7 @@
     const verdict = judgeNewKey(
       creationTimeOf(frame.key),
       frame.receivedAt,
-      tenure.bounds,
+      this.boundsOf(tenure),
       now.wall,
       this.settings,
     );
@@ -214,6 +215,10 @@
     this.start(tenure, waiter, record, frame, now);
   }
 
+  private boundsOf({ bounds, scope }: RangeTenure): TenureBounds {
+    return { ...bounds, forgottenUntil: this.records.forgottenUntil(scope) };
+  }
+
   private start(
     tenure: RangeTenure,
     waiter: Waiter,
--- a/packages/core/src/homes/key-rules.ts
+++ b/packages/core/src/homes/key-rules.ts
@@ -7,6 +7,8 @@
   readonly cutoff: number | undefined;
   /** Attempts that entered at or before this wall time may belong to a key that was refused. */
   readonly voidUntil: number | undefined;
+  /** Keys created at or before this wall time may have run here and been forgotten. */
+  readonly forgottenUntil?: number | undefined;
 }
 
 export type KeyVerdict =
@@ -30,11 +32,14 @@
   wall: number,
   settings: HomeSettings,
 ): KeyVerdict {
-  const { cutoff, voidUntil } = bounds;
+  const { cutoff, forgottenUntil, voidUntil } = bounds;
   if (cutoff !== undefined) {
     const protectedUntil = createdAt ?? wall - settings.retentionMilliseconds;
     if (protectedUntil <= cutoff) return beforeTakeover;
   }
+  if (createdAt !== undefined && forgottenUntil !== undefined && createdAt <= forgottenUntil) {
+    return { kind: 'unknown', reason: UnknownReason.KeyTooOld };
+  }
   if (createdAt !== undefined && createdAt > wall + settings.futureToleranceMilliseconds) {
     return { kind: 'refuse', reason: RefusalReason.KeyFromFuture };
   }
--- a/packages/core/src/homes/key-store.ts
+++ b/packages/core/src/homes/key-store.ts
@@ -24,14 +24,22 @@
 const recordOverheadBytes = 256;
 /** Records looked at in one sweep, so that a sweep takes well under a millisecond. */
 const recordsPerSweep = 500;
+/** Records that are forgotten at a time when there is no room for a new key. */
+const recordsPerForgetting = 256;
+/** Time until the next try when no key was old enough, so that refusals stay cheap. */
+const forgettingPauseMilliseconds = 100;
 
 /** The key records of a node, by service and range, within bounds in number, bytes and time. */
 export class KeyStore {
   private readonly scopes = new Map<string, Map<string, StoredRecord>>();
   /** Records with a kept answer, oldest first. */
   private readonly withAnswer = new Set<StoredRecord>();
+  /** Latest creation time of a key that was forgotten early, by service and range. */
+  private readonly forgottenUntilOf = new Map<string, number>();
   private bytes = 0;
   private count = 0;
+  private forgotten = 0;
+  private nextForgettingAt = Number.NEGATIVE_INFINITY;
   private sweepPosition: Iterator<[string, StoredRecord]> | undefined;
 
   public constructor(private readonly settings: HomeSettings) {}
@@ -44,6 +52,21 @@
     return this.bytes;
   }
 
+  /** Keys that were forgotten before their retention time, for lack of room. */
+  public get forgottenKeys(): number {
+    return this.forgotten;
+  }
+
+  /** Keys of this range created at or before this wall time may have run and been forgotten. */
+  public forgottenUntil(scope: string): number | undefined {
+    return this.forgottenUntilOf.get(scope);
+  }
+
+  /** Takes over what an earlier home has forgotten. */
+  public restoreForgotten(scope: string, until: number | undefined): void {
+    if (until !== undefined) this.raiseForgottenUntil(scope, until);
+  }
+
   public get(scope: string, key: string): StoredRecord | undefined {
     return this.scopes.get(scope)?.get(key);
   }
@@ -52,12 +75,11 @@
     return [...(this.scopes.get(scope)?.values() ?? [])];
   }
 
-  /** Adds a record, dropping kept answers for it; undefined when there is no room. */
+  /** Adds a new record, dropping kept answers and old keys for it; undefined when there is no room. */
   public add(scope: string, record: StoredRecord): StoredRecord | undefined {
-    const added = sizeOf(record);
-    if (this.count >= this.settings.maximumRecords) return undefined;
-    this.dropAnswers(this.settings.keyRecordBytes - added);
-    if (this.bytes + added > this.settings.keyRecordBytes) return undefined;
+    const isPlaced =
+      this.hasRoom(record) || (this.forgetSome(record.recordedAt) && this.hasRoom(record));
+    if (!isPlaced) return undefined;
     this.insert(scope, record);
     return record;
   }
@@ -78,9 +100,13 @@
     this.dropAnswers(this.settings.keyRecordBytes);
   }
 
-  /** Whether that many records could be taken over, without their answers if need be. */
-  public hasRoomFor(records: number): boolean {
-    return this.count + records <= this.settings.maximumRecords;
+  /** Whether that many records could be taken over, without their answers and old keys if need be. */
+  public makeRoomFor(records: number, wall: number): boolean {
+    const { maximumRecords } = this.settings;
+    while (this.count + records > maximumRecords) {
+      if (!this.forgetSome(wall)) return false;
+    }
+    return true;
   }
 
   /** Keeps an answer with its record if it is small enough. */
@@ -103,6 +129,7 @@
   public dropScope(scope: string): void {
     for (const record of this.records(scope)) this.remove(scope, record);
     this.scopes.delete(scope);
+    this.forgottenUntilOf.delete(scope);
   }
 
   /** Drops some of the records whose protection has ended. */
@@ -127,6 +154,56 @@
     return wall > protectedFrom + retentionMilliseconds + 2 * skewMilliseconds;
   }
 
+  private hasRoom(record: StoredRecord): boolean {
+    const { keyRecordBytes, maximumRecords } = this.settings;
+    if (this.count >= maximumRecords) return false;
+    const added = sizeOf(record);
+    this.dropAnswers(keyRecordBytes - added);
+    return this.bytes + added <= keyRecordBytes;
+  }
+
+  /** Forgets some of the oldest keys of the largest range that has any; false when there are none. */
+  private forgetSome(wall: number): boolean {
+    if (wall < this.nextForgettingAt) return false;
+    const largestFirst = [...this.scopes].sort(([, left], [, right]) => right.size - left.size);
+    const hasForgotten = largestFirst.some(([scope, records]) =>
+      this.forgetOldest(scope, records, wall),
+    );
+    if (!hasForgotten) this.nextForgettingAt = wall + forgettingPauseMilliseconds;
+    return hasForgotten;
+  }
+
+  /**
+   * A key with a creation time may be forgotten early, because every key created until then is
+   * answered as too old from now on. Other keys can't be told from new ones, so they stay.
+   */
+  private forgetOldest(scope: string, records: Map<string, StoredRecord>, wall: number): boolean {
+    const oldestKept = wall - this.settings.minimumRetentionMilliseconds;
+    const staying: StoredRecord[] = [];
+    const before = this.count;
+    for (const record of [...take(records.values(), recordsPerForgetting)]) {
+      const createdAt = creationTimeOf(record.key);
+      const isOld = Math.max(createdAt ?? wall, record.recordedAt) <= oldestKept;
+      if (createdAt === undefined || !isOld || record.state === 'running') {
+        staying.push(record);
+        continue;
+      }
+      this.raiseForgottenUntil(scope, createdAt);
+      this.remove(scope, record);
+    }
+    // They go to the end, so that the next call does not look at them first again.
+    for (const record of staying) {
+      records.delete(record.key);
+      records.set(record.key, record);
+    }
+    this.forgotten += before - this.count;
+    return this.count < before;
+  }
+
+  private raiseForgottenUntil(scope: string, until: number): void {
+    this.forgottenUntilOf.set(scope, Math.max(until, this.forgottenUntilOf.get(scope) ?? until));
+  }
+
   private *allRecords(): Generator<[string, StoredRecord]> {
     for (const [scope, records] of this.scopes) {
       for (const record of records.values()) yield [scope, record];
@@ -171,3 +248,12 @@
   const answer = headers + (record.body?.length ?? 0);
   return recordOverheadBytes + record.key.length + answer;
 }
+
+function* take<Value>(values: Iterable<Value>, count: number): Generator<Value> {
+  let taken = 0;
+  for (const value of values) {
+    if (taken === count) return;
+    taken += 1;
+    yield value;
+  }
+}
--- a/packages/core/src/homes/service-homes.ts
+++ b/packages/core/src/homes/service-homes.ts
@@ -137,6 +137,7 @@
     if (received !== undefined) {
       for (const record of received.records) records.restore(tenure.scope, record);
       tenure.bounds = received.bounds;
+      records.restoreForgotten(tenure.scope, received.bounds.forgottenUntil);
     } else if (tenure.since > 1) {
       tenure.bounds = takeoverBounds(now.wall, settings);
     }
--- a/packages/core/src/homes/transfer-inbox.ts
+++ b/packages/core/src/homes/transfer-inbox.ts
@@ -25,13 +25,16 @@
   public constructor(private readonly records: KeyStore) {}
 
   /** Stages a part; returns false when there is no room for it, and it must not be acknowledged. */
-  public receive(from: string, frame: RecordsTransferFrame): boolean {
-    if (!this.records.hasRoomFor(this.stagedRecords() + frame.records.length)) return false;
+  public receive(from: string, frame: RecordsTransferFrame, wall: number): boolean {
+    const needed = this.stagedRecords() + frame.records.length;
+    if (!this.records.makeRoomFor(needed, wall)) return false;
+    const { cutoff, forgottenUntil, voidUntil } = frame;
+    const bounds = { cutoff, forgottenUntil, voidUntil };
     const scope = scopeOf(frame.service, frame.range);
     let staged = this.staged.get(scope);
     if (staged?.transfer !== frame.transfer) {
       staged = {
-        bounds: { cutoff: frame.cutoff, voidUntil: frame.voidUntil },
+        bounds,
         from,
         lastPart: undefined,
         parts: new Map(),
@@ -40,7 +43,7 @@
       this.staged.set(scope, staged);
     }
     staged.parts.set(frame.part, frame.records);
-    staged.bounds = { cutoff: frame.cutoff, voidUntil: frame.voidUntil };
+    staged.bounds = bounds;
     if (frame.last) staged.lastPart = frame.part;
     return true;
   }
--- a/packages/core/src/messages/frames.ts
+++ b/packages/core/src/messages/frames.ts
@@ -241,6 +241,8 @@
   readonly cutoff: number | undefined;
   /** Attempts without a record that entered at or before this wall time are void. */
   readonly voidUntil: number | undefined;
+  /** Keys without a record created at or before this wall time may have been forgotten. */
+  readonly forgottenUntil: number | undefined;
   readonly records: readonly KeyRecord[];
 }
 
--- a/packages/core/tests/homes/home-keeper.test.ts
+++ b/packages/core/tests/homes/home-keeper.test.ts
@@ -1,7 +1,13 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import type { HomeCommand, HomeSettings, KeyedOutcome, MemberRecord } from '../../src/index.js';
+import type {
+  HomeCommand,
+  HomeSettings,
+  KeyedOutcome,
+  MemberRecord,
+  RecordUsage,
+} from '../../src/index.js';
 import { defaultHomeSettings, HomeKeeper } from '../../src/index.js';
 import { MemberDirectory } from '../../src/homes/member-directory.js';
 import { keyCreatedAt } from './shared/home-checks.js';
@@ -103,8 +109,16 @@
     return answer?.kind === 'send' && answer.frame.kind === 'key-answer' ? answer.frame.state : '';
   }
 
+  public get usage(): RecordUsage {
+    return this.keeper.recordUsage;
+  }
+
   public get records(): number {
-    return this.keeper.recordUsage.records;
+    return this.usage.records;
+  }
+
+  public get elapsed(): number {
+    return this.now;
   }
 
   private clock(): { monotonic: number; wall: number } {
@@ -205,6 +219,28 @@
   assert.is(reasonOf(home.request(late, 'd', 8_000)), 'void-attempt');
 });
 
+// A peak fills the store within minutes; without this every new key was refused for the rest of the day.
+test('a full store forgets its oldest keys, which never run again', () => {
+  const home = new SingleHome({ maximumRecords: 2, minimumRetentionMilliseconds: 10_000 });
+  const opaque = 'no-creation-time';
+  for (const ofKey of [key, opaque]) {
+    home.request(ofKey);
+    home.conclude('answered');
+  }
+  const fresh = (): string => keyCreatedAt(epoch + home.elapsed, 3);
+  home.pass(5_000);
+  assert.is(reasonOf(home.request(fresh())), 'key-store-full');
+  home.pass(6_000);
+  const late = fresh();
+  assert.is(reasonOf(home.request(late)), 'waits');
+  home.conclude('answered');
+  assert.is(home.usage.forgotten, 1);
+  assert.is(home.records, 2);
+  assert.is(reasonOf(home.request(key)), 'key-too-old');
+  assert.is(reasonOf(home.request(opaque)), 'recorded');
+  assert.is(reasonOf(home.request(late)), 'recorded');
+});
+
 test('kept answers are dropped before keys, and the answer says so', () => {
   const home = new SingleHome({ keyRecordBytes: 1_000 });
   home.request(key);
--- a/packages/core/tests/homes/home-network.test.ts
+++ b/packages/core/tests/homes/home-network.test.ts
@@ -115,6 +115,25 @@
   assert.ok(answered > attempts / 4, 'most attempts were not answered, so little was tested');
 });
 
+// Records are forgotten, handed over and restored while keys are resent; none may run again.
+test('no key runs twice while full stores forget keys', () => {
+  const settings = {
+    ...defaultHomeSettings,
+    maximumRecords: 40,
+    minimumRetentionMilliseconds: 1_500,
+  };
+  let forgotten = 0;
+  fc.assert(
+    fc.property(faultSchedule, ([seed, faults]) => {
+      const network = runFaulty(seed, faults, settings);
+      assert.equal(violations(network), []);
+      for (const { keeper } of network.nodes.values()) forgotten += keeper.recordUsage.forgotten;
+    }),
+    { numRuns: 60, seed: 20_262 },
+  );
+  assert.ok(forgotten > 1_000, `only ${forgotten} keys were forgotten`);
+});
+
 test('the check notices when the cutoff and the void rule are ineffective', () => {
   const settings = { ...defaultHomeSettings, skewMilliseconds: -10_000 };
   const details = fc.check(
--- a/packages/core/tests/homes/transfer-inbox.test.ts
+++ b/packages/core/tests/homes/transfer-inbox.test.ts
@@ -13,6 +13,7 @@
   const key = `${transfer}-${number}`;
   return {
     cutoff: 5,
+    forgottenUntil: undefined,
     kind: 'records-transfer',
     last,
     part: number,
@@ -45,7 +46,7 @@
 for (const { count, name, parts } of cases) {
   test(`only the whole transfer that the table names is used, or keys would run again: ${name}`, () => {
     const inbox = new TransferInbox(new KeyStore(defaultHomeSettings));
-    for (const frame of parts) assert.ok(inbox.receive('a', frame));
+    for (const frame of parts) assert.ok(inbox.receive('a', frame, 0));
     assert.is(inbox.take('issuance/0', wanted)?.records.length, count);
   });
 }
@@ -56,7 +57,7 @@
     ['c', false],
   ] as const) {
     const inbox = new TransferInbox(new KeyStore(defaultHomeSettings));
-    inbox.receive('a', part(wanted, 0, true));
+    inbox.receive('a', part(wanted, 0, true), 0);
     inbox.tableAdopted(firstTable('issuance', { incarnation: 1, server }, []));
     assert.is(inbox.take('issuance/0', wanted) !== undefined, isKept);
   }
@@ -64,8 +65,8 @@
 
 test('records without room are not acknowledged, so the sender keeps them', () => {
   const inbox = new TransferInbox(new KeyStore({ ...defaultHomeSettings, maximumRecords: 1 }));
-  assert.ok(inbox.receive('a', part(wanted, 0, false)));
-  assert.not.ok(inbox.receive('a', part(wanted, 1, true)));
+  assert.ok(inbox.receive('a', part(wanted, 0, false), 0));
+  assert.not.ok(inbox.receive('a', part(wanted, 1, true), 0));
 });
 
 test('the table is not written before the new home has acknowledged every part', () => {
--- a/packages/daemon/src/operators/gauges.ts
+++ b/packages/daemon/src/operators/gauges.ts
@@ -51,6 +51,11 @@
       name: 'calls_in_progress',
       read: () => core.parts.engine.callsInProgress,
     },
+    {
+      help: 'Keys that were forgotten before their retention time since the start, for lack of room.',
+      name: 'keys_forgotten_early',
+      read: () => core.parts.homes.recordUsage.forgotten,
+    },
     {
       help: 'Bytes sent to other nodes since the start.',
       name: 'peer_bytes_sent',
--- a/packages/daemon/src/settings/setting-definitions.ts
+++ b/packages/daemon/src/settings/setting-definitions.ts
@@ -64,6 +64,11 @@
     default: '86400000',
     documentation: 'Time for which a key is remembered. It has to be the same on all nodes.',
   }),
+  minimumRetentionMilliseconds: wholeNumber('milliseconds', 10_000, 604_800_000, {
+    default: '300000',
+    documentation:
+      'Time for which a key with a creation time is remembered even when there is no room for new keys. Above it the oldest keys are forgotten for new ones, and later requests with them are answered key-too-old.',
+  }),
   futureKeyToleranceMilliseconds: wholeNumber('milliseconds', 0, 10_000, {
     default: '500',
     documentation: 'How far in the future the creation time of a key may be.',
@@ -75,10 +80,11 @@
   }),
   keyRecords: wholeNumber('records', 1_000, 10_000_000, {
     default: '200000',
-    documentation: 'Key records that the node holds; new keys are refused above it.',
+    documentation:
+      'Key records that the node holds. Above it old keys are forgotten, and new ones refused if none is old enough.',
   }),
   keyRecordBytes: wholeNumber('bytes', 1_048_576, 1_073_741_824, {
-    default: '33554432',
+    default: '25165824',
     documentation: 'Memory for key records and their recorded answers.',
   }),
   callerHeaderBytes: wholeNumber('bytes', 1_024, 262_144, {
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -133,6 +133,7 @@
     keyRecordBytes: settings.keyRecordBytes,
     leaseMilliseconds: settings.leaseMilliseconds,
     maximumRecords: settings.keyRecords,
+    minimumRetentionMilliseconds: settings.minimumRetentionMilliseconds,
     retentionMilliseconds: settings.retentionMilliseconds,
     skewMilliseconds: settings.clockSkewMilliseconds,
   };
