--- a/packages/daemon/tests/shared/caller.ts
+++ b/packages/daemon/tests/shared/caller.ts
@@ -21,6 +21,8 @@
   readonly body?: Uint8Array;
   readonly deadlineMilliseconds?: number;
   readonly headers?: Readonly<Record<string, string>>;
+  /** Closes the connection when it aborts, as a caller that goes away does. */
+  readonly signal?: AbortSignal;
 }
 
 /** What a caller got. */
@@ -57,6 +59,7 @@
       method,
       path,
       port: entry.callerPort,
+      signal: options.signal,
     });
     outgoing.setTimeout(silenceMilliseconds, () => {
       outgoing.destroy(new UnansweredError(`${method} ${path} at ${entry.plan.server}`));
