--- a/packages/measure/src/process-usage.ts
+++ b/packages/measure/src/process-usage.ts
@@ -24,3 +24,14 @@
     return undefined;
   }
 }
+
+/** Memory that belongs to one process alone; pages of the program's file are shared by all. */
+export function readUnsharedKibibytes(pid: number): number | undefined {
+  try {
+    const rollup = readFileSync(`/proc/${pid}/smaps_rollup`, 'utf8');
+    const parts = [...rollup.matchAll(/^Private_(?:Clean|Dirty): +(\d+) kB$/gm)];
+    return parts.reduce((sum, [, kibibytes]) => sum + Number(kibibytes), 0);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -11,6 +11,7 @@
 export { PlatformStandIn } from './platform-stand-in.js';
 export type { PlatformCallCounts } from './platform-stand-in.js';
 export type { PlatformFault } from './platform-requests.js';
+export { chMittelland, prairieWest, serversOf } from './fleet/deployments.js';
 export type { ServerPlan } from './fleet/deployments.js';
 export { askOperator } from './fleet/operator-client.js';
 export type { OperatorReply } from './fleet/operator-client.js';
