Parse operators' texts in a worker thread that runs only on demand

Cause: every node imported the language with chevrotain at its start, about 17 MiB, although most nodes are never asked by an operator and those that are asked by other nodes need no parser.

Ruled out: importing the parser on the first question in the main thread.

Change: the language has an entry point without its parser; the operator port parses in a worker thread that ends 60 s after the last question; a gathered question carries its parsed statement, which the asked node checks field by field. A node no longer answers a question that carries its text only, as builds before this one send it; those builds can still be asked.

The tests of gathering sent texts to the asked node. They now send statements, and the table of refused payloads covers each field of a statement in place of two texts.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -48,10 +48,15 @@
             name: `@peridotspring/${other}`,
             message: `The package ${name} may not depend on ${other}; dependencies point towards the core.`,
           })),
-          patterns:
-            name === 'core'
+          patterns: [
+            ...forbidden.map((other) => ({
+              group: [`@peridotspring/${other}/*`],
+              message: `The package ${name} may not depend on ${other}; dependencies point towards the core.`,
+            })),
+            ...(name === 'core'
               ? [{ group: ['node:*'], message: 'The core does no I/O and has no Node.js imports.' }]
-              : [],
+              : []),
+          ],
         },
       ],
     },
--- a/packages/ctl/tests/operator-port.test.ts
+++ b/packages/ctl/tests/operator-port.test.ts
@@ -1,4 +1,5 @@
 import { emptyConfiguration, type Configuration } from '@peridotspring/core';
+import { parseStatement } from '@peridotspring/language';
 import { Metrics, OperatorServer, type OperatorBackend } from '@peridotspring/operators';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -42,6 +43,7 @@
 const server = new OperatorServer({
   backend,
   metrics: new Metrics(),
+  parser: { parse: (text) => Promise.resolve(parseStatement(text)) },
   secrets: { current: 'operator-secret-1' },
 });
 let address = '';
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -19,6 +19,7 @@
   PeerGatherer,
   RefusalHistory,
   RequestJournal,
+  WorkerParser,
 } from '@peridotspring/operators';
 import { PlatformStore } from '@peridotspring/platform';
 import { AnnouncementServer, UpstreamClient } from '@peridotspring/upstreams';
@@ -89,9 +90,11 @@
   const announcements = new AnnouncementServer((message) => {
     announced(message, upstream, ports.driver, log);
   });
+  const parser = new WorkerParser();
   const operators = new OperatorServer({
     backend: parts.backend,
     metrics: parts.metrics,
+    parser,
     secrets: { current: settings.operatorSecret, previous: settings.previousOperatorSecret },
   });
   registerGauges(parts.metrics, { connections: ports.connections, core, store, view: parts.view });
@@ -111,6 +114,7 @@
       ports.driver.close();
       parts.changes.close();
       parts.gatherer.close();
+      parser.close();
       upstream.close();
       store.close();
       await Promise.all([
--- a/packages/operators/src/changes/apply-clauses.ts
+++ b/packages/operators/src/changes/apply-clauses.ts
@@ -1,5 +1,5 @@
 import type { RequestKind, ServiceConfiguration } from '@peridotspring/core';
-import type { LanguageError, Name, Quantity, ServiceClause } from '@peridotspring/language';
+import type { LanguageError, Name, Quantity, ServiceClause } from '@peridotspring/language/text';
 
 import {
   checkName,
--- a/packages/operators/src/changes/apply-commands.ts
+++ b/packages/operators/src/changes/apply-commands.ts
@@ -3,7 +3,7 @@
   type Configuration,
   type ServiceConfiguration,
 } from '@peridotspring/core';
-import type { Command, LanguageError, Name, ServiceClause } from '@peridotspring/language';
+import type { Command, LanguageError, Name, ServiceClause } from '@peridotspring/language/text';
 
 import { applyClause } from './apply-clauses.js';
 import { checkName, nameForms, referenceFault } from './checks.js';
--- a/packages/operators/src/changes/change-runner.ts
+++ b/packages/operators/src/changes/change-runner.ts
@@ -1,5 +1,5 @@
 import type { Configuration, ProposalResult } from '@peridotspring/core';
-import type { ChangeStatement } from '@peridotspring/language';
+import type { ChangeStatement } from '@peridotspring/language/text';
 
 import type { ChangeProposal, ChangeState, OperatorBackend } from '../operator-backend.js';
 import type { Row } from '../questions/rows.js';
--- a/packages/operators/src/changes/checks.ts
+++ b/packages/operators/src/changes/checks.ts
@@ -3,7 +3,7 @@
   type LanguageError,
   type Name,
   type Quantity,
-} from '@peridotspring/language';
+} from '@peridotspring/language/text';
 
 /** Range of a number in a service's configuration. */
 export interface NumberRange {
--- a/packages/operators/src/changes/difference.ts
+++ b/packages/operators/src/changes/difference.ts
@@ -1,5 +1,5 @@
 import type { Configuration } from '@peridotspring/core';
-import { printService } from '@peridotspring/language';
+import { printService } from '@peridotspring/language/text';
 
 import { findService } from './find-service.js';
 
--- a/packages/operators/src/changes/wait-in-force.ts
+++ b/packages/operators/src/changes/wait-in-force.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
+import { revisionQuestion } from '../gathering/node-question.js';
 import type { MissingNode, NodeRevision, OperatorBackend } from '../operator-backend.js';
 import { liveMembers } from '../questions/drained.js';
 import type { InForceResult } from '../results.js';
@@ -23,7 +24,7 @@
   servers: readonly string[] | undefined,
   deadlineMilliseconds: number,
 ): Promise<Round> {
-  const gathered = await backend.gather('show revision', { deadlineMilliseconds, servers });
+  const gathered = await backend.gather(revisionQuestion, { deadlineMilliseconds, servers });
   const own: NodeRevision = {
     revision: backend.configuration().revision,
     server: backend.server,
--- a/packages/operators/src/gathering/node-question.ts
+++ b/packages/operators/src/gathering/node-question.ts
@@ -1,9 +1,10 @@
-import { parseStatement } from '@peridotspring/language';
+import type { QuestionStatement } from '@peridotspring/language/text';
 
 import type { OperatorBackend } from '../operator-backend.js';
 import { combineRows } from '../questions/combine-rows.js';
 import type { Row, RowValue } from '../questions/rows.js';
 import { checkQuestion, selectRows } from '../questions/select-rows.js';
+import { isGatheredStatement } from './statement-check.js';
 
 /**
  * Longest answer of one node in characters. A frame holds at most 1.25 MiB, and one character takes
@@ -16,15 +17,37 @@
   | { readonly kind: 'rows'; readonly revision: number; readonly rows: readonly Row[] }
   | { readonly kind: 'failed'; readonly cause: string };
 
-/** Writes the payload of an `operator-question` frame. */
-export function encodeQuestion(text: string): string {
-  return JSON.stringify({ text });
+/** A question to other nodes. */
+export interface NodeQuestion {
+  /** Read by nodes of earlier builds, which parse the question themselves. */
+  readonly text: string;
+  readonly statement: QuestionStatement;
 }
 
-function decodeQuestion(payload: string): string | undefined {
+/** Asks for the revision in force. */
+export const revisionQuestion: NodeQuestion = {
+  statement: {
+    conditions: [],
+    kind: 'question',
+    limit: undefined,
+    order: undefined,
+    question: { kind: 'revision' },
+  },
+  text: 'show revision',
+};
+
+/**
+ * Writes the payload of an `operator-question` frame. The statement travels parsed, because the nodes
+ * that are asked have no parser loaded, and loading it takes longer than the deadline.
+ */
+export function encodeQuestion({ statement, text }: NodeQuestion): string {
+  return JSON.stringify({ statement, text });
+}
+
+function decodeQuestion(payload: string): QuestionStatement | undefined {
   const value = parseJson(payload);
-  if (typeof value !== 'object' || value === null || !('text' in value)) return undefined;
-  return typeof value.text === 'string' ? value.text : undefined;
+  if (typeof value !== 'object' || value === null || !('statement' in value)) return undefined;
+  return isGatheredStatement(value.statement) ? value.statement : undefined;
 }
 
 function parseJson(payload: string): unknown {
@@ -56,12 +79,10 @@
 }
 
 async function answerOf(backend: OperatorBackend, payload: string): Promise<NodeAnswer> {
-  const text = decodeQuestion(payload);
-  const result = text === undefined ? undefined : parseStatement(text);
-  if (result?.kind !== 'parsed' || result.statement.kind !== 'question') {
+  const statement = decodeQuestion(payload);
+  if (statement === undefined) {
     return { cause: 'the node does not know this question', kind: 'failed' };
   }
-  const { statement } = result;
   const rows = await backend.rows(statement.question);
   const revision = backend.configuration().revision;
   // The rows of other questions are combined first; conditions on them apply to the combined rows.
--- a/packages/operators/src/gathering/peer-gatherer.ts
+++ b/packages/operators/src/gathering/peer-gatherer.ts
@@ -7,7 +7,12 @@
   NodeRevision,
 } from '../operator-backend.js';
 import type { Row } from '../questions/rows.js';
-import { decodeAnswer, encodeQuestion, type NodeAnswer } from './node-question.js';
+import {
+  decodeAnswer,
+  encodeQuestion,
+  type NodeAnswer,
+  type NodeQuestion,
+} from './node-question.js';
 
 /**
  * Questions that wait for an answer at once. It bounds the connections that a question to every node
@@ -49,14 +54,14 @@
 
   public constructor(private readonly transport: PeerTransport) {}
 
-  /** Asks a question in the language. Never rejects. */
-  public async gather(text: string, options: GatherOptions): Promise<GatheredRows> {
+  /** Asks other nodes a question. Never rejects. */
+  public async gather(question: NodeQuestion, options: GatherOptions): Promise<GatheredRows> {
     const { deadlineMilliseconds } = options;
     const gathering: Gathering = {
       deadlineMilliseconds,
       endsAt: performance.now() + deadlineMilliseconds,
       missing: [],
-      payload: encodeQuestion(text),
+      payload: encodeQuestion(question),
       revisions: [],
       rows: [],
       waiting: [...(options.servers ?? this.transport.servers())],
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -2,8 +2,13 @@
 export type { ApplyResult } from './changes/apply-commands.js';
 export { differenceOf } from './changes/difference.js';
 export type { ConfigurationDifference } from './changes/difference.js';
-export { answerNodeQuestion, decodeAnswer, encodeQuestion } from './gathering/node-question.js';
-export type { NodeAnswer } from './gathering/node-question.js';
+export {
+  answerNodeQuestion,
+  decodeAnswer,
+  encodeQuestion,
+  revisionQuestion,
+} from './gathering/node-question.js';
+export type { NodeAnswer, NodeQuestion } from './gathering/node-question.js';
 export { PeerGatherer } from './gathering/peer-gatherer.js';
 export type { PeerTransport } from './gathering/peer-gatherer.js';
 export { NodeBackend } from './node-backend.js';
@@ -37,6 +42,8 @@
   NodeRevision,
   OperatorBackend,
 } from './operator-backend.js';
+export { WorkerParser } from './parsing/statement-parser.js';
+export type { StatementParser } from './parsing/statement-parser.js';
 export { QueryRunner } from './query-runner.js';
 export type { Query } from './query-runner.js';
 export { fieldsOf } from './questions/fields.js';
--- a/packages/operators/src/node-backend.ts
+++ b/packages/operators/src/node-backend.ts
@@ -1,6 +1,7 @@
 import type { Configuration, ProposalResult } from '@peridotspring/core';
-import type { Question } from '@peridotspring/language';
+import type { Question } from '@peridotspring/language/text';
 
+import type { NodeQuestion } from './gathering/node-question.js';
 import type { PeerGatherer } from './gathering/peer-gatherer.js';
 import type { MemberView, Readiness } from './node-view.js';
 import type {
@@ -44,8 +45,8 @@
     return localRows(this.parts, question);
   }
 
-  public gather(text: string, options: GatherOptions): Promise<GatheredRows> {
-    return this.parts.gatherer.gather(text, options);
+  public gather(question: NodeQuestion, options: GatherOptions): Promise<GatheredRows> {
+    return this.parts.gatherer.gather(question, options);
   }
 
   public propose(proposal: ChangeProposal): Promise<ProposalResult> {
--- a/packages/operators/src/operator-backend.ts
+++ b/packages/operators/src/operator-backend.ts
@@ -1,6 +1,7 @@
 import type { Configuration, ProposalResult } from '@peridotspring/core';
-import type { Question } from '@peridotspring/language';
+import type { Question } from '@peridotspring/language/text';
 
+import type { NodeQuestion } from './gathering/node-question.js';
 import type { MemberView, Readiness } from './node-view.js';
 import type { Row } from './questions/rows.js';
 
@@ -64,6 +65,6 @@
   readiness(): Readiness;
   /** This node's rows for a question, before filter, order and limit. */
   rows(question: Question): Promise<readonly Row[]>;
-  /** Asks the other nodes a question in the language; their rows are not combined yet. */
-  gather(text: string, options: GatherOptions): Promise<GatheredRows>;
+  /** Asks the other nodes a question; their rows are not combined yet. */
+  gather(question: NodeQuestion, options: GatherOptions): Promise<GatheredRows>;
 }
--- a/packages/operators/src/query-runner.ts
+++ b/packages/operators/src/query-runner.ts
@@ -1,15 +1,12 @@
 import { randomUUID } from 'node:crypto';
 
-import {
-  parseStatement,
-  type ChangeStatement,
-  type Question,
-  type QuestionStatement,
-} from '@peridotspring/language';
+import type { ChangeStatement, QuestionStatement } from '@peridotspring/language/text';
 
 import { ChangeRunner } from './changes/change-runner.js';
 import { waitInForce } from './changes/wait-in-force.js';
 import type { GatheredRows, OperatorBackend } from './operator-backend.js';
+import { revisionQuestion, type NodeQuestion } from './gathering/node-question.js';
+import type { StatementParser } from './parsing/statement-parser.js';
 import { combineRows } from './questions/combine-rows.js';
 import { fieldsOf } from './questions/fields.js';
 import { checkQuestion, selectRows } from './questions/select-rows.js';
@@ -28,15 +25,15 @@
 const nothingGathered: GatheredRows = { missing: [], revisions: [], rows: [] };
 
 /** The question that the other nodes are asked; undefined when this node alone can answer. */
-function gatheredText(question: Question, text: string): string | undefined {
-  switch (question.kind) {
+function gatheredQuestion(statement: QuestionStatement, text: string): NodeQuestion | undefined {
+  switch (statement.question.kind) {
     case 'change':
     case 'key':
     case 'members':
     case 'services':
       return undefined;
     case 'configuration':
-      return 'show revision';
+      return revisionQuestion;
     case 'budgets':
     case 'load':
     case 'platform':
@@ -45,7 +42,7 @@
     case 'requests':
     case 'revision':
     case 'tenants':
-      return text;
+      return { statement, text };
   }
 }
 
@@ -53,13 +50,16 @@
 export class QueryRunner {
   private readonly changes: ChangeRunner;
 
-  public constructor(private readonly backend: OperatorBackend) {
+  public constructor(
+    private readonly backend: OperatorBackend,
+    private readonly parser: StatementParser,
+  ) {
     this.changes = new ChangeRunner(backend);
   }
 
   /** Parses and runs a text. */
   public async run(query: Query): Promise<QueryResult> {
-    const parsed = parseStatement(query.text);
+    const parsed = await this.parser.parse(query.text);
     if (parsed.kind === 'faulty') return { errors: parsed.errors, kind: 'faults' };
     const { statement } = parsed;
     switch (statement.kind) {
@@ -85,7 +85,7 @@
       question.kind === 'change'
         ? this.changes.rows(question.changeId)
         : this.backend.rows(question),
-      this.gather(question, text),
+      this.gather(statement, text),
     ]);
     const configuration = this.backend.configuration();
     const others = question.kind === 'configuration' ? [] : gathered.rows;
@@ -103,8 +103,8 @@
     };
   }
 
-  private gather(question: Question, text: string): Promise<GatheredRows> {
-    const gathered = gatheredText(question, text);
+  private gather(statement: QuestionStatement, text: string): Promise<GatheredRows> {
+    const gathered = gatheredQuestion(statement, text);
     if (gathered === undefined) return Promise.resolve(nothingGathered);
     return this.backend.gather(gathered, { deadlineMilliseconds: gatherDeadlineMilliseconds });
   }
--- a/packages/operators/src/questions/combine-rows.ts
+++ b/packages/operators/src/questions/combine-rows.ts
@@ -1,5 +1,5 @@
 import type { Configuration } from '@peridotspring/core';
-import type { Question } from '@peridotspring/language';
+import type { Question } from '@peridotspring/language/text';
 
 import { findService } from '../changes/find-service.js';
 import type { Row } from './rows.js';
--- a/packages/operators/src/questions/fields.ts
+++ b/packages/operators/src/questions/fields.ts
@@ -1,4 +1,4 @@
-import type { Question } from '@peridotspring/language';
+import type { Question } from '@peridotspring/language/text';
 
 import { FieldType, FieldUnit, type FieldDefinition } from './rows.js';
 
--- a/packages/operators/src/questions/local-rows.ts
+++ b/packages/operators/src/questions/local-rows.ts
@@ -1,5 +1,5 @@
 import type { Configuration, LoadReport, MemberState } from '@peridotspring/core';
-import { printService, type Question } from '@peridotspring/language';
+import { printService, type Question } from '@peridotspring/language/text';
 
 import type { MemberView, NodeView } from '../node-view.js';
 import { requestRow, stepRows } from '../observation/journal-rows.js';
--- a/packages/operators/src/questions/select-rows.ts
+++ b/packages/operators/src/questions/select-rows.ts
@@ -5,7 +5,7 @@
   type LanguageError,
   type Name,
   type QuestionStatement,
-} from '@peridotspring/language';
+} from '@peridotspring/language/text';
 
 import { fieldsOf } from './fields.js';
 import { FieldType, FieldUnit, type FieldDefinition, type Row, type RowValue } from './rows.js';
--- a/packages/operators/src/render-table.ts
+++ b/packages/operators/src/render-table.ts
@@ -1,4 +1,4 @@
-import { markError } from '@peridotspring/language';
+import { markError } from '@peridotspring/language/text';
 
 import type { MissingNode, NodeRevision } from './operator-backend.js';
 import { FieldType, type RowValue } from './questions/rows.js';
--- a/packages/operators/src/results.ts
+++ b/packages/operators/src/results.ts
@@ -1,4 +1,4 @@
-import type { LanguageError } from '@peridotspring/language';
+import type { LanguageError } from '@peridotspring/language/text';
 
 import type { ConfigurationDifference } from './changes/difference.js';
 import type { MissingNode, NodeRevision } from './operator-backend.js';
--- a/packages/operators/src/server/operator-server.ts
+++ b/packages/operators/src/server/operator-server.ts
@@ -3,6 +3,7 @@
 
 import type { Metrics } from '../observation/metrics.js';
 import type { OperatorBackend } from '../operator-backend.js';
+import type { StatementParser } from '../parsing/statement-parser.js';
 import { QueryRunner } from '../query-runner.js';
 import { renderTable } from '../render-table.js';
 import type { QueryResult } from '../results.js';
@@ -33,6 +34,7 @@
 /** What an operator server is made of. */
 export interface OperatorServerOptions {
   readonly backend: OperatorBackend;
+  readonly parser: StatementParser;
   readonly metrics: Metrics;
   readonly secrets: AcceptedSecrets;
   readonly limits?: Partial<OperatorServerLimits> | undefined;
@@ -68,7 +70,7 @@
 
   public constructor(private readonly options: OperatorServerOptions) {
     this.limits = { ...defaultOperatorServerLimits, ...options.limits };
-    this.runner = new QueryRunner(options.backend);
+    this.runner = new QueryRunner(options.backend, options.parser);
     this.secretCheck = new SecretCheck(options.secrets);
     this.server = createServer(
       {
--- a/packages/operators/tests/gathering.test.ts
+++ b/packages/operators/tests/gathering.test.ts
@@ -8,8 +8,11 @@
   encodeQuestion,
   PeerGatherer,
   QueryRunner,
+  revisionQuestion,
+  type NodeQuestion,
 } from '../src/index.js';
-import { createNode } from './in-memory-backend.js';
+import { isGatheredStatement } from '../src/gathering/statement-check.js';
+import { createNode, directParser, nodeQuestion } from './in-memory-backend.js';
 
 test('rows of nodes that answer are kept, and the others are named with the cause', async () => {
   const other = createNode();
@@ -30,7 +33,9 @@
     },
     servers: () => ['answers', 'unreachable', 'lost', 'silent'],
   });
-  const gathered = await node.backend.gather('show load by zone', { deadlineMilliseconds: 50 });
+  const gathered = await node.backend.gather(nodeQuestion('show load by zone'), {
+    deadlineMilliseconds: 50,
+  });
   assert.is(gathered.rows.length, 1);
   assert.equal(
     [...gathered.missing].sort((a, b) => (a.server < b.server ? -1 : 1)),
@@ -51,7 +56,7 @@
     },
     servers: () => ['asked'],
   });
-  const gathered = await gatherer.gather('show revision', { deadlineMilliseconds: 20 });
+  const gathered = await gatherer.gather(revisionQuestion, { deadlineMilliseconds: 20 });
   assert.equal(gathered.revisions, []);
 });
 
@@ -66,7 +71,7 @@
     },
     servers: () => ['behind'],
   });
-  const runner = new QueryRunner(node.backend);
+  const runner = new QueryRunner(node.backend, directParser);
   const result = await runner.run({ text: 'drain server bern-1 wait up to 50ms' });
   assert.is(result.kind, 'change');
   if (result.kind !== 'change') return;
@@ -83,7 +88,44 @@
   });
 }
 
-for (const payload of ['', '{}', encodeQuestion('drain server a'), encodeQuestion('show x')]) {
+const question = nodeQuestion('show requests where service = antrag sort by at limit 3').statement;
+const { conditions, limit, order } = question;
+const [condition] = conditions;
+const faultyStatements: readonly unknown[] = [
+  undefined,
+  null,
+  { ...question, kind: 'change', commands: [] },
+  { ...question, question: { kind: 'x' } },
+  { ...question, question: { by: 'x', kind: 'load' } },
+  { ...question, question: { kind: 'request' } },
+  { ...question, question: { kind: 'refusals', sinceMilliseconds: '1' } },
+  { ...question, question: { changeId: 'c', kind: 'change' } },
+  { ...question, conditions: undefined },
+  { ...question, conditions: [{ ...condition, comparison: 'like' }] },
+  { ...question, conditions: [{ ...condition, value: { kind: 'text', value: 1 } }] },
+  { ...question, conditions: [{ ...condition, field: 'service' }] },
+  { ...question, limit: { ...limit, value: '3' } },
+  { ...question, order: { ...order, descending: 1 } },
+];
+const faultyPayloads = faultyStatements.map((statement) => JSON.stringify({ statement }));
+
+for (const text of [
+  'show requests where service = antrag and retries > 1 sort by at descending limit 3',
+  'show requests where service contains "a" and duration_ms >= 5ms',
+  'show refusals since 10m',
+  'show request r-1',
+  'show load by tenant',
+  'show budgets',
+]) {
+  test(`the statement of a question reaches the other node unchanged: ${text}`, () => {
+    const sent = nodeQuestion(text).statement;
+    const { statement } = JSON.parse(encodeQuestion({ statement: sent, text })) as NodeQuestion;
+    assert.ok(isGatheredStatement(statement));
+    assert.equal({ ...sent, ...statement }, sent);
+  });
+}
+
+for (const payload of ['', '{}', JSON.stringify({ text: 'show revision' }), ...faultyPayloads]) {
   test(`a node refuses anything but a question from another node: ${payload}`, async () => {
     const { backend, changes } = createNode();
     assert.is(decodeAnswer(await answerNodeQuestion(backend, payload)).kind, 'failed');
--- a/packages/operators/tests/in-memory-backend.ts
+++ b/packages/operators/tests/in-memory-backend.ts
@@ -4,6 +4,7 @@
   type MemberState,
   type ProposalResult,
 } from '@peridotspring/core';
+import { parseStatement } from '@peridotspring/language';
 
 import {
   NodeBackend,
@@ -14,10 +15,26 @@
   type ChangeProposal,
   type ChangeState,
   type MemberView,
+  type NodeQuestion,
   type NodeView,
   type PeerTransport,
+  type StatementParser,
 } from '../src/index.js';
 
+/** Parses without a worker thread, so that tests don't wait for its start. */
+export const directParser: StatementParser = {
+  parse: (text) => Promise.resolve(parseStatement(text)),
+};
+
+/** A question to other nodes, as a node that parsed its text sends it. */
+export function nodeQuestion(text: string): NodeQuestion {
+  const parsed = parseStatement(text);
+  if (parsed.kind === 'faulty' || parsed.statement.kind !== 'question') {
+    throw new Error(`no question: ${text}`);
+  }
+  return { statement: parsed.statement, text };
+}
+
 /** A member record with everything that a test doesn't care about filled in. */
 export function member(
   server: string,
--- a/packages/operators/tests/operator-server.test.ts
+++ b/packages/operators/tests/operator-server.test.ts
@@ -4,13 +4,14 @@
 import * as assert from 'uvu/assert';
 
 import { Metrics, OperatorServer, SecretCheck } from '../src/index.js';
-import { createNode } from './in-memory-backend.js';
+import { createNode, directParser } from './in-memory-backend.js';
 
 const node = createNode();
 const server = new OperatorServer({
   backend: node.backend,
   limits: { bodyBytes: 1_000, connections: 4, headerBytes: 2_000, requestTimeoutMilliseconds: 500 },
   metrics: new Metrics(),
+  parser: directParser,
   secrets: { current: 'new-secret', previous: 'old-secret' },
 });
 let base = '';
@@ -109,6 +110,7 @@
   const faulty = new OperatorServer({
     backend,
     metrics: new Metrics(),
+    parser: directParser,
     secrets: { current: 'new-secret' },
   });
   const faultyBase = `http://127.0.0.1:${await faulty.listen('127.0.0.1', 0)}`;
--- a/packages/operators/tests/pages.test.ts
+++ b/packages/operators/tests/pages.test.ts
@@ -6,7 +6,7 @@
 import * as assert from 'uvu/assert';
 
 import { fieldsOf, QueryRunner } from '../src/index.js';
-import { createNode } from './in-memory-backend.js';
+import { createNode, directParser } from './in-memory-backend.js';
 
 function page(name: string): string {
   return readFileSync(new URL(`../../../../docs/${name}`, import.meta.url), 'utf8');
@@ -18,7 +18,7 @@
 );
 
 // The examples run in the order of the page, because later ones change what earlier ones declared.
-const runner = new QueryRunner(createNode().backend);
+const runner = new QueryRunner(createNode().backend, directParser);
 
 for (const text of examples) {
   test(`the example on the page works: ${JSON.stringify(text.slice(0, 60))}`, async () => {
--- a/packages/operators/tests/queries.test.ts
+++ b/packages/operators/tests/queries.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 
 import { QueryRunner, renderTable, type QueryResult, type Row } from '../src/index.js';
-import { createNode } from './in-memory-backend.js';
+import { createNode, directParser } from './in-memory-backend.js';
 
 async function rowsOf(runner: QueryRunner, text: string): Promise<readonly Row[]> {
   const result = await runner.run({ text });
@@ -49,7 +49,7 @@
 
 for (const [clauses, expected] of selections) {
   test(`filter, order and limit select the right rows: ${clauses}`, async () => {
-    const runner = new QueryRunner(createJournaledNode().backend);
+    const runner = new QueryRunner(createJournaledNode().backend, directParser);
     const rows = await rowsOf(runner, `show requests ${clauses}`);
     assert.equal(
       rows.map((row) => row.request),
@@ -71,7 +71,7 @@
 
 for (const [text, column, words] of faults) {
   test(`a question with a wrong field or value is explained: ${text}`, async () => {
-    const result = await new QueryRunner(createNode().backend).run({ text });
+    const result = await new QueryRunner(createNode().backend, directParser).run({ text });
     assert.is(result.kind, 'faults');
     if (result.kind !== 'faults') return;
     assert.is(result.errors[0]?.column, column);
@@ -80,7 +80,10 @@
 }
 
 test('load is summed over the servers of a group', async () => {
-  const rows = await rowsOf(new QueryRunner(createNode().backend), 'show load by zone');
+  const rows = await rowsOf(
+    new QueryRunner(createNode().backend, directParser),
+    'show load by zone',
+  );
   assert.equal(rows, [
     {
       in_flight: 4,
@@ -95,13 +98,13 @@
 });
 
 test('a dead member is not counted as a server of its service', async () => {
-  const [row] = await rowsOf(new QueryRunner(createNode().backend), 'show services');
+  const [row] = await rowsOf(new QueryRunner(createNode().backend, directParser), 'show services');
   assert.equal([row?.servers, row?.serving, row?.slots], [1, 1, 6]);
 });
 
 test('the same change sent again takes effect once', async () => {
   const { backend, changes } = createNode();
-  const runner = new QueryRunner(backend);
+  const runner = new QueryRunner(backend, directParser);
   const query = { changeId: 'c1', text: 'drain server bern-1' };
   const [first, second] = await Promise.all([runner.run(query), runner.run(query)]);
   assert.equal(first, second);
@@ -113,7 +116,10 @@
 test('a lost answer of the store is resolved by the change identifier', async () => {
   const { backend, changes } = createNode();
   changes.losesNextAnswer = true;
-  const result = await new QueryRunner(backend).run({ changeId: 'c1', text: 'drain zone bern-b' });
+  const result = await new QueryRunner(backend, directParser).run({
+    changeId: 'c1',
+    text: 'drain zone bern-b',
+  });
   assert.is(result.kind === 'change' ? result.status : result.kind, 'accepted');
 });
 
@@ -121,7 +127,7 @@
   const { backend, changes } = createNode();
   changes.losesNextAnswer = true;
   changes.isReachable = false;
-  const runner = new QueryRunner(backend);
+  const runner = new QueryRunner(backend, directParser);
   const query = { changeId: 'c1', text: 'drain zone bern-b' };
   const lost = await runner.run(query);
   assert.is(lost.kind === 'change' ? lost.status : lost.kind, 'unresolved');
@@ -135,7 +141,7 @@
 
 test('a dry run and a change without a difference propose nothing', async () => {
   const { backend, changes } = createNode();
-  const runner = new QueryRunner(backend);
+  const runner = new QueryRunner(backend, directParser);
   const statuses: string[] = [];
   for (const text of ['dry run drain zone bern-a', 'restore zone bern-a']) {
     const result: QueryResult = await runner.run({ text });
@@ -145,7 +151,7 @@
 });
 
 test('a drain that leaves a service without servers, or names nobody, is pointed out', async () => {
-  const runner = new QueryRunner(createNode().backend);
+  const runner = new QueryRunner(createNode().backend, directParser);
   const result = await runner.run({
     text: 'dry run begin; drain zone bern-a; drain server berm-2; commit',
   });
