Tick the core only when it needs it

Cause: the driver ticked the core every 10 ms.

Ruled out: a fixed longer interval, which would make deadlines, hedges and the gate's queue late.

Change: the core says when it needs the next tick, and the driver sets its timer to that. While anything is in progress this is 10 ms after the last one as before; a quiet node ticks when a ping, lease round, poll or timeout is due, at the latest after 50 ms, because the entry clock takes a gap of 100 ms for a pause. The fleet in virtual time leaves out the same ticks.

The test compares the commands of a node with all ticks and with those it asks for. It found that a node that became a bridge started its watch one tick late; the role change now counts as waiting.

--- a/packages/core/src/configuration/configuration-contract.ts
+++ b/packages/core/src/configuration/configuration-contract.ts
@@ -56,5 +56,7 @@
   /** Whether this node watches the store's root record. */
   setWatching(watching: boolean, now: ClockReading): readonly ConfigurationCommand[];
   tick(now: ClockReading): readonly ConfigurationCommand[];
+  /** Monotonic time at which the next tick is needed. */
+  readonly nextTickAt: number;
   readonly inForce: Configuration;
 }
--- a/packages/core/src/configuration/configuration-keeper.ts
+++ b/packages/core/src/configuration/configuration-keeper.ts
@@ -159,6 +159,11 @@
     return this.takeCommands();
   }
 
+  public get nextTickAt(): number {
+    const { requests, spreader, timers } = this;
+    return Math.min(requests.nextDeadline, timers.nextAt, spreader.nextTickAt);
+  }
+
   private reasonToReject(message: ProposeConfigurationMessage): string | undefined {
     if (!changeIdPattern.test(message.changeId)) {
       return 'changeId: expected 1 to 36 letters, digits, underscores or hyphens';
--- a/packages/core/src/configuration/configuration-spreader.ts
+++ b/packages/core/src/configuration/configuration-spreader.ts
@@ -105,6 +105,10 @@
     this.pull(server);
   }
 
+  public get nextTickAt(): number {
+    return this.nextPullAt;
+  }
+
   public tick(now: ClockReading): void {
     if (now.monotonic < this.nextPullAt) return;
     const { newestSeen } = this;
--- a/packages/core/src/entry/entry-clock.ts
+++ b/packages/core/src/entry/entry-clock.ts
@@ -1,6 +1,6 @@
 import type { ClockReading } from '../shared/clock-reading.js';
 
-/** Ticks come every 10 ms; a longer gap means that the process did not run. */
+/** Ticks come every 50 ms at least; a longer gap means that the process did not run. */
 const pauseMilliseconds = 100;
 /** Time after a pause in which requests are read that had been waiting in its sockets. */
 const backlogMilliseconds = 2_000;
--- a/packages/core/src/entry/key-inquiry.ts
+++ b/packages/core/src/entry/key-inquiry.ts
@@ -47,6 +47,10 @@
     return this.conclude(inquiry, state, status);
   }
 
+  public get inProgress(): number {
+    return this.inquiries.size;
+  }
+
   /** Asks again where the table was missing, and ends questions without an answer. */
   public tick(now: ClockReading): InquiryCommand[] {
     const commands: InquiryCommand[] = [];
--- a/packages/core/src/homes/home-contract.ts
+++ b/packages/core/src/homes/home-contract.ts
@@ -90,6 +90,8 @@
   /** Starts the hand-over of a planned stop; ends with `handed-over`. */
   handOver(now: ClockReading): readonly HomeCommand[];
   tick(now: ClockReading): readonly HomeCommand[];
+  /** Monotonic time at which the next tick is needed. */
+  readonly nextTickAt: number;
   /** The newest known table of a service, for entries. */
   table(service: string): HomeTable | undefined;
   /** The range of a key: 0 to 15. */
--- a/packages/core/src/homes/home-keeper.ts
+++ b/packages/core/src/homes/home-keeper.ts
@@ -164,6 +164,14 @@
     return this.finish(now);
   }
 
+  public get nextTickAt(): number {
+    let next = this.nextSweepAt;
+    for (const { homes, maintenance } of this.services.values()) {
+      next = Math.min(next, homes.nextTickAt, maintenance.nextTickAt);
+    }
+    return next;
+  }
+
   public table(service: string): HomeTable | undefined {
     return this.tables.get(service);
   }
--- a/packages/core/src/homes/lease.ts
+++ b/packages/core/src/homes/lease.ts
@@ -48,6 +48,11 @@
     }));
   }
 
+  /** When the next round is due; at once for a table that no round was made for. */
+  public nextRoundFor(table: HomeTable): number {
+    return table.version === this.version ? this.nextRoundAt : Number.NEGATIVE_INFINITY;
+  }
+
   /** Counts a promise from the time at which it was asked for, which is before it was given. */
   public promised(witness: string, frame: HomePromiseFrame): void {
     const sentAt = this.sentAt.get(frame.sequence);
--- a/packages/core/src/homes/service-homes.ts
+++ b/packages/core/src/homes/service-homes.ts
@@ -114,6 +114,16 @@
     for (const tenure of tenures) this.serveHeld(tenure, now);
   }
 
+  /** When the next tick is needed: for the lease, or at once while requests are held. */
+  public get nextTickAt(): number {
+    const table = this.parts.tables.get(this.service);
+    if (table === undefined || this.tenures.size === 0) return Number.POSITIVE_INFINITY;
+    for (const { held } of this.tenures.values()) {
+      if (held.length > 0) return Number.NEGATIVE_INFINITY;
+    }
+    return this.lease.nextRoundFor(table);
+  }
+
   private activate(tenure: RangeTenure, now: ClockReading): void {
     const { inbox, outbox, records, settings } = this.parts;
     tenure.isActivated = true;
--- a/packages/core/src/homes/table-maintenance.ts
+++ b/packages/core/src/homes/table-maintenance.ts
@@ -73,6 +73,12 @@
     return this.proposer.storeResult(operationId, result, now);
   }
 
+  /** When the next tick is needed; at once during a hand-over, which waits for requests to end. */
+  public get nextTickAt(): number {
+    if (this.handOver !== undefined) return Number.NEGATIVE_INFINITY;
+    return Math.min(this.proposer.nextTickAt, this.nextLookAt);
+  }
+
   public tick(now: ClockReading): void {
     this.proposer.tick(now);
     this.advanceHandOver(now);
--- a/packages/core/src/homes/table-proposer.ts
+++ b/packages/core/src/homes/table-proposer.ts
@@ -40,6 +40,13 @@
     this.pending = { operationId, startedAt: now.monotonic };
   }
 
+  /** When an operation without a result is given up. */
+  public get nextTickAt(): number {
+    const { pending, settings } = this;
+    if (pending === undefined) return Number.POSITIVE_INFINITY;
+    return pending.startedAt + settings.storeTimeoutMilliseconds;
+  }
+
   /** Gives an operation up that got no result in time. */
   public tick(now: ClockReading): void {
     const { pending } = this;
--- a/packages/core/src/membership/failure-detector.ts
+++ b/packages/core/src/membership/failure-detector.ts
@@ -105,6 +105,17 @@
     }
   }
 
+  /** When the next ping is due, or the next step for a member that does not answer. */
+  public get nextTickAt(): number {
+    let next = this.nextPingAt;
+    for (const { isIndirect, sentAt } of this.probes.values()) {
+      const wait = isIndirect ? answerTimeoutMilliseconds : indirectAfterMilliseconds;
+      next = Math.min(next, sentAt + wait);
+    }
+    for (const { deadline } of this.suspicions.values()) next = Math.min(next, deadline);
+    return next;
+  }
+
   public tick(now: ClockReading): void {
     this.checkProbes(now);
     this.checkSuspicions(now);
--- a/packages/core/src/membership/membership-contract.ts
+++ b/packages/core/src/membership/membership-contract.ts
@@ -59,6 +59,8 @@
   leave(now: ClockReading): readonly MembershipCommand[];
   setConfigurationRevision(revision: number): void;
   tick(now: ClockReading): readonly MembershipCommand[];
+  /** Monotonic time at which the next tick is needed. */
+  readonly nextTickAt: number;
   members(): readonly MemberRecord[];
   member(server: string): MemberRecord | undefined;
   /** This node is one of its availability zone's bridge nodes. */
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -30,7 +30,7 @@
   readonly seeds?: readonly Seed[] | undefined;
 }
 
-/** A tick comes every 10 ms; a longer gap means that the process did not run. */
+/** Ticks come every 50 ms at least; a much longer gap means that the process did not run. */
 const pauseMilliseconds = 1_000;
 const slowTickMilliseconds = 100;
 /** Time for the rest of the zone to become known after its first member did. */
@@ -184,6 +184,13 @@
     return this.takeCommands();
   }
 
+  public get nextTickAt(): number {
+    if (this.lastTickAt === undefined) return Number.NEGATIVE_INFINITY;
+    const waiting = Math.min(this.requests.nextDeadline, this.timers.nextAt);
+    if (!isLive(this.ownEntry.record)) return waiting;
+    return Math.min(waiting, this.detector.nextTickAt, this.nextSlowTickAt);
+  }
+
   public members(): readonly MemberRecord[] {
     return this.table.records();
   }
@@ -219,7 +226,7 @@
     };
   }
 
-  /** What is due in seconds need not be looked at every 10 ms. */
+  /** What is due in seconds need not be looked at in every tick. */
   private slowTick(now: ClockReading): void {
     this.nextSlowTickAt = now.monotonic + slowTickMilliseconds;
     const { isBridge } = this;
--- a/packages/core/src/messages/core-message.ts
+++ b/packages/core/src/messages/core-message.ts
@@ -140,7 +140,7 @@
   readonly kind: 'stop';
 }
 
-/** Time has passed; sent every 10 ms. */
+/** Time has passed; sent when the core says that it needs it, every 10 to 50 ms. */
 export interface TickMessage {
   readonly kind: 'tick';
 }
--- a/packages/core/src/node/configuration-board.ts
+++ b/packages/core/src/node/configuration-board.ts
@@ -17,6 +17,9 @@
 
 /** Carries out what the configuration keeper decides. */
 export class ConfigurationBoard {
+  /** Whether this node watched the store's root record at the last tick. */
+  public isWatching = false;
+
   public constructor(private readonly options: ConfigurationBoardOptions) {}
 
   public apply(commands: readonly ConfigurationCommand[], now: ClockReading): void {
@@ -43,6 +46,7 @@
 
   public tick(isBridge: boolean, now: ClockReading): void {
     const { keeper } = this.options;
+    this.isWatching = isBridge;
     this.apply(keeper.setWatching(isBridge, now), now);
     this.apply(keeper.tick(now), now);
   }
--- a/packages/core/src/node/keyed-board.ts
+++ b/packages/core/src/node/keyed-board.ts
@@ -57,6 +57,11 @@
     return this.forwarder.inProgress;
   }
 
+  /** Whether requests or operators' questions wait for an answer. */
+  public get isWaiting(): boolean {
+    return this.forwarder.inProgress + this.inquiry.inProgress > 0;
+  }
+
   public begin(request: KeyedRequest, now: ClockReading): void {
     this.applyForwarder(this.forwarder.begin(request, now), now);
   }
--- a/packages/core/src/node/member-board.ts
+++ b/packages/core/src/node/member-board.ts
@@ -60,6 +60,11 @@
     }
   }
 
+  /** Whether the next tick passes changes of members on. */
+  public get isWaiting(): boolean {
+    return this.hasChanged;
+  }
+
   public isReachable(server: string): boolean {
     return !this.unreachable.has(server);
   }
--- a/packages/core/src/node/node-core.ts
+++ b/packages/core/src/node/node-core.ts
@@ -20,6 +20,14 @@
 import type { NodeBoards } from './node-boards.js';
 import type { NodeCoreOptions, NodeParts } from './node-parts.js';
 
+/** Time between ticks while anything waits for one; hedges and queued requests depend on it. */
+const tickMilliseconds = 10;
+/**
+ * Longest time between ticks. The entry clock takes a gap of 100 ms for a pause of the process, so a
+ * quiet node needs ticks well within that.
+ */
+const quietTickMilliseconds = 50;
+
 type PeerMessage = Extract<
   CoreMessage,
   { readonly kind: 'frame-not-sent' | 'peer-frame' | 'peer-lost' }
@@ -34,6 +42,7 @@
 export class NodeCore {
   private readonly boards: NodeBoards;
   private readonly entryClock = new EntryClock();
+  private lastTickAt = Number.NEGATIVE_INFINITY;
 
   public constructor(private readonly options: NodeCoreOptions) {
     this.boards = createBoards(options);
@@ -45,6 +54,23 @@
     return this.boards.outbox.take();
   }
 
+  /**
+   * Monotonic time by which the driver delivers the next tick. Any message may bring it forward, so the
+   * driver asks after each.
+   */
+  public get nextTickAt(): number {
+    const earliest = this.lastTickAt + tickMilliseconds;
+    if (this.isWaiting) return earliest;
+    const { configuration, homes, membership } = this.options;
+    const needed = Math.min(
+      this.boards.upstream.nextPollAt,
+      membership.nextTickAt,
+      configuration.nextTickAt,
+      homes.nextTickAt,
+    );
+    return Math.max(earliest, Math.min(needed, this.lastTickAt + quietTickMilliseconds));
+  }
+
   /** The parts, for operators' questions. */
   public get parts(): NodeParts {
     return this.options;
@@ -63,6 +89,19 @@
     return this.boards.upstream.pollBudget(now);
   }
 
+  /** Whether anything is in progress whose times are looked at in every tick. */
+  private get isWaiting(): boolean {
+    const { calls, configuration, executions, keyed, members, stop } = this.boards;
+    const { membership, router } = this.options;
+    if (
+      calls.inProgress + executions.size > 0 ||
+      configuration.isWatching !== membership.isBridge
+    ) {
+      return true;
+    }
+    return keyed.isWaiting || members.isWaiting || stop.isStopping || router.isProbing;
+  }
+
   private dispatch(message: CoreMessage, now: ClockReading): void {
     const { calls, configuration, keyed, stop } = this.boards;
     switch (message.kind) {
@@ -244,6 +283,7 @@
   }
 
   private tick(now: ClockReading): void {
+    this.lastTickAt = now.monotonic;
     this.entryClock.tick(now);
     const { calls, configuration, keyed, members, outbox, stop, upstream } = this.boards;
     const { membership, router } = this.options;
--- a/packages/core/src/node/upstream-board.ts
+++ b/packages/core/src/node/upstream-board.ts
@@ -61,6 +61,11 @@
     }
   }
 
+  /** When the next poll of the upstream is due. */
+  public get nextPollAt(): number {
+    return this.options.polls.nextDueAt;
+  }
+
   public pollBudget(now: ClockReading): PollBudget {
     return this.options.polls.budget(now);
   }
--- a/packages/core/src/probing/poll-scheduler.ts
+++ b/packages/core/src/probing/poll-scheduler.ts
@@ -75,6 +75,16 @@
     return true;
   }
 
+  /** When the next poll is due. */
+  public get nextDueAt(): number {
+    if (this.slots === 0) return Number.POSITIVE_INFINITY;
+    const { abandonedAfterMilliseconds, minimumIntervalMilliseconds } = this.settings;
+    const wait = this.inProgress ? abandonedAfterMilliseconds : minimumIntervalMilliseconds;
+    const lacking = Math.max(0, this.pollCost - this.tokens);
+    const paidAt = lacking === 0 ? 0 : this.accruedUntil + lacking / (this.share * this.slots);
+    return Math.max(this.lastPollAt + wait, paidAt);
+  }
+
   /** The poll that was due has ended. */
   public polled(): void {
     this.inProgress = false;
--- a/packages/core/src/routing/router-contract.ts
+++ b/packages/core/src/routing/router-contract.ts
@@ -48,4 +48,6 @@
   latencyQuantile(service: string, quantile: number): number | undefined;
   /** Targets from which nothing was heard for a time and which are due for a probe to their gate. */
   dueForProbe(now: ClockReading): readonly Target[];
+  /** Whether targets may become due for a probe, because their service was used lately. */
+  readonly isProbing: boolean;
 }
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -162,6 +162,10 @@
     return due;
   }
 
+  public get isProbing(): boolean {
+    return this.used.size > 0;
+  }
+
   private collectProbes(service: ServiceTargets, now: number, due: Target[]): void {
     while (this.probeTokens >= 1) {
       const state = service.probes.popDue(now);
--- a/packages/core/src/shared/store-requests.ts
+++ b/packages/core/src/shared/store-requests.ts
@@ -45,6 +45,13 @@
     request.conclude(result, now);
   }
 
+  /** When the next request without a result is given up. */
+  public get nextDeadline(): number {
+    let next = Number.POSITIVE_INFINITY;
+    for (const { deadline } of this.waiting.values()) next = Math.min(next, deadline);
+    return next;
+  }
+
   public tick(now: ClockReading): void {
     for (const [operationId, request] of this.waiting) {
       if (request.deadline <= now.monotonic) this.deliver(operationId, { kind: 'unknown' }, now);
--- a/packages/core/src/shared/timers.ts
+++ b/packages/core/src/shared/timers.ts
@@ -13,6 +13,11 @@
     this.timers.push({ at: now.monotonic + milliseconds, action });
   }
 
+  /** When the next action is due. */
+  public get nextAt(): number {
+    return this.timers.reduce((next, { at }) => Math.min(next, at), Number.POSITIVE_INFINITY);
+  }
+
   /** Runs the actions that are due; actions that they add wait for the next tick. */
   public tick(now: ClockReading): void {
     if (!this.timers.some((timer) => timer.at <= now.monotonic)) return;
--- a/packages/core/tests/node/single-node.ts
+++ b/packages/core/tests/node/single-node.ts
@@ -9,12 +9,16 @@
 } from '../../src/index.js';
 
 const startWall = 1_800_000_000_000;
-const tickMilliseconds = 10;
+export const tickMilliseconds = 10;
 
 /** One node with its own clock and a store in memory, driven by hand. */
 export class SingleNode {
   public readonly commands: CoreCommand[] = [];
   public monotonic = 0;
+  /** Leaves out the ticks that the core does not ask for, as the daemon does. */
+  public ticksOnDemand = false;
+  public ticks = 0;
+  public observe: (command: CoreCommand) => void = () => undefined;
 
   private readonly core: NodeCore;
   private readonly store = new Map<string, { value: string; version: number }>();
@@ -40,6 +44,7 @@
   public send(message: CoreMessage): void {
     for (const command of this.core.handle(message, this.now)) {
       this.commands.push(command);
+      this.observe(command);
       if (command.kind === 'store') {
         this.runStore(command);
       }
@@ -50,6 +55,8 @@
     const end = this.monotonic + milliseconds;
     while (this.monotonic < end) {
       this.monotonic += tickMilliseconds;
+      if (this.ticksOnDemand && this.monotonic < this.core.nextTickAt) continue;
+      this.ticks += 1;
       this.send({ kind: 'tick' });
     }
   }
--- a/packages/daemon/src/driver/node-driver.ts
+++ b/packages/daemon/src/driver/node-driver.ts
@@ -21,8 +21,6 @@
 
 import type { BodyRelay } from './body-relay.js';
 
-const tickMilliseconds = 10;
-
 /** What the driver needs of the callers' server. */
 export interface CallerPort {
   reply(command: ReplyToCallerCommand): void;
@@ -71,6 +69,9 @@
 export class NodeDriver {
   private readonly queue: CoreMessage[] = [];
   private timer: NodeJS.Timeout | undefined;
+  /** Monotonic time of the next tick. */
+  private tickAt = Number.POSITIVE_INFINITY;
+  private isStarted = false;
   private isHandling = false;
   private isClosed = false;
 
@@ -78,14 +79,13 @@
 
   /** Starts the clock of the core. */
   public start(): void {
-    this.timer = setInterval(() => {
-      this.deliver({ kind: 'tick' });
-    }, tickMilliseconds);
+    this.isStarted = true;
+    this.deliver({ kind: 'tick' });
   }
 
   public close(): void {
     this.isClosed = true;
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
     this.options.relay.close();
   }
 
@@ -108,6 +108,7 @@
     } finally {
       this.isHandling = false;
     }
+    this.scheduleTick();
   }
 
   /** Takes a frame of another node. */
@@ -144,6 +145,23 @@
     this.deliver({ kind: 'peer-lost', server });
   }
 
+  /** Sets the timer to the tick that the core needs next, if that is earlier than the one set. */
+  private scheduleTick(): void {
+    if (!this.isStarted || this.isClosed) return;
+    const { clock, core } = this.options;
+    const nextTickAt = core.nextTickAt;
+    if (nextTickAt >= this.tickAt) return;
+    clearTimeout(this.timer);
+    this.tickAt = nextTickAt;
+    this.timer = setTimeout(
+      () => {
+        this.tickAt = Number.POSITIVE_INFINITY;
+        this.deliver({ kind: 'tick' });
+      },
+      Math.ceil(Math.max(0, nextTickAt - clock().monotonic)),
+    );
+  }
+
   private execute(command: CoreCommand): void {
     const { callers, observe, relay, upstream } = this.options;
     switch (command.kind) {
--- a/packages/virtual-time/src/fleet.ts
+++ b/packages/virtual-time/src/fleet.ts
@@ -196,7 +196,9 @@
   private tickLater(node: FleetNode, delay: number): void {
     this.after(delay, () => {
       if (!node.isRunning) return;
-      if (!node.isFrozen) node.deliver({ kind: 'tick' });
+      // Ticks that the core does not need are left out, as the daemon does.
+      const isDue = node.clock.monotonic >= node.core.nextTickAt;
+      if (!node.isFrozen && isDue) node.deliver({ kind: 'tick' });
       this.tickLater(node, this.tickMilliseconds);
     });
   }
