--- a/packages/measure/src/idle-cost.ts
+++ b/packages/measure/src/idle-cost.ts
@@ -105,6 +105,12 @@
     const [root = '', ...executableFlags] = rest.join('=').split(',');
     return { fleet: createFleet(root, executableFlags), name };
   });
+  // An interrupted measurement would leave its programs running.
+  const stop = (): void => {
+    void Promise.all(fleets.map(({ fleet }) => fleet.close())).then(() => process.exit(1));
+  };
+  process.once('SIGINT', stop);
+  process.once('SIGTERM', stop);
   try {
     for (const { fleet } of fleets) await startFleet(fleet);
     await sleep(flags.settle * 1_000);
