Bound what a trial of a lower concurrency limit costs

Cause: the learned limit takes a higher latency for overload and tries a lower limit. It went from 10 slots to 10 / ratio and judged the trial after 100 answers. With a server five times slower that left 1 to 3 slots for up to 10 s, and since routers send such a server little, the 100 answers hardly ever came. Traces of the slowest non-idempotent calls show them at that server, behind a queue of 7 to 19 requests at a limit of 1 to 3, after the full queues of the other servers had refused them. With all servers twice as slow the missing slots turn into refusals. Ruled out: the choice itself. A higher bound alone (half, 100 answers) or fewer answers alone (30) recover less. Change: a decrease leaves at least half of the limit, and it is judged after 50 answers. The tables get a row with all servers twice as slow.

--- a/packages/core/src/gate/gradient-concurrency-limit.ts
+++ b/packages/core/src/gate/gradient-concurrency-limit.ts
@@ -4,12 +4,16 @@
 export interface ConcurrencyLimitSettings {
   /** Answers whose mean latency forms one measurement. */
   readonly windowSamples: number;
+  /** Answers under a lowered limit that tell whether it brought the latency down. */
+  readonly verdictSamples: number;
   /** Ratio of recent to minimum latency above which the limit is lowered. */
   readonly tolerance: number;
   /** Factor by which the minimum latency rises per window, so that it follows lasting changes. */
   readonly baselineDrift: number;
   /** Factor by which the limit rises per window, at least by one slot. */
   readonly growthFactor: number;
+  /** Share of the limit that remains, at least, when it is lowered once. */
+  readonly smallestStepShare: number;
   /** A lower limit must bring the latency below this share of what it was, or it is taken back. */
   readonly improvementShare: number;
 }
@@ -18,12 +22,17 @@
  * Defaults of the learned limit.
  * Means of 100 exponentially distributed latencies vary by 10 %, so a ratio of 1.5 is far outside
  * of their noise; single minima would throttle every upstream whose service time varies.
+ * A lowered limit is a trial that costs slots while it lasts, so it takes at most half of them and is
+ * judged after 50 answers. One that went from 10 slots to 2 and waited for 100 answers of 200 ms held
+ * them back for 10 s.
  */
 export const defaultConcurrencyLimitSettings: ConcurrencyLimitSettings = {
   baselineDrift: 1.02,
   growthFactor: 1.25,
   improvementShare: 0.8,
+  smallestStepShare: 0.5,
   tolerance: 1.5,
+  verdictSamples: 50,
   windowSamples: 100,
 };
 
@@ -34,8 +43,9 @@
 
 /**
  * Lowers the limit by the ratio of the minimum to the recent mean latency and raises it by a quarter
- * per window otherwise: one slot per window took 19,000 answers to undo a pause at 200 slots. An upstream that is slow at any concurrency doesn't get faster from a lower
- * limit; then the decrease is taken back and its latency becomes the new minimum.
+ * per window otherwise: one slot per window took 19,000 answers to undo a pause at 200 slots. An
+ * upstream that is slow at any concurrency doesn't get faster from a lower limit; then the decrease is
+ * taken back and its latency becomes the new minimum.
  */
 export class GradientConcurrencyLimit implements ConcurrencyLimit {
   private slots = 1;
@@ -70,11 +80,16 @@
     this.samples += 1;
     this.latencySum += sample.latencyMilliseconds;
     this.peakInFlight = Math.max(this.peakInFlight, sample.inFlight);
-    if (this.samples < this.settings.windowSamples) return;
+    if (this.samples < this.samplesWanted) return;
     this.adjust(this.latencySum / this.samples, now);
     this.startWindow();
   }
 
+  private get samplesWanted(): number {
+    const { verdictSamples, windowSamples } = this.settings;
+    return this.decrease === undefined ? windowSamples : verdictSamples;
+  }
+
   private startWindow(): void {
     this.samples = 0;
     this.latencySum = 0;
@@ -102,7 +117,8 @@
     // A few requests at once can't be the cause of the latency under a much higher limit.
     if (this.peakInFlight * 2 < this.limit || this.limit === 1) return;
     this.decrease = { fromLatency: recent, fromLimit: this.learned };
-    this.change(Math.max(1, Math.min(this.learned, this.peakInFlight) / ratio), now);
+    const wanted = Math.min(this.learned, this.peakInFlight) / ratio;
+    this.change(Math.max(1, this.learned * this.settings.smallestStepShare, wanted), now);
   }
 
   private change(limit: number, now: number): void {
--- a/packages/virtual-time/src/scenario.ts
+++ b/packages/virtual-time/src/scenario.ts
@@ -1,5 +1,6 @@
 /** What is wrong with the first server of each service, or with all of them. */
 export const Fault = {
+  AllSlow: 'all-slow',
   Cold: 'cold',
   Draining: 'draining',
   FailingFast: 'failing-fast',
@@ -39,6 +40,7 @@
   scenario('steady, peak', peakLoad, peakLoad),
   scenario('jump from trough to peak', troughLoad, 0.95),
   scenario('one server five times slower', faultLoad, faultLoad, Fault.Slow),
+  scenario('all servers twice as slow', troughLoad, troughLoad, Fault.AllSlow),
   scenario('one server fails fast', faultLoad, faultLoad, Fault.FailingFast),
   scenario('one server drains', faultLoad, faultLoad, Fault.Draining),
   scenario('one server is cold', faultLoad, faultLoad, Fault.Cold),
--- a/packages/virtual-time/src/simulation.ts
+++ b/packages/virtual-time/src/simulation.ts
@@ -100,6 +100,7 @@
     switch (this.scenario.fault) {
       case Fault.None:
         return false;
+      case Fault.AllSlow:
       case Fault.HalfFail:
       case Fault.LyingEndpoints:
         return true;
--- a/packages/virtual-time/src/upstream-model.ts
+++ b/packages/virtual-time/src/upstream-model.ts
@@ -10,6 +10,8 @@
 }
 
 const slowFactor = 5;
+/** With this factor the trough load of 0.4 becomes 0.8, which all servers can still carry. */
+const allSlowFactor = 2;
 const failMilliseconds = 1;
 /** A cold server takes this much longer at first and is warm after so many requests. */
 const coldFactor = 5;
@@ -97,6 +99,8 @@
 
   private slowdown(running: number): number {
     switch (this.fault) {
+      case Fault.AllSlow:
+        return allSlowFactor;
       case Fault.Slow:
         return slowFactor;
       case Fault.Cold:
