Lower the concurrency limit only where requests in flight cost latency

Cause: after the limit of a trial was bounded, every slow upstream still lost half of its slots for each trial, although its own answers often show that they are as slow beside few requests as beside many. Change: the gate notes how many requests ran when each one started. When a linear regression over a window shows that they make up less than 0.3 of the mean latency, the limit stays and the latency becomes the new minimum. When their number varied too little to tell, the trial is made as before.

--- a/packages/core/src/gate/concurrency-limit.ts
+++ b/packages/core/src/gate/concurrency-limit.ts
@@ -5,6 +5,8 @@
   readonly startedAt: number;
   /** Requests that ran when this one finished, itself included. */
   readonly inFlight: number;
+  /** Requests that ran when this one had started, itself included. */
+  readonly inFlightAtStart: number;
 }
 
 /** Learns how many requests the upstream can run at once. */
--- a/packages/core/src/gate/gate.ts
+++ b/packages/core/src/gate/gate.ts
@@ -21,11 +21,10 @@
 import { TenantShares } from './tenant-shares.js';
 import type { TenantAccount } from './tenant-shares.js';
 import { UpstreamCapacity } from './upstream-capacity.js';
+import type { StartedRequest } from './upstream-capacity.js';
 
-interface RunningRequest {
+interface RunningRequest extends StartedRequest {
   readonly account: TenantAccount;
-  readonly startedAt: number;
-  readonly deadline: number;
 }
 
 const noDecisions: readonly GateDecision[] = [];
@@ -247,9 +246,9 @@
     now: number,
     decisions: GateDecision[],
   ): void {
-    this.running.set(request.executionId, { account, deadline: request.deadline, startedAt: now });
+    const started = this.capacity.started(request.deadline, now);
+    this.running.set(request.executionId, { account, ...started });
     account.running += 1;
-    this.capacity.started(now);
     decisions.push({ executionId: request.executionId, kind: 'start' });
   }
 
--- a/packages/core/src/gate/upstream-capacity.ts
+++ b/packages/core/src/gate/upstream-capacity.ts
@@ -8,11 +8,17 @@
 import { ServiceTimeEstimate } from './service-time-estimate.js';
 import { UpstreamHealth } from './upstream-health.js';
 
-/** A request that has ended at the upstream. */
-export interface EndedRequest {
-  readonly executionId: number;
+/** A request that runs at the upstream. */
+export interface StartedRequest {
   readonly startedAt: number;
   readonly deadline: number;
+  /** Requests that ran when this one had started, itself included. */
+  readonly inFlightAtStart: number;
+}
+
+/** A request that has ended at the upstream. */
+export interface EndedRequest extends StartedRequest {
+  readonly executionId: number;
 }
 
 /** What the gate knows of its upstream: announcement, health, service time and concurrency. */
@@ -97,10 +103,11 @@
     return this.ramp.limit(this.slots, now) < this.slots;
   }
 
-  public started(now: number): void {
+  public started(deadline: number, now: number): StartedRequest {
     this.running += 1;
     this.progressAt = now;
     this.polledLoad.running(this.running);
+    return { deadline, inFlightAtStart: this.running, startedAt: now };
   }
 
   public ended(request: EndedRequest, end: ExecutionEnd, now: number): void {
@@ -163,6 +170,7 @@
     this.concurrency.answered(
       {
         inFlight: this.running,
+        inFlightAtStart: request.inFlightAtStart,
         latencyMilliseconds: elapsed,
         startedAt: request.startedAt,
       },
--- a/packages/core/tests/gate/gradient-concurrency-limit.test.ts
+++ b/packages/core/tests/gate/gradient-concurrency-limit.test.ts
@@ -30,7 +30,8 @@
       const draw = upstream.exponential ? -Math.log(1 - random.next()) : 1;
       const latencyMilliseconds = upstream.meanMilliseconds * slowdown * draw;
       time += latencyMilliseconds / inFlight;
-      limit.answered({ inFlight, latencyMilliseconds, startedAt: time }, time);
+      const sample = { inFlight, inFlightAtStart: inFlight, latencyMilliseconds, startedAt: time };
+      limit.answered(sample, time);
     }
     limits.push(limit.limit);
   }
@@ -79,7 +80,8 @@
 test('requests from before a decrease do not count as evidence that it was useless', () => {
   const limit = announced(10);
   const window = (latencyMilliseconds: number, startedAt: number, now: number): void => {
-    const sample = { inFlight: limit.limit, latencyMilliseconds, startedAt };
+    const inFlight = limit.limit;
+    const sample = { inFlight, inFlightAtStart: inFlight, latencyMilliseconds, startedAt };
     for (let count = 0; count < 100; count += 1) limit.answered(sample, now);
   };
   window(20, 1, 100);
@@ -95,7 +97,7 @@
   const slow = { exponential: false, meanMilliseconds: 200, realSlots: 10 };
   // The ratio of 5 alone would leave 2 slots, and 100 answers would take 10 s with them.
   assert.equal(limitsAfter(limit, slow, 1), [5]);
-  const sample = { inFlight: 5, latencyMilliseconds: 200, startedAt: 1e9 };
+  const sample = { inFlight: 5, inFlightAtStart: 5, latencyMilliseconds: 200, startedAt: 1e9 };
   let answers = 0;
   for (; limit.limit < 10 && answers < 1_000; answers += 1) limit.answered(sample, 1e9);
   assert.is(answers, defaultConcurrencyLimitSettings.verdictSamples);
@@ -119,6 +121,35 @@
   assert.ok(windowsNeeded > 0 && windowsNeeded <= 15, limits.join(' '));
 });
 
+/** Limits after each window when 1 to 10 requests run beside each other and set the latency. */
+function limitsUnderVaryingLoad(latencyOf: (inFlight: number) => number): number[] {
+  const limit = announced(10);
+  const random = new SeededRandomSource(7);
+  limitsAfter(limit, { exponential: false, meanMilliseconds: 20, realSlots: 10 }, 3);
+  return Array.from({ length: 4 }, (_, window) => {
+    for (let count = 0; count < 100; count += 1) {
+      const inFlight = 1 + Math.floor(random.next() * limit.limit);
+      const latencyMilliseconds = latencyOf(inFlight) * (0.5 + random.next());
+      const time = 10_000 * (window + 1) + count;
+      const sample = { inFlight, inFlightAtStart: inFlight, latencyMilliseconds, startedAt: time };
+      limit.answered(sample, time);
+    }
+    return limit.limit;
+  });
+}
+
+test('never: an upstream that is as slow with few requests as with many loses slots to a trial', () => {
+  assert.equal(
+    limitsUnderVaryingLoad(() => 100),
+    [10, 10, 10, 10],
+  );
+});
+
+test('never: an overloaded upstream keeps its limit because the load varies', () => {
+  const limits = limitsUnderVaryingLoad((inFlight) => 20 * inFlight);
+  assert.ok(limits.at(-1) !== undefined && Math.max(...limits) < 10, limits.join(' '));
+});
+
 test('the limit never leaves the range from 1 to the announced slots', () => {
   const limit = announced(3);
   limitsAfter(limit, { exponential: false, meanMilliseconds: 1, realSlots: 3 }, 1);
