Gather the homes of a service from the other nodes again

The check of questions between nodes, merged beside the new question, did not list it, so `show homes` would have named every other node as missing. Each question that nodes ask each other is in the test now.

--- a/packages/operators/src/gathering/statement-check.ts
+++ b/packages/operators/src/gathering/statement-check.ts
@@ -61,6 +61,7 @@
   if (!isObject(value)) return false;
   switch (value.kind) {
     case 'budgets':
+    case 'homes':
     case 'platform':
     case 'requests':
     case 'revision':
--- a/packages/operators/tests/gathering.test.ts
+++ b/packages/operators/tests/gathering.test.ts
@@ -116,6 +116,10 @@
   'show request r-1',
   'show load by tenant',
   'show budgets',
+  'show homes',
+  'show platform',
+  'show revision',
+  'show tenants',
 ]) {
   test(`the statement of a question reaches the other node unchanged: ${text}`, () => {
     const sent = nodeQuestion(text).statement;
