Delete configuration records that no root refers to

Ruled out: deletion by the committing node (finds no leftovers, forgets its list in a crash), leases on values (values in force would depend on a keep-alive), deletion by age alone (a proposer that was paused between its values and its root would commit a root with missing values), and a commit that requires each record (exceeds the 128 operations of a transaction).

Change: one bridge lists unreferenced records and deletes them 5 minutes later, at most 100 in a transaction. The transaction requires the root whose references were read and writes the collection record; a commit requires that this record has not changed since its records were written. So a root never refers to a deleted record, however late a write takes effect; the delay only serves readers that are behind. Store operations get a guard, deleted keys and a list of keys; the stand-in offers them with etcd's limit on operations.

Conclusion: the store holds the records in force and those replaced in the last 5 to 10 minutes. The Promela specification does not cover it.

--- a/packages/core/src/configuration/configuration-keeper.ts
+++ b/packages/core/src/configuration/configuration-keeper.ts
@@ -15,6 +15,7 @@
 import { changeIdPattern } from './configuration-limits.js';
 import { ConfigurationSpreader } from './configuration-spreader.js';
 import { describeConfigurationFault, validateConfiguration } from './configuration-validation.js';
+import { defaultCollectionIntervalMilliseconds, RecordCollector } from './record-collector.js';
 import { ProposalRun } from './proposal-run.js';
 import { RootFollower } from './root-follower.js';
 import { RootLoader } from './root-loader.js';
@@ -22,6 +23,10 @@
 /** How a keeper is set up. */
 export interface ConfigurationKeeperOptions {
   readonly random: RandomSource;
+  /** Name of this node, under which it deletes replaced records. */
+  readonly server: string;
+  /** Time from the listing of an unreferenced record to its deletion; default 300,000. */
+  readonly collectionIntervalMilliseconds?: number | undefined;
   /** Time after which an operator is told what is known of a change; default 10,000. */
   readonly proposalTimeoutMilliseconds?: number | undefined;
 }
@@ -38,6 +43,7 @@
   private readonly requests = new StoreRequests((command) => this.commands.push(command));
   private readonly spreader: ConfigurationSpreader;
   private readonly follower: RootFollower;
+  private readonly collector: RecordCollector;
   private proposals = 0;
 
   public constructor(private readonly options: ConfigurationKeeperOptions) {
@@ -68,6 +74,7 @@
     };
     const parts = { requests, timers, history, loader, spreader: this.spreader, random, report };
     this.follower = new RootFollower(parts);
+    this.collector = this.createCollector();
   }
 
   public get inForce(): Configuration {
@@ -149,6 +156,7 @@
 
   public setWatching(watching: boolean, now: ClockReading): readonly ConfigurationCommand[] {
     this.follower.setWatching(watching, now);
+    this.collector.setActive(watching, now);
     return this.takeCommands();
   }
 
@@ -159,6 +167,22 @@
     return this.takeCommands();
   }
 
+  private createCollector(): RecordCollector {
+    return new RecordCollector({
+      requests: this.requests,
+      timers: this.timers,
+      server: this.options.server,
+      intervalMilliseconds:
+        this.options.collectionIntervalMilliseconds ?? defaultCollectionIntervalMilliseconds,
+      deleted: (records) => {
+        this.count('configuration_records_deleted', {}, records);
+      },
+      malformed: (key) => {
+        this.report('configuration-record-malformed', { key });
+      },
+    });
+  }
+
   private reasonToReject(message: ProposeConfigurationMessage): string | undefined {
     if (!changeIdPattern.test(message.changeId)) {
       return 'changeId: expected 1 to 36 letters, digits, underscores or hyphens';
@@ -182,8 +206,8 @@
     this.count('configuration_proposals', { result: result.kind });
   }
 
-  private count(counter: string, labels: Readonly<Record<string, string>> = {}): void {
-    this.commands.push({ kind: 'count', counter, labels, by: 1 });
+  private count(counter: string, labels: Readonly<Record<string, string>> = {}, by = 1): void {
+    this.commands.push({ kind: 'count', counter, labels, by });
   }
 
   private report(event: string, fields: Readonly<Record<string, string | number>>): void {
--- a/packages/core/src/configuration/configuration-writer.ts
+++ b/packages/core/src/configuration/configuration-writer.ts
@@ -7,6 +7,7 @@
 import type { Timers } from '../shared/timers.js';
 import { changesDrains, type ConfigurationChange } from './configuration-change.js';
 import {
+  collectionKey,
   decodePage,
   derivedId,
   drainsKey,
@@ -27,6 +28,8 @@
   readonly version: number;
   readonly value: string;
   readonly next: Configuration;
+  /** Version of the collection record before the first record of the change was written. */
+  readonly collectionVersion: number;
 }
 
 /** A change on top of a root. */
@@ -65,11 +68,42 @@
     this.backOff = new BackOff(parts.random, 100, 1_000);
   }
 
-  /** Writes values, then pages, then hands over the root record. */
+  /**
+   * Writes values, then pages, then hands over the root record. The collection record is read first:
+   * if its version holds until the commit, none of the records found or written here was deleted.
+   */
   public prepare(
     plan: PlannedChange,
     now: ClockReading,
     done: (prepared: PreparedRoot, now: ClockReading) => void,
+  ): void {
+    this.readCollectionVersion(now, (collectionVersion, later) => {
+      this.writeRecords(plan, later, (value, afterRecords) => {
+        const { version, next } = plan;
+        done({ version, value, next, collectionVersion }, afterRecords);
+      });
+    });
+  }
+
+  private readCollectionVersion(
+    now: ClockReading,
+    use: (version: number, now: ClockReading) => void,
+  ): void {
+    this.parts.requests.start({ kind: 'read', key: collectionKey }, now, (result, later) => {
+      if (this.parts.isStopped()) return;
+      if (result.kind === 'found') use(result.entry.version, later);
+      else if (result.kind === 'missing') use(0, later);
+      else
+        this.retry(later, (time) => {
+          this.readCollectionVersion(time, use);
+        });
+    });
+  }
+
+  private writeRecords(
+    plan: PlannedChange,
+    now: ClockReading,
+    done: (rootText: string, now: ClockReading) => void,
   ): void {
     const values: NewRecord[] = [];
     for (const [name, service] of plan.change.services) {
@@ -80,7 +114,7 @@
       this.readPages(plan, afterValues, (pages, afterReads) => {
         const { root, records } = this.buildRoot(plan, pages);
         this.writeAll(records, afterReads, (afterPages) => {
-          done({ version: plan.version, value: encodeRoot(root), next: plan.next }, afterPages);
+          done(encodeRoot(root), afterPages);
         });
       });
     });
--- a/packages/core/src/configuration/proposal-run.ts
+++ b/packages/core/src/configuration/proposal-run.ts
@@ -19,6 +19,7 @@
 import { describeConfigurationFault, validateConfiguration } from './configuration-validation.js';
 import type { RootFollower } from './root-follower.js';
 import {
+  collectionKey,
   coversRevision,
   decodeRoot,
   emptyRoot,
@@ -174,11 +175,12 @@
       key: rootKey,
       expectedVersion: prepared.version,
       value: prepared.value,
+      guard: { key: collectionKey, version: prepared.collectionVersion },
     } as const;
     this.parts.requests.start(operation, now, (result, later) => {
       if (this.isDone) return;
       if (result.kind === 'written') this.accept(prepared.next.revision, later);
-      else if (result.kind === 'conflict') this.considerRoot(result.entry, later);
+      else if (result.kind === 'conflict') this.considerConflict(prepared, result.entry, later);
       else
         this.later(later, (time) => {
           this.readRoot(time);
@@ -186,6 +188,19 @@
     });
   }
 
+  /**
+   * On an unchanged root the guard failed: records were deleted since this write was prepared. The
+   * guard's version never comes back, so this write can't succeed any more and is prepared anew.
+   */
+  private considerConflict(
+    prepared: PreparedRoot,
+    entry: StoreEntry | undefined,
+    now: ClockReading,
+  ): void {
+    if ((entry?.version ?? 0) === prepared.version) this.attempt = undefined;
+    this.considerRoot(entry, now);
+  }
+
   private accept(revision: number, now: ClockReading): void {
     if (this.attempt?.next.revision === revision) this.parts.committed(this.attempt.next, now);
     this.finish({ kind: 'accepted', revision });
--- a/packages/core/src/configuration/store-layout.ts
+++ b/packages/core/src/configuration/store-layout.ts
@@ -11,6 +11,19 @@
 /** Key of the only record that changes; writing it commits a change. */
 export const rootKey = 'configuration/root';
 
+/**
+ * Key of the record that every deletion writes. Its version shows a proposal that records were deleted
+ * since it read it, and its value names the node that collects.
+ */
+export const collectionKey = 'configuration/collection';
+
+/** Prefixes of the records that a root refers to. Nothing outside of them is ever deleted. */
+export const collectedPrefixes = [
+  'configuration/drains/',
+  'configuration/page/',
+  'configuration/service/',
+] as const;
+
 /** The root record: what is in force is what it refers to. */
 export interface RootRecord {
   readonly revision: number;
--- a/packages/core/src/homes/table-proposer.ts
+++ b/packages/core/src/homes/table-proposer.ts
@@ -68,6 +68,8 @@
           this.proceed(result.entry.value, result.entry.version, now);
         }
         break;
+      // A proposer lists nothing, so such an answer says as little as none.
+      case 'listed':
       case 'unknown':
         this.failed(now);
         break;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -45,7 +45,7 @@
 export type { ConcurrencyLimitSettings } from './gate/gradient-concurrency-limit.js';
 export { defaultPollSettings, PollScheduler } from './probing/poll-scheduler.js';
 export type { PollBudget, PollSettings } from './probing/poll-scheduler.js';
-export { findChange, rootKey } from './configuration/store-layout.js';
+export { collectionKey, findChange, rootKey } from './configuration/store-layout.js';
 export { createNodeCore } from './node/create-node-core.js';
 export type { CreateNodeCoreOptions } from './node/create-node-core.js';
 export { HomeKeeper } from './homes/home-keeper.js';
--- a/packages/core/src/messages/store.ts
+++ b/packages/core/src/messages/store.ts
@@ -7,12 +7,27 @@
   readonly version: number;
 }
 
-/** A write that takes effect only if the key still has the expected version. */
+/** Another key whose version a write depends on; version 0 stands for a key that does not exist. */
+export interface StoreGuard {
+  readonly key: string;
+  readonly version: number;
+}
+
+/** Keys that one write may delete: with the write itself they stay below etcd's 128 operations. */
+export const maximumDeletedKeys = 100;
+
+/**
+ * A write that takes effect only if the key still has the expected version and the guard holds.
+ * A failed guard is reported as a conflict whose entry has the expected version.
+ */
 export interface StoreCompareAndSwap {
   readonly kind: 'compare-and-swap';
   readonly key: string;
   readonly expectedVersion: number;
   readonly value: string;
+  readonly guard?: StoreGuard | undefined;
+  /** Keys deleted by the same transaction, at most `maximumDeletedKeys`; missing keys are ignored. */
+  readonly deletedKeys?: readonly string[] | undefined;
 }
 
 export interface StoreRead {
@@ -27,7 +42,17 @@
   readonly afterVersion: number;
 }
 
-export type StoreOperation = StoreCompareAndSwap | StoreRead | StoreWatch;
+/** Lists keys without their values. */
+export interface StoreList {
+  readonly kind: 'list';
+  /** First key of the list. */
+  readonly key: string;
+  /** The list ends before this key. */
+  readonly end: string;
+  readonly limit: number;
+}
+
+export type StoreOperation = StoreCompareAndSwap | StoreRead | StoreWatch | StoreList;
 
 /**
  * The result of a store operation.
@@ -38,6 +63,7 @@
   | { readonly kind: 'missing' }
   | { readonly kind: 'written'; readonly version: number }
   | { readonly kind: 'conflict'; readonly entry: StoreEntry | undefined }
+  | { readonly kind: 'listed'; readonly keys: readonly string[]; readonly isComplete: boolean }
   | { readonly kind: 'unknown' };
 
 /** The subsystem that asked for a store operation; its result goes back there. */
--- a/packages/core/src/node/create-node-core.ts
+++ b/packages/core/src/node/create-node-core.ts
@@ -29,7 +29,7 @@
   const { availabilityZone, incarnation, region, server } = identity;
   const router = new Router({ availabilityZone, region }, random);
   return new NodeCore({
-    configuration: new ConfigurationKeeper({ random }),
+    configuration: new ConfigurationKeeper({ random, server }),
     engine: new CallEngine(router, firstCallIdentifier(incarnation)),
     gate: new Gate(),
     homes: new HomeKeeper({ incarnation, server }, { ...defaultHomeSettings, ...homes }),
--- a/packages/core/tests/node/single-node.ts
+++ b/packages/core/tests/node/single-node.ts
@@ -152,7 +152,7 @@
     const { client, operation, operationId } = command;
     const found = this.store.get(operation.key);
     const entry = found && { key: operation.key, ...found };
-    if (operation.kind === 'watch') {
+    if (operation.kind === 'watch' || operation.kind === 'list') {
       return;
     }
     if (operation.kind === 'read') {
--- a/packages/platform/src/gateway-replies.ts
+++ b/packages/platform/src/gateway-replies.ts
@@ -14,7 +14,10 @@
 });
 
 /** Answer of `/v3/kv/range`. */
-export const rangeReply = z.object({ kvs: z.array(keyValue).default([]) });
+export const rangeReply = z.object({
+  kvs: z.array(keyValue).default([]),
+  more: z.boolean().default(false),
+});
 
 /** Answer of `/v3/kv/txn`; fields with their default value are left out by the gateway. */
 export const transactionReply = z.object({
--- a/packages/platform/src/platform-store.ts
+++ b/packages/platform/src/platform-store.ts
@@ -1,6 +1,7 @@
 import type {
   StoreCompareAndSwap,
   StoreEntry,
+  StoreList,
   StoreOperation,
   StoreResult,
 } from '@peridotspring/core';
@@ -89,6 +90,9 @@
       case 'compare-and-swap':
         this.write(operation, deliver);
         return;
+      case 'list':
+        this.list(operation, deliver);
+        return;
       case 'watch':
         this.watch(operation.key).wait(operation.afterVersion, deliver);
         return;
@@ -119,17 +123,31 @@
     });
   }
 
-  private write(operation: StoreCompareAndSwap, deliver: (result: StoreResult) => void): void {
-    this.counts.writes += 1;
+  private list(operation: StoreList, deliver: (result: StoreResult) => void): void {
+    this.counts.reads += 1;
     const startedAt = performance.now();
-    const key = encode(operation.key);
-    const version = String(operation.expectedVersion);
     const body = {
-      compare: [{ key, target: 'VERSION', result: 'EQUAL', version }],
-      success: [{ requestPut: { key, value: encode(operation.value) } }],
-      failure: [{ requestRange: { key } }],
+      key: encode(operation.key),
+      range_end: encode(operation.end),
+      limit: String(operation.limit),
+      keys_only: true,
     };
-    this.client.call('/v3/kv/txn', body, (reply) => {
+    this.client.call('/v3/kv/range', body, (reply) => {
+      const parsed = rangeReply.safeParse(reply);
+      this.noteAnswer(parsed.success, startedAt);
+      if (!parsed.success) {
+        deliver({ kind: 'unknown' });
+        return;
+      }
+      const keys = parsed.data.kvs.map((found) => toStoreEntry(found).key);
+      deliver({ kind: 'listed', keys, isComplete: !parsed.data.more });
+    });
+  }
+
+  private write(operation: StoreCompareAndSwap, deliver: (result: StoreResult) => void): void {
+    this.counts.writes += 1;
+    const startedAt = performance.now();
+    this.client.call('/v3/kv/txn', transactionBody(operation), (reply) => {
       const parsed = transactionReply.safeParse(reply);
       this.noteAnswer(parsed.success, startedAt);
       if (!parsed.success) {
@@ -179,3 +197,21 @@
     this.answeredAt = Date.now();
   }
 }
+
+function transactionBody(operation: StoreCompareAndSwap): unknown {
+  const key = encode(operation.key);
+  const { expectedVersion, guard, deletedKeys = [] } = operation;
+  const deletes = deletedKeys.map((name) => ({ requestDeleteRange: { key: encode(name) } }));
+  return {
+    compare: [
+      versionIs(key, expectedVersion),
+      ...(guard === undefined ? [] : [versionIs(encode(guard.key), guard.version)]),
+    ],
+    success: [{ requestPut: { key, value: encode(operation.value) } }, ...deletes],
+    failure: [{ requestRange: { key } }],
+  };
+}
+
+function versionIs(key: string, version: number): unknown {
+  return { key, target: 'VERSION', result: 'EQUAL', version: String(version) };
+}
--- a/packages/platform/tests/platform-store.test.ts
+++ b/packages/platform/tests/platform-store.test.ts
@@ -1,5 +1,5 @@
 import { PlatformStandIn, type PlatformFault } from '@peridotspring/stand-ins';
-import type { StoreOperation, StoreResult } from '@peridotspring/core';
+import { maximumDeletedKeys, type StoreOperation, type StoreResult } from '@peridotspring/core';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -49,6 +49,36 @@
   },
 );
 
+contract(
+  'deletes in the transaction of a write, so that a failed guard deletes nothing',
+  async ({ store }) => {
+    const names = ['a/1', 'a/2', 'a/3', 'b'];
+    for (const key of names) {
+      await execute(store, { kind: 'compare-and-swap', key, expectedVersion: 0, value: key });
+    }
+    const list = { kind: 'list', key: 'a/', end: 'a0', limit: 2 } as const;
+    const firstTwo = { kind: 'listed', keys: ['a/1', 'a/2'], isComplete: false } as const;
+    assert.equal(await execute(store, list), firstTwo);
+    const write = { kind: 'compare-and-swap', key: 'c', expectedVersion: 0, value: '' } as const;
+    const deletedKeys = ['a/1', 'a/3', 'absent'];
+    const refused = { ...write, guard: { key: 'b', version: 2 }, deletedKeys };
+    assert.equal(await execute(store, refused), { kind: 'conflict', entry: undefined });
+    assert.equal(await execute(store, list), firstTwo);
+    const granted = { ...write, guard: { key: 'b', version: 1 }, deletedKeys };
+    assert.equal(await execute(store, granted), { kind: 'written', version: 1 });
+    assert.equal(await execute(store, list), { kind: 'listed', keys: ['a/2'], isComplete: true });
+  },
+);
+
+contract('the largest batch stays within the limit on operations', async ({ store }) => {
+  const deletedKeys = Array.from({ length: maximumDeletedKeys }, (_, index) => `key-${index}`);
+  const write = { kind: 'compare-and-swap', key: 'c', expectedVersion: 0, value: '' } as const;
+  assert.is((await execute(store, { ...write, deletedKeys })).kind, 'written');
+  const tooMany = [...deletedKeys, ...deletedKeys];
+  const result = await execute(store, { ...write, expectedVersion: 1, deletedKeys: tooMany });
+  assert.is(result.kind, 'unknown');
+});
+
 /** Result of a write during the fault, and whether it turns out to have taken effect. */
 const faultTable: readonly {
   readonly name: string;
--- a/packages/stand-ins/src/platform-gateway.ts
+++ b/packages/stand-ins/src/platform-gateway.ts
@@ -18,6 +18,8 @@
 
 /** Values above this many bytes are refused, as the platform's limit says. */
 const maximumValueBytes = 1_000_000;
+/** The published default limit on the operations of one branch of a transaction. */
+const maximumTransactionOperations = 128;
 
 /** Status and JSON body of an answer. */
 export interface GatewayAnswer {
@@ -130,10 +132,22 @@
           : [single]
         : this.keyValues.range(request.key, request.range_end);
     if (entries.length === 0) return { header: this.header() };
-    return { header: this.header(), kvs: entries.map(toGateway), count: String(entries.length) };
+    const limit = Number(request.limit);
+    const found = limit > 0 ? entries.slice(0, limit) : entries;
+    return {
+      header: this.header(),
+      kvs: found.map((entry) => toGateway(request.keys_only ? { ...entry, value: '' } : entry)),
+      count: String(entries.length),
+      ...(found.length < entries.length && { more: true }),
+    };
   }
 
   private transaction(request: TransactionRequest): unknown {
+    for (const branch of [request.compare, request.success, request.failure]) {
+      if (branch.length > maximumTransactionOperations) {
+        throw new GatewayError('etcdserver: too many operations in txn request');
+      }
+    }
     const succeeded = request.compare.every(
       (compare) => (this.keyValues.get(compare.key)?.version ?? 0) === Number(compare.version),
     );
@@ -145,6 +159,11 @@
         this.keyValues.put(key, value, lease);
         return { response_put: { header: this.header() } };
       }
+      if ('requestDeleteRange' in operation) {
+        const deleted = this.keyValues.delete(operation.requestDeleteRange.key) ? 1 : 0;
+        const body = { header: this.header(), ...(deleted > 0 && { deleted: String(deleted) }) };
+        return { response_delete_range: body };
+      }
       return { response_range: this.range(operation.requestRange) };
     });
     // The gateway leaves out fields with their default value.
--- a/packages/stand-ins/src/platform-key-values.ts
+++ b/packages/stand-ins/src/platform-key-values.ts
@@ -63,6 +63,13 @@
     this.changed({ type: 'PUT', entry });
   }
 
+  /** Returns whether there was such a key. */
+  public delete(key: string): boolean {
+    const entry = this.entries.get(key);
+    if (entry !== undefined) this.remove(entry);
+    return entry !== undefined;
+  }
+
   public hasLease(lease: string): boolean {
     return this.leases.has(lease);
   }
--- a/packages/stand-ins/src/platform-requests.ts
+++ b/packages/stand-ins/src/platform-requests.ts
@@ -5,7 +5,12 @@
 const base64 = z.string();
 
 /** Body of `/v3/kv/range`. */
-export const rangeRequest = z.object({ key: base64, range_end: base64.default('') });
+export const rangeRequest = z.object({
+  key: base64,
+  range_end: base64.default(''),
+  limit: integer.default('0'),
+  keys_only: z.boolean().default(false),
+});
 
 const putRequest = z.object({
   key: base64,
@@ -13,6 +18,8 @@
   lease: integer.default('0'),
 });
 
+const deleteRequest = z.object({ key: base64 });
+
 const requestOperation = z.union([
   z.object({ requestPut: putRequest }),
   z.object({ request_put: putRequest }).transform((operation) => ({
@@ -22,6 +29,10 @@
   z.object({ request_range: rangeRequest }).transform((operation) => ({
     requestRange: operation.request_range,
   })),
+  z.object({ requestDeleteRange: deleteRequest }),
+  z.object({ request_delete_range: deleteRequest }).transform((operation) => ({
+    requestDeleteRange: operation.request_delete_range,
+  })),
 ]);
 /** One operation of a transaction. */
 export type RequestOperation = z.output<typeof requestOperation>;
--- a/packages/virtual-time/src/control-network.ts
+++ b/packages/virtual-time/src/control-network.ts
@@ -26,6 +26,8 @@
   readonly sizeOf?: ((frame: ControlFrame) => number) | undefined;
   /** Reads the real time in milliseconds, to measure what the nodes' own work takes. */
   readonly processorClock?: (() => number) | undefined;
+  /** Interval of the deletion of replaced records; the default is the keeper's. */
+  readonly collectionIntervalMilliseconds?: number | undefined;
   readonly inForce?: ((node: ControlNode, configuration: Configuration) => void) | undefined;
   readonly memberChanged?: ((node: ControlNode, member: MemberRecord) => void) | undefined;
   readonly concluded?:
@@ -86,6 +88,7 @@
         this.callStore(from, client, operationId, operation);
       },
       memberChanged: this.options.memberChanged ?? ((): void => undefined),
+      collectionIntervalMilliseconds: this.options.collectionIntervalMilliseconds,
       inForce: this.options.inForce ?? ((): void => undefined),
       concluded: this.options.concluded ?? ((): void => undefined),
     });
--- a/packages/virtual-time/src/control-node.ts
+++ b/packages/virtual-time/src/control-node.ts
@@ -32,6 +32,7 @@
   ) => void;
   readonly memberChanged: (node: ControlNode, member: MemberRecord) => void;
   readonly inForce: (node: ControlNode, configuration: Configuration) => void;
+  readonly collectionIntervalMilliseconds: number | undefined;
   readonly concluded: (node: ControlNode, proposalId: number, result: ProposalResult) => void;
 }
 
@@ -58,7 +59,11 @@
   ) {
     const random = new SeededRandomSource(seed);
     this.membership = new Membership({ identity, random, seeds });
-    this.keeper = new ConfigurationKeeper({ random: new SeededRandomSource(seed + 1) });
+    this.keeper = new ConfigurationKeeper({
+      random: new SeededRandomSource(seed + 1),
+      server: identity.server,
+      collectionIntervalMilliseconds: links.collectionIntervalMilliseconds,
+    });
   }
 
   public get server(): string {
--- a/packages/virtual-time/src/control-scenario.ts
+++ b/packages/virtual-time/src/control-scenario.ts
@@ -242,7 +242,7 @@
 }
 
 /** A service as operators declare it: three request kinds and four tenants. */
-function serviceOf(name: string, rampMilliseconds: number): ServiceConfiguration {
+export function serviceOf(name: string, rampMilliseconds: number): ServiceConfiguration {
   const kinds = [
     ['lookup', 'GET', '/certificates', 'idempotent'],
     ['issue', 'POST', '/certificates', 'non-idempotent'],
--- a/packages/virtual-time/src/control-store.ts
+++ b/packages/virtual-time/src/control-store.ts
@@ -38,6 +38,8 @@
     slowMilliseconds: 0,
   };
   public readonly calls = { reads: 0, writes: 0, watches: 0 };
+  /** Keys deleted so far. */
+  public deletedKeys = 0;
   private readonly entries = new Map<string, StoreEntry>();
   private readonly watchers = new Set<Watcher>();
 
@@ -50,6 +52,11 @@
     return this.entries.get(key);
   }
 
+  /** All keys in order. */
+  public keys(): readonly string[] {
+    return [...this.entries.keys()].sort();
+  }
+
   public execute(operation: StoreOperation, deliver: (result: StoreResult) => void): void {
     this.count(operation);
     if (this.faults.down) {
@@ -112,7 +119,15 @@
     if (operation.kind === 'read') {
       return entry === undefined ? { kind: 'missing' } : { kind: 'found', entry };
     }
+    if (operation.kind === 'list') return this.list(operation);
     if ((entry?.version ?? 0) !== operation.expectedVersion) return { kind: 'conflict', entry };
+    const { guard, deletedKeys = [] } = operation;
+    if (guard !== undefined && (this.entries.get(guard.key)?.version ?? 0) !== guard.version) {
+      return { kind: 'conflict', entry };
+    }
+    for (const key of deletedKeys) {
+      if (this.entries.delete(key)) this.deletedKeys += 1;
+    }
     const version = operation.expectedVersion + 1;
     const written = { key: operation.key, value: operation.value, version };
     this.entries.set(operation.key, written);
@@ -126,9 +141,15 @@
     return { kind: 'written', version };
   }
 
+  private list(operation: Extract<StoreOperation, { kind: 'list' }>): StoreResult {
+    const keys = this.keys().filter((key) => key >= operation.key && key < operation.end);
+    const isComplete = keys.length <= operation.limit;
+    return { kind: 'listed', keys: keys.slice(0, operation.limit), isComplete };
+  }
+
   private count(operation: StoreOperation): void {
     if (operation.kind === 'watch') this.calls.watches += 1;
-    else if (operation.kind === 'read') this.calls.reads += 1;
+    else if (operation.kind !== 'compare-and-swap') this.calls.reads += 1;
     else this.calls.writes += 1;
   }
 
