Ask through one member of each zone whether a revision is in force

Cause: `wait` asked each member from the node that was asked, 128 at once.

Ruled out: reading revisions from pings (no bound on the time, no name for a silent member); bridges alone (they carry the traffic between zones already, and any live member can do it).

Change: the asked node queries its own zone and sends one question to a member of each other zone. That member answers with exact counts and up to 50 names of the members that lack the revision or did not answer. A second and a third member are tried on failure, or beside a slow one after 0.3 and 0.6 of the deadline. A digest of the members shows when the two nodes know different ones; then both lists are asked. A zone without an answer counts as not known as a whole, and counts that do not add up are no answer. The deadlines are unchanged. virtual-time may now depend on operators, which still points towards the core.

`show revision` and `show configuration` still ask each node. Members of an earlier build do not know the question, so during a rolling upgrade their zones may be named as not known.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,7 @@
   daemon: ['core', 'nodes', 'callers', 'upstreams', 'platform', 'operators', 'language'],
   ctl: ['language'],
   'stand-ins': ['core'],
-  'virtual-time': ['core'],
+  'virtual-time': ['core', 'operators'],
   measure: ['stand-ins'],
 };
 
--- a/packages/ctl/tests/operator-port.test.ts
+++ b/packages/ctl/tests/operator-port.test.ts
@@ -14,6 +14,14 @@
   configuration: () => configuration,
   gather: () => Promise.resolve({ missing: [], revisions: [], rows: [] }),
   members: () => [],
+  survey: ({ revision: asked }) => {
+    const { revision } = configuration;
+    const named = revision < asked ? [{ revision, server: 'regina-1' }] : [];
+    const lacking = { count: named.length, named };
+    const missing = { count: 0, named: [] };
+    return Promise.resolve(new Map([['regina-hall', { lacking, members: 1, missing }]]));
+  },
+  answerZone: () => Promise.resolve({ kind: 'failed', cause: 'no members' }),
   propose: ({ changeId, configuration: proposed }) => {
     configuration = { ...proposed, revision: configuration.revision + 1 };
     committed.set(changeId, configuration.revision);
--- a/packages/operators/src/changes/wait-in-force.ts
+++ b/packages/operators/src/changes/wait-in-force.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
-import type { MissingNode, NodeRevision, OperatorBackend } from '../operator-backend.js';
-import { liveMembers } from '../questions/drained.js';
+import { sumTallies, type ZoneSurvey } from '../gathering/zone-question.js';
+import type { OperatorBackend } from '../operator-backend.js';
 import type { InForceResult } from '../results.js';
 
 /** Time within which a change is in force everywhere. */
@@ -12,50 +12,49 @@
 const roundDeadlineMilliseconds = 1_000;
 const pauseMilliseconds = 100;
 
-interface Round {
-  readonly lacking: readonly NodeRevision[];
-  readonly missing: readonly MissingNode[];
-}
+/** Nodes named in a result of each kind; the counts are exact. */
+const maximumNames = 100;
 
-async function askRound(
-  backend: OperatorBackend,
-  revision: number,
-  servers: readonly string[] | undefined,
-  deadlineMilliseconds: number,
-): Promise<Round> {
-  const gathered = await backend.gather('show revision', { deadlineMilliseconds, servers });
-  const own: NodeRevision = {
-    revision: backend.configuration().revision,
-    server: backend.server,
-  };
-  return {
-    lacking: [own, ...gathered.revisions].filter((node) => node.revision < revision),
-    missing: gathered.missing,
-  };
+function isComplete(survey: ZoneSurvey): boolean {
+  return survey.lacking.count === 0 && survey.missing.count === 0;
 }
 
-/** Asks the nodes that lack the revision again and again, until none does or the time is over. */
+/** Asks the zones with nodes that lack the revision again, until none does or the time is over. */
 export async function waitInForce(
   backend: OperatorBackend,
   revision: number,
   upToMilliseconds: number = defaultWaitMilliseconds,
 ): Promise<InForceResult> {
   const endsAt = performance.now() + Math.min(upToMilliseconds, maximumWaitMilliseconds);
-  let servers: readonly string[] | undefined;
+  let availabilityZones: ReadonlySet<string> | undefined;
   for (;;) {
     const remaining = Math.max(1, endsAt - performance.now());
-    const deadline = Math.min(roundDeadlineMilliseconds, remaining);
-    const { lacking, missing } = await askRound(backend, revision, servers, deadline);
-    const everywhere = lacking.length === 0 && missing.length === 0;
+    const deadlineMilliseconds = Math.min(roundDeadlineMilliseconds, remaining);
+    const surveys = await backend.survey({ revision, deadlineMilliseconds, availabilityZones });
+    const open = [...surveys].filter(([, survey]) => !isComplete(survey));
+    const everywhere = open.length === 0;
     if (everywhere || performance.now() + pauseMilliseconds >= endsAt) {
-      return { everywhere, kind: 'in-force', lacking, missing, revision };
+      const lacking = sumTallies(
+        open.map(([, survey]) => survey.lacking),
+        maximumNames,
+      );
+      const missing = sumTallies(
+        open.map(([, survey]) => survey.missing),
+        maximumNames,
+      );
+      return {
+        everywhere,
+        kind: 'in-force',
+        lacking: lacking.named,
+        lackingCount: lacking.count,
+        missing: missing.named,
+        missingCount: missing.count,
+        revision,
+      };
     }
-    // Revisions never fall, so the nodes that have it need not be asked again. A node that has died
-    // meanwhile takes the newest revision when it comes back.
-    const live = new Set(liveMembers(backend.members()).map(({ server }) => server));
-    servers = [...lacking, ...missing]
-      .map(({ server }) => server)
-      .filter((server) => server !== backend.server && live.has(server));
+    // Revisions never fall, so a zone in which every member has it need not be asked again. A node that
+    // has died meanwhile takes the newest revision when it comes back.
+    availabilityZones = new Set(open.map(([zone]) => zone));
     await sleep(pauseMilliseconds);
   }
 }
--- a/packages/operators/src/gathering/node-question.ts
+++ b/packages/operators/src/gathering/node-question.ts
@@ -4,6 +4,8 @@
 import { combineRows } from '../questions/combine-rows.js';
 import type { Row, RowValue } from '../questions/rows.js';
 import { checkQuestion, selectRows } from '../questions/select-rows.js';
+import { parseJson } from './parse-json.js';
+import { decodeZoneQuestion } from './zone-question.js';
 
 /**
  * Longest answer of one node in characters. A frame holds at most 1.25 MiB, and one character takes
@@ -27,14 +29,6 @@
   return typeof value.text === 'string' ? value.text : undefined;
 }
 
-function parseJson(payload: string): unknown {
-  try {
-    return JSON.parse(payload) as unknown;
-  } catch {
-    return undefined;
-  }
-}
-
 function isRowValue(value: unknown): value is RowValue {
   return value === null || ['boolean', 'number', 'string'].includes(typeof value);
 }
@@ -80,6 +74,8 @@
   backend: OperatorBackend,
   payload: string,
 ): Promise<string> {
+  const zoneQuestion = decodeZoneQuestion(payload);
+  if (zoneQuestion !== undefined) return JSON.stringify(await backend.answerZone(zoneQuestion));
   const answer = JSON.stringify(await answerOf(backend, payload));
   if (answer.length <= maximumAnswerLength) return answer;
   const failure: NodeAnswer = {
--- a/packages/operators/src/gathering/peer-gatherer.ts
+++ b/packages/operators/src/gathering/peer-gatherer.ts
@@ -7,6 +7,7 @@
   NodeRevision,
 } from '../operator-backend.js';
 import type { Row } from '../questions/rows.js';
+import { systemGatherClock, type GatherClock } from './gather-clock.js';
 import { decodeAnswer, encodeQuestion, type NodeAnswer } from './node-question.js';
 
 /**
@@ -27,9 +28,14 @@
 
 interface PendingQuestion {
   readonly server: string;
-  conclude(answer: NodeAnswer): void;
+  conclude(reply: PeerReply): void;
 }
 
+/** The payload of a node's answer, or why there is none. */
+export type PeerReply =
+  | { readonly kind: 'answer'; readonly payload: string }
+  | { readonly kind: 'failed'; readonly cause: string };
+
 /** One question to many nodes, while it is being asked. */
 interface Gathering {
   readonly payload: string;
@@ -47,14 +53,22 @@
   /** Random, so that a late answer to an earlier life of this node is not taken for one of this life. */
   private nextQuestionId = Math.floor(Math.random() * largestFirstQuestionId);
 
-  public constructor(private readonly transport: PeerTransport) {}
+  public constructor(
+    private readonly transport: PeerTransport,
+    public readonly clock: GatherClock = systemGatherClock,
+  ) {}
+
+  /** Servers of all live members but this node. */
+  public servers(): readonly string[] {
+    return this.transport.servers();
+  }
 
   /** Asks a question in the language. Never rejects. */
   public async gather(text: string, options: GatherOptions): Promise<GatheredRows> {
     const { deadlineMilliseconds } = options;
     const gathering: Gathering = {
       deadlineMilliseconds,
-      endsAt: performance.now() + deadlineMilliseconds,
+      endsAt: this.clock.now() + deadlineMilliseconds,
       missing: [],
       payload: encodeQuestion(text),
       revisions: [],
@@ -73,7 +87,7 @@
   public answered(from: string, frame: OperatorAnswerFrame): void {
     const question = this.pending.get(frame.questionId);
     // Only the server that was asked may answer.
-    if (question?.server === from) question.conclude(decodeAnswer(frame.answer));
+    if (question?.server === from) question.conclude({ kind: 'answer', payload: frame.answer });
   }
 
   /** The connection to a server was lost: its answers will not come. */
@@ -105,23 +119,35 @@
     }
   }
 
-  private ask(server: string, gathering: Gathering): Promise<NodeAnswer> {
-    const cause = `no answer within ${gathering.deadlineMilliseconds} ms`;
-    const remaining = gathering.endsAt - performance.now();
+  private async ask(server: string, gathering: Gathering): Promise<NodeAnswer> {
+    const { deadlineMilliseconds, endsAt, payload } = gathering;
+    const remaining = endsAt - this.clock.now();
+    const reply = await this.exchange(server, payload, remaining, deadlineMilliseconds);
+    return reply.kind === 'answer' ? decodeAnswer(reply.payload) : reply;
+  }
+
+  /** Sends one question to one node and waits for its answer. Never rejects. */
+  public exchange(
+    server: string,
+    payload: string,
+    remaining: number,
+    statedMilliseconds = remaining,
+  ): Promise<PeerReply> {
+    const cause = `no answer within ${Math.round(statedMilliseconds)} ms`;
     if (remaining <= 0) return Promise.resolve({ cause, kind: 'failed' });
     const questionId = this.nextQuestionId;
     this.nextQuestionId += 1;
     return new Promise((resolve) => {
-      const conclude = (answer: NodeAnswer): void => {
-        clearTimeout(timer);
+      const conclude = (reply: PeerReply): void => {
+        cancelTimer();
         this.pending.delete(questionId);
-        resolve(answer);
+        resolve(reply);
       };
-      const timer = setTimeout(() => {
+      const cancelTimer = this.clock.after(remaining, () => {
         conclude({ cause, kind: 'failed' });
-      }, remaining);
+      });
       this.pending.set(questionId, { conclude, server });
-      const frame = { kind: 'operator-question', question: gathering.payload, questionId } as const;
+      const frame = { kind: 'operator-question', question: payload, questionId } as const;
       if (!this.transport.send(server, frame)) conclude({ cause: 'unreachable', kind: 'failed' });
     });
   }
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -4,6 +4,16 @@
 export type { ConfigurationDifference } from './changes/difference.js';
 export { answerNodeQuestion, decodeAnswer, encodeQuestion } from './gathering/node-question.js';
 export type { NodeAnswer } from './gathering/node-question.js';
+export { systemGatherClock } from './gathering/gather-clock.js';
+export type { GatherClock } from './gathering/gather-clock.js';
+export {
+  decodeZoneAnswer,
+  decodeZoneQuestion,
+  maximumNamesPerZone,
+} from './gathering/zone-question.js';
+export type { Tally, ZoneAnswer, ZoneQuestion, ZoneSurvey } from './gathering/zone-question.js';
+export { ZoneSurveyor } from './gathering/zone-surveyor.js';
+export type { SurveyRequest, ZoneSurveyorParts } from './gathering/zone-surveyor.js';
 export { PeerGatherer } from './gathering/peer-gatherer.js';
 export type { PeerTransport } from './gathering/peer-gatherer.js';
 export { NodeBackend } from './node-backend.js';
--- a/packages/operators/src/node-backend.ts
+++ b/packages/operators/src/node-backend.ts
@@ -2,6 +2,8 @@
 import type { Question } from '@peridotspring/language';
 
 import type { PeerGatherer } from './gathering/peer-gatherer.js';
+import type { ZoneAnswer, ZoneQuestion, ZoneSurvey } from './gathering/zone-question.js';
+import { ZoneSurveyor, type SurveyRequest } from './gathering/zone-surveyor.js';
 import type { MemberView, Readiness } from './node-view.js';
 import type {
   ChangePort,
@@ -22,7 +24,19 @@
 
 /** The backend of a real node: its view, journal and history, the other nodes and the change port. */
 export class NodeBackend implements OperatorBackend {
-  public constructor(private readonly parts: NodeBackendParts) {}
+  private readonly surveyor: ZoneSurveyor;
+
+  public constructor(private readonly parts: NodeBackendParts) {
+    const { gatherer, view } = parts;
+    this.surveyor = new ZoneSurveyor({
+      gatherer,
+      server: view.identity.server,
+      availabilityZone: view.identity.availabilityZone,
+      members: () => view.members(),
+      revision: () => view.configuration().revision,
+      random: Math.random,
+    });
+  }
 
   public get server(): string {
     return this.parts.view.identity.server;
@@ -48,6 +62,14 @@
     return this.parts.gatherer.gather(text, options);
   }
 
+  public survey(request: SurveyRequest): Promise<ReadonlyMap<string, ZoneSurvey>> {
+    return this.surveyor.survey(request);
+  }
+
+  public answerZone(question: ZoneQuestion): Promise<ZoneAnswer> {
+    return this.surveyor.answer(question);
+  }
+
   public propose(proposal: ChangeProposal): Promise<ProposalResult> {
     return this.parts.changes.propose(proposal);
   }
--- a/packages/operators/src/operator-backend.ts
+++ b/packages/operators/src/operator-backend.ts
@@ -1,6 +1,8 @@
 import type { Configuration, ProposalResult } from '@peridotspring/core';
 import type { Question } from '@peridotspring/language';
 
+import type { ZoneAnswer, ZoneQuestion, ZoneSurvey } from './gathering/zone-question.js';
+import type { SurveyRequest } from './gathering/zone-surveyor.js';
 import type { MemberView, Readiness } from './node-view.js';
 import type { Row } from './questions/rows.js';
 
@@ -66,4 +68,8 @@
   rows(question: Question): Promise<readonly Row[]>;
   /** Asks the other nodes a question in the language; their rows are not combined yet. */
   gather(text: string, options: GatherOptions): Promise<GatheredRows>;
+  /** Finds out in which availability zones a revision is not in force. */
+  survey(request: SurveyRequest): Promise<ReadonlyMap<string, ZoneSurvey>>;
+  /** Answers another node for the members of the own availability zone. */
+  answerZone(question: ZoneQuestion): Promise<ZoneAnswer>;
 }
--- a/packages/operators/src/render-table.ts
+++ b/packages/operators/src/render-table.ts
@@ -74,12 +74,18 @@
   ].join('\n');
 }
 
+function renderRest(count: number, what: string): readonly string[] {
+  return count > 0 ? [`${count} ${what}`] : [];
+}
+
 function renderInForce(result: InForceResult): string {
   const state = result.everywhere ? 'in force everywhere' : 'not in force everywhere yet';
   return [
     `revision ${result.revision}: ${state}`,
     ...renderLacking(result.lacking, result.revision),
+    ...renderRest(result.lackingCount - result.lacking.length, 'more lack it'),
     ...renderMissing(result.missing),
+    ...renderRest(result.missingCount - result.missing.length, 'more did not answer'),
   ].join('\n');
 }
 
--- a/packages/operators/src/results.ts
+++ b/packages/operators/src/results.ts
@@ -25,8 +25,12 @@
   readonly kind: 'in-force';
   readonly revision: number;
   readonly everywhere: boolean;
+  /** Some of the nodes that lack it. */
   readonly lacking: readonly NodeRevision[];
+  readonly lackingCount: number;
+  /** Some of the nodes whose revision is not known. */
   readonly missing: readonly MissingNode[];
+  readonly missingCount: number;
 }
 
 /** What became of a change. */
--- a/packages/operators/tests/gathering.test.ts
+++ b/packages/operators/tests/gathering.test.ts
@@ -5,6 +5,7 @@
 import {
   answerNodeQuestion,
   decodeAnswer,
+  decodeZoneAnswer,
   encodeQuestion,
   PeerGatherer,
   QueryRunner,
@@ -75,6 +76,23 @@
   assert.equal(result.inForce?.lacking, [{ revision: 0, server: 'behind' }]);
 });
 
+const lackingNode = { revision: 0, server: 'a' };
+const untrueSurveys: readonly (readonly [string, unknown])[] = [
+  ['a count without a name', { lacking: { count: 1, named: [] }, members: 2 }],
+  ['a name without a count', { lacking: { count: 0, named: [lackingNode] }, members: 2 }],
+  ['more nodes than members', { lacking: { count: 1, named: [lackingNode] }, members: 0 }],
+  ['no count of members', { lacking: { count: 0, named: [] } }],
+  ['no tally', { members: 2 }],
+];
+
+for (const [name, survey] of untrueSurveys) {
+  test(`a zone's answer that does not add up is no answer: ${name}`, () => {
+    const missing = { count: 0, named: [] };
+    const answer = { kind: 'zone-survey', missing, ...(survey as object) };
+    assert.is(decodeZoneAnswer(JSON.stringify(answer)).kind, 'failed');
+  });
+}
+
 const malformed = ['', '{}', 'null', '[]', '{"kind":"rows","revision":1,"rows":[{"a":{}}]}'];
 
 for (const payload of malformed) {
