Let a service declare its largest body, its queue and a tenant's bound

Cause: a declaration had no limits beyond deadlines, retries, probes and the ramp, so an operator could not bound what one service or one tenant takes.

Ruled out: a bound on a tenant over all servers of a service, which needs a message between nodes for each request; it holds at each gate.

Change: the clauses `body maximum`, `queue maximum` and `tenant-in-flight maximum`, each lifted with `off`. Faults name the clause and its range, in the language and again where the configuration is checked. The stored fields are optional, so values written before remain valid and nodes of an earlier build ignore them.

Tests for each clause at its edges, for each refusal with its retry time, and for printing and applying a service again pass.

Conclusion: operators can bound all three. A body of unknown length that is too long to be held is cut off in mid-stream, as one above the entry's own limit is. Sizes are numbers of bytes without units.

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -243,8 +243,9 @@
   private async readBody(open: OpenRequest, checked: AcceptedRequest): Promise<void> {
     const { bodyBytes, heldBodyBytes, keyedBodyBytes } = this.options.limits;
     const isKeyed = checked.requestClass === RequestClass.NonIdempotent;
-    const limit = isKeyed ? keyedBodyBytes : heldBodyBytes;
-    const longest = isKeyed ? keyedBodyBytes : bodyBytes;
+    const declared = this.declaredBodyBytes(checked.service);
+    const longest = Math.min(isKeyed ? keyedBodyBytes : bodyBytes, declared);
+    const limit = Math.min(isKeyed ? keyedBodyBytes : heldBodyBytes, longest);
     const announced = Number(open.request.headers['content-length'] ?? 0);
     const collected =
       announced > longest
@@ -258,9 +259,10 @@
       this.options.deliver(createRequestMessage(open, checked, collected.bytes));
       return;
     }
-    if (isKeyed || collected.kind === 'too-large') {
+    if (limit === longest || collected.kind === 'too-large') {
       const named = isKeyed ? 'a non-idempotent' : 'an idempotent';
-      const detail = `the body of ${named} request must be at most ${longest} bytes`;
+      const where = longest === declared ? ` to ${checked.service}` : '';
+      const detail = `the body of ${named} request${where} must be at most ${longest} bytes`;
       const reason = RefusalReason.BodyTooLarge;
       this.rejectRequest(open, { detail, kind: 'rejected', reason }, undefined);
       return;
@@ -269,6 +271,13 @@
     this.options.deliver(createRequestMessage(open, checked, undefined));
   }
 
+  /** The longest body that the service's declaration allows. */
+  private declaredBodyBytes(service: string): number {
+    const { services } = this.options.configuration();
+    const declared = Object.hasOwn(services, service) ? services[service] : undefined;
+    return declared?.maximumBodyBytes ?? Number.POSITIVE_INFINITY;
+  }
+
   private tenantOf(request: IncomingMessage): string {
     const value = singleHeader(request.headers[HeaderName.Tenant]);
     if (value === undefined || value === '') {
--- a/packages/callers/src/outcome-status.ts
+++ b/packages/callers/src/outcome-status.ts
@@ -23,6 +23,7 @@
   'peer-congested': 503,
   'peer-unreachable': 503,
   'queue-full': 503,
+  'tenant-limit': 429,
   'tenant-over-share': 429,
   'unknown-service': 404,
   'upstream-down': 503,
--- a/packages/callers/tests/caller-server.test.ts
+++ b/packages/callers/tests/caller-server.test.ts
@@ -143,6 +143,33 @@
     'body-too-large',
     '2048',
   ],
+  [
+    'a body above the maximum that the service declares',
+    rawRequest('PUT', '/retirement/a', {}, 'x'.repeat(101)),
+    413,
+    'refused-not-run',
+    'body-too-large',
+    'retirement must be at most 100 bytes',
+  ],
+  [
+    'a keyed body above the maximum that the service declares',
+    rawRequest('POST', '/retirement/a', key, 'x'.repeat(101)),
+    413,
+    'refused-not-run',
+    'body-too-large',
+    'retirement must be at most 100 bytes',
+  ],
+  [
+    'a body in chunks above the maximum that the service declares',
+    rawRequest('PUT', '/retirement/a', {
+      'transfer-encoding': 'chunked',
+      'content-length': '',
+    }).replace('content-length: \r\n', '') + `65\r\n${'x'.repeat(101)}\r\n0\r\n\r\n`,
+    413,
+    'refused-not-run',
+    'body-too-large',
+    'retirement must be at most 100 bytes',
+  ],
   [
     'an oversized head',
     rawRequest('GET', '/provenance/a', { filler: long }),
--- a/packages/callers/tests/shared/test-server.ts
+++ b/packages/callers/tests/shared/test-server.ts
@@ -27,6 +27,15 @@
   ...emptyConfiguration,
   revision: 1,
   services: {
+    retirement: {
+      ...serviceDefaults,
+      name: 'retirement',
+      maximumBodyBytes: 100,
+      requestKinds: [
+        { method: 'PUT', name: 'upload', pathPrefix: '/', requestClass: idempotent },
+        { method: 'POST', name: 'retire', pathPrefix: '/', requestClass: nonIdempotent },
+      ],
+    },
     provenance: {
       ...serviceDefaults,
       name: 'provenance',
--- a/packages/core/src/configuration/configuration-validation.ts
+++ b/packages/core/src/configuration/configuration-validation.ts
@@ -26,6 +26,14 @@
   retryBudgetRatio: { minimum: 0, maximum: 1, integer: false },
 } as const;
 
+/** Ranges of the fields that a service may leave out. */
+const optionalFields = {
+  maximumBodyBytes: { minimum: 0, maximum: 1_073_741_824, integer: true },
+  maximumTenantInFlight: { minimum: 1, maximum: 10_000, integer: true },
+  // Waiting requests hold their bodies in the server's memory.
+  queueLength: { minimum: 0, maximum: 1_000, integer: true },
+} as const;
+
 /** Checks a whole configuration and returns every fault; an empty list means that it is valid. */
 export function validateConfiguration(configuration: unknown): readonly ConfigurationFault[] {
   if (!isRecord(configuration) || !isRecord(configuration.services)) {
@@ -73,6 +81,10 @@
   for (const [key, range] of Object.entries(numericFields)) {
     faults.push(...checkNumber(service[key], `${field}.${key}`, range));
   }
+  for (const [key, range] of Object.entries(optionalFields)) {
+    if (service[key] === undefined) continue;
+    faults.push(...checkNumber(service[key], `${field}.${key}`, range));
+  }
   const { defaultDeadlineMilliseconds: usual, maximumDeadlineMilliseconds: longest } = service;
   if (typeof usual === 'number' && typeof longest === 'number' && usual > longest) {
     const expected = `at most maximumDeadlineMilliseconds (${longest})`;
--- a/packages/core/src/gate/gate.ts
+++ b/packages/core/src/gate/gate.ts
@@ -42,6 +42,8 @@
   private readonly capacity: UpstreamCapacity;
   private readonly composer: RefusalComposer;
   private draining = false;
+  private queueLength: number | undefined;
+  private maximumTenantInFlight = Number.POSITIVE_INFINITY;
 
   public constructor(
     private readonly settings: GateSettings = defaultGateSettings,
@@ -65,6 +67,8 @@
   ): readonly GateDecision[] {
     this.shares.configure(configuration.tenants);
     this.capacity.configureRamp(configuration.rampMilliseconds);
+    this.queueLength = configuration.queueLength;
+    this.maximumTenantInFlight = configuration.maximumTenantInFlight ?? Number.POSITIVE_INFINITY;
     return this.startWaiting(now.monotonic);
   }
 
@@ -172,6 +176,11 @@
     now: number,
     decisions: GateDecision[],
   ): void {
+    if (account.running + account.waiting.size >= this.maximumTenantInFlight) {
+      const wait = this.capacity.serviceTimeMilliseconds(now);
+      decisions.push(this.refusal(request.executionId, RefusalReason.TenantLimit, now, wait));
+      return;
+    }
     if (this.capacity.health.isDown) {
       this.capacity.health.trialStarted(request.executionId);
       this.start(request, account, now, decisions);
@@ -218,7 +227,7 @@
   }
 
   private get queueCapacity(): number {
-    return this.capacity.slots * this.settings.queuePerSlot;
+    return this.queueLength ?? this.capacity.slots * this.settings.queuePerSlot;
   }
 
   /** While the ramp holds slots back, a lack of room comes from the cold start. */
--- a/packages/core/src/messages/outcome.ts
+++ b/packages/core/src/messages/outcome.ts
@@ -14,6 +14,7 @@
   NoSlot: 'no-slot',
   NotServingService: 'not-serving-service',
   QueueFull: 'queue-full',
+  TenantLimit: 'tenant-limit',
   TenantOverShare: 'tenant-over-share',
   UpstreamDown: 'upstream-down',
   WarmingUp: 'warming-up',
--- a/packages/core/src/messages/service-configuration.ts
+++ b/packages/core/src/messages/service-configuration.ts
@@ -29,6 +29,12 @@
   /** Share of the upstream's slot-time that measuring may take, 0 to 0.1. */
   readonly probeBudgetShare: number;
   readonly rampMilliseconds: number;
+  /** Longest request body; the node's own limit holds as well. Undefined leaves it to the node. */
+  readonly maximumBodyBytes?: number | undefined;
+  /** Requests that wait at one server; undefined stands for twice its slots. */
+  readonly queueLength?: number | undefined;
+  /** Requests of one tenant that run or wait at one server; undefined sets no bound. */
+  readonly maximumTenantInFlight?: number | undefined;
 }
 
 /** Everything that is in force at one revision. */
--- a/packages/core/tests/configuration/configuration-validation.test.ts
+++ b/packages/core/tests/configuration/configuration-validation.test.ts
@@ -22,6 +22,8 @@
   { defaultDeadlineMilliseconds: 60_000 },
   { requestKinds: [kind, { ...kind, name: 'all', method: '*' }] },
   { tenants: [{ tenant: 'Gemeinde Thun', weight: 0.01 }] },
+  { maximumBodyBytes: 0, maximumTenantInFlight: 1, queueLength: 0 },
+  { maximumBodyBytes: 1_073_741_824, maximumTenantInFlight: 10_000, queueLength: 1_000 },
 ];
 
 for (const change of validChanges) {
@@ -41,6 +43,15 @@
     { maximumDeadlineMilliseconds: 1_000 },
     'defaultDeadlineMilliseconds: expected at most maximumDeadlineMilliseconds (1000), found 2000',
   ],
+  [
+    { maximumBodyBytes: -1 },
+    'maximumBodyBytes: expected an integer from 0 to 1073741824, found -1',
+  ],
+  [{ queueLength: null }, 'queueLength: expected an integer from 0 to 1000, found null'],
+  [
+    { maximumTenantInFlight: 0 },
+    'maximumTenantInFlight: expected an integer from 1 to 10000, found 0',
+  ],
   [{ hedging: 'yes' }, 'hedging: expected true or false, found "yes"'],
   [{ retryBudgetRatio: Number.NaN }, 'retryBudgetRatio: expected a number from 0 to 1, found null'],
   [{ requestKinds: [kind, kind] }, 'requestKinds: expected each name once, found "lookup"'],
--- a/packages/core/tests/gate/gate-refusals.test.ts
+++ b/packages/core/tests/gate/gate-refusals.test.ts
@@ -79,6 +79,51 @@
     reason: 'tenant-over-share',
     retryAfter: 400,
   },
+  {
+    bench: new GateBench(2, 0, [], { queueLength: 1 }),
+    guards: 'the declared length of the queue must replace the usual one',
+    provoke: (bench) => {
+      bench.learn(100);
+      bench.offerMany(3);
+      return bench.offer();
+    },
+    reason: 'queue-full',
+    retryAfter: 100,
+  },
+  {
+    bench: new GateBench(2, 0, [], { queueLength: 0 }),
+    guards: 'with a queue of no length nothing may wait',
+    provoke: (bench) => {
+      bench.learn(100);
+      bench.offerMany(2);
+      return bench.offer();
+    },
+    reason: 'queue-full',
+    retryAfter: 50,
+  },
+  {
+    bench: new GateBench(4, 0, [], { maximumTenantInFlight: 2 }),
+    guards: 'a tenant must not hold more than its bound, even while slots are free',
+    provoke: (bench) => {
+      bench.learn(100);
+      bench.offerMany(2, 'noisy');
+      bench.offer({ tenant: 'quiet' });
+      return bench.offer({ tenant: 'noisy' });
+    },
+    reason: 'tenant-limit',
+    retryAfter: 100,
+  },
+  {
+    bench: new GateBench(1, 0, [], { maximumTenantInFlight: 2 }),
+    guards: 'requests that wait count towards the bound of their tenant',
+    provoke: (bench) => {
+      bench.learn(100);
+      bench.offerMany(2);
+      return bench.offer();
+    },
+    reason: 'tenant-limit',
+    retryAfter: 100,
+  },
   {
     guards: 'a cold upstream must not receive its full load at once',
     bench: new GateBench(10, 10_000),
@@ -101,6 +146,14 @@
   });
 }
 
+test('a tenant at its bound is served again once one of its requests has ended', () => {
+  const bench = new GateBench(4, 0, [], { maximumTenantInFlight: 1 });
+  const first = bench.offer();
+  assert.is(bench.stateOf(bench.offer()), 'tenant-limit');
+  bench.finish(first);
+  assert.is(bench.stateOf(bench.offer()), 'start');
+});
+
 test('draining refuses queued requests at once and lets running ones finish', () => {
   const bench = new GateBench();
   const [first, second, third] = bench.offerMany(3);
--- a/packages/core/tests/gate/gate-setup.ts
+++ b/packages/core/tests/gate/gate-setup.ts
@@ -1,5 +1,11 @@
 import { Gate, serviceDefaults } from '../../src/index.js';
-import type { ClockReading, ExecutionEnd, GateDecision, TenantShare } from '../../src/index.js';
+import type {
+  ClockReading,
+  ExecutionEnd,
+  GateDecision,
+  ServiceConfiguration,
+  TenantShare,
+} from '../../src/index.js';
 
 /** A gate with its own clock, an announced upstream and a log of what it decided. */
 export class GateBench {
@@ -8,8 +14,14 @@
   public time = 1_000;
   private nextExecution = 1;
 
-  public constructor(slots = 2, rampMilliseconds = 0, tenants: readonly TenantShare[] = []) {
-    const configuration = { ...serviceDefaults, name: 'antrag', rampMilliseconds, tenants };
+  public constructor(
+    slots = 2,
+    rampMilliseconds = 0,
+    tenants: readonly TenantShare[] = [],
+    bounds: Partial<ServiceConfiguration> = {},
+  ) {
+    const base = { ...serviceDefaults, name: 'antrag', rampMilliseconds, tenants };
+    const configuration = { ...base, ...bounds };
     this.add(this.gate.configure(configuration, this.now));
     this.announce(slots);
   }
--- a/packages/daemon/tests/reasons.test.ts
+++ b/packages/daemon/tests/reasons.test.ts
@@ -40,6 +40,7 @@
   'peer-congested': engine,
   'peer-unreachable': engine,
   'queue-full': gate,
+  'tenant-limit': gate,
   'tenant-over-share': gate,
   'unknown-service': callerServer,
   'upstream-down': 'daemon/tests/lookups.process.test.ts',
--- a/packages/language/src/command-grammar.ts
+++ b/packages/language/src/command-grammar.ts
@@ -1,7 +1,7 @@
 import { RequestClass } from '@peridotspring/core';
 
 import { QuestionGrammar } from './question-grammar.js';
-import type { Command, Name, ServiceClause } from './syntax-tree.js';
+import type { Command, Name, Quantity, ServiceClause } from './syntax-tree.js';
 import { positionOf } from './token-values.js';
 import { Asterisk, Identifier, keyword } from './tokens.js';
 
@@ -87,6 +87,20 @@
     return { kind: 'ramp', milliseconds: this.SUBRULE(this.duration) };
   });
 
+  private readonly boundClause = this.RULE('boundClause', (): ServiceClause => {
+    const kind = this.OR1([
+      this.wordFor(keyword.body, 'body-maximum' as const),
+      this.wordFor(keyword.queue, 'queue-maximum' as const),
+      this.wordFor(keyword['tenant-in-flight'], 'tenant-in-flight-maximum' as const),
+    ]);
+    this.CONSUME(keyword.maximum);
+    const maximum = this.OR2<Quantity | undefined>([
+      { ALT: () => this.SUBRULE(this.number) },
+      this.wordFor(keyword.off, undefined),
+    ]);
+    return { kind, maximum };
+  });
+
   private readonly setClause = this.RULE('setClause', (): ServiceClause =>
     this.OR([
       { ALT: () => this.SUBRULE(this.requestClause) },
@@ -96,6 +110,7 @@
       { ALT: () => this.SUBRULE(this.hedgingClause) },
       { ALT: () => this.SUBRULE(this.probeBudgetClause) },
       { ALT: () => this.SUBRULE(this.rampClause) },
+      { ALT: () => this.SUBRULE(this.boundClause) },
     ]),
   );
 
--- a/packages/language/src/print.ts
+++ b/packages/language/src/print.ts
@@ -38,6 +38,11 @@
   return `request ${name} ${kind.method} ${quote(kind.pathPrefix)} ${kind.requestClass}`;
 }
 
+/** A bound that is not set is left out, because a declaration without it sets none. */
+function printBound(word: string, maximum: number | undefined): readonly string[] {
+  return maximum === undefined ? [] : [`${word} maximum ${printNumber(maximum)}`];
+}
+
 /** Prints a service as the `declare service` command that produces it. */
 export function printService(service: ServiceConfiguration): string {
   const clauses = [
@@ -52,6 +57,9 @@
     `hedging ${service.hedging ? 'on' : 'off'}`,
     `probe budget ${printNumber(service.probeBudgetShare)}`,
     `ramp ${printDuration(service.rampMilliseconds)}`,
+    ...printBound('body', service.maximumBodyBytes),
+    ...printBound('queue', service.queueLength),
+    ...printBound('tenant-in-flight', service.maximumTenantInFlight),
   ];
   return [`declare service ${printName(service.name)}`, ...clauses].join('\n  ');
 }
--- a/packages/language/src/syntax-tree.ts
+++ b/packages/language/src/syntax-tree.ts
@@ -105,6 +105,11 @@
   | { readonly kind: 'hedging'; readonly enabled: boolean }
   | { readonly kind: 'probe-budget'; readonly share: Quantity }
   | { readonly kind: 'ramp'; readonly milliseconds: Quantity }
+  /** Bounds that can be lifted with `off`, which is undefined here. */
+  | {
+      readonly kind: 'body-maximum' | 'queue-maximum' | 'tenant-in-flight-maximum';
+      readonly maximum: Quantity | undefined;
+    }
   | { readonly kind: 'remove-request'; readonly name: Name }
   | { readonly kind: 'remove-tenant'; readonly tenant: Name };
 
--- a/packages/language/tests/parse.test.ts
+++ b/packages/language/tests/parse.test.ts
@@ -89,6 +89,8 @@
   ['show services where a 1', 1, 23, '`1`', '`contains`'],
   ['show members; show load', 1, 15, '`show`', 'the end'],
   ['declare service a ramp 10', 1, 24, '`10`', 'a duration such as 500ms, 2s, 10m or 1h'],
+  ['declare service a queue maximum on', 1, 33, '`on`', '`off`'],
+  ['declare service a body 10', 1, 24, '`10`', '`maximum`'],
   ['declare service a remove request r', 1, 19, '`remove`', '`ramp`'],
   ['declare service a request r GET /x', 1, 33, '"/"', 'a word, a number'],
   ['drain server "a', 1, 14, 'a text that is not closed', 'a text that ends with a quote'],
--- a/packages/operators/src/changes/apply-clauses.ts
+++ b/packages/operators/src/changes/apply-clauses.ts
@@ -101,7 +101,9 @@
 }
 
 type NumberField = {
-  [Field in keyof ServiceConfiguration]: ServiceConfiguration[Field] extends number ? Field : never;
+  [Field in keyof ServiceConfiguration]-?: ServiceConfiguration[Field] extends number
+    ? Field
+    : never;
 }[keyof ServiceConfiguration];
 
 function setNumber(
@@ -113,6 +115,26 @@
   return { faults: checkRange(quantity, range), service: { ...service, [field]: quantity.value } };
 }
 
+type BoundField = 'maximumBodyBytes' | 'maximumTenantInFlight' | 'queueLength';
+
+/** Sets a bound, or lifts it by leaving the field out. */
+function setBound(
+  service: ServiceConfiguration,
+  field: BoundField,
+  quantity: Quantity | undefined,
+  range: NumberRange,
+): AppliedService {
+  if (quantity !== undefined) {
+    return {
+      faults: checkRange(quantity, range),
+      service: { ...service, [field]: quantity.value },
+    };
+  }
+  const unbounded = { ...service };
+  Reflect.deleteProperty(unbounded, field);
+  return { faults: [], service: unbounded };
+}
+
 /** Applies one clause to a service. */
 export function applyClause(service: ServiceConfiguration, clause: ServiceClause): AppliedService {
   const set = (field: NumberField, quantity: Quantity, range: NumberRange): AppliedService =>
@@ -140,5 +162,11 @@
       return set('probeBudgetShare', clause.share, ranges.probeBudget);
     case 'ramp':
       return set('rampMilliseconds', clause.milliseconds, ranges.ramp);
+    case 'body-maximum':
+      return setBound(service, 'maximumBodyBytes', clause.maximum, ranges.body);
+    case 'queue-maximum':
+      return setBound(service, 'queueLength', clause.maximum, ranges.queue);
+    case 'tenant-in-flight-maximum':
+      return setBound(service, 'maximumTenantInFlight', clause.maximum, ranges.tenantInFlight);
   }
 }
--- a/packages/operators/src/changes/checks.ts
+++ b/packages/operators/src/changes/checks.ts
@@ -11,12 +11,18 @@
   readonly unit: string;
   readonly minimum: number;
   readonly maximum: number;
+  /** Whether fractions are refused. */
+  readonly integer?: boolean;
 }
 
 function range(field: string, unit: string, minimum: number, maximum: number): NumberRange {
   return { field, maximum, minimum, unit };
 }
 
+function integers(field: string, unit: string, minimum: number, maximum: number): NumberRange {
+  return { field, integer: true, maximum, minimum, unit };
+}
+
 /** Ranges of every number that an operator can set. */
 export const ranges = {
   // The entry refuses longer deadlines, so that no request outlives the lease of its key by minutes.
@@ -24,6 +30,10 @@
   maximumDeadline: range('deadline maximum', 'ms', 1, 60_000),
   // Above the slot-time share of 0.1 measuring would take more than a slot in ten.
   probeBudget: range('probe budget', 'of the slot-time', 0, 0.1),
+  body: integers('body maximum', 'bytes', 0, 1_073_741_824),
+  // Waiting requests hold their bodies in the server's memory.
+  queue: integers('queue maximum', 'requests at a server', 0, 1_000),
+  tenantInFlight: integers('tenant-in-flight maximum', 'requests at a server', 1, 10_000),
   ramp: range('ramp', 'ms', 0, 600_000),
   // A ratio above 1 lets retries outnumber successes and amplifies an overload.
   retryBudgetRatio: range('retry budget ratio', 'tokens per success', 0, 1),
@@ -82,11 +92,14 @@
 
 /** Checks a number against its range. */
 export function checkRange(quantity: Quantity, allowed: NumberRange): readonly LanguageError[] {
-  if (quantity.value >= allowed.minimum && quantity.value <= allowed.maximum) return [];
+  const { value } = quantity;
+  const isWhole = allowed.integer !== true || Number.isInteger(value);
+  if (isWhole && value >= allowed.minimum && value <= allowed.maximum) return [];
+  const noun = allowed.integer === true ? 'a whole number' : 'a value';
   return [
     createLanguageError({
       ...quantity.position,
-      expected: [`a value from ${allowed.minimum} to ${allowed.maximum} ${allowed.unit}`],
+      expected: [`${noun} from ${allowed.minimum} to ${allowed.maximum} ${allowed.unit}`],
       found: `${allowed.field} ${quantity.value}`,
     }),
   ];
--- a/packages/operators/tests/apply-commands.test.ts
+++ b/packages/operators/tests/apply-commands.test.ts
@@ -35,6 +35,11 @@
   ['change service antrag retry budget ratio 1.1', 42, 'from 0 to 1'],
   ['change service antrag retry budget maximum -1', 44, 'from 0 to 1000'],
   ['change service antrag ramp 1h', 28, 'ramp 3600000'],
+  ['change service antrag body maximum 2000000000', 36, 'from 0 to 1073741824 bytes'],
+  ['change service antrag body maximum 1.5', 36, 'a whole number'],
+  ['change service antrag queue maximum 1001', 37, 'queue maximum 1001'],
+  ['change service antrag queue maximum -1', 37, 'from 0 to 1000 requests'],
+  ['change service antrag tenant-in-flight maximum 0', 48, 'from 1 to 10000 requests'],
   ['change service antrag tenant labs weight 0', 42, 'weight 0'],
   ['change service antrag remove tenant other', 37, 'a tenant with a weight'],
   ['change service antrag remove request other', 38, 'a request of the service'],
@@ -83,7 +88,29 @@
   assert.equal(applied(drained, 'restore zone thun-c').drainedAvailabilityZones, []);
 });
 
+test('a bound is set and lifted, and a new declaration sets none', () => {
+  const text = 'change service antrag body maximum 0 queue maximum 5 tenant-in-flight maximum 3';
+  const bounded = applied(antrag, text).services.antrag;
+  assert.is(bounded?.maximumBodyBytes, 0);
+  assert.is(bounded?.queueLength, 5);
+  assert.is(bounded?.maximumTenantInFlight, 3);
+  const lift = 'change service antrag body maximum off queue maximum off';
+  const lifted = applied(applied(antrag, text), lift).services.antrag;
+  assert.equal([lifted && 'maximumBodyBytes' in lifted, lifted?.queueLength], [false, undefined]);
+  assert.is(lifted?.maximumTenantInFlight, 3);
+  const declared = applied(applied(antrag, text), 'declare service antrag').services.antrag;
+  assert.is(declared?.maximumTenantInFlight, undefined);
+});
+
 const service = fc.record({
+  bounds: fc.record(
+    {
+      maximumBodyBytes: fc.integer({ max: 1_073_741_824, min: 0 }),
+      maximumTenantInFlight: fc.integer({ max: 10_000, min: 1 }),
+      queueLength: fc.integer({ max: 1_000, min: 0 }),
+    },
+    { requiredKeys: [] },
+  ),
   default: fc.integer({ max: 60_000, min: 1 }),
   hedging: fc.boolean(),
   kinds: fc.uniqueArray(fc.stringMatching(/^[A-Za-z0-9_.-]{1,8}$/), { maxLength: 4 }),
@@ -96,6 +123,7 @@
   fc.assert(
     fc.property(service, (values) => {
       const original = {
+        ...values.bounds,
         defaultDeadlineMilliseconds: values.default,
         hedging: values.hedging,
         maximumDeadlineMilliseconds: 60_000,
