--- a/packages/daemon/tests/reasons.process.test.ts
+++ b/packages/daemon/tests/reasons.process.test.ts
@@ -173,6 +173,17 @@
   await command(entry, 'restore server provenance-1');
 });
 
+// A declared bound has to hold for a tenant that would still be within its share.
+test('the refusals of a tenant above its declared bound are counted', async ({ entry, gate }) => {
+  await command(entry, 'change service provenance tenant-in-flight maximum 1');
+  const held = new HeldCalls();
+  await provokeAtGate(gate, RefusalReason.TenantLimit, () => {
+    held.add(entry, 'provenance', { ...patient, headers: { 'peridotspring-tenant': 'third' } });
+  });
+  await held.release();
+  await command(entry, 'change service provenance tenant-in-flight maximum off');
+});
+
 // What waits for an upstream that leaves or starts cold is refused for another reason than load.
 test('the refusals of a gate whose upstream leaves, starts cold or is down are counted', async (context) => {
   const { entry, gate } = context;
@@ -275,7 +286,7 @@
   raw.close();
 });
 
-// At the bound of its memory a home refuses new keys rather than forget old ones.
+// At the bound of its memory a home refuses new keys rather than forget keys of the last minutes.
 test('a request for a home that holds all the keys it may is counted', async ({ entry }) => {
   await provoke(entry, RefusalReason.KeyStoreFull, () =>
     Promise.all(Array.from({ length: 100 }, () => issue(entry, newKey()))),
