--- a/packages/core/src/homes/home-keeper.ts
+++ b/packages/core/src/homes/home-keeper.ts
@@ -1,5 +1,4 @@
 import type {
-  HomeConfirmFrame,
   HomeFrame,
   HomePromiseFrame,
   KeyedRequestFrame,
@@ -30,10 +29,8 @@
 import type { HomeParts } from './service-homes.js';
 import { TableBook } from './table-book.js';
 import { TableMaintenance } from './table-maintenance.js';
-import { homeTableKey } from './table-proposer.js';
-import { parseTable } from './table-view.js';
 import { TransferInbox } from './transfer-inbox.js';
-import { Witness } from './witness.js';
+import { WitnessRole } from './witness-role.js';
 
 const sweepIntervalMilliseconds = 1_000;
 
@@ -49,11 +46,9 @@
   private readonly members_: MemberDirectory;
   private readonly records: KeyStore;
   private readonly inbox: TransferInbox;
-  private readonly witness: Witness;
+  private readonly witness: WitnessRole;
   private readonly parts: HomeParts;
   private readonly services = new Map<string, ServiceParts>();
-  /** Services whose table is being read for the witness, by operation. */
-  private readonly witnessReads = new Map<number, string>();
   private isStopping = false;
   private hasHandedOver = false;
   private nextSweepAt = Number.NEGATIVE_INFINITY;
@@ -66,7 +61,6 @@
     this.members_ = new MemberDirectory(settings);
     this.records = new KeyStore(settings);
     this.inbox = new TransferInbox(this.records);
-    this.witness = new Witness(settings);
     this.parts = {
       held: new HeldBudget(settings),
       inbox: this.inbox,
@@ -77,6 +71,9 @@
       settings,
       tables: this.tables,
     };
+    this.witness = new WitnessRole(this.parts, (table, now) => {
+      this.adopt(table, now);
+    });
   }
 
   public request(from: string, frame: KeyedRequestFrame, now: ClockReading): HomeCommand[] {
@@ -132,12 +129,7 @@
   }
 
   public storeResult(operationId: number, result: StoreResult, now: ClockReading): HomeCommand[] {
-    const witnessed = this.witnessReads.get(operationId);
-    if (witnessed !== undefined) {
-      this.witnessReads.delete(operationId);
-      this.witnessRead(witnessed, result, now);
-      return this.finish(now);
-    }
+    if (this.witness.storeResult(operationId, result, now)) return this.finish(now);
     for (const { maintenance } of this.services.values()) {
       if (maintenance.storeResult(operationId, result, now)) break;
     }
@@ -162,7 +154,7 @@
   }
 
   public tick(now: ClockReading): HomeCommand[] {
-    this.witness.start(now.monotonic);
+    this.witness.tick(now);
     for (const { homes, maintenance } of this.services.values()) {
       homes.tick(now);
       maintenance.tick(now);
@@ -203,17 +195,14 @@
   private receive(from: string, frame: HomeFrame, now: ClockReading): void {
     switch (frame.kind) {
       case 'home-confirm':
-        this.confirm(from, frame, now);
+        this.witness.confirm(from, frame, now);
         break;
       case 'home-promise':
         this.promised(from, frame, now);
         break;
-      case 'home-lease-question': {
-        const { homes, round, service } = frame;
-        const bound = this.witness.boundTo(service, homes, now.monotonic);
-        this.outbox.send(from, { bound, kind: 'home-lease-answer', round, service });
+      case 'home-lease-question':
+        this.witness.surveyed(from, frame, now);
         break;
-      }
       case 'home-lease-answer':
         this.services.get(frame.service)?.maintenance.surveyed(from, frame);
         break;
@@ -234,32 +223,6 @@
     }
   }
 
-  private confirm(from: string, frame: HomeConfirmFrame, now: ClockReading): void {
-    if (frame.table !== undefined) this.adopt(frame.table, now);
-    // A home that missed a table would renew promises that keep its witnesses from accepting it.
-    const known = this.tables.get(frame.service);
-    if (known !== undefined && known.version > frame.version) {
-      this.outbox.send(from, { kind: 'home-table', service: frame.service, table: known });
-    }
-    const answer = this.witness.confirm(from, frame, now.monotonic);
-    if (answer.kind === 'answer') {
-      this.outbox.send(from, answer.frame);
-      return;
-    }
-    if ([...this.witnessReads.values()].includes(frame.service)) return;
-    const operationId = this.outbox.store({ key: homeTableKey(frame.service), kind: 'read' });
-    this.witnessReads.set(operationId, frame.service);
-  }
-
-  private witnessRead(service: string, result: StoreResult, now: ClockReading): void {
-    if (result.kind === 'missing') this.witness.tableRead(service, 0);
-    if (result.kind !== 'found') return;
-    const table = parseTable(result.entry.value);
-    if (table === undefined) return;
-    this.adopt(table, now);
-    this.witness.tableRead(service, table.version);
-  }
-
   private promised(from: string, frame: HomePromiseFrame, now: ClockReading): void {
     if (frame.table !== undefined) this.adopt(frame.table, now);
     this.services.get(frame.service)?.homes.promised(from, frame, now);
