Leave a resent change unresolved when it cannot be looked up

An operator who was told `unresolved` sends the change again under its identifier. When the store could not be asked by that run, or the node worked on too many changes, the answer was `rejected`: "the change was not made", although the write of the first run may have taken effect or still may.

A proposal now says whether it was sent before, which the node that remembers the unresolved result knows, and such a run ends as `unresolved`. A first run still ends as `rejected`, so that operators know that nothing was changed.

Ruled out: to treat every identifier that a client chose as resent, because peridotctl chooses one for each change and would lose the certain answer.

--- a/packages/core/src/configuration/configuration-keeper.ts
+++ b/packages/core/src/configuration/configuration-keeper.ts
@@ -110,7 +110,10 @@
   ): readonly ConfigurationCommand[] {
     const reason = this.reasonToReject(message);
     if (reason !== undefined) {
-      this.conclude(message.proposalId, { kind: 'rejected', reason });
+      // What an earlier run under the same identifier wrote is not looked up here.
+      const result: ProposalResult =
+        message.isResent === true ? { kind: 'unresolved' } : { kind: 'rejected', reason };
+      this.conclude(message.proposalId, result);
       return this.takeCommands();
     }
     this.proposals += 1;
--- a/packages/core/src/configuration/proposal-run.ts
+++ b/packages/core/src/configuration/proposal-run.ts
@@ -192,7 +192,8 @@
   }
 
   private giveUp(): void {
-    if (this.attempt !== undefined) this.finish({ kind: 'unresolved' });
+    const mayHold = this.attempt !== undefined || this.message.isResent === true;
+    if (mayHold) this.finish({ kind: 'unresolved' });
     const reason = 'the platform store could not be asked in time; the change was not made';
     this.finish({ kind: 'rejected', reason });
   }
--- a/packages/core/src/messages/core-message.ts
+++ b/packages/core/src/messages/core-message.ts
@@ -123,6 +123,8 @@
   readonly proposalId: number;
   /** Identifies the change in the root record, so that a lost answer can be resolved. */
   readonly changeId: string;
+  /** Whether the change was sent before: the write of that run may have taken effect, or still may. */
+  readonly isResent?: boolean | undefined;
   readonly baseRevision: number;
   readonly configuration: Configuration;
 }
--- a/packages/operators/src/changes/change-runner.ts
+++ b/packages/operators/src/changes/change-runner.ts
@@ -60,7 +60,7 @@
     const result = { ...this.emptyResult(request, base), difference, notes };
     if (request.statement.dryRun) return { ...result, status: 'dry-run' };
     if (difference.length === 0) return { ...result, revision: base.revision, status: 'unchanged' };
-    return this.remember(request, this.commit(result, configuration));
+    return this.remember(request, this.commit(result, configuration, earlier !== undefined));
   }
 
   /** The rows of `show change`. */
@@ -83,14 +83,18 @@
     ];
   }
 
-  private async commit(result: ChangeResult, configuration: Configuration): Promise<ChangeResult> {
+  private async commit(
+    result: ChangeResult,
+    configuration: Configuration,
+    isResent: boolean,
+  ): Promise<ChangeResult> {
     const { baseRevision, changeId, notes } = result;
     // The change may have been sent through another node whose answer was lost.
     const state = await this.backend.stateOf(changeId);
     if (state.kind === 'in-force') {
       return { ...result, revision: state.revision, status: 'accepted' };
     }
-    const proposal = await this.propose({ baseRevision, changeId, configuration });
+    const proposal = await this.propose({ baseRevision, changeId, configuration, isResent });
     return {
       ...result,
       notes: [...notes, ...notesOf(proposal)],
--- a/packages/operators/src/operator-backend.ts
+++ b/packages/operators/src/operator-backend.ts
@@ -35,6 +35,8 @@
 export interface ChangeProposal {
   /** Unique; the same change sent again has the same identifier and takes effect once. */
   readonly changeId: string;
+  /** Whether the change was sent before, and what became of it is not known. */
+  readonly isResent?: boolean | undefined;
   readonly baseRevision: number;
   readonly configuration: Configuration;
 }
--- a/packages/operators/tests/queries.test.ts
+++ b/packages/operators/tests/queries.test.ts
@@ -117,6 +117,21 @@
   assert.is(result.kind === 'change' ? result.status : result.kind, 'accepted');
 });
 
+// Only a run that is known to be the first may be told that nothing was changed.
+test('a change that is sent again is proposed as such', async () => {
+  const { backend, changes } = createNode();
+  const proposed: (boolean | undefined)[] = [];
+  changes.propose = ({ isResent }) => {
+    proposed.push(isResent);
+    return Promise.resolve({ kind: 'unresolved' });
+  };
+  const runner = new QueryRunner(backend);
+  const query = { changeId: 'c1', text: 'drain zone bern-b' };
+  await runner.run(query);
+  await runner.run(query);
+  assert.equal(proposed, [false, true]);
+});
+
 test('an unresolved change is reported as such and can be sent again through any node', async () => {
   const { backend, changes } = createNode();
   changes.losesNextAnswer = true;
