Specify the change of witnesses and the rebase of changes

Both had tests but no specification. witness-change.pml searches tables that list an old and a new set of witnesses, with takeovers, dropped sets, writes whose answers were lost, crashed and paused homes, late requests and a restarted witness: no two homes hold a lease at once, and none gets one by a table older than the other's. rebase.pml searches changes that are built again on a newer root, lost answers after the effect, late writes, dropped identifiers and changes that are sent again.

--- a/scripts/check-specifications.mjs
+++ b/scripts/check-specifications.mjs
@@ -70,6 +70,41 @@
   ...['NO_COMPARE', 'NO_CHANGE_ID', 'NO_MONOTONIC', 'NO_ROOT', 'CONFLICT_TOO_EARLY'].map(
     (variant) => ({ model: 'configuration', variant, macros: [] }),
   ),
+  { model: 'witness-change', name: 'late requests', macros: [] },
+  ...[0, 2, 3].map((witness) => ({
+    model: 'witness-change',
+    name: `restart of witness ${witness}`,
+    macros: [`RESTARTING=${witness}`, 'NO_LATE_REQUESTS'],
+  })),
+  {
+    model: 'witness-change',
+    name: 'confirmations at different times in one lease',
+    macros: ['LEASE=2', 'NO_LATE_REQUESTS'],
+  },
+  ...['NO_DOUBLE_QUORUM', 'DROP_UNCONFIRMED'].map((variant) => ({
+    model: 'witness-change',
+    variant,
+    macros: [],
+  })),
+  ...['NO_RESTART_WAIT', 'NO_WITNESS_READ'].map((variant) => ({
+    model: 'witness-change',
+    variant,
+    macros: ['RESTARTING=0'],
+  })),
+  { model: 'rebase', name: 'three operators', macros: [] },
+  { model: 'rebase', name: 'three operators, one identifier kept', macros: ['KEPT=1'] },
+  {
+    model: 'rebase',
+    name: 'two operators who send unresolved changes again',
+    macros: ['OPERATORS=2', 'TRIES=2', 'RESENDS=2'],
+  },
+  ...['NO_CHANGE_ID', 'REBASE_CONFLICTING', 'REBASE_FROM_BASE'].map((variant) => ({
+    model: 'rebase',
+    variant,
+    macros: [],
+  })),
+  { model: 'rebase', variant: 'NO_COVER_CHECK', macros: ['KEPT=1'] },
+  { model: 'rebase', variant: 'REJECT_RESEND', macros: ['OPERATORS=2', 'RESENDS=1'] },
   { model: 'drain', name: 'all mechanisms', macros: [] },
   ...['ROUTERS_DECIDE', 'STOP_AT_ONCE', 'QUEUE_FORGOTTEN'].map((variant) => ({
     model: 'drain',
