Measure a plain HTTP forwarder beside the nodes

The figures of request-path did not say how much of the added time is the node's own work and how much is one more HTTP hop on the machine.

--- a/packages/measure/src/request-path.ts
+++ b/packages/measure/src/request-path.ts
@@ -3,9 +3,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
-import { askOperator, ProcessFleet } from '@peridotspring/stand-ins';
+import { askOperator, ChildProgram, ProcessFleet } from '@peridotspring/stand-ins';
 import type { FleetServer, ServerPlan } from '@peridotspring/stand-ins';
-import { Command } from 'commander';
+import { Command, InvalidArgumentError } from 'commander';
 
 import { runExperiment } from './experiment.js';
 import type { VariantOptions } from './load-variant.js';
@@ -18,12 +18,16 @@
   readonly seconds: number;
   readonly settle: number;
   readonly seed: number;
+  readonly warmUp: number;
   readonly keyed: boolean;
+  readonly forwarder: boolean;
+  readonly paths: readonly string[];
 }
 
 const declareText =
   'begin; declare service provenance request lookup GET "/" idempotent hedging off ramp 0ms; ' +
   'declare service issuance request issue POST "/" non-idempotent ramp 0ms; commit wait up to 20s';
+const pathNames = ['own-gate', 'two-nodes'] as const;
 const keyedBodyBytes = 64;
 const connections = 256;
 const timeoutMilliseconds = 10_000;
@@ -37,11 +41,30 @@
 /** One server of `provenance`; two of `issuance`, so that keyed requests cross nodes as well. */
 const plans = [planOf('p1', 'provenance'), planOf('i1', 'issuance'), planOf('i2', 'issuance')];
 
+const program = (path: string): string => fileURLToPath(new URL(path, import.meta.url));
+
+/** The baseline of one more HTTP hop without any decision. */
+interface Forwarder {
+  readonly address: string;
+  readonly process: ChildProgram;
+}
+
+async function startForwarder(upstreamAddress: string): Promise<Forwarder> {
+  const child = new ChildProgram({
+    executableFlags: ['--max-semi-space-size=2'],
+    flags: [upstreamAddress],
+    name: 'forwarder',
+    readyPattern: /event=listening address=(\S+)/,
+    script: program('./forwarder.js'),
+  });
+  const [, address = ''] = await child.ready();
+  return { address, process: child };
+}
+
 async function startFleet(
   daemonScript: string,
   executableFlags: readonly string[],
 ): Promise<ProcessFleet> {
-  const program = (path: string): string => fileURLToPath(new URL(path, import.meta.url));
   const fleet = new ProcessFleet({
     daemonScript,
     executableFlags,
@@ -78,40 +101,60 @@
   };
 }
 
-function variantsOf(fleets: readonly NamedFleet[], keyed: boolean): VariantOptions[] {
-  const [first] = fleets;
-  const upstream = first?.fleet.server(keyed ? 'i1' : 'p1').upstreamAddress ?? '';
-  const variants = [variant('direct', `${upstream}/x`, keyed)];
+function upstreamOf([first]: readonly NamedFleet[], keyed: boolean): string {
+  return first?.fleet.server(keyed ? 'i1' : 'p1').upstreamAddress ?? '';
+}
+
+function variantsOf(
+  fleets: readonly NamedFleet[],
+  forwarder: Forwarder | undefined,
+  { keyed, paths }: Flags,
+): VariantOptions[] {
+  const variants = [variant('direct', `${upstreamOf(fleets, keyed)}/x`, keyed)];
+  if (forwarder !== undefined) {
+    variants.push(variant('forwarder', `${forwarder.address}/x`, keyed));
+  }
   for (const { fleet, name } of fleets) {
     const at = (server: FleetServer, service: string): string =>
       `127.0.0.1:${server.callerPort}/${service}/x`;
     if (keyed) {
       variants.push(variant(`${name} keyed`, at(fleet.server('p1'), 'issuance'), true));
     } else {
-      variants.push(variant(`${name} own gate`, at(fleet.server('p1'), 'provenance'), false));
-      variants.push(variant(`${name} two nodes`, at(fleet.server('i1'), 'provenance'), false));
+      for (const path of paths) {
+        const entry = fleet.server(path === 'own-gate' ? 'p1' : 'i1');
+        variants.push(variant(`${name} ${path.replace('-', ' ')}`, at(entry, 'provenance'), false));
+      }
     }
   }
   return variants;
 }
 
-function processesOf(fleets: readonly NamedFleet[]): Record<string, number> {
+function processesOf(
+  fleets: readonly NamedFleet[],
+  forwarder: Forwarder | undefined,
+): Record<string, number> {
   const entries = fleets.flatMap(({ fleet, name }) =>
-    [...fleet.servers].map(([server, { node }]) => [`${name} ${server}`, node.pid] as const),
+    [...fleet.servers].map(([server, { node }]): [string, number] => [
+      `${name} ${server}`,
+      node.pid,
+    ]),
   );
+  if (forwarder !== undefined) entries.push(['forwarder', forwarder.process.pid]);
   return Object.fromEntries(entries);
 }
 
 async function run(flags: Flags): Promise<void> {
   const fleets: NamedFleet[] = [];
+  let forwarder: Forwarder | undefined;
   try {
     for (const text of flags.daemon) {
       const [name = '', ...rest] = text.split('=');
       const [script = '', ...executableFlags] = rest.join('=').split(',');
       fleets.push({ fleet: await startFleet(script, executableFlags), name });
     }
+    if (flags.forwarder) forwarder = await startForwarder(upstreamOf(fleets, flags.keyed));
     await sleep(flags.settle * 1_000);
-    const processes = processesOf(fleets);
+    const processes = processesOf(fleets, forwarder);
     const idle = Object.entries(processes).map(([name, pid]) => {
       const kibibytes = readProcessUsage(pid)?.residentKibibytes ?? 0;
       return `${name} ${(kibibytes / kibibytesPerMebibyte).toFixed(1)}`;
@@ -123,14 +166,14 @@
         processes,
         ratePerSecond,
         seed: flags.seed,
-        variants: variantsOf(fleets, flags.keyed),
-        warmUpMilliseconds: 3_000,
+        variants: variantsOf(fleets, forwarder, flags),
+        warmUpMilliseconds: flags.warmUp * 1_000,
       });
       const load = loadavg()[0]?.toFixed(1) ?? '';
       process.stdout.write(`Load of the machine ${load}.\n\n${renderMarkdown(result)}\n`);
     }
   } finally {
-    await Promise.all(fleets.map(({ fleet }) => fleet.close()));
+    await Promise.all([forwarder?.process.close(), ...fleets.map(({ fleet }) => fleet.close())]);
   }
 }
 
@@ -138,7 +181,7 @@
   return [...previous, value];
 }
 
-const program = new Command('request-path')
+const command = new Command('request-path')
   .description('Measures what nodes add to a call, against the same upstream without a node')
   .requiredOption(
     '--daemon <name=main.js[,flag]>',
@@ -150,11 +193,25 @@
   .option('--seconds <s>', 'recorded time of each rate', Number, 10)
   .option('--settle <s>', 'time between the start and the load', Number, 6)
   .option('--seed <number>', 'seed of the arrival times', Number, 1)
+  .option('--warm-up <s>', 'load before the recorded time of each rate', Number, 3)
   .option('--keyed', 'measure non-idempotent requests', false)
+  .option('--forwarder', 'measure a plain HTTP forwarder as well', false)
+  .option('--paths <list>', 'own-gate and two-nodes, separated by commas', parsePaths, [
+    ...pathNames,
+  ])
   .action(run);
 
+function parsePaths(text: string): string[] {
+  const names = text.split(',');
+  const unknown = names.find((name) => !pathNames.some((known) => known === name));
+  if (unknown !== undefined) {
+    throw new InvalidArgumentError(`${unknown} is neither ${pathNames.join(' nor ')}`);
+  }
+  return names;
+}
+
 function parseRates(text: string): number[] {
   return text.split(',').map(Number);
 }
 
-await program.parseAsync();
+await command.parseAsync();
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -16,3 +16,4 @@
 export type { OperatorReply } from './fleet/operator-client.js';
 export { fleetOperatorSecret, ProcessFleet } from './fleet/process-fleet.js';
 export type { FleetServer, ProcessFleetOptions } from './fleet/process-fleet.js';
+export { ChildProgram } from './fleet/child-program.js';
