Copy headers without intermediate lists

Cause: each call copies headers four times on its way, and each copy built lists of pairs twice and read the Connection field into a new set.

Change: keys are read once, and the usual values "keep-alive" and "close" need no set. Semantics are unchanged.

--- a/packages/callers/src/caller-headers.ts
+++ b/packages/callers/src/caller-headers.ts
@@ -4,8 +4,10 @@
 /** The upstream's headers that the caller receives, in a form that Node.js writes. */
 export function answerHeaders(headers: HeaderFields): Record<string, string | string[]> {
   const answer: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(endToEndFields(headers))) {
-    answer[name] = typeof value === 'string' ? value : [...value];
+  const fields = endToEndFields(headers);
+  for (const name of Object.keys(fields)) {
+    const value = fields[name];
+    if (value !== undefined) answer[name] = typeof value === 'string' ? value : [...value];
   }
   return answer;
 }
--- a/packages/core/src/messages/header-fields.ts
+++ b/packages/core/src/messages/header-fields.ts
@@ -15,6 +15,7 @@
 export type HeaderName = (typeof HeaderName)[keyof typeof HeaderName];
 
 const internalPrefix = 'peridotspring-';
+const connectionName = 'connection';
 
 /** Fields that concern one connection only. `Expect` would make a client wait for an interim answer. */
 const hopByHopNames: ReadonlySet<string> = new Set([
@@ -32,14 +33,23 @@
 
 type ReadFields = Readonly<Record<string, string | readonly string[] | undefined>>;
 
-/** Names that the `Connection` field declares to be hop-by-hop. */
-function namedByConnection(fields: ReadFields): ReadonlySet<string> {
-  const names = new Set<string>();
-  for (const [name, value] of Object.entries(fields)) {
-    if (name.toLowerCase() !== 'connection') continue;
-    for (const listed of String(value).split(',')) names.add(listed.trim().toLowerCase());
+const noNames: ReadonlySet<string> = new Set();
+
+/** Names that a `Connection` field declares to be hop-by-hop. */
+function namesListed(value: string): ReadonlySet<string> {
+  // Nearly every message has one of these two, and both would be left out anyway.
+  if (value === 'keep-alive' || value === 'close') return noNames;
+  return new Set(value.split(',').map((listed) => listed.trim().toLowerCase()));
+}
+
+function namedByConnection(fields: ReadFields, names: readonly string[]): ReadonlySet<string> {
+  let named = noNames;
+  for (const name of names) {
+    if (name.length !== connectionName.length || name.toLowerCase() !== connectionName) continue;
+    const listed = namesListed(String(fields[name]));
+    named = named.size === 0 ? listed : new Set([...named, ...listed]);
   }
-  return names;
+  return named;
 }
 
 /**
@@ -47,11 +57,14 @@
  * connection's own, and none of the system's, so that neither side can forge them.
  */
 export function endToEndFields(fields: ReadFields): HeaderFields {
-  const named = namedByConnection(fields);
+  const names = Object.keys(fields);
+  const named = namedByConnection(fields, names);
   const kept: Record<string, string | readonly string[]> = {};
-  for (const [name, value] of Object.entries(fields)) {
+  for (const name of names) {
+    const value = fields[name];
+    if (value === undefined) continue;
     const lowerName = name.toLowerCase();
-    if (value === undefined || hopByHopNames.has(lowerName) || named.has(lowerName)) continue;
+    if (hopByHopNames.has(lowerName) || named.has(lowerName)) continue;
     if (lowerName.startsWith(internalPrefix)) continue;
     kept[lowerName] = value;
   }
--- a/packages/upstreams/src/header-fields.ts
+++ b/packages/upstreams/src/header-fields.ts
@@ -3,6 +3,8 @@
 import { endToEndFields, HeaderName } from '@peridotspring/core';
 import type { HeaderFields, RequestHead } from '@peridotspring/core';
 
+const methodsWithoutBody: ReadonlySet<string> = new Set(['DELETE', 'GET', 'HEAD', 'OPTIONS']);
+
 /** Length of a request's body: known, sent in chunks, or as the caller's `Content-Length` says. */
 export type BodyLength = number | 'streamed';
 
@@ -14,13 +16,14 @@
 ): OutgoingHttpHeaders {
   const fields = endToEndFields(head.headers);
   const outgoing: OutgoingHttpHeaders = {};
-  for (const [name, value] of Object.entries(fields)) {
-    outgoing[name] = typeof value === 'string' ? value : [...value];
+  for (const name of Object.keys(fields)) {
+    const value = fields[name];
+    if (value !== undefined) outgoing[name] = typeof value === 'string' ? value : [...value];
   }
   if (bodyLength !== 'streamed') {
     delete outgoing['content-length'];
-    const isBodyExpected = !['DELETE', 'GET', 'HEAD', 'OPTIONS'].includes(head.method);
-    if (bodyLength > 0 || isBodyExpected) outgoing['content-length'] = bodyLength;
+    if (bodyLength > 0 || !methodsWithoutBody.has(head.method))
+      outgoing['content-length'] = bodyLength;
   }
   outgoing[HeaderName.Deadline] = String(Math.max(0, Math.floor(remainingMilliseconds)));
   outgoing[HeaderName.Depth] = String(head.depth + 1);
