Report a short answer when its last byte has been parsed

Cause: time stamps inside a node show 0.27 ms at 50 calls/s and 0.16 ms at 200 calls/s between the answer's head and its report, although both arrive in one packet. The report waited for the stream's 'close', which follows 'end' and the cleanup of the connection.

Change: the answer is reported with the chunk after which the parser has marked the message complete and nothing is left to read, or at 'end'. The slot is still freed at 'close', and an answer that is cut is still told as failed, which the tests of cut answers check.

--- a/packages/upstreams/src/answer-collector.ts
+++ b/packages/upstreams/src/answer-collector.ts
@@ -19,7 +19,7 @@
 
 /**
  * Collects a body up to the limit. `concluded` is called once with the result; `ended` is called
- * once after it, when the upstream has sent the last byte or the body was cut.
+ * once after it, when the connection is done with the answer or the body was cut.
  */
 export class AnswerCollector {
   private readonly chunks: Buffer[] = [];
@@ -35,11 +35,14 @@
 
   public start(): void {
     this.response.on('data', this.onData);
+    this.response.on('end', () => {
+      if (this.response.complete) this.concludeWhole();
+    });
     // An error of the response is followed by 'close', which tells whether the body was whole.
     this.response.on('error', () => undefined);
     this.response.on('close', () => {
       const complete = this.response.complete && this.response.readableEnded;
-      if (complete) this.conclude({ body: Buffer.concat(this.chunks), kind: 'whole' });
+      if (complete) this.concludeWhole();
       else this.conclude({ kind: 'cut' });
       this.ended(complete);
     });
@@ -50,7 +53,13 @@
   private readonly onData = (chunk: Buffer): void => {
     this.chunks.push(chunk);
     this.collectedBytes += chunk.length;
-    if (this.collectedBytes > this.rule.limitBytes) this.exceed();
+    if (this.collectedBytes > this.rule.limitBytes) {
+      this.exceed();
+      return;
+    }
+    // A short answer has been parsed to its end when its only chunk arrives. 'end' and 'close' follow
+    // after the connection's own cleanup, for which the caller need not wait.
+    if (this.response.complete && this.response.readableLength === 0) this.concludeWhole();
   };
 
   /** The answer to HEAD has the length of a body that is not sent. */
@@ -81,6 +90,10 @@
     this.conclude({ body, kind: 'streamed' });
   }
 
+  private concludeWhole(): void {
+    if (!this.isConcluded) this.conclude({ body: Buffer.concat(this.chunks), kind: 'whole' });
+  }
+
   private conclude(answer: CollectedAnswer): void {
     if (this.isConcluded) return;
     this.isConcluded = true;
