Read a request body of a stated length with listeners

Cause: the entry reads each keyed body with the stream's asynchronous iterator, which takes several turns of the microtask queue and creates its own listeners, although the length of nearly every body is stated and below the limit.

Change: such a body is collected from 'data' and is whole when the parser has reached the end of the message. Longer bodies and such without a stated length still go through the iterator.

--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -16,12 +16,39 @@
   );
 }
 
+/**
+ * Reads a body of a stated length. Listeners take about half the time of the iterator below, and no
+ * part of such a body can be left over for a stream.
+ */
+function collectStated(request: IncomingMessage): Promise<CollectedBody> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      // The parser has reached the end of a short body before the stream hands out its only chunk.
+      if (request.complete && request.readableLength === 0) {
+        resolve({ bytes: Buffer.concat(chunks), kind: 'whole' });
+      }
+    });
+    request.on('end', () => {
+      resolve(request.complete ? { bytes: Buffer.concat(chunks), kind: 'whole' } : { kind: 'cut' });
+    });
+    // An error of the request is followed by 'close'.
+    request.on('error', () => undefined);
+    request.on('close', () => {
+      resolve({ kind: 'cut' });
+    });
+  });
+}
+
 /** Reads a body up to the limit and leaves the rest unread; a stream of more than `longestBytes` fails. */
 export async function collectBody(
   request: IncomingMessage,
   limitBytes: number,
   longestBytes: number,
 ): Promise<CollectedBody> {
+  const stated = request.headers['content-length'];
+  if (stated !== undefined && Number(stated) <= limitBytes) return collectStated(request);
   // The iterator must not destroy the request when it is left early: that would close the connection
   // before the caller can read an answer.
   const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
