Give direct calls of request-path an upstream without other load

Cause: direct calls and those of the forwarder went to the upstream of the first daemon, so calls through that daemon waited behind them and calls through the others did not.

Change: the first fleet has a reference server with an upstream of its own for the direct calls and the forwarder.

--- a/packages/measure/src/request-path.ts
+++ b/packages/measure/src/request-path.ts
@@ -49,6 +49,12 @@
   readonly process: ChildProgram;
 }
 
+/**
+ * The upstream of the direct calls and of the forwarder. It has no other load, or the calls through
+ * the first daemon would wait behind the direct ones and those through the others would not.
+ */
+const referencePlan = planOf('r1', 'reference');
+
 async function startForwarder(upstreamAddress: string): Promise<Forwarder> {
   const child = new ChildProgram({
     executableFlags: ['--max-semi-space-size=2'],
@@ -64,6 +70,7 @@
 async function startFleet(
   daemonScript: string,
   executableFlags: readonly string[],
+  isFirst: boolean,
 ): Promise<ProcessFleet> {
   const fleet = new ProcessFleet({
     daemonScript,
@@ -73,7 +80,7 @@
     upstreamScript: program('../../../stand-ins/dist/src/upstream/main.js'),
   });
   await fleet.startPlatform();
-  await fleet.startServers(plans);
+  await fleet.startServers(isFirst ? [...plans, referencePlan] : plans);
   const { operatorPort } = fleet.server('p1');
   for (;;) {
     const { body, status } = await askOperator(operatorPort, declareText);
@@ -101,8 +108,8 @@
   };
 }
 
-function upstreamOf([first]: readonly NamedFleet[], keyed: boolean): string {
-  return first?.fleet.server(keyed ? 'i1' : 'p1').upstreamAddress ?? '';
+function referenceUpstream([first]: readonly NamedFleet[]): string {
+  return first?.fleet.server(referencePlan.server).upstreamAddress ?? '';
 }
 
 function variantsOf(
@@ -110,7 +117,7 @@
   forwarder: Forwarder | undefined,
   { keyed, paths }: Flags,
 ): VariantOptions[] {
-  const variants = [variant('direct', `${upstreamOf(fleets, keyed)}/x`, keyed)];
+  const variants = [variant('direct', `${referenceUpstream(fleets)}/x`, keyed)];
   if (forwarder !== undefined) {
     variants.push(variant('forwarder', `${forwarder.address}/x`, keyed));
   }
@@ -150,9 +157,9 @@
     for (const text of flags.daemon) {
       const [name = '', ...rest] = text.split('=');
       const [script = '', ...executableFlags] = rest.join('=').split(',');
-      fleets.push({ fleet: await startFleet(script, executableFlags), name });
+      fleets.push({ fleet: await startFleet(script, executableFlags, fleets.length === 0), name });
     }
-    if (flags.forwarder) forwarder = await startForwarder(upstreamOf(fleets, flags.keyed));
+    if (flags.forwarder) forwarder = await startForwarder(referenceUpstream(fleets));
     await sleep(flags.settle * 1_000);
     const processes = processesOf(fleets, forwarder);
     const idle = Object.entries(processes).map(([name, pid]) => {
