--- a/packages/virtual-time/tests/policy-findings.test.ts
+++ b/packages/virtual-time/tests/policy-findings.test.ts
@@ -62,6 +62,18 @@
   assert.ok(quantile(chosen, 0.99) < 0.85 * quantile(leastInFlight, 0.99));
 });
 
+test('never: trials of a lower limit turn calls away while all servers are equally slow', () => {
+  const chosen = measure('all servers twice as slow', chosenVariant).classes;
+  assert.ok(shareOf(chosen.idempotent.refused, chosen.idempotent) < 0.015);
+  assert.ok(shareOf(chosen['non-idempotent'].refused, chosen['non-idempotent']) < 0.01);
+});
+
+test('never: calls queue behind the lowered limit of a slow server', () => {
+  const chosen = measure('one server five times slower', chosenVariant).classes['non-idempotent'];
+  assert.ok(quantile(chosen, 0.999) < 1_100);
+  assert.is(chosen.wronglyRefused, 0);
+});
+
 test('never: a server that fails fast attracts the load', () => {
   const scenario = 'one server fails fast';
   const chosen = measure(scenario, chosenVariant).classes;
