Stream request bodies in the random runs of the fleet

Streamed request bodies were covered by process tests only. The fleet now streams 40 % of the requests without a key in 1 to 8 pieces, through the relays that the core asks for, under all faults: callers that go away within a body, crashed, frozen and cut-off nodes, lost connections and draining gates. checkBodies demands that a body passes as whole at its upstream only if its caller sent all of it, that no answer comes before, and that no body is sent to a second upstream once a piece of it was consumed.

Decisions about bodies have a random source of their own, so that the other decisions of a seed stay as they were; the measurements of the fleet go on without streamed bodies.

--- a/packages/virtual-time/src/fleet-callers.ts
+++ b/packages/virtual-time/src/fleet-callers.ts
@@ -1,7 +1,7 @@
 import { RequestClass, nextInteger } from '@peridotspring/core';
 import type { RandomSource, ReplyToCallerCommand } from '@peridotspring/core';
 
-import type { FleetLog, RequestEntry } from './fleet-log.js';
+import type { FleetLog, RequestBodyEntry, RequestEntry } from './fleet-log.js';
 import type { FleetNode } from './fleet-node.js';
 import { keyHeader } from './fleet-upstream.js';
 
@@ -20,6 +20,8 @@
   /** Present for a non-idempotent request. */
   readonly key?: string | undefined;
   readonly deadlineMilliseconds?: number | undefined;
+  /** Pieces of a body that is streamed; without them the body is held whole. */
+  readonly bodyChunks?: number | undefined;
 }
 
 interface OpenRequest {
@@ -47,7 +49,7 @@
   /** Sends a request. One to an entry that is down is refused by its machine and not logged. */
   public send(
     node: FleetNode,
-    { deadlineMilliseconds = 2_000, key, service }: SendOptions,
+    { bodyChunks, deadlineMilliseconds = 2_000, key, service }: SendOptions,
   ): RequestEntry | undefined {
     if (!node.isRunning) return undefined;
     const { log, now, random } = this.options;
@@ -56,6 +58,7 @@
     const entry: RequestEntry = {
       abandonedAt: undefined,
       answers: [],
+      body: bodyChunks === undefined ? undefined : { chunks: bodyChunks, state: 'sending' },
       brokenAt: undefined,
       deadlineAt: now() + deadlineMilliseconds,
       entry: node.server,
@@ -67,7 +70,7 @@
     log.requests.push(entry);
     this.open.set(openKey(node, requestNumber), { entry, node, requestNumber });
     node.deliver({
-      body: new Uint8Array([1]),
+      body: bodyChunks === undefined ? new Uint8Array([1]) : undefined,
       deadlineMilliseconds,
       digest: key === undefined ? undefined : 'digest',
       head: {
@@ -83,11 +86,16 @@
       kind: 'caller-request',
       requestClass: key === undefined ? RequestClass.Idempotent : RequestClass.NonIdempotent,
       requestNumber,
-      streamedBody: false,
+      streamedBody: bodyChunks !== undefined,
     });
     return entry;
   }
 
+  /** The streamed body of a request. */
+  public body(node: FleetNode, requestNumber: number): RequestBodyEntry | undefined {
+    return this.open.get(openKey(node, requestNumber))?.entry.body;
+  }
+
   public replied(node: FleetNode, { body, outcome, requestNumber }: ReplyToCallerCommand): void {
     const open = this.open.get(openKey(node, requestNumber));
     // A request stays open after its answer, so that a second answer is seen.
@@ -95,6 +103,7 @@
       at: this.options.now(),
       body: body === undefined ? undefined : new TextDecoder().decode(body),
       outcome,
+      sentBody: open.entry.body?.state,
     });
   }
 
@@ -104,6 +113,7 @@
     for (const { entry, node, requestNumber } of this.open.values()) {
       if (entry !== request) continue;
       entry.abandonedAt = this.options.now();
+      cutBody(entry);
       node.deliver({ kind: 'caller-gone', requestNumber });
     }
   }
@@ -113,11 +123,17 @@
     for (const [name, { entry, node: other }] of this.open) {
       if (other !== node) continue;
       this.open.delete(name);
+      cutBody(entry);
       if (isWaiting(entry)) entry.brokenAt = this.options.now();
     }
   }
 }
 
+/** A caller that went away, or whose entry did, sends nothing more of its body. */
+function cutBody({ body }: RequestEntry): void {
+  if (body?.state === 'sending') body.state = 'cut';
+}
+
 /** Whether the caller still waits for its answer. */
 export function isWaiting({ abandonedAt, answers, brokenAt }: RequestEntry): boolean {
   return answers.length === 0 && abandonedAt === undefined && brokenAt === undefined;
--- a/packages/virtual-time/src/fleet-checks.ts
+++ b/packages/virtual-time/src/fleet-checks.ts
@@ -60,6 +60,31 @@
   return violations;
 };
 
+/** A streamed body passes as whole at its upstream, and in its answer, only if its caller sent all of it. */
+export const checkBodies: FleetCheck = (log) => {
+  const violations: string[] = [];
+  const consumed = new Map<string, number>();
+  const requests = new Map(log.requests.map((request) => [request.requestId, request]));
+  for (const { body, end, requestId, server } of log.executions) {
+    if (body === undefined) continue;
+    const sent = requests.get(requestId)?.body;
+    const isWhole = sent?.state === 'whole' && sent.chunks === body.chunks;
+    const seen = `${requestId} (${sent?.chunks ?? 0} chunks, ${sent?.state ?? 'none'}) on ${server}`;
+    if (body.state === 'whole' && !isWhole) violations.push(`${seen} passed as whole`);
+    if (end === 'answered' && body.state !== 'whole') violations.push(`${seen} was answered`);
+    if (body.chunks === 0) continue;
+    consumed.set(requestId, (consumed.get(requestId) ?? 0) + 1);
+    if (consumed.get(requestId) === 2) violations.push(`${seen} was sent a second time`);
+  }
+  for (const { answers, requestId } of log.requests) {
+    for (const { outcome, sentBody = 'whole' } of answers) {
+      if (outcome.kind !== 'answered' || sentBody === 'whole') continue;
+      violations.push(`${requestId} was answered while its body was ${sentBody}`);
+    }
+  }
+  return violations;
+};
+
 /** Every request has exactly one outcome soon after its deadline, or after its entry's freeze. */
 export function checkOneOutcome(log: FleetLog, now: number): string[] {
   const violations: string[] = [];
@@ -188,6 +213,7 @@
     ...checkAtMostOnce(log),
     ...checkRefusals(log),
     ...checkAnswersBelong(log),
+    ...checkBodies(log),
     ...checkOneOutcome(log, now),
     ...checkDrains(log),
     ...checkRevisions(log),
--- a/packages/virtual-time/src/fleet-load.ts
+++ b/packages/virtual-time/src/fleet-load.ts
@@ -11,6 +11,8 @@
   readonly intervalMilliseconds: number;
   /** Share of the requests that have a key. */
   readonly keyedShare: number;
+  /** Share of the requests without a key whose body is streamed. */
+  readonly streamedShare: number;
   /** Share of the requests whose caller goes away early. */
   readonly abandonedShare: number;
   /** Share of the keyed requests that are also sent through another node soon. */
@@ -26,10 +28,12 @@
   entryAgeMilliseconds: 0,
   intervalMilliseconds: 15,
   keyedShare: 0.7,
+  streamedShare: 0.4,
 };
 
 const deadlines = [300, 1_000, 2_000, 2_000, 4_000];
 const resendDelays = [0, 1, 5, 50, 400, 1_200, 2_500, 5_000];
+const maximumChunks = 8;
 const maximumResends = 4;
 /** More than the slots and the queues of a service's usual servers hold. */
 const surgeRequests = 250;
@@ -96,7 +100,8 @@
     const node = pickRandom(random, this.entries());
     if (node === undefined) return;
     const deadlineMilliseconds = pickRandom(random, deadlines) ?? 2_000;
-    const request = fleet.callers.send(node, { deadlineMilliseconds, key, service });
+    const bodyChunks = key === undefined ? this.bodyChunks() : undefined;
+    const request = fleet.callers.send(node, { bodyChunks, deadlineMilliseconds, key, service });
     if (request === undefined) return;
     if (random.next() < this.options.abandonedShare) {
       fleet.after(40 * random.next(), () => {
@@ -110,6 +115,13 @@
     });
   }
 
+  /** Length of a streamed body; undefined for one that is held whole. */
+  private bodyChunks(): number | undefined {
+    const { random } = this.fleet.bodies;
+    if (random.next() >= this.options.streamedShare) return undefined;
+    return 1 + nextInteger(random, maximumChunks);
+  }
+
   /** Nodes that callers may choose; those that stop tell them to go elsewhere. */
   private entries(): FleetNode[] {
     const { entryAgeMilliseconds } = this.options;
--- a/packages/virtual-time/src/fleet-log.ts
+++ b/packages/virtual-time/src/fleet-log.ts
@@ -1,5 +1,18 @@
 import type { CallOutcome, Configuration, ProposalResult } from '@peridotspring/core';
 
+/** A streamed request body at its caller. */
+export interface RequestBodyEntry {
+  readonly chunks: number;
+  /** `whole` once the entry has read its end, `cut` if the caller or the entry went away before. */
+  state: 'cut' | 'sending' | 'whole';
+}
+
+/** A streamed request body as an upstream saw it. */
+export interface ExecutionBodyEntry {
+  chunks: number;
+  state: 'arriving' | 'cut' | 'whole';
+}
+
 /** One run of a request at an upstream. */
 export interface ExecutionEntry {
   readonly server: string;
@@ -8,13 +21,17 @@
   readonly requestId: string;
   readonly startedAt: number;
   endedAt: number | undefined;
-  end: 'answered' | 'cancelled' | 'crashed' | undefined;
+  end: 'answered' | 'body-cut' | 'cancelled' | 'crashed' | undefined;
+  /** Present when the body was streamed. */
+  readonly body: ExecutionBodyEntry | undefined;
 }
 
 /** What a caller was told. */
 export interface AnswerEntry {
   readonly at: number;
   readonly outcome: CallOutcome;
+  /** How far the caller had sent its streamed body when the answer came. */
+  readonly sentBody: RequestBodyEntry['state'] | undefined;
   /** The request and the key whose execution made the answer, as the upstream wrote them. */
   readonly body: string | undefined;
 }
@@ -28,6 +45,8 @@
   readonly sentAt: number;
   readonly deadlineAt: number;
   readonly answers: AnswerEntry[];
+  /** Present when the body was streamed. */
+  readonly body: RequestBodyEntry | undefined;
   /** When the caller closed its connection. */
   abandonedAt: number | undefined;
   /** When the caller's connection broke because the entry ended. */
--- a/packages/virtual-time/src/fleet-measurements.ts
+++ b/packages/virtual-time/src/fleet-measurements.ts
@@ -116,7 +116,10 @@
 
 /** Times until nodes follow a change by an operator, and until nothing starts on a drained server. */
 function measureChange(seed: number): { readonly inForce: number; readonly drained: number } {
-  const run = new FleetRun({ load: { keyedShare: 0.5, intervalMilliseconds: 8, seed }, seed });
+  const run = new FleetRun({
+    load: { keyedShare: 0.5, intervalMilliseconds: 8, seed, streamedShare: 0 },
+    seed,
+  });
   const { fleet } = run;
   const [node] = fleet.running;
   if (node === undefined) return { drained: 0, inForce: 0 };
@@ -137,7 +140,10 @@
 }
 
 function measureDrain(seed: number): { readonly started: number; readonly known: number } {
-  const run = new FleetRun({ load: { keyedShare: 0.5, intervalMilliseconds: 8, seed }, seed });
+  const run = new FleetRun({
+    load: { keyedShare: 0.5, intervalMilliseconds: 8, seed, streamedShare: 0 },
+    seed,
+  });
   const { fleet } = run;
   const from = fleet.now;
   let known = Infinity;
--- a/packages/virtual-time/src/fleet-network.ts
+++ b/packages/virtual-time/src/fleet-network.ts
@@ -1,4 +1,4 @@
-import type { CoreFrame, NodeIdentity, RandomSource } from '@peridotspring/core';
+import type { BodyFrame, CoreFrame, NodeIdentity, RandomSource } from '@peridotspring/core';
 
 import type { FleetNode } from './fleet-node.js';
 
@@ -7,12 +7,15 @@
 /** Time until a connection to a node that can't be reached is given up, as in the package `nodes`. */
 const dialMilliseconds = 3_000;
 
+/** A frame between two nodes: for the core, or of a streamed body. */
+export type FleetFrame = BodyFrame | CoreFrame;
+
 /** Changes, drops or repeats a frame on its way; only for tests that break the network on purpose. */
 export type Intercept = (
   from: NodeIdentity,
   to: NodeIdentity,
-  frame: CoreFrame,
-) => readonly CoreFrame[];
+  frame: FleetFrame,
+) => readonly FleetFrame[];
 
 /** What the network needs from the fleet. */
 export interface FleetNetworkOptions {
@@ -22,6 +25,10 @@
   /** The process that listens at the server's address. */
   readonly listener: (server: string) => FleetNode | undefined;
   readonly intercept?: Intercept | undefined;
+  /** Takes a frame of a streamed body. */
+  readonly bodyFrame: (node: FleetNode, server: string, frame: BodyFrame) => void;
+  /** The node has lost its connection to the server. */
+  readonly lost: (node: FleetNode, server: string) => void;
 }
 
 /** One TCP connection between two processes: ordered, and lossless until it is lost. */
@@ -30,7 +37,7 @@
   /** Time at which the last frame in each direction arrives, by its receiver. */
   readonly arrivals: Map<FleetNode, number>;
   /** Frames that wait for the end of a cut, by their receiver. */
-  readonly held: Map<FleetNode, CoreFrame[]>;
+  readonly held: Map<FleetNode, FleetFrame[]>;
   /** Ends that know that the connection is lost. */
   readonly lostAt: Set<FleetNode>;
   isClosing: boolean;
@@ -46,7 +53,7 @@
   public constructor(private readonly options: FleetNetworkOptions) {}
 
   /** Sends a frame; without an address only over a connection that is open. */
-  public send(from: FleetNode, to: string, address: string, frame: CoreFrame): void {
+  public send(from: FleetNode, to: string, address: string, frame: FleetFrame): void {
     const connection = from.connections.get(to) ?? this.dial(from, to, address, frame);
     if (connection === undefined) return;
     const [first, second] = connection.ends;
@@ -88,7 +95,7 @@
     from: FleetNode,
     to: string,
     address: string,
-    frame: CoreFrame,
+    frame: FleetFrame,
   ): FleetConnection | undefined {
     const { after, listener, now } = this.options;
     const target = address === '' ? undefined : listener(to);
@@ -125,7 +132,8 @@
     return connection;
   }
 
-  private notSent(from: FleetNode, to: string, frame: CoreFrame, delay: number): void {
+  private notSent(from: FleetNode, to: string, frame: FleetFrame, delay: number): void {
+    if (isBodyFrame(frame)) return;
     this.options.after(delay, () => {
       from.deliver({ congested: false, frame, kind: 'frame-not-sent', to });
     });
@@ -135,7 +143,7 @@
     connection: FleetConnection,
     from: FleetNode,
     to: FleetNode,
-    frame: CoreFrame,
+    frame: FleetFrame,
   ): void {
     if (!to.isRunning) {
       // A process that started anew at the address resets connections that it does not know.
@@ -156,7 +164,13 @@
     connection.arrivals.set(to, now() + delay);
     after(delay, () => {
       if (connection.lostAt.has(to)) return;
-      to.deliver({ frame, from: from.server, kind: 'peer-frame' });
+      const { server } = from;
+      if (!isBodyFrame(frame)) to.deliver({ frame, from: server, kind: 'peer-frame' });
+      else {
+        to.receive(() => {
+          this.options.bodyFrame(to, server, frame);
+        });
+      }
     });
   }
 
@@ -199,6 +213,9 @@
     const [first, second] = connection.ends;
     const peer = end === first ? second : first;
     if (end.connections.get(peer.server) === connection) end.connections.delete(peer.server);
+    end.receive(() => {
+      this.options.lost(end, peer.server);
+    });
     end.deliver({ kind: 'peer-lost', server: peer.server });
     if (connection.lostAt.size === connection.ends.length || !peer.isRunning) {
       this.connections.delete(connection);
@@ -223,3 +240,7 @@
     return random.next() < 0.005 ? usual + 50 * random.next() : usual;
   }
 }
+
+function isBodyFrame(frame: FleetFrame): frame is BodyFrame {
+  return frame.kind.startsWith('body-');
+}
--- a/packages/virtual-time/src/fleet-node.ts
+++ b/packages/virtual-time/src/fleet-node.ts
@@ -20,7 +20,7 @@
   public isFrozen = false;
   /** Open connections by the server at the other end. */
   public readonly connections = new Map<string, FleetConnection>();
-  private readonly inbox: CoreMessage[] = [];
+  private readonly inbox: (() => void)[] = [];
   private readonly startedAt: number;
 
   public constructor(
@@ -45,19 +45,23 @@
 
   /** Hands a message to the core, at once or when the process runs again. */
   public deliver(message: CoreMessage): void {
+    this.receive(() => {
+      for (const command of this.core.handle(message, this.clock)) {
+        this.links.carryOut(this, command);
+      }
+    });
+  }
+
+  /** Does what the process does with something that arrives, at once or when it runs again. */
+  public receive(action: () => void): void {
     if (!this.isRunning) return;
-    if (this.isFrozen) {
-      this.inbox.push(message);
-      return;
-    }
-    for (const command of this.core.handle(message, this.clock)) {
-      this.links.carryOut(this, command);
-    }
+    if (this.isFrozen) this.inbox.push(action);
+    else action();
   }
 
   /** Everything that arrived while the process was frozen is delivered at once. */
   public resume(): void {
     this.isFrozen = false;
-    for (const message of this.inbox.splice(0)) this.deliver(message);
+    for (const action of this.inbox.splice(0)) this.receive(action);
   }
 }
--- a/packages/virtual-time/src/fleet-upstream.ts
+++ b/packages/virtual-time/src/fleet-upstream.ts
@@ -47,7 +47,7 @@
     if (this.isDraining) node?.deliver({ draining: true, kind: 'upstream-drain' });
   }
 
-  public run(node: FleetNode, { executionId, head }: RunUpstreamCommand): void {
+  public run(node: FleetNode, { executionId, head, streamedBody }: RunUpstreamCommand): void {
     if (!this.isUp) {
       this.tell(node, executionId, { kind: 'not-reached' });
       return;
@@ -55,6 +55,7 @@
     const { after, log, now, random, server, serviceMilliseconds, slots } = this.options;
     const key = head.headers[keyHeader];
     const entry: ExecutionEntry = {
+      body: streamedBody ? { chunks: 0, state: 'arriving' } : undefined,
       end: undefined,
       endedAt: undefined,
       key: typeof key === 'string' ? key : undefined,
@@ -67,13 +68,34 @@
     const remaining = -Math.log(1 - random.next()) * serviceMilliseconds * slowdown;
     const running = { entry, executionId, node, remaining, runsSince: now() };
     this.running.add(running);
-    if (!this.isFrozen) {
+    if (!this.isFrozen && !streamedBody) {
       after(remaining, () => {
         this.complete(running);
       });
     }
   }
 
+  /** A piece or the end of a streamed body; the request runs once its body is whole. */
+  public bodyArrived(
+    node: FleetNode,
+    executionId: number,
+    kind: 'body-chunk' | 'body-cut' | 'body-end',
+  ): void {
+    for (const running of this.running) {
+      const { body } = running.entry;
+      if (running.node !== node || running.executionId !== executionId) continue;
+      if (body?.state !== 'arriving') return;
+      if (kind === 'body-chunk') body.chunks += 1;
+      else if (kind === 'body-cut') {
+        body.state = 'cut';
+        this.finish(running, 'body-cut', { detail: 'the body was cut', kind: 'failed' });
+      } else {
+        body.state = 'whole';
+        this.runAgain(running);
+      }
+    }
+  }
+
   public cancel(node: FleetNode, executionId: number): void {
     for (const running of this.running) {
       if (running.node === node && running.executionId === executionId) {
@@ -98,21 +120,28 @@
     if (this.isFrozen) return;
     this.isFrozen = true;
     const now = this.options.now();
-    for (const running of this.running) running.remaining -= now - running.runsSince;
+    for (const running of this.running) {
+      if (running.entry.body?.state !== 'arriving') running.remaining -= now - running.runsSince;
+    }
   }
 
   public resume(): void {
     if (!this.isFrozen) return;
     this.isFrozen = false;
-    const { after, now } = this.options;
     for (const running of this.running) {
-      running.runsSince = now();
-      after(Math.max(0, running.remaining), () => {
-        this.complete(running);
-      });
+      if (running.entry.body?.state !== 'arriving') this.runAgain(running);
     }
   }
 
+  private runAgain(running: Running): void {
+    const { after, now } = this.options;
+    running.runsSince = now();
+    if (this.isFrozen) return;
+    after(Math.max(0, running.remaining), () => {
+      this.complete(running);
+    });
+  }
+
   /** The log's period starts when the upstream asks, even if its node does not hear it. */
   public setDraining(draining: boolean): void {
     if (draining === this.isDraining) return;
--- a/packages/virtual-time/src/fleet.ts
+++ b/packages/virtual-time/src/fleet.ts
@@ -10,6 +10,7 @@
 
 import { ControlEventQueue } from './control-event-queue.js';
 import { ControlStore } from './control-store.js';
+import { FleetBodies } from './fleet-bodies.js';
 import { FleetCallers } from './fleet-callers.js';
 import { FleetLog } from './fleet-log.js';
 import { FleetNetwork } from './fleet-network.js';
@@ -52,6 +53,7 @@
   public readonly store: ControlStore;
   public readonly network: FleetNetwork;
   public readonly callers: FleetCallers;
+  public readonly bodies: FleetBodies;
   public readonly upstreams = new Map<string, FleetUpstream>();
   public readonly random: SeededRandomSource;
   private readonly queue = new ControlEventQueue();
@@ -70,8 +72,29 @@
     this.store = new ControlStore(random, after);
     const listener = (server: string): FleetNode | undefined => this.node(server);
     const { intercept } = options;
-    this.network = new FleetNetwork({ after, intercept, listener, now, random });
     this.callers = new FleetCallers({ log, now, random });
+    this.network = new FleetNetwork({
+      after,
+      bodyFrame: (node, server, frame) => {
+        this.bodies.frame(node, server, frame);
+      },
+      intercept,
+      listener,
+      lost: (node, server) => {
+        this.bodies.peerLost(node, server);
+      },
+      now,
+      random,
+    });
+    this.bodies = new FleetBodies({
+      after,
+      callerBody: (node, requestNumber) => this.callers.body(node, requestNumber),
+      seed: options.seed + 1,
+      send: (from, to, frame) => {
+        this.network.send(from, to, '', frame);
+      },
+      upstream: (server) => this.upstreams.get(server),
+    });
     for (const { server, service, serviceMilliseconds, slots } of options.servers) {
       this.wallOffsets.set(server, maximumWallOffset * (2 * random.next() - 1));
       const node = (): FleetNode | undefined => this.node(server);
@@ -214,6 +237,7 @@
       this.log.end(kind, node.server, this.time);
     }
     this.callers.ended(node);
+    this.bodies.ended(node);
     this.network.ended(node, withItsMachine);
   }
 
@@ -232,6 +256,12 @@
       case 'cancel-upstream':
         this.after(0.1, () => this.upstreams.get(server)?.cancel(node, command.executionId));
         return;
+      case 'relay-body':
+        this.bodies.start(node, command);
+        return;
+      case 'drop-body':
+        this.bodies.drop(node, command.endpoint);
+        return;
       case 'store':
         this.callStore(node, command);
         return;
--- a/packages/virtual-time/tests/fleet-checks.test.ts
+++ b/packages/virtual-time/tests/fleet-checks.test.ts
@@ -65,6 +65,48 @@
   assertReported(checks.checkAnswersBelong(fleet.log));
 });
 
+const idleGate = {
+  inFlight: 0,
+  latencyMilliseconds: 20,
+  limit: 10,
+  queued: 0,
+  service: 'issuance',
+  state: 'serving',
+} as const;
+const streamedLoad = { abandonedShare: 0.5, keyedShare: 0, streamedShare: 1 } as const;
+
+function runStreamed(intercept: Intercept): FleetRun {
+  const run = new FleetRun({ intercept, load: streamedLoad, seed: 7 });
+  run.fleet.run(3_000);
+  return run;
+}
+
+test('a cut body that is passed on as ended counts as whole', () => {
+  const { fleet } = runStreamed((_from, _to, frame) => {
+    return frame.kind === 'body-cut' ? [{ ...frame, kind: 'body-end' }] : [frame];
+  });
+  assertReported(checks.checkBodies(fleet.log));
+});
+
+test('a lost piece of a body is noticed, and a repeated one', () => {
+  for (const copies of [0, 2]) {
+    const { fleet } = runStreamed((_from, _to, frame) => {
+      return frame.kind === 'body-chunk' ? Array.from({ length: copies }, () => frame) : [frame];
+    });
+    assertReported(checks.checkBodies(fleet.log));
+  }
+});
+
+test('an answer to a body that its caller has not sent is noticed', () => {
+  const { fleet } = runStreamed((_from, _to, frame) => {
+    if (frame.kind !== 'request-admitted') return [frame];
+    const { callId } = frame;
+    const answer = { body: new Uint8Array(), callId, headers: {}, streamedBody: false } as const;
+    return [frame, { ...answer, kind: 'answer', load: idleGate, status: 200 }];
+  });
+  assertReported(checks.checkBodies(fleet.log));
+});
+
 test('a request that stays without an outcome is noticed, and one with two', () => {
   const run = new FleetRun({
     intercept: (_from, _to, frame) => (frame.kind === 'keyed-outcome' ? [] : [frame]),
--- a/packages/virtual-time/tests/fleet-properties.test.ts
+++ b/packages/virtual-time/tests/fleet-properties.test.ts
@@ -19,6 +19,7 @@
 // Guards at-most-once, what callers and operators are told, and the recovery from any faults.
 test('under any faults every promise holds, and 20 s after the last one all is served', () => {
   const told = { answered: 0, 'outcome-unknown': 0, 'refused-not-run': 0 };
+  const bodies = { answered: 0, cutAtCaller: 0, cutAtUpstream: 0 };
   fc.assert(
     fc.property(arbitrarySeed, arbitraryFaults(), (seed, faults) => {
       const run = new FleetRun({ seed });
@@ -30,12 +31,20 @@
       for (const kind of ['answered', 'outcome-unknown', 'refused-not-run'] as const) {
         told[kind] += count(fleet.log, kind);
       }
+      for (const { answers, body } of fleet.log.requests) {
+        if (body?.state === 'cut') bodies.cutAtCaller += 1;
+        if (body !== undefined && answers[0]?.outcome.kind === 'answered') bodies.answered += 1;
+      }
+      const ends = fleet.log.executions.filter(({ end }) => end === 'body-cut');
+      bodies.cutAtUpstream += ends.length;
     }),
     { endOnFailure: true, numRuns: 16, seed: 2040 },
   );
   // Guards against runs in which the faults leave nothing to check.
   const isVaried = told.answered > 5_000 && told['outcome-unknown'] > 500;
   assert.ok(isVaried && told['refused-not-run'] > 200, JSON.stringify(told));
+  const areBodiesVaried = bodies.answered > 500 && bodies.cutAtCaller > 50;
+  assert.ok(areBodiesVaried && bodies.cutAtUpstream > 10, JSON.stringify(bodies));
 });
 
 // Guards planned stops and changes: with nothing else going on they are not to be felt at all.
