Shorten the search of witness changes with the longer lease

The search with a lease of two ticks took 42 s in a full run on a busy machine, above the 40 s that a check may take. Without crashes of homes, which the searches with a lease of one tick contain, and with a restart of a witness in their place, it has 2,228,631 states in place of 5,698,802 and took 4 s of processor time in place of 22 s.

Ruled out: late requests with the longer lease (7,669,845 states without crashes and restarts, 41 s).

--- a/scripts/check-specifications.mjs
+++ b/scripts/check-specifications.mjs
@@ -79,7 +79,7 @@
   {
     model: 'witness-change',
     name: 'confirmations at different times in one lease',
-    macros: ['LEASE=2', 'NO_LATE_REQUESTS'],
+    macros: ['LEASE=2', 'RESTARTING=0', 'NO_LATE_REQUESTS', 'NO_HOME_CRASH'],
   },
   ...['NO_DOUBLE_QUORUM', 'DROP_UNCONFIRMED'].map((variant) => ({
     model: 'witness-change',
--- a/specification/witness-change.pml
+++ b/specification/witness-change.pml
@@ -7,9 +7,9 @@
  * set may be added, and a home that holds its lease may drop the older set. That last write may take
  * effect at any later time or never, as a write whose answer was lost does. Homes learn tables late, in
  * any order, or crash and forget them; a paused home does nothing while its lease runs on. Requests to
- * witnesses are lost or late, also those of tables that their sender has replaced (left out with
- * NO_LATE_REQUESTS, so that the searches with a longer lease or a restart stay short). A witness may
- * restart with empty memory.
+ * witnesses are lost or late, also those of tables that their sender has replaced. A witness may
+ * restart with empty memory. NO_LATE_REQUESTS and NO_HOME_CRASH leave these faults out, so that the
+ * searches with a restart or a lease of two ticks stay short.
  *
  * Proved: no two homes hold a lease at the same time, and none gets one by a table that is older than
  * the one by which the other home has held a lease.
@@ -142,10 +142,16 @@
 #define LEARN(h, v) \
   :: d_step { (v) <= stored && known[h] < (v) -> learn(h, v) }
 
+#ifdef NO_HOME_CRASH
+#define may_crash false
+#else
+#define may_crash true
+#endif
+
 #define HOME_STEPS(h) \
   CONFIRM(h, 0) CONFIRM(h, 1) CONFIRM(h, 2) CONFIRM(h, 3) \
   LEARN(h, 1) LEARN(h, 2) LEARN(h, 3) LEARN(h, 4) \
-  :: d_step { known[h] > 0 -> known[h] = 0; forget_confirmations(h) } \
+  :: d_step { may_crash && known[h] > 0 -> known[h] = 0; forget_confirmations(h) } \
   :: d_step { may_drop(h) && known[h] == stored && dropOnItsWay != stored && stored < VERSIONS -> \
        dropOnItsWay = stored }
 
