--- /dev/null
+++ b/packages/core/src/messages/membership-frames.ts
@@ -0,0 +1,73 @@
+import type { MemberRecord, ZoneReachability } from './member.js';
+
+export interface PingFrame {
+  readonly kind: 'ping';
+  readonly sequence: number;
+  readonly updates: readonly MemberRecord[];
+  readonly configurationRevision: number;
+}
+
+export interface AcknowledgementFrame {
+  readonly kind: 'acknowledgement';
+  readonly sequence: number;
+  /** The server that is alive; differs from the sender for an indirect ping. */
+  readonly server: string;
+  readonly updates: readonly MemberRecord[];
+  readonly configurationRevision: number;
+}
+
+/** Asks a member to ping another on the sender's behalf. */
+export interface PingRequestFrame {
+  readonly kind: 'ping-request';
+  readonly sequence: number;
+  readonly target: string;
+}
+
+export interface MemberUpdatesFrame {
+  readonly kind: 'member-updates';
+  readonly updates: readonly MemberRecord[];
+  /** Reachability of other zones as the sender's bridges see it; only sent within a zone. */
+  readonly zones?: ZoneReachability | undefined;
+}
+
+/** Server, incarnation and rank of the state: enough to see which of two records is newer. */
+export type MemberStamp = readonly [server: string, incarnation: number, stateRank: number];
+
+/** First step of a comparison: digest of the live members of each availability zone. */
+export interface MemberSyncZonesFrame {
+  readonly kind: 'member-sync';
+  readonly step: 'zones';
+  readonly digests: Readonly<Record<string, number>>;
+}
+
+/** Second step: digests of the buckets of a zone whose digests differ. */
+export interface MemberSyncBucketsFrame {
+  readonly kind: 'member-sync';
+  readonly step: 'buckets';
+  readonly availabilityZone: string;
+  readonly digests: readonly number[];
+}
+
+/** Third step: what the sender has in the buckets that differ. */
+export interface MemberSyncStampsFrame {
+  readonly kind: 'member-sync';
+  readonly step: 'stamps';
+  readonly availabilityZone: string;
+  readonly buckets: readonly number[];
+  readonly stamps: readonly MemberStamp[];
+}
+
+/** Fourth step: records that are newer at the sender, and servers whose records it wants. */
+export interface MemberSyncRecordsFrame {
+  readonly kind: 'member-sync';
+  readonly step: 'records';
+  readonly records: readonly MemberRecord[];
+  readonly wanted: readonly string[];
+}
+
+/** Compares what two nodes know; each step answers the one before and is bounded in size. */
+export type MemberSyncFrame =
+  MemberSyncZonesFrame | MemberSyncBucketsFrame | MemberSyncStampsFrame | MemberSyncRecordsFrame;
+
+export type MembershipFrame =
+  PingFrame | AcknowledgementFrame | PingRequestFrame | MemberUpdatesFrame | MemberSyncFrame;
