Compare shunned targets with each other while none is open

Cause: the median that a trial is judged by is taken from open targets and kept while there are none.

Change: without an open target the shunned ones that answer are the base.

--- a/packages/core/src/routing/service-targets.ts
+++ b/packages/core/src/routing/service-targets.ts
@@ -101,7 +101,11 @@
     this.reportedLatencies.set(state, state.report?.latencyMilliseconds ?? 0);
   }
 
-  /** Median of the open targets' average latencies, from a bounded sample and at most each 250 ms. */
+  /**
+   * Median of the open targets' average latencies, from a bounded sample and at most each 250 ms. While
+   * none is open, the shunned ones that answer are compared with each other: against the last median of
+   * open ones, which may come from one short answer, every trial could fail for good.
+   */
   public medianLatency(now: number): number | undefined {
     if (now - this.medianAt < medianIntervalMilliseconds) return this.median;
     this.medianAt = now;
@@ -118,10 +122,11 @@
   }
 
   private sample(): readonly TargetState[] {
-    if (this.region.size <= medianSampleSize) return this.region.all;
+    const pool = this.region.size > 0 ? this.region : this.slow;
+    if (pool.size <= medianSampleSize) return pool.all;
     const sample: TargetState[] = [];
     while (sample.length < medianSampleSize) {
-      const state = this.region.draw(this.random, noneExcluded, []);
+      const state = pool.draw(this.random, noneExcluded, []);
       if (state === undefined) break;
       sample.push(state);
     }
