--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -3,74 +3,24 @@
 import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
 
-import {
-  checkRequest,
-  HeaderName,
-  RefusalReason,
-  RequestClass,
-  UnknownReason,
-} from '@peridotspring/core';
+import { checkRequest, HeaderName, RefusalReason, UnknownReason } from '@peridotspring/core';
 import type {
   AcceptedRequest,
-  CallerGoneMessage,
-  CallerRequestMessage,
   CallOutcome,
-  Configuration,
   RefusedOutcome,
   RejectedRequest,
   ReplyToCallerCommand,
   UnknownOutcome,
 } from '@peridotspring/core';
 
+import { bodyLimitsOf } from './body-limits.js';
 import { answerHeaders, singleHeader } from './caller-headers.js';
+import type { CallerServerOptions } from './caller-server-options.js';
 import { badRequestResponse, describeConnectionFault } from './connection-fault.js';
 import { outcomeOfRejection, writeOutcome } from './outcome-response.js';
 import { announcesBody, collectBody } from './request-body.js';
 import { createRequestMessage } from './request-message.js';
 
-/** Bounds on what callers may send. */
-export interface CallerLimits {
-  readonly headerBytes: number;
-  readonly connections: number;
-  /** Requests in progress; more are refused with `entry-busy`. */
-  readonly requests: number;
-  /** Bodies up to this size are held, so that they can be sent again. */
-  readonly heldBodyBytes: number;
-  /** Longest body of an idempotent request. */
-  readonly bodyBytes: number;
-  /** Longest body of a non-idempotent request. */
-  readonly keyedBodyBytes: number;
-  readonly headersTimeoutMilliseconds: number;
-  readonly requestTimeoutMilliseconds: number;
-}
-
-/** A request that was refused or answered, for counters and the journal. */
-export interface FinishedRequest {
-  /** Undefined when the head could not be read, so that no request came to be. */
-  readonly requestId: string | undefined;
-  readonly service: string;
-  readonly tenant: string;
-  readonly outcome: CallOutcome;
-  /** Present when the entry itself refused the request. */
-  readonly refusedDetail?: string | undefined;
-  readonly milliseconds: number;
-}
-
-export interface CallerServerOptions {
-  readonly bindHost: string;
-  readonly bindPort: number;
-  /** Tenant of a request that names none. */
-  readonly defaultTenant: string;
-  readonly limits: CallerLimits;
-  /** Starts every request identifier of this life of the node. */
-  readonly requestIdPrefix: string;
-  readonly configuration: () => Configuration;
-  readonly isStopping: () => boolean;
-  readonly clock: () => number;
-  readonly deliver: (message: CallerRequestMessage | CallerGoneMessage) => void;
-  readonly finished: (request: FinishedRequest) => void;
-}
-
 interface OpenRequest {
   readonly requestNumber: number;
   readonly requestId: string;
@@ -241,16 +191,16 @@
   }
 
   private async readBody(open: OpenRequest, checked: AcceptedRequest): Promise<void> {
-    const { bodyBytes, heldBodyBytes, keyedBodyBytes } = this.options.limits;
-    const isKeyed = checked.requestClass === RequestClass.NonIdempotent;
-    const declared = this.declaredBodyBytes(checked.service);
-    const longest = Math.min(isKeyed ? keyedBodyBytes : bodyBytes, declared);
-    const limit = Math.min(isKeyed ? keyedBodyBytes : heldBodyBytes, longest);
+    const { held, longest, tooLargeDetail } = bodyLimitsOf(
+      checked,
+      this.options.limits,
+      this.options.configuration(),
+    );
     const announced = Number(open.request.headers['content-length'] ?? 0);
     const collected =
       announced > longest
         ? ({ kind: 'too-large' } as const)
-        : await collectBody(open.request, limit, longest);
+        : await collectBody(open.request, held, longest);
     if (!this.open.has(open.requestNumber) || collected.kind === 'cut') {
       open.request.destroy();
       return;
@@ -259,25 +209,15 @@
       this.options.deliver(createRequestMessage(open, checked, collected.bytes));
       return;
     }
-    if (limit === longest || collected.kind === 'too-large') {
-      const named = isKeyed ? 'a non-idempotent' : 'an idempotent';
-      const where = longest === declared ? ` to ${checked.service}` : '';
-      const detail = `the body of ${named} request${where} must be at most ${longest} bytes`;
+    if (held === longest || collected.kind === 'too-large') {
       const reason = RefusalReason.BodyTooLarge;
-      this.rejectRequest(open, { detail, kind: 'rejected', reason }, undefined);
+      this.rejectRequest(open, { detail: tooLargeDetail, kind: 'rejected', reason }, undefined);
       return;
     }
     open.body = collected.stream;
     this.options.deliver(createRequestMessage(open, checked, undefined));
   }
 
-  /** The longest body that the service's declaration allows. */
-  private declaredBodyBytes(service: string): number {
-    const { services } = this.options.configuration();
-    const declared = Object.hasOwn(services, service) ? services[service] : undefined;
-    return declared?.maximumBodyBytes ?? Number.POSITIVE_INFINITY;
-  }
-
   private tenantOf(request: IncomingMessage): string {
     const value = singleHeader(request.headers[HeaderName.Tenant]);
     if (value === undefined || value === '') {
