Show no revision for a change that the store does not hold

show change named the current revision beside not-found and pending, which read like the revision that the change had produced.

--- a/packages/operators/src/changes/change-runner.ts
+++ b/packages/operators/src/changes/change-runner.ts
@@ -74,13 +74,12 @@
       return [{ change: changeId, revision: result.revision ?? null, state: result.status }];
     }
     const state = await this.backend.stateOf(changeId);
-    if (state.kind === 'unresolved') {
-      return [{ change: changeId, revision: null, state: state.kind }];
+    if (state.kind === 'in-force') {
+      return [{ change: changeId, revision: state.revision, state: state.kind }];
     }
+    // The store's revision says nothing of a change that it does not hold.
     const isPending = state.kind === 'not-found' && remembered !== undefined;
-    return [
-      { change: changeId, revision: state.revision, state: isPending ? 'pending' : state.kind },
-    ];
+    return [{ change: changeId, revision: null, state: isPending ? 'pending' : state.kind }];
   }
 
   private async commit(
--- a/packages/operators/tests/queries.test.ts
+++ b/packages/operators/tests/queries.test.ts
@@ -123,6 +123,15 @@
   assert.is(result.kind === 'change' ? result.status : result.kind, 'accepted');
 });
 
+// The current revision beside such a change was read as the revision that it had produced.
+test('a change that the store does not hold has no revision', async () => {
+  const runner = new QueryRunner(createNode().backend, directParser);
+  const result = await runner.run({ text: 'show change c9' });
+  assert.equal(result.kind === 'rows' ? result.rows : result, [
+    { change: 'c9', revision: null, state: 'not-found' },
+  ]);
+});
+
 // Only a run that is known to be the first may be told that nothing was changed.
 test('a change that is sent again is proposed as such', async () => {
   const { backend, changes } = createNode();
