--- a/packages/core/src/homes/home-keeper.ts
+++ b/packages/core/src/homes/home-keeper.ts
@@ -23,6 +23,7 @@
 import { defaultHomeSettings } from './home-settings.js';
 import type { HomeSettings } from './home-settings.js';
 import { rangeOfKey } from './key-hash.js';
+import type { KeyRequests } from './key-requests.js';
 import { KeyStore } from './key-store.js';
 import { MemberDirectory } from './member-directory.js';
 import { ServiceHomes } from './service-homes.js';
@@ -105,9 +106,7 @@
     answer: KeyedAnswer | undefined,
     now: ClockReading,
   ): HomeCommand[] {
-    for (const { homes } of this.services.values()) {
-      homes.requests.concluded(dispatchId, outcome, answer, now);
-    }
+    for (const requests of this.requests()) requests.concluded(dispatchId, outcome, answer, now);
     return this.finish(now);
   }
 
@@ -117,9 +116,7 @@
     answer: KeyedAnswer | undefined,
     now: ClockReading,
   ): HomeCommand[] {
-    for (const { homes } of this.services.values()) {
-      homes.requests.settled(dispatchId, outcome, answer, now);
-    }
+    for (const requests of this.requests()) requests.settled(dispatchId, outcome, answer, now);
     return this.finish(now);
   }
 
@@ -192,6 +189,11 @@
     return { bytes: heldBytes, forgotten: forgottenKeys, records: size };
   }
 
+  /** The requests of each service; only one of them knows a given attempt. */
+  private requests(): KeyRequests[] {
+    return [...this.services.values()].map(({ homes }) => homes.requests);
+  }
+
   private receive(from: string, frame: HomeFrame, now: ClockReading): void {
     switch (frame.kind) {
       case 'home-confirm':
--- a/packages/core/src/node/call-board.ts
+++ b/packages/core/src/node/call-board.ts
@@ -14,7 +14,7 @@
 import { AnswerStreams } from './answer-streams.js';
 import { loadOf, stepOf } from './call-journal.js';
 import { CounterName } from './outbox.js';
-import { LateAttempts } from './late-attempts.js';
+import { LateAttempts, settlementOf } from './late-attempts.js';
 import type { Outbox } from './outbox.js';
 
 /** Who waits for the outcome of a call. */
@@ -293,14 +293,9 @@
     if (dispatchId === undefined) {
       return;
     }
-    const { homeSettled } = this.options;
-    if (frame.kind === 'answer') {
-      const { body, headers, status } = frame;
-      homeSettled(dispatchId, { kind: 'answered', status }, { body, headers, status }, now);
-    } else if (frame.kind === 'request-refused') {
-      const { reason, retryAfterMilliseconds } = frame.refusal;
-      const outcome = { kind: 'refused-not-run', reason, retryAfterMilliseconds } as const;
-      homeSettled(dispatchId, outcome, undefined, now);
+    const settlement = settlementOf(frame);
+    if (settlement !== undefined) {
+      this.options.homeSettled(dispatchId, settlement.outcome, settlement.answer, now);
     }
   }
 
--- a/packages/core/src/node/late-attempts.ts
+++ b/packages/core/src/node/late-attempts.ts
@@ -1,3 +1,7 @@
+import type { KeyedAnswer } from '../homes/home-contract.js';
+import type { CallFrame } from '../messages/frames.js';
+import type { CallOutcome } from '../messages/outcome.js';
+
 /** How long a gate's word on an attempt that was given up can still settle a key's record. */
 const lateLimitMilliseconds = 120_000;
 /** Bounds memory when an upstream lets many requests pass their deadline. */
@@ -38,3 +42,25 @@
     }
   }
 }
+
+/** What a late frame of a gate says of an attempt. */
+export interface Settlement {
+  readonly outcome: CallOutcome;
+  readonly answer: KeyedAnswer | undefined;
+}
+
+/** Undefined for a frame that leaves the end of the attempt open. */
+export function settlementOf(frame: CallFrame): Settlement | undefined {
+  if (frame.kind === 'answer') {
+    const { body, headers, status } = frame;
+    return { answer: { body, headers, status }, outcome: { kind: 'answered', status } };
+  }
+  if (frame.kind !== 'request-refused') {
+    return undefined;
+  }
+  const { reason, retryAfterMilliseconds } = frame.refusal;
+  return {
+    answer: undefined,
+    outcome: { kind: 'refused-not-run', reason, retryAfterMilliseconds },
+  };
+}
