Say in one place which members take part

wiring.ts and member-board.ts each repeated that a member is neither dead nor gone; they use liveMembers and isLive now. table-needs.ts says why it asks the witnesses a second time.

--- a/packages/core/src/homes/table-needs.ts
+++ b/packages/core/src/homes/table-needs.ts
@@ -37,6 +37,7 @@
     this.neededSince ??= now.monotonic;
     if (!this.isMyTurn(current, now)) return undefined;
     if (current === undefined) return next;
+    // A change of witnesses misses no home, so nobody has asked yet whether a majority answers.
     this.ask(current, now.monotonic);
     return this.survey.isMajorityReachable(current, now.monotonic) ? next : undefined;
   }
--- a/packages/core/src/node/member-board.ts
+++ b/packages/core/src/node/member-board.ts
@@ -1,7 +1,7 @@
 import { match } from 'ts-pattern';
 
+import { isLive } from '../membership/member-order.js';
 import type { MembershipCommand, MembershipContract } from '../membership/membership-contract.js';
-import { MemberState } from '../messages/member.js';
 import type { MemberRecord } from '../messages/member.js';
 import type { NodeIdentity } from '../messages/identity.js';
 import { StoreClient } from '../messages/store.js';
@@ -78,9 +78,8 @@
     const { identity, membership } = this.options;
     const peers: string[] = [];
     for (const member of membership.members()) {
-      const isGone = member.state === MemberState.Dead || member.state === MemberState.Left;
       const isNear = member.availabilityZone === identity.availabilityZone;
-      if (!isGone && isNear && member.server !== identity.server) {
+      if (isLive(member) && isNear && member.server !== identity.server) {
         peers.push(member.server);
       }
     }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -13,6 +13,7 @@
 import { NodeConnections, SendResult } from '@peridotspring/nodes';
 import {
   answerNodeQuestion,
+  liveMembers,
   Metrics,
   NodeBackend,
   OperatorServer,
@@ -193,12 +194,9 @@
       );
     },
     servers: () =>
-      view
-        .members()
-        .filter(
-          ({ server, state }) => server !== identity.server && state !== 'dead' && state !== 'left',
-        )
-        .map(({ server }) => server),
+      liveMembers(view.members())
+        .map(({ server }) => server)
+        .filter((server) => server !== identity.server),
   });
   const backend = new NodeBackend({ changes, gatherer, journal, now, refusals, view });
   return { backend, changes, gatherer, metrics, observer, view };
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -73,3 +73,4 @@
 export type { OperatorServerLimits, OperatorServerOptions } from './server/operator-server.js';
 export { SecretCheck } from './server/secret-check.js';
 export type { AcceptedSecrets } from './server/secret-check.js';
+export { liveMembers } from './questions/drained.js';
