--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -19,13 +19,14 @@
 /** Lower layers may not import higher ones: every dependency points towards the core. */
 const allowedDependencies = {
   core: [],
+  'mesh-core': ['core'],
   language: ['core'],
-  nodes: ['core'],
-  callers: ['core'],
-  upstreams: ['core'],
+  nodes: ['core', 'mesh-core'],
+  callers: ['core', 'mesh-core'],
+  upstreams: ['core', 'mesh-core'],
   platform: ['core'],
   operators: ['core', 'language'],
-  daemon: ['core', 'nodes', 'callers', 'upstreams', 'platform', 'operators', 'language'],
+  daemon: ['core', 'mesh-core', 'nodes', 'callers', 'upstreams', 'platform', 'operators', 'language'],
   ctl: ['language'],
   'stand-ins': ['core'],
   'virtual-time': ['core', 'nodes', 'operators'],
@@ -53,7 +54,7 @@
               group: [`@peridotspring/${other}/*`],
               message: `The package ${name} may not depend on ${other}; dependencies point towards the core.`,
             })),
-            ...(name === 'core'
+            ...(name === 'core' || name === 'mesh-core'
               ? [{ group: ['node:*'], message: 'The core does no I/O and has no Node.js imports.' }]
               : []),
           ],
@@ -64,10 +65,10 @@
 }
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', '.cache/**', 'results/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', '.cache/**', 'results/**', 'target/**'] },
   eslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
@@ -90,7 +91,7 @@
   },
   ...packageNames.map(dependencyRule),
   {
-    files: ['packages/core/src/**/*.ts'],
+    files: ['packages/core/src/**/*.ts', 'packages/mesh-core/src/**/*.ts'],
     rules: {
       'no-restricted-globals': ['error', ...clockAndRandomGlobals],
       'no-restricted-properties': [
--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -5,3 +5,10 @@
   FinishedRequest,
 } from './caller-server-options.js';
 export { statusOf } from './outcome-status.js';
+export { RouteServer } from './routes/route-server.js';
+export type {
+  CallerHeaderNames,
+  LocalAnswer,
+  RouteServerOptions,
+  RoutingView,
+} from './routes/route-server.js';
--- a/packages/core/src/messages/header-fields.ts
+++ b/packages/core/src/messages/header-fields.ts
@@ -18,7 +18,7 @@
 const connectionName = 'connection';
 
 /** Fields that concern one connection only. `Expect` would make a client wait for an interim answer. */
-const hopByHopNames: ReadonlySet<string> = new Set([
+export const hopByHopNames: ReadonlySet<string> = new Set([
   'connection',
   'expect',
   'keep-alive',
@@ -36,7 +36,7 @@
 const noNames: ReadonlySet<string> = new Set();
 
 /** Names that a `Connection` field declares to be hop-by-hop. */
-function namesListed(value: string): ReadonlySet<string> {
+export function namesListed(value: string): ReadonlySet<string> {
   // Nearly every message has one of these two, and both would be left out anyway.
   if (value === 'keep-alive' || value === 'close') return noNames;
   return new Set(value.split(',').map((listed) => listed.trim().toLowerCase()));
--- /dev/null
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -0,0 +1,384 @@
+import type { RouteServer, RoutingView } from '@peridotspring/callers';
+import type { RandomSource } from '@peridotspring/core';
+import {
+  CompletionPolicy,
+  ConfigurationHolder,
+  NodeDirectory,
+  RepeatBudget,
+  RequestForwarder,
+  ServerGate,
+  TargetBook,
+  TrafficSplit,
+} from '@peridotspring/mesh-core';
+import type {
+  EntryRequest,
+  Execution,
+  ExecutionResult,
+  MeshFrame,
+  MeshNode,
+  ReplyFrame,
+  RequestFrame,
+  ServerLoad,
+} from '@peridotspring/mesh-core';
+import type { MeshHelloFrame, MeshLinks } from '@peridotspring/nodes';
+import type { HealthAnswer, ServerMessage } from '@peridotspring/upstreams';
+
+import type { Logger } from '../logging/logger.js';
+import { MeshEvent } from './mesh-event.js';
+import type { MeshSettings } from './mesh-settings.js';
+import { isMeshNode } from './mesh-directory-entry.js';
+import type { DecodedConfiguration } from './platform-adapter.js';
+import { StopPlan } from './stop-plan.js';
+
+/** Time between ticks while requests are in progress; hedges, queues and deadlines depend on it. */
+const busyTickMilliseconds = 10;
+const idleTickMilliseconds = 50;
+/** A server that has not told of itself by then is asked for its health. */
+const firstReportMilliseconds = 500;
+const healthRetryMilliseconds = 3_000;
+/** A node takes callers although it could not reach the others for this long. */
+const lonelyStartMilliseconds = 2_000;
+
+/** What the node uses to act on the world. */
+export interface MeshNodePorts {
+  readonly callers: Pick<RouteServer, 'configure' | 'inProgress' | 'respond' | 'stop'>;
+  readonly links: Pick<MeshLinks, 'broadcast' | 'dial' | 'send' | 'tick'>;
+  readonly server: {
+    run(execution: Execution): void;
+    abort(executionId: number): void;
+    health(path: string): Promise<HealthAnswer | undefined>;
+  };
+  /** Nothing is in progress any more: the process may end. */
+  readonly stopped: () => void;
+}
+
+export interface MeshNodeOptions {
+  readonly settings: MeshSettings;
+  readonly self: MeshNode;
+  readonly random: RandomSource;
+  readonly clock: () => number;
+  readonly log: Logger;
+  readonly ports: () => MeshNodePorts;
+  readonly decodeConfiguration: (content: Uint8Array) => DecodedConfiguration;
+}
+
+/** Connects the decisions of a node with its ports. */
+export class MeshNodeDriver {
+  public readonly directory: NodeDirectory;
+  private readonly configuration = new ConfigurationHolder();
+  private readonly targets = new TargetBook();
+  private readonly split: TrafficSplit;
+  private readonly budget: RepeatBudget;
+  private readonly forwarder: RequestForwarder;
+  private readonly gate: ServerGate;
+  private readonly startedAt: number;
+  private timer: NodeJS.Timeout | undefined;
+  private stopPlan: StopPlan | undefined;
+  private isDirectoryRead = false;
+  private healthDueAt: number;
+  private isClosed = false;
+
+  public constructor(private readonly options: MeshNodeOptions) {
+    const { clock, random, self, settings } = options;
+    this.startedAt = clock();
+    this.healthDueAt = this.startedAt + firstReportMilliseconds;
+    this.directory = new NodeDirectory(self.name);
+    this.split = new TrafficSplit(random);
+    this.budget = new RepeatBudget(settings.repeats);
+    this.gate = new ServerGate({
+      log: ({ event, fields }) => {
+        this.log(event, fields);
+      },
+      port: {
+        abort: (executionId) => {
+          options.ports().server.abort(executionId);
+        },
+        loadChanged: () => {
+          this.loadChanged();
+        },
+        reply: (node, frame) => {
+          this.reply(node, frame);
+        },
+        run: (execution) => {
+          options.ports().server.run(execution);
+        },
+      },
+      service: self.service,
+    });
+    this.forwarder = new RequestForwarder({
+      budget: this.budget,
+      callerService: self.service,
+      log: ({ event, fields }) => {
+        this.log(event, fields);
+      },
+      policy: new CompletionPolicy({ ...self, random }),
+      port: {
+        respond: (request, outcome) => {
+          options.ports().callers.respond(request, outcome);
+        },
+        send: (node, frame) => this.send(node, frame),
+      },
+      random,
+      targets: this.targets,
+    });
+    this.targets.connected(self, this.gate.load(this.startedAt), this.startedAt);
+  }
+
+  public start(): void {
+    this.tick();
+  }
+
+  public close(): void {
+    this.isClosed = true;
+    clearTimeout(this.timer);
+  }
+
+  public get routing(): RoutingView | undefined {
+    const inForce = this.configuration.inForce;
+    return inForce && { limits: inForce.configuration.limits, table: inForce.table };
+  }
+
+  /** Whether callers may send their requests to this node. */
+  public get isReady(): boolean {
+    if (this.stopPlan !== undefined || this.configuration.inForce === undefined) return false;
+    if (this.options.clock() - this.startedAt > lonelyStartMilliseconds) return true;
+    return this.isDirectoryRead && this.directory.connected * 2 >= this.directory.size - 1;
+  }
+
+  public get greeting(): Pick<MeshHelloFrame, 'configurationVersion' | 'knownNodes' | 'load'> {
+    return {
+      configurationVersion: this.configuration.version,
+      knownNodes: this.directory.size - 1,
+      load: this.gate.load(this.options.clock()),
+    };
+  }
+
+  /** Begins a planned stop: requests in progress end, and others hear of it. */
+  public stop(): void {
+    if (this.stopPlan !== undefined) return;
+    const now = this.options.clock();
+    this.stopPlan = new StopPlan(now, this.options.settings.graceMilliseconds);
+    this.gate.stop(now);
+    this.options.ports().callers.stop();
+  }
+
+  public callerRequest(request: EntryRequest): void {
+    const service = this.split.choose(request.route);
+    this.forwarder.begin(request, service, isNested(request), this.options.clock());
+  }
+
+  public callerGone(requestNumber: number): void {
+    this.forwarder.abandon(requestNumber);
+  }
+
+  public executionConcluded(executionId: number, result: ExecutionResult): void {
+    this.gate.concluded(executionId, result, this.options.clock());
+  }
+
+  public serverLoad(load: ServerLoad): void {
+    this.gate.serverLoad(load, this.options.clock());
+  }
+
+  /** Another server than the expected one has the address. */
+  public otherInstance(instanceId: string): void {
+    this.log(MeshEvent.OtherInstance, { instance: instanceId });
+  }
+
+  public serverMessage(message: ServerMessage): void {
+    const now = this.options.clock();
+    switch (message.kind) {
+      case 'report':
+        this.gate.report(message.report, now);
+        return;
+      case 'leave':
+        this.gate.leave(message.instanceId, now);
+        return;
+      case 'invalid':
+        this.log(MeshEvent.ServerMessageInvalid, { detail: message.message });
+    }
+  }
+
+  /** The operators' configuration was read from the store or came from another node. */
+  public configurationRead(content: Uint8Array, source: string): void {
+    const decoded = this.options.decodeConfiguration(content);
+    if (decoded.kind === 'invalid') {
+      const { field, message } = decoded;
+      this.log(MeshEvent.ConfigurationInvalid, { detail: message, field, source });
+      return;
+    }
+    const { configuration } = decoded;
+    if (!this.configuration.offer(configuration, content)) return;
+    const { limits, routes, version } = configuration;
+    this.log(MeshEvent.ConfigurationInForce, { routes: routes.length, source, version });
+    this.split.retain(routes);
+    this.gate.configured(new Set(routes.map(({ name }) => name)));
+    const { callers, links } = this.options.ports();
+    callers.configure(limits);
+    links.broadcast({ content, kind: 'configuration', version });
+  }
+
+  public directoryRead(): void {
+    this.isDirectoryRead = true;
+  }
+
+  public nodeMentioned(node: MeshNode): void {
+    if (this.directory.mentioned(node, this.options.clock())) {
+      this.log(MeshEvent.NodeKnown, { address: node.address, node: node.name });
+    }
+  }
+
+  public connected({ configurationVersion, knownNodes, load, node }: MeshHelloFrame): void {
+    const now = this.options.clock();
+    this.log(MeshEvent.NodeConnected, { boot: node.boot, node: node.name });
+    this.directory.connectedTo(node, now);
+    this.targets.connected(node, load, now);
+    this.forwarder.connectionRestored(node.name, node.boot, now);
+    const { links } = this.options.ports();
+    const inForce = this.configuration.inForce;
+    if (inForce !== undefined && configurationVersion < this.configuration.version) {
+      const version = this.configuration.version;
+      links.send(node.name, { content: inForce.content, kind: 'configuration', version });
+    }
+    if (knownNodes * 2 < this.directory.size - 1) {
+      links.send(node.name, { kind: 'members', members: this.directory.nodes() });
+    }
+  }
+
+  public disconnected({ name }: MeshNode, detail: string): void {
+    const now = this.options.clock();
+    this.log(MeshEvent.NodeDisconnected, { detail, node: name });
+    this.directory.disconnected(name, now);
+    this.targets.disconnected(name);
+    this.forwarder.connectionLost(name, now);
+  }
+
+  public dialFailed({ name }: MeshNode, detail: string, isRefused: boolean): void {
+    const now = this.options.clock();
+    this.log(MeshEvent.DialFailed, { detail, node: name });
+    this.directory.dialFailed(name, now);
+    if (isRefused) this.forwarder.nodeEnded(name, now);
+  }
+
+  public frame(from: MeshNode, frame: MeshFrame): void {
+    const now = this.options.clock();
+    switch (frame.kind) {
+      case 'start':
+        this.gate.start(from.name, from.boot, frame, now);
+        return;
+      case 'cancel':
+        this.gate.cancel(from.name, from.boot, frame, now);
+        return;
+      case 'answered':
+      case 'declined':
+      case 'failed':
+        this.forwarder.reply(from.name, frame, now);
+        return;
+      case 'load':
+        this.targets.reported(from.name, frame.load, now);
+        return;
+      case 'configuration':
+        if (frame.version > this.configuration.version) {
+          this.configurationRead(frame.content, from.name);
+        }
+        return;
+      case 'members':
+        for (const member of frame.members) if (isMeshNode(member)) this.nodeMentioned(member);
+        return;
+      case 'leaving':
+        this.directory.left(from.name);
+        this.targets.forget(from.name);
+    }
+  }
+
+  private send(node: string, frame: RequestFrame): boolean {
+    if (node !== this.options.self.name) return this.options.ports().links.send(node, frame);
+    // The own gate answers in a later turn, like any other, so that no decision is entered twice.
+    process.nextTick(() => {
+      this.frame(this.options.self, frame);
+    });
+    return true;
+  }
+
+  private reply(node: string, frame: ReplyFrame): void {
+    if (node !== this.options.self.name) {
+      this.options.ports().links.send(node, frame);
+      return;
+    }
+    process.nextTick(() => {
+      this.frame(this.options.self, frame);
+    });
+  }
+
+  private loadChanged(): void {
+    const now = this.options.clock();
+    const load = this.gate.load(now);
+    this.targets.reported(this.options.self.name, load, now);
+    this.options.ports().links.broadcast({ kind: 'load', load });
+  }
+
+  private tick(): void {
+    if (this.isClosed) return;
+    const now = this.options.clock();
+    const { links, stopped } = this.options.ports();
+    this.forwarder.tick(now);
+    this.gate.tick(now);
+    links.tick(now);
+    for (const node of this.directory.dueForDial(now)) links.dial(node);
+    this.budget.shareBetween(this.directory.size);
+    this.checkHealth(now);
+    if (this.stopPlan?.mayEnd(now, this.inProgress) === true) {
+      links.broadcast({ kind: 'leaving' });
+      this.close();
+      stopped();
+      return;
+    }
+    const isBusy = this.inProgress > 0;
+    this.timer = setTimeout(
+      () => {
+        this.tick();
+      },
+      isBusy ? busyTickMilliseconds : idleTickMilliseconds,
+    );
+  }
+
+  private get inProgress(): number {
+    const { callers } = this.options.ports();
+    return this.forwarder.inProgress + this.gate.inProgress + callers.inProgress;
+  }
+
+  /** A node that started again learns its server's lifetime before the server's next report. */
+  private checkHealth(now: number): void {
+    const { configuration } = this.configuration.inForce ?? {};
+    if (this.gate.hasServer || configuration === undefined || now < this.healthDueAt) return;
+    this.healthDueAt = Infinity;
+    const service = configuration.services.get(this.options.self.service);
+    if (service === undefined || service.healthPath === '') return;
+    void this.options
+      .ports()
+      .server.health(service.healthPath)
+      .then((answer) => {
+        this.healthDueAt = this.options.clock() + healthRetryMilliseconds;
+        this.healthAnswered(answer);
+      });
+  }
+
+  private healthAnswered(answer: HealthAnswer | undefined): void {
+    this.log(MeshEvent.HealthChecked, {
+      instance: answer?.instanceId ?? 'unknown',
+      ready: answer?.isReady ?? false,
+    });
+    if (answer?.instanceId === undefined || !answer.isReady || answer.load === undefined) return;
+    const now = this.options.clock();
+    this.gate.seen(answer.instanceId, answer.load.slots, now);
+    this.gate.serverLoad(answer.load, now);
+  }
+
+  private log(event: string, fields: Readonly<Record<string, string | number | boolean>>): void {
+    this.options.log.command({ event, fields, kind: 'log', level: 'info' });
+  }
+}
+
+/** Whether a server waits for the answer while it works on a request of its own. */
+function isNested({ route }: EntryRequest): boolean {
+  return route.targetLatencyMilliseconds <= 0;
+}
--- /dev/null
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -0,0 +1,355 @@
+import { assertInvariant, MinimumHeap } from '@peridotspring/core';
+import type { RandomSource } from '@peridotspring/core';
+
+import type { RepeatBudget } from '../budget/repeat-budget.js';
+import { DeclineReason } from '../messages/mesh-frames.js';
+import type {
+  AnsweredFrame,
+  DeclinedFrame,
+  FailedFrame,
+  ReplyFrame,
+  StartFrame,
+} from '../messages/mesh-frames.js';
+import type { CompletionPolicy } from '../placement/completion-policy.js';
+import type { GateView, TargetBook } from '../placement/target-book.js';
+import { RefusalCause, UnknownCause } from './entry-contract.js';
+import type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry-contract.js';
+import { RequestState } from './request-state.js';
+import type { Attempt } from './request-state.js';
+
+/** Gates that may decline before the best of them has to take the request. */
+const maximumOptionalTries = 2;
+/** Gates that may decline for good before the request is refused. */
+const maximumDeclines = 6;
+/** A request with less time left is not sent again. */
+const shortestUsefulMilliseconds = 15;
+/** Time after which an idempotent request goes elsewhere when the connection to its gate was lost. */
+const lostConnectionMilliseconds = 100;
+/** A hedge is sent once an answer has taken this many times as long as usual. */
+const hedgeFactor = 3;
+const shortestRetryAfterMilliseconds = 50;
+const longestRetryAfterMilliseconds = 1_000;
+
+export interface RequestForwarderOptions {
+  readonly port: EntryPort;
+  readonly targets: TargetBook;
+  readonly policy: CompletionPolicy;
+  readonly budget: RepeatBudget;
+  readonly random: RandomSource;
+  readonly callerService: string;
+  readonly log: (event: EntryEvent) => void;
+}
+
+/**
+ * Brings each request to a gate and its answer back to the caller. A request that a gate declined has
+ * not run and may go to another; one that may have run goes to a second server only if it is
+ * idempotent and within the budget.
+ */
+export class RequestForwarder {
+  private readonly requests = new Map<number, RequestState>();
+  private readonly attempts = new Map<number, Attempt>();
+  private readonly deadlines = new MinimumHeap<RequestState>();
+  private nextCallId = 1;
+
+  public constructor(private readonly options: RequestForwarderOptions) {}
+
+  public get inProgress(): number {
+    return this.requests.size;
+  }
+
+  public begin(request: EntryRequest, service: string, nested: boolean, now: number): void {
+    assertInvariant(!this.requests.has(request.requestNumber), 'request numbers are unique');
+    const timeoutAt = request.receivedAt + request.route.timeoutMilliseconds;
+    const deadline = Math.min(request.callerDeadline, timeoutAt);
+    const state = new RequestState(request, service, deadline, nested);
+    this.requests.set(request.requestNumber, state);
+    this.deadlines.push(deadline, state);
+    this.options.budget.request(service, now);
+    this.tryNext(state, now);
+  }
+
+  /** A gate answers. */
+  public reply(node: string, frame: ReplyFrame, now: number): void {
+    this.options.targets.reported(node, frame.load, now);
+    const attempt = this.attempts.get(frame.callId);
+    if (attempt?.node !== node) return;
+    this.endAttempt(attempt);
+    switch (frame.kind) {
+      case 'answered':
+        this.answered(attempt, frame, now);
+        return;
+      case 'declined':
+        this.declined(attempt, frame, now);
+        return;
+      case 'failed':
+        this.failed(attempt, frame, now);
+    }
+  }
+
+  /** The caller went away. */
+  public abandon(requestNumber: number): void {
+    const state = this.requests.get(requestNumber);
+    if (state === undefined) return;
+    this.log('request-abandoned', state, { attempts: state.attempts.size });
+    this.remove(state);
+  }
+
+  /** The connection to a node was lost; what was sent on it may or may not have arrived. */
+  public connectionLost(node: string, now: number): void {
+    for (const attempt of this.attempts.values()) {
+      if (attempt.node === node) attempt.lostAt ??= now;
+    }
+  }
+
+  /**
+   * A node is connected again. The same life of its process gets the frames once more and recognizes
+   * those that it has; an earlier life took its requests with it.
+   */
+  public connectionRestored(node: string, boot: number, now: number): void {
+    for (const attempt of [...this.attempts.values()]) {
+      if (attempt.node !== node) continue;
+      if (attempt.boot === boot) {
+        attempt.lostAt = undefined;
+        this.options.port.send(node, this.startFrame(attempt, now));
+      } else this.gateEnded(attempt, now);
+    }
+  }
+
+  /** The process of a node has ended. */
+  public nodeEnded(node: string, now: number): void {
+    for (const attempt of [...this.attempts.values()]) {
+      if (attempt.node === node) this.gateEnded(attempt, now);
+    }
+  }
+
+  public tick(now: number): void {
+    for (;;) {
+      const due = this.deadlines.popDue(now);
+      if (due === undefined) break;
+      if (!due.isConcluded) this.expire(due, now);
+    }
+    for (const attempt of [...this.attempts.values()]) {
+      if (!attempt.state.request.route.idempotent || attempt.state.attempts.size > 1) continue;
+      if (this.isOverdue(attempt, now)) this.repeat(attempt.state, 'hedge', now);
+    }
+  }
+
+  private isOverdue(attempt: Attempt, now: number): boolean {
+    if (attempt.lostAt !== undefined) return now - attempt.lostAt > lostConnectionMilliseconds;
+    const { load } = this.options.targets.get(attempt.node) ?? {};
+    if (load === undefined) return false;
+    const { targetLatencyMilliseconds } = attempt.state.request.route;
+    const usual = Math.max(load.serviceMilliseconds * hedgeFactor, targetLatencyMilliseconds / 2);
+    return now - attempt.sentAt > usual;
+  }
+
+  private answered(attempt: Attempt, frame: AnsweredFrame, now: number): void {
+    const { state } = attempt;
+    const { body, headers, status } = frame;
+    const isServerError = status >= 500;
+    if (isServerError && state.request.route.idempotent) {
+      if (state.attempts.size > 0 || this.repeat(state, 'server-error', now)) return;
+    }
+    this.conclude(state, { body, headers, kind: 'answered', status }, attempt.node, now);
+  }
+
+  private declined(attempt: Attempt, frame: DeclinedFrame, now: number): void {
+    const { state } = attempt;
+    state.used.delete(attempt.node);
+    state.reachedServer ||= frame.reason === DeclineReason.ServerRefused;
+    state.declined.set(attempt.node, declinedTime(frame));
+    this.log('request-moved', state, {
+      expected: frame.expectedMilliseconds,
+      from: attempt.node,
+      reason: frame.reason,
+    });
+    if (state.attempts.size > 0) return;
+    if (state.used.size > 0) {
+      // An earlier attempt may have run, so a refusal would not be true.
+      if (!this.repeat(state, 'declined', now)) this.giveUp(state, now);
+    } else if (state.reachedServer) {
+      // The next server gets a second arrival of the request, which the budget has to cover.
+      if (!this.repeat(state, 'server-refused', now)) this.refuse(state, now);
+    } else this.tryNext(state, now);
+  }
+
+  private failed(attempt: Attempt, frame: FailedFrame, now: number): void {
+    const { state } = attempt;
+    this.log('attempt-failed', state, { detail: frame.detail, node: attempt.node });
+    this.mayHaveRun(state, now);
+  }
+
+  private gateEnded(attempt: Attempt, now: number): void {
+    this.endAttempt(attempt);
+    this.log('attempt-failed', attempt.state, { detail: 'the gate ended', node: attempt.node });
+    this.mayHaveRun(attempt.state, now);
+  }
+
+  private mayHaveRun(state: RequestState, now: number): void {
+    if (state.attempts.size > 0) return;
+    if (state.request.route.idempotent && this.repeat(state, 'failed', now)) return;
+    this.giveUp(state, now);
+  }
+
+  /** Sends an idempotent request to a second server; false if that is not possible. */
+  private repeat(state: RequestState, reason: string, now: number): boolean {
+    const { budget, policy, targets } = this.options;
+    if (state.used.size >= state.request.route.maximumAttempts) return false;
+    if (state.deadline - now < shortestUsefulMilliseconds) return false;
+    const view = policy.choose(targets.ready(state.service), state.excluded, now);
+    if (view === undefined || !budget.take(state.service, now)) return false;
+    this.log('request-repeated', state, { node: view.node.name, reason });
+    return this.dispatch(state, view, false, true, now);
+  }
+
+  private tryNext(state: RequestState, now: number): void {
+    const { policy, targets } = this.options;
+    while (state.declined.size < maximumDeclines) {
+      if (state.deadline - now < shortestUsefulMilliseconds) break;
+      const excluded = state.excluded;
+      const view = policy.choose(targets.ready(state.service), excluded, now);
+      if (view === undefined) break;
+      const isOptional = state.optionalTries < maximumOptionalTries;
+      if (!isOptional && state.optionalTries === maximumOptionalTries && this.insist(state, now)) {
+        return;
+      }
+      if (this.dispatch(state, view, isOptional, false, now)) return;
+      state.declined.set(view.node.name, Infinity);
+    }
+    if (state.optionalTries <= maximumOptionalTries && this.insist(state, now)) return;
+    this.refuse(state, now);
+  }
+
+  /** Asks the gate with the shortest queue among those that said they were busy. */
+  private insist(state: RequestState, now: number): boolean {
+    state.optionalTries = maximumOptionalTries + 1;
+    const node = state.bestDeclined;
+    if (node === undefined || state.deadline - now < shortestUsefulMilliseconds) return false;
+    const view = this.options.targets.get(node);
+    if (view?.isConnected !== true) return false;
+    return this.dispatch(state, view, false, false, now);
+  }
+
+  private dispatch(
+    state: RequestState,
+    { node }: GateView,
+    optional: boolean,
+    repeat: boolean,
+    now: number,
+  ): boolean {
+    const attempt: Attempt = {
+      boot: node.boot,
+      callId: this.nextCallId,
+      lostAt: undefined,
+      node: node.name,
+      optional,
+      repeat,
+      sentAt: now,
+      state,
+    };
+    this.nextCallId += 1;
+    if (optional) state.optionalTries += 1;
+    state.attempts.set(attempt.callId, attempt);
+    state.used.add(node.name);
+    this.attempts.set(attempt.callId, attempt);
+    this.options.targets.sent(node.name);
+    if (!this.options.port.send(node.name, this.startFrame(attempt, now))) {
+      this.endAttempt(attempt);
+      state.used.delete(node.name);
+      return false;
+    }
+    return true;
+  }
+
+  private startFrame(attempt: Attempt, now: number): StartFrame {
+    const { callId, optional, repeat, state } = attempt;
+    const { body, headers, method, path, receivedAt, requestId, route } = state.request;
+    return {
+      body,
+      callId,
+      callerService: this.options.callerService,
+      headers,
+      idempotent: route.idempotent,
+      kind: 'start',
+      method,
+      nested: state.nested,
+      optional,
+      path,
+      priority: route.priority,
+      remainingMilliseconds: state.deadline - now,
+      repeat,
+      requestId,
+      routeName: route.name,
+      service: state.service,
+      targetMilliseconds: receivedAt + route.targetLatencyMilliseconds - now,
+    };
+  }
+
+  private expire(state: RequestState, now: number): void {
+    if (state.used.size === 0) this.refuse(state, now);
+    else this.conclude(state, { cause: UnknownCause.Timeout, kind: 'unknown' }, undefined, now);
+  }
+
+  private giveUp(state: RequestState, now: number): void {
+    this.conclude(state, { cause: UnknownCause.AttemptFailed, kind: 'unknown' }, undefined, now);
+  }
+
+  private refuse(state: RequestState, now: number): void {
+    const cause = causeOf(state, now);
+    // The random part spreads the return of callers that were refused together.
+    const shortest = Math.min(...state.declined.values(), longestRetryAfterMilliseconds);
+    const wait = Math.max(shortestRetryAfterMilliseconds, shortest / 2);
+    const retryAfterMilliseconds = wait * (1 + this.options.random.next());
+    this.conclude(state, { cause, kind: 'refused', retryAfterMilliseconds }, undefined, now);
+  }
+
+  private conclude(
+    state: RequestState,
+    outcome: EntryOutcome,
+    node: string | undefined,
+    now: number,
+  ): void {
+    const { receivedAt, route } = state.request;
+    this.log('request-concluded', state, {
+      declined: state.declined.size,
+      milliseconds: now - receivedAt,
+      node: node ?? 'none',
+      outcome: outcome.kind,
+      route: route.name,
+      service: state.service,
+      ...(outcome.kind === 'answered' ? { status: outcome.status } : { cause: outcome.cause }),
+    });
+    this.remove(state);
+    this.options.port.respond(state.request, outcome);
+  }
+
+  private remove(state: RequestState): void {
+    state.isConcluded = true;
+    for (const attempt of [...state.attempts.values()]) {
+      this.endAttempt(attempt);
+      this.options.port.send(attempt.node, { callId: attempt.callId, kind: 'cancel' });
+    }
+    this.requests.delete(state.request.requestNumber);
+  }
+
+  private endAttempt(attempt: Attempt): void {
+    this.attempts.delete(attempt.callId);
+    attempt.state.attempts.delete(attempt.callId);
+  }
+
+  private log(event: EntryEvent['event'], state: RequestState, fields: EntryEvent['fields']): void {
+    this.options.log({ event, fields: { request: state.request.requestId, ...fields } });
+  }
+}
+
+/** How long an answer would take at a gate that declined; infinite if it takes no request at all. */
+function declinedTime({ expectedMilliseconds, reason }: DeclinedFrame): number {
+  return reason === DeclineReason.Busy || reason === DeclineReason.QueueFull
+    ? expectedMilliseconds
+    : Infinity;
+}
+
+function causeOf(state: RequestState, now: number): RefusalCause {
+  if (state.deadline - now < shortestUsefulMilliseconds) return RefusalCause.DeadlineTooShort;
+  return state.declined.size === 0 ? RefusalCause.NoServer : RefusalCause.Overloaded;
+}
--- /dev/null
+++ b/packages/mesh-core/src/gate/recent-failures.ts
@@ -0,0 +1,21 @@
+/** Weight of one result: the share covers about the last ten. */
+const resultWeight = 0.1;
+/** Time in which the share of a server that gets no requests falls by half, so that it is tried again. */
+const halfLifeMilliseconds = 2_000;
+
+/** Share of recent requests that the server failed. */
+export class RecentFailures {
+  private value = 0;
+  private updatedAt = 0;
+
+  public add(isFailure: boolean, now: number): void {
+    this.value = this.share(now);
+    this.value += resultWeight * ((isFailure ? 1 : 0) - this.value);
+    this.updatedAt = now;
+  }
+
+  public share(now: number): number {
+    const elapsed = Math.max(0, now - this.updatedAt);
+    return this.value * 0.5 ** (elapsed / halfLifeMilliseconds);
+  }
+}
--- /dev/null
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -0,0 +1,406 @@
+import { DeclineReason, ServerState } from '../messages/mesh-frames.js';
+import type { CancelFrame, GateLoad, ReplyFrame, StartFrame } from '../messages/mesh-frames.js';
+import { AdmissionQueue } from './admission-queue.js';
+import type { WaitingRequest } from './admission-queue.js';
+import { ConcurrencyBound } from './concurrency-bound.js';
+import type {
+  Execution,
+  ExecutionResult,
+  GateEvent,
+  GatePort,
+  ServerLoad,
+  ServerReport,
+} from './gate-contract.js';
+import { MomentarySpeed } from './momentary-speed.js';
+import { RecentFailures } from './recent-failures.js';
+import { ReportEffect, ServerLifetime } from './server-lifetime.js';
+import { ServiceTimes } from './service-times.js';
+
+/** A request with less time left is declined: the way to the server and back takes about this long. */
+const shortestUsefulMilliseconds = 5;
+/** A slowdown above this makes another server the better choice for an optional request. */
+const notableSlowdown = 1.8;
+/** Time for which a finished call is remembered, so that a frame sent again gets the same reply. */
+const rememberedMilliseconds = 5_000;
+/** Time past the deadline after which a request is aborted; the server ends its work by itself first. */
+const overdueMilliseconds = 400;
+
+interface GateCall {
+  readonly key: string;
+  readonly executionId: number;
+  readonly from: string;
+  readonly frame: StartFrame;
+  readonly deadline: number;
+  readonly targetAt: number;
+  state: 'waiting' | 'running' | 'aborted' | 'finished';
+  startedAt: number;
+  finishedAt: number;
+  reply: ReplyFrame | undefined;
+}
+
+export interface ServerGateOptions {
+  readonly service: string;
+  readonly port: GatePort;
+  readonly log: (event: GateEvent) => void;
+}
+
+/**
+ * The only way to the server beside the node. It decides what the server runs, in which order and how
+ * much at once, so it knows without measuring how many requests are in flight, and its refusals are
+ * true: what it declines has not run and will not.
+ */
+export class ServerGate {
+  private readonly lifetime = new ServerLifetime();
+  private readonly queue = new AdmissionQueue();
+  private readonly bound = new ConcurrencyBound();
+  private readonly times = new ServiceTimes();
+  private readonly speed = new MomentarySpeed();
+  private readonly failures = new RecentFailures();
+  private readonly calls = new Map<string, GateCall>();
+  private readonly byExecution = new Map<number, GateCall>();
+  private running = 0;
+  private nextExecutionId = 1;
+  private isStopping = false;
+  private nextSweepAt = 0;
+
+  public constructor(private readonly options: ServerGateOptions) {}
+
+  public get state(): ServerState {
+    if (this.isStopping) return ServerState.Draining;
+    return this.lifetime.state;
+  }
+
+  public get inProgress(): number {
+    return this.running + this.queue.size;
+  }
+
+  public get hasServer(): boolean {
+    return this.lifetime.instanceId !== undefined;
+  }
+
+  public load(now: number): GateLoad {
+    return {
+      failureShare: this.failures.share(now),
+      limit: this.bound.limit(this.lifetime.slots),
+      running: this.running,
+      serviceMilliseconds: this.times.meanMilliseconds,
+      slowdown: this.speed.current(now),
+      state: this.state,
+      waiting: this.queue.size,
+    };
+  }
+
+  /** A node asks for a request to be run. `boot` is the life of the asking process. */
+  public start(from: string, boot: number, frame: StartFrame, now: number): void {
+    const key = callKey(from, boot, frame.callId);
+    const known = this.calls.get(key);
+    if (known !== undefined) {
+      if (known.reply !== undefined) this.options.port.reply(from, known.reply);
+      return;
+    }
+    const call = this.open(key, from, frame, now);
+    const reason = this.closedReason(frame);
+    if (reason !== undefined) {
+      this.decline(call, reason, 0, now);
+      return;
+    }
+    this.admit(call, now);
+  }
+
+  /** Nobody waits for the answer any more. */
+  public cancel(from: string, boot: number, frame: CancelFrame, now: number): void {
+    const call = this.calls.get(callKey(from, boot, frame.callId));
+    if (call === undefined) return;
+    if (call.state === 'waiting') {
+      this.queue.remove(call.executionId);
+      this.finish(call, undefined, now);
+    } else if (call.state === 'running' && call.frame.idempotent) {
+      // A request that must not be repeated is left to finish: its effect is wanted even unheard.
+      call.state = 'aborted';
+      this.options.port.abort(call.executionId);
+    }
+    this.log('request-cancelled', call, { state: call.state });
+  }
+
+  /** The server is done with a request. */
+  public concluded(executionId: number, result: ExecutionResult, now: number): void {
+    const call = this.byExecution.get(executionId);
+    if (call === undefined) return;
+    const wasAborted = call.state === 'aborted';
+    this.running -= 1;
+    const milliseconds = now - call.startedAt;
+    if (!wasAborted) this.learn(call, result, milliseconds, now);
+    this.finish(call, wasAborted ? undefined : this.replyOf(call, result, now), now);
+    this.startWaiting(now);
+  }
+
+  /** Load that came with an answer of the server. */
+  public serverLoad(load: ServerLoad, now: number): void {
+    this.bound.reported(load.running, this.running);
+    if (load.slowdown !== undefined) this.speed.report(load.slowdown, now);
+    this.startWaiting(now);
+  }
+
+  public report(report: ServerReport, now: number): void {
+    this.applyEffect(this.lifetime.report(report, now), report.instanceId, now);
+  }
+
+  /** A health check was answered; `instanceId` is who answered. */
+  public seen(instanceId: string, slots: number, now: number): void {
+    this.applyEffect(this.lifetime.seen(instanceId, slots, now), instanceId, now);
+  }
+
+  /** The server says that it leaves. When this returns, no further request goes to it. */
+  public leave(instanceId: string, now: number): void {
+    if (!this.lifetime.leave(instanceId)) return;
+    this.options.log({ event: 'server-left', fields: { instance: instanceId } });
+    this.declineWaiting(DeclineReason.Draining, now);
+    this.options.port.loadChanged();
+  }
+
+  /** The process is about to end: nothing new starts here. */
+  public stop(now: number): void {
+    this.isStopping = true;
+    this.declineWaiting(DeclineReason.Draining, now);
+    this.options.port.loadChanged();
+  }
+
+  public configured(routeNames: ReadonlySet<string>): void {
+    this.times.retain(routeNames);
+  }
+
+  public tick(now: number): void {
+    for (const waiting of [...this.queue.values()]) {
+      if (waiting.deadline - now >= shortestUsefulMilliseconds) continue;
+      const call = this.byExecution.get(waiting.executionId);
+      this.queue.remove(waiting.executionId);
+      if (call !== undefined) this.decline(call, DeclineReason.DeadlineTooShort, 0, now);
+    }
+    this.startWaiting(now);
+    if (now >= this.nextSweepAt) this.sweep(now);
+  }
+
+  private sweep(now: number): void {
+    this.nextSweepAt = now + sweepMilliseconds;
+    for (const call of this.calls.values()) {
+      if (call.state === 'finished' && now - call.finishedAt > rememberedMilliseconds) {
+        this.calls.delete(call.key);
+      } else if (call.state === 'running' && now - call.deadline > overdueMilliseconds) {
+        this.options.port.abort(call.executionId);
+      }
+    }
+  }
+
+  private open(key: string, from: string, frame: StartFrame, now: number): GateCall {
+    const call: GateCall = {
+      deadline: now + frame.remainingMilliseconds,
+      executionId: this.nextExecutionId,
+      finishedAt: 0,
+      frame,
+      from,
+      key,
+      reply: undefined,
+      startedAt: 0,
+      state: 'waiting',
+      targetAt: now + frame.targetMilliseconds,
+    };
+    this.nextExecutionId += 1;
+    this.calls.set(key, call);
+    this.byExecution.set(call.executionId, call);
+    return call;
+  }
+
+  private closedReason(frame: StartFrame): DeclineReason | undefined {
+    if (this.isStopping) return DeclineReason.Draining;
+    switch (this.lifetime.state) {
+      case ServerState.Absent:
+        return DeclineReason.NoServer;
+      case ServerState.Draining:
+        return DeclineReason.Draining;
+      case ServerState.Ready:
+    }
+    if (frame.service !== this.options.service) return DeclineReason.WrongService;
+    return frame.remainingMilliseconds < shortestUsefulMilliseconds
+      ? DeclineReason.DeadlineTooShort
+      : undefined;
+  }
+
+  private admit(call: GateCall, now: number): void {
+    const { frame } = call;
+    const slowdown = this.speed.current(now);
+    const isFree = this.queue.size === 0 && this.running < this.limitFor(frame);
+    if (isFree && !(frame.optional && slowdown > notableSlowdown)) {
+      this.run(call, now);
+      return;
+    }
+    const waiting = waitingOf(call, now);
+    const expected = isFree ? 0 : this.expectedWait(waiting, now);
+    const finish = expected + this.times.expected(frame.routeName);
+    if (frame.optional) {
+      this.decline(call, DeclineReason.Busy, finish, now);
+    } else if (isFree) {
+      this.run(call, now);
+    } else if (now + finish > call.deadline) {
+      this.decline(call, DeclineReason.QueueFull, finish, now);
+    } else {
+      this.queue.add(waiting);
+      this.startWaiting(now);
+    }
+  }
+
+  private limitFor(frame: StartFrame): number {
+    const { slots } = this.lifetime;
+    return frame.nested ? this.bound.nestedLimit(slots) : this.bound.limit(slots);
+  }
+
+  /** Time until a request would start if it waited here. */
+  private expectedWait(request: WaitingRequest, now: number): number {
+    const service = this.times.meanMilliseconds;
+    const limit = this.limitFor(request.frame);
+    const ahead = this.queue.ahead(request, now, service);
+    const excess = Math.max(0, this.running - limit);
+    return ((ahead + excess + 1) * service) / limit;
+  }
+
+  private startWaiting(now: number): void {
+    if (this.lifetime.state !== ServerState.Ready || this.isStopping) return;
+    while (this.queue.size > 0) {
+      const next = this.queue.next(now, this.times.meanMilliseconds);
+      if (next === undefined || this.running >= this.limitFor(next.frame)) return;
+      this.queue.remove(next.executionId);
+      const call = this.byExecution.get(next.executionId);
+      if (call === undefined) continue;
+      if (call.deadline - now < shortestUsefulMilliseconds) {
+        this.decline(call, DeclineReason.DeadlineTooShort, 0, now);
+      } else this.run(call, now);
+    }
+  }
+
+  private run(call: GateCall, now: number): void {
+    const { instanceId } = this.lifetime;
+    if (instanceId === undefined) {
+      this.decline(call, DeclineReason.NoServer, 0, now);
+      return;
+    }
+    call.state = 'running';
+    call.startedAt = now;
+    this.running += 1;
+    const { deadline, executionId, frame } = call;
+    const execution: Execution = { deadline, executionId, frame, instanceId };
+    this.log('request-started', call, {
+      limit: this.limitFor(frame),
+      running: this.running,
+      slowdown: this.speed.current(now),
+      waited: now - (call.deadline - frame.remainingMilliseconds),
+    });
+    this.options.port.run(execution);
+  }
+
+  private replyOf(call: GateCall, result: ExecutionResult, now: number): ReplyFrame {
+    const { callId } = call.frame;
+    const load = this.load(now);
+    switch (result.kind) {
+      case 'answered': {
+        const { body, headers, status } = result;
+        return { body, callId, headers, kind: 'answered', load, status };
+      }
+      case 'failed':
+        return { callId, detail: result.detail, kind: 'failed', load };
+      case 'not-run':
+        return {
+          callId,
+          expectedMilliseconds: 0,
+          kind: 'declined',
+          load,
+          reason: result.reason,
+        };
+    }
+  }
+
+  private learn(call: GateCall, result: ExecutionResult, milliseconds: number, now: number): void {
+    const isFailure =
+      result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
+    this.failures.add(isFailure, now);
+    if (result.kind === 'answered' && result.status < 500) {
+      this.times.add(call.frame.routeName, milliseconds);
+    }
+  }
+
+  private decline(call: GateCall, reason: DeclineReason, expected: number, now: number): void {
+    this.log('request-declined', call, {
+      expected,
+      limit: this.limitFor(call.frame),
+      reason,
+      running: this.running,
+      waiting: this.queue.size,
+    });
+    const frame: ReplyFrame = {
+      callId: call.frame.callId,
+      expectedMilliseconds: expected,
+      kind: 'declined',
+      load: this.load(now),
+      reason,
+    };
+    this.finish(call, frame, now);
+  }
+
+  private declineWaiting(reason: DeclineReason, now: number): void {
+    for (const waiting of [...this.queue.values()]) {
+      this.queue.remove(waiting.executionId);
+      const call = this.byExecution.get(waiting.executionId);
+      if (call !== undefined) this.decline(call, reason, 0, now);
+    }
+  }
+
+  private finish(call: GateCall, reply: ReplyFrame | undefined, now: number): void {
+    call.state = 'finished';
+    call.finishedAt = now;
+    call.reply = reply;
+    this.byExecution.delete(call.executionId);
+    if (reply !== undefined) this.options.port.reply(call.from, reply);
+  }
+
+  private applyEffect(effect: ReportEffect, instanceId: string, now: number): void {
+    const { log, port } = this.options;
+    switch (effect) {
+      case ReportEffect.Unchanged:
+        return;
+      case ReportEffect.Ignored:
+        log({ event: 'server-report-ignored', fields: { instance: instanceId } });
+        return;
+      case ReportEffect.Started:
+        log({ event: 'server-ready', fields: { instance: instanceId, slots: this.lifetime.slots } });
+        port.loadChanged();
+        return;
+      case ReportEffect.Draining:
+        log({
+          event: 'server-draining',
+          fields: { instance: instanceId, running: this.running, waiting: this.queue.size },
+        });
+        this.declineWaiting(DeclineReason.Draining, now);
+        port.loadChanged();
+    }
+  }
+
+  private log(
+    event: GateEvent['event'],
+    { frame, from }: GateCall,
+    fields: GateEvent['fields'],
+  ): void {
+    this.options.log({
+      event,
+      fields: { from, request: frame.requestId, route: frame.routeName, ...fields },
+    });
+  }
+}
+
+const sweepMilliseconds = 100;
+
+function callKey(from: string, boot: number, callId: number): string {
+  return `${from}/${boot}/${callId}`;
+}
+
+function waitingOf(call: GateCall, now: number): WaitingRequest {
+  const { deadline, executionId, frame, targetAt } = call;
+  return { deadline, enqueuedAt: now, executionId, frame, targetAt };
+}
--- /dev/null
+++ b/packages/mesh-core/src/index.ts
@@ -0,0 +1,58 @@
+export { RepeatBudget } from './budget/repeat-budget.js';
+export type { RepeatBudgetOptions } from './budget/repeat-budget.js';
+export { ConfigurationHolder } from './configuration/configuration-holder.js';
+export type { ConfigurationInForce } from './configuration/configuration-holder.js';
+export { RefusalCause, UnknownCause } from './entry/entry-contract.js';
+export type {
+  EntryEvent,
+  EntryOutcome,
+  EntryPort,
+  EntryRequest,
+} from './entry/entry-contract.js';
+export { RequestForwarder } from './entry/request-forwarder.js';
+export type { RequestForwarderOptions } from './entry/request-forwarder.js';
+export type {
+  Execution,
+  ExecutionResult,
+  GateEvent,
+  GatePort,
+  ServerLoad,
+  ServerReport,
+} from './gate/gate-contract.js';
+export { ServerGate } from './gate/server-gate.js';
+export type { ServerGateOptions } from './gate/server-gate.js';
+export { ReportEffect, ServerLifetime } from './gate/server-lifetime.js';
+export { NodeDirectory } from './membership/node-directory.js';
+export { DeclineReason, ServerState } from './messages/mesh-frames.js';
+export type {
+  AnsweredFrame,
+  CancelFrame,
+  ConfigurationFrame,
+  ControlFrame,
+  DeclinedFrame,
+  FailedFrame,
+  GateLoad,
+  HeaderList,
+  LeavingFrame,
+  LoadFrame,
+  MembersFrame,
+  MeshFrame,
+  MeshNode,
+  ReplyFrame,
+  RequestFrame,
+  StartFrame,
+} from './messages/mesh-frames.js';
+export { CompletionPolicy } from './placement/completion-policy.js';
+export type { PlacementOptions } from './placement/completion-policy.js';
+export { TargetBook } from './placement/target-book.js';
+export type { GateView } from './placement/target-book.js';
+export type {
+  CallerLimits,
+  Route,
+  RouteConfiguration,
+  RoutedService,
+  WeightedService,
+} from './routes/route-configuration.js';
+export { RouteTable } from './routes/route-table.js';
+export { TrafficSplit } from './routes/traffic-split.js';
+export { endToEndList, fieldOf, outgoingFields } from './messages/header-list.js';
--- /dev/null
+++ b/packages/mesh-core/src/membership/node-directory.ts
@@ -0,0 +1,109 @@
+import type { MeshNode } from '../messages/mesh-frames.js';
+
+/** Time after which a node that can't be reached and that nobody mentions is forgotten. */
+const forgetAfterMilliseconds = 60_000;
+const shortestRedialMilliseconds = 100;
+const longestRedialMilliseconds = 2_000;
+/** The node with the later name waits, so that two nodes seldom dial each other at the same time. */
+const secondDialerMilliseconds = 150;
+
+interface KnownNode {
+  node: MeshNode;
+  isConnected: boolean;
+  lastMentionedAt: number;
+  dialAt: number;
+  failures: number;
+}
+
+/**
+ * The other nodes that this one knows of, and when to dial each. Entries of the store and what other
+ * nodes say are hints of where a node may be; whether it lives shows on the connection to it.
+ */
+export class NodeDirectory {
+  private readonly known = new Map<string, KnownNode>();
+
+  public constructor(private readonly self: string) {}
+
+  /** Nodes that may be at work now, this one included. */
+  public get size(): number {
+    return this.known.size + 1;
+  }
+
+  public get connected(): number {
+    let count = 0;
+    for (const { isConnected } of this.known.values()) if (isConnected) count += 1;
+    return count;
+  }
+
+  public nodes(): readonly MeshNode[] {
+    return [...this.known.values()].map(({ node }) => node);
+  }
+
+  /** The store or another node names a node. True if it was not known in this life. */
+  public mentioned(node: MeshNode, now: number): boolean {
+    if (node.name === this.self) return false;
+    const known = this.known.get(node.name);
+    if (known === undefined) {
+      this.known.set(node.name, {
+        dialAt: now,
+        failures: 0,
+        isConnected: false,
+        lastMentionedAt: now,
+        node,
+      });
+      return true;
+    }
+    known.lastMentionedAt = now;
+    if (node.boot <= known.node.boot || known.isConnected) return false;
+    known.node = node;
+    known.failures = 0;
+    known.dialAt = now;
+    return true;
+  }
+
+  public connectedTo(node: MeshNode, now: number): void {
+    this.mentioned(node, now);
+    const known = this.known.get(node.name);
+    if (known === undefined) return;
+    known.node = node;
+    known.isConnected = true;
+    known.failures = 0;
+    known.lastMentionedAt = now;
+  }
+
+  public disconnected(name: string, now: number): void {
+    const known = this.known.get(name);
+    if (known === undefined) return;
+    known.isConnected = false;
+    known.lastMentionedAt = now;
+    known.dialAt = now + (this.self < name ? 0 : secondDialerMilliseconds);
+  }
+
+  public dialFailed(name: string, now: number): void {
+    const known = this.known.get(name);
+    if (known === undefined) return;
+    known.failures += 1;
+    const delay = shortestRedialMilliseconds * 2 ** Math.min(known.failures, 5);
+    known.dialAt = now + Math.min(delay, longestRedialMilliseconds);
+  }
+
+  /** The node said that its process ends. */
+  public left(name: string): void {
+    this.known.delete(name);
+  }
+
+  /** Nodes to dial now; each is given once until its dial fails or its connection ends. */
+  public dueForDial(now: number): readonly MeshNode[] {
+    const due: MeshNode[] = [];
+    for (const [name, known] of this.known) {
+      if (known.isConnected || known.dialAt > now) continue;
+      if (now - known.lastMentionedAt > forgetAfterMilliseconds) {
+        this.known.delete(name);
+        continue;
+      }
+      known.dialAt = Infinity;
+      due.push(known.node);
+    }
+    return due;
+  }
+}
--- /dev/null
+++ b/packages/mesh-core/src/placement/target-book.ts
@@ -0,0 +1,70 @@
+import { ServerState } from '../messages/mesh-frames.js';
+import type { GateLoad, MeshNode } from '../messages/mesh-frames.js';
+
+/** What this node knows of one gate. */
+export interface GateView {
+  readonly node: MeshNode;
+  load: GateLoad;
+  loadAt: number;
+  /** Requests that this node has sent and that the load does not include yet. */
+  unreported: number;
+  isConnected: boolean;
+}
+
+const unknownLoad: GateLoad = {
+  failureShare: 0,
+  limit: 0,
+  running: 0,
+  serviceMilliseconds: 0,
+  slowdown: 1,
+  state: ServerState.Absent,
+  waiting: 0,
+};
+
+/** The gates of all services that this node can reach, with the load that each last told. */
+export class TargetBook {
+  private readonly views = new Map<string, GateView>();
+
+  public connected(node: MeshNode, load: GateLoad, now: number): void {
+    this.views.set(node.name, { isConnected: true, load, loadAt: now, node, unreported: 0 });
+  }
+
+  public disconnected(name: string): void {
+    const view = this.views.get(name);
+    if (view !== undefined) view.isConnected = false;
+  }
+
+  public forget(name: string): void {
+    this.views.delete(name);
+  }
+
+  public reported(name: string, load: GateLoad, now: number): void {
+    const view = this.views.get(name);
+    if (view === undefined) return;
+    view.load = load;
+    view.loadAt = now;
+    view.unreported = 0;
+  }
+
+  public sent(name: string): void {
+    const view = this.views.get(name);
+    if (view !== undefined) view.unreported += 1;
+  }
+
+  public get(name: string): GateView | undefined {
+    return this.views.get(name);
+  }
+
+  public loadOf(name: string): GateLoad {
+    return this.views.get(name)?.load ?? unknownLoad;
+  }
+
+  /** Gates of a service that take requests. */
+  public *ready(service: string): Generator<GateView> {
+    for (const view of this.views.values()) {
+      if (view.node.service === service && view.isConnected && view.load.state === 'ready') {
+        yield view;
+      }
+    }
+  }
+}
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -5,3 +5,6 @@
 export type { PeerSecrets } from './peer-authentication.js';
 export { CloseReason } from './peer-connection.js';
 export { protocolVersion } from './wire-frames.js';
+export { MeshLinks } from './mesh/mesh-links.js';
+export type { MeshLinksEvents, MeshLinksOptions } from './mesh/mesh-links.js';
+export type { MeshHelloFrame } from './mesh/mesh-frame-codec.js';
--- /dev/null
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -0,0 +1,165 @@
+import { Encoder } from 'cbor-x';
+
+import type { GateLoad, MeshFrame, MeshNode } from '@peridotspring/mesh-core';
+
+import { FrameFault, LengthPrefixedDecoder, prefixLength } from '../length-prefixed.js';
+import type { Decoded } from '../length-prefixed.js';
+
+/** Raised when frames change in a way that older nodes can't read. */
+export const meshProtocolVersion = 1;
+
+/** The first frame in each direction. */
+export interface MeshHelloFrame {
+  readonly kind: 'hello';
+  readonly protocol: number;
+  readonly node: MeshNode;
+  readonly load: GateLoad;
+  readonly configurationVersion: number;
+  /** Other nodes that the sender knows of; a node that knows far fewer is told of the rest. */
+  readonly knownNodes: number;
+}
+
+/** Asks whether the other side is alive. */
+export interface PingFrame {
+  readonly kind: 'ping';
+}
+
+export interface PongFrame {
+  readonly kind: 'pong';
+}
+
+export type MeshWireFrame = MeshHelloFrame | PingFrame | PongFrame | MeshFrame;
+
+/** Largest encoded frame in bytes: a body of the largest configured size and its head. */
+const maximumFrameBytes = 68_157_440;
+
+/** Field names that frames carry as numbers, in the order of their numbers. New names go to the end. */
+const fieldNames = [
+  'kind',
+  'callId',
+  'load',
+  'state',
+  'running',
+  'waiting',
+  'limit',
+  'slowdown',
+  'serviceMilliseconds',
+  'failureShare',
+  'status',
+  'headers',
+  'body',
+  'service',
+  'routeName',
+  'requestId',
+  'callerService',
+  'method',
+  'path',
+  'idempotent',
+  'priority',
+  'nested',
+  'repeat',
+  'optional',
+  'remainingMilliseconds',
+  'targetMilliseconds',
+  'reason',
+  'expectedMilliseconds',
+  'detail',
+] as const;
+
+const encoder = new Encoder({
+  keyMap: Object.fromEntries(fieldNames.map((name, index) => [name, index + 1])),
+  tagUint8Array: false,
+  useRecords: false,
+});
+
+type FieldType = 'array' | 'boolean' | 'bytes' | 'number' | 'object' | 'string';
+
+const callField = { callId: 'number' } as const;
+const loadedCall = { ...callField, load: 'object' } as const;
+
+/** The fields that the receiver of each frame relies on. */
+const frameShapes: Readonly<
+  Record<MeshWireFrame['kind'], Readonly<Record<string, FieldType>>>
+> = {
+  answered: { ...loadedCall, body: 'bytes', headers: 'array', status: 'number' },
+  cancel: callField,
+  configuration: { content: 'bytes', version: 'number' },
+  declined: { ...loadedCall, expectedMilliseconds: 'number', reason: 'string' },
+  failed: { ...loadedCall, detail: 'string' },
+  hello: {
+    configurationVersion: 'number',
+    knownNodes: 'number',
+    load: 'object',
+    node: 'object',
+    protocol: 'number',
+  },
+  leaving: {},
+  load: { load: 'object' },
+  members: { members: 'array' },
+  ping: {},
+  pong: {},
+  start: {
+    ...callField,
+    callerService: 'string',
+    headers: 'array',
+    idempotent: 'boolean',
+    method: 'string',
+    nested: 'boolean',
+    optional: 'boolean',
+    path: 'string',
+    priority: 'number',
+    remainingMilliseconds: 'number',
+    repeat: 'boolean',
+    requestId: 'string',
+    routeName: 'string',
+    service: 'string',
+    targetMilliseconds: 'number',
+  },
+};
+
+export function encodeMeshFrame(frame: MeshWireFrame): Buffer {
+  return prefixLength(encoder.encode(frame));
+}
+
+/** Splits the byte stream of a connection between nodes into frames. */
+export class MeshFrameDecoder extends LengthPrefixedDecoder<MeshWireFrame> {
+  public constructor() {
+    super(maximumFrameBytes, decodeMeshFrame);
+  }
+}
+
+function decodeMeshFrame(bytes: Buffer): Decoded<MeshWireFrame> {
+  let value: unknown;
+  try {
+    value = encoder.decode(bytes);
+  } catch (error) {
+    return { detail: String(error), fault: FrameFault.BadEncoding, kind: 'fault' };
+  }
+  const detail = describeFault(value);
+  if (detail !== undefined) return { detail, fault: FrameFault.BadShape, kind: 'fault' };
+  return { frame: value as MeshWireFrame, kind: 'frame' };
+}
+
+function describeFault(value: unknown): string | undefined {
+  if (typeof value !== 'object' || value === null) return 'a frame is a map';
+  const fields = value as Readonly<Record<string, unknown>>;
+  const { kind } = fields;
+  if (typeof kind !== 'string' || !Object.hasOwn(frameShapes, kind)) return 'unknown kind of frame';
+  for (const [name, type] of Object.entries(frameShapes[kind as MeshWireFrame['kind']])) {
+    if (!hasType(fields[name], type)) return `${kind}: ${name} is not of type ${type}`;
+  }
+  return undefined;
+}
+
+function hasType(value: unknown, type: FieldType): boolean {
+  switch (type) {
+    case 'array':
+      return Array.isArray(value);
+    case 'bytes':
+      return value instanceof Uint8Array;
+    case 'object':
+      return typeof value === 'object' && value !== null;
+    default:
+      return typeof value === type;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/key-values/key-value-store.ts
@@ -0,0 +1,54 @@
+/** A key of the store with its value. */
+export interface StoredItem {
+  readonly key: string;
+  readonly value: Uint8Array;
+}
+
+/** Items of the store at a revision. */
+export interface ItemPage {
+  readonly items: readonly StoredItem[];
+  /** Continue after the last item if there are more. */
+  readonly hasMore: boolean;
+  /** Revision of the store, from which a watch goes on. */
+  readonly revision: number;
+}
+
+/** What became of a call to the store. */
+export type StoreOutcome<Value> =
+  | { readonly kind: 'ok'; readonly value: Value }
+  /** The key or the lease does not exist. */
+  | { readonly kind: 'missing' }
+  /** The history that a watch asked for is gone. */
+  | { readonly kind: 'compacted' }
+  /** The store did nothing, or nobody knows whether it did. */
+  | { readonly kind: 'unavailable'; readonly detail: string };
+
+/** One HTTP call to the store, in the store's form. */
+export interface StoreCall<Value> {
+  /** For logs and counters. */
+  readonly name: string;
+  readonly method: 'DELETE' | 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: string;
+  /** Time that the store may hold the call before it answers. */
+  readonly holdMilliseconds?: number;
+  parse(status: number, body: string): StoreOutcome<Value>;
+}
+
+/** The calls that a node makes, in the store's form. */
+export interface StoreCallCodec {
+  /** The key that holds the operators' configuration. */
+  readonly configurationKey: string;
+  list(prefix: string, after: string | undefined, stale: boolean): StoreCall<ItemPage>;
+  watch(prefix: string, revision: number, waitMilliseconds: number): StoreCall<ItemPage>;
+  grantLease(lifeMilliseconds: number): StoreCall<number>;
+  renewLease(lease: number): StoreCall<undefined>;
+  endLease(lease: number): StoreCall<undefined>;
+  write(key: string, value: Uint8Array, lease: number): StoreCall<undefined>;
+}
+
+/** Makes calls to the store. */
+export interface StoreTransport {
+  /** `signal` gives the call up. */
+  execute<Value>(call: StoreCall<Value>, signal?: AbortSignal): Promise<StoreOutcome<Value>>;
+}
--- /dev/null
+++ b/packages/upstreams/src/mesh/readiness-server.ts
@@ -0,0 +1,42 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+
+/** A page that is served by path. */
+export interface TextPage {
+  readonly path: string;
+  /** Status and text of the page at this moment. */
+  readonly render: () => { readonly status: number; readonly text: string };
+}
+
+/** Serves the pages by which the platform watches the process. */
+export class ReadinessServer {
+  private readonly server: Server;
+
+  public constructor(
+    private readonly bindHost: string,
+    private readonly bindPort: number,
+    pages: readonly TextPage[],
+  ) {
+    this.server = createServer((request, response) => {
+      const path = (request.url ?? '/').split('?')[0];
+      const page = pages.find((candidate) => candidate.path === path);
+      const { status, text } = page?.render() ?? { status: 404, text: 'not found\n' };
+      request.resume();
+      response.writeHead(status, { 'content-type': 'text/plain; version=0.0.4' });
+      response.end(text);
+    });
+  }
+
+  public async listen(): Promise<void> {
+    this.server.listen(this.bindPort, this.bindHost);
+    await once(this.server, 'listening');
+  }
+
+  public async close(): Promise<void> {
+    await new Promise((resolve) => {
+      this.server.close(resolve);
+      this.server.closeAllConnections();
+    });
+  }
+}
--- /dev/null
+++ b/packages/upstreams/src/mesh/server-agent.ts
@@ -0,0 +1,66 @@
+import { Agent } from 'node:http';
+import type { ClientRequest } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+
+/** An idle connection is closed well before servers do, so that a request seldom meets a closing one. */
+const idleMilliseconds = 4_000;
+/** Time for which connections are used once only after a server sent bytes that nobody asked for. */
+const distrustMilliseconds = 15_000;
+
+/**
+ * Keep-alive connections to one server. Bytes that arrive on an idle connection belong to no request;
+ * the connection is closed, and for a time each request gets a connection of its own.
+ */
+export class ServerAgent extends Agent {
+  private readonly idle = new Set<Duplex>();
+  private distrustUntil = 0;
+
+  public constructor(private readonly clock: () => number) {
+    super({ keepAlive: true, scheduling: 'lifo', timeout: idleMilliseconds });
+  }
+
+  /** A connection carried an answer that does not belong to its request. */
+  public distrust(): void {
+    this.distrustUntil = this.clock() + distrustMilliseconds;
+    this.dropIdle();
+  }
+
+  /** Closes the connections that no request uses. */
+  public dropIdle(): void {
+    for (const socket of this.idle) socket.destroy();
+    this.idle.clear();
+  }
+
+  public override keepSocketAlive(socket: Duplex): boolean {
+    if (this.clock() < this.distrustUntil) return false;
+    const { keepSocketAlive } = Agent.prototype as unknown as {
+      keepSocketAlive(socket: Duplex): boolean | undefined;
+    };
+    // The method of Node.js returns nothing in some versions when the connection can be kept.
+    if (keepSocketAlive.call(this, socket) === false) return false;
+    socket.on('data', this.unexpectedData);
+    socket.once('close', () => this.idle.delete(socket));
+    this.idle.add(socket);
+    return true;
+  }
+
+  public override reuseSocket(socket: Duplex, request: ClientRequest): void {
+    socket.off('data', this.unexpectedData);
+    this.idle.delete(socket);
+    (Agent.prototype as unknown as { reuseSocket(socket: Duplex, request: ClientRequest): void })
+      .reuseSocket.call(this, socket, request);
+  }
+
+  private readonly unexpectedData = (): void => {
+    this.distrust();
+  };
+}
+
+/** Whether a connection carried a request before. */
+export function isReused(request: ClientRequest): boolean {
+  return request.reusedSocket;
+}
+
+/** The socket type that Node.js hands to clients. */
+export type ServerSocket = Socket;
--- /dev/null
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -0,0 +1,222 @@
+import { request as httpRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+
+import { DeclineReason, endToEndList, fieldOf, outgoingFields } from '@peridotspring/mesh-core';
+import type { Execution, ExecutionResult, HeaderList, ServerLoad } from '@peridotspring/mesh-core';
+
+import { AnswerCollector } from '../answer-collector.js';
+import { ServerAgent } from './server-agent.js';
+
+/** Longest answer that is passed on. */
+const maximumAnswerBytes = 67_108_864;
+const healthTimeoutMilliseconds = 1_000;
+
+/** Names and forms of the header fields between the gate and its server; names in lower case. */
+export interface ServerHeaderCodec {
+  readonly requestId: string;
+  readonly deadline: string;
+  readonly expectedInstance: string;
+  readonly callerService: string;
+  /** Marks an answer as the server's own. */
+  readonly signature: string;
+  /** Says that the server did not run the request. */
+  readonly notExecuted: string;
+  readonly instanceId: string;
+  readonly load: string;
+  parseLoad(value: string): ServerLoad | undefined;
+}
+
+/** Who answered a health check, and whether it takes requests. */
+export interface HealthAnswer {
+  readonly instanceId: string | undefined;
+  readonly isReady: boolean;
+  readonly load: ServerLoad | undefined;
+}
+
+export interface ServerClientOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly codec: ServerHeaderCodec;
+  readonly clock: () => number;
+  readonly concluded: (executionId: number, result: ExecutionResult) => void;
+  readonly load: (load: ServerLoad) => void;
+  /** Another server than the expected one answered. */
+  readonly otherInstance: (instanceId: string) => void;
+}
+
+/** HTTP client to the server beside the node. */
+export class ServerClient {
+  private readonly agent: ServerAgent;
+  private readonly requests = new Map<number, ClientRequest>();
+  private readonly droppedFields: ReadonlySet<string>;
+
+  public constructor(private readonly options: ServerClientOptions) {
+    this.agent = new ServerAgent(options.clock);
+    this.droppedFields = new Set([options.codec.load, options.codec.instanceId]);
+  }
+
+  /** Sends a request; exactly one result follows. */
+  public run(execution: Execution): void {
+    const { executionId, frame } = execution;
+    const { host, port } = this.options;
+    let request: ClientRequest;
+    try {
+      request = httpRequest({
+        agent: this.agent,
+        headers: this.requestFields(execution),
+        host,
+        method: frame.method,
+        path: frame.path,
+        port,
+        setHost: false,
+      });
+    } catch (error) {
+      // Node.js rejects methods, paths and fields that can't be written as HTTP.
+      const detail = `the request can't be written: ${String(error)}`;
+      process.nextTick(() => {
+        this.options.concluded(executionId, {
+          detail,
+          kind: 'not-run',
+          reason: DeclineReason.ServerRefused,
+        });
+      });
+      return;
+    }
+    this.requests.set(executionId, request);
+    this.listen(request, execution);
+    request.end(frame.body);
+  }
+
+  public abort(executionId: number): void {
+    const request = this.requests.get(executionId);
+    if (request === undefined) return;
+    if (request.reusedSocket) this.agent.dropIdle();
+    request.destroy(new Error('aborted'));
+  }
+
+  /** Asks the server for its health once; undefined if it does not answer in time. */
+  public async health(path: string): Promise<HealthAnswer | undefined> {
+    const { codec, host, port } = this.options;
+    return new Promise((resolve) => {
+      const request = httpRequest({ agent: this.agent, host, path, port }, (response) => {
+        response.resume();
+        const load = this.loadOf(response);
+        const instanceId = headerOf(response, codec.instanceId);
+        resolve({ instanceId, isReady: response.statusCode === 200, load });
+      });
+      request.setTimeout(healthTimeoutMilliseconds, () => request.destroy());
+      request.on('error', () => {
+        resolve(undefined);
+      });
+      request.end();
+    });
+  }
+
+  public close(): void {
+    this.agent.destroy();
+  }
+
+  private requestFields({ deadline, frame, instanceId }: Execution): Record<string, string | string[]> {
+    const { clock, codec } = this.options;
+    const fields = outgoingFields(frame.headers);
+    fields[codec.requestId] = frame.requestId;
+    fields[codec.deadline] = String(Math.max(1, Math.floor(deadline - clock())));
+    fields[codec.expectedInstance] = instanceId;
+    fields[codec.callerService] = frame.callerService;
+    if (frame.body !== undefined) fields['content-length'] = String(frame.body.length);
+    return fields;
+  }
+
+  private listen(request: ClientRequest, execution: Execution): void {
+    const { executionId } = execution;
+    let isConnected = false;
+    let hasResponse = false;
+    const conclude = (result: ExecutionResult): void => {
+      if (!this.requests.delete(executionId)) return;
+      this.options.concluded(executionId, result);
+    };
+    request.on('socket', (socket) => {
+      if (!socket.connecting) isConnected = true;
+      else socket.once('connect', () => (isConnected = true));
+    });
+    request.on('error', (error) => {
+      const detail = error.message;
+      if (isConnected) conclude({ detail, kind: 'failed' });
+      else conclude({ detail, kind: 'not-run', reason: DeclineReason.ServerUnreachable });
+    });
+    request.on('response', (response) => {
+      hasResponse = true;
+      this.receive(request, response, execution, conclude);
+    });
+    request.on('close', () => {
+      if (!hasResponse) conclude({ detail: 'closed without an answer', kind: 'failed' });
+    });
+  }
+
+  private receive(
+    request: ClientRequest,
+    response: IncomingMessage,
+    { frame }: Execution,
+    conclude: (result: ExecutionResult) => void,
+  ): void {
+    const { codec } = this.options;
+    if (headerOf(response, codec.requestId) !== frame.requestId) {
+      this.agent.distrust();
+      response.on('error', () => undefined);
+      request.destroy();
+      conclude({ detail: 'the answer belongs to another request', kind: 'failed' });
+      return;
+    }
+    const rule = { limitBytes: maximumAnswerBytes, whenLonger: 'discard' } as const;
+    const collector = new AnswerCollector(
+      response,
+      rule,
+      (answer) => {
+        if (answer.kind === 'whole') conclude(this.resultOf(response, answer.body));
+        else conclude({ detail: `the answer was ${answer.kind}`, kind: 'failed' });
+      },
+      (isComplete) => {
+        if (!isComplete) this.agent.distrust();
+      },
+    );
+    collector.start();
+  }
+
+  private resultOf(response: IncomingMessage, body: Uint8Array): ExecutionResult {
+    const { codec } = this.options;
+    const load = this.loadOf(response);
+    if (load !== undefined) this.options.load(load);
+    const status = response.statusCode ?? 0;
+    if (status === 421) {
+      const instanceId = headerOf(response, codec.instanceId);
+      if (instanceId !== undefined) this.options.otherInstance(instanceId);
+    }
+    if (status === 421 || headerOf(response, codec.notExecuted) !== undefined) {
+      const detail = `the server answered ${status} without running the request`;
+      return { detail, kind: 'not-run', reason: DeclineReason.ServerRefused };
+    }
+    const headers = endToEndList(response.rawHeaders, this.droppedFields);
+    const fault = this.faultOf(status, headers);
+    return fault === undefined
+      ? { body, headers, kind: 'answered', status }
+      : { detail: fault, kind: 'failed' };
+  }
+
+  /** Why an answer can't be the server's own. */
+  private faultOf(status: number, headers: HeaderList): string | undefined {
+    if (fieldOf(headers, 'content-encoding') !== undefined) return 'the answer is encoded';
+    const isSuccess = status >= 200 && status < 300;
+    const isSigned = fieldOf(headers, this.options.codec.signature) !== undefined;
+    return isSuccess && !isSigned ? 'the answer has no signature' : undefined;
+  }
+
+  private loadOf(response: IncomingMessage): ServerLoad | undefined {
+    const value = headerOf(response, this.options.codec.load);
+    return value === undefined ? undefined : this.options.codec.parseLoad(value);
+  }
+}
+
+function headerOf(response: IncomingMessage, name: string): string | undefined {
+  const value = response.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
