Tell an answer that was reset from one that ended

Cause: an answer without a length ends with its connection. Ruled out: the error event (it does not come), response.complete (true), a half-open socket (the http client drops the handle before other listeners). Change: before Node.js drops the connection, ask it for its peer; after a reset the kernel knows none.

--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -369,7 +369,10 @@
         log({ event: 'server-report-ignored', fields: { instance: instanceId } });
         return;
       case ReportEffect.Started:
-        log({ event: 'server-ready', fields: { instance: instanceId, slots: this.lifetime.slots } });
+        log({
+          event: 'server-ready',
+          fields: { instance: instanceId, slots: this.lifetime.slots },
+        });
         port.loadChanged();
         return;
       case ReportEffect.Draining:
--- a/packages/mesh-core/src/gate/server-lifetime.ts
+++ b/packages/mesh-core/src/gate/server-lifetime.ts
@@ -63,7 +63,14 @@
   public seen(instanceId: string, slots: number, now: number): ReportEffect {
     if (this.current?.instanceId === instanceId) return ReportEffect.Unchanged;
     return this.report(
-      { coldMilliseconds: 0, draining: false, instanceId, sequence: 0, slots, startedAt: undefined },
+      {
+        coldMilliseconds: 0,
+        draining: false,
+        instanceId,
+        sequence: 0,
+        slots,
+        startedAt: undefined,
+      },
       now,
     );
   }
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -3,12 +3,7 @@
 export { ConfigurationHolder } from './configuration/configuration-holder.js';
 export type { ConfigurationInForce } from './configuration/configuration-holder.js';
 export { RefusalCause, UnknownCause } from './entry/entry-contract.js';
-export type {
-  EntryEvent,
-  EntryOutcome,
-  EntryPort,
-  EntryRequest,
-} from './entry/entry-contract.js';
+export type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry/entry-contract.js';
 export { RequestForwarder } from './entry/request-forwarder.js';
 export type { RequestForwarderOptions } from './entry/request-forwarder.js';
 export type {
--- a/packages/mesh-core/src/messages/header-list.ts
+++ b/packages/mesh-core/src/messages/header-list.ts
@@ -11,15 +11,15 @@
   own: ReadonlySet<string>,
 ): [string, string][] {
   const fields: [string, string][] = [];
-  let listed: ReadonlySet<string> | undefined;
+  const listed = new Set<string>();
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     const name = (rawHeaders[index] ?? '').toLowerCase();
     const value = rawHeaders[index + 1] ?? '';
-    if (name === 'connection') listed = new Set([...(listed ?? []), ...namesListed(value)]);
+    if (name === 'connection') for (const token of namesListed(value)) listed.add(token);
     if (hopByHopNames.has(name) || name === 'content-length' || own.has(name)) continue;
     fields.push([name, value]);
   }
-  return listed === undefined ? fields : fields.filter(([name]) => listed.has(name) === false);
+  return listed.size === 0 ? fields : fields.filter(([name]) => !listed.has(name));
 }
 
 /** The first value of a field. */
--- a/packages/nodes/src/length-prefixed.ts
+++ b/packages/nodes/src/length-prefixed.ts
@@ -83,4 +83,3 @@
     return buffer;
   }
 }
-
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -78,9 +78,7 @@
 const loadedCall = { ...callField, load: 'object' } as const;
 
 /** The fields that the receiver of each frame relies on. */
-const frameShapes: Readonly<
-  Record<MeshWireFrame['kind'], Readonly<Record<string, FieldType>>>
-> = {
+const frameShapes: Readonly<Record<MeshWireFrame['kind'], Readonly<Record<string, FieldType>>>> = {
   answered: { ...loadedCall, body: 'bytes', headers: 'array', status: 'number' },
   cancel: callField,
   configuration: { content: 'bytes', version: 'number' },
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -61,7 +61,8 @@
   private async keepEntry(): Promise<void> {
     let failures = 0;
     while (!this.isClosed) {
-      const isKept = this.lease === undefined ? await this.register() : await this.renew(this.lease);
+      const isKept =
+        this.lease === undefined ? await this.register() : await this.renew(this.lease);
       failures = isKept ? 0 : failures + 1;
       await this.sleep(isKept ? renewalMilliseconds : this.retryDelay(failures));
     }
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -7,10 +7,10 @@
 export { ReadinessServer } from './mesh/readiness-server.js';
 export type { TextPage } from './mesh/readiness-server.js';
 export { ReportServer } from './mesh/report-server.js';
-export type { ReportServerOptions, ServerMessage, ServerMessageCodec } from './mesh/report-server.js';
-export { ServerClient } from './mesh/server-client.js';
 export type {
-  HealthAnswer,
-  ServerClientOptions,
-  ServerHeaderCodec,
-} from './mesh/server-client.js';
+  ReportServerOptions,
+  ServerMessage,
+  ServerMessageCodec,
+} from './mesh/report-server.js';
+export { ServerClient } from './mesh/server-client.js';
+export type { HealthAnswer, ServerClientOptions, ServerHeaderCodec } from './mesh/server-client.js';
--- a/packages/upstreams/src/mesh/server-agent.ts
+++ b/packages/upstreams/src/mesh/server-agent.ts
@@ -1,6 +1,5 @@
 import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
-import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 /** An idle connection is closed well before servers do, so that a request seldom meets a closing one. */
@@ -48,19 +47,12 @@
   public override reuseSocket(socket: Duplex, request: ClientRequest): void {
     socket.off('data', this.unexpectedData);
     this.idle.delete(socket);
-    (Agent.prototype as unknown as { reuseSocket(socket: Duplex, request: ClientRequest): void })
-      .reuseSocket.call(this, socket, request);
+    (
+      Agent.prototype as unknown as { reuseSocket(socket: Duplex, request: ClientRequest): void }
+    ).reuseSocket.call(this, socket, request);
   }
 
   private readonly unexpectedData = (): void => {
     this.distrust();
   };
 }
-
-/** Whether a connection carried a request before. */
-export function isReused(request: ClientRequest): boolean {
-  return request.reusedSocket;
-}
-
-/** The socket type that Node.js hands to clients. */
-export type ServerSocket = Socket;
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -1,5 +1,6 @@
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { DeclineReason, endToEndList, fieldOf, outgoingFields } from '@peridotspring/mesh-core';
 import type { Execution, ExecutionResult, HeaderList, ServerLoad } from '@peridotspring/mesh-core';
@@ -116,7 +117,11 @@
     this.agent.destroy();
   }
 
-  private requestFields({ deadline, frame, instanceId }: Execution): Record<string, string | string[]> {
+  private requestFields({
+    deadline,
+    frame,
+    instanceId,
+  }: Execution): Record<string, string | string[]> {
     const { clock, codec } = this.options;
     const fields = outgoingFields(frame.headers);
     fields[codec.requestId] = frame.requestId;
@@ -167,13 +172,17 @@
       conclude({ detail: 'the answer belongs to another request', kind: 'failed' });
       return;
     }
+    let hasEnd = isEndMarked(response);
+    const { socket } = response;
+    // Node.js drops the connection in its own listener.
+    socket.prependOnceListener('end', () => (hasEnd ||= isStillConnected(socket)));
     const rule = { limitBytes: maximumAnswerBytes, whenLonger: 'discard' } as const;
     const collector = new AnswerCollector(
       response,
       rule,
       (answer) => {
-        if (answer.kind === 'whole') conclude(this.resultOf(response, answer.body));
-        else conclude({ detail: `the answer was ${answer.kind}`, kind: 'failed' });
+        if (answer.kind === 'whole' && hasEnd) conclude(this.resultOf(response, answer.body));
+        else conclude({ detail: 'the answer was cut or is too long', kind: 'failed' });
       },
       (isComplete) => {
         if (!isComplete) this.agent.distrust();
@@ -216,6 +225,19 @@
   }
 }
 
+/** Whether the answer itself tells where its body ends (RFC 9112, section 6.3). */
+function isEndMarked({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+/**
+ * Whether a connection that has ended was closed in order. A reset that arrives together with bytes
+ * reaches Node.js as an ordinary end, but then the kernel knows no peer any more.
+ */
+function isStillConnected(socket: Socket): boolean {
+  return socket.remoteAddress !== undefined;
+}
+
 function headerOf(response: IncomingMessage, name: string): string | undefined {
   const value = response.headers[name];
   return Array.isArray(value) ? value[0] : value;
