--- a/packages/upstreams/src/mesh/server-agent.ts
+++ b/packages/upstreams/src/mesh/server-agent.ts
@@ -33,11 +33,9 @@
 
   public override keepSocketAlive(socket: Duplex): boolean {
     if (this.clock() < this.distrustUntil) return false;
-    const { keepSocketAlive } = Agent.prototype as unknown as {
-      keepSocketAlive(socket: Duplex): boolean | undefined;
-    };
-    // The method of Node.js returns nothing in some versions when the connection can be kept.
-    if (keepSocketAlive.call(this, socket) === false) return false;
+    // eslint-disable-next-line @typescript-eslint/no-confusing-void-expression -- the types say void, Node.js returns false for a connection that is about to close
+    const isKept: unknown = super.keepSocketAlive(socket);
+    if (isKept === false) return false;
     socket.on('data', this.unexpectedData);
     socket.once('close', () => this.idle.delete(socket));
     this.idle.add(socket);
@@ -47,9 +45,7 @@
   public override reuseSocket(socket: Duplex, request: ClientRequest): void {
     socket.off('data', this.unexpectedData);
     this.idle.delete(socket);
-    (
-      Agent.prototype as unknown as { reuseSocket(socket: Duplex, request: ClientRequest): void }
-    ).reuseSocket.call(this, socket, request);
+    super.reuseSocket(socket, request);
   }
 
   private readonly unexpectedData = (): void => {
