--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -16,7 +16,8 @@
 const maximumHeaderBytes = 65_536;
 /** Retry-After for a node that has no configuration yet; it reads one within about a second. */
 const unconfiguredRetryAfterMilliseconds = 300;
-/** How long a connection of a stopping node stays open for a request that is on its way. */
+/** Retry-After for a node that is about to end; its successor is up after about a second. */
+const stoppingRetryAfterMilliseconds = 500;
 const millisecondsPerSecond = 1_000;
 
 /** Names of the header fields that the server reads and writes, in lower case. */
@@ -58,6 +59,7 @@
   private readonly open = new Map<number, ServerResponse>();
   private nextRequestNumber = 1;
   private isStopping = false;
+  private isRefusing = false;
 
   public constructor(private readonly options: RouteServerOptions) {
     this.server = createServer({ maxHeaderSize: maximumHeaderBytes, noDelay: true });
@@ -111,6 +113,11 @@
     this.isStopping = true;
   }
 
+  /** Requests that come from now on are refused. */
+  public refuse(): void {
+    this.isRefusing = true;
+  }
+
   public async close(): Promise<void> {
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => {
@@ -131,6 +138,11 @@
     });
     const { names } = this.options;
     const requestId = single(request.headers[names.requestId]) ?? '';
+    if (this.isRefusing) {
+      const fields = retryAfter(stoppingRetryAfterMilliseconds);
+      this.answer(requestNumber, requestId, 503, 'this node stops', fields);
+      return;
+    }
     const routing = this.options.routing();
     if (routing === undefined) {
       const fields = retryAfter(unconfiguredRetryAfterMilliseconds);
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -3,6 +3,7 @@
 import {
   CompletionPolicy,
   ConfigurationHolder,
+  LoadAnnouncer,
   NodeDirectory,
   RepeatBudget,
   RequestForwarder,
@@ -41,7 +42,7 @@
 
 /** What the node uses to act on the world. */
 export interface MeshNodePorts {
-  readonly callers: Pick<RouteServer, 'configure' | 'inProgress' | 'respond' | 'stop'>;
+  readonly callers: Pick<RouteServer, 'configure' | 'inProgress' | 'refuse' | 'respond' | 'stop'>;
   readonly links: Pick<MeshLinks, 'broadcast' | 'dial' | 'send' | 'tick'>;
   readonly server: {
     run(execution: Execution): void;
@@ -71,6 +72,7 @@
   private readonly budget: RepeatBudget;
   private readonly forwarder: RequestForwarder;
   private readonly gate: ServerGate;
+  private readonly announcer = new LoadAnnouncer();
   private readonly startedAt: number;
   private timer: NodeJS.Timeout | undefined;
   private stopPlan: StopPlan | undefined;
@@ -163,8 +165,11 @@
   }
 
   public callerRequest(request: EntryRequest): void {
+    const now = this.options.clock();
     const service = this.split.choose(request.route);
-    this.forwarder.begin(request, service, isNested(request), this.options.clock());
+    const parent = this.gate.parentOf(request.requestId);
+    if (parent?.repeat === true) this.budget.charge(service, now);
+    this.forwarder.begin(request, service, parent !== undefined, now);
   }
 
   public callerGone(requestNumber: number): void {
@@ -211,7 +216,9 @@
     const { limits, routes, version } = configuration;
     this.log(MeshEvent.ConfigurationInForce, { routes: routes.length, source, version });
     this.split.retain(routes);
-    this.gate.configured(new Set(routes.map(({ name }) => name)));
+    const routeNames = new Set(routes.map(({ name }) => name));
+    this.forwarder.configured(routeNames);
+    this.gate.configured(routeNames);
     const { callers, links } = this.options.ports();
     callers.configure(limits);
     links.broadcast({ content, kind: 'configuration', version });
@@ -263,6 +270,7 @@
     const now = this.options.clock();
     switch (frame.kind) {
       case 'start':
+        this.announcer.requested(from.name, this.isNear(from), now);
         this.gate.start(from.name, from.boot, frame, now);
         return;
       case 'cancel':
@@ -299,7 +307,21 @@
     return true;
   }
 
+  private isNear({ availabilityZone }: MeshNode): boolean {
+    return availabilityZone === this.options.self.availabilityZone;
+  }
+
+  /** Tells the nodes that send requests here how much the server has to do. */
+  private announceLoad(now: number): void {
+    const load = this.gate.load(now);
+    for (const node of this.announcer.due(load, now)) {
+      if (node === this.options.self.name) this.targets.reported(node, load, now);
+      else this.options.ports().links.send(node, { kind: 'load', load });
+    }
+  }
+
   private reply(node: string, frame: ReplyFrame): void {
+    this.announcer.told(node, frame.load, this.options.clock());
     if (node !== this.options.self.name) {
       this.options.ports().links.send(node, frame);
       return;
@@ -319,13 +341,15 @@
   private tick(): void {
     if (this.isClosed) return;
     const now = this.options.clock();
-    const { links, stopped } = this.options.ports();
+    const { callers, links, stopped } = this.options.ports();
     this.forwarder.tick(now);
     this.gate.tick(now);
+    this.announceLoad(now);
     links.tick(now);
     for (const node of this.directory.dueForDial(now)) links.dial(node);
     this.budget.shareBetween(this.directory.size);
     this.checkHealth(now);
+    if (this.stopPlan?.refusesRequests(now) === true) callers.refuse();
     if (this.stopPlan?.mayEnd(now, this.inProgress) === true) {
       links.broadcast({ kind: 'leaving' });
       this.close();
@@ -377,8 +401,3 @@
     this.options.log.command({ event, fields, kind: 'log', level: 'info' });
   }
 }
-
-/** Whether a server waits for the answer while it works on a request of its own. */
-function isNested({ route }: EntryRequest): boolean {
-  return route.targetLatencyMilliseconds <= 0;
-}
--- a/packages/mesh-core/src/budget/repeat-budget.ts
+++ b/packages/mesh-core/src/budget/repeat-budget.ts
@@ -46,6 +46,12 @@
     return true;
   }
 
+  /** Gives back a repeat that did not reach a server. */
+  public refund(service: string, now: number): void {
+    const { repeats, slot } = this.windowOf(service, now);
+    repeats[slot % slots] = Math.max(0, (repeats[slot % slots] ?? 0) - 1);
+  }
+
   /** Counts a repeat that could not be avoided, such as a call made by a run that was itself a repeat. */
   public charge(service: string, now: number): void {
     this.count(this.windowOf(service, now));
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -10,23 +10,23 @@
   ReplyFrame,
   StartFrame,
 } from '../messages/mesh-frames.js';
-import type { CompletionPolicy } from '../placement/completion-policy.js';
+import type { CompletionPolicy, PlacedGate } from '../placement/completion-policy.js';
 import type { GateView, TargetBook } from '../placement/target-book.js';
 import { RefusalCause, UnknownCause } from './entry-contract.js';
 import type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry-contract.js';
+import { isHedgeDue } from './hedge-rule.js';
 import { RequestState } from './request-state.js';
 import type { Attempt } from './request-state.js';
+import { RouteSizes } from './route-sizes.js';
 
 /** Gates that may decline before the best of them has to take the request. */
 const maximumOptionalTries = 2;
 /** Gates that may decline for good before the request is refused. */
-const maximumDeclines = 6;
+const maximumDeclines = 4;
 /** A request with less time left is not sent again. */
 const shortestUsefulMilliseconds = 15;
 /** Time after which an idempotent request goes elsewhere when the connection to its gate was lost. */
 const lostConnectionMilliseconds = 100;
-/** A hedge is sent once an answer has taken this many times as long as usual. */
-const hedgeFactor = 3;
 const shortestRetryAfterMilliseconds = 50;
 const longestRetryAfterMilliseconds = 1_000;
 
@@ -49,6 +49,7 @@
   private readonly requests = new Map<number, RequestState>();
   private readonly attempts = new Map<number, Attempt>();
   private readonly deadlines = new MinimumHeap<RequestState>();
+  private readonly sizes = new RouteSizes();
   private nextCallId = 1;
 
   public constructor(private readonly options: RequestForwarderOptions) {}
@@ -64,10 +65,16 @@
     const state = new RequestState(request, service, deadline, nested);
     this.requests.set(request.requestNumber, state);
     this.deadlines.push(deadline, state);
-    this.options.budget.request(service, now);
+    // Only requests of callers earn repeats: calls of servers are not counted by those who ask for bounds.
+    if (!nested) this.options.budget.request(service, now);
     this.tryNext(state, now);
   }
 
+  /** Forgets routes that are no longer declared. */
+  public configured(routeNames: ReadonlySet<string>): void {
+    this.sizes.retain(routeNames);
+  }
+
   /** A gate answers. */
   public reply(node: string, frame: ReplyFrame, now: number): void {
     this.options.targets.reported(node, frame.load, now);
@@ -136,16 +143,18 @@
 
   private isOverdue(attempt: Attempt, now: number): boolean {
     if (attempt.lostAt !== undefined) return now - attempt.lostAt > lostConnectionMilliseconds;
-    const { load } = this.options.targets.get(attempt.node) ?? {};
-    if (load === undefined) return false;
-    const { targetLatencyMilliseconds } = attempt.state.request.route;
-    const usual = Math.max(load.serviceMilliseconds * hedgeFactor, targetLatencyMilliseconds / 2);
-    return now - attempt.sentAt > usual;
+    const view = this.options.targets.get(attempt.node);
+    if (view === undefined) return false;
+    const { receivedAt, route } = attempt.state.request;
+    const targetIn = receivedAt + route.targetLatencyMilliseconds - now;
+    return isHedgeDue(view, now - attempt.sentAt, targetIn, now);
   }
 
   private answered(attempt: Attempt, frame: AnsweredFrame, now: number): void {
     const { state } = attempt;
     const { body, headers, status } = frame;
+    const bytes = body.length + (state.request.body?.length ?? 0);
+    this.sizes.add(state.request.route.name, bytes);
     const isServerError = status >= 500;
     if (isServerError && state.request.route.idempotent) {
       if (state.attempts.size > 0 || this.repeat(state, 'server-error', now)) return;
@@ -155,9 +164,11 @@
 
   private declined(attempt: Attempt, frame: DeclinedFrame, now: number): void {
     const { state } = attempt;
+    const hasReachedServer = frame.reason === DeclineReason.ServerRefused;
     state.used.delete(attempt.node);
-    state.reachedServer ||= frame.reason === DeclineReason.ServerRefused;
-    state.declined.set(attempt.node, declinedTime(frame));
+    state.reachedServer ||= hasReachedServer;
+    if (attempt.repeat && !hasReachedServer) this.options.budget.refund(state.service, now);
+    state.decline(attempt.node, frame);
     this.log('request-moved', state, {
       expected: frame.expectedMilliseconds,
       from: attempt.node,
@@ -191,43 +202,54 @@
     this.giveUp(state, now);
   }
 
-  /** Sends an idempotent request to a second server; false if that is not possible. */
+  /** Sends a request to a second server; false if that is not possible. */
   private repeat(state: RequestState, reason: string, now: number): boolean {
-    const { budget, policy, targets } = this.options;
+    const { budget } = this.options;
     if (state.used.size >= state.request.route.maximumAttempts) return false;
     if (state.deadline - now < shortestUsefulMilliseconds) return false;
-    const view = policy.choose(targets.ready(state.service), state.excluded, now);
-    if (view === undefined || !budget.take(state.service, now)) return false;
-    this.log('request-repeated', state, { node: view.node.name, reason });
-    return this.dispatch(state, view, false, true, now);
+    if (state.declined.size > maximumDeclines) return false;
+    const placed = this.place(state, now);
+    if (placed === undefined || !budget.take(state.service, now)) return false;
+    this.log('request-repeated', state, { node: placed.view.node.name, reason });
+    const isHedge = state.attempts.size > 0;
+    if (this.dispatch(state, placed.view, isHedge, true, now)) return true;
+    budget.refund(state.service, now);
+    return false;
   }
 
+  /**
+   * Asks the gate that is expected to answer first. The first gates may decline when they are busy,
+   * since they know their load better than this node does; after that the best of them is told to
+   * take the request.
+   */
   private tryNext(state: RequestState, now: number): void {
-    const { policy, targets } = this.options;
-    while (state.declined.size < maximumDeclines) {
+    while (state.hardDeclines < maximumDeclines) {
       if (state.deadline - now < shortestUsefulMilliseconds) break;
-      const excluded = state.excluded;
-      const view = policy.choose(targets.ready(state.service), excluded, now);
-      if (view === undefined) break;
-      const isOptional = state.optionalTries < maximumOptionalTries;
-      if (!isOptional && state.optionalTries === maximumOptionalTries && this.insist(state, now)) {
-        return;
+      const placed = this.place(state, now);
+      const busy = state.leastBusy;
+      const mayDecline = state.optionalTries < maximumOptionalTries;
+      if (placed !== undefined && (mayDecline || isSooner(placed, busy?.expectedMilliseconds))) {
+        if (this.dispatch(state, placed.view, mayDecline, false, now)) return;
+        state.unreachable(placed.view.node.name);
+        continue;
       }
-      if (this.dispatch(state, view, isOptional, false, now)) return;
-      state.declined.set(view.node.name, Infinity);
+      const view = busy && this.options.targets.get(busy.node);
+      if (view === undefined) break;
+      state.declined.delete(view.node.name);
+      if (view.isConnected && this.dispatch(state, view, false, false, now)) return;
+      state.unreachable(view.node.name);
     }
-    if (state.optionalTries <= maximumOptionalTries && this.insist(state, now)) return;
     this.refuse(state, now);
   }
 
-  /** Asks the gate with the shortest queue among those that said they were busy. */
-  private insist(state: RequestState, now: number): boolean {
-    state.optionalTries = maximumOptionalTries + 1;
-    const node = state.bestDeclined;
-    if (node === undefined || state.deadline - now < shortestUsefulMilliseconds) return false;
-    const view = this.options.targets.get(node);
-    if (view?.isConnected !== true) return false;
-    return this.dispatch(state, view, false, false, now);
+  private place(state: RequestState, now: number): PlacedGate | undefined {
+    const { policy, targets } = this.options;
+    const kilobytes = this.sizes.kilobytes(state.request.route.name);
+    return policy.choose(targets.ready(state.service), {
+      excluded: state.excluded,
+      kilobytes,
+      now,
+    });
   }
 
   private dispatch(
@@ -297,8 +319,10 @@
   private refuse(state: RequestState, now: number): void {
     const cause = causeOf(state, now);
     // The random part spreads the return of callers that were refused together.
-    const shortest = Math.min(...state.declined.values(), longestRetryAfterMilliseconds);
-    const wait = Math.max(shortestRetryAfterMilliseconds, shortest / 2);
+    const wait = Math.min(
+      longestRetryAfterMilliseconds,
+      Math.max(shortestRetryAfterMilliseconds, state.shortestWait / 2),
+    );
     const retryAfterMilliseconds = wait * (1 + this.options.random.next());
     this.conclude(state, { cause, kind: 'refused', retryAfterMilliseconds }, undefined, now);
   }
@@ -342,14 +366,11 @@
   }
 }
 
-/** How long an answer would take at a gate that declined; infinite if it takes no request at all. */
-function declinedTime({ expectedMilliseconds, reason }: DeclinedFrame): number {
-  return reason === DeclineReason.Busy || reason === DeclineReason.QueueFull
-    ? expectedMilliseconds
-    : Infinity;
+function isSooner({ expectedMilliseconds }: PlacedGate, other: number | undefined): boolean {
+  return other === undefined || expectedMilliseconds < other;
 }
 
 function causeOf(state: RequestState, now: number): RefusalCause {
   if (state.deadline - now < shortestUsefulMilliseconds) return RefusalCause.DeadlineTooShort;
-  return state.declined.size === 0 ? RefusalCause.NoServer : RefusalCause.Overloaded;
+  return state.shortestWait === Infinity ? RefusalCause.NoServer : RefusalCause.Overloaded;
 }
--- a/packages/mesh-core/src/entry/request-state.ts
+++ b/packages/mesh-core/src/entry/request-state.ts
@@ -1,3 +1,5 @@
+import { DeclineReason } from '../messages/mesh-frames.js';
+import type { DeclinedFrame } from '../messages/mesh-frames.js';
 import type { EntryRequest } from './entry-contract.js';
 
 /** One gate that was asked to run a request. */
@@ -19,6 +21,10 @@
   public readonly attempts = new Map<number, Attempt>();
   /** Gates that declined, with the time that each expects until an answer. */
   public readonly declined = new Map<string, number>();
+  /** Gates that would not take the request in any case. */
+  public hardDeclines = 0;
+  /** Shortest time until an answer that a gate told; infinite if none did. */
+  public shortestWait = Infinity;
   /** Gates whose server may have run the request. */
   public readonly used = new Set<string>();
   public optionalTries = 0;
@@ -39,15 +45,29 @@
     return new Set([...this.declined.keys(), ...this.used]);
   }
 
-  /** The gate that declined with the shortest expected time. */
-  public get bestDeclined(): string | undefined {
-    let best: string | undefined;
-    let shortest = Infinity;
-    for (const [node, expected] of this.declined) {
-      if (expected >= shortest) continue;
-      best = node;
-      shortest = expected;
+  public decline(node: string, { expectedMilliseconds, reason }: DeclinedFrame): void {
+    const isBusy = reason === DeclineReason.Busy;
+    if (isBusy || reason === DeclineReason.QueueFull) {
+      this.shortestWait = Math.min(this.shortestWait, expectedMilliseconds);
     }
-    return best;
+    if (!isBusy) this.hardDeclines += 1;
+    this.declined.set(node, isBusy ? expectedMilliseconds : Infinity);
+  }
+
+  /** There is no connection to the gate. */
+  public unreachable(node: string): void {
+    this.hardDeclines += 1;
+    this.declined.set(node, Infinity);
+  }
+
+  /** The gate that would take the request and expects the shortest time until an answer. */
+  public get leastBusy():
+    { readonly node: string; readonly expectedMilliseconds: number } | undefined {
+    let least: { readonly node: string; readonly expectedMilliseconds: number } | undefined;
+    for (const [node, expectedMilliseconds] of this.declined) {
+      if (expectedMilliseconds >= (least?.expectedMilliseconds ?? Infinity)) continue;
+      least = { expectedMilliseconds, node };
+    }
+    return least;
   }
 }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -18,6 +18,10 @@
 
 /** A request with less time left is declined: the way to the server and back takes about this long. */
 const shortestUsefulMilliseconds = 5;
+/** Share of its usual time that a request needs at least; with less left it would only hold a slot. */
+const neededShare = 0.6;
+/** A late request waits only if this many times its usual time remain after it could start. */
+const lateReserve = 1.5;
 /** A slowdown above this makes another server the better choice for an optional request. */
 const notableSlowdown = 1.8;
 /** Time for which a finished call is remembered, so that a frame sent again gets the same reply. */
@@ -34,6 +38,7 @@
   readonly targetAt: number;
   state: 'waiting' | 'running' | 'aborted' | 'finished';
   startedAt: number;
+  runningAtStart: number;
   finishedAt: number;
   reply: ReplyFrame | undefined;
 }
@@ -129,7 +134,8 @@
     const wasAborted = call.state === 'aborted';
     this.running -= 1;
     const milliseconds = now - call.startedAt;
-    if (!wasAborted) this.learn(call, result, milliseconds, now);
+    if (wasAborted) this.learnAborted(call, milliseconds);
+    else this.learn(call, result, milliseconds, now);
     this.finish(call, wasAborted ? undefined : this.replyOf(call, result, now), now);
     this.startWaiting(now);
   }
@@ -171,7 +177,7 @@
 
   public tick(now: number): void {
     for (const waiting of [...this.queue.values()]) {
-      if (waiting.deadline - now >= shortestUsefulMilliseconds) continue;
+      if (waiting.deadline - now >= this.neededMilliseconds(waiting.frame)) continue;
       const call = this.byExecution.get(waiting.executionId);
       this.queue.remove(waiting.executionId);
       if (call !== undefined) this.decline(call, DeclineReason.DeadlineTooShort, 0, now);
@@ -200,6 +206,7 @@
       from,
       key,
       reply: undefined,
+      runningAtStart: 0,
       startedAt: 0,
       state: 'waiting',
       targetAt: now + frame.targetMilliseconds,
@@ -210,6 +217,15 @@
     return call;
   }
 
+  /** The request at the server whose call a request is, by the form of the identifiers. */
+  public parentOf(requestId: string): StartFrame | undefined {
+    for (const { frame, state } of this.byExecution.values()) {
+      if (state === 'waiting' || requestId.length <= frame.requestId.length) continue;
+      if (frame.requestId !== '' && requestId.startsWith(frame.requestId)) return frame;
+    }
+    return undefined;
+  }
+
   private closedReason(frame: StartFrame): DeclineReason | undefined {
     if (this.isStopping) return DeclineReason.Draining;
     switch (this.lifetime.state) {
@@ -220,11 +236,16 @@
       case ServerState.Ready:
     }
     if (frame.service !== this.options.service) return DeclineReason.WrongService;
-    return frame.remainingMilliseconds < shortestUsefulMilliseconds
+    return frame.remainingMilliseconds < this.neededMilliseconds(frame)
       ? DeclineReason.DeadlineTooShort
       : undefined;
   }
 
+  /** Time below which a request has no chance to be answered. */
+  private neededMilliseconds({ routeName }: StartFrame): number {
+    return Math.max(shortestUsefulMilliseconds, neededShare * this.times.expected(routeName));
+  }
+
   private admit(call: GateCall, now: number): void {
     const { frame } = call;
     const slowdown = this.speed.current(now);
@@ -234,20 +255,31 @@
       return;
     }
     const waiting = waitingOf(call, now);
-    const expected = isFree ? 0 : this.expectedWait(waiting, now);
-    const finish = expected + this.times.expected(frame.routeName);
+    const wait = isFree ? 0 : this.expectedWait(waiting, now);
+    const finish = wait + this.times.expected(frame.routeName);
     if (frame.optional) {
       this.decline(call, DeclineReason.Busy, finish, now);
     } else if (isFree) {
       this.run(call, now);
-    } else if (now + finish > call.deadline) {
-      this.decline(call, DeclineReason.QueueFull, finish, now);
-    } else {
+    } else if (this.mayWait(call, wait, now)) {
       this.queue.add(waiting);
       this.startWaiting(now);
+    } else {
+      this.decline(call, DeclineReason.QueueFull, finish, now);
     }
   }
 
+  /**
+   * A request waits if it would start in time for its target, or if it is certain to be served late.
+   * Under a lasting overload the rest are refused at once: waiting would make all of them late.
+   */
+  private mayWait({ deadline, frame, targetAt }: GateCall, wait: number, now: number): boolean {
+    const service = this.times.expected(frame.routeName);
+    if (frame.nested) return now + wait + service * neededShare <= deadline;
+    if (now + wait + service <= targetAt) return true;
+    return this.queue.size < this.limitFor(frame) && now + wait + service * lateReserve <= deadline;
+  }
+
   private limitFor(frame: StartFrame): number {
     const { slots } = this.lifetime;
     return frame.nested ? this.bound.nestedLimit(slots) : this.bound.limit(slots);
@@ -270,7 +302,7 @@
       this.queue.remove(next.executionId);
       const call = this.byExecution.get(next.executionId);
       if (call === undefined) continue;
-      if (call.deadline - now < shortestUsefulMilliseconds) {
+      if (call.deadline - now < this.neededMilliseconds(call.frame)) {
         this.decline(call, DeclineReason.DeadlineTooShort, 0, now);
       } else this.run(call, now);
     }
@@ -285,6 +317,7 @@
     call.state = 'running';
     call.startedAt = now;
     this.running += 1;
+    call.runningAtStart = this.running;
     const { deadline, executionId, frame } = call;
     const execution: Execution = { deadline, executionId, frame, instanceId };
     this.log('request-started', call, {
@@ -321,9 +354,20 @@
     const isFailure =
       result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
     this.failures.add(isFailure, now);
-    if (result.kind === 'answered' && result.status < 500) {
-      this.times.add(call.frame.routeName, milliseconds);
-    }
+    if (result.kind !== 'answered') return;
+    const { routeName } = call.frame;
+    this.bound.answered(
+      this.lifetime.slots,
+      call.runningAtStart,
+      milliseconds / this.times.expected(routeName),
+    );
+    if (result.status < 500 || now >= call.deadline - 1) this.times.add(routeName, milliseconds);
+  }
+
+  /** A request that was aborted would have taken longer still. */
+  private learnAborted({ frame }: GateCall, milliseconds: number): void {
+    if (milliseconds <= this.times.expected(frame.routeName)) return;
+    this.times.add(frame.routeName, milliseconds);
   }
 
   private decline(call: GateCall, reason: DeclineReason, expected: number, now: number): void {
--- a/packages/mesh-core/src/gate/service-times.ts
+++ b/packages/mesh-core/src/gate/service-times.ts
@@ -1,7 +1,7 @@
-import { DecayingMean } from './decaying-mean.js';
+import { DecayingMean } from '../shared/decaying-mean.js';
 
-/** Weight of one answer: the mean covers about the last thirty answers of a route. */
-const sampleWeight = 0.03;
+/** Weight of one answer: the mean covers about the last twelve answers of a route. */
+const sampleWeight = 0.08;
 /** Assumed before the first answer; a request that is admitted in error costs less than one refused. */
 const initialMilliseconds = 50;
 
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -14,6 +14,7 @@
   ServerLoad,
   ServerReport,
 } from './gate/gate-contract.js';
+export { LoadAnnouncer } from './gate/load-announcer.js';
 export { ServerGate } from './gate/server-gate.js';
 export type { ServerGateOptions } from './gate/server-gate.js';
 export { ReportEffect, ServerLifetime } from './gate/server-lifetime.js';
@@ -38,7 +39,7 @@
   StartFrame,
 } from './messages/mesh-frames.js';
 export { CompletionPolicy } from './placement/completion-policy.js';
-export type { PlacementOptions } from './placement/completion-policy.js';
+export type { PlacedGate, Placement, PlacementOptions } from './placement/completion-policy.js';
 export { TargetBook } from './placement/target-book.js';
 export type { GateView } from './placement/target-book.js';
 export type {
--- a/packages/mesh-core/src/gate/decaying-mean.ts
+++ b/packages/mesh-core/src/shared/decaying-mean.ts
@@ -1,7 +1,7 @@
 /** Mean of samples in which each sample has the same weight, as if about `1 / weight` were kept. */
 export class DecayingMean {
   private mean: number;
-  private samples = 0;
+  private count = 0;
 
   public constructor(
     initial: number,
@@ -14,14 +14,15 @@
     return this.mean;
   }
 
-  public get isMeasured(): boolean {
-    return this.samples > 0;
+  /** How many samples were added. */
+  public get samples(): number {
+    return this.count;
   }
 
   public add(sample: number): void {
-    this.samples += 1;
+    this.count += 1;
     // The first samples count more, so that the initial value does not linger.
-    const weight = Math.max(this.weight, 1 / (this.samples + 1));
+    const weight = Math.max(this.weight, 1 / (this.count + 1));
     this.mean += weight * (sample - this.mean);
   }
 }
