Start requests only when the server is known to be at its usual speed

Cause of late answers with room everywhere: a request takes as long as the server's momentary slowdown at its start says, to its end. Ruled out: queueing (waited 0 in the slowest tenth), concurrency, single servers (all alike). Change: the gate holds a start until its last report is at most 25 ms old and not slow, and asks the health path otherwise, within the platform's bound on probes; in a slow moment it declines requests that may go elsewhere. Service times and the limit learn only from requests that started at usual speed.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -98,6 +98,9 @@
         loadChanged: () => {
           this.loadChanged();
         },
+        probe: () => {
+          void this.probe();
+        },
         reply: (node, frame) => {
           this.reply(node, frame);
         },
@@ -105,6 +108,7 @@
           options.ports().server.run(execution);
         },
       },
+      probesPerSecond: settings.probesPerSecond,
       service: self.service,
     });
     this.forwarder = new RequestForwarder({
@@ -372,20 +376,32 @@
 
   /** A node that started again learns its server's lifetime before the server's next report. */
   private checkHealth(now: number): void {
-    const { configuration } = this.configuration.inForce ?? {};
-    if (this.gate.hasServer || configuration === undefined || now < this.healthDueAt) return;
+    if (this.gate.hasServer || now < this.healthDueAt || this.healthPath === undefined) return;
     this.healthDueAt = Infinity;
-    const service = configuration.services.get(this.options.self.service);
-    if (service === undefined || service.healthPath === '') return;
     void this.options
       .ports()
-      .server.health(service.healthPath)
+      .server.health(this.healthPath)
       .then((answer) => {
         this.healthDueAt = this.options.clock() + healthRetryMilliseconds;
         this.healthAnswered(answer);
       });
   }
 
+  private get healthPath(): string | undefined {
+    const { configuration } = this.configuration.inForce ?? {};
+    const path = configuration?.services.get(this.options.self.service)?.healthPath;
+    return path === '' ? undefined : path;
+  }
+
+  /** Asks the server how fast it works at this moment. */
+  private async probe(): Promise<void> {
+    const path = this.healthPath;
+    const answer = path === undefined ? undefined : await this.options.ports().server.health(path);
+    const now = this.options.clock();
+    if (answer?.load !== undefined) this.gate.serverLoad(answer.load, now);
+    this.gate.probed(now);
+  }
+
   private healthAnswered(answer: HealthAnswer | undefined): void {
     this.log(MeshEvent.HealthChecked, {
       instance: answer?.instanceId ?? 'unknown',
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -26,6 +26,8 @@
     readonly slack: number;
     readonly windowMilliseconds: number;
   };
+  /** Questions for the server's load and health that the node may ask in a second. */
+  readonly probesPerSecond: number;
   /** Time between the signal to stop and the end of the process by force. */
   readonly graceMilliseconds: number;
   readonly logLevel: LogLevel;
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -48,6 +48,8 @@
   run(execution: Execution): void;
   /** Aborts a request at the server. */
   abort(executionId: number): void;
+  /** Asks the server for its load; `ServerGate.probed` follows. */
+  probe(): void;
   reply(node: string, frame: ReplyFrame): void;
   /** The state of the server changed. */
   loadChanged(): void;
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -11,10 +11,11 @@
   ServerLoad,
   ServerReport,
 } from './gate-contract.js';
-import { MomentarySpeed } from './momentary-speed.js';
+import { ProbeSchedule } from './probe-schedule.js';
 import { RecentFailures } from './recent-failures.js';
 import { ReportEffect, ServerLifetime } from './server-lifetime.js';
 import { ServiceTimes } from './service-times.js';
+import { SpeedState, SpeedWatch } from './speed-watch.js';
 
 /** A request with less time left is declined: the way to the server and back takes about this long. */
 const shortestUsefulMilliseconds = 5;
@@ -22,8 +23,10 @@
 const neededShare = 0.6;
 /** A late request waits only if this many times its usual time remain after it could start. */
 const lateReserve = 1.5;
-/** A slowdown above this makes another server the better choice for an optional request. */
-const notableSlowdown = 1.8;
+/** Expected rest of a slow moment. */
+const slowRestMilliseconds = 75;
+/** A request that has missed its target waits this long for a slow moment to pass. */
+const lateHoldMilliseconds = 100;
 /** Time for which a finished call is remembered, so that a frame sent again gets the same reply. */
 const rememberedMilliseconds = 5_000;
 /** Time past the deadline after which a request is aborted; the server ends its work by itself first. */
@@ -39,6 +42,8 @@
   state: 'waiting' | 'running' | 'aborted' | 'finished';
   startedAt: number;
   runningAtStart: number;
+  /** The server was known to work at its usual speed. */
+  startedFast: boolean;
   finishedAt: number;
   reply: ReplyFrame | undefined;
 }
@@ -46,6 +51,8 @@
 export interface ServerGateOptions {
   readonly service: string;
   readonly port: GatePort;
+  /** Questions for the server's speed that the gate may ask. */
+  readonly probesPerSecond: number;
   readonly log: (event: GateEvent) => void;
 }
 
@@ -59,7 +66,8 @@
   private readonly queue = new AdmissionQueue();
   private readonly bound = new ConcurrencyBound();
   private readonly times = new ServiceTimes();
-  private readonly speed = new MomentarySpeed();
+  private readonly speed = new SpeedWatch();
+  private readonly probes: ProbeSchedule;
   private readonly failures = new RecentFailures();
   private readonly calls = new Map<string, GateCall>();
   private readonly byExecution = new Map<number, GateCall>();
@@ -68,7 +76,9 @@
   private isStopping = false;
   private nextSweepAt = 0;
 
-  public constructor(private readonly options: ServerGateOptions) {}
+  public constructor(private readonly options: ServerGateOptions) {
+    this.probes = new ProbeSchedule(options.probesPerSecond);
+  }
 
   public get state(): ServerState {
     if (this.isStopping) return ServerState.Draining;
@@ -89,7 +99,7 @@
       limit: this.bound.limit(this.lifetime.slots),
       running: this.running,
       serviceMilliseconds: this.times.meanMilliseconds,
-      slowdown: this.speed.current(now),
+      slowdown: this.speed.state(now) === SpeedState.Slow ? this.speed.current : 1,
       state: this.state,
       waiting: this.queue.size,
     };
@@ -140,6 +150,12 @@
     this.startWaiting(now);
   }
 
+  /** A question for the server's speed was answered or failed. */
+  public probed(now: number): void {
+    this.probes.ended();
+    this.startWaiting(now);
+  }
+
   /** Load that came with an answer of the server. */
   public serverLoad(load: ServerLoad, now: number): void {
     this.bound.reported(load.running, this.running);
@@ -208,6 +224,7 @@
       reply: undefined,
       runningAtStart: 0,
       startedAt: 0,
+      startedFast: false,
       state: 'waiting',
       targetAt: now + frame.targetMilliseconds,
     };
@@ -247,26 +264,22 @@
   }
 
   private admit(call: GateCall, now: number): void {
-    const { frame } = call;
-    const slowdown = this.speed.current(now);
-    const isFree = this.queue.size === 0 && this.running < this.limitFor(frame);
-    if (isFree && !(frame.optional && slowdown > notableSlowdown)) {
-      this.run(call, now);
-      return;
-    }
     const waiting = waitingOf(call, now);
-    const wait = isFree ? 0 : this.expectedWait(waiting, now);
-    const finish = wait + this.times.expected(frame.routeName);
-    if (frame.optional) {
-      this.decline(call, DeclineReason.Busy, finish, now);
-    } else if (isFree) {
-      this.run(call, now);
-    } else if (this.mayWait(call, wait, now)) {
-      this.queue.add(waiting);
-      this.startWaiting(now);
-    } else {
-      this.decline(call, DeclineReason.QueueFull, finish, now);
+    const isFree = this.queue.size === 0 && this.running < this.limitFor(call.frame);
+    if (!isFree) {
+      const wait = this.expectedWait(waiting, now);
+      const finish = wait + this.times.expected(call.frame.routeName);
+      if (call.frame.optional) {
+        this.decline(call, DeclineReason.Busy, finish, now);
+        return;
+      }
+      if (!this.mayWait(call, wait, now)) {
+        this.decline(call, DeclineReason.QueueFull, finish, now);
+        return;
+      }
     }
+    this.queue.add(waiting);
+    this.startWaiting(now);
   }
 
   /**
@@ -299,6 +312,12 @@
     while (this.queue.size > 0) {
       const next = this.queue.next(now, this.times.meanMilliseconds);
       if (next === undefined || this.running >= this.limitFor(next.frame)) return;
+      const speed = this.speedNow(now);
+      if (speed === SpeedState.Slow && next.frame.optional) {
+        this.declineOptional(now);
+        continue;
+      }
+      if (speed !== SpeedState.Fast && now < this.latestStart(next)) return;
       this.queue.remove(next.executionId);
       const call = this.byExecution.get(next.executionId);
       if (call === undefined) continue;
@@ -308,6 +327,36 @@
     }
   }
 
+  /** The server's speed; asks for it if the last report is too old. */
+  private speedNow(now: number): SpeedState {
+    const state = this.speed.state(now);
+    if (state !== SpeedState.Unknown || !this.speed.isReported) {
+      return state === SpeedState.Slow ? state : SpeedState.Fast;
+    }
+    if (this.probes.isAwaited(now)) return state;
+    if (!this.probes.take(now)) return SpeedState.Fast;
+    this.options.port.probe();
+    return state;
+  }
+
+  /** Until when a request rather waits for a slow moment to pass than starts in it. */
+  private latestStart({ enqueuedAt, frame, targetAt }: WaitingRequest): number {
+    const inTime = targetAt - this.times.expected(frame.routeName);
+    return Math.max(inTime, enqueuedAt + lateHoldMilliseconds);
+  }
+
+  /** In a slow moment other gates are the better choice for those who may go there. */
+  private declineOptional(now: number): void {
+    for (const waiting of [...this.queue.values()]) {
+      if (!waiting.frame.optional) continue;
+      this.queue.remove(waiting.executionId);
+      const call = this.byExecution.get(waiting.executionId);
+      if (call === undefined) continue;
+      const expected = slowRestMilliseconds + this.times.expected(waiting.frame.routeName);
+      this.decline(call, DeclineReason.Busy, expected, now);
+    }
+  }
+
   private run(call: GateCall, now: number): void {
     const { instanceId } = this.lifetime;
     if (instanceId === undefined) {
@@ -318,12 +367,13 @@
     call.startedAt = now;
     this.running += 1;
     call.runningAtStart = this.running;
+    call.startedFast = this.speed.state(now) === SpeedState.Fast;
     const { deadline, executionId, frame } = call;
     const execution: Execution = { deadline, executionId, frame, instanceId };
     this.log('request-started', call, {
       limit: this.limitFor(frame),
       running: this.running,
-      slowdown: this.speed.current(now),
+      slowdown: this.speed.current,
       waited: now - (call.deadline - frame.remainingMilliseconds),
     });
     this.options.port.run(execution);
@@ -355,19 +405,21 @@
       result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
     this.failures.add(isFailure, now);
     if (result.kind !== 'answered') return;
+    const isWhole = result.status < 500 || now >= call.deadline - 1;
+    // A request that started in a slow moment says little about the next one.
+    if (!isWhole || (this.speed.isReported && !call.startedFast)) return;
     const { routeName } = call.frame;
-    this.bound.answered(
-      this.lifetime.slots,
-      call.runningAtStart,
-      milliseconds / this.times.expected(routeName),
-    );
-    if (result.status < 500 || now >= call.deadline - 1) this.times.add(routeName, milliseconds);
+    const relativeTime = milliseconds / this.times.expected(routeName);
+    this.bound.answered(this.lifetime.slots, call.runningAtStart, relativeTime);
+    this.times.add(routeName, milliseconds);
   }
 
   /** A request that was aborted would have taken longer still. */
-  private learnAborted({ frame }: GateCall, milliseconds: number): void {
-    if (milliseconds <= this.times.expected(frame.routeName)) return;
-    this.times.add(frame.routeName, milliseconds);
+  private learnAborted({ frame, startedFast }: GateCall, milliseconds: number): void {
+    if (this.speed.isReported && !startedFast) return;
+    if (milliseconds > this.times.expected(frame.routeName)) {
+      this.times.add(frame.routeName, milliseconds);
+    }
   }
 
   private decline(call: GateCall, reason: DeclineReason, expected: number, now: number): void {
