Tell other nodes the version of a configuration, not its content

Change: nodes tell each other the version in force; one that the store has not served within 400 ms asks a node that has it, a near one first.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -3,6 +3,7 @@
 import {
   CompletionPolicy,
   ConfigurationHolder,
+  ConfigurationPull,
   LoadAnnouncer,
   NodeDirectory,
   RepeatBudget,
@@ -67,6 +68,7 @@
 export class MeshNodeDriver {
   public readonly directory: NodeDirectory;
   private readonly configuration = new ConfigurationHolder();
+  private readonly pull = new ConfigurationPull();
   private readonly targets = new TargetBook();
   private readonly split: TrafficSplit;
   private readonly budget: RepeatBudget;
@@ -225,7 +227,7 @@
     this.gate.configured(routeNames);
     const { callers, links } = this.options.ports();
     callers.configure(limits);
-    links.broadcast({ content, kind: 'configuration', version });
+    links.broadcast({ kind: 'version', version });
   }
 
   public directoryRead(): void {
@@ -245,11 +247,7 @@
     this.targets.connected(node, load, now);
     this.forwarder.connectionRestored(node.name, node.boot, now);
     const { links } = this.options.ports();
-    const inForce = this.configuration.inForce;
-    if (inForce !== undefined && configurationVersion < this.configuration.version) {
-      const version = this.configuration.version;
-      links.send(node.name, { content: inForce.content, kind: 'configuration', version });
-    }
+    this.pull.heard(node.name, configurationVersion, this.isNear(node), now);
     if (knownNodes * 2 < this.directory.size - 1) {
       links.send(node.name, { kind: 'members', members: this.directory.nodes() });
     }
@@ -260,6 +258,7 @@
     this.log(MeshEvent.NodeDisconnected, { detail, node: name });
     this.directory.disconnected(name, now);
     this.targets.disconnected(name);
+    this.pull.forget(name);
     this.forwarder.connectionLost(name, now);
   }
 
@@ -293,6 +292,12 @@
           this.configurationRead(frame.content, from.name);
         }
         return;
+      case 'version':
+        this.pull.heard(from.name, frame.version, this.isNear(from), now);
+        return;
+      case 'pull':
+        this.sendConfiguration(from.name);
+        return;
       case 'members':
         for (const member of frame.members) if (isMeshNode(member)) this.nodeMentioned(member);
         return;
@@ -311,6 +316,14 @@
     return true;
   }
 
+  private sendConfiguration(node: string): void {
+    const inForce = this.configuration.inForce;
+    if (inForce === undefined) return;
+    const { configuration, content } = inForce;
+    const frame = { content, kind: 'configuration', version: configuration.version } as const;
+    this.options.ports().links.send(node, frame);
+  }
+
   private isNear({ availabilityZone }: MeshNode): boolean {
     return availabilityZone === this.options.self.availabilityZone;
   }
@@ -352,6 +365,8 @@
     links.tick(now);
     for (const node of this.directory.dueForDial(now)) links.dial(node);
     this.budget.shareBetween(this.directory.size);
+    const source = this.pull.due(this.configuration.version, now);
+    if (source !== undefined) links.send(source, { kind: 'pull' });
     this.checkHealth(now);
     if (this.stopPlan?.refusesRequests(now) === true) callers.refuse();
     if (this.stopPlan?.mayEnd(now, this.inProgress) === true) {
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -123,6 +123,17 @@
   readonly content: Uint8Array;
 }
 
+/** The sender has this version of the configuration in force. */
+export interface VersionFrame {
+  readonly kind: 'version';
+  readonly version: number;
+}
+
+/** Asks for the configuration that the receiver has in force. */
+export interface PullFrame {
+  readonly kind: 'pull';
+}
+
 export interface MembersFrame {
   readonly kind: 'members';
   readonly members: readonly MeshNode[];
@@ -137,5 +148,6 @@
 export type RequestFrame = StartFrame | CancelFrame;
 /** Frames from a gate to an entry. */
 export type ReplyFrame = DeclinedFrame | AnsweredFrame | FailedFrame;
-export type ControlFrame = LoadFrame | ConfigurationFrame | MembersFrame | LeavingFrame;
+export type ControlFrame =
+  LoadFrame | ConfigurationFrame | VersionFrame | PullFrame | MembersFrame | LeavingFrame;
 export type MeshFrame = RequestFrame | ReplyFrame | ControlFrame;
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -96,6 +96,7 @@
   members: { members: 'array' },
   ping: {},
   pong: {},
+  pull: {},
   start: {
     ...callField,
     callerService: 'string',
@@ -113,6 +114,7 @@
     service: 'string',
     targetMilliseconds: 'number',
   },
+  version: { version: 'number' },
 };
 
 export function encodeMeshFrame(frame: MeshWireFrame): Buffer {
