--- /dev/null
+++ b/packages/mesh-core/tests/gate/server-lifetime.test.ts
@@ -0,0 +1,93 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { ReportEffect, ServerLifetime } from '../../src/index.js';
+import type { ServerReport } from '../../src/index.js';
+import { report } from '../fixtures.js';
+
+type Step = readonly [Partial<ServerReport> | 'leave', ReportEffect | boolean];
+
+/** Reports in the order of their arrival, and what each changes. */
+const cases: readonly (readonly [string, readonly Step[], string])[] = [
+  ['a first report starts a lifetime', [[{}, 'started']], 'ready'],
+  [
+    'a report that was sent before the server drained does not open the gate again',
+    [
+      [{ sequence: 1 }, 'started'],
+      [{ draining: true, sequence: 5 }, 'draining'],
+      [{ sequence: 4 }, 'ignored'],
+      [{ sequence: 6 }, 'unchanged'],
+    ],
+    'draining',
+  ],
+  [
+    'a late report of a server that has left starts nothing',
+    [
+      [{}, 'started'],
+      ['leave', true],
+      [{ sequence: 9 }, 'ignored'],
+    ],
+    'absent',
+  ],
+  [
+    'a report that arrives after its sender was replaced names no server to use',
+    [
+      [{ instanceId: 'i-1', startedAt: 1_000 }, 'started'],
+      [{ instanceId: 'i-2', sequence: 1, startedAt: 2_000 }, 'started'],
+      [{ instanceId: 'i-1', sequence: 8, startedAt: 1_000 }, 'ignored'],
+    ],
+    'ready',
+  ],
+  [
+    'a server that starts again under its identifier begins a lifetime with a new count',
+    [
+      [{ sequence: 40, startedAt: 1_000 }, 'started'],
+      [{ draining: true, sequence: 41, startedAt: 1_000 }, 'draining'],
+      [{ sequence: 1, startedAt: 2_000 }, 'started'],
+      [{ sequence: 42, startedAt: 1_000 }, 'ignored'],
+    ],
+    'ready',
+  ],
+  [
+    'a server that left may start again under its identifier',
+    [
+      [{ startedAt: 1_000 }, 'started'],
+      ['leave', true],
+      [{ sequence: 1, startedAt: 3_000 }, 'started'],
+    ],
+    'ready',
+  ],
+  [
+    'a server that is first heard of while it drains takes nothing',
+    [[{ draining: true }, 'draining']],
+    'draining',
+  ],
+];
+
+for (const [name, steps, state] of cases) {
+  test(name, () => {
+    const lifetime = new ServerLifetime();
+    for (const [change, expected] of steps) {
+      if (change === 'leave') assert.is(lifetime.leave('i-1'), expected);
+      else assert.is(lifetime.report(report(change), 0), expected);
+    }
+    assert.is(lifetime.state, state);
+  });
+}
+
+test('the leaving of another lifetime closes nothing', () => {
+  const lifetime = new ServerLifetime();
+  lifetime.report(report(), 0);
+  assert.not(lifetime.leave('i-0'));
+  assert.is(lifetime.state, 'ready');
+});
+
+test('a health answer is as good as a report only while nothing else is known', () => {
+  const lifetime = new ServerLifetime();
+  assert.is(lifetime.seen('i-1', 3, 0), ReportEffect.Started);
+  assert.is(lifetime.slots, 3);
+  assert.is(lifetime.report(report({ slots: 5 }), 0), ReportEffect.Unchanged);
+  assert.is(lifetime.slots, 5);
+});
+
+test.run();
