--- a/scripts/run-checks.mjs
+++ b/scripts/run-checks.mjs
@@ -88,8 +88,9 @@
   await Promise.all(Array.from({ length: concurrency }, worker));
 }
 
-const testFiles = readdirSync('packages')
-  .map((name) => join('packages', name, 'dist', 'tests'))
+const testFolders = [...readdirSync('packages').map((name) => join('packages', name)), 'platform'];
+const testFiles = testFolders
+  .map((folder) => join(folder, 'dist', 'tests'))
   .filter((folder) => existsSync(folder))
   .flatMap(findTestFiles)
   // A compiled test whose source was removed is left over from an earlier build.
