Place by the risk of a late answer, wait by the rate of starts, log within bounds

Change: the cost of a gate is the risk that the answer misses its target, the share it fails, and the bytes that cross a zone; a wait may last another span with a chance of a quarter. Events are recorded in one place: counted, logged within a budget of lines by second, all lines of a request that ends badly or late; lines are written by descriptor, so a reader that stops blocks nothing.

--- /dev/null
+++ b/packages/daemon/src/logging/line-writer.ts
@@ -0,0 +1,60 @@
+/** Lines are written together after this time, so that a busy node makes few system calls. */
+const flushMilliseconds = 50;
+/** Bytes that may wait for a reader that does not read; later lines are dropped and counted. */
+const maximumWaitingBytes = 262_144;
+
+export interface LineWriterOptions {
+  /** Writes bytes without blocking the process and calls back when they are gone. */
+  readonly write: (bytes: string, done: (error?: Error | null) => void) => void;
+  readonly maximumBytes?: number;
+}
+
+/**
+ * Writes log lines without ever waiting for their reader: a reader that stops costs lines, which are
+ * counted, but no request.
+ */
+export class LineWriter {
+  private waiting: string[] = [];
+  private waitingBytes = 0;
+  private dropped = 0;
+  private isWriting = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  public constructor(private readonly options: LineWriterOptions) {}
+
+  /** Lines that were dropped and not yet reported. */
+  public get droppedLines(): number {
+    return this.dropped;
+  }
+
+  public write(line: string): void {
+    if (this.waitingBytes + line.length > (this.options.maximumBytes ?? maximumWaitingBytes)) {
+      this.dropped += 1;
+      return;
+    }
+    this.waiting.push(line);
+    this.waitingBytes += line.length;
+    this.timer ??= setTimeout(() => {
+      this.flush();
+    }, flushMilliseconds);
+  }
+
+  /** Hands over what waits; used before the process ends. */
+  public flush(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    if (this.isWriting || this.waiting.length === 0) return;
+    if (this.dropped > 0) {
+      this.waiting.push(`level=warn event=log-lines-dropped count=${this.dropped}\n`);
+      this.dropped = 0;
+    }
+    const bytes = this.waiting.join('');
+    this.waiting = [];
+    this.isWriting = true;
+    this.options.write(bytes, () => {
+      this.isWriting = false;
+      this.waitingBytes -= Math.min(this.waitingBytes, bytes.length);
+      this.flush();
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -0,0 +1,107 @@
+import type { Metrics } from '@peridotspring/operators/metrics';
+
+import { LineBudget } from './line-budget.js';
+import { MeshEvent } from './mesh-event.js';
+
+/** Lines of requests that went well; beyond that, counters tell of them. */
+const routineLinesPerSecond = 100;
+/** Lines of requests that ended badly or late, and of everything else. */
+const notableLinesPerSecond = 400;
+/** Requests in progress whose lines are kept until it is known how they end. */
+const maximumKeptRequests = 2_000;
+const maximumKeptLines = 20;
+const reportMilliseconds = 1_000;
+
+type Fields = Readonly<Record<string, string | number | boolean>>;
+
+/** Fields by which an event is counted; others have too many values. */
+const countedFields = ['cause', 'outcome', 'reason', 'call', 'source'] as const;
+
+/** Events of a request at its entry, which are kept until the request ends. */
+const entryEvents: ReadonlySet<string> = new Set([
+  'request-moved',
+  'request-repeated',
+  'attempt-failed',
+]);
+/** Events of requests at a gate, of which only a sample is written under load. */
+const gateEvents: ReadonlySet<string> = new Set([
+  'request-started',
+  'request-declined',
+  'request-cancelled',
+]);
+
+export interface EventRecorderOptions {
+  readonly write: (event: string, fields: Fields) => void;
+  readonly metrics: Pick<Metrics, 'count' | 'recordLatency'>;
+  readonly clock: () => number;
+}
+
+/**
+ * Logs and counts what a node decides. A request that ends badly or late keeps all its lines; of the
+ * others as many are written as the budget of a second allows, and the rest are counted.
+ */
+export class EventRecorder {
+  private readonly routine = new LineBudget(routineLinesPerSecond);
+  private readonly notable = new LineBudget(notableLinesPerSecond);
+  private readonly kept = new Map<string, [string, Fields][]>();
+  private reportedAt = 0;
+
+  public constructor(private readonly options: EventRecorderOptions) {}
+
+  public record(event: string, fields: Fields): void {
+    const now = this.options.clock();
+    this.count(event, fields);
+    if (entryEvents.has(event)) this.keep(event, fields);
+    else if (event === MeshEvent.RequestConcluded) this.concluded(fields, now);
+    else if (gateEvents.has(event)) this.writeWithin(this.routine, event, fields, now);
+    else this.writeWithin(this.notable, event, fields, now);
+    this.reportSuppressed(now);
+  }
+
+  private concluded(fields: Fields, now: number): void {
+    const { milliseconds, outcome, request, service, status } = fields;
+    this.options.metrics.recordLatency(String(service), String(outcome), Number(milliseconds));
+    const lines = this.kept.get(String(request)) ?? [];
+    this.kept.delete(String(request));
+    const isBad = outcome !== 'answered' || Number(status) >= 500 || fields.late === true;
+    if (!isBad) {
+      this.writeWithin(this.routine, MeshEvent.RequestConcluded, fields, now);
+      return;
+    }
+    for (const [event, earlier] of lines) this.writeWithin(this.notable, event, earlier, now);
+    this.writeWithin(this.notable, MeshEvent.RequestConcluded, fields, now);
+  }
+
+  private keep(event: string, fields: Fields): void {
+    const request = String(fields.request);
+    let lines = this.kept.get(request);
+    if (lines === undefined) {
+      if (this.kept.size >= maximumKeptRequests) return;
+      lines = [];
+      this.kept.set(request, lines);
+    }
+    if (lines.length < maximumKeptLines) lines.push([event, fields]);
+  }
+
+  private count(event: string, fields: Fields): void {
+    const labels: Record<string, string> = {};
+    for (const name of countedFields) {
+      const value = fields[name];
+      if (value !== undefined) labels[name] = String(value);
+    }
+    this.options.metrics.count({ by: 1, counter: event, kind: 'count', labels });
+  }
+
+  private writeWithin(budget: LineBudget, event: string, fields: Fields, now: number): void {
+    if (budget.take(now)) this.options.write(event, fields);
+  }
+
+  private reportSuppressed(now: number): void {
+    if (now - this.reportedAt < reportMilliseconds) return;
+    this.reportedAt = now;
+    const notable = this.notable.takeSuppressed();
+    const routine = this.routine.takeSuppressed();
+    if (notable + routine === 0) return;
+    this.options.write(MeshEvent.LinesSuppressed, { notable, routine });
+  }
+}
--- a/packages/daemon/src/mesh/index.ts
+++ b/packages/daemon/src/mesh/index.ts
@@ -1,3 +1,4 @@
+export { LineWriter } from '../logging/line-writer.js';
 export { installLogWriter, Logger } from '../logging/logger.js';
 export { MeshEvent } from './mesh-event.js';
 export type { HostAndPort, MeshSettings, SettingFault, SettingsResult } from './mesh-settings.js';
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -25,7 +25,7 @@
 import type { MeshHelloFrame, MeshLinks } from '@peridotspring/nodes';
 import type { HealthAnswer, ServerMessage } from '@peridotspring/upstreams';
 
-import type { Logger } from '../logging/logger.js';
+import type { EventRecorder } from './event-recorder.js';
 import { MeshEvent } from './mesh-event.js';
 import type { MeshSettings } from './mesh-settings.js';
 import { isMeshNode } from './mesh-directory-entry.js';
@@ -59,7 +59,7 @@
   readonly self: MeshNode;
   readonly random: RandomSource;
   readonly clock: () => number;
-  readonly log: Logger;
+  readonly events: EventRecorder;
   readonly ports: () => MeshNodePorts;
   readonly decodeConfiguration: (content: Uint8Array) => DecodedConfiguration;
 }
@@ -153,6 +153,22 @@
     return this.isDirectoryRead && this.directory.connected * 2 >= this.directory.size - 1;
   }
 
+  /** Figures for the metrics, read when they are asked for. */
+  public get gauges(): Readonly<Record<string, number>> {
+    const load = this.gate.load(this.options.clock());
+    return {
+      configuration_version: this.configuration.version,
+      gate_limit: load.limit,
+      gate_running: load.running,
+      gate_waiting: load.waiting,
+      nodes_connected: this.directory.connected,
+      nodes_known: this.directory.size - 1,
+      requests_in_progress: this.forwarder.inProgress,
+      server_failure_share: load.failureShare,
+      server_service_milliseconds: load.serviceMilliseconds,
+    };
+  }
+
   public get greeting(): Pick<MeshHelloFrame, 'configurationVersion' | 'knownNodes' | 'load'> {
     return {
       configurationVersion: this.configuration.version,
@@ -429,6 +445,6 @@
   }
 
   private log(event: string, fields: Readonly<Record<string, string | number | boolean>>): void {
-    this.options.log.command({ event, fields, kind: 'log', level: 'info' });
+    this.options.events.record(event, fields);
   }
 }
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -5,7 +5,10 @@
 import { HttpStoreTransport, StoreSession } from '@peridotspring/platform';
 import { ReadinessServer, ReportServer, ServerClient } from '@peridotspring/upstreams';
 
+import { Metrics } from '@peridotspring/operators/metrics';
+
 import { Logger } from '../logging/logger.js';
+import { EventRecorder } from './event-recorder.js';
 import { decodeDirectoryEntry, encodeDirectoryEntry } from './mesh-directory-entry.js';
 import { MeshEvent } from './mesh-event.js';
 import { MeshNodeDriver } from './mesh-node.js';
@@ -13,8 +16,12 @@
 import type { MeshSettings } from './mesh-settings.js';
 import type { PlatformAdapter } from './platform-adapter.js';
 
+/** Where the readiness port serves the metrics. */
+const metricsPath = '/metrics';
 /** Where nodes keep their entries in the store. */
 const directoryPrefix = 'peridotspring/nodes/';
+/** A call to the store that takes longer is logged; it usually takes a few milliseconds. */
+const slowStoreMilliseconds = 500;
 /** The end of a lease is not waited for longer than this when a process stops. */
 const leaveMilliseconds = 300;
 
@@ -33,22 +40,28 @@
 export async function startMeshNode(options: MeshWiringOptions): Promise<RunningMeshNode> {
   const { adapter, settings, stopped } = options;
   const clock = (): number => performance.now();
-  const log = new Logger(settings.logLevel);
+  const metrics = new Metrics();
+  const events = createEvents(settings, metrics, clock);
   const self = nodeOf(settings, Date.now());
   const random = new SeededRandomSource((self.boot ^ process.pid) >>> 0);
   const driver = new MeshNodeDriver({
     clock,
     decodeConfiguration: (content) => adapter.decodeConfiguration(content),
-    log,
+    events,
     ports: () => ports,
     random,
     self,
     settings,
   });
-  const callers = createCallers(options, driver, clock, log);
+  const callers = createCallers(options, driver, clock, events);
   const links = createLinks(settings, self, driver, clock);
   const server = createServerClient(options, driver, clock);
-  const store = createStore(options, self, driver, clock, log, () => random.next());
+  const store = createStore(options, self, driver, {
+    clock,
+    events,
+    metrics,
+    random: () => random.next(),
+  });
   const ports: MeshNodePorts = {
     callers,
     links,
@@ -59,6 +72,7 @@
       void Promise.race([Promise.all(closing), delay(leaveMilliseconds)]).then(stopped);
     },
   };
+  registerGauges(metrics, driver);
   const { host, port } = settings.reportAddress;
   const reports = new ReportServer({
     bindHost: host,
@@ -77,24 +91,47 @@
         render: () =>
           driver.isReady ? { status: 200, text: 'ready\n' } : { status: 503, text: 'not ready\n' },
       },
+      { path: metricsPath, render: async () => ({ status: 200, text: await metrics.text() }) },
     ],
   );
   store.session.start();
   await Promise.all([links.listen(), callers.listen(), reports.listen(), readiness.listen()]);
   driver.start();
-  log.command({
-    event: MeshEvent.NodeStarted,
-    fields: { boot: self.boot, node: self.name, service: self.service },
-    kind: 'log',
-    level: 'info',
-  });
+  events.record(MeshEvent.NodeStarted, { boot: self.boot, service: self.service });
   return {
     stop: () => {
+      events.record(MeshEvent.NodeStopping, {});
       driver.stop();
     },
   };
 }
 
+function createEvents(
+  { logLevel, nodeName }: MeshSettings,
+  metrics: Metrics,
+  clock: () => number,
+): EventRecorder {
+  const log = new Logger(logLevel);
+  return new EventRecorder({
+    clock,
+    metrics,
+    write: (event, fields) => {
+      log.command({ event, fields: { node: nodeName, ...fields }, kind: 'log', level: 'info' });
+    },
+  });
+}
+
+/** The gauges of a node, read at each scrape. */
+function registerGauges(metrics: Metrics, driver: MeshNodeDriver): void {
+  for (const name of Object.keys(driver.gauges)) {
+    metrics.addGauge({
+      help: `The node's ${name.replaceAll('_', ' ')}.`,
+      name,
+      read: () => driver.gauges[name] ?? 0,
+    });
+  }
+}
+
 function nodeOf(settings: MeshSettings, boot: number): MeshNode {
   const { availabilityZone, nodeName, peerAddress, region, service } = settings;
   const address = `${peerAddress.host}:${peerAddress.port}`;
@@ -105,16 +142,11 @@
   { adapter, settings }: MeshWiringOptions,
   driver: MeshNodeDriver,
   clock: () => number,
-  log: Logger,
+  events: EventRecorder,
 ): RouteServer {
   return new RouteServer({
     answeredLocally: ({ detail, requestId, status }) => {
-      log.command({
-        event: MeshEvent.RequestAnsweredLocally,
-        fields: { detail, request: requestId, status },
-        kind: 'log',
-        level: 'info',
-      });
+      events.record(MeshEvent.RequestAnsweredLocally, { detail, request: requestId, status });
     },
     bindHost: settings.callerAddress.host,
     bindPort: settings.callerAddress.port,
@@ -181,6 +213,13 @@
   });
 }
 
+interface StoreTools {
+  readonly clock: () => number;
+  readonly events: EventRecorder;
+  readonly metrics: Metrics;
+  readonly random: () => number;
+}
+
 interface StoreParts {
   readonly session: StoreSession;
   readonly transport: HttpStoreTransport;
@@ -190,15 +229,21 @@
   { adapter, settings }: MeshWiringOptions,
   self: MeshNode,
   driver: MeshNodeDriver,
-  clock: () => number,
-  log: Logger,
-  random: () => number,
+  { clock, events, metrics, random }: StoreTools,
 ): StoreParts {
   const transport = new HttpStoreTransport({
     clock,
     contentType: adapter.storeContentType,
     host: settings.storeAddress.host,
-    observed: () => undefined,
+    observed: (call, outcome, milliseconds) => {
+      if (outcome !== 'ok' || milliseconds > slowStoreMilliseconds) {
+        events.record(MeshEvent.StoreCalled, {
+          call,
+          milliseconds: Math.round(milliseconds),
+          outcome,
+        });
+      } else metrics.count({ by: 1, counter: 'store-calls', kind: 'count', labels: { call } });
+    },
     port: settings.storeAddress.port,
   });
   const session = new StoreSession({
@@ -219,7 +264,7 @@
     random,
     reachabilityChanged: (isReachable, detail) => {
       const event = isReachable ? MeshEvent.StoreReachable : MeshEvent.StoreUnreachable;
-      log.command({ event, fields: { detail }, kind: 'log', level: 'info' });
+      events.record(event, { detail });
     },
     transport,
   });
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -10,7 +10,7 @@
   ReplyFrame,
   StartFrame,
 } from '../messages/mesh-frames.js';
-import type { CompletionPolicy, PlacedGate } from '../placement/completion-policy.js';
+import type { CompletionPolicy, PlacedGate, Placement } from '../placement/completion-policy.js';
 import type { GateView, TargetBook } from '../placement/target-book.js';
 import { RefusalCause, UnknownCause } from './entry-contract.js';
 import type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry-contract.js';
@@ -21,6 +21,8 @@
 
 /** Gates that may decline before the best of them has to take the request. */
 const maximumOptionalTries = 2;
+/** Time that a request waits at a gate that is busy or in a slow moment, for a first estimate. */
+const busyMilliseconds = 80;
 /** Gates that may decline for good before the request is refused. */
 const maximumDeclines = 4;
 /** A request with less time left is not sent again. */
@@ -218,38 +220,65 @@
   }
 
   /**
-   * Asks the gate that is expected to answer first. The first gates may decline when they are busy,
-   * since they know their load better than this node does; after that the best of them is told to
-   * take the request.
+   * Asks the gate that costs least. While another gate would cost less than this one if it turned out
+   * to be busy, it may decline, since it knows its load better than this node does; after that the
+   * best of them is told to take the request.
    */
   private tryNext(state: RequestState, now: number): void {
     while (state.hardDeclines < maximumDeclines) {
       if (state.deadline - now < shortestUsefulMilliseconds) break;
       const placed = this.place(state, now);
-      const busy = state.leastBusy;
-      const mayDecline = state.optionalTries < maximumOptionalTries;
-      if (placed !== undefined && (mayDecline || isSooner(placed, busy?.expectedMilliseconds))) {
-        if (this.dispatch(state, placed.view, mayDecline, false, now)) return;
+      const busy = this.leastBusy(state, now);
+      if (placed !== undefined && placed.cost < (busy?.cost ?? Infinity)) {
+        const alternative = Math.min(placed.nextCost, busy?.cost ?? Infinity);
+        const mayDecline = state.optionalTries < maximumOptionalTries;
+        const isOptional = mayDecline && alternative < this.costIfBusy(placed.view, state, now);
+        if (this.dispatch(state, placed.view, isOptional, false, now)) return;
         state.unreachable(placed.view.node.name);
         continue;
       }
-      const view = busy && this.options.targets.get(busy.node);
-      if (view === undefined) break;
-      state.declined.delete(view.node.name);
-      if (view.isConnected && this.dispatch(state, view, false, false, now)) return;
-      state.unreachable(view.node.name);
+      if (busy === undefined) break;
+      const { name } = busy.view.node;
+      state.declined.delete(name);
+      if (busy.view.isConnected && this.dispatch(state, busy.view, false, false, now)) return;
+      state.unreachable(name);
     }
     this.refuse(state, now);
   }
 
+  /** The gate that declined as busy and costs least all the same. */
+  private leastBusy(
+    state: RequestState,
+    now: number,
+  ): Pick<PlacedGate, 'cost' | 'view'> | undefined {
+    let least: Pick<PlacedGate, 'cost' | 'view'> | undefined;
+    for (const [name, expected] of state.declined) {
+      const view = this.options.targets.get(name);
+      if (view === undefined || expected === Infinity) continue;
+      const cost = this.options.policy.cost(view, expected, this.placementOf(state, now));
+      if (cost < (least?.cost ?? Infinity)) least = { cost, view };
+    }
+    return least;
+  }
+
+  private costIfBusy(view: GateView, state: RequestState, now: number): number {
+    const expected = view.load.serviceMilliseconds + busyMilliseconds;
+    return this.options.policy.cost(view, expected, this.placementOf(state, now));
+  }
+
   private place(state: RequestState, now: number): PlacedGate | undefined {
     const { policy, targets } = this.options;
-    const kilobytes = this.sizes.kilobytes(state.request.route.name);
-    return policy.choose(targets.ready(state.service), {
+    return policy.choose(targets.ready(state.service), this.placementOf(state, now));
+  }
+
+  private placementOf(state: RequestState, now: number): Placement {
+    const { receivedAt, route } = state.request;
+    return {
       excluded: state.excluded,
-      kilobytes,
+      kilobytes: this.sizes.kilobytes(route.name),
       now,
-    });
+      targetMilliseconds: receivedAt + route.targetLatencyMilliseconds - now,
+    };
   }
 
   private dispatch(
@@ -335,8 +364,10 @@
   ): void {
     const { receivedAt, route } = state.request;
     this.log('request-concluded', state, {
-      declined: state.declined.size,
-      milliseconds: now - receivedAt,
+      declined: state.hardDeclines + state.optionalTries,
+      late: now - receivedAt > route.targetLatencyMilliseconds,
+      milliseconds: Math.round(now - receivedAt),
+      nested: state.nested,
       node: node ?? 'none',
       outcome: outcome.kind,
       route: route.name,
@@ -366,11 +397,7 @@
   }
 }
 
-function isSooner({ expectedMilliseconds }: PlacedGate, other: number | undefined): boolean {
-  return other === undefined || expectedMilliseconds < other;
-}
-
 function causeOf(state: RequestState, now: number): RefusalCause {
   if (state.deadline - now < shortestUsefulMilliseconds) return RefusalCause.DeadlineTooShort;
-  return state.shortestWait === Infinity ? RefusalCause.NoServer : RefusalCause.Overloaded;
+  return state.isOverloaded ? RefusalCause.Overloaded : RefusalCause.NoServer;
 }
--- a/packages/mesh-core/src/entry/request-state.ts
+++ b/packages/mesh-core/src/entry/request-state.ts
@@ -2,6 +2,12 @@
 import type { DeclinedFrame } from '../messages/mesh-frames.js';
 import type { EntryRequest } from './entry-contract.js';
 
+const overloadReasons: ReadonlySet<string> = new Set([
+  DeclineReason.DeadlineTooShort,
+  DeclineReason.QueueFull,
+  DeclineReason.ServerRefused,
+]);
+
 /** One gate that was asked to run a request. */
 export interface Attempt {
   readonly callId: number;
@@ -27,6 +33,8 @@
   public shortestWait = Infinity;
   /** Gates whose server may have run the request. */
   public readonly used = new Set<string>();
+  /** A gate had a server, but no room or time for the request. */
+  public isOverloaded = false;
   public optionalTries = 0;
   /** A server said that it did not run the request. */
   public reachedServer = false;
@@ -50,6 +58,7 @@
     if (isBusy || reason === DeclineReason.QueueFull) {
       this.shortestWait = Math.min(this.shortestWait, expectedMilliseconds);
     }
+    this.isOverloaded ||= isBusy || overloadReasons.has(reason);
     if (!isBusy) this.hardDeclines += 1;
     this.declined.set(node, isBusy ? expectedMilliseconds : Infinity);
   }
@@ -59,15 +68,4 @@
     this.hardDeclines += 1;
     this.declined.set(node, Infinity);
   }
-
-  /** The gate that would take the request and expects the shortest time until an answer. */
-  public get leastBusy():
-    { readonly node: string; readonly expectedMilliseconds: number } | undefined {
-    let least: { readonly node: string; readonly expectedMilliseconds: number } | undefined;
-    for (const [node, expectedMilliseconds] of this.declined) {
-      if (expectedMilliseconds >= (least?.expectedMilliseconds ?? Infinity)) continue;
-      least = { expectedMilliseconds, node };
-    }
-    return least;
-  }
 }
--- a/packages/mesh-core/src/gate/admission-queue.ts
+++ b/packages/mesh-core/src/gate/admission-queue.ts
@@ -37,10 +37,15 @@
   }
 
   /** The request that should start next; `serviceMilliseconds` is how long it will take. */
-  public next(now: number, serviceMilliseconds: number): WaitingRequest | undefined {
+  public next(
+    now: number,
+    serviceMilliseconds: number,
+    nestedFirst = true,
+  ): WaitingRequest | undefined {
+    const finishAt = now + serviceMilliseconds;
     let best: WaitingRequest | undefined;
     for (const request of this.waiting.values()) {
-      if (best === undefined || precedes(request, best, now + serviceMilliseconds)) best = request;
+      if (best === undefined || precedes(request, best, finishAt, nestedFirst)) best = request;
     }
     return best;
   }
@@ -56,8 +61,13 @@
 }
 
 /** Whether the first request starts before the second; `finishAt` is when either would end. */
-function precedes(first: WaitingRequest, second: WaitingRequest, finishAt: number): boolean {
-  if (first.frame.nested !== second.frame.nested) return first.frame.nested;
+function precedes(
+  first: WaitingRequest,
+  second: WaitingRequest,
+  finishAt: number,
+  nestedFirst = true,
+): boolean {
+  if (first.frame.nested !== second.frame.nested) return first.frame.nested === nestedFirst;
   const firstInTime = first.targetAt >= finishAt;
   const secondInTime = second.targetAt >= finishAt;
   if (firstInTime !== secondInTime) return firstInTime;
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -16,6 +16,7 @@
 import { ReportEffect, ServerLifetime } from './server-lifetime.js';
 import { ServiceTimes } from './service-times.js';
 import { SpeedState, SpeedWatch } from './speed-watch.js';
+import { StartRate } from './start-rate.js';
 
 /** A request with less time left is declined: the way to the server and back takes about this long. */
 const shortestUsefulMilliseconds = 5;
@@ -69,9 +70,11 @@
   private readonly speed = new SpeedWatch();
   private readonly probes: ProbeSchedule;
   private readonly failures = new RecentFailures();
+  private readonly startRate = new StartRate();
   private readonly calls = new Map<string, GateCall>();
   private readonly byExecution = new Map<number, GateCall>();
   private running = 0;
+  private nestedRunning = 0;
   private nextExecutionId = 1;
   private isStopping = false;
   private nextSweepAt = 0;
@@ -101,6 +104,11 @@
       serviceMilliseconds: this.times.meanMilliseconds,
       slowdown: this.speed.state(now) === SpeedState.Slow ? this.speed.current : 1,
       state: this.state,
+      waitMilliseconds: this.waitFor(
+        this.queue.size + 1,
+        this.bound.limit(this.lifetime.slots),
+        now,
+      ),
       waiting: this.queue.size,
     };
   }
@@ -143,6 +151,7 @@
     if (call === undefined) return;
     const wasAborted = call.state === 'aborted';
     this.running -= 1;
+    if (call.frame.nested) this.nestedRunning -= 1;
     const milliseconds = now - call.startedAt;
     if (wasAborted) this.learnAborted(call, milliseconds);
     else this.learn(call, result, milliseconds, now);
@@ -300,17 +309,31 @@
 
   /** Time until a request would start if it waited here. */
   private expectedWait(request: WaitingRequest, now: number): number {
-    const service = this.times.meanMilliseconds;
-    const limit = this.limitFor(request.frame);
-    const ahead = this.queue.ahead(request, now, service);
+    const ahead = this.queue.ahead(request, now, this.times.meanMilliseconds);
+    return this.waitFor(ahead + 1, this.limitFor(request.frame), now);
+  }
+
+  /** Time until the request at a place of the queue starts. */
+  private waitFor(place: number, limit: number, now: number): number {
+    if (this.running + place <= limit) return 0;
     const excess = Math.max(0, this.running - limit);
-    return ((ahead + excess + 1) * service) / limit;
+    const byService = ((place + excess) * this.times.meanMilliseconds) / limit;
+    const interval = this.queue.size === 0 ? undefined : this.startRate.intervalMilliseconds(now);
+    return interval === undefined ? byService : Math.max(byService, place * interval);
+  }
+
+  /**
+   * Nested calls go first, because their parents hold slots elsewhere, but while callers wait they
+   * take no more than half of the slots: their parents may be less urgent than those who wait.
+   */
+  private get areNestedFirst(): boolean {
+    return this.nestedRunning * 2 < this.bound.limit(this.lifetime.slots);
   }
 
   private startWaiting(now: number): void {
     if (this.lifetime.state !== ServerState.Ready || this.isStopping) return;
     while (this.queue.size > 0) {
-      const next = this.queue.next(now, this.times.meanMilliseconds);
+      const next = this.queue.next(now, this.times.meanMilliseconds, this.areNestedFirst);
       if (next === undefined || this.running >= this.limitFor(next.frame)) return;
       const speed = this.speedNow(now);
       if (speed === SpeedState.Slow && next.frame.optional) {
@@ -365,10 +388,12 @@
     }
     call.state = 'running';
     call.startedAt = now;
+    const { deadline, executionId, frame } = call;
     this.running += 1;
+    if (frame.nested) this.nestedRunning += 1;
+    else if (now - (call.deadline - frame.remainingMilliseconds) > 0) this.startRate.started(now);
     call.runningAtStart = this.running;
     call.startedFast = this.speed.state(now) === SpeedState.Fast;
-    const { deadline, executionId, frame } = call;
     const execution: Execution = { deadline, executionId, frame, instanceId };
     this.log('request-started', call, {
       limit: this.limitFor(frame),
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -29,6 +29,8 @@
   readonly waiting: number;
   /** Requests that the gate runs at the same time. */
   readonly limit: number;
+  /** Expected time until a request that comes now would start. */
+  readonly waitMilliseconds: number;
   /** Time that work takes relative to the usual, 1 for the usual. */
   readonly slowdown: number;
   /** Recent mean time of a request at the server. */
--- a/packages/mesh-core/src/placement/completion-policy.ts
+++ b/packages/mesh-core/src/placement/completion-policy.ts
@@ -6,16 +6,29 @@
 const otherZoneMilliseconds = 4;
 /** The way to a gate in another region and back. */
 const otherRegionMilliseconds = 80;
-/** Traffic between zones is billed: a kilobyte is worth waiting this long at a nearer gate. */
-const millisecondsPerKilobyte = 10;
-/** Time that a request is worth; a server that fails a share of requests is charged that share of it. */
-const failureMilliseconds = 1_500;
-/** Charge of a gate whose slots are all in use, so that load spreads before queues form. */
-const crowdingMilliseconds = 30;
-/** Gates whose expected times differ by less than this are equal; one of them is drawn at random. */
-const tieMilliseconds = 2;
+/**
+ * Traffic between zones is billed. The cost of a kilobyte as a share of what an answer in time is
+ * worth, from the prices of the two registries.
+ */
+const costPerKilobyte = 0.012;
+/** Share of the target that an answer may take without a risk of being late. */
+const safeShare = 0.45;
+/** Share of the target at which an answer is late for certain; expected times are uncertain. */
+const lateShare = 1.2;
+/** Cost of a second of waiting for a request that is late in any case. */
+const costPerSecond = 0.2;
+/** Cost of a gate whose slots are all in use, so that load spreads before queues form. */
+const crowdingCost = 0.02;
+/** Gates whose costs differ by less than this are equal; one of them is drawn at random. */
+const tieCost = 0.003;
+/** Chance that a wait for a busy or slow server lasts another span. */
+const longerWaitShare = 0.25;
 /** Length of the spans for which neighbours slow a server down; a report says nothing after it. */
 const slowSpanMilliseconds = 150;
+/** An expected time above this many times the usual one includes a wait. */
+const waitingFactor = 1.25;
+/** A server that takes this many times as long as its peers is slow; less comes from other requests. */
+const slowServerFactor = 1.6;
 
 export interface PlacementOptions {
   readonly availabilityZone: string;
@@ -29,65 +42,110 @@
   readonly excluded: ReadonlySet<string>;
   /** Bytes of a request and its answer in thousands, as far as known. */
   readonly kilobytes: number;
+  /** Time until the route's target latency has passed. */
+  readonly targetMilliseconds: number;
 }
 
-/** A gate with the time that an answer is expected to take there. */
+/** A gate with what choosing it is expected to cost, as a share of the worth of an answer in time. */
 export interface PlacedGate {
   readonly view: GateView;
-  readonly expectedMilliseconds: number;
+  readonly cost: number;
+  /** The cost of the best other gate; infinite if there is none. */
+  readonly nextCost: number;
 }
 
-/** Chooses the gate where a request is expected to be complete first, with charges for its costs. */
+/**
+ * Chooses the gate that costs least: by the risk that the answer comes after its target, by the share
+ * of requests that fail there, and by the bytes that cross a zone. A short wait nearby that leaves
+ * time enough is better than the way to another zone.
+ */
 export class CompletionPolicy {
   public constructor(private readonly options: PlacementOptions) {}
 
   public choose(candidates: Iterable<GateView>, placement: Placement): PlacedGate | undefined {
+    const views = [...candidates].filter(({ node }) => !placement.excluded.has(node.name));
+    const usual = medianServiceTime(views);
     let best: PlacedGate | undefined;
     let ties = 0;
-    for (const view of candidates) {
-      if (placement.excluded.has(view.node.name)) continue;
-      const expectedMilliseconds = this.expectedMilliseconds(view, placement);
-      const difference = expectedMilliseconds - (best?.expectedMilliseconds ?? Infinity);
-      if (difference < -tieMilliseconds) {
-        best = { expectedMilliseconds, view };
+    for (const view of views) {
+      const expected = expectedMilliseconds(view, usual, placement.now);
+      const cost = this.cost(view, expected, placement);
+      const difference = cost - (best?.cost ?? Infinity);
+      if (difference < -tieCost) {
+        best = { cost, nextCost: best?.cost ?? Infinity, view };
         ties = 1;
-      } else if (difference < tieMilliseconds) {
-        ties += 1;
-        if (this.options.random.next() * ties < 1) best = { expectedMilliseconds, view };
+        continue;
+      }
+      const isTie = difference < tieCost;
+      if (isTie) ties += 1;
+      const isDrawn = isTie && this.options.random.next() * ties < 1;
+      if (best !== undefined) {
+        best = {
+          cost: best.cost,
+          nextCost: Math.min(best.nextCost, cost),
+          view: isDrawn ? view : best.view,
+        };
       }
     }
     return best;
   }
 
-  private expectedMilliseconds(view: GateView, { kilobytes, now }: Placement): number {
-    const { load, unreported } = view;
-    const limit = Math.max(1, load.limit);
-    const inProgress = load.running + load.waiting + unreported;
-    const service = load.serviceMilliseconds;
-    const wait = (Math.max(0, inProgress + 1 - limit) * service) / limit;
-    const crowding = crowdingMilliseconds * Math.min(1, inProgress / limit) ** 2;
+  /** What an answer costs that a gate is expected to give after the given time. */
+  public cost(view: GateView, expected: number, placement: Placement): number {
+    const { kilobytes, targetMilliseconds } = placement;
+    const { load, node, unreported } = view;
+    const isNear =
+      node.availabilityZone === this.options.availabilityZone &&
+      node.region === this.options.region;
+    const way =
+      node.region === this.options.region ? otherZoneMilliseconds : otherRegionMilliseconds;
+    const time = isNear ? expected : expected + way;
+    const used = Math.min(1, (load.running + load.waiting + unreported) / Math.max(1, load.limit));
+    const target = Math.max(1, targetMilliseconds);
+    const isWaiting = load.slowdown > 1 || expected > load.serviceMilliseconds * waitingFactor;
+    const longer = isWaiting ? longerWaitShare : 0;
     return (
-      service +
-      wait +
-      crowding +
-      slowSpanDelay(view, now) +
-      failureMilliseconds * load.failureShare +
-      this.distance(view, kilobytes)
+      (1 - longer) * lateness(time / target) +
+      longer * lateness((time + slowSpanMilliseconds) / target) +
+      (time / millisecondsPerSecond) * costPerSecond +
+      crowdingCost * used ** 2 +
+      load.failureShare +
+      (isNear ? 0 : kilobytes * costPerKilobyte)
     );
   }
+}
 
-  private distance({ node }: GateView, kilobytes: number): number {
-    const { availabilityZone, region } = this.options;
-    if (node.availabilityZone === availabilityZone && node.region === region) return 0;
-    const way = node.region === region ? otherZoneMilliseconds : otherRegionMilliseconds;
-    return way + kilobytes * millisecondsPerKilobyte;
-  }
+const millisecondsPerSecond = 1_000;
+
+/** Risk that an answer comes too late that is expected after this share of its target. */
+function lateness(share: number): number {
+  const risk = (share - safeShare) / (lateShare - safeShare);
+  return Math.min(1, Math.max(0, risk)) ** 2;
+}
+
+/** Expected time until an answer. */
+function expectedMilliseconds(
+  { load, loadAt, unreported }: GateView,
+  usual: number,
+  now: number,
+): number {
+  const limit = Math.max(1, load.limit);
+  const own = load.serviceMilliseconds;
+  const service = own > usual * slowServerFactor ? own : usual;
+  const excess = load.running + load.waiting + unreported + 1 - limit;
+  const unreportedWait = (Math.min(unreported, Math.max(0, excess)) * service) / limit;
+  const wait = load.waitMilliseconds + unreportedWait;
+  return service + wait + slowSpanDelay(load.slowdown, now - loadAt);
 }
 
 /** Time that a request loses in the rest of a slow span that was reported a while ago. */
-function slowSpanDelay({ load, loadAt }: GateView, now: number): number {
-  const age = now - loadAt;
-  if (load.slowdown <= 1 || age >= slowSpanMilliseconds) return 0;
+function slowSpanDelay(slowdown: number, age: number): number {
+  if (slowdown <= 1 || age >= slowSpanMilliseconds) return 0;
   const rest = (slowSpanMilliseconds - age) / 2;
-  return rest * (1 - 1 / load.slowdown) * (1 - age / slowSpanMilliseconds);
+  return rest * (1 - 1 / slowdown) * (1 - age / slowSpanMilliseconds);
+}
+
+function medianServiceTime(views: readonly GateView[]): number {
+  const times = views.map(({ load }) => load.serviceMilliseconds).sort((a, b) => a - b);
+  return times[Math.floor((times.length - 1) / 2)] ?? 0;
 }
--- a/packages/mesh-core/src/placement/target-book.ts
+++ b/packages/mesh-core/src/placement/target-book.ts
@@ -18,6 +18,7 @@
   serviceMilliseconds: 0,
   slowdown: 1,
   state: ServerState.Absent,
+  waitMilliseconds: 0,
   waiting: 0,
 };
 
--- a/packages/mesh-core/tests/fixtures.ts
+++ b/packages/mesh-core/tests/fixtures.ts
@@ -80,6 +80,7 @@
     serviceMilliseconds: 100,
     slowdown: 1,
     state: 'ready',
+    waitMilliseconds: 0,
     waiting: 0,
     ...changes,
   };
--- a/packages/mesh-core/tests/placement/completion-policy.test.ts
+++ b/packages/mesh-core/tests/placement/completion-policy.test.ts
@@ -16,7 +16,7 @@
   [
     'an idle gate before one with a queue',
     [
-      ['a', { running: 4, waiting: 3 }],
+      ['a', { running: 4, waitMilliseconds: 100, waiting: 3 }],
       ['b', {}],
     ],
     1,
@@ -44,7 +44,7 @@
     'another zone when the own one would make the request wait long',
     [
       ['a', {}, far],
-      ['b', { running: 4, waiting: 4 }],
+      ['b', { running: 4, waitMilliseconds: 125, waiting: 4 }],
     ],
     1,
     'a',
@@ -53,7 +53,7 @@
     'the own zone despite a short wait when the answer is long',
     [
       ['a', {}, far],
-      ['b', { running: 4, waiting: 0 }],
+      ['b', { running: 4, waitMilliseconds: 25, waiting: 0 }],
     ],
     12,
     'b',
@@ -101,7 +101,12 @@
     const book = new TargetBook();
     for (const [gate, state, place] of gates) book.connected(node(gate, place), load(state), 0);
     const policy = new CompletionPolicy({ ...own, random: new SeededRandomSource(1) });
-    const placed = policy.choose(book.ready('shop'), { excluded: new Set(), kilobytes, now: 0 });
+    const placed = policy.choose(book.ready('shop'), {
+      excluded: new Set(),
+      kilobytes,
+      now: 0,
+      targetMilliseconds: 400,
+    });
     assert.is(placed?.view.node.name, expected);
   });
 }
@@ -112,7 +117,12 @@
   const policy = new CompletionPolicy({ ...own, random: new SeededRandomSource(1) });
   const counts = new Map<string, number>();
   for (let request = 0; request < 12; request += 1) {
-    const placed = policy.choose(book.ready('shop'), { excluded: new Set(), kilobytes: 1, now: 0 });
+    const placed = policy.choose(book.ready('shop'), {
+      excluded: new Set(),
+      kilobytes: 1,
+      now: 0,
+      targetMilliseconds: 400,
+    });
     const name = placed?.view.node.name ?? '';
     book.sent(name);
     counts.set(name, (counts.get(name) ?? 0) + 1);
@@ -126,7 +136,12 @@
     const book = new TargetBook();
     for (const name of ['a', 'b', 'c']) book.connected(node(name), load(), 0);
     const policy = new CompletionPolicy({ ...own, random: new SeededRandomSource(seed) });
-    const placement = { excluded: new Set<string>(), kilobytes: 1, now: 0 };
+    const placement = {
+      excluded: new Set<string>(),
+      kilobytes: 1,
+      now: 0,
+      targetMilliseconds: 400,
+    };
     chosen.add(policy.choose(book.ready('shop'), placement)?.view.node.name);
   }
   assert.is(chosen.size, 3);
@@ -139,7 +154,7 @@
   book.connected(node('c', { service: 'cart' }), load(), 0);
   book.disconnected('b');
   const policy = new CompletionPolicy({ ...own, random: new SeededRandomSource(1) });
-  const placement = { excluded: new Set(['a']), kilobytes: 1, now: 0 };
+  const placement = { excluded: new Set(['a']), kilobytes: 1, now: 0, targetMilliseconds: 400 };
   assert.is(policy.choose(book.ready('shop'), placement), undefined);
 });
 
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -64,6 +64,7 @@
   'reason',
   'expectedMilliseconds',
   'detail',
+  'waitMilliseconds',
 ] as const;
 
 const encoder = new Encoder({
--- a/packages/nodes/tests/mesh-links.test.ts
+++ b/packages/nodes/tests/mesh-links.test.ts
@@ -16,6 +16,7 @@
   serviceMilliseconds: 1,
   slowdown: 1,
   state: 'ready',
+  waitMilliseconds: 0,
   waiting: 0,
 };
 
--- a/packages/upstreams/src/mesh/readiness-server.ts
+++ b/packages/upstreams/src/mesh/readiness-server.ts
@@ -2,13 +2,20 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 
+export interface PageContent {
+  readonly status: number;
+  readonly text: string;
+}
+
 /** A page that is served by path. */
 export interface TextPage {
   readonly path: string;
   /** Status and text of the page at this moment. */
-  readonly render: () => { readonly status: number; readonly text: string };
+  readonly render: () => PageContent | Promise<PageContent>;
 }
 
+const notFound: PageContent = { status: 404, text: 'not found\n' };
+
 /** Serves the pages by which the platform watches the process. */
 export class ReadinessServer {
   private readonly server: Server;
@@ -21,10 +28,11 @@
     this.server = createServer((request, response) => {
       const path = (request.url ?? '/').split('?')[0];
       const page = pages.find((candidate) => candidate.path === path);
-      const { status, text } = page?.render() ?? { status: 404, text: 'not found\n' };
       request.resume();
-      response.writeHead(status, { 'content-type': 'text/plain; version=0.0.4' });
-      response.end(text);
+      void Promise.resolve(page?.render() ?? notFound).then(({ status, text }) => {
+        response.writeHead(status, { 'content-type': 'text/plain; version=0.0.4' });
+        response.end(text);
+      });
     });
   }
 
