--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -12,6 +12,7 @@
   parseDurationFlag,
 } from './connection-options.js';
 import { ExitCode } from './exit-code.js';
+import { explainRequest } from './explain.js';
 import { parseOrReport, runText, type Session } from './session.js';
 import type { Terminal } from './terminal.js';
 import { watch } from './watch.js';
@@ -42,6 +43,7 @@
     this.addWatch();
     this.addWait();
     this.addDrainAndRestore();
+    this.addExplain();
     this.addCompletion();
   }
 
@@ -144,6 +146,27 @@
     }
   }
 
+  private addExplain(): void {
+    this.command
+      .command('explain')
+      .description('print what the logs of nodes say of a request, in order of time')
+      .argument('<request>', 'the identifier of the request')
+      .argument('<file...>', 'log files of any number of nodes; - for standard input')
+      .action(async (request: string, files: readonly string[]) => {
+        const logs: string[] = [];
+        for (const file of files) {
+          const log = await this.readFile(file);
+          if (log === undefined) return;
+          logs.push(log);
+        }
+        const lines = explainRequest(request, logs);
+        for (const line of lines) this.terminal.out(line);
+        if (lines.length > 0) return;
+        this.terminal.error(`no line speaks of the request ${request}`);
+        this.exitCode = ExitCode.Partial;
+      });
+  }
+
   private addCompletion(): void {
     this.command
       .command('completion')
--- /dev/null
+++ b/packages/daemon/tests/event-recorder.test.ts
@@ -0,0 +1,84 @@
+import { Metrics } from '@peridotspring/operators/metrics';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { EventRecorder } from '../src/mesh/event-recorder.js';
+
+type Fields = Readonly<Record<string, string | number | boolean>>;
+
+class Bench {
+  public now = 5_000;
+  public readonly lines: (readonly [string, Fields])[] = [];
+  public readonly metrics = new Metrics();
+  public readonly recorder = new EventRecorder({
+    clock: () => this.now,
+    metrics: this.metrics,
+    write: (event, fields) => this.lines.push([event, fields]),
+  });
+
+  public conclude(request: string, changes: Fields = {}): void {
+    this.recorder.record('request-concluded', {
+      late: false,
+      milliseconds: 20,
+      outcome: 'answered',
+      request,
+      service: 'shop',
+      status: 200,
+      ...changes,
+    });
+  }
+
+  public eventsOf(request: string): readonly string[] {
+    return this.lines.filter(([, fields]) => fields.request === request).map(([event]) => event);
+  }
+}
+
+/** How a request ended, and whether its earlier lines are written. */
+const endings: readonly (readonly [string, Fields, boolean])[] = [
+  ['answered in time', {}, false],
+  ['answered late', { late: true }, true],
+  ['answered with a failure', { status: 500 }, true],
+  ['refused', { cause: 'overloaded', outcome: 'refused' }, true],
+  ['unknown', { cause: 'timeout', outcome: 'unknown' }, true],
+];
+
+for (const [name, ending, isWhole] of endings) {
+  test(`a request that was ${name} keeps ${isWhole ? 'all its lines' : 'its last line only'}`, () => {
+    const bench = new Bench();
+    bench.recorder.record('request-moved', { reason: 'busy', request: 'r1' });
+    bench.recorder.record('attempt-failed', { detail: 'reset', request: 'r1' });
+    bench.conclude('r1', ending);
+    const expected = ['request-moved', 'attempt-failed', 'request-concluded'];
+    assert.equal(bench.eventsOf('r1'), isWhole ? expected : ['request-concluded']);
+  });
+}
+
+test('the volume is bounded under load, and what is left out is counted', () => {
+  const bench = new Bench();
+  for (let count = 0; count < 5_000; count += 1) bench.conclude(`r${count}`);
+  assert.ok(bench.lines.length <= 101, `${bench.lines.length} lines`);
+  bench.now += 1_100;
+  bench.conclude('last');
+  const suppressed = bench.lines.find(([event]) => event === 'log-lines-suppressed');
+  assert.is(suppressed?.[1].routine, 4_900);
+});
+
+test('a flood of good requests leaves room for the lines of a bad one', () => {
+  const bench = new Bench();
+  for (let count = 0; count < 1_000; count += 1) bench.conclude(`r${count}`);
+  bench.recorder.record('request-moved', { reason: 'busy', request: 'bad' });
+  bench.conclude('bad', { outcome: 'refused' });
+  assert.equal(bench.eventsOf('bad'), ['request-moved', 'request-concluded']);
+});
+
+test('events are counted by their reason, and latencies by service and outcome', async () => {
+  const bench = new Bench();
+  bench.recorder.record('request-declined', { reason: 'busy', request: 'r1' });
+  bench.recorder.record('request-declined', { reason: 'busy', request: 'r2' });
+  bench.conclude('r1');
+  const text = await bench.metrics.text();
+  assert.match(text, 'peridotspring_request_declined_total{reason="busy"} 2');
+  assert.match(text, 'outcome="answered"');
+});
+
+test.run();
