Follow the settings file; serve metrics; the operators' page for the platform

docs/operators.md is docs/OPERATIONS.md now, as the issue on logs says, so three tests read it under its new name. The test of metrics covers the gauges of the routing node as well, the test of events its events.

--- a/packages/ctl/src/exit-code.ts
+++ b/packages/ctl/src/exit-code.ts
@@ -1,4 +1,4 @@
-/** Exit codes of peridotctl. They are documented in docs/operators.md and stable. */
+/** Exit codes of peridotctl. They are documented in docs/OPERATIONS.md and stable. */
 export const ExitCode = {
   /** Everything that was asked for is done, and every node answered. */
   Done: 0,
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -1,3 +1,4 @@
+import { EntryEventName, GateEventName } from '@peridotspring/mesh-core';
 import type { Metrics } from '@peridotspring/operators/metrics';
 
 import { LineBudget } from './line-budget.js';
@@ -19,15 +20,15 @@
 
 /** Events of a request at its entry, which are kept until the request ends. */
 const entryEvents: ReadonlySet<string> = new Set([
-  'request-moved',
-  'request-repeated',
-  'attempt-failed',
+  EntryEventName.AttemptFailed,
+  EntryEventName.RequestMoved,
+  EntryEventName.RequestRepeated,
 ]);
 /** Events of requests at a gate, of which only a sample is written under load. */
 const gateEvents: ReadonlySet<string> = new Set([
-  'request-started',
-  'request-declined',
-  'request-cancelled',
+  GateEventName.RequestCancelled,
+  GateEventName.RequestDeclined,
+  GateEventName.RequestStarted,
 ]);
 
 export interface EventRecorderOptions {
@@ -52,7 +53,7 @@
     const now = this.options.clock();
     this.count(event, fields);
     if (entryEvents.has(event)) this.keep(event, fields);
-    else if (event === MeshEvent.RequestConcluded) this.concluded(fields, now);
+    else if (event === EntryEventName.RequestConcluded) this.concluded(fields, now);
     else if (gateEvents.has(event)) this.writeWithin(this.routine, event, fields, now);
     else this.writeWithin(this.notable, event, fields, now);
     this.reportSuppressed(now);
@@ -65,11 +66,11 @@
     this.kept.delete(String(request));
     const isBad = outcome !== 'answered' || Number(status) >= 500 || fields.late === true;
     if (!isBad) {
-      this.writeWithin(this.routine, MeshEvent.RequestConcluded, fields, now);
+      this.writeWithin(this.routine, EntryEventName.RequestConcluded, fields, now);
       return;
     }
     for (const [event, earlier] of lines) this.writeWithin(this.notable, event, earlier, now);
-    this.writeWithin(this.notable, MeshEvent.RequestConcluded, fields, now);
+    this.writeWithin(this.notable, EntryEventName.RequestConcluded, fields, now);
   }
 
   private keep(event: string, fields: Fields): void {
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -28,6 +28,7 @@
 import type { EventRecorder } from './event-recorder.js';
 import { MeshEvent } from './mesh-event.js';
 import type { MeshSettings } from './mesh-settings.js';
+import type { MeshFigures } from './mesh-gauges.js';
 import { isMeshNode } from './mesh-directory-entry.js';
 import type { DecodedConfiguration } from './platform-adapter.js';
 import { StopPlan } from './stop-plan.js';
@@ -154,11 +155,11 @@
   }
 
   /** Figures for the metrics, read when they are asked for. */
-  public get gauges(): Readonly<Record<string, number>> {
+  public get figures(): MeshFigures {
     const load = this.gate.load(this.options.clock());
     return {
       configuration_version: this.configuration.version,
-      gate_limit: load.limit,
+      gate_concurrency_limit: load.limit,
       gate_running: load.running,
       gate_waiting: load.waiting,
       nodes_connected: this.directory.connected,
@@ -186,6 +187,12 @@
     this.options.ports().callers.stop();
   }
 
+  /** Bounds that hold from now on; addresses and names of a process hold until its end. */
+  public applySettings({ probesPerSecond, repeats }: MeshSettings): void {
+    this.budget.configure(repeats);
+    this.gate.setProbesPerSecond(probesPerSecond);
+  }
+
   public callerRequest(request: EntryRequest): void {
     const now = this.options.clock();
     const service = this.split.choose(request.route);
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -11,10 +11,12 @@
 import { EventRecorder } from './event-recorder.js';
 import { decodeDirectoryEntry, encodeDirectoryEntry } from './mesh-directory-entry.js';
 import { MeshEvent } from './mesh-event.js';
+import { registerMeshGauges } from './mesh-gauges.js';
 import { MeshNodeDriver } from './mesh-node.js';
 import type { MeshNodePorts } from './mesh-node.js';
-import type { MeshSettings } from './mesh-settings.js';
+import type { MeshSettings, SettingsResult } from './mesh-settings.js';
 import type { PlatformAdapter } from './platform-adapter.js';
+import { SettingsWatch } from './settings-watch.js';
 
 /** Where the readiness port serves the metrics. */
 const metricsPath = '/metrics';
@@ -28,11 +30,14 @@
 /** A node that runs, as its process sees it. */
 export interface RunningMeshNode {
   stop(): void;
+  /** Reads the settings file now, as a signal asks. */
+  reload(): void;
 }
 
 export interface MeshWiringOptions {
   readonly settings: MeshSettings;
   readonly adapter: PlatformAdapter;
+  readonly readSettings: () => Promise<SettingsResult>;
   readonly stopped: () => void;
 }
 
@@ -72,7 +77,7 @@
       void Promise.race([Promise.all(closing), delay(leaveMilliseconds)]).then(stopped);
     },
   };
-  registerGauges(metrics, driver);
+  registerMeshGauges(metrics, () => driver.figures);
   const { host, port } = settings.reportAddress;
   const reports = new ReportServer({
     bindHost: host,
@@ -98,8 +103,13 @@
   await Promise.all([links.listen(), callers.listen(), reports.listen(), readiness.listen()]);
   driver.start();
   events.record(MeshEvent.NodeStarted, { boot: self.boot, service: self.service });
+  const watch = createSettingsWatch(options, driver, events);
   return {
+    reload: () => {
+      void watch.check();
+    },
     stop: () => {
+      watch.close();
       events.record(MeshEvent.NodeStopping, {});
       driver.stop();
     },
@@ -121,15 +131,24 @@
   });
 }
 
-/** The gauges of a node, read at each scrape. */
-function registerGauges(metrics: Metrics, driver: MeshNodeDriver): void {
-  for (const name of Object.keys(driver.gauges)) {
-    metrics.addGauge({
-      help: `The node's ${name.replaceAll('_', ' ')}.`,
-      name,
-      read: () => driver.gauges[name] ?? 0,
-    });
-  }
+function createSettingsWatch(
+  { readSettings, settings }: MeshWiringOptions,
+  driver: MeshNodeDriver,
+  events: EventRecorder,
+): SettingsWatch {
+  return new SettingsWatch({
+    changed: (changed, fields) => {
+      events.record(MeshEvent.SettingsReloaded, { changed: fields.join() });
+      driver.applySettings(changed);
+    },
+    invalid: (faults) => {
+      for (const { expected, field } of faults) {
+        events.record(MeshEvent.SettingsInvalid, { expected, field });
+      }
+    },
+    read: readSettings,
+    settings,
+  });
 }
 
 function nodeOf(settings: MeshSettings, boot: number): MeshNode {
@@ -242,7 +261,7 @@
           milliseconds: Math.round(milliseconds),
           outcome,
         });
-      } else metrics.count({ by: 1, counter: 'store-calls', kind: 'count', labels: { call } });
+      } else metrics.count({ by: 1, counter: 'store_calls', kind: 'count', labels: { call } });
     },
     port: settings.storeAddress.port,
   });
--- a/packages/daemon/tests/logging/log-events-page.test.ts
+++ b/packages/daemon/tests/logging/log-events-page.test.ts
@@ -3,7 +3,10 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { EntryEventName, GateEventName } from '@peridotspring/mesh-core';
+
 import { LogEvent } from '../../src/logging/log-event.js';
+import { MeshEvent } from '../../src/mesh/index.js';
 
 const root = new URL('../../../../../', import.meta.url);
 
@@ -16,14 +19,14 @@
     .join('\n');
 }
 
-const page = readFileSync(new URL('docs/operators.md', root), 'utf8');
+const page = readFileSync(new URL('docs/OPERATIONS.md', root), 'utf8');
 
 // Operators alert by event names: one that is on no page, or is never logged, misleads them.
 test('each event of the daemon is logged and stands on the page', () => {
   const source = sourceText('packages/daemon/src/');
   for (const [name, event] of Object.entries(LogEvent)) {
     assert.ok(source.includes(`LogEvent.${name}`), `${event} is never logged`);
-    assert.ok(page.includes(`| \`${event}\``), `${event} is not in docs/operators.md`);
+    assert.ok(page.includes(`| \`${event}\``), `${event} is not in docs/OPERATIONS.md`);
   }
 });
 
@@ -32,7 +35,18 @@
   const events = [...source.matchAll(/\.log\((?:'info', |'warn', )?'([a-z-]+)'/g)];
   assert.ok(events.length >= 3);
   for (const [, event = ''] of events) {
-    assert.ok(page.includes(`| \`${event}\``), `${event} is not in docs/operators.md`);
+    assert.ok(page.includes(`| \`${event}\``), `${event} is not in docs/OPERATIONS.md`);
+  }
+});
+
+test('each event of the routing node is logged and stands on the page', () => {
+  const source = `${sourceText('packages/daemon/src/')}${sourceText('platform/src/')}`;
+  for (const [name, event] of Object.entries(MeshEvent)) {
+    assert.ok(source.includes(`MeshEvent.${name}`), `${event} is never logged`);
+    assert.ok(page.includes(`| \`${event}\``), `${event} is not in docs/OPERATIONS.md`);
+  }
+  for (const event of [...Object.values(EntryEventName), ...Object.values(GateEventName)]) {
+    assert.ok(page.includes(`| \`${event}\``), `${event} is not in docs/OPERATIONS.md`);
   }
 });
 
--- a/packages/daemon/tests/operators/metrics-page.test.ts
+++ b/packages/daemon/tests/operators/metrics-page.test.ts
@@ -5,6 +5,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { registerMeshGauges } from '../../src/mesh/mesh-gauges.js';
+import type { MeshFigures } from '../../src/mesh/mesh-gauges.js';
 import { registerGauges } from '../../src/operators/gauges.js';
 import type { GaugeSources } from '../../src/operators/gauges.js';
 
@@ -37,11 +39,12 @@
   metrics.addGauge = ({ name }) => gauges.push(name);
   // Only the names are asked for, so the sources of the values are never read.
   registerGauges(metrics, {} as GaugeSources);
+  registerMeshGauges(metrics, () => ({}) as MeshFigures);
   return [...own.map(([, name]) => name ?? ''), ...gauges];
 }
 
 test('operators find every metric on the page, and no metric that does not exist', async () => {
-  const page = readFileSync(new URL('docs/operators.md', root), 'utf8');
+  const page = readFileSync(new URL('docs/OPERATIONS.md', root), 'utf8');
   const listed = [...page.matchAll(/^\| `peridotspring_([a-z_]+)`/gm)].map(([, name]) => name);
   const defined = new Set([...counterNames(), ...(await registeredNames())]);
   assert.equal([...listed].sort(), [...defined].sort());
--- a/packages/mesh-core/src/budget/repeat-budget.ts
+++ b/packages/mesh-core/src/budget/repeat-budget.ts
@@ -26,7 +26,12 @@
   private readonly windows = new Map<string, Window>();
   private nodes = 1;
 
-  public constructor(private readonly options: RepeatBudgetOptions) {}
+  public constructor(private options: RepeatBudgetOptions) {}
+
+  /** Bounds that hold from now on. */
+  public configure(options: RepeatBudgetOptions): void {
+    this.options = options;
+  }
 
   /** The largest number of nodes that may be using their part now. */
   public shareBetween(nodes: number): void {
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -55,14 +55,18 @@
   respond(request: EntryRequest, outcome: EntryOutcome): void;
 }
 
+/** Names of the entry's events; they are stable, since operators filter and alert by them. */
+export const EntryEventName = {
+  AttemptFailed: 'attempt-failed',
+  RequestAbandoned: 'request-abandoned',
+  RequestConcluded: 'request-concluded',
+  RequestMoved: 'request-moved',
+  RequestRepeated: 'request-repeated',
+} as const;
+export type EntryEventName = (typeof EntryEventName)[keyof typeof EntryEventName];
+
 /** One line of the entry's log. */
 export interface EntryEvent {
-  readonly event:
-    | 'request-dispatched'
-    | 'request-moved'
-    | 'request-repeated'
-    | 'request-concluded'
-    | 'request-abandoned'
-    | 'attempt-failed';
+  readonly event: EntryEventName;
   readonly fields: Readonly<Record<string, string | number | boolean>>;
 }
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -12,7 +12,7 @@
 } from '../messages/mesh-frames.js';
 import type { CompletionPolicy, PlacedGate, Placement } from '../placement/completion-policy.js';
 import type { GateView, TargetBook } from '../placement/target-book.js';
-import { RefusalCause, UnknownCause } from './entry-contract.js';
+import { EntryEventName, RefusalCause, UnknownCause } from './entry-contract.js';
 import type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry-contract.js';
 import { isHedgeDue } from './hedge-rule.js';
 import { RequestState } from './request-state.js';
@@ -99,7 +99,7 @@
   public abandon(requestNumber: number): void {
     const state = this.requests.get(requestNumber);
     if (state === undefined) return;
-    this.log('request-abandoned', state, { attempts: state.attempts.size });
+    this.log(EntryEventName.RequestAbandoned, state, { attempts: state.attempts.size });
     this.remove(state);
   }
 
@@ -171,7 +171,7 @@
     state.reachedServer ||= hasReachedServer;
     if (attempt.repeat && !hasReachedServer) this.options.budget.refund(state.service, now);
     state.decline(attempt.node, frame);
-    this.log('request-moved', state, {
+    this.log(EntryEventName.RequestMoved, state, {
       expected: frame.expectedMilliseconds,
       from: attempt.node,
       reason: frame.reason,
@@ -188,13 +188,16 @@
 
   private failed(attempt: Attempt, frame: FailedFrame, now: number): void {
     const { state } = attempt;
-    this.log('attempt-failed', state, { detail: frame.detail, node: attempt.node });
+    this.log(EntryEventName.AttemptFailed, state, { detail: frame.detail, node: attempt.node });
     this.mayHaveRun(state, now);
   }
 
   private gateEnded(attempt: Attempt, now: number): void {
     this.endAttempt(attempt);
-    this.log('attempt-failed', attempt.state, { detail: 'the gate ended', node: attempt.node });
+    this.log(EntryEventName.AttemptFailed, attempt.state, {
+      detail: 'the gate ended',
+      node: attempt.node,
+    });
     this.mayHaveRun(attempt.state, now);
   }
 
@@ -212,7 +215,7 @@
     if (state.declined.size > maximumDeclines) return false;
     const placed = this.place(state, now);
     if (placed === undefined || !budget.take(state.service, now)) return false;
-    this.log('request-repeated', state, { node: placed.view.node.name, reason });
+    this.log(EntryEventName.RequestRepeated, state, { node: placed.view.node.name, reason });
     const isHedge = state.attempts.size > 0;
     if (this.dispatch(state, placed.view, isHedge, true, now)) return true;
     budget.refund(state.service, now);
@@ -363,7 +366,7 @@
     now: number,
   ): void {
     const { receivedAt, route } = state.request;
-    this.log('request-concluded', state, {
+    this.log(EntryEventName.RequestConcluded, state, {
       declined: state.hardDeclines + state.optionalTries,
       late: now - receivedAt > route.targetLatencyMilliseconds,
       milliseconds: Math.round(now - receivedAt),
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -55,15 +55,20 @@
   loadChanged(): void;
 }
 
+/** Names of the gate's events; they are stable, since operators filter and alert by them. */
+export const GateEventName = {
+  RequestCancelled: 'request-cancelled',
+  RequestDeclined: 'request-declined',
+  RequestStarted: 'request-started',
+  ServerDraining: 'server-draining',
+  ServerLeft: 'server-left',
+  ServerReady: 'server-ready',
+  ServerReportIgnored: 'server-report-ignored',
+} as const;
+export type GateEventName = (typeof GateEventName)[keyof typeof GateEventName];
+
 /** One line of the gate's log. */
 export interface GateEvent {
-  readonly event:
-    | 'server-ready'
-    | 'server-draining'
-    | 'server-left'
-    | 'server-report-ignored'
-    | 'request-started'
-    | 'request-declined'
-    | 'request-cancelled';
+  readonly event: GateEventName;
   readonly fields: Readonly<Record<string, string | number | boolean>>;
 }
--- a/packages/mesh-core/src/gate/probe-schedule.ts
+++ b/packages/mesh-core/src/gate/probe-schedule.ts
@@ -10,7 +10,11 @@
   private refilledAt = 0;
   private askedAt: number | undefined;
 
-  public constructor(private readonly probesPerSecond: number) {}
+  public constructor(private probesPerSecond: number) {}
+
+  public configure(probesPerSecond: number): void {
+    this.probesPerSecond = probesPerSecond;
+  }
 
   /** Whether requests wait for the answer of a probe. */
   public isAwaited(now: number): boolean {
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -3,6 +3,7 @@
 import { AdmissionQueue } from './admission-queue.js';
 import type { WaitingRequest } from './admission-queue.js';
 import { ConcurrencyBound } from './concurrency-bound.js';
+import { GateEventName } from './gate-contract.js';
 import type {
   Execution,
   ExecutionResult,
@@ -142,7 +143,7 @@
       call.state = 'aborted';
       this.options.port.abort(call.executionId);
     }
-    this.log('request-cancelled', call, { state: call.state });
+    this.log(GateEventName.RequestCancelled, call, { state: call.state });
   }
 
   /** The server is done with a request. */
@@ -184,7 +185,7 @@
   /** The server says that it leaves. When this returns, no further request goes to it. */
   public leave(instanceId: string, now: number): void {
     if (!this.lifetime.leave(instanceId)) return;
-    this.options.log({ event: 'server-left', fields: { instance: instanceId } });
+    this.options.log({ event: GateEventName.ServerLeft, fields: { instance: instanceId } });
     this.declineWaiting(DeclineReason.Draining, now);
     this.options.port.loadChanged();
   }
@@ -200,6 +201,10 @@
     this.times.retain(routeNames);
   }
 
+  public setProbesPerSecond(probesPerSecond: number): void {
+    this.probes.configure(probesPerSecond);
+  }
+
   public tick(now: number): void {
     for (const waiting of [...this.queue.values()]) {
       if (waiting.deadline - now >= this.neededMilliseconds(waiting.frame)) continue;
@@ -395,7 +400,7 @@
     call.runningAtStart = this.running;
     call.startedFast = this.speed.state(now) === SpeedState.Fast;
     const execution: Execution = { deadline, executionId, frame, instanceId };
-    this.log('request-started', call, {
+    this.log(GateEventName.RequestStarted, call, {
       limit: this.limitFor(frame),
       running: this.running,
       slowdown: this.speed.current,
@@ -448,7 +453,7 @@
   }
 
   private decline(call: GateCall, reason: DeclineReason, expected: number, now: number): void {
-    this.log('request-declined', call, {
+    this.log(GateEventName.RequestDeclined, call, {
       expected,
       limit: this.limitFor(call.frame),
       reason,
@@ -487,18 +492,18 @@
       case ReportEffect.Unchanged:
         return;
       case ReportEffect.Ignored:
-        log({ event: 'server-report-ignored', fields: { instance: instanceId } });
+        log({ event: GateEventName.ServerReportIgnored, fields: { instance: instanceId } });
         return;
       case ReportEffect.Started:
         log({
-          event: 'server-ready',
+          event: GateEventName.ServerReady,
           fields: { instance: instanceId, slots: this.lifetime.slots },
         });
         port.loadChanged();
         return;
       case ReportEffect.Draining:
         log({
-          event: 'server-draining',
+          event: GateEventName.ServerDraining,
           fields: { instance: instanceId, running: this.running, waiting: this.queue.size },
         });
         this.declineWaiting(DeclineReason.Draining, now);
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -3,10 +3,11 @@
 export { ConfigurationHolder } from './configuration/configuration-holder.js';
 export type { ConfigurationInForce } from './configuration/configuration-holder.js';
 export { ConfigurationPull } from './configuration/configuration-pull.js';
-export { RefusalCause, UnknownCause } from './entry/entry-contract.js';
+export { EntryEventName, RefusalCause, UnknownCause } from './entry/entry-contract.js';
 export type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry/entry-contract.js';
 export { RequestForwarder } from './entry/request-forwarder.js';
 export type { RequestForwarderOptions } from './entry/request-forwarder.js';
+export { GateEventName } from './gate/gate-contract.js';
 export type {
   Execution,
   ExecutionResult,
--- a/packages/operators/tests/pages.test.ts
+++ b/packages/operators/tests/pages.test.ts
@@ -69,7 +69,7 @@
 }
 
 test('operators find every reason of a refusal and of an unknown outcome', () => {
-  const operators = page('operators.md');
+  const operators = page('OPERATIONS.md');
   const reasons = [...Object.values(RefusalReason), ...Object.values(UnknownReason)];
   const missing = reasons.filter((reason) => !operators.includes(`\n| \`${reason}\``));
   assert.equal(missing, []);
