Estimate the time of a request from the server's present speed

Change: service times are learned at usual speed and multiplied by the lowest slowdown of the last 700 ms (1,500 before).

--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -46,6 +46,7 @@
   runningAtStart: number;
   /** The server was known to work at its usual speed. */
   startedFast: boolean;
+  slowdownAtStart: number;
   finishedAt: number;
   reply: ReplyFrame | undefined;
 }
@@ -102,7 +103,7 @@
       failureShare: this.failures.share(now),
       limit: this.bound.limit(this.lifetime.slots),
       running: this.running,
-      serviceMilliseconds: this.times.meanMilliseconds,
+      serviceMilliseconds: this.meanMilliseconds,
       slowdown: this.speed.state(now) === SpeedState.Slow ? this.speed.current : 1,
       state: this.state,
       waitMilliseconds: this.waitFor(
@@ -238,6 +239,7 @@
       reply: undefined,
       runningAtStart: 0,
       startedAt: 0,
+      slowdownAtStart: 1,
       startedFast: false,
       state: 'waiting',
       targetAt: now + frame.targetMilliseconds,
@@ -272,9 +274,18 @@
       : undefined;
   }
 
+  /** Time that a request takes at the server's present speed. */
+  private expectedMilliseconds(routeName: string): number {
+    return this.times.expected(routeName) * this.speed.baseline;
+  }
+
+  private get meanMilliseconds(): number {
+    return this.times.meanMilliseconds * this.speed.baseline;
+  }
+
   /** Time below which a request has no chance to be answered. */
   private neededMilliseconds({ routeName }: StartFrame): number {
-    return Math.max(shortestUsefulMilliseconds, neededShare * this.times.expected(routeName));
+    return Math.max(shortestUsefulMilliseconds, neededShare * this.expectedMilliseconds(routeName));
   }
 
   private admit(call: GateCall, now: number): void {
@@ -282,7 +293,7 @@
     const isFree = this.queue.size === 0 && this.running < this.limitFor(call.frame);
     if (!isFree) {
       const wait = this.expectedWait(waiting, now);
-      const finish = wait + this.times.expected(call.frame.routeName);
+      const finish = wait + this.expectedMilliseconds(call.frame.routeName);
       if (call.frame.optional) {
         this.decline(call, DeclineReason.Busy, finish, now);
         return;
@@ -301,7 +312,7 @@
    * Under a lasting overload the rest are refused at once: waiting would make all of them late.
    */
   private mayWait({ deadline, frame, targetAt }: GateCall, wait: number, now: number): boolean {
-    const service = this.times.expected(frame.routeName);
+    const service = this.expectedMilliseconds(frame.routeName);
     if (frame.nested) return now + wait + service * neededShare <= deadline;
     if (now + wait + service <= targetAt) return true;
     return this.queue.size < this.limitFor(frame) && now + wait + service * lateReserve <= deadline;
@@ -314,7 +325,7 @@
 
   /** Time until a request would start if it waited here. */
   private expectedWait(request: WaitingRequest, now: number): number {
-    const ahead = this.queue.ahead(request, now, this.times.meanMilliseconds);
+    const ahead = this.queue.ahead(request, now, this.meanMilliseconds);
     return this.waitFor(ahead + 1, this.limitFor(request.frame), now);
   }
 
@@ -322,7 +333,7 @@
   private waitFor(place: number, limit: number, now: number): number {
     if (this.running + place <= limit) return 0;
     const excess = Math.max(0, this.running - limit);
-    const byService = ((place + excess) * this.times.meanMilliseconds) / limit;
+    const byService = ((place + excess) * this.meanMilliseconds) / limit;
     const interval = this.queue.size === 0 ? undefined : this.startRate.intervalMilliseconds(now);
     return interval === undefined ? byService : Math.max(byService, place * interval);
   }
@@ -338,7 +349,7 @@
   private startWaiting(now: number): void {
     if (this.lifetime.state !== ServerState.Ready || this.isStopping) return;
     while (this.queue.size > 0) {
-      const next = this.queue.next(now, this.times.meanMilliseconds, this.areNestedFirst);
+      const next = this.queue.next(now, this.meanMilliseconds, this.areNestedFirst);
       if (next === undefined || this.running >= this.limitFor(next.frame)) return;
       const speed = this.speedNow(now);
       if (speed === SpeedState.Slow && next.frame.optional) {
@@ -369,7 +380,7 @@
 
   /** Until when a request rather waits for a slow moment to pass than starts in it. */
   private latestStart({ enqueuedAt, frame, targetAt }: WaitingRequest): number {
-    const inTime = targetAt - this.times.expected(frame.routeName);
+    const inTime = targetAt - this.expectedMilliseconds(frame.routeName);
     return Math.max(inTime, enqueuedAt + lateHoldMilliseconds);
   }
 
@@ -380,7 +391,7 @@
       this.queue.remove(waiting.executionId);
       const call = this.byExecution.get(waiting.executionId);
       if (call === undefined) continue;
-      const expected = slowRestMilliseconds + this.times.expected(waiting.frame.routeName);
+      const expected = slowRestMilliseconds + this.expectedMilliseconds(waiting.frame.routeName);
       this.decline(call, DeclineReason.Busy, expected, now);
     }
   }
@@ -399,6 +410,7 @@
     else if (now - (call.deadline - frame.remainingMilliseconds) > 0) this.startRate.started(now);
     call.runningAtStart = this.running;
     call.startedFast = this.speed.state(now) === SpeedState.Fast;
+    call.slowdownAtStart = this.speed.isReported ? this.speed.current : 1;
     const execution: Execution = { deadline, executionId, frame, instanceId };
     this.log(GateEventName.RequestStarted, call, {
       limit: this.limitFor(frame),
@@ -439,17 +451,18 @@
     // A request that started in a slow moment says little about the next one.
     if (!isWhole || (this.speed.isReported && !call.startedFast)) return;
     const { routeName } = call.frame;
-    const relativeTime = milliseconds / this.times.expected(routeName);
+    const usual = milliseconds / call.slowdownAtStart;
+    const relativeTime = usual / this.times.expected(routeName);
     this.bound.answered(this.lifetime.slots, call.runningAtStart, relativeTime);
-    this.times.add(routeName, milliseconds);
+    this.times.add(routeName, usual);
   }
 
   /** A request that was aborted would have taken longer still. */
-  private learnAborted({ frame, startedFast }: GateCall, milliseconds: number): void {
-    if (this.speed.isReported && !startedFast) return;
-    if (milliseconds > this.times.expected(frame.routeName)) {
-      this.times.add(frame.routeName, milliseconds);
-    }
+  private learnAborted(call: GateCall, milliseconds: number): void {
+    if (this.speed.isReported && !call.startedFast) return;
+    const { routeName } = call.frame;
+    const usual = milliseconds / call.slowdownAtStart;
+    if (usual > this.times.expected(routeName)) this.times.add(routeName, usual);
   }
 
   private decline(call: GateCall, reason: DeclineReason, expected: number, now: number): void {
--- a/packages/mesh-core/src/gate/service-times.ts
+++ b/packages/mesh-core/src/gate/service-times.ts
@@ -5,7 +5,7 @@
 /** Assumed before the first answer; a request that is admitted in error costs less than one refused. */
 const initialMilliseconds = 50;
 
-/** Mean time that the server takes for a request, by route and over all. */
+/** Mean time that the server takes for a request at its usual speed, by route and over all. */
 export class ServiceTimes {
   private readonly overall = new DecayingMean(initialMilliseconds, sampleWeight);
   private readonly byRoute = new Map<string, DecayingMean>();
--- a/packages/mesh-core/src/gate/speed-watch.ts
+++ b/packages/mesh-core/src/gate/speed-watch.ts
@@ -4,8 +4,11 @@
 const slowMilliseconds = 35;
 /** A slowdown of this many times the lowest recent one is a slow moment. */
 const slowFactor = 1.6;
-/** Time in which the lowest slowdown is forgotten, so that a server that turned slow for good is used as it is. */
-const baselineMilliseconds = 1_500;
+/**
+ * Time in which the lowest slowdown is forgotten: some five spans, so that a server that turned slow for
+ * longer is soon known as such.
+ */
+const baselineMilliseconds = 700;
 
 export const SpeedState = {
   Fast: 'fast',
@@ -41,6 +44,11 @@
     return this.slowdown;
   }
 
+  /** The lowest slowdown of the last moments, at which requests start. */
+  public get baseline(): number {
+    return this.hasReported ? this.lowest : 1;
+  }
+
   /** Whether the server reports its speed at all. */
   public get isReported(): boolean {
     return this.hasReported;
--- a/packages/mesh-core/tests/gate/server-gate.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate.test.ts
@@ -218,6 +218,20 @@
   assert.is(bench.running.length, 1);
 });
 
+test('a server that turned slow for longer is told as slow before any of its answers are late', () => {
+  const bench = new Bench();
+  bench.gate.serverLoad(serverLoad(1), 0);
+  for (let now = 0; now < 400; now += 100) {
+    bench.start({}, now);
+    bench.gate.serverLoad(serverLoad(1), now);
+    bench.finish(bench.running.length - 1, now + 60);
+  }
+  const before = bench.gate.load(400).serviceMilliseconds;
+  for (let now = 500; now < 1_600; now += 50) bench.gate.serverLoad(serverLoad(12), now);
+  const after = bench.gate.load(1_600).serviceMilliseconds;
+  assert.ok(after > 10 * before, `${after} after ${before}`);
+});
+
 test('cancelling aborts an idempotent run and leaves another to finish', () => {
   const bench = new Bench();
   const first = bench.start();
