Find nodes that start again while the store is away

Started anew during an outage of the store it knew nobody and nobody dialed it: up to three seconds of 503. Ruled out: rare dials alone (still waited until the store was back). Change: nodes that ended are dialed again, at most 300 ms apart for 10 s; a node without any configuration asks the first node that connects. The test that a leaving node is not looked for asserted the fault; the new one asserts that it is, and the test of dials has a bound for each of the two spans.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -325,7 +325,7 @@
         for (const member of frame.members) if (isMeshNode(member)) this.nodeMentioned(member);
         return;
       case 'leaving':
-        this.directory.left(from.name);
+        // The directory keeps it: it may start again while the store is away, and then waits to be dialed.
         this.targets.forget(from.name);
     }
   }
--- a/packages/mesh-core/src/configuration/configuration-pull.ts
+++ b/packages/mesh-core/src/configuration/configuration-pull.ts
@@ -36,8 +36,10 @@
       this.dueAt = Infinity;
       return undefined;
     }
-    if (now < this.dueAt) return undefined;
-    this.dueAt = now + answerMilliseconds;
+    // A node without any configuration can serve nobody, so it does not wait for the store.
+    const patience = ownVersion === 0 ? storeFirstMilliseconds : 0;
+    if (now < this.dueAt - patience) return undefined;
+    this.dueAt = now + patience + answerMilliseconds;
     let best: [node: string, source: Source] | undefined;
     for (const [node, source] of this.sources) {
       if (source.version <= ownVersion) continue;
--- a/packages/mesh-core/src/membership/node-directory.ts
+++ b/packages/mesh-core/src/membership/node-directory.ts
@@ -4,6 +4,9 @@
 const forgetAfterMilliseconds = 60_000;
 const shortestRedialMilliseconds = 100;
 const longestRedialMilliseconds = 2_000;
+/** A node that was lost a short while ago may be starting again, and without the store it waits to be found. */
+const recentMilliseconds = 10_000;
+const recentRedialMilliseconds = 300;
 /** The node with the later name waits, so that two nodes seldom dial each other at the same time. */
 const secondDialerMilliseconds = 150;
 
@@ -84,12 +87,9 @@
     if (known === undefined) return;
     known.failures += 1;
     const delay = shortestRedialMilliseconds * 2 ** Math.min(known.failures, 5);
-    known.dialAt = now + Math.min(delay, longestRedialMilliseconds);
-  }
-
-  /** The node said that its process ends. */
-  public left(name: string): void {
-    this.known.delete(name);
+    const isRecent = now - known.lastMentionedAt < recentMilliseconds;
+    const longest = isRecent ? recentRedialMilliseconds : longestRedialMilliseconds;
+    known.dialAt = now + Math.min(delay, longest);
   }
 
   /** Nodes to dial now; each is given once until its dial fails or its connection ends. */
--- a/packages/mesh-core/tests/configuration/configuration-pull.test.ts
+++ b/packages/mesh-core/tests/configuration/configuration-pull.test.ts
@@ -31,6 +31,15 @@
   assert.is(pull.due(4, 1_100), 'c');
 });
 
+test('a node without any configuration asks at once: the store may be away for long', () => {
+  const pull = new ConfigurationPull();
+  pull.heard('b', 5, true, 0);
+  pull.heard('c', 5, false, 0);
+  assert.is(pull.due(0, 0), 'b');
+  assert.is(pull.due(0, 300), undefined);
+  assert.is(pull.due(0, 600), 'c');
+});
+
 test('a node that is gone is not asked', () => {
   const pull = new ConfigurationPull();
   pull.heard('b', 5, true, 0);
--- a/packages/mesh-core/tests/membership/node-directory.test.ts
+++ b/packages/mesh-core/tests/membership/node-directory.test.ts
@@ -18,18 +18,29 @@
   assert.equal(names(directory, 400), ['b']);
 });
 
-test('dials grow rarer up to a bound, so that a node that comes back is found soon', () => {
+/** Times at which a node that never answers is dialed. */
+function dialTimes(milliseconds: number): readonly number[] {
   const directory = new NodeDirectory('a');
   directory.mentioned(node('b'), 0);
-  let now = 0;
-  let dials = 0;
-  for (; now < 30_000; now += 50) {
+  const times: number[] = [];
+  for (let now = 0; now < milliseconds; now += 10) {
     for (const { name } of directory.dueForDial(now)) {
-      dials += 1;
+      times.push(now);
       directory.dialFailed(name, now);
     }
   }
-  assert.ok(dials >= 14 && dials <= 25, `${dials} dials in 30 s`);
+  return times;
+}
+
+test('a node that was lost lately is dialed often: it may be starting again without the store', () => {
+  const times = dialTimes(9_000);
+  const gaps = times.slice(1).map((time, index) => time - (times[index] ?? 0));
+  assert.ok(Math.max(...gaps) <= 310, `longest gap ${Math.max(...gaps)} ms`);
+});
+
+test('a node that stays lost is dialed rarely, but goes on being dialed', () => {
+  const late = dialTimes(40_000).filter((time) => time >= 12_000);
+  assert.ok(late.length >= 13 && late.length <= 15, `${late.length} dials in 28 s`);
 });
 
 test('a node that nobody mentions and that can not be reached is forgotten', () => {
@@ -61,11 +72,13 @@
   }
 });
 
-test('a node that said that it leaves is not looked for', () => {
+test('a node that ended is dialed again at once: started anew without the store, it finds nobody by itself', () => {
   const directory = new NodeDirectory('a');
   directory.connectedTo(node('b'), 0);
-  directory.left('b');
-  assert.equal(names(directory, 5_000), []);
+  directory.disconnected('b', 1_000);
+  assert.equal(names(directory, 1_000), ['b']);
+  directory.dialFailed('b', 1_010);
+  assert.equal(names(directory, 1_400), ['b']);
 });
 
 test('a node does not dial itself', () => {
