Remember a reply until the deadline; join what was written twice

A gate forgot a finished call 5 s after its end. An entry may send a frame again until the request's deadline, so with a deadline above 5 s a non-idempotent request whose reply was lost with its connection could have run twice. Calls are remembered until 5 s past both their end and their deadline now. Also: one way to decline what waits in place of three copies, a method that nothing called is gone, and two comments said what the code does not do.

--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -12,7 +12,7 @@
 
 import { announcesBody, collectBody } from '../request-body.js';
 
-/** Largest header that Node.js accepts; the configured limit is checked as well. */
+/** Largest header that is read, in bytes; Node.js fixes it at the start, before the configured limit is known. */
 const maximumHeaderBytes = 65_536;
 /** Retry-After for a node that has no configuration yet; it reads one within about a second. */
 const unconfiguredRetryAfterMilliseconds = 300;
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -67,7 +67,7 @@
     const state = new RequestState(request, service, deadline, nested);
     this.requests.set(request.requestNumber, state);
     this.deadlines.push(deadline, state);
-    // Only requests of callers earn repeats: calls of servers are not counted by those who ask for bounds.
+    // The bound on repeats is relative to the requests of callers, so calls of servers earn none.
     if (!nested) this.options.budget.request(service, now);
     this.tryNext(state, now);
   }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -29,11 +29,17 @@
 const slowRestMilliseconds = 75;
 /** A request that has missed its target waits this long for a slow moment to pass. */
 const lateHoldMilliseconds = 100;
-/** Time for which a finished call is remembered, so that a frame sent again gets the same reply. */
+/**
+ * Time past its end, and past its deadline, for which a call is remembered: an entry may send its frame
+ * again until then, and has to get the same reply.
+ */
 const rememberedMilliseconds = 5_000;
 /** Time past the deadline after which a request is aborted; the server ends its work by itself first. */
 const overdueMilliseconds = 400;
 
+/** Time between two searches for calls that are overdue or no longer remembered. */
+const sweepMilliseconds = 100;
+
 interface GateCall {
   readonly key: string;
   readonly executionId: number;
@@ -209,9 +215,7 @@
   public tick(now: number): void {
     for (const waiting of [...this.queue.values()]) {
       if (waiting.deadline - now >= this.neededMilliseconds(waiting.frame)) continue;
-      const call = this.byExecution.get(waiting.executionId);
-      this.queue.remove(waiting.executionId);
-      if (call !== undefined) this.decline(call, DeclineReason.DeadlineTooShort, 0, now);
+      this.declineQueued(waiting, DeclineReason.DeadlineTooShort, 0, now);
     }
     this.startWaiting(now);
     if (now >= this.nextSweepAt) this.sweep(now);
@@ -220,7 +224,8 @@
   private sweep(now: number): void {
     this.nextSweepAt = now + sweepMilliseconds;
     for (const call of this.calls.values()) {
-      if (call.state === 'finished' && now - call.finishedAt > rememberedMilliseconds) {
+      const wantedUntil = Math.max(call.finishedAt, call.deadline) + rememberedMilliseconds;
+      if (call.state === 'finished' && now > wantedUntil) {
         this.calls.delete(call.key);
       } else if (call.state === 'running' && now - call.deadline > overdueMilliseconds) {
         this.options.port.abort(call.executionId);
@@ -388,11 +393,8 @@
   private declineOptional(now: number): void {
     for (const waiting of [...this.queue.values()]) {
       if (!waiting.frame.optional) continue;
-      this.queue.remove(waiting.executionId);
-      const call = this.byExecution.get(waiting.executionId);
-      if (call === undefined) continue;
       const expected = slowRestMilliseconds + this.expectedMilliseconds(waiting.frame.routeName);
-      this.decline(call, DeclineReason.Busy, expected, now);
+      this.declineQueued(waiting, DeclineReason.Busy, expected, now);
     }
   }
 
@@ -484,11 +486,18 @@
   }
 
   private declineWaiting(reason: DeclineReason, now: number): void {
-    for (const waiting of [...this.queue.values()]) {
-      this.queue.remove(waiting.executionId);
-      const call = this.byExecution.get(waiting.executionId);
-      if (call !== undefined) this.decline(call, reason, 0, now);
-    }
+    for (const waiting of [...this.queue.values()]) this.declineQueued(waiting, reason, 0, now);
+  }
+
+  private declineQueued(
+    { executionId }: WaitingRequest,
+    reason: DeclineReason,
+    expected: number,
+    now: number,
+  ): void {
+    this.queue.remove(executionId);
+    const call = this.byExecution.get(executionId);
+    if (call !== undefined) this.decline(call, reason, expected, now);
   }
 
   private finish(call: GateCall, reply: ReplyFrame | undefined, now: number): void {
@@ -536,8 +545,6 @@
   }
 }
 
-const sweepMilliseconds = 100;
-
 function callKey(from: string, boot: number, callId: number): string {
   return `${from}/${boot}/${callId}`;
 }
--- a/packages/mesh-core/src/placement/target-book.ts
+++ b/packages/mesh-core/src/placement/target-book.ts
@@ -11,17 +11,6 @@
   isConnected: boolean;
 }
 
-const unknownLoad: GateLoad = {
-  failureShare: 0,
-  limit: 0,
-  running: 0,
-  serviceMilliseconds: 0,
-  slowdown: 1,
-  state: ServerState.Absent,
-  waitMilliseconds: 0,
-  waiting: 0,
-};
-
 /** The gates of all services that this node can reach, with the load that each last told. */
 export class TargetBook {
   private readonly views = new Map<string, GateView>();
@@ -56,14 +45,14 @@
     return this.views.get(name);
   }
 
-  public loadOf(name: string): GateLoad {
-    return this.views.get(name)?.load ?? unknownLoad;
-  }
-
   /** Gates of a service that take requests. */
   public *ready(service: string): Generator<GateView> {
     for (const view of this.views.values()) {
-      if (view.node.service === service && view.isConnected && view.load.state === 'ready') {
+      if (
+        view.node.service === service &&
+        view.isConnected &&
+        view.load.state === ServerState.Ready
+      ) {
         yield view;
       }
     }
--- a/packages/mesh-core/tests/gate/server-gate.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate.test.ts
@@ -74,6 +74,16 @@
   assert.is(bench.replies.filter(({ callId }) => callId === 7).length, 2);
 });
 
+test('a reply is remembered until the deadline, so that a frame sent again late does not run twice', () => {
+  const bench = new Bench();
+  const frame = { callId: 7, idempotent: false, remainingMilliseconds: 30_000 };
+  bench.start(frame);
+  bench.finish(0, 50);
+  for (let now = 100; now < 20_000; now += 100) bench.gate.tick(now);
+  bench.start({ ...frame, remainingMilliseconds: 10_000 }, 20_000);
+  assert.is(bench.running.length, 1);
+});
+
 test('the same number from another life of the entry is another request', () => {
   const bench = new Bench();
   bench.gate.start('entry', 1, startFrame({ callId: 7 }), 0);
