Let a remembered latency expire, so that an idle target is tried again

Cause: idle targets have equal scores and the latency decides between them. A target whose last results were bad kept its high latency for as long as others were chosen, so it was never tried again while the service was idle. In reasons.process.test the slow server then got no request, and no hedge was due. Change: a latency older than 10 s, the longest time between trials of a shunned target, counts as unknown and its average starts anew. Test: shun-recovery.test, failed first.

--- a/packages/core/src/routing/power-of-choices-policy.ts
+++ b/packages/core/src/routing/power-of-choices-policy.ts
@@ -51,14 +51,15 @@
     excluded: ReadonlySet<string>,
     now: ClockReading,
   ): TargetState | undefined {
+    const time = now.monotonic;
     const candidates = this.candidates(scope, excluded);
     let best: TargetState | undefined;
     let bestScore = Infinity;
     for (const candidate of candidates) {
-      const score = this.score(candidate, scope, now.monotonic);
+      const score = this.score(candidate, scope, time);
       const isBetter =
         Math.abs(score - bestScore) <= scoreTolerance
-          ? (candidate.latency ?? 0) < (best?.latency ?? 0)
+          ? (candidate.recentLatency(time) ?? 0) < (best?.recentLatency(time) ?? 0)
           : score < bestScore;
       if (best === undefined || isBetter) {
         best = candidate;
--- a/packages/core/src/routing/record-result.ts
+++ b/packages/core/src/routing/record-result.ts
@@ -12,17 +12,18 @@
   service: ServiceTargets,
   end: AttemptEnd,
   latencyMilliseconds: number,
+  now: number,
 ): void {
   if (end === AttemptEnd.Refused) return;
   state.recordOutcome(isFailure(end));
   service.recordOutcome(isFailure(end));
   if (isFailure(end)) {
     const worst = failureLatencyFactor * (service.typicalLatency ?? 0);
-    state.recordLatency(Math.max(latencyMilliseconds, worst));
+    state.recordLatency(Math.max(latencyMilliseconds, worst), now);
     return;
   }
   // A withdrawn attempt says only that the latency is at least the time until then.
   if (end === AttemptEnd.Cancelled && latencyMilliseconds < (state.latency ?? Infinity)) return;
-  state.recordLatency(latencyMilliseconds);
+  state.recordLatency(latencyMilliseconds, now);
   service.latencies.record(latencyMilliseconds);
 }
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -128,7 +128,7 @@
     if (state === undefined) return;
     state.outstanding = Math.max(0, state.outstanding - 1);
     const service = this.serviceOf(state.target.service);
-    recordResult(state, service, end, latencyMilliseconds);
+    recordResult(state, service, end, latencyMilliseconds, now.monotonic);
     if (this.options.shunning === false || state.standing === TargetStanding.Draining) return;
     const verdict = judgeResult(state, {
       end,
--- a/packages/core/src/routing/target-state.ts
+++ b/packages/core/src/routing/target-state.ts
@@ -11,6 +11,8 @@
 
 /** Weight of the newest latency in a target's moving average. */
 const latencyWeight = 0.2;
+/** A latency older than this says little of the target now; shunned targets get a trial as often. */
+const latencyValidMilliseconds = 10_000;
 /** Weight of the newest outcome in a target's failure rate. */
 const failureWeight = 0.25;
 /** Share of its limit that a target may get at the start of its ramp. */
@@ -39,6 +41,7 @@
   public returnedAt = -Infinity;
   /** Requests of other entries at the time of the last report. */
   private others = 0;
+  private latencyAt = -Infinity;
   private isReturning = false;
   private rampStart = -Infinity;
   private rampLength = 1;
@@ -91,7 +94,17 @@
     return elapsed >= 1 ? 1 : initialShare + (1 - initialShare) * Math.max(0, elapsed);
   }
 
-  public recordLatency(milliseconds: number): void {
+  /** The moving average while it is recent; an idle target has to be tried again to show a change. */
+  public recentLatency(now: number): number | undefined {
+    return now - this.latencyAt <= latencyValidMilliseconds ? this.latency : undefined;
+  }
+
+  public recordLatency(milliseconds: number, now: number): void {
+    if (this.recentLatency(now) === undefined) {
+      this.latency = undefined;
+      this.latencySamples = 0;
+    }
+    this.latencyAt = now;
     this.latencySamples += 1;
     this.latency =
       this.latency === undefined
--- a/packages/core/tests/routing/shun-recovery.test.ts
+++ b/packages/core/tests/routing/shun-recovery.test.ts
@@ -24,4 +24,23 @@
   }
 });
 
+// Idle targets have equal scores, and the latency alone decides between them. A target whose only
+// result was bad was then never chosen again, and nothing showed that it had recovered.
+test('never: one bad result keeps an idle target without requests for good', () => {
+  const router = routerWith([target('one'), target('two')]);
+  const use = (server: string, end: AttemptEnd, milliseconds: number, now: number): void => {
+    router.sent(server, at(now));
+    router.concluded(server, end, milliseconds, at(now + milliseconds));
+  };
+  use('two', AttemptEnd.Answered, 10, 0);
+  use('one', AttemptEnd.Failed, 30, 100);
+  const chosen = new Set<string>();
+  for (let now = 200; now < 20_200; now += 50) {
+    const server = router.choose('lookup', none, at(now))?.server ?? '';
+    chosen.add(server);
+    use(server, AttemptEnd.Answered, 10, now);
+  }
+  assert.equal([...chosen].sort(), ['one', 'two']);
+});
+
 test.run();
