--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -40,5 +40,10 @@
 }
 
 export type SettingsResult =
-  | { readonly kind: 'settings'; readonly settings: MeshSettings }
+  | {
+      readonly kind: 'settings';
+      readonly settings: MeshSettings;
+      /** Fields of the source that nobody knows; they are ignored and named in the log. */
+      readonly unknownFields: readonly string[];
+    }
   | { readonly kind: 'faults'; readonly faults: readonly SettingFault[] };
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -148,6 +148,9 @@
     },
     read: readSettings,
     settings,
+    unknown: (fields) => {
+      events.record(MeshEvent.SettingsFieldUnknown, { fields: fields.join() });
+    },
   });
 }
 
--- a/packages/daemon/src/mesh/settings-watch.ts
+++ b/packages/daemon/src/mesh/settings-watch.ts
@@ -10,12 +10,15 @@
   /** Settings that differ from those in force, with the names of the fields that do. */
   readonly changed: (settings: MeshSettings, fields: readonly string[]) => void;
   readonly invalid: (faults: readonly SettingFault[]) => void;
+  /** Fields that are ignored; each is told once in the life of the process. */
+  readonly unknown: (fields: readonly string[]) => void;
 }
 
 /** Follows the settings file of a process. A file that can't be used leaves what was in force. */
 export class SettingsWatch {
   private current: MeshSettings;
   private lastFaults = '';
+  private readonly toldUnknown = new Set<string>();
   private readonly timer: NodeJS.Timeout;
 
   public constructor(private readonly options: SettingsWatchOptions) {
@@ -33,6 +36,7 @@
       return;
     }
     this.lastFaults = '';
+    this.tellUnknown(result.unknownFields);
     const fields = differingFields(this.current, result.settings);
     if (fields.length === 0) return;
     this.current = result.settings;
@@ -43,6 +47,13 @@
     clearInterval(this.timer);
   }
 
+  private tellUnknown(unknownFields: readonly string[]): void {
+    const fields = unknownFields.filter((field) => !this.toldUnknown.has(field));
+    if (fields.length === 0) return;
+    for (const field of fields) this.toldUnknown.add(field);
+    this.options.unknown(fields);
+  }
+
   private reportOnce(faults: readonly SettingFault[]): void {
     const description = JSON.stringify(faults);
     if (description === this.lastFaults) return;
--- a/packages/daemon/tests/settings-watch.test.ts
+++ b/packages/daemon/tests/settings-watch.test.ts
@@ -30,16 +30,17 @@
     invalid: (faults) => seen.push(`invalid ${faults[0]?.field ?? ''}`),
     read: () => Promise.resolve(waiting.shift() ?? { faults: [], kind: 'faults' }),
     settings,
+    unknown: (fields) => seen.push(`unknown ${fields.join()}`),
   });
   while (waiting.length > 0) await watch.check();
   watch.close();
   return seen;
 }
 
-const valid = (changes: Partial<MeshSettings>): SettingsResult => ({
-  kind: 'settings',
-  settings: { ...settings, ...changes },
-});
+const valid = (
+  changes: Partial<MeshSettings>,
+  unknownFields: readonly string[] = [],
+): SettingsResult => ({ kind: 'settings', settings: { ...settings, ...changes }, unknownFields });
 const faulty: SettingsResult = {
   faults: [{ expected: 'a string', field: 'zone' }],
   kind: 'faults',
@@ -58,4 +59,10 @@
   assert.equal(await follow([faulty, faulty, valid({}), faulty]), ['invalid zone', 'invalid zone']);
 });
 
+// A field that a newer platform added is harmless, but an operator who misspelt one has to see it.
+test('each field that is ignored is named once', async () => {
+  const results = [valid({}, ['first']), valid({}, ['first', 'second']), valid({}, ['first'])];
+  assert.equal(await follow(results), ['unknown first', 'unknown second']);
+});
+
 test.run();
