Let a reported latency expire, so that entries try an idle server again

Cause: second half of the wait for a hedge in reasons.process.test. A gate's first failure makes it report 2,000 ms, and that mean never changed while no request came; entries then took the server for slow for good. Change: a gate that was idle for 10 s reports no latency and starts its mean anew. Test: gate-refusals.test, failed first.

--- a/packages/core/src/gate/service-time-estimate.ts
+++ b/packages/core/src/gate/service-time-estimate.ts
@@ -54,6 +54,11 @@
     }
   }
 
+  /** Forgets what load reports say; the next sample starts anew. */
+  public forgetReported(): void {
+    this.reportedMean = undefined;
+  }
+
   /** Forgets everything; another upstream has announced itself. */
   public reset(): void {
     this.answeredMean = undefined;
--- a/packages/core/src/gate/upstream-capacity.ts
+++ b/packages/core/src/gate/upstream-capacity.ts
@@ -8,6 +8,12 @@
 import { ServiceTimeEstimate } from './service-time-estimate.js';
 import { UpstreamHealth } from './upstream-health.js';
 
+/**
+ * An upstream that was idle for this long may have recovered since its last results; entries that avoid
+ * it for them would never find out. Shunned targets get a trial as often.
+ */
+const reportedLatencyValidMilliseconds = 10_000;
+
 /** A request that runs at the upstream. */
 export interface StartedRequest {
   readonly startedAt: number;
@@ -104,6 +110,7 @@
   }
 
   public started(deadline: number, now: number): StartedRequest {
+    if (this.isReportedLatencyOld(now)) this.estimate.forgetReported();
     this.running += 1;
     this.progressAt = now;
     this.polledLoad.running(this.running);
@@ -127,11 +134,16 @@
     return Math.max(this.estimate.meanMilliseconds, this.stalledMilliseconds(now));
   }
 
-  /** Smoothed latency as other nodes are told. */
+  /** Smoothed latency as other nodes are told; 0 if nothing recent is known. */
   public reportedLatencyMilliseconds(now: number): number {
+    if (this.isReportedLatencyOld(now)) return 0;
     return Math.max(this.estimate.reportedMilliseconds, this.stalledMilliseconds(now));
   }
 
+  private isReportedLatencyOld(now: number): boolean {
+    return this.running === 0 && now - this.progressAt > reportedLatencyValidMilliseconds;
+  }
+
   /** How long all slots have been taken without any request ending: a frozen upstream gives no samples. */
   private stalledMilliseconds(now: number): number {
     return this.running >= this.limit(now) ? now - this.progressAt : 0;
--- a/packages/core/tests/gate/gate-refusals.test.ts
+++ b/packages/core/tests/gate/gate-refusals.test.ts
@@ -232,6 +232,18 @@
   assert.is(Math.round(bench.gate.load(bench.now)?.latencyMilliseconds ?? 0), 209);
 });
 
+// Entries avoid an upstream that reports a long latency, and an idle upstream got no request that
+// could have shown otherwise.
+test('never: one failure makes an idle upstream report a long latency for good', () => {
+  const bench = new GateBench();
+  bench.finish(bench.offer(), 'failed', 1);
+  assert.is(bench.gate.load(bench.now)?.latencyMilliseconds, 2_000);
+  bench.time += 10_001;
+  assert.is(bench.gate.load(bench.now)?.latencyMilliseconds, 0);
+  bench.finish(bench.offer(), 'answered', 10);
+  assert.is(bench.gate.load(bench.now)?.latencyMilliseconds, 10);
+});
+
 test('a frozen upstream reports the time for which nothing has ended', () => {
   const bench = new GateBench();
   bench.learn(10);
