Log what an entry knew of each gate it asked, and the gate's side of each bad end; count every outcome

- request-placed: load of the gate, its age, whether the frame was sent.
Kept until the request ends, written if it ends badly or late.
- request-finished: what the gate knew at the start, the age of the reported slowdown and how long the server took.
Written if late, failed or cancelled: the line at the start is a sample under load.
- request-concluded names the version of the configuration.
- Counters: the labels of an event depended on its first fields, so after one answered request all refusals and unknown outcomes were dropped.

--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -15,13 +15,25 @@
 
 type Fields = Readonly<Record<string, string | number | boolean>>;
 
-/** Fields by which an event is counted; others have too many values. */
-const countedFields = ['cause', 'outcome', 'reason', 'call', 'source'] as const;
+/**
+ * Fields by which events are counted; others have too many values. A counter has the same labels in all
+ * its series, so a field that an event lacks is counted as an empty one.
+ */
+const countedFields: Readonly<Record<string, readonly string[]>> = {
+  [EntryEventName.RequestConcluded]: ['cause', 'outcome', 'service'],
+  [EntryEventName.RequestMoved]: ['reason'],
+  [EntryEventName.RequestRepeated]: ['reason'],
+  [GateEventName.RequestDeclined]: ['reason'],
+  [GateEventName.RequestFinished]: ['outcome'],
+  [MeshEvent.RequestAnsweredLocally]: ['status'],
+  [MeshEvent.StoreCalled]: ['call', 'outcome'],
+};
 
 /** Events of a request at its entry, which are kept until the request ends. */
 const entryEvents: ReadonlySet<string> = new Set([
   EntryEventName.AttemptFailed,
   EntryEventName.RequestMoved,
+  EntryEventName.RequestPlaced,
   EntryEventName.RequestRepeated,
 ]);
 /** Events of requests at a gate, of which only a sample is written under load. */
@@ -54,18 +66,18 @@
     this.count(event, fields);
     if (entryEvents.has(event)) this.keep(event, fields);
     else if (event === EntryEventName.RequestConcluded) this.concluded(fields, now);
+    else if (event === GateEventName.RequestFinished) this.finished(fields, now);
     else if (gateEvents.has(event)) this.writeWithin(this.routine, event, fields, now);
     else this.writeWithin(this.notable, event, fields, now);
     this.reportSuppressed(now);
   }
 
   private concluded(fields: Fields, now: number): void {
-    const { milliseconds, outcome, request, service, status } = fields;
+    const { milliseconds, outcome, request, service } = fields;
     this.options.metrics.recordLatency(String(service), String(outcome), Number(milliseconds));
     const lines = this.kept.get(String(request)) ?? [];
     this.kept.delete(String(request));
-    const isBad = outcome !== 'answered' || Number(status) >= 500 || fields.late === true;
-    if (!isBad) {
+    if (!isBad(fields)) {
       this.writeWithin(this.routine, EntryEventName.RequestConcluded, fields, now);
       return;
     }
@@ -73,6 +85,12 @@
     this.writeWithin(this.notable, EntryEventName.RequestConcluded, fields, now);
   }
 
+  /** The gate's line of a request that ends badly is kept as well; the others have their first line. */
+  private finished(fields: Fields, now: number): void {
+    if (!isBad(fields)) return;
+    this.writeWithin(this.notable, GateEventName.RequestFinished, fields, now);
+  }
+
   private keep(event: string, fields: Fields): void {
     const request = String(fields.request);
     let lines = this.kept.get(request);
@@ -86,10 +104,7 @@
 
   private count(event: string, fields: Fields): void {
     const labels: Record<string, string> = {};
-    for (const name of countedFields) {
-      const value = fields[name];
-      if (value !== undefined) labels[name] = String(value);
-    }
+    for (const name of countedFields[event] ?? []) labels[name] = String(fields[name] ?? '');
     this.options.metrics.count({ by: 1, counter: event, kind: 'count', labels });
   }
 
@@ -106,3 +121,7 @@
     this.options.write(MeshEvent.LinesSuppressed, { notable, routine });
   }
 }
+
+function isBad({ late, outcome, status }: Fields): boolean {
+  return outcome !== 'answered' || Number(status) >= 500 || late === true;
+}
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -246,7 +246,7 @@
     this.log(MeshEvent.ConfigurationInForce, { routes: routes.length, source, version });
     this.split.retain(routes);
     const routeNames = new Set(routes.map(({ name }) => name));
-    this.forwarder.configured(routeNames);
+    this.forwarder.configured(routeNames, version);
     this.gate.configured(routeNames);
     const { callers, links } = this.options.ports();
     callers.configure(limits);
--- a/packages/daemon/tests/event-recorder.test.ts
+++ b/packages/daemon/tests/event-recorder.test.ts
@@ -81,4 +81,37 @@
   assert.match(text, 'outcome="answered"');
 });
 
+// A counter whose first series had other labels refused all later ones, so no refused request was counted.
+test('requests are counted with each of their outcomes', async () => {
+  const bench = new Bench();
+  bench.conclude('r1');
+  bench.conclude('r2', { cause: 'overloaded', outcome: 'refused' });
+  const text = await bench.metrics.text();
+  assert.match(text, /request_concluded_total\{cause="",outcome="answered",service="shop"\} 1/);
+  assert.match(
+    text,
+    /request_concluded_total\{cause="overloaded",outcome="refused",service="shop"\} 1/,
+  );
+  assert.not.match(text, /metrics_dropped_total\{/);
+});
+
+/** How a request ended at a gate, and whether the gate's line of it is written. */
+const gateEndings: readonly (readonly [string, Fields, boolean])[] = [
+  ['answered in time', {}, false],
+  ['answered late', { late: true }, true],
+  ['answered with a failure', { status: 503 }, true],
+  ['failed', { outcome: 'failed' }, true],
+  ['cancelled', { outcome: 'cancelled' }, true],
+];
+
+// Under load the first line of a gate is a sample, and the cause of a late request is known there only.
+for (const [name, ending, isWritten] of gateEndings) {
+  test(`the gate's line of a request that was ${name} is ${isWritten ? '' : 'not '}written`, () => {
+    const bench = new Bench();
+    const fields = { late: false, outcome: 'answered', request: 'r1', status: 200, ...ending };
+    bench.recorder.record('request-finished', fields);
+    assert.equal(bench.eventsOf('r1'), isWritten ? ['request-finished'] : []);
+  });
+}
+
 test.run();
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -61,6 +61,7 @@
   RequestAbandoned: 'request-abandoned',
   RequestConcluded: 'request-concluded',
   RequestMoved: 'request-moved',
+  RequestPlaced: 'request-placed',
   RequestRepeated: 'request-repeated',
 } as const;
 export type EntryEventName = (typeof EntryEventName)[keyof typeof EntryEventName];
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -53,6 +53,7 @@
   private readonly deadlines = new MinimumHeap<RequestState>();
   private readonly sizes = new RouteSizes();
   private nextCallId = 1;
+  private configurationVersion = 0;
 
   public constructor(private readonly options: RequestForwarderOptions) {}
 
@@ -64,7 +65,8 @@
     assertInvariant(!this.requests.has(request.requestNumber), 'request numbers are unique');
     const timeoutAt = request.receivedAt + request.route.timeoutMilliseconds;
     const deadline = Math.min(request.callerDeadline, timeoutAt);
-    const state = new RequestState(request, service, deadline, nested);
+    const { configurationVersion } = this;
+    const state = new RequestState(request, service, deadline, nested, configurationVersion);
     this.requests.set(request.requestNumber, state);
     this.deadlines.push(deadline, state);
     // The bound on repeats is relative to the requests of callers, so calls of servers earn none.
@@ -72,8 +74,9 @@
     this.tryNext(state, now);
   }
 
-  /** Forgets routes that are no longer declared. */
-  public configured(routeNames: ReadonlySet<string>): void {
+  /** Another configuration is in force; routes that it does not declare are forgotten. */
+  public configured(routeNames: ReadonlySet<string>, version: number): void {
+    this.configurationVersion = version;
     this.sizes.retain(routeNames);
   }
 
@@ -286,11 +289,12 @@
 
   private dispatch(
     state: RequestState,
-    { node }: GateView,
+    view: GateView,
     optional: boolean,
     repeat: boolean,
     now: number,
   ): boolean {
+    const { node } = view;
     const attempt: Attempt = {
       boot: node.boot,
       callId: this.nextCallId,
@@ -307,12 +311,34 @@
     state.used.add(node.name);
     this.attempts.set(attempt.callId, attempt);
     this.options.targets.sent(node.name);
-    if (!this.options.port.send(node.name, this.startFrame(attempt, now))) {
-      this.endAttempt(attempt);
-      state.used.delete(node.name);
-      return false;
-    }
-    return true;
+    const isSent = this.options.port.send(node.name, this.startFrame(attempt, now));
+    this.logPlaced(state, view, optional, isSent, now);
+    if (isSent) return true;
+    this.endAttempt(attempt);
+    state.used.delete(node.name);
+    return false;
+  }
+
+  /** What this node knew of a gate when it asked it. */
+  private logPlaced(
+    state: RequestState,
+    { load, loadAt, node }: GateView,
+    optional: boolean,
+    isSent: boolean,
+    now: number,
+  ): void {
+    this.log(EntryEventName.RequestPlaced, state, {
+      at: Math.round(now - state.request.receivedAt),
+      failures: load.failureShare,
+      loadAge: Math.round(now - loadAt),
+      optional,
+      running: load.running,
+      sent: isSent,
+      slowdown: load.slowdown,
+      to: node.name,
+      wait: Math.round(load.waitMilliseconds),
+      waiting: load.waiting,
+    });
   }
 
   private startFrame(attempt: Attempt, now: number): StartFrame {
@@ -367,6 +393,7 @@
   ): void {
     const { receivedAt, route } = state.request;
     this.log(EntryEventName.RequestConcluded, state, {
+      configuration: state.configurationVersion,
       declined: state.hardDeclines + state.optionalTries,
       late: now - receivedAt > route.targetLatencyMilliseconds,
       milliseconds: Math.round(now - receivedAt),
--- a/packages/mesh-core/src/entry/request-state.ts
+++ b/packages/mesh-core/src/entry/request-state.ts
@@ -46,6 +46,8 @@
     /** Monotonic time by which the caller gets its answer. */
     public readonly deadline: number,
     public readonly nested: boolean,
+    /** Version of the configuration whose route it has. */
+    public readonly configurationVersion: number,
   ) {}
 
   /** Gates that are not asked again unless there is no other. */
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -59,6 +59,7 @@
 export const GateEventName = {
   RequestCancelled: 'request-cancelled',
   RequestDeclined: 'request-declined',
+  RequestFinished: 'request-finished',
   RequestStarted: 'request-started',
   ServerDraining: 'server-draining',
   ServerLeft: 'server-left',
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -53,6 +53,8 @@
   /** The server was known to work at its usual speed. */
   startedFast: boolean;
   slowdownAtStart: number;
+  /** Age of the report that `slowdownAtStart` comes from, in milliseconds. */
+  speedAgeAtStart: number;
   finishedAt: number;
   reply: ReplyFrame | undefined;
 }
@@ -163,6 +165,7 @@
     const milliseconds = now - call.startedAt;
     if (wasAborted) this.learnAborted(call, milliseconds);
     else this.learn(call, result, milliseconds, now);
+    this.logFinished(call, result, now);
     this.finish(call, wasAborted ? undefined : this.replyOf(call, result, now), now);
     this.startWaiting(now);
   }
@@ -245,6 +248,7 @@
       runningAtStart: 0,
       startedAt: 0,
       slowdownAtStart: 1,
+      speedAgeAtStart: Infinity,
       startedFast: false,
       state: 'waiting',
       targetAt: now + frame.targetMilliseconds,
@@ -409,18 +413,38 @@
     const { deadline, executionId, frame } = call;
     this.running += 1;
     if (frame.nested) this.nestedRunning += 1;
-    else if (now - (call.deadline - frame.remainingMilliseconds) > 0) this.startRate.started(now);
+    else if (now - arrivedAt(call) > 0) this.startRate.started(now);
     call.runningAtStart = this.running;
     call.startedFast = this.speed.state(now) === SpeedState.Fast;
     call.slowdownAtStart = this.speed.isReported ? this.speed.current : 1;
     const execution: Execution = { deadline, executionId, frame, instanceId };
-    this.log(GateEventName.RequestStarted, call, {
+    call.speedAgeAtStart = this.speed.age(now);
+    this.log(GateEventName.RequestStarted, call, this.startFields(call));
+    this.options.port.run(execution);
+  }
+
+  /** What the gate knew when it started a request. */
+  private startFields(call: GateCall): GateEvent['fields'] {
+    const { frame, runningAtStart, slowdownAtStart, speedAgeAtStart, startedAt } = call;
+    return {
       limit: this.limitFor(frame),
-      running: this.running,
-      slowdown: this.speed.current,
-      waited: now - (call.deadline - frame.remainingMilliseconds),
+      running: runningAtStart,
+      slowdown: slowdownAtStart,
+      waited: Math.round(startedAt - arrivedAt(call)),
+      ...(Number.isFinite(speedAgeAtStart) && { slowdownAge: Math.round(speedAgeAtStart) }),
+    };
+  }
+
+  private logFinished(call: GateCall, result: ExecutionResult, now: number): void {
+    const isAborted = call.state === 'aborted';
+    this.log(GateEventName.RequestFinished, call, {
+      ...this.startFields(call),
+      late: now > call.targetAt,
+      milliseconds: Math.round(now - call.startedAt),
+      outcome: isAborted ? 'cancelled' : result.kind,
+      ...(result.kind === 'answered' && { status: result.status }),
+      ...(result.kind === 'failed' && { detail: result.detail }),
     });
-    this.options.port.run(execution);
   }
 
   private replyOf(call: GateCall, result: ExecutionResult, now: number): ReplyFrame {
@@ -545,6 +569,10 @@
   }
 }
 
+function arrivedAt({ deadline, frame }: GateCall): number {
+  return deadline - frame.remainingMilliseconds;
+}
+
 function callKey(from: string, boot: number, callId: number): string {
   return `${from}/${boot}/${callId}`;
 }
--- a/packages/mesh-core/src/gate/speed-watch.ts
+++ b/packages/mesh-core/src/gate/speed-watch.ts
@@ -44,6 +44,11 @@
     return this.slowdown;
   }
 
+  /** Time since the newest report; infinite if there is none. */
+  public age(now: number): number {
+    return now - this.reportedAt;
+  }
+
   /** The lowest slowdown of the last moments, at which requests start. */
   public get baseline(): number {
     return this.hasReported ? this.lowest : 1;
