Keep the listeners of a server's connection from gathering with each request

Cause: each answer added a listener for the end of its connection, and each idle time one for its close; on a connection that is used again they stayed for its life. Change: the end of the connection matters only for an answer without a length, which ends its connection; the close is listened for once. Test: server-client.test, failed first.

--- a/packages/upstreams/src/mesh/server-agent.ts
+++ b/packages/upstreams/src/mesh/server-agent.ts
@@ -13,6 +13,8 @@
  */
 export class ServerAgent extends Agent {
   private readonly idle = new Set<Duplex>();
+  /** Connections that were idle once, and so have a listener for their end. */
+  private readonly watched = new WeakSet<Duplex>();
   private distrustUntil = 0;
 
   public constructor(private readonly clock: () => number) {
@@ -37,7 +39,10 @@
     const isKept: unknown = super.keepSocketAlive(socket);
     if (isKept === false) return false;
     socket.on('data', this.unexpectedData);
-    socket.once('close', () => this.idle.delete(socket));
+    if (!this.watched.has(socket)) {
+      this.watched.add(socket);
+      socket.once('close', () => this.idle.delete(socket));
+    }
     this.idle.add(socket);
     return true;
   }
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -173,9 +173,11 @@
       return;
     }
     let hasEnd = isEndMarked(response);
-    const { socket } = response;
-    // Node.js drops the connection in its own listener.
-    socket.prependOnceListener('end', () => (hasEnd ||= isStillConnected(socket)));
+    if (!hasEnd) {
+      // The end of the connection is that of the answer; Node.js drops the connection in its own listener.
+      const { socket } = response;
+      socket.prependOnceListener('end', () => (hasEnd = isStillConnected(socket)));
+    }
     const rule = { limitBytes: maximumAnswerBytes, whenLonger: 'discard' } as const;
     const collector = new AnswerCollector(
       response,
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -256,4 +256,23 @@
   );
 });
 
+// Listeners that stay on a connection after each request take memory, and Node.js calls them all at its end.
+test('a connection carries many requests without gathering listeners', async () => {
+  const warnings: string[] = [];
+  const warned = ({ message }: Error): number => warnings.push(message);
+  process.on('warning', warned);
+  await withServer(
+    (socket, id) => socket.write(whole(id)),
+    async (bench, server) => {
+      for (let request = 1; request <= 30; request += 1) {
+        await bench.run(`r-${request}`);
+        await pause(2);
+      }
+      assert.is(server.connections, 1);
+    },
+  );
+  process.off('warning', warned);
+  assert.equal(warnings, []);
+});
+
 test.run();
