--- a/packages/daemon/src/logging/logger.ts
+++ b/packages/daemon/src/logging/logger.ts
@@ -12,11 +12,13 @@
   readonly event: string;
   readonly fields: Fields;
   readonly level: LogLevel;
+  /** Wall time of an event that is written later than it happened. */
+  readonly time?: number;
 }
 
 function serialize(message: Message): string {
-  const { event, fields, level } = message.context as unknown as RoarrContext;
-  return formatLine({ event, fields, level, time: message.time });
+  const { event, fields, level, time } = message.context as unknown as RoarrContext;
+  return formatLine({ event, fields, level, time: time ?? message.time });
 }
 
 /**
@@ -54,15 +56,15 @@
     this.write('error', event, fields);
   }
 
-  /** Logs an event of the core. */
-  public command(command: LogCommand): void {
-    this.write(command.level, command.event, command.fields);
+  /** Logs an event of the core; `time` is when it happened, if that was earlier. */
+  public command(command: LogCommand, time?: number): void {
+    this.write(command.level, command.event, command.fields, time);
   }
 
-  private write(level: LogLevel, event: string, fields: Fields): void {
+  private write(level: LogLevel, event: string, fields: Fields, time?: number): void {
     if (logLevels.indexOf(level) < this.lowest) return;
     // The fields are nested, so that none of them replaces a property of roarr's context. The message
     // stays empty, because roarr formats percent signs in it.
-    Roarr[level]({ event, fields, level }, '');
+    Roarr[level]({ event, fields, level, ...(time !== undefined && { time }) }, '');
   }
 }
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -15,6 +15,13 @@
 
 type Fields = Readonly<Record<string, string | number | boolean>>;
 
+/** A line that waits for the end of its request. */
+interface KeptLine {
+  readonly event: string;
+  readonly fields: Fields;
+  readonly time: number;
+}
+
 /**
  * Fields by which events are counted; others have too many values. A counter has the same labels in all
  * its series, so a field that an event lacks is counted as an empty one.
@@ -22,6 +29,7 @@
 const countedFields: Readonly<Record<string, readonly string[]>> = {
   [EntryEventName.RequestConcluded]: ['cause', 'outcome', 'service'],
   [EntryEventName.RequestMoved]: ['reason'],
+  [EntryEventName.RequestNotRepeated]: ['reason'],
   [EntryEventName.RequestRepeated]: ['reason'],
   [GateEventName.RequestDeclined]: ['reason'],
   [GateEventName.RequestFinished]: ['outcome'],
@@ -33,6 +41,7 @@
 const entryEvents: ReadonlySet<string> = new Set([
   EntryEventName.AttemptFailed,
   EntryEventName.RequestMoved,
+  EntryEventName.RequestNotRepeated,
   EntryEventName.RequestPlaced,
   EntryEventName.RequestRepeated,
 ]);
@@ -44,9 +53,11 @@
 ]);
 
 export interface EventRecorderOptions {
-  readonly write: (event: string, fields: Fields) => void;
+  /** Writes a line; `time` is the wall time of the event, which may be some time ago. */
+  readonly write: (event: string, fields: Fields, time: number) => void;
   readonly metrics: Pick<Metrics, 'count' | 'recordLatency'>;
   readonly clock: () => number;
+  readonly wallClock: () => number;
 }
 
 /**
@@ -56,7 +67,7 @@
 export class EventRecorder {
   private readonly routine = new LineBudget(routineLinesPerSecond);
   private readonly notable = new LineBudget(notableLinesPerSecond);
-  private readonly kept = new Map<string, [string, Fields][]>();
+  private readonly kept = new Map<string, KeptLine[]>();
   private reportedAt = 0;
 
   public constructor(private readonly options: EventRecorderOptions) {}
@@ -66,6 +77,7 @@
     this.count(event, fields);
     if (entryEvents.has(event)) this.keep(event, fields);
     else if (event === EntryEventName.RequestConcluded) this.concluded(fields, now);
+    else if (event === EntryEventName.RequestAbandoned) this.writeWhole(event, fields, now);
     else if (event === GateEventName.RequestFinished) this.finished(fields, now);
     else if (gateEvents.has(event)) this.writeWithin(this.routine, event, fields, now);
     else this.writeWithin(this.notable, event, fields, now);
@@ -75,14 +87,22 @@
   private concluded(fields: Fields, now: number): void {
     const { milliseconds, outcome, request, service } = fields;
     this.options.metrics.recordLatency(String(service), String(outcome), Number(milliseconds));
-    const lines = this.kept.get(String(request)) ?? [];
-    this.kept.delete(String(request));
-    if (!isBad(fields)) {
-      this.writeWithin(this.routine, EntryEventName.RequestConcluded, fields, now);
+    if (isBad(fields)) {
+      this.writeWhole(EntryEventName.RequestConcluded, fields, now);
       return;
     }
-    for (const [event, earlier] of lines) this.writeWithin(this.notable, event, earlier, now);
-    this.writeWithin(this.notable, EntryEventName.RequestConcluded, fields, now);
+    this.kept.delete(String(request));
+    this.writeWithin(this.routine, EntryEventName.RequestConcluded, fields, now);
+  }
+
+  /** Writes the last line of a request, and before it those that were kept. */
+  private writeWhole(event: string, fields: Fields, now: number): void {
+    const request = String(fields.request);
+    for (const line of this.kept.get(request) ?? []) {
+      this.writeWithin(this.notable, line.event, line.fields, now, line.time);
+    }
+    this.kept.delete(request);
+    this.writeWithin(this.notable, event, fields, now);
   }
 
   /** The gate's line of a request that ends badly is kept as well; the others have their first line. */
@@ -99,7 +119,8 @@
       lines = [];
       this.kept.set(request, lines);
     }
-    if (lines.length < maximumKeptLines) lines.push([event, fields]);
+    if (lines.length >= maximumKeptLines) return;
+    lines.push({ event, fields, time: this.options.wallClock() });
   }
 
   private count(event: string, fields: Fields): void {
@@ -108,8 +129,14 @@
     this.options.metrics.count({ by: 1, counter: event, kind: 'count', labels });
   }
 
-  private writeWithin(budget: LineBudget, event: string, fields: Fields, now: number): void {
-    if (budget.take(now)) this.options.write(event, fields);
+  private writeWithin(
+    budget: LineBudget,
+    event: string,
+    fields: Fields,
+    now: number,
+    time = this.options.wallClock(),
+  ): void {
+    if (budget.take(now)) this.options.write(event, fields, time);
   }
 
   private reportSuppressed(now: number): void {
@@ -118,7 +145,7 @@
     const notable = this.notable.takeSuppressed();
     const routine = this.routine.takeSuppressed();
     if (notable + routine === 0) return;
-    this.options.write(MeshEvent.LinesSuppressed, { notable, routine });
+    this.options.write(MeshEvent.LinesSuppressed, { notable, routine }, this.options.wallClock());
   }
 }
 
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -202,7 +202,7 @@
   }
 
   public callerGone(requestNumber: number): void {
-    this.forwarder.abandon(requestNumber);
+    this.forwarder.abandon(requestNumber, this.options.clock());
   }
 
   public executionConcluded(executionId: number, result: ExecutionResult): void {
@@ -259,13 +259,13 @@
 
   public nodeMentioned(node: MeshNode): void {
     if (this.directory.mentioned(node, this.options.clock())) {
-      this.log(MeshEvent.NodeKnown, { address: node.address, node: node.name });
+      this.log(MeshEvent.NodeKnown, { address: node.address, peer: node.name });
     }
   }
 
   public connected({ configurationVersion, knownNodes, load, node }: MeshHelloFrame): void {
     const now = this.options.clock();
-    this.log(MeshEvent.NodeConnected, { boot: node.boot, node: node.name });
+    this.log(MeshEvent.NodeConnected, { boot: node.boot, peer: node.name });
     this.directory.connectedTo(node, now);
     this.targets.connected(node, load, now);
     this.forwarder.connectionRestored(node.name, node.boot, now);
@@ -278,7 +278,7 @@
 
   public disconnected({ name }: MeshNode, detail: string): void {
     const now = this.options.clock();
-    this.log(MeshEvent.NodeDisconnected, { detail, node: name });
+    this.log(MeshEvent.NodeDisconnected, { detail, peer: name });
     this.directory.disconnected(name, now);
     this.targets.disconnected(name);
     this.pull.forget(name);
@@ -287,7 +287,7 @@
 
   public dialFailed({ name }: MeshNode, detail: string, isRefused: boolean): void {
     const now = this.options.clock();
-    this.log(MeshEvent.DialFailed, { detail, node: name });
+    this.log(MeshEvent.DialFailed, { detail, peer: name });
     this.directory.dialFailed(name, now);
     if (isRefused) this.forwarder.nodeEnded(name, now);
   }
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -125,8 +125,10 @@
   return new EventRecorder({
     clock,
     metrics,
-    write: (event, fields) => {
-      log.command({ event, fields: { node: nodeName, ...fields }, kind: 'log', level: 'info' });
+    wallClock: () => Date.now(),
+    write: (event, fields, time) => {
+      const named = { node: nodeName, ...fields };
+      log.command({ event, fields: named, kind: 'log', level: 'info' }, time);
     },
   });
 }
--- a/packages/daemon/tests/event-recorder.test.ts
+++ b/packages/daemon/tests/event-recorder.test.ts
@@ -8,12 +8,13 @@
 
 class Bench {
   public now = 5_000;
-  public readonly lines: (readonly [string, Fields])[] = [];
+  public readonly lines: (readonly [string, Fields, number])[] = [];
   public readonly metrics = new Metrics();
   public readonly recorder = new EventRecorder({
     clock: () => this.now,
     metrics: this.metrics,
-    write: (event, fields) => this.lines.push([event, fields]),
+    wallClock: () => this.now + 1_000_000,
+    write: (event, fields, time) => this.lines.push([event, fields, time]),
   });
 
   public conclude(request: string, changes: Fields = {}): void {
@@ -53,6 +54,32 @@
   });
 }
 
+// Lines that are written at the end of a request have to sort before those that other nodes wrote meanwhile.
+test('a kept line has the time of its event', () => {
+  const bench = new Bench();
+  bench.recorder.record('request-placed', { gate: 'n', request: 'r1' });
+  bench.now += 300;
+  bench.conclude('r1', { late: true });
+  assert.equal(
+    bench.lines.map(([, , time]) => time),
+    [1_005_000, 1_005_300],
+  );
+});
+
+// Requests whose callers went away filled the memory for kept lines, and later ones had none.
+test('a request that its caller abandoned writes its lines and is forgotten', () => {
+  const bench = new Bench();
+  for (let count = 0; count < 2_500; count += 1) {
+    bench.recorder.record('request-placed', { gate: 'n', request: `gone-${count}` });
+    bench.recorder.record('request-abandoned', { attempts: 1, request: `gone-${count}` });
+  }
+  assert.equal(bench.eventsOf('gone-0'), ['request-placed', 'request-abandoned']);
+  bench.now += 1_000;
+  bench.recorder.record('request-placed', { gate: 'n', request: 'r1' });
+  bench.conclude('r1', { late: true });
+  assert.equal(bench.eventsOf('r1'), ['request-placed', 'request-concluded']);
+});
+
 test('the volume is bounded under load, and what is left out is counted', () => {
   const bench = new Bench();
   for (let count = 0; count < 5_000; count += 1) bench.conclude(`r${count}`);
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -61,6 +61,7 @@
   RequestAbandoned: 'request-abandoned',
   RequestConcluded: 'request-concluded',
   RequestMoved: 'request-moved',
+  RequestNotRepeated: 'request-not-repeated',
   RequestPlaced: 'request-placed',
   RequestRepeated: 'request-repeated',
 } as const;
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -99,10 +99,13 @@
   }
 
   /** The caller went away. */
-  public abandon(requestNumber: number): void {
+  public abandon(requestNumber: number, now: number): void {
     const state = this.requests.get(requestNumber);
     if (state === undefined) return;
-    this.log(EntryEventName.RequestAbandoned, state, { attempts: state.attempts.size });
+    this.log(EntryEventName.RequestAbandoned, state, {
+      attempts: state.attempts.size,
+      milliseconds: Math.round(now - state.request.receivedAt),
+    });
     this.remove(state);
   }
 
@@ -175,8 +178,8 @@
     if (attempt.repeat && !hasReachedServer) this.options.budget.refund(state.service, now);
     state.decline(attempt.node, frame);
     this.log(EntryEventName.RequestMoved, state, {
-      expected: frame.expectedMilliseconds,
-      from: attempt.node,
+      expected: Math.round(frame.expectedMilliseconds),
+      gate: attempt.node,
       reason: frame.reason,
     });
     if (state.attempts.size > 0) return;
@@ -191,7 +194,7 @@
 
   private failed(attempt: Attempt, frame: FailedFrame, now: number): void {
     const { state } = attempt;
-    this.log(EntryEventName.AttemptFailed, state, { detail: frame.detail, node: attempt.node });
+    this.log(EntryEventName.AttemptFailed, state, { detail: frame.detail, gate: attempt.node });
     this.mayHaveRun(state, now);
   }
 
@@ -199,7 +202,7 @@
     this.endAttempt(attempt);
     this.log(EntryEventName.AttemptFailed, attempt.state, {
       detail: 'the gate ended',
-      node: attempt.node,
+      gate: attempt.node,
     });
     this.mayHaveRun(attempt.state, now);
   }
@@ -211,17 +214,31 @@
   }
 
   /** Sends a request to a second server; false if that is not possible. */
-  private repeat(state: RequestState, reason: string, now: number): boolean {
+  private repeat(state: RequestState, cause: string, now: number): boolean {
     const { budget } = this.options;
-    if (state.used.size >= state.request.route.maximumAttempts) return false;
-    if (state.deadline - now < shortestUsefulMilliseconds) return false;
-    if (state.declined.size > maximumDeclines) return false;
-    const placed = this.place(state, now);
-    if (placed === undefined || !budget.take(state.service, now)) return false;
-    this.log(EntryEventName.RequestRepeated, state, { node: placed.view.node.name, reason });
+    const denied = this.repeatDenial(state, now);
+    const placed = denied === undefined ? this.place(state, now) : undefined;
+    if (placed === undefined) return this.denyRepeat(state, cause, denied ?? 'no-gate');
+    if (!budget.take(state.service, now)) return this.denyRepeat(state, cause, 'budget');
+    const gate = placed.view.node.name;
+    this.log(EntryEventName.RequestRepeated, state, { gate, reason: cause });
     const isHedge = state.attempts.size > 0;
     if (this.dispatch(state, placed.view, isHedge, true, now)) return true;
     budget.refund(state.service, now);
+    return this.denyRepeat(state, cause, 'not-connected');
+  }
+
+  private repeatDenial(state: RequestState, now: number): string | undefined {
+    if (state.used.size >= state.request.route.maximumAttempts) return 'attempts';
+    if (state.deadline - now < shortestUsefulMilliseconds) return 'deadline';
+    return state.declined.size > maximumDeclines ? 'declines' : undefined;
+  }
+
+  /** A hedge is tried at each tick, so its denial is told once. */
+  private denyRepeat(state: RequestState, cause: string, reason: string): false {
+    if (state.lastDenial === reason) return false;
+    state.lastDenial = reason;
+    this.log(EntryEventName.RequestNotRepeated, state, { cause, reason });
     return false;
   }
 
@@ -329,13 +346,13 @@
   ): void {
     this.log(EntryEventName.RequestPlaced, state, {
       at: Math.round(now - state.request.receivedAt),
-      failures: load.failureShare,
+      failures: Math.round(load.failureShare * 100) / 100,
+      gate: node.name,
       loadAge: Math.round(now - loadAt),
       optional,
       running: load.running,
       sent: isSent,
       slowdown: load.slowdown,
-      to: node.name,
       wait: Math.round(load.waitMilliseconds),
       waiting: load.waiting,
     });
@@ -395,10 +412,10 @@
     this.log(EntryEventName.RequestConcluded, state, {
       configuration: state.configurationVersion,
       declined: state.hardDeclines + state.optionalTries,
+      gate: node ?? 'none',
       late: now - receivedAt > route.targetLatencyMilliseconds,
       milliseconds: Math.round(now - receivedAt),
       nested: state.nested,
-      node: node ?? 'none',
       outcome: outcome.kind,
       route: route.name,
       service: state.service,
--- a/packages/mesh-core/src/entry/request-state.ts
+++ b/packages/mesh-core/src/entry/request-state.ts
@@ -39,6 +39,8 @@
   /** A server said that it did not run the request. */
   public reachedServer = false;
   public isConcluded = false;
+  /** Why the last repeat was not made. */
+  public lastDenial: string | undefined;
 
   public constructor(
     public readonly request: EntryRequest,
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -493,9 +493,11 @@
 
   private decline(call: GateCall, reason: DeclineReason, expected: number, now: number): void {
     this.log(GateEventName.RequestDeclined, call, {
-      expected,
+      expected: Math.round(expected),
       limit: this.limitFor(call.frame),
+      needed: Math.round(this.neededMilliseconds(call.frame)),
       reason,
+      remaining: Math.round(call.deadline - now),
       running: this.running,
       waiting: this.queue.size,
     });
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -255,7 +255,7 @@
 test('a caller that goes away has its attempts cancelled and gets no answer', () => {
   const bench = new Bench();
   bench.begin();
-  bench.forwarder.abandon(1);
+  bench.forwarder.abandon(1, 0);
   assert.is(bench.cancels.length, 1);
   bench.answer(0, 100);
   assert.is(bench.outcomes.length, 0);
