An estimate that became too long does not close an idle gate

Requests that started just as their server turned slow counted as the usual time, because the last report before them said fast; the time that a request needs became that times the slowdown. An idle gate gets no answers, so it never learned that the server was fast again, and it declined what could have shown it. Ruled out: the deadline and the target of the route, which had 1,000 ms left. Change: requests that started after the last fast report before a slow one are left out of the usual times; an idle gate that takes its server for slow asks it once a second; an idle gate takes one request as a trial when nothing has finished for a second.

--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -37,6 +37,16 @@
 /** Time past the deadline after which a request is aborted; the server ends its work by itself first. */
 const overdueMilliseconds = 400;
 
+/**
+ * An idle gate takes a request that seems to have too little time if nothing has finished for this long:
+ * only a request can show that its server is no longer slow.
+ */
+const trialAfterMilliseconds = 1_000;
+/** A trial has at least this much time left: about the time of a short request. */
+const shortestTrialMilliseconds = 50;
+/** An idle gate asks a server that was slow for its speed this often. */
+const idleProbeMilliseconds = 1_000;
+
 /** Time between two searches for calls that are overdue or no longer remembered. */
 const sweepMilliseconds = 100;
 
@@ -50,6 +60,8 @@
   state: 'waiting' | 'running' | 'aborted' | 'finished';
   startedAt: number;
   runningAtStart: number;
+  /** Taken although its time seemed too short. */
+  isTrial: boolean;
   /** The server was known to work at its usual speed. */
   startedFast: boolean;
   slowdownAtStart: number;
@@ -88,6 +100,8 @@
   private nextExecutionId = 1;
   private isStopping = false;
   private nextSweepAt = 0;
+  /** Last time at which a request started or ended at the server. */
+  private activeAt = 0;
 
   public constructor(private readonly options: ServerGateOptions) {
     this.probes = new ProbeSchedule(options.probesPerSecond);
@@ -132,7 +146,7 @@
       return;
     }
     const call = this.open(key, from, frame, now);
-    const reason = this.closedReason(frame);
+    const reason = this.closedReason(call, now);
     if (reason !== undefined) {
       this.decline(call, reason, 0, now);
       return;
@@ -161,6 +175,7 @@
     if (call === undefined) return;
     const wasAborted = call.state === 'aborted';
     this.running -= 1;
+    this.activeAt = now;
     if (call.frame.nested) this.nestedRunning -= 1;
     const milliseconds = now - call.startedAt;
     if (wasAborted) this.learnAborted(call, milliseconds);
@@ -179,10 +194,20 @@
   /** Load that came with an answer of the server. */
   public serverLoad(load: ServerLoad, now: number): void {
     this.bound.reported(load.running, this.running);
-    if (load.slowdown !== undefined) this.speed.report(load.slowdown, now);
+    if (load.slowdown !== undefined) this.speedReported(load.slowdown, now);
     this.startWaiting(now);
   }
 
+  private speedReported(slowdown: number, now: number): void {
+    const lastReportAt = now - this.speed.age(now);
+    this.speed.report(slowdown, now);
+    if (this.speed.state(now) !== SpeedState.Slow) return;
+    // The slow moment began at some time since the last report, perhaps before these requests started.
+    for (const call of this.byExecution.values()) {
+      if (call.state === 'running' && call.startedAt > lastReportAt) call.startedFast = false;
+    }
+  }
+
   public report(report: ServerReport, now: number): void {
     this.applyEffect(this.lifetime.report(report, now), report.instanceId, now);
   }
@@ -217,10 +242,12 @@
 
   public tick(now: number): void {
     for (const waiting of [...this.queue.values()]) {
-      if (waiting.deadline - now >= this.neededMilliseconds(waiting.frame)) continue;
+      const call = this.byExecution.get(waiting.executionId);
+      if (call === undefined || !this.isTooLate(call, now)) continue;
       this.declineQueued(waiting, DeclineReason.DeadlineTooShort, 0, now);
     }
     this.startWaiting(now);
+    if (this.isSpeedUnsure(now) && this.probes.take(now)) this.options.port.probe();
     if (now >= this.nextSweepAt) this.sweep(now);
   }
 
@@ -243,6 +270,7 @@
       finishedAt: 0,
       frame,
       from,
+      isTrial: false,
       key,
       reply: undefined,
       runningAtStart: 0,
@@ -268,7 +296,8 @@
     return undefined;
   }
 
-  private closedReason(frame: StartFrame): DeclineReason | undefined {
+  private closedReason(call: GateCall, now: number): DeclineReason | undefined {
+    const { frame } = call;
     if (this.isStopping) return DeclineReason.Draining;
     switch (this.lifetime.state) {
       case ServerState.Absent:
@@ -278,9 +307,29 @@
       case ServerState.Ready:
     }
     if (frame.service !== this.options.service) return DeclineReason.WrongService;
-    return frame.remainingMilliseconds < this.neededMilliseconds(frame)
-      ? DeclineReason.DeadlineTooShort
-      : undefined;
+    if (frame.remainingMilliseconds >= this.neededMilliseconds(frame)) return undefined;
+    call.isTrial = this.isTrialDue(frame, now);
+    return call.isTrial ? undefined : DeclineReason.DeadlineTooShort;
+  }
+
+  private isIdleSince(milliseconds: number, now: number): boolean {
+    return this.inProgress === 0 && now - this.activeAt > milliseconds;
+  }
+
+  private isTrialDue({ remainingMilliseconds }: StartFrame, now: number): boolean {
+    return (
+      remainingMilliseconds >= shortestTrialMilliseconds &&
+      this.isIdleSince(trialAfterMilliseconds, now)
+    );
+  }
+
+  /** Without requests no answer tells that the server is fast again, and nodes place none here until then. */
+  private isSpeedUnsure(now: number): boolean {
+    return (
+      this.speed.baseline > 1 &&
+      this.speed.age(now) > idleProbeMilliseconds &&
+      this.isIdleSince(idleProbeMilliseconds, now)
+    );
   }
 
   /** Time that a request takes at the server's present speed. */
@@ -297,6 +346,11 @@
     return Math.max(shortestUsefulMilliseconds, neededShare * this.expectedMilliseconds(routeName));
   }
 
+  private isTooLate({ deadline, frame, isTrial }: GateCall, now: number): boolean {
+    const needed = isTrial ? shortestUsefulMilliseconds : this.neededMilliseconds(frame);
+    return deadline - now < needed;
+  }
+
   private admit(call: GateCall, now: number): void {
     const waiting = waitingOf(call, now);
     const isFree = this.queue.size === 0 && this.running < this.limitFor(call.frame);
@@ -369,7 +423,7 @@
       this.queue.remove(next.executionId);
       const call = this.byExecution.get(next.executionId);
       if (call === undefined) continue;
-      if (call.deadline - now < this.neededMilliseconds(call.frame)) {
+      if (this.isTooLate(call, now)) {
         this.decline(call, DeclineReason.DeadlineTooShort, 0, now);
       } else this.run(call, now);
     }
@@ -412,6 +466,7 @@
     call.startedAt = now;
     const { deadline, executionId, frame } = call;
     this.running += 1;
+    this.activeAt = now;
     if (frame.nested) this.nestedRunning += 1;
     else if (now - arrivedAt(call) > 0) this.startRate.started(now);
     call.runningAtStart = this.running;
--- a/packages/mesh-core/tests/gate/server-gate.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate.test.ts
@@ -242,6 +242,59 @@
   assert.ok(after > 10 * before, `${after} after ${before}`);
 });
 
+/** A gate that learned from answers that a request takes so long. */
+function benchWith(milliseconds: number, slots = 9): Bench {
+  const bench = new Bench(slots);
+  for (let count = 0; count < 30; count += 1) {
+    bench.start({ remainingMilliseconds: 60_000 }, count * milliseconds);
+    bench.finish(count, (count + 1) * milliseconds);
+  }
+  return bench;
+}
+
+// Every request was declined as too late for a server that had become fast again, while all others were full.
+test('never: an estimate that became too long closes an idle gate', () => {
+  const bench = benchWith(3_000);
+  const idleFrom = 90_000;
+  const early = bench.start({ remainingMilliseconds: 1_000 }, idleFrom + 900);
+  assert.is(bench.reasonOf(early), 'deadline-too-short');
+  const trial = bench.start({ remainingMilliseconds: 1_000 }, idleFrom + 1_100);
+  assert.is(bench.startedCalls.at(-1), trial);
+  const beside = bench.start({ remainingMilliseconds: 1_000 }, idleFrom + 1_101);
+  assert.is(bench.reasonOf(beside), 'deadline-too-short', 'one trial at a time');
+});
+
+test('never: an idle gate takes a slow server for slow after it has recovered', () => {
+  const bench = new Bench();
+  const load = (slowdown: number, now: number): void => {
+    bench.gate.serverLoad({ running: 0, slots: 2, slowdown, waiting: 0 }, now);
+  };
+  load(12, 0);
+  load(12, 1_000);
+  assert.is(bench.gate.load(1_000).serviceMilliseconds, 600);
+  for (let now = 1_010; now < 2_500; now += 10) bench.gate.tick(now);
+  assert.is(bench.probes, 1);
+  load(1, 2_500);
+  bench.gate.probed(2_500);
+  assert.is(bench.gate.load(2_500).serviceMilliseconds, 50);
+  for (let now = 2_510; now < 9_000; now += 10) bench.gate.tick(now);
+  assert.is(bench.probes, 1, 'a server of usual speed is left alone');
+});
+
+// Nine requests that started between a fast report and a slow one made their route 6 times as long.
+test('never: requests that may have started in a slow moment count as the usual time', () => {
+  const bench = new Bench(9);
+  const load = (slowdown: number, now: number): void => {
+    bench.gate.serverLoad({ running: 0, slots: 9, slowdown, waiting: 0 }, now);
+  };
+  load(1, 0);
+  const calls = Array.from({ length: 9 }, () => bench.start({}, 10));
+  load(12, 30);
+  for (const index of calls.keys()) bench.finish(index, 1_200);
+  load(1, 1_250);
+  assert.is(bench.gate.load(1_250).serviceMilliseconds, 50);
+});
+
 test('cancelling aborts an idempotent run and leaves another to finish', () => {
   const bench = new Bench();
   const first = bench.start();
