Count log lines that a full pipe did not take; gauges of ages, budgets and gone nodes

Cause: a pipe whose reader stopped takes a part of the bytes or refuses them with EAGAIN, and the writer took both for written, so lines were lost without a count. Change: the rest is written again after 50 ms; lines of other errors are counted. The budget of lines follows the seconds of the wall clock: by the process's own seconds up to 800 lines came in one second of the log. New gauges: age of the configuration, age of the newest load by service, repeats used and allowed by service, nodes gone, probes allowed, slots; a counter of probes.

--- a/packages/daemon/src/logging/line-writer.ts
+++ b/packages/daemon/src/logging/line-writer.ts
@@ -3,9 +3,17 @@
 /** Bytes that may wait for a reader that does not read; later lines are dropped and counted. */
 const maximumWaitingBytes = 262_144;
 
+/** Codes of errors that say that the reader is slow, not gone. */
+const retriedErrorCodes: ReadonlySet<string | undefined> = new Set(['EAGAIN', 'EINTR']);
+const retryMilliseconds = 50;
+const lineBreak = 10;
+
 export interface LineWriterOptions {
-  /** Writes bytes without blocking the process and calls back when they are gone. */
-  readonly write: (bytes: string, done: (error?: Error | null) => void) => void;
+  /** Writes bytes without blocking the process and calls back with how many it took. */
+  readonly write: (
+    bytes: Uint8Array,
+    done: (error: NodeJS.ErrnoException | null, written: number) => void,
+  ) => void;
   readonly maximumBytes?: number;
 }
 
@@ -48,13 +56,29 @@
       this.waiting.push(`level=warn event=log-lines-dropped count=${this.dropped}\n`);
       this.dropped = 0;
     }
-    const bytes = this.waiting.join('');
+    const bytes = Buffer.from(this.waiting.join(''));
     this.waiting = [];
     this.isWriting = true;
-    this.options.write(bytes, () => {
-      this.isWriting = false;
-      this.waitingBytes -= Math.min(this.waitingBytes, bytes.length);
-      this.flush();
+    this.writeRest(bytes);
+  }
+
+  /** A pipe takes as much as it has room for, and an error at all if it has none. */
+  private writeRest(bytes: Uint8Array): void {
+    this.options.write(bytes, (error, written) => {
+      if (retriedErrorCodes.has(error?.code)) {
+        setTimeout(() => {
+          this.writeRest(bytes);
+        }, retryMilliseconds);
+        return;
+      }
+      if (error !== null) this.dropped += bytes.filter((byte) => byte === lineBreak).length;
+      const rest = error === null ? bytes.subarray(written) : bytes.subarray(bytes.length);
+      this.waitingBytes -= Math.min(this.waitingBytes, bytes.length - rest.length);
+      if (rest.length > 0) this.writeRest(rest);
+      else {
+        this.isWriting = false;
+        this.flush();
+      }
     });
   }
 }
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -74,41 +74,46 @@
 
   public record(event: string, fields: Fields): void {
     const now = this.options.clock();
-    this.count(event, fields);
+    this.countEvent(event, fields);
     if (entryEvents.has(event)) this.keep(event, fields);
-    else if (event === EntryEventName.RequestConcluded) this.concluded(fields, now);
-    else if (event === EntryEventName.RequestAbandoned) this.writeWhole(event, fields, now);
-    else if (event === GateEventName.RequestFinished) this.finished(fields, now);
-    else if (gateEvents.has(event)) this.writeWithin(this.routine, event, fields, now);
-    else this.writeWithin(this.notable, event, fields, now);
+    else if (event === EntryEventName.RequestConcluded) this.concluded(fields);
+    else if (event === EntryEventName.RequestAbandoned) this.writeWhole(event, fields);
+    else if (event === GateEventName.RequestFinished) this.finished(fields);
+    else if (gateEvents.has(event)) this.writeWithin(this.routine, event, fields);
+    else this.writeWithin(this.notable, event, fields);
     this.reportSuppressed(now);
   }
 
-  private concluded(fields: Fields, now: number): void {
+  /** Counts something that happens too often for a line. */
+  public count(counter: string): void {
+    this.options.metrics.count({ by: 1, counter, kind: 'count', labels: {} });
+  }
+
+  private concluded(fields: Fields): void {
     const { milliseconds, outcome, request, service } = fields;
     this.options.metrics.recordLatency(String(service), String(outcome), Number(milliseconds));
     if (isBad(fields)) {
-      this.writeWhole(EntryEventName.RequestConcluded, fields, now);
+      this.writeWhole(EntryEventName.RequestConcluded, fields);
       return;
     }
     this.kept.delete(String(request));
-    this.writeWithin(this.routine, EntryEventName.RequestConcluded, fields, now);
+    this.writeWithin(this.routine, EntryEventName.RequestConcluded, fields);
   }
 
   /** Writes the last line of a request, and before it those that were kept. */
-  private writeWhole(event: string, fields: Fields, now: number): void {
+  private writeWhole(event: string, fields: Fields): void {
     const request = String(fields.request);
     for (const line of this.kept.get(request) ?? []) {
-      this.writeWithin(this.notable, line.event, line.fields, now, line.time);
+      this.writeWithin(this.notable, line.event, line.fields, line.time);
     }
     this.kept.delete(request);
-    this.writeWithin(this.notable, event, fields, now);
+    this.writeWithin(this.notable, event, fields);
   }
 
   /** The gate's line of a request that ends badly is kept as well; the others have their first line. */
-  private finished(fields: Fields, now: number): void {
+  private finished(fields: Fields): void {
     if (!isBad(fields)) return;
-    this.writeWithin(this.notable, GateEventName.RequestFinished, fields, now);
+    this.writeWithin(this.notable, GateEventName.RequestFinished, fields);
   }
 
   private keep(event: string, fields: Fields): void {
@@ -123,7 +128,7 @@
     lines.push({ event, fields, time: this.options.wallClock() });
   }
 
-  private count(event: string, fields: Fields): void {
+  private countEvent(event: string, fields: Fields): void {
     const labels: Record<string, string> = {};
     for (const name of countedFields[event] ?? []) labels[name] = String(fields[name] ?? '');
     this.options.metrics.count({ by: 1, counter: event, kind: 'count', labels });
@@ -133,10 +138,10 @@
     budget: LineBudget,
     event: string,
     fields: Fields,
-    now: number,
     time = this.options.wallClock(),
   ): void {
-    if (budget.take(now)) this.options.write(event, fields, time);
+    // Seconds of the wall clock, so that the lines of a second can be counted in the log.
+    if (budget.take(this.options.wallClock())) this.options.write(event, fields, time);
   }
 
   private reportSuppressed(now: number): void {
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -28,7 +28,7 @@
 import type { EventRecorder } from './event-recorder.js';
 import { MeshEvent } from './mesh-event.js';
 import type { MeshSettings } from './mesh-settings.js';
-import type { MeshFigures } from './mesh-gauges.js';
+import type { MeshFigures, MeshServiceFigures } from './mesh-gauges.js';
 import { isMeshNode } from './mesh-directory-entry.js';
 import type { DecodedConfiguration } from './platform-adapter.js';
 import { StopPlan } from './stop-plan.js';
@@ -41,6 +41,7 @@
 const healthRetryMilliseconds = 3_000;
 /** A node takes callers although it could not reach the others for this long. */
 const lonelyStartMilliseconds = 2_000;
+const millisecondsPerSecond = 1_000;
 
 /** What the node uses to act on the world. */
 export interface MeshNodePorts {
@@ -77,6 +78,8 @@
   private readonly gate: ServerGate;
   private readonly announcer = new LoadAnnouncer();
   private readonly startedAt: number;
+  /** When the configuration in force came into force. */
+  private configuredAt: number;
   private timer: NodeJS.Timeout | undefined;
   private stopPlan: StopPlan | undefined;
   private isDirectoryRead = false;
@@ -86,6 +89,7 @@
   public constructor(private readonly options: MeshNodeOptions) {
     const { clock, random, self, settings } = options;
     this.startedAt = clock();
+    this.configuredAt = this.startedAt;
     this.healthDueAt = this.startedAt + firstReportMilliseconds;
     this.directory = new NodeDirectory(self.name);
     this.split = new TrafficSplit(random);
@@ -156,17 +160,33 @@
 
   /** Figures for the metrics, read when they are asked for. */
   public get figures(): MeshFigures {
-    const load = this.gate.load(this.options.clock());
+    const now = this.options.clock();
+    const load = this.gate.load(now);
     return {
+      configuration_age_seconds: (now - this.configuredAt) / millisecondsPerSecond,
       configuration_version: this.configuration.version,
       gate_concurrency_limit: load.limit,
       gate_running: load.running,
       gate_waiting: load.waiting,
       nodes_connected: this.directory.connected,
+      nodes_gone: this.directory.gone,
       nodes_known: this.directory.size - 1,
       requests_in_progress: this.forwarder.inProgress,
       server_failure_share: load.failureShare,
+      server_probes_allowed_per_second: this.gate.probesPerSecond,
       server_service_milliseconds: load.serviceMilliseconds,
+      server_slots: this.gate.slots,
+    };
+  }
+
+  /** Figures of each service for the metrics, read when they are asked for. */
+  public get serviceFigures(): MeshServiceFigures {
+    const now = this.options.clock();
+    const uses = [...this.budget.uses(now)];
+    return {
+      load_report_age_milliseconds: this.targets.loadAges(now),
+      repeats_allowed: new Map(uses.map(({ allowed, service }) => [service, allowed])),
+      repeats_used: new Map(uses.map(({ service, used }) => [service, used])),
     };
   }
 
@@ -243,6 +263,7 @@
     const { configuration } = decoded;
     if (!this.configuration.offer(configuration, content)) return;
     const { limits, routes, version } = configuration;
+    this.configuredAt = this.options.clock();
     this.log(MeshEvent.ConfigurationInForce, { routes: routes.length, source, version });
     this.split.retain(routes);
     const routeNames = new Set(routes.map(({ name }) => name));
@@ -433,6 +454,7 @@
 
   /** Asks the server how fast it works at this moment. */
   private async probe(): Promise<void> {
+    this.options.events.count('server_probes');
     const path = this.healthPath;
     const answer = path === undefined ? undefined : await this.options.ports().server.health(path);
     const now = this.options.clock();
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -77,7 +77,10 @@
       void Promise.race([Promise.all(closing), delay(leaveMilliseconds)]).then(stopped);
     },
   };
-  registerMeshGauges(metrics, () => driver.figures);
+  registerMeshGauges(metrics, {
+    figures: () => driver.figures,
+    serviceFigures: () => driver.serviceFigures,
+  });
   const { host, port } = settings.reportAddress;
   const reports = new ReportServer({
     bindHost: host,
--- a/packages/daemon/tests/line-writer.test.ts
+++ b/packages/daemon/tests/line-writer.test.ts
@@ -3,14 +3,22 @@
 
 import { LineWriter } from '../src/mesh/index.js';
 
+const textOf = (bytes: Uint8Array): string => Buffer.from(bytes).toString();
+
+function errorWith(code: string): NodeJS.ErrnoException {
+  return Object.assign(new Error(code), { code });
+}
+
 test('a reader that stops costs lines, which are counted, and holds nothing else up', () => {
   const pending: (() => void)[] = [];
   const written: string[] = [];
   const writer = new LineWriter({
     maximumBytes: 100,
     write: (bytes, done) => {
-      written.push(bytes);
-      pending.push(done);
+      written.push(textOf(bytes));
+      pending.push(() => {
+        done(null, bytes.length);
+      });
     },
   });
   for (let count = 0; count < 5; count += 1) writer.write('0123456789\n');
@@ -31,8 +39,8 @@
   const written: string[] = [];
   const writer = new LineWriter({
     write: (bytes, done) => {
-      written.push(bytes);
-      done();
+      written.push(textOf(bytes));
+      done(null, bytes.length);
     },
   });
   writer.write('a\n');
@@ -41,4 +49,39 @@
   assert.equal(written, ['a\nb\n']);
 });
 
+// A pipe that is nearly full takes a part of the bytes; the rest was lost without a count.
+test('what a pipe did not take is written again', async () => {
+  let taken = '';
+  let calls = 0;
+  const writer = new LineWriter({
+    write: (bytes, done) => {
+      calls += 1;
+      if (calls === 2) {
+        done(errorWith('EAGAIN'), 0);
+        return;
+      }
+      taken += textOf(bytes.subarray(0, 4));
+      done(null, Math.min(4, bytes.length));
+    },
+  });
+  writer.write('first\n');
+  writer.write('second\n');
+  writer.flush();
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  assert.is(taken, 'first\nsecond\n');
+  assert.is(writer.droppedLines, 0);
+});
+
+test('lines that can not be written are counted', () => {
+  const writer = new LineWriter({
+    write: (_bytes, done) => {
+      done(errorWith('EPIPE'), 0);
+    },
+  });
+  writer.write('first\n');
+  writer.write('second\n');
+  writer.flush();
+  assert.is(writer.droppedLines, 2);
+});
+
 test.run();
--- a/packages/daemon/tests/operators/metrics-page.test.ts
+++ b/packages/daemon/tests/operators/metrics-page.test.ts
@@ -6,7 +6,7 @@
 import * as assert from 'uvu/assert';
 
 import { registerMeshGauges } from '../../src/mesh/mesh-gauges.js';
-import type { MeshFigures } from '../../src/mesh/mesh-gauges.js';
+import type { MeshFigures, MeshServiceFigures } from '../../src/mesh/mesh-gauges.js';
 import { registerGauges } from '../../src/operators/gauges.js';
 import type { GaugeSources } from '../../src/operators/gauges.js';
 
@@ -37,9 +37,13 @@
   const own = [...(await metrics.text()).matchAll(/^# TYPE peridotspring_(\S+)/gm)];
   const gauges: string[] = [];
   metrics.addGauge = ({ name }) => gauges.push(name);
+  metrics.addLabelledGauge = ({ name }) => gauges.push(name);
   // Only the names are asked for, so the sources of the values are never read.
   registerGauges(metrics, {} as GaugeSources);
-  registerMeshGauges(metrics, () => ({}) as MeshFigures);
+  registerMeshGauges(metrics, {
+    figures: () => ({}) as MeshFigures,
+    serviceFigures: () => ({}) as MeshServiceFigures,
+  });
   return [...own.map(([, name]) => name ?? ''), ...gauges];
 }
 
--- a/packages/mesh-core/src/budget/repeat-budget.ts
+++ b/packages/mesh-core/src/budget/repeat-budget.ts
@@ -10,6 +10,13 @@
   readonly windowMilliseconds: number;
 }
 
+/** How much of its part of the repeats of a service a node uses. */
+export interface RepeatUse {
+  readonly service: string;
+  readonly allowed: number;
+  readonly used: number;
+}
+
 interface Window {
   /** Requests and repeats in slots of a tenth of the window. */
   readonly requests: number[];
@@ -62,6 +69,14 @@
     this.count(this.windowOf(service, now));
   }
 
+  /** What this node may send and has sent in the window, by service. */
+  public *uses(now: number): Generator<RepeatUse> {
+    for (const service of this.windows.keys()) {
+      const window = this.windowOf(service, now);
+      yield { allowed: this.allowance(window), service, used: sum(window.repeats) };
+    }
+  }
+
   private allowance({ requests }: Window): number {
     const { ratio, slack } = this.options;
     return usedShare * (ratio * sum(requests) + slack / this.nodes);
--- a/packages/mesh-core/src/gate/probe-schedule.ts
+++ b/packages/mesh-core/src/gate/probe-schedule.ts
@@ -12,6 +12,10 @@
 
   public constructor(private probesPerSecond: number) {}
 
+  public get allowedPerSecond(): number {
+    return this.probesPerSecond;
+  }
+
   public configure(probesPerSecond: number): void {
     this.probesPerSecond = probesPerSecond;
   }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -120,6 +120,15 @@
     return this.lifetime.instanceId !== undefined;
   }
 
+  /** Requests that the server says it can run at once; 0 without a server. */
+  public get slots(): number {
+    return this.hasServer ? this.lifetime.slots : 0;
+  }
+
+  public get probesPerSecond(): number {
+    return this.probes.allowedPerSecond;
+  }
+
   public load(now: number): GateLoad {
     return {
       failureShare: this.failures.share(now),
--- a/packages/mesh-core/src/membership/node-directory.ts
+++ b/packages/mesh-core/src/membership/node-directory.ts
@@ -13,6 +13,7 @@
 interface KnownNode {
   node: MeshNode;
   isConnected: boolean;
+  wasConnected: boolean;
   lastMentionedAt: number;
   dialAt: number;
   failures: number;
@@ -38,6 +39,15 @@
     return count;
   }
 
+  /** Nodes that had a connection and have none now. */
+  public get gone(): number {
+    let count = 0;
+    for (const { isConnected, wasConnected } of this.known.values()) {
+      if (wasConnected && !isConnected) count += 1;
+    }
+    return count;
+  }
+
   public nodes(): readonly MeshNode[] {
     return [...this.known.values()].map(({ node }) => node);
   }
@@ -53,6 +63,7 @@
         isConnected: false,
         lastMentionedAt: now,
         node,
+        wasConnected: false,
       });
       return true;
     }
@@ -70,6 +81,7 @@
     if (known === undefined) return;
     known.node = node;
     known.isConnected = true;
+    known.wasConnected = true;
     known.failures = 0;
     known.lastMentionedAt = now;
   }
--- a/packages/mesh-core/src/placement/target-book.ts
+++ b/packages/mesh-core/src/placement/target-book.ts
@@ -45,6 +45,15 @@
     return this.views.get(name);
   }
 
+  /** Age of the newest load of each service. */
+  public loadAges(now: number): ReadonlyMap<string, number> {
+    const ages = new Map<string, number>();
+    for (const { loadAt, node } of this.views.values()) {
+      ages.set(node.service, Math.min(ages.get(node.service) ?? Infinity, now - loadAt));
+    }
+    return ages;
+  }
+
   /** Gates of a service that take requests. */
   public *ready(service: string): Generator<GateView> {
     for (const view of this.views.values()) {
--- a/packages/operators/src/observation/metrics.ts
+++ b/packages/operators/src/observation/metrics.ts
@@ -30,6 +30,15 @@
   read(): number;
 }
 
+/** A value for each of a number of things, such as services, that is read whenever the metrics are. */
+export interface LabelledGaugeDefinition {
+  /** Without the prefix `peridotspring_`. */
+  readonly name: string;
+  readonly help: string;
+  readonly label: string;
+  read(): Iterable<readonly [string, number]>;
+}
+
 /** Label names may not contain the hyphens of the core's names. */
 function cleanLabels(labels: Labels): Labels {
   return Object.fromEntries(
@@ -103,6 +112,20 @@
     });
   }
 
+  /** Adds a gauge with one series for each value of a label; series that are no longer read disappear. */
+  public addLabelledGauge({ help, label, name, read }: LabelledGaugeDefinition): void {
+    const gauge: Gauge = new Gauge({
+      collect: () => {
+        gauge.reset();
+        for (const [labelValue, value] of read()) gauge.set({ [label]: labelValue }, value);
+      },
+      help,
+      labelNames: [label],
+      name: `${prefix}${name}`,
+      registers: [this.registry],
+    });
+  }
+
   /** Everything in the Prometheus text format. */
   public async text(): Promise<string> {
     this.flush();
