--- a/packages/operators/src/observation/metrics.ts
+++ b/packages/operators/src/observation/metrics.ts
@@ -113,11 +113,12 @@
   }
 
   /** Adds a gauge with one series for each value of a label; series that are no longer read disappear. */
-  public addLabelledGauge({ help, label, name, read }: LabelledGaugeDefinition): void {
+  public addLabelledGauge(definition: LabelledGaugeDefinition): void {
+    const { help, label, name } = definition;
     const gauge: Gauge = new Gauge({
       collect: () => {
         gauge.reset();
-        for (const [labelValue, value] of read()) gauge.set({ [label]: labelValue }, value);
+        for (const [labelValue, value] of definition.read()) gauge.set({ [label]: labelValue }, value);
       },
       help,
       labelNames: [label],
