--- a/packages/operators/src/observation/metrics.ts
+++ b/packages/operators/src/observation/metrics.ts
@@ -118,7 +118,8 @@
     const gauge: Gauge = new Gauge({
       collect: () => {
         gauge.reset();
-        for (const [labelValue, value] of definition.read()) gauge.set({ [label]: labelValue }, value);
+        for (const [labelValue, value] of definition.read())
+          gauge.set({ [label]: labelValue }, value);
       },
       help,
       labelNames: [label],
