Learn the start of a lifetime that a health check told of; random test of the nodes in virtual time

packages/daemon/tests/virtual-mesh plays five nodes with the product's decisions and driver in virtual time: processes, servers (also under the same identifier), links, the store and answers fail at random, and outcomes, runs, the bound on repeats, confirmed leaving and recovery are checked. When the server started again under its identifier, all its reports counted as late ones, so the gate did not shut when it drained and started requests after the confirmation. Change: the first report after the health check gives the lifetime its start.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -63,6 +63,10 @@
   readonly clock: () => number;
   readonly events: EventRecorder;
   readonly ports: () => MeshNodePorts;
+  /** Calls back once after a time; returns what takes it back. */
+  readonly schedule: (action: () => void, milliseconds: number) => () => void;
+  /** Calls back in a later turn, before any time passes. */
+  readonly defer: (action: () => void) => void;
   readonly decodeConfiguration: (content: Uint8Array) => DecodedConfiguration;
 }
 
@@ -80,7 +84,7 @@
   private readonly startedAt: number;
   /** When the configuration in force came into force. */
   private configuredAt: number;
-  private timer: NodeJS.Timeout | undefined;
+  private cancelTick: (() => void) | undefined;
   private stopPlan: StopPlan | undefined;
   private isDirectoryRead = false;
   private healthDueAt: number;
@@ -143,7 +147,7 @@
 
   public close(): void {
     this.isClosed = true;
-    clearTimeout(this.timer);
+    this.cancelTick?.();
   }
 
   public get routing(): RoutingView | undefined {
@@ -354,7 +358,7 @@
   private send(node: string, frame: RequestFrame): boolean {
     if (node !== this.options.self.name) return this.options.ports().links.send(node, frame);
     // The own gate answers in a later turn, like any other, so that no decision is entered twice.
-    process.nextTick(() => {
+    this.options.defer(() => {
       this.frame(this.options.self, frame);
     });
     return true;
@@ -387,7 +391,7 @@
       this.options.ports().links.send(node, frame);
       return;
     }
-    process.nextTick(() => {
+    this.options.defer(() => {
       this.frame(this.options.self, frame);
     });
   }
@@ -420,7 +424,7 @@
       return;
     }
     const isBusy = this.inProgress > 0;
-    this.timer = setTimeout(
+    this.cancelTick = this.options.schedule(
       () => {
         this.tick();
       },
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -52,9 +52,18 @@
   const driver = new MeshNodeDriver({
     clock,
     decodeConfiguration: (content) => adapter.decodeConfiguration(content),
+    defer: (action) => {
+      process.nextTick(action);
+    },
     events,
     ports: () => ports,
     random,
+    schedule: (action, milliseconds) => {
+      const timer = setTimeout(action, milliseconds);
+      return () => {
+        clearTimeout(timer);
+      };
+    },
     self,
     settings,
   });
--- /dev/null
+++ b/packages/daemon/tests/virtual-mesh/main.ts
@@ -0,0 +1,19 @@
+import { playMesh } from './play-mesh.js';
+
+/** Usage: node main.js [first seed] [number of seeds]. */
+const [first = 1, count = 1_000] = process.argv.slice(2).map(Number);
+let failed = 0;
+let requests = 0;
+let answered = 0;
+for (let seed = first; seed < first + count; seed += 1) {
+  const result = await playMesh(seed);
+  requests += result.requests;
+  answered += result.answered;
+  if (result.broken.length === 0) continue;
+  failed += 1;
+  console.log(`FAIL seed ${seed}`);
+  for (const line of [...result.broken.slice(0, 10), ...result.played]) console.log(`  ${line}`);
+}
+console.log(`${answered} of ${requests} requests answered`);
+console.log(`${count - failed} passed, ${failed} failed`);
+process.exitCode = failed === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -0,0 +1,350 @@
+import { pickRandom } from '@peridotspring/core';
+import type { SeededRandomSource } from '@peridotspring/core';
+import type { EntryOutcome, MeshNode, RouteConfiguration } from '@peridotspring/mesh-core';
+import { Metrics } from '@peridotspring/operators/metrics';
+
+import { EventRecorder } from '../../src/mesh/event-recorder.js';
+import { MeshNodeDriver } from '../../src/mesh/mesh-node.js';
+import type { MeshNodePorts } from '../../src/mesh/mesh-node.js';
+import type { MeshSettings } from '../../src/mesh/mesh-settings.js';
+import { EventQueue } from './event-queue.js';
+import { VirtualLinks } from './virtual-links.js';
+import type { LinkedNode } from './virtual-links.js';
+import { VirtualServer } from './virtual-server.js';
+
+/** Small, so that the losses of a play reach the bound. */
+export const repeats = { ratio: 0.05, slack: 6, windowMilliseconds: 10_000 } as const;
+export const timeoutMilliseconds = 1_000;
+const targetMilliseconds = 300;
+const slots = 4;
+const startMilliseconds = 30;
+/** Share of reads of the store that an overtaken answer comes to. */
+const oldReadShare = 0.2;
+const graceMilliseconds = 4_000;
+
+/** What became of one request at its entry. */
+export interface VirtualRequest {
+  readonly requestId: string;
+  readonly isIdempotent: boolean;
+  readonly sentAt: number;
+  readonly entry: LinkedNode;
+  readonly outcomes: EntryOutcome[];
+  concludedAt: number;
+  isAbandoned: boolean;
+}
+
+interface Machine {
+  readonly name: string;
+  readonly availabilityZone: string;
+  readonly server: VirtualServer;
+  /** The life of the node's process; undefined while it is down. */
+  node: LinkedNode | undefined;
+  readsStore: boolean;
+  /** The node does not reach the store any more. */
+  storeIsLost: boolean;
+}
+
+/** Nodes with the decisions of the product, in virtual time, with servers, links, a store and callers. */
+export class VirtualMesh {
+  public readonly queue = new EventQueue();
+  public readonly links: VirtualLinks;
+  public readonly machines: Machine[] = [];
+  public readonly requests: VirtualRequest[] = [];
+  public version = 0;
+  private readonly entries = new Map<string, MeshNode>();
+  private boots = 0;
+  private readonly versions = new Map<LinkedNode, number>();
+  /** Versions that an older one followed. */
+  public readonly steppedBack: string[] = [];
+
+  public constructor(
+    size: number,
+    private readonly random: SeededRandomSource,
+  ) {
+    this.links = new VirtualLinks(this.queue, (name) => this.machine(name)?.node);
+    for (let index = 0; index < size; index += 1) this.addMachine(index);
+    this.configure();
+    for (const machine of this.machines) this.start(machine);
+  }
+
+  /** Writes the next configuration; nodes that read the store get it after some time. */
+  public configure(): void {
+    this.version += 1;
+    for (const machine of this.machines) this.readStore(machine);
+  }
+
+  public start(machine: Machine): void {
+    if (machine.node !== undefined) return;
+    this.boots += 1;
+    const { availabilityZone, name } = machine;
+    const self: MeshNode = {
+      address: `${name}:1`,
+      availabilityZone,
+      boot: this.boots,
+      name,
+      region: 'region',
+      service: 'shop',
+    };
+    const node = this.createNode(machine, self);
+    machine.node = node;
+    this.queue.after(startMilliseconds * this.random.next(), () => {
+      if (machine.node === node) node.driver.start();
+    });
+    this.readStore(machine);
+  }
+
+  /** Ends the process of a node without a word. */
+  public kill(machine: Machine): void {
+    const { node } = machine;
+    if (node === undefined) return;
+    node.driver.close();
+    machine.node = undefined;
+    this.links.ended(node);
+  }
+
+  public stop(machine: Machine): void {
+    machine.node?.driver.stop();
+  }
+
+  /** Sends one request to a machine's node, if it takes requests. */
+  public call(machine: Machine): VirtualRequest | undefined {
+    const { node } = machine;
+    const isIdempotent = this.random.next() < 0.5;
+    const route = node?.driver.routing?.table.match('shop', isIdempotent ? '/safe/' : '/unsafe/');
+    if (node === undefined || route === undefined) return undefined;
+    this.noteVersion(node);
+    const now = this.queue.now;
+    const requestNumber = this.requests.length + 1;
+    const request: VirtualRequest = {
+      concludedAt: Infinity,
+      entry: node,
+      isAbandoned: false,
+      isIdempotent,
+      outcomes: [],
+      requestId: `r${requestNumber}x`,
+      sentAt: now,
+    };
+    this.requests.push(request);
+    node.driver.callerRequest({
+      body: undefined,
+      callerDeadline: now + timeoutMilliseconds,
+      headers: [],
+      method: isIdempotent ? 'GET' : 'POST',
+      path: route.pathPrefix,
+      receivedAt: now,
+      requestId: request.requestId,
+      requestNumber,
+      route,
+    });
+    if (this.random.next() < 0.02) this.abandonLater(node, request, requestNumber);
+    return request;
+  }
+
+  public pickMachine(): Machine {
+    const machine = pickRandom(this.random, this.machines);
+    if (machine === undefined) throw new Error('there are no machines');
+    return machine;
+  }
+
+  /** Whether a node has lived since the request was sent, so that the caller must have its outcome. */
+  public livesStill({ entry }: VirtualRequest): boolean {
+    return this.machine(entry.self.name)?.node === entry;
+  }
+
+  private noteVersion(node: LinkedNode): void {
+    const version = node.driver.figures.configuration_version;
+    const last = this.versions.get(node) ?? 0;
+    if (version < last) this.steppedBack.push(`${node.self.name}: ${version} after ${last}`);
+    this.versions.set(node, version);
+  }
+
+  private abandonLater(node: LinkedNode, request: VirtualRequest, requestNumber: number): void {
+    this.queue.after(100 * this.random.next(), () => {
+      if (request.outcomes.length > 0) return;
+      request.isAbandoned = true;
+      node.driver.callerGone(requestNumber);
+    });
+  }
+
+  private machine(name: string): Machine | undefined {
+    return this.machines.find((machine) => machine.name === name);
+  }
+
+  private addMachine(index: number): void {
+    const name = `node-${index}`;
+    const machine: Machine = {
+      availabilityZone: `zone-${index % 2}`,
+      name,
+      node: undefined,
+      readsStore: true,
+      storeIsLost: false,
+      server: new VirtualServer({
+        concluded: (executionId, result) => {
+          // An execution belongs to the life of the node that asked for it.
+          const [boot, own] = splitExecution(executionId);
+          const { node } = machine;
+          if (node?.self.boot === boot) node.driver.executionConcluded(own, result);
+        },
+        name,
+        nodeBoot: () => machine.node?.self.boot,
+        queue: this.queue,
+        random: this.random,
+        slots,
+        tell: (message) => {
+          machine.node?.driver.serverMessage(message);
+          return machine.node !== undefined;
+        },
+      }),
+    };
+    this.machines.push(machine);
+  }
+
+  private createNode(machine: Machine, self: MeshNode): LinkedNode {
+    const clock = (): number => this.queue.now;
+    const driver: MeshNodeDriver = new MeshNodeDriver({
+      clock,
+      decodeConfiguration: (content) => ({
+        configuration: configurationOf(Number(Buffer.from(content).toString())),
+        kind: 'configuration',
+      }),
+      defer: (action) => {
+        this.queue.after(0, action);
+      },
+      events: new EventRecorder({
+        clock,
+        metrics: new Metrics(),
+        wallClock: clock,
+        write: () => undefined,
+      }),
+      ports: () => ports,
+      random: this.random,
+      schedule: (action, milliseconds) => this.queue.after(milliseconds, action),
+      self,
+      settings: settingsOf(self),
+    });
+    const node: LinkedNode = { driver, self };
+    const ports = this.createPorts(machine, node);
+    return node;
+  }
+
+  private createPorts(machine: Machine, node: LinkedNode): MeshNodePorts {
+    const { boot } = node.self;
+    const { server } = machine;
+    return {
+      callers: {
+        configure: () => undefined,
+        inProgress: 0,
+        refuse: () => undefined,
+        respond: ({ requestNumber }, outcome) => {
+          const request = this.requests[requestNumber - 1];
+          if (request === undefined) throw new Error('an answer without a request');
+          request.outcomes.push(outcome);
+          request.concludedAt = this.queue.now;
+        },
+        stop: () => undefined,
+      },
+      links: {
+        broadcast: (frame) => {
+          this.links.broadcast(node, frame);
+        },
+        dial: (to) => {
+          this.links.dial(node, to);
+        },
+        send: (name, frame) => this.links.send(node, name, frame),
+        tick: () => undefined,
+      },
+      server: {
+        abort: (executionId) => {
+          server.abort(joinExecution(boot, executionId));
+        },
+        health: () => Promise.resolve(server.health()),
+        run: (execution) => {
+          server.run({ ...execution, executionId: joinExecution(boot, execution.executionId) });
+        },
+      },
+      stopped: () => {
+        this.kill(machine);
+        this.start(machine);
+      },
+    };
+  }
+
+  /** The store tells a node of the configuration and of the other nodes, and others of this one. */
+  private readStore(machine: Machine): void {
+    this.queue.after(10 + 290 * this.random.next(), () => {
+      const { node } = machine;
+      if (node === undefined || machine.storeIsLost) return;
+      if (!machine.readsStore) {
+        // The node goes on asking.
+        this.readStore(machine);
+        return;
+      }
+      this.entries.set(machine.name, node.self);
+      for (const entry of this.entries.values()) node.driver.nodeMentioned(entry);
+      for (const other of this.machines) {
+        if (other.readsStore && !other.storeIsLost) other.node?.driver.nodeMentioned(node.self);
+      }
+      node.driver.directoryRead();
+      const isOld = this.random.next() < oldReadShare;
+      const version = Math.max(1, isOld ? this.version - 1 : this.version);
+      node.driver.configurationRead(Buffer.from(String(version)), 'store');
+      if (isOld) this.readStore(machine);
+    });
+  }
+}
+
+/** Numbers of executions are unique in the life of a node only. */
+const executionsPerBoot = 1_000_000;
+
+function joinExecution(boot: number, executionId: number): number {
+  return boot * executionsPerBoot + executionId;
+}
+
+function splitExecution(joined: number): readonly [number, number] {
+  return [Math.floor(joined / executionsPerBoot), joined % executionsPerBoot];
+}
+
+function configurationOf(version: number): RouteConfiguration {
+  const route = (name: string, idempotent: boolean): RouteConfiguration['routes'][number] => ({
+    host: 'shop',
+    idempotent,
+    maximumAttempts: 2,
+    name,
+    pathPrefix: `/${name}/`,
+    priority: 1,
+    split: [{ service: 'shop', weight: 1 }],
+    targetLatencyMilliseconds: targetMilliseconds,
+    timeoutMilliseconds,
+  });
+  return {
+    limits: {
+      bodyBytes: 1_000,
+      headerBytes: 1_000,
+      headerTimeoutMilliseconds: 1_000,
+      idleTimeoutMilliseconds: 1_000,
+    },
+    routes: [route('safe', true), route('unsafe', false)],
+    services: new Map([['shop', { connectionLimit: 100, healthPath: '/health', name: 'shop' }]]),
+    version,
+  };
+}
+
+function settingsOf({ availabilityZone, name, region, service }: MeshNode): MeshSettings {
+  const address = { host: name, port: 1 };
+  return {
+    availabilityZone,
+    callerAddress: address,
+    graceMilliseconds,
+    logLevel: 'info',
+    nodeName: name,
+    peerAddress: address,
+    probesPerSecond: 30,
+    readinessAddress: address,
+    region,
+    repeats,
+    reportAddress: address,
+    serverAddress: address,
+    service,
+    storeAddress: address,
+  };
+}
--- /dev/null
+++ b/packages/daemon/tests/virtual-mesh/virtual-server.ts
@@ -0,0 +1,171 @@
+import { DeclineReason } from '@peridotspring/mesh-core';
+import type { Execution, ExecutionResult } from '@peridotspring/mesh-core';
+import type { RandomSource } from '@peridotspring/core';
+import type { HealthAnswer, ServerMessage } from '@peridotspring/upstreams';
+
+import type { EventQueue } from './event-queue.js';
+
+/** One run of a request at a server. */
+export interface Run {
+  readonly requestId: string;
+  readonly at: number;
+  /** Identifies one lifetime of a server; an instance identifier may come again. */
+  readonly lifetime: string;
+}
+
+export interface VirtualServerOptions {
+  readonly queue: EventQueue;
+  readonly random: RandomSource;
+  readonly name: string;
+  readonly slots: number;
+  /** Gives a report to the node beside the server; false if the node is down. */
+  readonly tell: (message: ServerMessage) => boolean;
+  /** The life of the node's process; undefined while it is down. */
+  readonly nodeBoot: () => number | undefined;
+  readonly concluded: (executionId: number, result: ExecutionResult) => void;
+}
+
+const wayMilliseconds = 0.5;
+const reportMilliseconds = 300;
+/** Share of reports that come a second time, after others. */
+const repeatedReportShare = 0.2;
+const longestReportDelayMilliseconds = 1_500;
+const shortestWorkMilliseconds = 5;
+const longestWorkMilliseconds = 60;
+
+/** A server beside a node, with lifetimes that end with and without a word. */
+export class VirtualServer {
+  public readonly runs: Run[] = [];
+  /** When the end of a lifetime was confirmed: nothing may start there any more. */
+  public readonly confirmedAt = new Map<string, number>();
+  /** Share of answers that are lost with their connection. */
+  public lostShare = 0;
+  public slowdown = 1;
+  private lives = 0;
+  private instanceId = '';
+  private bornAt = 0;
+  private sequence = 0;
+  private isDraining = false;
+  private running = 0;
+
+  public constructor(private readonly options: VirtualServerOptions) {
+    this.begin('i-1');
+    options.queue.after(reportMilliseconds * options.random.next(), () => {
+      this.reportAgain();
+    });
+  }
+
+  /** A lifetime ends without a word, and the next one has the same identifier or a new one. */
+  public restart(keepsIdentifier: boolean): void {
+    this.begin(keepsIdentifier ? this.instanceId : `i-${this.lives + 1}`);
+  }
+
+  /** Drains, leaves when nothing runs, and starts again; waits for a confirmation that does not come. */
+  public replace(keepsIdentifier: boolean): void {
+    const { lifetime } = this;
+    this.isDraining = true;
+    const leave = (): void => {
+      if (lifetime !== this.lifetime) return;
+      const isConfirmed =
+        this.report() && this.options.tell({ instanceId: this.instanceId, kind: 'leave' });
+      if (!isConfirmed || this.running > 0) {
+        this.options.queue.after(50, leave);
+        return;
+      }
+      this.restart(keepsIdentifier);
+    };
+    if (this.report()) this.confirmedAt.set(lifetime, this.options.queue.now);
+    this.options.queue.after(200, leave);
+  }
+
+  public run({ executionId, frame, instanceId }: Execution): void {
+    const { concluded, queue, random } = this.options;
+    queue.after(wayMilliseconds, () => {
+      if (instanceId !== this.instanceId || this.running >= this.options.slots) {
+        const reason = DeclineReason.ServerRefused;
+        concluded(executionId, { detail: 'not run', kind: 'not-run', reason });
+        return;
+      }
+      const { lifetime } = this;
+      this.runs.push({ at: queue.now, lifetime, requestId: frame.requestId });
+      this.running += 1;
+      const spread = longestWorkMilliseconds - shortestWorkMilliseconds;
+      const work = (shortestWorkMilliseconds + spread * random.next() ** 2) * this.slowdown;
+      queue.after(work, () => {
+        if (lifetime !== this.lifetime) {
+          concluded(executionId, { detail: 'the server ended', kind: 'failed' });
+          return;
+        }
+        this.running -= 1;
+        if (random.next() < this.lostShare) {
+          concluded(executionId, { detail: 'reset', kind: 'failed' });
+          return;
+        }
+        const body = Buffer.from(frame.requestId);
+        concluded(executionId, { body, headers: [], kind: 'answered', status: 200 });
+      });
+    });
+  }
+
+  /** The connection of a run is closed; the server works on. */
+  public abort(executionId: number): void {
+    this.options.queue.after(0, () => {
+      this.options.concluded(executionId, { detail: 'aborted', kind: 'failed' });
+    });
+  }
+
+  public health(): HealthAnswer {
+    const load = {
+      running: this.running,
+      slots: this.options.slots,
+      slowdown: this.slowdown,
+      waiting: 0,
+    };
+    return { instanceId: this.instanceId, isReady: !this.isDraining, load };
+  }
+
+  private get lifetime(): string {
+    return `${this.options.name}/${this.lives}`;
+  }
+
+  private begin(instanceId: string): void {
+    this.lives += 1;
+    this.instanceId = instanceId;
+    this.bornAt = this.options.queue.now + this.lives;
+    this.sequence = 0;
+    this.isDraining = false;
+    this.running = 0;
+    this.options.queue.after(10, () => this.report());
+  }
+
+  private reportAgain(): void {
+    this.report();
+    this.options.queue.after(reportMilliseconds, () => {
+      this.reportAgain();
+    });
+  }
+
+  private report(): boolean {
+    this.sequence += 1;
+    const message: ServerMessage = {
+      kind: 'report',
+      report: {
+        coldMilliseconds: 0,
+        draining: this.isDraining,
+        instanceId: this.instanceId,
+        sequence: this.sequence,
+        slots: this.options.slots,
+        startedAt: this.bornAt,
+      },
+    };
+    const { nodeBoot, queue, random, tell } = this.options;
+    if (random.next() < repeatedReportShare) {
+      // A call to a process does not outlive it, so a late copy reaches the same life of the node only.
+      const boot = nodeBoot();
+      queue.after(longestReportDelayMilliseconds * random.next(), () => {
+        if (boot === nodeBoot()) tell(message);
+      });
+    }
+    return tell(message);
+  }
+}
--- a/packages/mesh-core/src/gate/server-lifetime.ts
+++ b/packages/mesh-core/src/gate/server-lifetime.ts
@@ -14,7 +14,8 @@
 
 interface Lifetime {
   readonly instanceId: string;
-  readonly startedAt: number | undefined;
+  /** Unknown while only a health check has told of the lifetime. */
+  startedAt: number | undefined;
   sequence: number;
   slots: number;
   state: ServerState;
@@ -51,6 +52,8 @@
     const { current } = this;
     if (current === undefined || !isSameLifetime(current, report)) return this.start(report, now);
     if (report.sequence < current.sequence) return ReportEffect.Ignored;
+    // Without it, the next lifetime under the same identifier would be taken for this one.
+    current.startedAt ??= report.startedAt;
     current.sequence = report.sequence;
     current.slots = report.slots;
     // A report that was sent before the server began to drain must not open the gate again.
--- a/packages/mesh-core/tests/gate/server-lifetime.test.ts
+++ b/packages/mesh-core/tests/gate/server-lifetime.test.ts
@@ -90,4 +90,15 @@
   assert.is(lifetime.slots, 5);
 });
 
+// Seed 1445 of the virtual mesh: the lifetime stayed without its start, so all reports of the next one
+// under its identifier, its draining among them, were taken for late ones.
+test('a lifetime that a health check told of ends when its server starts again under its identifier', () => {
+  const lifetime = new ServerLifetime();
+  lifetime.seen('i-1', 3, 0);
+  lifetime.report(report({ sequence: 7, startedAt: 1_000 }), 0);
+  assert.is(lifetime.report(report({ sequence: 1, startedAt: 2_000 }), 0), ReportEffect.Started);
+  const draining = report({ draining: true, sequence: 2, startedAt: 2_000 });
+  assert.is(lifetime.report(draining, 0), ReportEffect.Draining);
+});
+
 test.run();
