--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -3,6 +3,8 @@
 import { AdmissionQueue } from './admission-queue.js';
 import type { WaitingRequest } from './admission-queue.js';
 import { ConcurrencyBound } from './concurrency-bound.js';
+import { GateCalls } from './gate-calls.js';
+import type { GateCall } from './gate-calls.js';
 import { GateEventName } from './gate-contract.js';
 import type {
   Execution,
@@ -29,11 +31,6 @@
 const slowRestMilliseconds = 75;
 /** A request that has missed its target waits this long for a slow moment to pass. */
 const lateHoldMilliseconds = 100;
-/**
- * Time past its end, and past its deadline, for which a call is remembered: an entry may send its frame
- * again until then, and has to get the same reply.
- */
-const rememberedMilliseconds = 5_000;
 /** Time past the deadline after which a request is aborted; the server ends its work by itself first. */
 const overdueMilliseconds = 400;
 
@@ -50,27 +47,6 @@
 /** Time between two searches for calls that are overdue or no longer remembered. */
 const sweepMilliseconds = 100;
 
-interface GateCall {
-  readonly key: string;
-  readonly executionId: number;
-  readonly from: string;
-  readonly frame: StartFrame;
-  readonly deadline: number;
-  readonly targetAt: number;
-  state: 'waiting' | 'running' | 'aborted' | 'finished';
-  startedAt: number;
-  runningAtStart: number;
-  /** Taken although its time seemed too short. */
-  isTrial: boolean;
-  /** The server was known to work at its usual speed. */
-  startedFast: boolean;
-  slowdownAtStart: number;
-  /** Age of the report that `slowdownAtStart` comes from, in milliseconds. */
-  speedAgeAtStart: number;
-  finishedAt: number;
-  reply: ReplyFrame | undefined;
-}
-
 export interface ServerGateOptions {
   readonly service: string;
   readonly port: GatePort;
@@ -93,11 +69,9 @@
   private readonly probes: ProbeSchedule;
   private readonly failures = new RecentFailures();
   private readonly startRate = new StartRate();
-  private readonly calls = new Map<string, GateCall>();
-  private readonly byExecution = new Map<number, GateCall>();
+  private readonly calls = new GateCalls();
   private running = 0;
   private nestedRunning = 0;
-  private nextExecutionId = 1;
   private isStopping = false;
   private nextSweepAt = 0;
   /** Last time at which a request started or ended at the server. */
@@ -148,13 +122,12 @@
 
   /** A node asks for a request to be run. `boot` is the life of the asking process. */
   public start(from: string, boot: number, frame: StartFrame, now: number): void {
-    const key = callKey(from, boot, frame.callId);
-    const known = this.calls.get(key);
+    const known = this.calls.find(from, boot, frame.callId);
     if (known !== undefined) {
       if (known.reply !== undefined) this.options.port.reply(from, known.reply);
       return;
     }
-    const call = this.open(key, from, frame, now);
+    const call = this.calls.open(from, boot, frame, now);
     const reason = this.closedReason(call, now);
     if (reason !== undefined) {
       this.decline(call, reason, 0, now);
@@ -165,7 +138,7 @@
 
   /** Nobody waits for the answer any more. */
   public cancel(from: string, boot: number, frame: CancelFrame, now: number): void {
-    const call = this.calls.get(callKey(from, boot, frame.callId));
+    const call = this.calls.find(from, boot, frame.callId);
     if (call === undefined) return;
     if (call.state === 'waiting') {
       this.queue.remove(call.executionId);
@@ -180,7 +153,7 @@
 
   /** The server is done with a request. */
   public concluded(executionId: number, result: ExecutionResult, now: number): void {
-    const call = this.byExecution.get(executionId);
+    const call = this.calls.execution(executionId);
     if (call === undefined) return;
     const wasAborted = call.state === 'aborted';
     this.running -= 1;
@@ -212,8 +185,8 @@
     this.speed.report(slowdown, now);
     if (this.speed.state(now) !== SpeedState.Slow) return;
     // The slow moment began at some time since the last report, perhaps before these requests started.
-    for (const call of this.byExecution.values()) {
-      if (call.state === 'running' && call.startedAt > lastReportAt) call.startedFast = false;
+    for (const call of this.calls.running()) {
+      if (call.startedAt > lastReportAt) call.startedFast = false;
     }
   }
 
@@ -251,7 +224,7 @@
 
   public tick(now: number): void {
     for (const waiting of [...this.queue.values()]) {
-      const call = this.byExecution.get(waiting.executionId);
+      const call = this.calls.execution(waiting.executionId);
       if (call === undefined || !this.isTooLate(call, now)) continue;
       this.declineQueued(waiting, DeclineReason.DeadlineTooShort, 0, now);
     }
@@ -262,47 +235,15 @@
 
   private sweep(now: number): void {
     this.nextSweepAt = now + sweepMilliseconds;
-    for (const call of this.calls.values()) {
-      const wantedUntil = Math.max(call.finishedAt, call.deadline) + rememberedMilliseconds;
-      if (call.state === 'finished' && now > wantedUntil) {
-        this.calls.delete(call.key);
-      } else if (call.state === 'running' && now - call.deadline > overdueMilliseconds) {
-        this.options.port.abort(call.executionId);
-      }
+    this.calls.forgetOld(now);
+    for (const call of this.calls.running()) {
+      if (now - call.deadline > overdueMilliseconds) this.options.port.abort(call.executionId);
     }
   }
 
-  private open(key: string, from: string, frame: StartFrame, now: number): GateCall {
-    const call: GateCall = {
-      deadline: now + frame.remainingMilliseconds,
-      executionId: this.nextExecutionId,
-      finishedAt: 0,
-      frame,
-      from,
-      isTrial: false,
-      key,
-      reply: undefined,
-      runningAtStart: 0,
-      startedAt: 0,
-      slowdownAtStart: 1,
-      speedAgeAtStart: Infinity,
-      startedFast: false,
-      state: 'waiting',
-      targetAt: now + frame.targetMilliseconds,
-    };
-    this.nextExecutionId += 1;
-    this.calls.set(key, call);
-    this.byExecution.set(call.executionId, call);
-    return call;
-  }
-
   /** The request at the server whose call a request is, by the form of the identifiers. */
   public parentOf(requestId: string): StartFrame | undefined {
-    for (const { frame, state } of this.byExecution.values()) {
-      if (state === 'waiting' || requestId.length <= frame.requestId.length) continue;
-      if (frame.requestId !== '' && requestId.startsWith(frame.requestId)) return frame;
-    }
-    return undefined;
+    return this.calls.parentOf(requestId);
   }
 
   private closedReason(call: GateCall, now: number): DeclineReason | undefined {
@@ -430,7 +371,7 @@
       }
       if (speed !== SpeedState.Fast && now < this.latestStart(next)) return;
       this.queue.remove(next.executionId);
-      const call = this.byExecution.get(next.executionId);
+      const call = this.calls.execution(next.executionId);
       if (call === undefined) continue;
       if (this.isTooLate(call, now)) {
         this.decline(call, DeclineReason.DeadlineTooShort, 0, now);
@@ -477,7 +418,7 @@
     this.running += 1;
     this.activeAt = now;
     if (frame.nested) this.nestedRunning += 1;
-    else if (now - arrivedAt(call) > 0) this.startRate.started(now);
+    else if (now - call.arrivedAt > 0) this.startRate.started(now);
     call.runningAtStart = this.running;
     call.startedFast = this.speed.state(now) === SpeedState.Fast;
     call.slowdownAtStart = this.speed.isReported ? this.speed.current : 1;
@@ -494,7 +435,7 @@
       limit: this.limitFor(frame),
       running: runningAtStart,
       slowdown: slowdownAtStart,
-      waited: Math.round(startedAt - arrivedAt(call)),
+      waited: Math.round(startedAt - call.arrivedAt),
       ...(Number.isFinite(speedAgeAtStart) && { slowdownAge: Math.round(speedAgeAtStart) }),
     };
   }
@@ -586,15 +527,12 @@
     now: number,
   ): void {
     this.queue.remove(executionId);
-    const call = this.byExecution.get(executionId);
+    const call = this.calls.execution(executionId);
     if (call !== undefined) this.decline(call, reason, expected, now);
   }
 
   private finish(call: GateCall, reply: ReplyFrame | undefined, now: number): void {
-    call.state = 'finished';
-    call.finishedAt = now;
-    call.reply = reply;
-    this.byExecution.delete(call.executionId);
+    this.calls.finish(call, reply, now);
     if (reply !== undefined) this.options.port.reply(call.from, reply);
   }
 
@@ -635,14 +573,6 @@
   }
 }
 
-function arrivedAt({ deadline, frame }: GateCall): number {
-  return deadline - frame.remainingMilliseconds;
-}
-
-function callKey(from: string, boot: number, callId: number): string {
-  return `${from}/${boot}/${callId}`;
-}
-
 function waitingOf(call: GateCall, now: number): WaitingRequest {
   const { deadline, executionId, frame, targetAt } = call;
   return { deadline, enqueuedAt: now, executionId, frame, targetAt };
