--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -17,14 +17,10 @@
 import { ProbeSchedule } from './probe-schedule.js';
 import { RecentFailures } from './recent-failures.js';
 import { ReportEffect, ServerLifetime } from './server-lifetime.js';
-import { ServiceTimes } from './service-times.js';
 import { SpeedState, SpeedWatch } from './speed-watch.js';
 import { StartRate } from './start-rate.js';
+import { shortestUsefulMilliseconds, WorkTimes } from './work-times.js';
 
-/** A request with less time left is declined: the way to the server and back takes about this long. */
-const shortestUsefulMilliseconds = 5;
-/** Share of its usual time that a request needs at least; with less left it would only hold a slot. */
-const neededShare = 0.6;
 /** A late request waits only if this many times its usual time remain after it could start. */
 const lateReserve = 1.5;
 /** Expected rest of a slow moment. */
@@ -64,8 +60,8 @@
   private readonly lifetime = new ServerLifetime();
   private readonly queue = new AdmissionQueue();
   private readonly bound = new ConcurrencyBound();
-  private readonly times = new ServiceTimes();
   private readonly speed = new SpeedWatch();
+  private readonly work = new WorkTimes(this.speed, this.bound);
   private readonly probes: ProbeSchedule;
   private readonly failures = new RecentFailures();
   private readonly startRate = new StartRate();
@@ -108,7 +104,7 @@
       failureShare: this.failures.share(now),
       limit: this.bound.limit(this.lifetime.slots),
       running: this.running,
-      serviceMilliseconds: this.meanMilliseconds,
+      serviceMilliseconds: this.work.mean,
       slowdown: this.speed.state(now) === SpeedState.Slow ? this.speed.current : 1,
       state: this.state,
       waitMilliseconds: this.waitFor(
@@ -159,9 +155,13 @@
     this.running -= 1;
     this.activeAt = now;
     if (call.frame.nested) this.nestedRunning -= 1;
-    const milliseconds = now - call.startedAt;
-    if (wasAborted) this.learnAborted(call, milliseconds);
-    else this.learn(call, result, milliseconds, now);
+    if (wasAborted) this.work.aborted(call, now);
+    else {
+      const isFailure =
+        result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
+      this.failures.add(isFailure, now);
+      this.work.answered(call, result, this.lifetime.slots, now);
+    }
     this.logFinished(call, result, now);
     this.finish(call, wasAborted ? undefined : this.replyOf(call, result, now), now);
     this.startWaiting(now);
@@ -215,7 +215,7 @@
   }
 
   public configured(routeNames: ReadonlySet<string>): void {
-    this.times.retain(routeNames);
+    this.work.retain(routeNames);
   }
 
   public setProbesPerSecond(probesPerSecond: number): void {
@@ -257,7 +257,7 @@
       case ServerState.Ready:
     }
     if (frame.service !== this.options.service) return DeclineReason.WrongService;
-    if (frame.remainingMilliseconds >= this.neededMilliseconds(frame)) return undefined;
+    if (frame.remainingMilliseconds >= this.work.needed(frame.routeName)) return undefined;
     call.isTrial = this.isTrialDue(frame, now);
     return call.isTrial ? undefined : DeclineReason.DeadlineTooShort;
   }
@@ -282,22 +282,8 @@
     );
   }
 
-  /** Time that a request takes at the server's present speed. */
-  private expectedMilliseconds(routeName: string): number {
-    return this.times.expected(routeName) * this.speed.baseline;
-  }
-
-  private get meanMilliseconds(): number {
-    return this.times.meanMilliseconds * this.speed.baseline;
-  }
-
-  /** Time below which a request has no chance to be answered. */
-  private neededMilliseconds({ routeName }: StartFrame): number {
-    return Math.max(shortestUsefulMilliseconds, neededShare * this.expectedMilliseconds(routeName));
-  }
-
   private isTooLate({ deadline, frame, isTrial }: GateCall, now: number): boolean {
-    const needed = isTrial ? shortestUsefulMilliseconds : this.neededMilliseconds(frame);
+    const needed = isTrial ? shortestUsefulMilliseconds : this.work.needed(frame.routeName);
     return deadline - now < needed;
   }
 
@@ -306,7 +292,7 @@
     const isFree = this.queue.size === 0 && this.running < this.limitFor(call.frame);
     if (!isFree) {
       const wait = this.expectedWait(waiting, now);
-      const finish = wait + this.expectedMilliseconds(call.frame.routeName);
+      const finish = wait + this.work.expected(call.frame.routeName);
       if (call.frame.optional) {
         this.decline(call, DeclineReason.Busy, finish, now);
         return;
@@ -325,8 +311,10 @@
    * Under a lasting overload the rest are refused at once: waiting would make all of them late.
    */
   private mayWait({ deadline, frame, targetAt }: GateCall, wait: number, now: number): boolean {
-    const service = this.expectedMilliseconds(frame.routeName);
-    if (frame.nested) return now + wait + service * neededShare <= deadline;
+    const service = this.work.expected(frame.routeName);
+    if (frame.nested) {
+      return now + wait + this.work.neededNested(frame.routeName) <= deadline;
+    }
     if (now + wait + service <= targetAt) return true;
     return this.queue.size < this.limitFor(frame) && now + wait + service * lateReserve <= deadline;
   }
@@ -338,7 +326,7 @@
 
   /** Time until a request would start if it waited here. */
   private expectedWait(request: WaitingRequest, now: number): number {
-    const ahead = this.queue.ahead(request, now, this.meanMilliseconds);
+    const ahead = this.queue.ahead(request, now, this.work.mean);
     return this.waitFor(ahead + 1, this.limitFor(request.frame), now);
   }
 
@@ -346,7 +334,7 @@
   private waitFor(place: number, limit: number, now: number): number {
     if (this.running + place <= limit) return 0;
     const excess = Math.max(0, this.running - limit);
-    const byService = ((place + excess) * this.meanMilliseconds) / limit;
+    const byService = ((place + excess) * this.work.mean) / limit;
     const interval = this.queue.size === 0 ? undefined : this.startRate.intervalMilliseconds(now);
     return interval === undefined ? byService : Math.max(byService, place * interval);
   }
@@ -362,7 +350,7 @@
   private startWaiting(now: number): void {
     if (this.lifetime.state !== ServerState.Ready || this.isStopping) return;
     while (this.queue.size > 0) {
-      const next = this.queue.next(now, this.meanMilliseconds, this.areNestedFirst);
+      const next = this.queue.next(now, this.work.mean, this.areNestedFirst);
       if (next === undefined || this.running >= this.limitFor(next.frame)) return;
       const speed = this.speedNow(now);
       if (speed === SpeedState.Slow && next.frame.optional) {
@@ -393,7 +381,7 @@
 
   /** Until when a request rather waits for a slow moment to pass than starts in it. */
   private latestStart({ enqueuedAt, frame, targetAt }: WaitingRequest): number {
-    const inTime = targetAt - this.expectedMilliseconds(frame.routeName);
+    const inTime = targetAt - this.work.expected(frame.routeName);
     return Math.max(inTime, enqueuedAt + lateHoldMilliseconds);
   }
 
@@ -401,7 +389,7 @@
   private declineOptional(now: number): void {
     for (const waiting of [...this.queue.values()]) {
       if (!waiting.frame.optional) continue;
-      const expected = slowRestMilliseconds + this.expectedMilliseconds(waiting.frame.routeName);
+      const expected = slowRestMilliseconds + this.work.expected(waiting.frame.routeName);
       this.declineQueued(waiting, DeclineReason.Busy, expected, now);
     }
   }
@@ -473,34 +461,11 @@
     }
   }
 
-  private learn(call: GateCall, result: ExecutionResult, milliseconds: number, now: number): void {
-    const isFailure =
-      result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
-    this.failures.add(isFailure, now);
-    if (result.kind !== 'answered') return;
-    const isWhole = result.status < 500 || now >= call.deadline - 1;
-    // A request that started in a slow moment says little about the next one.
-    if (!isWhole || (this.speed.isReported && !call.startedFast)) return;
-    const { routeName } = call.frame;
-    const usual = milliseconds / call.slowdownAtStart;
-    const relativeTime = usual / this.times.expected(routeName);
-    this.bound.answered(this.lifetime.slots, call.runningAtStart, relativeTime);
-    this.times.add(routeName, usual);
-  }
-
-  /** A request that was aborted would have taken longer still. */
-  private learnAborted(call: GateCall, milliseconds: number): void {
-    if (this.speed.isReported && !call.startedFast) return;
-    const { routeName } = call.frame;
-    const usual = milliseconds / call.slowdownAtStart;
-    if (usual > this.times.expected(routeName)) this.times.add(routeName, usual);
-  }
-
   private decline(call: GateCall, reason: DeclineReason, expected: number, now: number): void {
     this.log(GateEventName.RequestDeclined, call, {
       expected: Math.round(expected),
       limit: this.limitFor(call.frame),
-      needed: Math.round(this.neededMilliseconds(call.frame)),
+      needed: Math.round(this.work.needed(call.frame.routeName)),
       reason,
       remaining: Math.round(call.deadline - now),
       running: this.running,
