--- a/scripts/check-specifications.mjs
+++ b/scripts/check-specifications.mjs
@@ -105,6 +105,12 @@
   })),
   { model: 'rebase', variant: 'NO_COVER_CHECK', macros: ['KEPT=1'] },
   { model: 'rebase', variant: 'REJECT_RESEND', macros: ['OPERATORS=2', 'RESENDS=1'] },
+  { model: 'resent-frames', name: 'all mechanisms', macros: [] },
+  ...['NO_RECORD', 'FORGET_EARLY', 'ANY_LIFE', 'MOVE_UNKNOWN'].map((variant) => ({
+    model: 'resent-frames',
+    variant,
+    macros: [],
+  })),
   { model: 'drain', name: 'all mechanisms', macros: [] },
   ...['ROUTERS_DECIDE', 'STOP_AT_ONCE', 'QUEUE_FORGOTTEN'].map((variant) => ({
     model: 'drain',
