Decline a request that missed its target behind a long queue at once

Cause: under overload requests that can still be in time go first, so one that missed its target waited behind them until its deadline and was refused only then. Ruled out: the entry, which refuses as soon as the gates have declined. Change: while more requests wait than run, one that missed its target is declined, and goes elsewhere or is refused with a time to come back. Calls of servers wait on, as they have no target of their own.

--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -15,7 +15,7 @@
 /** Small, so that the losses of a play reach the bound. */
 export const repeats = { ratio: 0.05, slack: 6, windowMilliseconds: 10_000 } as const;
 export const timeoutMilliseconds = 1_000;
-const targetMilliseconds = 300;
+export const targetMilliseconds = 300;
 const slots = 4;
 const startMilliseconds = 30;
 /** Share of reads of the store that an overtaken answer comes to. */
@@ -185,6 +185,9 @@
           const { node } = machine;
           if (node?.self.boot === boot) node.driver.executionConcluded(own, result);
         },
+        loadTold: (load) => {
+          machine.node?.driver.serverLoad(load);
+        },
         name,
         nodeBoot: () => machine.node?.self.boot,
         queue: this.queue,
--- a/packages/daemon/tests/virtual-mesh/virtual-server.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-server.ts
@@ -1,5 +1,5 @@
 import { DeclineReason } from '@peridotspring/mesh-core';
-import type { Execution, ExecutionResult } from '@peridotspring/mesh-core';
+import type { Execution, ExecutionResult, ServerLoad } from '@peridotspring/mesh-core';
 import type { RandomSource } from '@peridotspring/core';
 import type { HealthAnswer, ServerMessage } from '@peridotspring/upstreams';
 
@@ -22,6 +22,8 @@
   readonly tell: (message: ServerMessage) => boolean;
   /** The life of the node's process; undefined while it is down. */
   readonly nodeBoot: () => number | undefined;
+  /** The load that comes with each answer. */
+  readonly loadTold: (load: ServerLoad) => void;
   readonly concluded: (executionId: number, result: ExecutionResult) => void;
 }
 
@@ -32,6 +34,9 @@
 const longestReportDelayMilliseconds = 1_500;
 const shortestWorkMilliseconds = 5;
 const longestWorkMilliseconds = 60;
+/** Mean of the squares of random numbers from 0 to 1 is a third. */
+export const meanWorkMilliseconds =
+  shortestWorkMilliseconds + (longestWorkMilliseconds - shortestWorkMilliseconds) / 3;
 
 /** A server beside a node, with lifetimes that end with and without a word. */
 export class VirtualServer {
@@ -47,6 +52,8 @@
   private sequence = 0;
   private isDraining = false;
   private running = 0;
+  /** Ends runs before their time, by their executions. */
+  private readonly cancels = new Map<number, () => void>();
 
   public constructor(private readonly options: VirtualServerOptions) {
     this.begin('i-1');
@@ -91,7 +98,8 @@
       this.running += 1;
       const spread = longestWorkMilliseconds - shortestWorkMilliseconds;
       const work = (shortestWorkMilliseconds + spread * random.next() ** 2) * this.slowdown;
-      queue.after(work, () => {
+      const cancel = queue.after(work, () => {
+        this.cancels.delete(executionId);
         if (lifetime !== this.lifetime) {
           concluded(executionId, { detail: 'the server ended', kind: 'failed' });
           return;
@@ -102,26 +110,36 @@
           return;
         }
         const body = Buffer.from(frame.requestId);
+        this.options.loadTold(this.load);
         concluded(executionId, { body, headers: [], kind: 'answered', status: 200 });
       });
+      this.cancels.set(executionId, () => {
+        cancel();
+        if (lifetime === this.lifetime) this.running -= 1;
+      });
     });
   }
 
-  /** The connection of a run is closed; the server works on. */
+  /** The connection of a run is closed, and the server ends its work. */
   public abort(executionId: number): void {
+    this.cancels.get(executionId)?.();
+    this.cancels.delete(executionId);
     this.options.queue.after(0, () => {
       this.options.concluded(executionId, { detail: 'aborted', kind: 'failed' });
     });
   }
 
   public health(): HealthAnswer {
-    const load = {
+    return { instanceId: this.instanceId, isReady: !this.isDraining, load: this.load };
+  }
+
+  private get load(): ServerLoad {
+    return {
       running: this.running,
       slots: this.options.slots,
       slowdown: this.slowdown,
       waiting: 0,
     };
-    return { instanceId: this.instanceId, isReady: !this.isDraining, load };
   }
 
   private get lifetime(): string {
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -225,8 +225,13 @@
   public tick(now: number): void {
     for (const waiting of [...this.queue.values()]) {
       const call = this.calls.execution(waiting.executionId);
-      if (call === undefined || !this.isTooLate(call, now)) continue;
-      this.declineQueued(waiting, DeclineReason.DeadlineTooShort, 0, now);
+      if (call === undefined) continue;
+      if (this.isTooLate(call, now)) {
+        this.declineQueued(waiting, DeclineReason.DeadlineTooShort, 0, now);
+      } else if (this.isOvertaken(call, now)) {
+        const expected = this.expectedWait(waiting, now) + this.work.expected(call.frame.routeName);
+        this.declineQueued(waiting, DeclineReason.QueueFull, expected, now);
+      }
     }
     this.startWaiting(now);
     if (this.isSpeedUnsure(now) && this.probes.take(now)) this.options.port.probe();
@@ -319,6 +324,15 @@
     return this.queue.size < this.limitFor(frame) && now + wait + service * lateReserve <= deadline;
   }
 
+  /**
+   * A request that has missed its target while more wait than run is overtaken by those in time until
+   * its deadline, so it is declined while it can still be refused early or go elsewhere.
+   */
+  private isOvertaken({ frame, targetAt }: GateCall, now: number): boolean {
+    if (frame.nested || this.queue.size <= this.limitFor(frame)) return false;
+    return now + this.work.expected(frame.routeName) > targetAt;
+  }
+
   private limitFor(frame: StartFrame): number {
     const { slots } = this.lifetime;
     return frame.nested ? this.bound.nestedLimit(slots) : this.bound.limit(slots);
--- a/packages/mesh-core/tests/gate/server-gate.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate.test.ts
@@ -242,6 +242,27 @@
   assert.ok(after > 10 * before, `${after} after ${before}`);
 });
 
+// Those in time go first, so it waited until its deadline and was refused only then.
+test('a request that missed its target behind a long queue is declined at once', () => {
+  const bench = new Bench(1);
+  for (let count = 0; count < 4; count += 1) bench.start({ targetMilliseconds: 1_000 });
+  const overtaken = bench.start({ targetMilliseconds: 500 });
+  bench.gate.tick(440);
+  assert.is(bench.reasonOf(overtaken), undefined);
+  bench.gate.tick(460);
+  assert.is(bench.reasonOf(overtaken), 'queue-full');
+});
+
+test('a request that missed its target waits on if few others do', () => {
+  const bench = new Bench(1);
+  bench.start({ targetMilliseconds: 1_000 });
+  const late = bench.start({ targetMilliseconds: 500 });
+  bench.gate.tick(600);
+  assert.is(bench.reasonOf(late), undefined);
+  bench.finish(0, 610);
+  assert.is(bench.startedCalls.at(-1), late);
+});
+
 /** A gate that learned from answers that a request takes so long. */
 function benchWith(milliseconds: number, slots = 9): Bench {
   const bench = new Bench(slots);
