--- a/packages/mesh-core/src/gate/gate-calls.ts
+++ b/packages/mesh-core/src/gate/gate-calls.ts
@@ -5,6 +5,7 @@
  * again until then, and has to get the same reply.
  */
 const rememberedMilliseconds = 5_000;
+
 /** A request that an entry has asked the gate to run. */
 export interface GateCall {
   readonly key: string;
@@ -17,7 +18,7 @@
   state: 'waiting' | 'running' | 'aborted' | 'finished';
   startedAt: number;
   runningAtStart: number;
-  /** Taken although its time seemed too short. */
+  /** Taken although its time seemed too short: the gate was idle, and only a request can test its estimate. */
   isTrial: boolean;
   /** The server was known to work at its usual speed. */
   startedFast: boolean;
@@ -34,6 +35,7 @@
   private readonly byExecution = new Map<number, GateCall>();
   private nextExecutionId = 1;
 
+  /** The call that an entry's frame names, also a finished one whose reply is still remembered. */
   public find(from: string, boot: number, callId: number): GateCall | undefined {
     return this.byKey.get(callKey(from, boot, callId));
   }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -180,16 +180,6 @@
     this.startWaiting(now);
   }
 
-  private speedReported(slowdown: number, now: number): void {
-    const lastReportAt = now - this.speed.age(now);
-    this.speed.report(slowdown, now);
-    if (this.speed.state(now) !== SpeedState.Slow) return;
-    // The slow moment began at some time since the last report, perhaps before these requests started.
-    for (const call of this.calls.running()) {
-      if (call.startedAt > lastReportAt) call.startedFast = false;
-    }
-  }
-
   public report(report: ServerReport, now: number): void {
     this.applyEffect(this.lifetime.report(report, now), report.instanceId, now);
   }
@@ -222,6 +212,11 @@
     this.probes.configure(probesPerSecond);
   }
 
+  /** The request at the server whose call a request is, by the form of the identifiers. */
+  public parentOf(requestId: string): StartFrame | undefined {
+    return this.calls.parentOf(requestId);
+  }
+
   public tick(now: number): void {
     for (const waiting of [...this.queue.values()]) {
       const call = this.calls.execution(waiting.executionId);
@@ -238,6 +233,16 @@
     if (now >= this.nextSweepAt) this.sweep(now);
   }
 
+  private speedReported(slowdown: number, now: number): void {
+    const lastReportAt = now - this.speed.age(now);
+    this.speed.report(slowdown, now);
+    if (this.speed.state(now) !== SpeedState.Slow) return;
+    // The slow moment began at some time since the last report, perhaps before these requests started.
+    for (const call of this.calls.running()) {
+      if (call.startedAt > lastReportAt) call.startedFast = false;
+    }
+  }
+
   private sweep(now: number): void {
     this.nextSweepAt = now + sweepMilliseconds;
     this.calls.forgetOld(now);
@@ -246,11 +251,6 @@
     }
   }
 
-  /** The request at the server whose call a request is, by the form of the identifiers. */
-  public parentOf(requestId: string): StartFrame | undefined {
-    return this.calls.parentOf(requestId);
-  }
-
   private closedReason(call: GateCall, now: number): DeclineReason | undefined {
     const { frame } = call;
     if (this.isStopping) return DeclineReason.Draining;
--- a/packages/mesh-core/src/gate/work-times.ts
+++ b/packages/mesh-core/src/gate/work-times.ts
@@ -18,10 +18,12 @@
     private readonly bound: ConcurrencyBound,
   ) {}
 
+  /** Time that a request of a route takes at the present speed. */
   public expected(routeName: string): number {
     return this.times.expected(routeName) * this.speed.baseline;
   }
 
+  /** Mean time over all routes at the present speed. */
   public get mean(): number {
     return this.times.meanMilliseconds * this.speed.baseline;
   }
@@ -41,6 +43,7 @@
     this.times.retain(routeNames);
   }
 
+  /** Learns from an answer, unless its request started in a moment of unknown speed. */
   public answered(call: GateCall, result: ExecutionResult, slots: number, now: number): void {
     if (result.kind !== 'answered') return;
     const isWhole = result.status < 500 || now >= call.deadline - 1;
