--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -160,7 +160,7 @@
       const isFailure =
         result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
       this.failures.add(isFailure, now);
-      this.work.answered(call, result, this.lifetime.slots, now);
+      if (!isFailure) this.work.answered(call, this.lifetime.slots, now);
     }
     this.logFinished(call, result, now);
     this.finish(call, wasAborted ? undefined : this.replyOf(call, result, now), now);
--- a/packages/mesh-core/src/gate/work-times.ts
+++ b/packages/mesh-core/src/gate/work-times.ts
@@ -1,6 +1,5 @@
 import type { ConcurrencyBound } from './concurrency-bound.js';
 import type { GateCall } from './gate-calls.js';
-import type { ExecutionResult } from './gate-contract.js';
 import { ServiceTimes } from './service-times.js';
 import type { SpeedWatch } from './speed-watch.js';
 
@@ -44,12 +43,10 @@
   }
 
   /** Learns from an answer, unless its request started in a moment of unknown speed. */
-  public answered(call: GateCall, result: ExecutionResult, slots: number, now: number): void {
-    if (result.kind !== 'answered') return;
-    const isWhole = result.status < 500 || now >= call.deadline - 1;
-    if (!isWhole || !this.isKnownSpeed(call)) return;
+  public answered(call: GateCall, slots: number, now: number): void {
+    if (!this.isKnownSpeed(call)) return;
     const { routeName } = call.frame;
-    const usual = (now - call.startedAt) / call.slowdownAtStart;
+    const usual = usualMilliseconds(call, now);
     const relativeTime = usual / this.times.expected(routeName);
     this.bound.answered(slots, call.runningAtStart, relativeTime);
     this.times.add(routeName, usual);
@@ -59,7 +56,7 @@
   public aborted(call: GateCall, now: number): void {
     if (!this.isKnownSpeed(call)) return;
     const { routeName } = call.frame;
-    const usual = (now - call.startedAt) / call.slowdownAtStart;
+    const usual = usualMilliseconds(call, now);
     if (usual > this.times.expected(routeName)) this.times.add(routeName, usual);
   }
 
@@ -68,3 +65,8 @@
     return !this.speed.isReported || startedFast;
   }
 }
+
+/** Time that a request would have taken at the usual speed. */
+function usualMilliseconds({ slowdownAtStart, startedAt }: GateCall, now: number): number {
+  return (now - startedAt) / slowdownAtStart;
+}
