Keep the last line of each refused request under a heavy load

Ruled out: a slow reader of the log (the line was not there later either), another cause of the refusal (the caller's body said "overloaded"), and a refusal without a line (the counters had it). Change: each kind of line has its own budget, 500 a second together as before: how bad requests ended, their steps (whole or not at all), declines at the gate, beliefs of the node, and good requests. The last line and request-moved now say how full the gate was that declined.

--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -1,13 +1,25 @@
-import { EntryEventName, GateEventName } from '@peridotspring/mesh-core';
+import { DeclineReason, EntryEventName, GateEventName } from '@peridotspring/mesh-core';
 import type { Metrics } from '@peridotspring/operators/metrics';
 
 import { LineBudget } from './line-budget.js';
 import { MeshEvent } from './mesh-event.js';
 
-/** Lines of requests that went well; beyond that, counters tell of them. */
-const routineLinesPerSecond = 100;
-/** Lines of requests that ended badly or late, and of everything else. */
-const notableLinesPerSecond = 400;
+/**
+ * Lines that a node writes in a second, by what they tell of; the operators' page names their sum, 500. Each
+ * kind has its own budget, so that the steps of refused requests cannot displace how requests ended.
+ */
+const linesPerSecond = {
+  /** How requests ended that ended badly or late, or without a route. */
+  conclusions: 150,
+  /** Steps of those requests at their entry. */
+  steps: 120,
+  /** Requests that a gate declined for want of room or time. */
+  declines: 50,
+  /** What changes a belief of the node. */
+  notable: 80,
+  /** Requests that went well; counters tell of the rest. */
+  routine: 100,
+} as const;
 /** Requests in progress whose lines are kept until it is known how they end. */
 const maximumKeptRequests = 2_000;
 const maximumKeptLines = 20;
@@ -45,10 +57,9 @@
   EntryEventName.RequestPlaced,
   EntryEventName.RequestRepeated,
 ]);
-/** Events of requests at a gate, of which only a sample is written under load. */
+/** Events of requests at a gate that say nothing of a bad end; only a sample is written under load. */
 const gateEvents: ReadonlySet<string> = new Set([
   GateEventName.RequestCancelled,
-  GateEventName.RequestDeclined,
   GateEventName.RequestStarted,
 ]);
 
@@ -61,12 +72,16 @@
 }
 
 /**
- * Logs and counts what a node decides. A request that ends badly or late keeps all its lines; of the
- * others as many are written as the budget of a second allows, and the rest are counted.
+ * Logs and counts what a node decides. A request that ends badly or late keeps all its lines, or under a
+ * heavy load the last one, which has what the steps before it come to. Of the others as many are written
+ * as the budget of a second allows, and the rest are counted.
  */
 export class EventRecorder {
-  private readonly routine = new LineBudget(routineLinesPerSecond);
-  private readonly notable = new LineBudget(notableLinesPerSecond);
+  private readonly conclusions = new LineBudget(linesPerSecond.conclusions);
+  private readonly steps = new LineBudget(linesPerSecond.steps);
+  private readonly declines = new LineBudget(linesPerSecond.declines);
+  private readonly notable = new LineBudget(linesPerSecond.notable);
+  private readonly routine = new LineBudget(linesPerSecond.routine);
   private readonly kept = new Map<string, KeptLine[]>();
   private reportedAt = 0;
 
@@ -79,8 +94,7 @@
     else if (event === EntryEventName.RequestConcluded) this.concluded(fields);
     else if (event === EntryEventName.RequestAbandoned) this.writeWhole(event, fields);
     else if (event === GateEventName.RequestFinished) this.finished(fields);
-    else if (gateEvents.has(event)) this.writeWithin(this.routine, event, fields);
-    else this.writeWithin(this.notable, event, fields);
+    else this.writeWithin(this.budgetOf(event, fields), event, fields);
     this.reportSuppressed(now);
   }
 
@@ -89,6 +103,13 @@
     this.options.metrics.count({ by: 1, counter, kind: 'count', labels: {} });
   }
 
+  private budgetOf(event: string, { reason }: Fields): LineBudget {
+    if (gateEvents.has(event)) return this.routine;
+    if (event === MeshEvent.RequestAnsweredLocally) return this.conclusions;
+    if (event !== GateEventName.RequestDeclined) return this.notable;
+    return reason === DeclineReason.Busy ? this.routine : this.declines;
+  }
+
   private concluded(fields: Fields): void {
     const { milliseconds, outcome, request, service } = fields;
     this.options.metrics.recordLatency(String(service), String(outcome), Number(milliseconds));
@@ -100,20 +121,22 @@
     this.writeWithin(this.routine, EntryEventName.RequestConcluded, fields);
   }
 
-  /** Writes the last line of a request, and before it those that were kept. */
+  /** Writes the last line of a request, and before it those that were kept, if there is room for all. */
   private writeWhole(event: string, fields: Fields): void {
     const request = String(fields.request);
-    for (const line of this.kept.get(request) ?? []) {
-      this.writeWithin(this.notable, line.event, line.fields, line.time);
-    }
+    const kept = this.kept.get(request) ?? [];
     this.kept.delete(request);
-    this.writeWithin(this.notable, event, fields);
+    // Seconds of the wall clock, so that the lines of a second can be counted in the log.
+    if (this.steps.take(this.options.wallClock(), kept.length)) {
+      for (const line of kept) this.options.write(line.event, line.fields, line.time);
+    }
+    this.writeWithin(this.conclusions, event, fields);
   }
 
   /** The gate's line of a request that ends badly is kept as well; the others have their first line. */
   private finished(fields: Fields): void {
     if (!isBad(fields)) return;
-    this.writeWithin(this.notable, GateEventName.RequestFinished, fields);
+    this.writeWithin(this.conclusions, GateEventName.RequestFinished, fields);
   }
 
   private keep(event: string, fields: Fields): void {
@@ -134,23 +157,23 @@
     this.options.metrics.count({ by: 1, counter: event, kind: 'count', labels });
   }
 
-  private writeWithin(
-    budget: LineBudget,
-    event: string,
-    fields: Fields,
-    time = this.options.wallClock(),
-  ): void {
-    // Seconds of the wall clock, so that the lines of a second can be counted in the log.
-    if (budget.take(this.options.wallClock())) this.options.write(event, fields, time);
+  private writeWithin(budget: LineBudget, event: string, fields: Fields): void {
+    const time = this.options.wallClock();
+    if (budget.take(time)) this.options.write(event, fields, time);
   }
 
   private reportSuppressed(now: number): void {
     if (now - this.reportedAt < reportMilliseconds) return;
     this.reportedAt = now;
-    const notable = this.notable.takeSuppressed();
-    const routine = this.routine.takeSuppressed();
-    if (notable + routine === 0) return;
-    this.options.write(MeshEvent.LinesSuppressed, { notable, routine }, this.options.wallClock());
+    const suppressed = {
+      conclusions: this.conclusions.takeSuppressed(),
+      declines: this.declines.takeSuppressed(),
+      notable: this.notable.takeSuppressed(),
+      routine: this.routine.takeSuppressed(),
+      steps: this.steps.takeSuppressed(),
+    };
+    if (Object.values(suppressed).every((lines) => lines === 0)) return;
+    this.options.write(MeshEvent.LinesSuppressed, suppressed, this.options.wallClock());
   }
 }
 
--- a/packages/daemon/src/mesh/line-budget.ts
+++ b/packages/daemon/src/mesh/line-budget.ts
@@ -10,17 +10,18 @@
     this.left = linesPerSecond;
   }
 
-  public take(now: number): boolean {
+  /** Takes room for lines that are written together or not at all. */
+  public take(now: number, lines = 1): boolean {
     const second = Math.floor(now / millisecondsPerSecond);
     if (second !== this.second) {
       this.second = second;
       this.left = this.linesPerSecond;
     }
-    if (this.left <= 0) {
-      this.suppressed += 1;
+    if (this.left < lines) {
+      this.suppressed += lines;
       return false;
     }
-    this.left -= 1;
+    this.left -= lines;
     return true;
   }
 
--- a/packages/daemon/tests/event-recorder.test.ts
+++ b/packages/daemon/tests/event-recorder.test.ts
@@ -98,6 +98,36 @@
   assert.equal(bench.eventsOf('bad'), ['request-moved', 'request-concluded']);
 });
 
+// The steps of refused requests used up the lines of a second, so that some had no line of how they ended.
+test('under overload each refused request has its last line, and steps are written whole or not at all', () => {
+  const bench = new Bench();
+  const steps = ['request-placed', 'request-moved', 'request-placed', 'request-moved'];
+  for (let count = 0; count < 140; count += 1) {
+    for (const event of steps) bench.recorder.record(event, { gate: 'n', request: `r${count}` });
+    bench.recorder.record('request-declined', { reason: 'queue-full', request: `r${count}` });
+    bench.conclude(`r${count}`, { cause: 'overloaded', outcome: 'refused' });
+  }
+  for (let count = 0; count < 140; count += 1) {
+    const events = bench.eventsOf(`r${count}`).filter((event) => event !== 'request-declined');
+    const isWhole = events.length > 1;
+    assert.equal(events, isWhole ? [...steps, 'request-concluded'] : ['request-concluded']);
+    assert.is(isWhole, count < 30, `steps of request ${count}`);
+  }
+  assert.ok(bench.lines.length <= 500, `${bench.lines.length} lines`);
+});
+
+// Beliefs of the node explain requests that failed, so requests must not displace their lines.
+test('a flood of requests leaves room for the lines of what the node learns', () => {
+  const bench = new Bench();
+  for (let count = 0; count < 1_000; count += 1) {
+    bench.recorder.record('request-declined', { reason: 'queue-full', request: `r${count}` });
+    bench.recorder.record('request-answered-locally', { request: `r${count}`, status: 404 });
+    bench.conclude(`r${count}`, { cause: 'overloaded', outcome: 'refused' });
+  }
+  bench.recorder.record('server-draining', { instance: 'i-1' });
+  assert.ok(bench.lines.some(([event]) => event === 'server-draining'));
+});
+
 test('events are counted by their reason, and latencies by service and outcome', async () => {
   const bench = new Bench();
   bench.recorder.record('request-declined', { reason: 'busy', request: 'r1' });
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -7,6 +7,7 @@
   AnsweredFrame,
   DeclinedFrame,
   FailedFrame,
+  GateLoad,
   ReplyFrame,
   StartFrame,
 } from '../messages/mesh-frames.js';
@@ -181,6 +182,7 @@
       expected: Math.round(frame.expectedMilliseconds),
       gate: attempt.node,
       reason: frame.reason,
+      ...occupancyOf(frame.load),
     });
     if (state.attempts.size > 0) return;
     if (state.used.size > 0) {
@@ -420,6 +422,7 @@
       route: route.name,
       service: state.service,
       ...(outcome.kind === 'answered' ? { status: outcome.status } : { cause: outcome.cause }),
+      ...(outcome.kind !== 'answered' && lastDeclineFields(state)),
     });
     this.remove(state);
     this.options.port.respond(state.request, outcome);
@@ -444,6 +447,18 @@
   }
 }
 
+/** How full a gate is, for the log. */
+function occupancyOf({ limit, running, waiting }: GateLoad): EntryEvent['fields'] {
+  return { limit, running, waiting };
+}
+
+/** What the last gate that declined said; under load it is the only line of the request. */
+function lastDeclineFields({ lastDecline }: RequestState): EntryEvent['fields'] {
+  if (lastDecline === undefined) return {};
+  const { frame, node } = lastDecline;
+  return { lastDecline: frame.reason, lastGate: node, ...occupancyOf(frame.load) };
+}
+
 function causeOf(state: RequestState, now: number): RefusalCause {
   if (state.deadline - now < shortestUsefulMilliseconds) return RefusalCause.DeadlineTooShort;
   return state.isOverloaded ? RefusalCause.Overloaded : RefusalCause.NoServer;
--- a/packages/mesh-core/src/entry/request-state.ts
+++ b/packages/mesh-core/src/entry/request-state.ts
@@ -35,6 +35,8 @@
   public readonly used = new Set<string>();
   /** A gate had a server, but no room or time for the request. */
   public isOverloaded = false;
+  /** The last gate that declined, and what it said. */
+  public lastDecline: { readonly node: string; readonly frame: DeclinedFrame } | undefined;
   public optionalTries = 0;
   /** A server said that it did not run the request. */
   public reachedServer = false;
@@ -57,7 +59,9 @@
     return new Set([...this.declined.keys(), ...this.used]);
   }
 
-  public decline(node: string, { expectedMilliseconds, reason }: DeclinedFrame): void {
+  public decline(node: string, frame: DeclinedFrame): void {
+    const { expectedMilliseconds, reason } = frame;
+    this.lastDecline = { frame, node };
     const isBusy = reason === DeclineReason.Busy;
     if (isBusy || reason === DeclineReason.QueueFull) {
       this.shortestWait = Math.min(this.shortestWait, expectedMilliseconds);
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -5,6 +5,7 @@
 import { CompletionPolicy, RepeatBudget, RequestForwarder, TargetBook } from '../../src/index.js';
 import type {
   DeclinedFrame,
+  EntryEvent,
   EntryOutcome,
   EntryRequest,
   ReplyFrame,
@@ -23,6 +24,7 @@
 class Bench {
   public readonly sent: Sent[] = [];
   public readonly outcomes: EntryOutcome[] = [];
+  public readonly events: EntryEvent[] = [];
   public readonly unreachable = new Set<string>();
   public readonly targets = new TargetBook();
   public readonly forwarder: RequestForwarder;
@@ -33,7 +35,7 @@
     this.forwarder = new RequestForwarder({
       budget: new RepeatBudget({ ratio: 0, slack, windowMilliseconds: 10_000 }),
       callerService: 'web',
-      log: () => undefined,
+      log: (event) => this.events.push(event),
       policy: new CompletionPolicy({
         availabilityZone: 'zone-a',
         random,
@@ -88,6 +90,27 @@
   }
 }
 
+// Under load the earlier lines of a request may be left out, and the last one has to explain it alone.
+test('the last line of a refused request names the last gate that declined and how full it was', () => {
+  const bench = new Bench(['a', 'b']);
+  bench.begin();
+  bench.decline(0, 5, 'queue-full');
+  bench.decline(1, 10, 'deadline-too-short');
+  const concluded = bench.events.find(({ event }) => event === 'request-concluded');
+  const { lastDecline, lastGate, limit, running, waiting } = concluded?.fields ?? {};
+  const full = load();
+  assert.equal(
+    { lastDecline, lastGate, limit, running, waiting },
+    {
+      lastDecline: 'deadline-too-short',
+      lastGate: bench.starts[1]?.node,
+      limit: full.limit,
+      running: full.running,
+      waiting: full.waiting,
+    },
+  );
+});
+
 test('an answer goes to the caller', () => {
   const bench = new Bench();
   bench.begin();
