Hold a request for two spans of a slow moment if it would be late in it

Change: a request starts in a slow moment at the last time at which its answer is in time at that speed. One for which there is no such time waits for 300 ms, two spans, instead of 100 ms; a nested call still for 100 ms.

--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -25,8 +25,13 @@
 const lateReserve = 1.5;
 /** Expected rest of a slow moment. */
 const slowRestMilliseconds = 75;
-/** A request that has missed its target waits this long for a slow moment to pass. */
-const lateHoldMilliseconds = 100;
+/**
+ * A request that would be late if it started in a slow moment waits this long for the moment to pass: two
+ * spans. Started in it, the request would also hold its slot for several times as long.
+ */
+const holdMilliseconds = 300;
+/** A nested call is short and its parent holds a slot, so it waits for less than one span. */
+const nestedHoldMilliseconds = 100;
 /** Time past the deadline after which a request is aborted; the server ends its work by itself first. */
 const overdueMilliseconds = 400;
 
@@ -395,8 +400,11 @@
 
   /** Until when a request rather waits for a slow moment to pass than starts in it. */
   private latestStart({ enqueuedAt, frame, targetAt }: WaitingRequest): number {
-    const inTime = targetAt - this.work.expected(frame.routeName);
-    return Math.max(inTime, enqueuedAt + lateHoldMilliseconds);
+    const expected = this.work.expected(frame.routeName);
+    const latestInTime = targetAt - expected * this.speed.relative;
+    if (latestInTime >= enqueuedAt) return latestInTime;
+    const hold = frame.nested ? nestedHoldMilliseconds : holdMilliseconds;
+    return Math.max(targetAt - expected, enqueuedAt + hold);
   }
 
   /** In a slow moment other gates are the better choice for those who may go there. */
--- a/packages/mesh-core/src/gate/speed-watch.ts
+++ b/packages/mesh-core/src/gate/speed-watch.ts
@@ -54,6 +54,11 @@
     return this.hasReported ? this.lowest : 1;
   }
 
+  /** The newest slowdown relative to the baseline. */
+  public get relative(): number {
+    return this.slowdown / this.baseline;
+  }
+
   /** Whether the server reports its speed at all. */
   public get isReported(): boolean {
     return this.hasReported;
