--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -93,6 +93,7 @@
   private isWatching = false;
   private reachesStore = true;
   private healthDueAt: number;
+  private upkeepDueAt = 0;
   private isClosed = false;
 
   public constructor(private readonly options: MeshNodeOptions) {
@@ -431,13 +432,7 @@
     this.forwarder.tick(now);
     this.gate.tick(now);
     this.announceLoad(now);
-    links.tick(now);
-    for (const node of this.directory.dueForDial(now)) links.dial(node);
-    this.budget.shareBetween(this.directory.size);
-    this.checkWatchDuty(now);
-    const source = this.pull.due(this.configuration.version, this.isWatching, now);
-    if (source !== undefined) links.send(source, { kind: 'pull' });
-    this.checkHealth(now);
+    if (now >= this.upkeepDueAt) this.keepUp(now);
     if (this.stopPlan?.refusesRequests(now) === true) callers.refuse();
     if (this.stopPlan?.mayEnd(now, this.inProgress) === true) {
       links.broadcast({ kind: 'leaving' });
@@ -454,6 +449,19 @@
     );
   }
 
+  /** What depends on the number of nodes and can wait for an idle tick. */
+  private keepUp(now: number): void {
+    const { links } = this.options.ports();
+    this.upkeepDueAt = now + idleTickMilliseconds;
+    links.tick(now);
+    for (const node of this.directory.dueForDial(now)) links.dial(node);
+    this.budget.shareBetween(this.directory.size);
+    this.checkWatchDuty(now);
+    const source = this.pull.due(this.configuration.version, this.isWatching, now);
+    if (source !== undefined) links.send(source, { kind: 'pull' });
+    this.checkHealth(now);
+  }
+
   private get inProgress(): number {
     const { callers } = this.options.ports();
     return this.forwarder.inProgress + this.gate.inProgress + callers.inProgress;
--- a/packages/mesh-core/src/configuration/watch-duty.ts
+++ b/packages/mesh-core/src/configuration/watch-duty.ts
@@ -8,7 +8,8 @@
 const takeOverMilliseconds = 1_000;
 
 interface Peer {
-  readonly node: MeshNode;
+  readonly isNear: boolean;
+  readonly rank: string;
   reachesStore: boolean;
 }
 
@@ -24,10 +25,15 @@
   private missingSince: number | undefined;
   private isWatching = false;
 
-  public constructor(private readonly self: MeshNode) {}
+  private readonly rank: string;
+
+  public constructor(private readonly self: MeshNode) {
+    this.rank = rankOf(self);
+  }
 
   public connected(node: MeshNode, reachesStore: boolean): void {
-    this.peers.set(node.name, { node, reachesStore });
+    const isNear = isSameZone(node, this.self);
+    this.peers.set(node.name, { isNear, rank: rankOf(node), reachesStore });
   }
 
   public disconnected(name: string): void {
@@ -59,12 +65,11 @@
 
   /** Whether fewer nodes than needed come before this one. */
   private isMissing(): boolean {
-    const own = rankOf(this.self);
     let before = 0;
-    for (const { node, reachesStore } of this.peers.values()) {
+    for (const { isNear, rank, reachesStore } of this.peers.values()) {
       // While no node reaches the store, the order stays, so that not all of them ask for its return.
       if (this.reachesStore && !reachesStore) continue;
-      if (!isSameZone(node, this.self) || rankOf(node) >= own) continue;
+      if (!isNear || rank >= this.rank) continue;
       before += 1;
       if (before >= watchersPerZone) return false;
     }
--- a/packages/mesh-core/tests/gate/load-announcer.test.ts
+++ b/packages/mesh-core/tests/gate/load-announcer.test.ts
@@ -28,4 +28,39 @@
   assert.equal(announcer.due(load({ running: 1 }), 4_000), []);
 });
 
+/** Reports of a gate whose load changes all the time, in four seconds after the first ones. */
+function reportsUnderLoad(nearNodes: number, farNodes: number): number {
+  const announcer = new LoadAnnouncer();
+  let reports = 0;
+  for (let now = 0; now <= 5_000; now += 10) {
+    for (let node = 0; node < nearNodes + farNodes; node += 1) {
+      announcer.requested(`node-${node}`, node < nearNodes, now);
+    }
+    const due = announcer.due(load({ running: now % 70 }), now);
+    if (now > 1_000) reports += due.length;
+  }
+  return reports;
+}
+
+// Each change was told to each near node, so the reports between nodes grew with the square of their number.
+test('the reports under load do not grow with the number of nodes', () => {
+  const small = reportsUnderLoad(5, 10);
+  for (const [near, far] of [
+    [20, 40],
+    [40, 120],
+  ] as const) {
+    const large = reportsUnderLoad(near, far);
+    assert.ok(large <= small * 1.1, `${large} reports to ${near + far} nodes, ${small} to 15`);
+  }
+});
+
+test('a server that turns slow or stops taking requests is told soon, whatever the number of nodes', () => {
+  const announcer = new LoadAnnouncer();
+  for (let index = 0; index < 40; index += 1) announcer.requested(`near-${index}`, true, 0);
+  assert.is(announcer.due(load({ running: 1 }), 240).length, 40);
+  assert.is(announcer.due(load({ running: 2 }), 280).length, 0);
+  assert.is(announcer.due(load({ running: 2, slowdown: 5 }), 290).length, 40);
+  assert.is(announcer.due(load({ running: 2, slowdown: 5, state: 'draining' }), 330).length, 40);
+});
+
 test.run();
