--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -90,8 +90,6 @@
   private cancelTick: (() => void) | undefined;
   private stopPlan: StopPlan | undefined;
   private isDirectoryRead = false;
-  private isWatching = false;
-  private reachesStore = true;
   private healthDueAt: number;
   private upkeepDueAt = 0;
   private isClosed = false;
@@ -207,7 +205,7 @@
       configurationVersion: this.configuration.version,
       knownNodes: this.directory.size - 1,
       load: this.gate.load(this.options.clock()),
-      reachesStore: this.reachesStore,
+      reachesStore: this.watchDuty.reachesStore,
     };
   }
 
@@ -289,7 +287,6 @@
 
   /** The store answers again, or does not answer any more. */
   public storeReached(reachesStore: boolean): void {
-    this.reachesStore = reachesStore;
     this.watchDuty.storeReached(reachesStore);
     this.options.ports().links.broadcast({ kind: 'store-reach', reachesStore });
   }
@@ -457,7 +454,7 @@
     for (const node of this.directory.dueForDial(now)) links.dial(node);
     this.budget.shareBetween(this.directory.size);
     this.checkWatchDuty(now);
-    const source = this.pull.due(this.configuration.version, this.isWatching, now);
+    const source = this.pull.due(this.configuration.version, this.watchDuty.isWatching, now);
     if (source !== undefined) links.send(source, { kind: 'pull' });
     this.checkHealth(now);
   }
@@ -468,9 +465,9 @@
   }
 
   private checkWatchDuty(now: number): void {
+    const wasWatching = this.watchDuty.isWatching;
     const isWatching = this.watchDuty.evaluate(now);
-    if (isWatching === this.isWatching) return;
-    this.isWatching = isWatching;
+    if (isWatching === wasWatching) return;
     this.log(MeshEvent.ConfigurationWatch, { watching: isWatching });
     this.options.ports().store.watchConfiguration(isWatching);
   }
--- a/packages/mesh-core/src/configuration/watch-duty.ts
+++ b/packages/mesh-core/src/configuration/watch-duty.ts
@@ -21,16 +21,25 @@
  */
 export class WatchDuty {
   private readonly peers = new Map<string, Peer>();
-  private reachesStore = true;
-  private missingSince: number | undefined;
-  private isWatching = false;
-
   private readonly rank: string;
+  private isStoreReached = true;
+  private missingSince: number | undefined;
+  private isOnDuty = false;
 
   public constructor(private readonly self: MeshNode) {
     this.rank = rankOf(self);
   }
 
+  /** Whether the store answers this node. */
+  public get reachesStore(): boolean {
+    return this.isStoreReached;
+  }
+
+  /** Whether this node watches the store, as last evaluated. */
+  public get isWatching(): boolean {
+    return this.isOnDuty;
+  }
+
   public connected(node: MeshNode, reachesStore: boolean): void {
     const isNear = isSameZone(node, this.self);
     this.peers.set(node.name, { isNear, rank: rankOf(node), reachesStore });
@@ -46,21 +55,21 @@
     if (peer !== undefined) peer.reachesStore = reachesStore;
   }
 
-  /** Whether the store answers this node. */
+  /** The store answers this node again, or does not answer it any more. */
   public storeReached(reachesStore: boolean): void {
-    this.reachesStore = reachesStore;
+    this.isStoreReached = reachesStore;
   }
 
   /** Whether this node watches the store from now on. */
   public evaluate(now: number): boolean {
     if (!this.isMissing()) {
       this.missingSince = undefined;
-      this.isWatching = false;
+      this.isOnDuty = false;
       return false;
     }
     this.missingSince ??= now;
-    this.isWatching ||= now - this.missingSince >= takeOverMilliseconds;
-    return this.isWatching;
+    this.isOnDuty ||= now - this.missingSince >= takeOverMilliseconds;
+    return this.isOnDuty;
   }
 
   /** Whether fewer nodes than needed come before this one. */
@@ -68,7 +77,7 @@
     let before = 0;
     for (const { isNear, rank, reachesStore } of this.peers.values()) {
       // While no node reaches the store, the order stays, so that not all of them ask for its return.
-      if (this.reachesStore && !reachesStore) continue;
+      if (this.isStoreReached && !reachesStore) continue;
       if (!isNear || rank >= this.rank) continue;
       before += 1;
       if (before >= watchersPerZone) return false;
--- a/packages/mesh-core/src/gate/load-announcer.ts
+++ b/packages/mesh-core/src/gate/load-announcer.ts
@@ -52,14 +52,6 @@
     listener.toldAt = now;
   }
 
-  /** Pauses that bound the reports of a second, whatever the number of nodes. */
-  private longerPauses(): { readonly near: number; readonly far: number } {
-    let near = 0;
-    for (const { isNear } of this.listeners.values()) if (isNear) near += 1;
-    const far = this.listeners.size - near;
-    return { far: far * farShareMilliseconds, near: near * nearShareMilliseconds };
-  }
-
   /** Nodes whose view of the load is out of date. */
   public due(load: GateLoad, now: number): readonly string[] {
     const summary = summaryOf(load);
@@ -82,6 +74,14 @@
     }
     return due;
   }
+
+  /** Pauses that bound the reports of a second, whatever the number of nodes. */
+  private longerPauses(): { readonly near: number; readonly far: number } {
+    let near = 0;
+    for (const { isNear } of this.listeners.values()) if (isNear) near += 1;
+    const far = this.listeners.size - near;
+    return { far: far * farShareMilliseconds, near: near * nearShareMilliseconds };
+  }
 }
 
 function summaryOf({ limit, running, slowdown, state, waiting }: GateLoad): LoadSummary {
