--- /dev/null
+++ b/packages/daemon/src/mesh/configuration-follower.ts
@@ -0,0 +1,127 @@
+import { ConfigurationHolder, ConfigurationPull, WatchDuty } from '@peridotspring/mesh-core';
+import type { ConfigurationInForce, MeshNode, RouteConfiguration } from '@peridotspring/mesh-core';
+import type { MeshHelloFrame, MeshLinks } from '@peridotspring/nodes';
+
+import { MeshEvent } from './mesh-event.js';
+import type { DecodedConfiguration } from './platform-adapter.js';
+
+type Fields = Readonly<Record<string, string | number | boolean>>;
+
+/** What follows the configuration uses to act on the world. */
+export interface ConfigurationPorts {
+  readonly links: Pick<MeshLinks, 'broadcast' | 'send'>;
+  readonly store: { watchConfiguration(isWatching: boolean): void };
+}
+
+export interface ConfigurationFollowerOptions {
+  readonly self: MeshNode;
+  readonly clock: () => number;
+  readonly ports: () => ConfigurationPorts;
+  readonly decode: (content: Uint8Array) => DecodedConfiguration;
+  /** A newer configuration is in force. */
+  readonly changed: (configuration: RouteConfiguration) => void;
+  readonly log: (event: string, fields: Fields) => void;
+}
+
+/**
+ * Keeps the newest configuration in force: from the store if this node watches it, and from other nodes
+ * otherwise.
+ */
+export class ConfigurationFollower {
+  private readonly holder = new ConfigurationHolder();
+  private readonly pull: ConfigurationPull;
+  private readonly watchDuty: WatchDuty;
+  /** When the configuration in force came into force. */
+  private changedAt: number;
+
+  public constructor(private readonly options: ConfigurationFollowerOptions) {
+    this.pull = new ConfigurationPull(options.self.name);
+    this.watchDuty = new WatchDuty(options.self);
+    this.changedAt = options.clock();
+  }
+
+  public get inForce(): ConfigurationInForce | undefined {
+    return this.holder.inForce;
+  }
+
+  public get version(): number {
+    return this.holder.version;
+  }
+
+  public get reachesStore(): boolean {
+    return this.watchDuty.reachesStore;
+  }
+
+  /** Time since the last change, or since the start. */
+  public ageMilliseconds(now: number): number {
+    return now - this.changedAt;
+  }
+
+  /** The operators' configuration was read from the store or came from another node. */
+  public read(content: Uint8Array, source: string): void {
+    const { changed, clock, decode, log, ports } = this.options;
+    const decoded = decode(content);
+    if (decoded.kind === 'invalid') {
+      const { field, message } = decoded;
+      log(MeshEvent.ConfigurationInvalid, { detail: message, field, source });
+      return;
+    }
+    const { configuration } = decoded;
+    if (!this.holder.offer(configuration, content)) return;
+    const { routes, version } = configuration;
+    this.changedAt = clock();
+    log(MeshEvent.ConfigurationInForce, { routes: routes.length, source, version });
+    changed(configuration);
+    ports().links.broadcast({ kind: 'version', version });
+  }
+
+  /** The store answers again, or does not answer any more. */
+  public storeReached(reachesStore: boolean): void {
+    this.watchDuty.storeReached(reachesStore);
+    this.options.ports().links.broadcast({ kind: 'store-reach', reachesStore });
+  }
+
+  public connected({ configurationVersion, node, reachesStore }: MeshHelloFrame): void {
+    this.watchDuty.connected(node, reachesStore);
+    this.versionHeard(node, configurationVersion);
+  }
+
+  public disconnected(node: string): void {
+    this.pull.forget(node);
+    this.watchDuty.disconnected(node);
+  }
+
+  public versionHeard(from: MeshNode, version: number): void {
+    const { clock, self } = this.options;
+    const isNear = from.availabilityZone === self.availabilityZone;
+    this.pull.heard(from.name, version, isNear, clock());
+  }
+
+  /** A node says whether the store answers it. */
+  public storeReachTold(node: string, reachesStore: boolean): void {
+    this.watchDuty.told(node, reachesStore);
+  }
+
+  /** A node asks for the configuration in force. */
+  public asked(node: string): void {
+    const { inForce } = this.holder;
+    if (inForce === undefined) return;
+    const { configuration, content } = inForce;
+    const { version } = configuration;
+    this.options.ports().links.send(node, { content, kind: 'configuration', version });
+  }
+
+  public tick(now: number): void {
+    this.checkWatchDuty(now);
+    const source = this.pull.due(this.version, this.watchDuty.isWatching, now);
+    if (source !== undefined) this.options.ports().links.send(source, { kind: 'pull' });
+  }
+
+  private checkWatchDuty(now: number): void {
+    const wasWatching = this.watchDuty.isWatching;
+    const isWatching = this.watchDuty.evaluate(now);
+    if (isWatching === wasWatching) return;
+    this.options.log(MeshEvent.ConfigurationWatch, { watching: isWatching });
+    this.options.ports().store.watchConfiguration(isWatching);
+  }
+}
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -2,8 +2,6 @@
 import type { RandomSource } from '@peridotspring/core';
 import {
   CompletionPolicy,
-  ConfigurationHolder,
-  ConfigurationPull,
   LoadAnnouncer,
   NodeDirectory,
   RepeatBudget,
@@ -11,7 +9,6 @@
   ServerGate,
   TargetBook,
   TrafficSplit,
-  WatchDuty,
 } from '@peridotspring/mesh-core';
 import type {
   EntryRequest,
@@ -21,11 +18,14 @@
   MeshNode,
   ReplyFrame,
   RequestFrame,
+  RouteConfiguration,
   ServerLoad,
 } from '@peridotspring/mesh-core';
 import type { MeshGreeting, MeshHelloFrame, MeshLinks } from '@peridotspring/nodes';
 import type { HealthAnswer, ServerMessage } from '@peridotspring/upstreams';
 
+import { ConfigurationFollower } from './configuration-follower.js';
+import type { ConfigurationPorts } from './configuration-follower.js';
 import type { EventRecorder } from './event-recorder.js';
 import { MeshEvent } from './mesh-event.js';
 import type { MeshSettings } from './mesh-settings.js';
@@ -53,7 +53,7 @@
     abort(executionId: number): void;
     health(path: string): Promise<HealthAnswer | undefined>;
   };
-  readonly store: { watchConfiguration(isWatching: boolean): void };
+  readonly store: ConfigurationPorts['store'];
   /** Nothing is in progress any more: the process may end. */
   readonly stopped: () => void;
 }
@@ -75,9 +75,7 @@
 /** Connects the decisions of a node with its ports. */
 export class MeshNodeDriver {
   public readonly directory: NodeDirectory;
-  private readonly configuration = new ConfigurationHolder();
-  private readonly pull: ConfigurationPull;
-  private readonly watchDuty: WatchDuty;
+  private readonly configuration: ConfigurationFollower;
   private readonly targets = new TargetBook();
   private readonly split: TrafficSplit;
   private readonly budget: RepeatBudget;
@@ -85,8 +83,6 @@
   private readonly gate: ServerGate;
   private readonly announcer = new LoadAnnouncer();
   private readonly startedAt: number;
-  /** When the configuration in force came into force. */
-  private configuredAt: number;
   private cancelTick: (() => void) | undefined;
   private stopPlan: StopPlan | undefined;
   private isDirectoryRead = false;
@@ -97,11 +93,20 @@
   public constructor(private readonly options: MeshNodeOptions) {
     const { clock, random, self, settings } = options;
     this.startedAt = clock();
-    this.configuredAt = this.startedAt;
     this.healthDueAt = this.startedAt + firstReportMilliseconds;
     this.directory = new NodeDirectory(self.name);
-    this.pull = new ConfigurationPull(self.name);
-    this.watchDuty = new WatchDuty(self);
+    this.configuration = new ConfigurationFollower({
+      changed: (configuration) => {
+        this.configured(configuration);
+      },
+      clock,
+      decode: options.decodeConfiguration,
+      log: (event, fields) => {
+        this.log(event, fields);
+      },
+      ports: options.ports,
+      self,
+    });
     this.split = new TrafficSplit(random);
     this.budget = new RepeatBudget(settings.repeats);
     this.gate = new ServerGate({
@@ -173,7 +178,7 @@
     const now = this.options.clock();
     const load = this.gate.load(now);
     return {
-      configuration_age_seconds: (now - this.configuredAt) / millisecondsPerSecond,
+      configuration_age_seconds: this.configuration.ageMilliseconds(now) / millisecondsPerSecond,
       configuration_version: this.configuration.version,
       gate_concurrency_limit: load.limit,
       gate_running: load.running,
@@ -205,7 +210,7 @@
       configurationVersion: this.configuration.version,
       knownNodes: this.directory.size - 1,
       load: this.gate.load(this.options.clock()),
-      reachesStore: this.watchDuty.reachesStore,
+      reachesStore: this.configuration.reachesStore,
     };
   }
 
@@ -263,32 +268,14 @@
     }
   }
 
-  /** The operators' configuration was read from the store or came from another node. */
-  public configurationRead(content: Uint8Array, source: string): void {
-    const decoded = this.options.decodeConfiguration(content);
-    if (decoded.kind === 'invalid') {
-      const { field, message } = decoded;
-      this.log(MeshEvent.ConfigurationInvalid, { detail: message, field, source });
-      return;
-    }
-    const { configuration } = decoded;
-    if (!this.configuration.offer(configuration, content)) return;
-    const { limits, routes, version } = configuration;
-    this.configuredAt = this.options.clock();
-    this.log(MeshEvent.ConfigurationInForce, { routes: routes.length, source, version });
-    this.split.retain(routes);
-    const routeNames = new Set(routes.map(({ name }) => name));
-    this.forwarder.configured(routeNames, version);
-    this.gate.configured(routeNames);
-    const { callers, links } = this.options.ports();
-    callers.configure(limits);
-    links.broadcast({ kind: 'version', version });
+  /** The operators' configuration was read from the store. */
+  public configurationRead(content: Uint8Array): void {
+    this.configuration.read(content, 'store');
   }
 
   /** The store answers again, or does not answer any more. */
   public storeReached(reachesStore: boolean): void {
-    this.watchDuty.storeReached(reachesStore);
-    this.options.ports().links.broadcast({ kind: 'store-reach', reachesStore });
+    this.configuration.storeReached(reachesStore);
   }
 
   public directoryRead(): void {
@@ -302,15 +289,14 @@
   }
 
   public connected(hello: MeshHelloFrame): void {
-    const { configurationVersion, knownNodes, load, node, reachesStore } = hello;
+    const { knownNodes, load, node } = hello;
     const now = this.options.clock();
     this.log(MeshEvent.NodeConnected, { boot: node.boot, peer: node.name });
     this.directory.connectedTo(node, now);
     this.targets.connected(node, load, now);
-    this.watchDuty.connected(node, reachesStore);
     this.forwarder.connectionRestored(node.name, node.boot, now);
     const { links } = this.options.ports();
-    this.pull.heard(node.name, configurationVersion, this.isNear(node), now);
+    this.configuration.connected(hello);
     if (knownNodes * 2 < this.directory.size - 1) {
       links.send(node.name, { kind: 'members', members: this.directory.nodes() });
     }
@@ -321,8 +307,7 @@
     this.log(MeshEvent.NodeDisconnected, { detail, peer: name });
     this.directory.disconnected(name, now);
     this.targets.disconnected(name);
-    this.pull.forget(name);
-    this.watchDuty.disconnected(name);
+    this.configuration.disconnected(name);
     this.forwarder.connectionLost(name, now);
   }
 
@@ -353,17 +338,17 @@
         return;
       case 'configuration':
         if (frame.version > this.configuration.version) {
-          this.configurationRead(frame.content, from.name);
+          this.configuration.read(frame.content, from.name);
         }
         return;
       case 'version':
-        this.pull.heard(from.name, frame.version, this.isNear(from), now);
+        this.configuration.versionHeard(from, frame.version);
         return;
       case 'store-reach':
-        this.watchDuty.told(from.name, frame.reachesStore);
+        this.configuration.storeReachTold(from.name, frame.reachesStore);
         return;
       case 'pull':
-        this.sendConfiguration(from.name);
+        this.configuration.asked(from.name);
         return;
       case 'members':
         for (const member of frame.members) if (isMeshNode(member)) this.nodeMentioned(member);
@@ -383,12 +368,12 @@
     return true;
   }
 
-  private sendConfiguration(node: string): void {
-    const inForce = this.configuration.inForce;
-    if (inForce === undefined) return;
-    const { configuration, content } = inForce;
-    const frame = { content, kind: 'configuration', version: configuration.version } as const;
-    this.options.ports().links.send(node, frame);
+  private configured({ limits, routes, version }: RouteConfiguration): void {
+    this.split.retain(routes);
+    const routeNames = new Set(routes.map(({ name }) => name));
+    this.forwarder.configured(routeNames, version);
+    this.gate.configured(routeNames);
+    this.options.ports().callers.configure(limits);
   }
 
   private isNear({ availabilityZone }: MeshNode): boolean {
@@ -453,9 +438,7 @@
     links.tick(now);
     for (const node of this.directory.dueForDial(now)) links.dial(node);
     this.budget.shareBetween(this.directory.size);
-    this.checkWatchDuty(now);
-    const source = this.pull.due(this.configuration.version, this.watchDuty.isWatching, now);
-    if (source !== undefined) links.send(source, { kind: 'pull' });
+    this.configuration.tick(now);
     this.checkHealth(now);
   }
 
@@ -464,14 +447,6 @@
     return this.forwarder.inProgress + this.gate.inProgress + callers.inProgress;
   }
 
-  private checkWatchDuty(now: number): void {
-    const wasWatching = this.watchDuty.isWatching;
-    const isWatching = this.watchDuty.evaluate(now);
-    if (isWatching === wasWatching) return;
-    this.log(MeshEvent.ConfigurationWatch, { watching: isWatching });
-    this.options.ports().store.watchConfiguration(isWatching);
-  }
-
   /** A node that started again learns its server's lifetime before the server's next report. */
   private checkHealth(now: number): void {
     if (this.gate.hasServer || now < this.healthDueAt || this.healthPath === undefined) return;
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -286,7 +286,7 @@
   const session = new StoreSession({
     codec: adapter.storeCalls,
     configurationRead: (content) => {
-      driver.configurationRead(content, 'store');
+      driver.configurationRead(content);
     },
     directoryPrefix,
     directoryRead: () => {
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -318,7 +318,7 @@
       node.driver.directoryRead();
       const isOld = this.random.next() < oldReadShare;
       const version = Math.max(1, isOld ? this.version - 1 : this.version);
-      node.driver.configurationRead(Buffer.from(String(version)), 'store');
+      node.driver.configurationRead(Buffer.from(String(version)));
       if (isOld) this.readStore(machine);
     });
   }
