One rule for whether two nodes are in the same availability zone

Cause, found on reading the diff: the rule stood four times, and the pull of configurations and the load reports left the region out, so a zone of the same name in another region counted as near there.

--- a/packages/daemon/src/mesh/configuration-follower.ts
+++ b/packages/daemon/src/mesh/configuration-follower.ts
@@ -1,4 +1,9 @@
-import { ConfigurationHolder, ConfigurationPull, WatchDuty } from '@peridotspring/mesh-core';
+import {
+  ConfigurationHolder,
+  ConfigurationPull,
+  isSameZone,
+  WatchDuty,
+} from '@peridotspring/mesh-core';
 import type { ConfigurationInForce, MeshNode, RouteConfiguration } from '@peridotspring/mesh-core';
 import type { MeshHelloFrame, MeshLinks } from '@peridotspring/nodes';
 
@@ -93,8 +98,7 @@
 
   public versionHeard(from: MeshNode, version: number): void {
     const { clock, self } = this.options;
-    const isNear = from.availabilityZone === self.availabilityZone;
-    this.pull.heard(from.name, version, isNear, clock());
+    this.pull.heard(from.name, version, isSameZone(from, self), clock());
   }
 
   /** A node says whether the store answers it. */
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -2,6 +2,7 @@
 import type { RandomSource } from '@peridotspring/core';
 import {
   CompletionPolicy,
+  isSameZone,
   LoadAnnouncer,
   NodeDirectory,
   RepeatBudget,
@@ -322,7 +323,7 @@
     const now = this.options.clock();
     switch (frame.kind) {
       case 'start':
-        this.announcer.requested(from.name, this.isNear(from), now);
+        this.announcer.requested(from.name, isSameZone(from, this.options.self), now);
         this.gate.start(from.name, from.boot, frame, now);
         return;
       case 'cancel':
@@ -376,10 +377,6 @@
     this.options.ports().callers.configure(limits);
   }
 
-  private isNear({ availabilityZone }: MeshNode): boolean {
-    return availabilityZone === this.options.self.availabilityZone;
-  }
-
   /** Tells the nodes that send requests here how much the server has to do. */
   private announceLoad(now: number): void {
     const load = this.gate.load(now);
--- a/packages/mesh-core/src/configuration/watch-duty.ts
+++ b/packages/mesh-core/src/configuration/watch-duty.ts
@@ -1,6 +1,7 @@
 import { hashString } from '@peridotspring/core';
 
 import type { MeshNode } from '../messages/mesh-frames.js';
+import { isSameZone } from '../shared/same-zone.js';
 
 /** Nodes of an availability zone that watch the store, so that one of them may fail unnoticed. */
 const watchersPerZone = 2;
@@ -86,10 +87,6 @@
   }
 }
 
-function isSameZone(first: MeshNode, second: MeshNode): boolean {
-  return first.availabilityZone === second.availabilityZone && first.region === second.region;
-}
-
 /** The name breaks ties of the hash. */
 function rankOf({ name }: MeshNode): string {
   return `${hashString(name).toString(16).padStart(8, '0')} ${name}`;
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -41,6 +41,8 @@
   RequestFrame,
   StartFrame,
 } from './messages/mesh-frames.js';
+export { isSameZone } from './shared/same-zone.js';
+export type { Location } from './shared/same-zone.js';
 export { CompletionPolicy } from './placement/completion-policy.js';
 export type { PlacedGate, Placement, PlacementOptions } from './placement/completion-policy.js';
 export { TargetBook } from './placement/target-book.js';
--- a/packages/mesh-core/src/placement/completion-policy.ts
+++ b/packages/mesh-core/src/placement/completion-policy.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from '@peridotspring/core';
 
+import { isSameZone } from '../shared/same-zone.js';
 import type { GateView } from './target-book.js';
 
 /** The way to a gate in another zone and back. */
@@ -94,9 +95,7 @@
   public cost(view: GateView, expected: number, placement: Placement): number {
     const { kilobytes, targetMilliseconds } = placement;
     const { load, node, unreported } = view;
-    const isNear =
-      node.availabilityZone === this.options.availabilityZone &&
-      node.region === this.options.region;
+    const isNear = isSameZone(node, this.options);
     const way =
       node.region === this.options.region ? otherZoneMilliseconds : otherRegionMilliseconds;
     const time = isNear ? expected : expected + way;
