--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -23,7 +23,7 @@
   ServerLoad,
 } from '@peridotspring/mesh-core';
 import type { MeshGreeting, MeshHelloFrame, MeshLinks } from '@peridotspring/nodes';
-import type { HealthAnswer, ServerMessage } from '@peridotspring/upstreams';
+import type { HealthAnswer, ServerMessage } from '@peridotspring/upstreams/mesh';
 
 import { ConfigurationFollower } from './configuration-follower.js';
 import type { ConfigurationPorts } from './configuration-follower.js';
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -2,8 +2,8 @@
 import { SeededRandomSource } from '@peridotspring/core';
 import type { MeshNode } from '@peridotspring/mesh-core';
 import { MeshLinks } from '@peridotspring/nodes';
-import { HttpStoreTransport, StoreSession } from '@peridotspring/platform';
-import { ReadinessServer, ReportServer, ServerClient } from '@peridotspring/upstreams';
+import { HttpStoreTransport, StoreSession } from '@peridotspring/platform/key-values';
+import { ReadinessServer, ReportServer, ServerClient } from '@peridotspring/upstreams/mesh';
 
 import { Metrics } from '@peridotspring/operators/metrics';
 
--- a/packages/daemon/src/mesh/platform-adapter.ts
+++ b/packages/daemon/src/mesh/platform-adapter.ts
@@ -1,7 +1,7 @@
 import type { CallerHeaderNames } from '@peridotspring/callers';
 import type { RouteConfiguration } from '@peridotspring/mesh-core';
-import type { StoreCallCodec } from '@peridotspring/platform';
-import type { ServerHeaderCodec, ServerMessageCodec } from '@peridotspring/upstreams';
+import type { StoreCallCodec } from '@peridotspring/platform/key-values';
+import type { ServerHeaderCodec, ServerMessageCodec } from '@peridotspring/upstreams/mesh';
 
 /** A configuration that was read, or why it can't be used. */
 export type DecodedConfiguration =
--- a/packages/daemon/tests/virtual-mesh/virtual-server.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-server.ts
@@ -1,7 +1,7 @@
 import { DeclineReason } from '@peridotspring/mesh-core';
 import type { Execution, ExecutionResult, ServerLoad } from '@peridotspring/mesh-core';
 import type { RandomSource } from '@peridotspring/core';
-import type { HealthAnswer, ServerMessage } from '@peridotspring/upstreams';
+import type { HealthAnswer, ServerMessage } from '@peridotspring/upstreams/mesh';
 
 import type { EventQueue } from './event-queue.js';
 
--- /dev/null
+++ b/packages/platform/src/key-values/index.ts
@@ -0,0 +1,12 @@
+export { HttpStoreTransport } from './http-store-transport.js';
+export type { HttpStoreTransportOptions } from './http-store-transport.js';
+export type {
+  ItemPage,
+  StoreCall,
+  StoreCallCodec,
+  StoredItem,
+  StoreOutcome,
+  StoreTransport,
+} from './key-value-store.js';
+export { StoreSession } from './store-session.js';
+export type { StoreSessionOptions } from './store-session.js';
--- a/packages/platform/tests/store-session.test.ts
+++ b/packages/platform/tests/store-session.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { StoreSession } from '../src/index.js';
+import { StoreSession } from '../src/key-values/index.js';
 import type {
   ItemPage,
   StoreCall,
@@ -9,7 +9,7 @@
   StoredItem,
   StoreOutcome,
   StoreTransport,
-} from '../src/index.js';
+} from '../src/key-values/index.js';
 
 type Answer = StoreOutcome<unknown> | 'silent';
 
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -6,8 +6,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { ServerClient } from '../src/index.js';
-import type { ServerHeaderCodec } from '../src/index.js';
+import { ServerClient } from '../src/mesh/index.js';
+import type { ServerHeaderCodec } from '../src/mesh/index.js';
 
 const codec: ServerHeaderCodec = {
   callerService: 'x-caller-service',
