Count the target of a returning caller from its first request

A caller that was refused comes back with a new id and what is left of its time limit; its target counts from the first request, but the node gave it the whole target again. Of 3,400 parcel-read requests between 22 and 32 s some 1,230 came with 300 to 600 ms less than the usual 1,200 ms, with a target of 300 ms. Taken for new requests they went before those that could still be in time.

Change: TimeLimits learns for each route the limits with which callers begin, a limit being one that 15 % of the last 64 requests share within 10 ms. The difference to the next longer one is what the caller has spent before. A caller with a limit of its own that others share has spent nothing, and one caller with a long limit makes no other late. Late requests go after those in time, are not hedged, and have `spentBefore` in their last line.

--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -19,6 +19,7 @@
 import { RequestState } from './request-state.js';
 import type { Attempt } from './request-state.js';
 import { RouteSizes } from './route-sizes.js';
+import { TimeLimits } from './time-limits.js';
 
 /** Gates that may decline before the best of them has to take the request. */
 const maximumOptionalTries = 2;
@@ -53,6 +54,7 @@
   private readonly attempts = new Map<number, Attempt>();
   private readonly deadlines = new MinimumHeap<RequestState>();
   private readonly sizes = new RouteSizes();
+  private readonly limits = new TimeLimits();
   private nextCallId = 1;
   private configurationVersion = 0;
 
@@ -68,6 +70,7 @@
     const deadline = Math.min(request.callerDeadline, timeoutAt);
     const { configurationVersion } = this;
     const state = new RequestState(request, service, deadline, nested, configurationVersion);
+    if (!nested) state.spentBefore = this.spentBefore(request);
     this.requests.set(request.requestNumber, state);
     this.deadlines.push(deadline, state);
     // The bound on repeats is relative to the requests of callers, so calls of servers earn none.
@@ -79,6 +82,7 @@
   public configured(routeNames: ReadonlySet<string>, version: number): void {
     this.configurationVersion = version;
     this.sizes.retain(routeNames);
+    this.limits.retain(routeNames);
   }
 
   /** A gate answers. */
@@ -154,8 +158,7 @@
     if (attempt.lostAt !== undefined) return now - attempt.lostAt > lostConnectionMilliseconds;
     const view = this.options.targets.get(attempt.node);
     if (view === undefined) return false;
-    const { receivedAt, route } = attempt.state.request;
-    const targetIn = receivedAt + route.targetLatencyMilliseconds - now;
+    const targetIn = attempt.state.targetAt - now;
     return isHedgeDue(view, now - attempt.sentAt, targetIn, now);
   }
 
@@ -297,12 +300,11 @@
   }
 
   private placementOf(state: RequestState, now: number): Placement {
-    const { receivedAt, route } = state.request;
     return {
       excluded: state.excluded,
-      kilobytes: this.sizes.kilobytes(route.name),
+      kilobytes: this.sizes.kilobytes(state.request.route.name),
       now,
-      targetMilliseconds: receivedAt + route.targetLatencyMilliseconds - now,
+      targetMilliseconds: state.targetAt - now,
     };
   }
 
@@ -362,7 +364,7 @@
 
   private startFrame(attempt: Attempt, now: number): StartFrame {
     const { callId, optional, repeat, state } = attempt;
-    const { body, headers, method, path, receivedAt, requestId, route } = state.request;
+    const { body, headers, method, path, requestId, route } = state.request;
     return {
       body,
       callId,
@@ -380,10 +382,15 @@
       requestId,
       routeName: route.name,
       service: state.service,
-      targetMilliseconds: receivedAt + route.targetLatencyMilliseconds - now,
+      targetMilliseconds: state.targetAt - now,
     };
   }
 
+  private spentBefore({ callerDeadline, receivedAt, route }: EntryRequest): number {
+    const given = callerDeadline - receivedAt;
+    return Number.isFinite(given) ? this.limits.spentBefore(route.name, given) : 0;
+  }
+
   private expire(state: RequestState, now: number): void {
     if (state.used.size === 0) this.refuse(state, now);
     else this.conclude(state, { cause: UnknownCause.Timeout, kind: 'unknown' }, undefined, now);
@@ -415,12 +422,13 @@
       configuration: state.configurationVersion,
       declined: state.hardDeclines + state.optionalTries,
       gate: node ?? 'none',
-      late: now - receivedAt > route.targetLatencyMilliseconds,
+      late: now > state.targetAt,
       milliseconds: Math.round(now - receivedAt),
       nested: state.nested,
       outcome: outcome.kind,
       route: route.name,
       service: state.service,
+      ...(state.spentBefore > 0 && { spentBefore: Math.round(state.spentBefore) }),
       ...(outcome.kind === 'answered' ? { status: outcome.status } : { cause: outcome.cause }),
       ...(outcome.kind !== 'answered' && lastDeclineFields(state)),
     });
--- a/packages/mesh-core/src/entry/request-state.ts
+++ b/packages/mesh-core/src/entry/request-state.ts
@@ -43,6 +43,8 @@
   public isConcluded = false;
   /** Why the last repeat was not made. */
   public lastDenial: string | undefined;
+  /** Time that the caller waited before it sent this request, for earlier ones that were not served. */
+  public spentBefore = 0;
 
   public constructor(
     public readonly request: EntryRequest,
@@ -54,6 +56,12 @@
     public readonly configurationVersion: number,
   ) {}
 
+  /** Monotonic time until which an answer has its full value. */
+  public get targetAt(): number {
+    const { receivedAt, route } = this.request;
+    return receivedAt + route.targetLatencyMilliseconds - this.spentBefore;
+  }
+
   /** Gates that are not asked again unless there is no other. */
   public get excluded(): ReadonlySet<string> {
     return new Set([...this.declined.keys(), ...this.used]);
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -292,4 +292,18 @@
   assert.is(bench.starts[1]?.frame.remainingMilliseconds, 450);
 });
 
+// Under overload a third of the requests are those of callers that return. Taken for new ones they
+// went before requests that could still be in time, although their own target was over.
+test('the target of a caller that returns counts from its first request', () => {
+  const bench = new Bench();
+  const target = { targetLatencyMilliseconds: 300 };
+  for (let first = 0; first < 16; first += 1) {
+    bench.begin(target, { callerDeadline: 1_200, requestNumber: first });
+  }
+  bench.begin(target, { callerDeadline: 800, requestNumber: 100 });
+  const targets = bench.starts.map(({ frame }) => frame.targetMilliseconds);
+  assert.equal(targets.slice(0, 16), new Array(16).fill(300));
+  assert.is(targets[16], -100);
+});
+
 test.run();
