Let late requests wait in half as long a queue

Cause: with returning callers told apart, late requests filled the queue of a gate up to its number of slots. Those in time go first, so the late ones held places until they were declined, and where they did start, requests in time that came a moment later waited for a whole service time.

Change: a late request waits only while fewer than half of the slots wait, one at least, and is declined when the queue grows beyond that. The new test fails without it (with two and three waiting).

On a server with one slot one late request still waits.

--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -23,6 +23,11 @@
 
 /** A late request waits only if this many times its usual time remain after it could start. */
 const lateReserve = 1.5;
+/**
+ * Late requests wait only in a queue of this share of the slots. They fill slots that would be free; in a
+ * longer queue those in time go before them until their deadline.
+ */
+const lateQueueShare = 0.5;
 /** Expected rest of a slow moment. */
 const slowRestMilliseconds = 75;
 /**
@@ -326,18 +331,25 @@
       return now + wait + this.work.neededNested(frame.routeName) <= deadline;
     }
     if (now + wait + service <= targetAt) return true;
-    return this.queue.size < this.limitFor(frame) && now + wait + service * lateReserve <= deadline;
+    return (
+      this.queue.size < this.lateQueue(frame) && now + wait + service * lateReserve <= deadline
+    );
   }
 
   /**
-   * A request that has missed its target while more wait than run is overtaken by those in time until
-   * its deadline, so it is declined while it can still be refused early or go elsewhere.
+   * A request that has missed its target while many wait is overtaken by those in time until its deadline,
+   * so it is declined while it can still be refused early or go elsewhere.
    */
   private isOvertaken({ frame, targetAt }: GateCall, now: number): boolean {
-    if (frame.nested || this.queue.size <= this.limitFor(frame)) return false;
+    if (frame.nested || this.queue.size <= this.lateQueue(frame)) return false;
     return now + this.work.expected(frame.routeName) > targetAt;
   }
 
+  /** Length of the queue up to which late requests wait. */
+  private lateQueue(frame: StartFrame): number {
+    return Math.max(1, this.limitFor(frame) * lateQueueShare);
+  }
+
   private limitFor(frame: StartFrame): number {
     const { slots } = this.lifetime;
     return frame.nested ? this.bound.nestedLimit(slots) : this.bound.limit(slots);
--- a/packages/mesh-core/tests/gate/server-gate.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate.test.ts
@@ -284,6 +284,20 @@
   assert.is(bench.reasonOf(overtaken), 'queue-full');
 });
 
+// Late requests filled the queue up to as many as run, and those in time that came next started after a wait.
+test('a late request waits only while less than half as many wait as run', () => {
+  for (const [waiting, expected] of [
+    [1, undefined],
+    [2, 'queue-full'],
+    [3, 'queue-full'],
+  ] as const) {
+    const bench = new Bench(4);
+    for (let count = 0; count < 4 + waiting; count += 1) bench.start({ targetMilliseconds: 1_000 });
+    const late = bench.start({ targetMilliseconds: -100 });
+    assert.is(bench.reasonOf(late), expected, `${waiting} wait`);
+  }
+});
+
 test('a request that missed its target waits on if few others do', () => {
   const bench = new Bench(1);
   bench.start({ targetMilliseconds: 1_000 });
