--- a/packages/mesh-core/src/entry/time-limits.ts
+++ b/packages/mesh-core/src/entry/time-limits.ts
@@ -1,10 +1,13 @@
-/** Requests of a route that are looked at. */
+/** Requests of a route that are looked at: ten seconds of a route with six requests a second at a node. */
 const keptRequests = 64;
 /** Fewer requests than this say nothing about the route. */
 const neededRequests = 8;
-/** Requests after which the common limits are looked for again. */
+/** The common limits are looked for again after this many requests, because that sorts all that are kept. */
 const refreshRequests = 8;
-/** Share of the requests that come with a common limit; those of callers that return are spread out. */
+/**
+ * Share of the requests that come with a common limit. Under overload 60 in 100 were first ones; the others were
+ * spread so widely that 3 in 100 came within 20 ms of each other.
+ */
 const commonShare = 0.15;
 /** Fewer requests than this with a similar limit are chance. */
 const fewestCommon = 3;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,8 +24,9 @@
 
 /** Options of the runtime with which the platform starts a node. */
 function deployedOptions() {
-  const [, options] = /^run = "node (.*) \S+"$/m.exec(readFileSync('deploy/system.toml', 'utf8'));
-  return options.split(' ');
+  const command = /^run = "node (.*) \S+"$/m.exec(readFileSync('deploy/system.toml', 'utf8'));
+  if (command === null) throw new Error('deploy/system.toml starts no node');
+  return command[1].split(' ');
 }
 
 await build({
