Tell what changes while a connection between nodes is being set up

The last server of issuance stands beside a node that was restarted. The node sent its first frames, which say that its server is absent, at 26.346 s, heard of the server at 26.350 s and told the one node whose first frame had come; the other eight connected at 26.354 s. Entries do not report load to each other where no request is sent, so nothing corrected it. A start that is quicker makes the race more likely, it is not new.

Change: a broadcast goes to connections that are being set up as well. Their first frame has left already, so the order holds. The new test of mesh-links fails without it.

--- a/packages/nodes/src/mesh/mesh-links.ts
+++ b/packages/nodes/src/mesh/mesh-links.ts
@@ -70,9 +70,13 @@
     return true;
   }
 
-  /** Sends a frame to every node that is connected. */
+  /**
+   * Sends a frame to every node that is connected or is about to be: the first frame of a new connection has
+   * left already and tells what held before.
+   */
   public broadcast(frame: MeshFrame): void {
     for (const link of this.links.values()) link.send(frame);
+    for (const link of this.pending) link.send(frame);
   }
 
   public tick(now: number): void {
--- a/packages/nodes/tests/mesh-links.test.ts
+++ b/packages/nodes/tests/mesh-links.test.ts
@@ -100,6 +100,17 @@
   });
 });
 
+// The first frame told that the server was absent. It was ready before the other side's first frame came, the
+// others were not told, and none of them sent a request there until the next change.
+test('what changes while a connection is being set up is told on it', async () => {
+  await withPeers(async (first, second) => {
+    first.links.dial(second.self);
+    first.links.broadcast({ kind: 'load', load: { ...load, running: 1 } });
+    await until(() => second.frames.length > 0);
+    assert.equal(second.frames, [{ kind: 'load', load: { ...load, running: 1 } }]);
+  });
+});
+
 test('two nodes that dial each other at once keep one connection, the same on both sides', async () => {
   await withPeers(async (first, second) => {
     first.links.dial(second.self);
