Answer pipelined requests in order, within bounds, and end their connections cleanly

Cause: RouteServer left requests behind another on one connection to Node's parser. Held already: the order of answers, a body between two requests without, the idle timeout.

Ruled out: writing each answer at once and letting Node queue it, since its header then is rendered before it is known whether it is the last one.

The time behind other requests is logged and in the latency series request-waited-behind; requests that are never passed on are counted.

--- a/packages/callers/src/index.ts
+++ b/packages/callers/src/index.ts
@@ -5,6 +5,7 @@
   FinishedRequest,
 } from './caller-server-options.js';
 export { statusOf } from './outcome-status.js';
+export type { ConnectionWait } from './routes/caller-connection.js';
 export { RouteServer } from './routes/route-server.js';
 export type {
   CallerHeaderNames,
--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -1,5 +1,7 @@
 import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 
 import { endToEndList, outgoingFields } from '@peridotspring/mesh-core';
 import type {
@@ -11,6 +13,8 @@
 } from '@peridotspring/mesh-core';
 
 import { announcesBody, collectBody } from '../request-body.js';
+import { CallerConnection } from './caller-connection.js';
+import type { ConnectionWait, LocalResponse, ReadRequest } from './caller-connection.js';
 
 /** Largest header that is read, in bytes; Node.js fixes it at the start, before the configured limit is known. */
 const maximumHeaderBytes = 65_536;
@@ -19,6 +23,8 @@
 /** Retry-After for a node that is about to end; its successor is up after about a second. */
 const stoppingRetryAfterMilliseconds = 500;
 const millisecondsPerSecond = 1_000;
+/** The caller closed its side in the middle of a request. */
+const leftInMiddleCode = 'HPE_INVALID_EOF_STATE';
 
 /** Names of the header fields that the server reads and writes, in lower case. */
 export interface CallerHeaderNames {
@@ -51,12 +57,18 @@
   readonly gone: (requestNumber: number) => void;
   /** A request was answered here without a route. */
   readonly answeredLocally: (answer: LocalAnswer) => void;
+  /** A request waited for others that its caller had sent before on the same connection. */
+  readonly waitedBehind: (wait: ConnectionWait) => void;
+  /** Requests that were read on a connection that ends before them; none of them was passed on. */
+  readonly notPassedOn: (count: number) => void;
 }
 
 /** The HTTP server for callers of routes. Owns their connections. */
 export class RouteServer {
   private readonly server: Server;
-  private readonly open = new Map<number, ServerResponse>();
+  private readonly connections = new Map<Duplex, CallerConnection>();
+  /** The connection of each request that was begun and has no answer. */
+  private readonly open = new Map<number, CallerConnection>();
   private nextRequestNumber = 1;
   private isStopping = false;
   private isRefusing = false;
@@ -64,13 +76,29 @@
   public constructor(private readonly options: RouteServerOptions) {
     this.server = createServer({ maxHeaderSize: maximumHeaderBytes, noDelay: true });
     this.server.requestTimeout = 0;
-    this.server.on('request', (request, response) => {
-      void this.accept(request, response);
+    this.server.on('connection', (socket: Socket) => {
+      this.accept(socket);
+    });
+    this.server.on('request', (message, response) => {
+      const requestNumber = this.nextRequestNumber;
+      this.nextRequestNumber += 1;
+      const requestId = single(message.headers[options.names.requestId]) ?? '';
+      const readAt = options.clock();
+      const request = { message, readAt, requestId, requestNumber, response };
+      this.connections.get(message.socket)?.read(request);
+    });
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      const connection = this.connections.get(socket);
+      const hasLeft = !socket.writable || error.code === leftInMiddleCode;
+      if (connection === undefined || hasLeft) socket.destroy();
+      else connection.unreadable(statusOfFault(error));
     });
   }
 
   public get inProgress(): number {
-    return this.open.size;
+    let count = 0;
+    for (const connection of this.connections.values()) count += connection.inProgress;
+    return count;
   }
 
   public async listen(): Promise<number> {
@@ -89,28 +117,28 @@
   }
 
   public respond({ requestNumber }: EntryRequest, outcome: EntryOutcome): void {
-    const response = this.open.get(requestNumber);
-    if (response === undefined) return;
-    this.open.delete(requestNumber);
     switch (outcome.kind) {
       case 'answered': {
-        const fields = outgoingFields(outcome.headers);
-        this.write(response, outcome.status, fields, outcome.body);
+        const { body, headers, status } = outcome;
+        this.write(requestNumber, { body, fields: outgoingFields(headers), status });
         return;
       }
       case 'refused': {
         const fields = retryAfter(outcome.retryAfterMilliseconds);
-        this.write(response, 503, fields, plainBody(outcome.cause));
+        this.write(requestNumber, { body: plainBody(outcome.cause), fields, status: 503 });
         return;
       }
-      case 'unknown':
-        this.write(response, outcome.cause === 'timeout' ? 504 : 502, {}, plainBody(outcome.cause));
+      case 'unknown': {
+        const status = outcome.cause === 'timeout' ? 504 : 502;
+        this.write(requestNumber, { body: plainBody(outcome.cause), fields: {}, status });
+      }
     }
   }
 
-  /** Answers go on, and each tells its caller that the connection ends. */
+  /** Requests that were begun are answered, and each connection ends with its last answer. */
   public stop(): void {
     this.isStopping = true;
+    for (const connection of this.connections.values()) connection.end();
   }
 
   /** Requests that come from now on are refused. */
@@ -125,62 +153,79 @@
       });
     });
     this.server.closeAllConnections();
+    // A connection that lingers has left the server's list.
+    for (const socket of this.connections.keys()) socket.destroy();
     await closed;
   }
 
-  private async accept(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const receivedAt = this.options.clock();
-    const requestNumber = this.nextRequestNumber;
-    this.nextRequestNumber += 1;
-    this.open.set(requestNumber, response);
-    response.once('close', () => {
-      if (this.open.delete(requestNumber)) this.options.gone(requestNumber);
+  private accept(socket: Socket): void {
+    const { clock, gone, notPassedOn, waitedBehind } = this.options;
+    const connection: CallerConnection = new CallerConnection(socket, clock, {
+      begin: (request) => {
+        this.open.set(request.requestNumber, connection);
+        void this.begin(request);
+      },
+      gone: (requestNumber) => {
+        if (this.open.delete(requestNumber)) gone(requestNumber);
+      },
+      notPassedOn,
+      waitedBehind,
     });
-    const { names } = this.options;
-    const requestId = single(request.headers[names.requestId]) ?? '';
+    this.connections.set(socket, connection);
+    socket.once('close', () => {
+      this.connections.delete(socket);
+    });
+    if (this.isStopping) connection.end();
+  }
+
+  private async begin(read: ReadRequest): Promise<void> {
+    const { message, requestNumber } = read;
     if (this.isRefusing) {
-      const fields = retryAfter(stoppingRetryAfterMilliseconds);
-      this.answer(requestNumber, requestId, 503, 'this node stops', fields);
+      this.answer(read, 503, 'this node stops', retryAfter(stoppingRetryAfterMilliseconds));
       return;
     }
     const routing = this.options.routing();
     if (routing === undefined) {
       const fields = retryAfter(unconfiguredRetryAfterMilliseconds);
-      this.answer(requestNumber, requestId, 503, 'no configuration yet', fields);
+      this.answer(read, 503, 'no configuration yet', fields);
       return;
     }
-    const route = routing.table.match(request.headers.host ?? '', request.url ?? '/');
+    const route = routing.table.match(message.headers.host ?? '', message.url ?? '/');
     if (route === undefined) {
-      this.answer(requestNumber, requestId, 404, 'no route has this host and path');
+      this.answer(read, 404, 'no route has this host and path');
       return;
     }
-    const body = await this.readBody(request, routing.limits);
+    const body = await this.readBody(message, routing.limits);
     if (!this.open.has(requestNumber)) return;
     if (body === 'too-large') {
-      this.answer(requestNumber, requestId, 413, 'the body is longer than the limit');
+      this.answer(read, 413, 'the body is longer than the limit');
       return;
     }
     if (body === 'cut') {
-      request.destroy();
+      this.open.delete(requestNumber);
+      message.destroy();
       return;
     }
-    this.deliver(request, route, { body, receivedAt, requestId, requestNumber });
+    this.deliver(read, route, body);
   }
 
   private deliver(
-    request: IncomingMessage,
+    { message, readAt, requestId, requestNumber }: ReadRequest,
     route: Route,
-    read: Pick<EntryRequest, 'body' | 'receivedAt' | 'requestId' | 'requestNumber'>,
+    body: Uint8Array | undefined,
   ): void {
     const { names } = this.options;
-    const stated = Number(single(request.headers[names.deadline]));
+    const stated = Number(single(message.headers[names.deadline]));
     const patience = Number.isFinite(stated) && stated > 0 ? stated : route.timeoutMilliseconds;
     this.options.deliver({
-      ...read,
-      callerDeadline: read.receivedAt + patience,
-      headers: endToEndList(request.rawHeaders, names.reserved),
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
+      body,
+      callerDeadline: readAt + patience,
+      headers: endToEndList(message.rawHeaders, names.reserved),
+      method: message.method ?? 'GET',
+      path: message.url ?? '/',
+      receivedAt: readAt,
+      requestId,
+      requestNumber,
       route,
     });
   }
@@ -203,32 +248,32 @@
   }
 
   private answer(
-    requestNumber: number,
-    requestId: string,
+    { requestId, requestNumber }: ReadRequest,
     status: number,
     detail: string,
-    fields: Record<string, string> = {},
+    fields: LocalResponse['fields'] = {},
   ): void {
-    const response = this.open.get(requestNumber);
-    if (response === undefined) return;
-    this.open.delete(requestNumber);
-    this.write(response, status, fields, plainBody(detail));
+    this.write(requestNumber, { body: plainBody(detail), fields, status });
     this.options.answeredLocally({ detail, requestId, status });
   }
 
-  private write(
-    response: ServerResponse,
-    status: number,
-    fields: Record<string, string | string[]>,
-    body: Uint8Array,
-  ): void {
-    // A body that nobody reads would be taken for the next request.
-    if (this.isStopping || !response.req.complete) response.shouldKeepAlive = false;
-    const hasBody = status !== 204 && status !== 304;
-    if (hasBody) fields['content-length'] = String(body.length);
-    response.writeHead(status, fields);
-    if (hasBody && response.req.method !== 'HEAD') response.end(body);
-    else response.end();
+  private write(requestNumber: number, response: LocalResponse): void {
+    const connection = this.open.get(requestNumber);
+    if (connection === undefined) return;
+    this.open.delete(requestNumber);
+    connection.answer(requestNumber, response);
+  }
+}
+
+/** Status for bytes that could not be read as a request. */
+function statusOfFault({ code }: NodeJS.ErrnoException): number {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return 431;
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return 408;
+    default:
+      return 400;
   }
 }
 
--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -68,7 +68,9 @@
       requestId: 'x-request-id',
       reserved: new Set(['x-caller', 'x-deadline', 'x-request-id']),
     },
+    notPassedOn: () => undefined,
     routing: () => (this.isConfigured ? { limits, table } : undefined),
+    waitedBehind: () => undefined,
   });
 
   public async call({ body, headers, host, method, path }: Call = {}): Promise<Answer> {
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -103,8 +103,17 @@
     this.options.metrics.count({ by: 1, counter, kind: 'count', labels: {} });
   }
 
+  /** A request waited for others on its connection; the series has the name of the event as its outcome. */
+  public waitedBehind(
+    fields: Readonly<Record<'beforeStart' | 'withAnswer', number>> & Fields,
+  ): void {
+    const milliseconds = fields.beforeStart + fields.withAnswer;
+    this.options.metrics.recordLatency('', MeshEvent.RequestWaitedBehind, milliseconds);
+    this.record(MeshEvent.RequestWaitedBehind, fields);
+  }
+
   private budgetOf(event: string, { reason }: Fields): LineBudget {
-    if (gateEvents.has(event)) return this.routine;
+    if (gateEvents.has(event) || event === MeshEvent.RequestWaitedBehind) return this.routine;
     if (event === MeshEvent.RequestAnsweredLocally) return this.conclusions;
     if (event !== GateEventName.RequestDeclined) return this.notable;
     return reason === DeclineReason.Busy ? this.routine : this.declines;
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -15,6 +15,8 @@
   NodeStopping: 'node-stopping',
   OtherInstance: 'server-is-another',
   RequestAnsweredLocally: 'request-answered-locally',
+  RequestsNotPassedOn: 'requests-not-passed-on',
+  RequestWaitedBehind: 'request-waited-behind',
   ServerMessageInvalid: 'server-message-invalid',
   SettingsFieldUnknown: 'settings-field-unknown',
   SettingsInvalid: 'settings-invalid',
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -195,7 +195,17 @@
       driver.callerGone(requestNumber);
     },
     names: adapter.callerHeaders,
+    notPassedOn: (requests) => {
+      events.record(MeshEvent.RequestsNotPassedOn, { requests });
+    },
     routing: () => driver.routing,
+    waitedBehind: ({ beforeStartMilliseconds, requestId, withAnswerMilliseconds }) => {
+      events.waitedBehind({
+        beforeStart: Math.round(beforeStartMilliseconds),
+        request: requestId,
+        withAnswer: Math.round(withAnswerMilliseconds),
+      });
+    },
   });
 }
 
