Start with one paid call to the store, and start again with none

Cause: a start made five calls (lease, entry, directory, configuration, a watch for some) and renewed its lease each 3 s, at a tenth of the price.

Ruled out: longer leases (a restart would still pay for its lease and entry); followers that pass the directory on within a zone (0.4 calls of a start are left to gain, and a node could not start alone).

Change: entries have no lease and stay over a restart; they are written only if they lead elsewhere. The directory and the configuration are read as they may be seconds old, and the directory again after 1.5 and 5 s. A stopping node removes its entry if its server has left; a watcher removes that of a node dialed in vain for a minute, if unchanged. A node without connections reads the directory each 5 s. Watchers ask each 3 s whether the store answers; a node that does not watch no longer does, and finds out when it takes over.

A tenth of a call is left for each of four reads of a start.

--- a/packages/daemon/src/mesh/configuration-follower.ts
+++ b/packages/daemon/src/mesh/configuration-follower.ts
@@ -57,6 +57,11 @@
     return this.watchDuty.reachesStore;
   }
 
+  /** Whether this node watches the store. */
+  public get isWatching(): boolean {
+    return this.watchDuty.isWatching;
+  }
+
   /** Time since the last change, or since the start. */
   public ageMilliseconds(now: number): number {
     return now - this.changedAt;
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -9,6 +9,7 @@
   NodeConnected: 'node-connected',
   NodeDisconnected: 'node-disconnected',
   NodeFailed: 'node-failed',
+  NodeForgotten: 'node-forgotten',
   NodeKnown: 'node-known',
   NodeStarted: 'node-started',
   NodeStopped: 'node-stopped',
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -43,6 +43,8 @@
 const healthRetryMilliseconds = 3_000;
 /** A node takes callers although it could not reach the others for this long. */
 const lonelyStartMilliseconds = 2_000;
+/** A node that is connected to no other reads the directory again this often; it may have forgotten all. */
+const isolatedRereadMilliseconds = 5_000;
 const millisecondsPerSecond = 1_000;
 
 /** What the node uses to act on the world. */
@@ -54,9 +56,14 @@
     abort(executionId: number): void;
     health(path: string): Promise<HealthAnswer | undefined>;
   };
-  readonly store: ConfigurationPorts['store'];
-  /** Nothing is in progress any more: the process may end. */
-  readonly stopped: () => void;
+  readonly store: ConfigurationPorts['store'] & {
+    /** Reads the directory once more. */
+    refreshDirectory(): void;
+    /** Removes the entry of a node that ended, unless it has changed. */
+    removeEntry(node: MeshNode): void;
+  };
+  /** Nothing is in progress any more: the process may end. `isForGood` tells that its server has left too. */
+  readonly stopped: (isForGood: boolean) => void;
 }
 
 export interface MeshNodeOptions {
@@ -89,12 +96,14 @@
   private isDirectoryRead = false;
   private healthDueAt: number;
   private upkeepDueAt = 0;
+  private directoryDueAt: number;
   private isClosed = false;
 
   public constructor(private readonly options: MeshNodeOptions) {
     const { clock, random, self, settings } = options;
     this.startedAt = clock();
     this.healthDueAt = this.startedAt + firstReportMilliseconds;
+    this.directoryDueAt = this.startedAt + isolatedRereadMilliseconds;
     this.directory = new NodeDirectory(self.name);
     this.configuration = new ConfigurationFollower({
       changed: (configuration) => {
@@ -416,7 +425,7 @@
     if (this.stopPlan?.mayEnd(now, this.inProgress) === true) {
       links.broadcast({ kind: 'leaving' });
       this.close();
-      stopped();
+      stopped(this.gate.hasServerLeft);
       return;
     }
     const isBusy = this.inProgress > 0;
@@ -434,11 +443,25 @@
     this.upkeepDueAt = now + idleTickMilliseconds;
     links.tick(now);
     for (const node of this.directory.dueForDial(now)) links.dial(node);
+    this.keepUpDirectory(now);
     this.budget.shareBetween(this.directory.size);
     this.configuration.tick(now);
     this.checkHealth(now);
   }
 
+  /** The first by rank removes what ended, so that it is done once; a node on its own looks for others. */
+  private keepUpDirectory(now: number): void {
+    const { store } = this.options.ports();
+    for (const node of this.directory.takeForgotten()) {
+      this.log(MeshEvent.NodeForgotten, { peer: node.name });
+      if (this.configuration.isWatching) store.removeEntry(node);
+    }
+    if (this.directory.connected > 0) this.directoryDueAt = now + isolatedRereadMilliseconds;
+    if (now < this.directoryDueAt) return;
+    this.directoryDueAt = now + isolatedRereadMilliseconds;
+    store.refreshDirectory();
+  }
+
   private get inProgress(): number {
     const { callers } = this.options.ports();
     return this.forwarder.inProgress + this.gate.inProgress + callers.inProgress;
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -9,7 +9,7 @@
 
 import { Logger } from '../logging/logger.js';
 import { EventRecorder } from './event-recorder.js';
-import { decodeDirectoryEntry, encodeDirectoryEntry } from './mesh-directory-entry.js';
+import { decodeDirectoryEntry, encodeDirectoryEntry, isSameEntry } from './mesh-directory-entry.js';
 import { MeshEvent } from './mesh-event.js';
 import { registerMeshGauges } from './mesh-gauges.js';
 import { MeshNodeDriver } from './mesh-node.js';
@@ -24,7 +24,7 @@
 const directoryPrefix = 'peridotspring/nodes/';
 /** A call to the store that takes longer is logged; it usually takes a few milliseconds. */
 const slowStoreMilliseconds = 500;
-/** The end of a lease is not waited for longer than this when a process stops. */
+/** The removal of the node's entry is not waited for longer than this when a process stops. */
 const leaveMilliseconds = 300;
 
 /** A node that runs, as its process sees it. */
@@ -80,9 +80,24 @@
     callers,
     links,
     server,
-    store: store.session,
-    stopped: () => {
-      const closing = [store.session.leave(), callers.close()];
+    store: {
+      refreshDirectory: () => {
+        void store.session.refreshDirectory();
+      },
+      removeEntry: (node) => {
+        const isExpected = (stored: Uint8Array): boolean =>
+          isSameEntry(decodeDirectoryEntry(stored), node);
+        void store.session.removeEntry(node.name, isExpected);
+      },
+      watchConfiguration: (isWatching) => {
+        store.session.watchConfiguration(isWatching);
+      },
+    },
+    stopped: (isForGood) => {
+      // A process that is started again finds its entry as it was.
+      const closing = [callers.close()];
+      if (isForGood) closing.push(store.session.leave());
+      else store.session.close();
       links.close();
       void Promise.race([Promise.all(closing), delay(leaveMilliseconds)]).then(stopped);
     },
@@ -303,6 +318,7 @@
       driver.directoryRead();
     },
     entry: encodeDirectoryEntry(self),
+    isEntryCurrent: (stored) => isSameEntry(decodeDirectoryEntry(stored), self),
     entryRead: ({ value }) => {
       const node = decodeDirectoryEntry(value);
       if (node !== undefined) driver.nodeMentioned(node);
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -289,6 +289,12 @@
         },
       },
       store: {
+        refreshDirectory: () => {
+          this.readStore(machine);
+        },
+        removeEntry: ({ boot: endedBoot, name }) => {
+          if (this.entries.get(name)?.boot === endedBoot) this.entries.delete(name);
+        },
         watchConfiguration: (isWatching) => {
           machine.watches = isWatching;
           if (isWatching) this.readStore(machine);
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -100,6 +100,11 @@
     return this.lifetime.instanceId !== undefined;
   }
 
+  /** Whether the server said that it leaves, and no other has come since. */
+  public get hasServerLeft(): boolean {
+    return this.lifetime.hasLeft;
+  }
+
   /** Requests that the server says it can run at once; 0 without a server. */
   public get slots(): number {
     return this.hasServer ? this.lifetime.slots : 0;
--- a/packages/mesh-core/src/gate/server-lifetime.ts
+++ b/packages/mesh-core/src/gate/server-lifetime.ts
@@ -39,6 +39,12 @@
     return this.current?.instanceId;
   }
 
+  /** Whether the server said that it leaves, and no other has come since. */
+  public get hasLeft(): boolean {
+    if (this.current !== undefined) return this.current.state === ServerState.Draining;
+    return this.ended.size > 0;
+  }
+
   public get slots(): number {
     return this.current?.slots ?? 0;
   }
--- a/packages/mesh-core/src/membership/node-directory.ts
+++ b/packages/mesh-core/src/membership/node-directory.ts
@@ -25,6 +25,7 @@
  */
 export class NodeDirectory {
   private readonly known = new Map<string, KnownNode>();
+  private forgotten: MeshNode[] = [];
 
   public constructor(private readonly self: string) {}
 
@@ -104,6 +105,13 @@
     known.dialAt = now + Math.min(delay, longest);
   }
 
+  /** Nodes that were dialed in vain for long; each is given once. */
+  public takeForgotten(): readonly MeshNode[] {
+    const forgotten = this.forgotten;
+    this.forgotten = [];
+    return forgotten;
+  }
+
   /** Nodes to dial now; each is given once until its dial fails or its connection ends. */
   public dueForDial(now: number): readonly MeshNode[] {
     const due: MeshNode[] = [];
@@ -111,6 +119,7 @@
       if (known.isConnected || known.dialAt > now) continue;
       if (now - known.lastMentionedAt > forgetAfterMilliseconds) {
         this.known.delete(name);
+        this.forgotten.push(known.node);
         continue;
       }
       known.dialAt = Infinity;
--- a/packages/mesh-core/tests/membership/node-directory.test.ts
+++ b/packages/mesh-core/tests/membership/node-directory.test.ts
@@ -49,6 +49,11 @@
   directory.dialFailed('b', 0);
   assert.equal(names(directory, 61_000), []);
   assert.is(directory.size, 1);
+  assert.equal(
+    directory.takeForgotten().map(({ name }) => name),
+    ['b'],
+  );
+  assert.equal(directory.takeForgotten(), []);
 });
 
 test('a new life at a new address replaces the old one', () => {
--- a/packages/platform/src/key-values/key-value-store.ts
+++ b/packages/platform/src/key-values/key-value-store.ts
@@ -2,6 +2,8 @@
 export interface StoredItem {
   readonly key: string;
   readonly value: Uint8Array;
+  /** Of its last change. */
+  readonly revision: number;
 }
 
 /** Items of the store at a revision. */
@@ -16,7 +18,7 @@
 /** What became of a call to the store. */
 export type StoreOutcome<Value> =
   | { readonly kind: 'ok'; readonly value: Value }
-  /** The key or the lease does not exist. */
+  /** The key does not exist. */
   | { readonly kind: 'missing' }
   /** The history that a watch asked for is gone. */
   | { readonly kind: 'compacted' }
@@ -39,12 +41,12 @@
 export interface StoreCallCodec {
   /** The key that holds the operators' configuration. */
   readonly configurationKey: string;
-  list(prefix: string, after: string | undefined, stale: boolean): StoreCall<ItemPage>;
+  /** `isOldEnough` allows an answer that is seconds old, at a tenth of the price. */
+  list(prefix: string, after: string | undefined, isOldEnough: boolean): StoreCall<ItemPage>;
   watch(prefix: string, revision: number, waitMilliseconds: number): StoreCall<ItemPage>;
-  grantLease(lifeMilliseconds: number): StoreCall<number>;
-  renewLease(lease: number): StoreCall<undefined>;
-  endLease(lease: number): StoreCall<undefined>;
-  write(key: string, value: Uint8Array, lease: number): StoreCall<undefined>;
+  write(key: string, value: Uint8Array): StoreCall<undefined>;
+  /** Removes a key that has not changed since the revision. */
+  remove(key: string, revision: number): StoreCall<undefined>;
 }
 
 /** Makes calls to the store. */
