Connect to a bounded set of nodes in fleets of more than 32

Cause: a node kept a connection to each node that it knew, 18,915 at 195 nodes, each with greetings, pings, versions and state changes; a fresh node was sent the whole directory by each node that knew more.

Ruled out: random subsets (uneven, and all choices change with the members); connections made at first use (the first request of a service waits); four of which three nearby instead of six of which four (fewer gates than a request may decline at). In numbers of connections at 100 and 300 nodes: 30.9 and 37.2 as chosen, 27.8 and 32.8 with five of which three; 27.9 and 37.2 without filling up from other zones, and then as few as two gates of a rare service.

Change: PeerSelection chooses six gates of each service by rendezvous hash, four of them nearby, and the first three nodes of the own zone by the rank with which they watch the configuration. Nodes that can't be reached are replaced and tried on. A lost connection is dialed for 3 s in any case, so that what waits there ends. The directory is told by watchers and within a zone only. Not built: narrowing, widening while all of the set is full, and services chosen by use.

--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -10,6 +10,7 @@
   readonly nodes_connected: number;
   readonly nodes_gone: number;
   readonly nodes_known: number;
+  readonly nodes_wanted: number;
   readonly requests_in_progress: number;
   readonly server_failure_share: number;
   readonly server_probes_allowed_per_second: number;
@@ -33,6 +34,7 @@
   nodes_connected: 'Other nodes with a connection.',
   nodes_gone: 'Other nodes that had a connection and have none now.',
   nodes_known: 'Other nodes that were heard of.',
+  nodes_wanted: 'Other nodes that this one means to be connected to; others may connect to it.',
   requests_in_progress: 'Requests of callers that have no answer yet.',
   server_failure_share: 'Recent share of requests that the server failed, 0 to 1.',
   server_probes_allowed_per_second: 'Questions for its speed that the server may be asked.',
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -104,7 +104,7 @@
     this.startedAt = clock();
     this.healthDueAt = this.startedAt + firstReportMilliseconds;
     this.directoryDueAt = this.startedAt + isolatedRereadMilliseconds;
-    this.directory = new NodeDirectory(self.name);
+    this.directory = new NodeDirectory(self);
     this.configuration = new ConfigurationFollower({
       changed: (configuration) => {
         this.configured(configuration);
@@ -180,7 +180,7 @@
   public get isReady(): boolean {
     if (this.stopPlan !== undefined || this.configuration.inForce === undefined) return false;
     if (this.options.clock() - this.startedAt > lonelyStartMilliseconds) return true;
-    return this.isDirectoryRead && this.directory.connected * 2 >= this.directory.size - 1;
+    return this.isDirectoryRead && this.directory.connected * 2 >= this.directory.wanted;
   }
 
   /** Figures for the metrics, read when they are asked for. */
@@ -196,6 +196,7 @@
       nodes_connected: this.directory.connected,
       nodes_gone: this.directory.gone,
       nodes_known: this.directory.size - 1,
+      nodes_wanted: this.directory.wanted,
       requests_in_progress: this.forwarder.inProgress,
       server_failure_share: load.failureShare,
       server_probes_allowed_per_second: this.gate.probesPerSecond,
@@ -307,7 +308,9 @@
     this.forwarder.connectionRestored(node.name, node.boot, now);
     const { links } = this.options.ports();
     this.configuration.connected(hello);
-    if (knownNodes * 2 < this.directory.size - 1) {
+    // A node that the store does not answer learns of the others; it needs the list a few times only.
+    const tells = this.configuration.isWatching || isSameZone(node, this.options.self);
+    if (tells && knownNodes * 2 < this.directory.size - 1) {
       links.send(node.name, { kind: 'members', members: this.directory.nodes() });
     }
   }
--- a/packages/mesh-core/src/configuration/watch-duty.ts
+++ b/packages/mesh-core/src/configuration/watch-duty.ts
@@ -1,5 +1,4 @@
-import { hashString } from '@peridotspring/core';
-
+import { zoneRank } from '../membership/zone-rank.js';
 import type { MeshNode } from '../messages/mesh-frames.js';
 import { isSameZone } from '../shared/same-zone.js';
 
@@ -28,7 +27,7 @@
   private isOnDuty = false;
 
   public constructor(private readonly self: MeshNode) {
-    this.rank = rankOf(self);
+    this.rank = zoneRank(self);
   }
 
   /** Whether the store answers this node. */
@@ -43,7 +42,7 @@
 
   public connected(node: MeshNode, reachesStore: boolean): void {
     const isNear = isSameZone(node, this.self);
-    this.peers.set(node.name, { isNear, rank: rankOf(node), reachesStore });
+    this.peers.set(node.name, { isNear, rank: zoneRank(node), reachesStore });
   }
 
   public disconnected(name: string): void {
@@ -86,8 +85,3 @@
     return true;
   }
 }
-
-/** The name breaks ties of the hash. */
-function rankOf({ name }: MeshNode): string {
-  return `${hashString(name).toString(16).padStart(8, '0')} ${name}`;
-}
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -22,6 +22,8 @@
 export type { ServerGateOptions } from './gate/server-gate.js';
 export { ReportEffect, ServerLifetime } from './gate/server-lifetime.js';
 export { NodeDirectory } from './membership/node-directory.js';
+export { completeFleetNodes, PeerSelection } from './membership/peer-selection.js';
+export { zoneRank } from './membership/zone-rank.js';
 export { DeclineReason, ServerState } from './messages/mesh-frames.js';
 export type {
   AnsweredFrame,
--- a/packages/mesh-core/src/membership/node-directory.ts
+++ b/packages/mesh-core/src/membership/node-directory.ts
@@ -1,4 +1,5 @@
 import type { MeshNode } from '../messages/mesh-frames.js';
+import { completeFleetNodes, PeerSelection } from './peer-selection.js';
 
 /** Time after which a node that can't be reached and that nobody mentions is forgotten. */
 const forgetAfterMilliseconds = 60_000;
@@ -7,6 +8,13 @@
 /** A node that was lost a short while ago may be starting again, and without the store it waits to be found. */
 const recentMilliseconds = 10_000;
 const recentRedialMilliseconds = 300;
+/**
+ * Time for which a node whose connection was lost is dialed although it is not selected: requests that wait
+ * there end when it is connected again or refuses.
+ */
+const lostConnectionMilliseconds = 3_000;
+/** A node that nobody selects is never dialed; it is forgotten when the directory lacks it for this long. */
+const forgetUnselectedMilliseconds = 900_000;
 /** The node with the later name waits, so that two nodes seldom dial each other at the same time. */
 const secondDialerMilliseconds = 150;
 
@@ -17,6 +25,8 @@
   lastMentionedAt: number;
   dialAt: number;
   failures: number;
+  /** Until then it is dialed in any case. */
+  dialedUntil: number;
 }
 
 /**
@@ -26,8 +36,13 @@
 export class NodeDirectory {
   private readonly known = new Map<string, KnownNode>();
   private forgotten: MeshNode[] = [];
+  private readonly selection: PeerSelection;
+  /** The nodes to connect to; undefined after a change. */
+  private selected: ReadonlySet<string> | undefined;
 
-  public constructor(private readonly self: string) {}
+  public constructor(private readonly self: MeshNode) {
+    this.selection = new PeerSelection(self);
+  }
 
   /** Nodes that may be at work now, this one included. */
   public get size(): number {
@@ -40,6 +55,11 @@
     return count;
   }
 
+  /** Nodes that this one means to be connected to. */
+  public get wanted(): number {
+    return this.isComplete ? this.known.size : this.selectedNow().size;
+  }
+
   /** Nodes that had a connection and have none now. */
   public get gone(): number {
     let count = 0;
@@ -55,17 +75,20 @@
 
   /** The store or another node names a node. True if it was not known in this life. */
   public mentioned(node: MeshNode, now: number): boolean {
-    if (node.name === this.self) return false;
+    if (node.name === this.self.name) return false;
     const known = this.known.get(node.name);
     if (known === undefined) {
       this.known.set(node.name, {
         dialAt: now,
+        dialedUntil: -Infinity,
         failures: 0,
         isConnected: false,
         lastMentionedAt: now,
         node,
         wasConnected: false,
       });
+      this.selection.add(node);
+      this.selected = undefined;
       return true;
     }
     known.lastMentionedAt = now;
@@ -85,6 +108,7 @@
     known.wasConnected = true;
     known.failures = 0;
     known.lastMentionedAt = now;
+    this.selected = undefined;
   }
 
   public disconnected(name: string, now: number): void {
@@ -92,12 +116,14 @@
     if (known === undefined) return;
     known.isConnected = false;
     known.lastMentionedAt = now;
-    known.dialAt = now + (this.self < name ? 0 : secondDialerMilliseconds);
+    known.dialedUntil = now + lostConnectionMilliseconds;
+    known.dialAt = now + (this.self.name < name ? 0 : secondDialerMilliseconds);
   }
 
   public dialFailed(name: string, now: number): void {
     const known = this.known.get(name);
     if (known === undefined) return;
+    if (known.failures === 0) this.selected = undefined;
     known.failures += 1;
     const delay = shortestRedialMilliseconds * 2 ** Math.min(known.failures, 5);
     const isRecent = now - known.lastMentionedAt < recentMilliseconds;
@@ -115,16 +141,38 @@
   /** Nodes to dial now; each is given once until its dial fails or its connection ends. */
   public dueForDial(now: number): readonly MeshNode[] {
     const due: MeshNode[] = [];
+    const selected = this.isComplete ? undefined : this.selectedNow();
     for (const [name, known] of this.known) {
       if (known.isConnected || known.dialAt > now) continue;
-      if (now - known.lastMentionedAt > forgetAfterMilliseconds) {
-        this.known.delete(name);
-        this.forgotten.push(known.node);
+      const isDialed = selected?.has(name) !== false || now < known.dialedUntil;
+      const forgetAfter = isDialed ? forgetAfterMilliseconds : forgetUnselectedMilliseconds;
+      if (now - known.lastMentionedAt > forgetAfter) {
+        this.forget(known);
         continue;
       }
+      if (!isDialed) continue;
       known.dialAt = Infinity;
       due.push(known.node);
     }
     return due;
   }
+
+  private get isComplete(): boolean {
+    return this.size <= completeFleetNodes;
+  }
+
+  private selectedNow(): ReadonlySet<string> {
+    this.selected ??= this.selection.select((name) => {
+      const known = this.known.get(name);
+      return known !== undefined && (known.isConnected || known.failures === 0);
+    });
+    return this.selected;
+  }
+
+  private forget({ failures, node }: KnownNode): void {
+    this.known.delete(node.name);
+    this.selection.remove(node.name);
+    this.selected = undefined;
+    if (failures > 0) this.forgotten.push(node);
+  }
 }
