Move the node's directory and its server's early messages out of its driver

DirectoryKeeper keeps the list of nodes in step with the store, ServerInbox holds what the server says until others were heard. What other nodes say of ended servers is checked before it is used: a greeting of another writer could have ended the process. No decision changed.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -5,7 +5,6 @@
   EndedServers,
   isSameZone,
   LoadAnnouncer,
-  NodeDirectory,
   RepeatBudget,
   RequestForwarder,
   ServerGate,
@@ -20,6 +19,7 @@
   ExecutionResult,
   MeshFrame,
   MeshNode,
+  NodeDirectory,
   ReplyFrame,
   RequestFrame,
   RouteConfiguration,
@@ -30,12 +30,15 @@
 
 import { ConfigurationFollower } from './configuration-follower.js';
 import type { ConfigurationPorts } from './configuration-follower.js';
+import { DirectoryKeeper } from './directory-keeper.js';
+import type { DirectoryStore } from './directory-keeper.js';
 import type { EventRecorder } from './event-recorder.js';
 import { MeshEvent } from './mesh-event.js';
 import type { MeshSettings } from './mesh-settings.js';
 import type { MeshFigures, MeshServiceFigures } from './mesh-gauges.js';
 import { isMeshNode } from './mesh-directory-entry.js';
 import type { DecodedConfiguration } from './platform-adapter.js';
+import { ServerInbox } from './server-inbox.js';
 import { StopPlan } from './stop-plan.js';
 
 /** Time between ticks while requests are in progress; hedges, queues and deadlines depend on it. */
@@ -51,10 +54,10 @@
 const hearOthersMilliseconds = 500;
 /** A node takes callers although it could not reach the others for this long. */
 const lonelyStartMilliseconds = 2_000;
-/** A node that is connected to no other reads the directory again this often; it may have forgotten all. */
-const isolatedRereadMilliseconds = 5_000;
 const millisecondsPerSecond = 1_000;
 
+type Fields = Readonly<Record<string, string | number | boolean>>;
+
 /** What the node uses to act on the world. */
 export interface MeshNodePorts {
   readonly callers: Pick<RouteServer, 'configure' | 'inProgress' | 'refuse' | 'respond' | 'stop'>;
@@ -64,12 +67,7 @@
     abort(executionId: number): void;
     health(path: string): Promise<HealthAnswer | undefined>;
   };
-  readonly store: ConfigurationPorts['store'] & {
-    /** Reads the directory once more. */
-    refreshDirectory(): void;
-    /** Removes the entry of a node that ended, unless it has changed. */
-    removeEntry(node: MeshNode): void;
-  };
+  readonly store: ConfigurationPorts['store'] & DirectoryStore;
   /** Nothing is in progress any more: the process may end. `isForGood` tells that its server has left too. */
   readonly stopped: (isForGood: boolean) => void;
 }
@@ -91,6 +89,7 @@
 /** Connects the decisions of a node with its ports. */
 export class MeshNodeDriver {
   public readonly directory: NodeDirectory;
+  private readonly directoryKeeper: DirectoryKeeper;
   private readonly configuration: ConfigurationFollower;
   private readonly targets = new TargetBook();
   private readonly split: TrafficSplit;
@@ -99,34 +98,39 @@
   private readonly gate: ServerGate;
   private readonly announcer = new LoadAnnouncer();
   private readonly endedServers = new EndedServers();
-  /** What the server said before this node heard others; undefined from then on. */
-  private earlyMessages: ServerMessage[] | undefined = [];
+  private readonly inbox: ServerInbox;
   private readonly startedAt: number;
   private cancelTick: (() => void) | undefined;
   private stopPlan: StopPlan | undefined;
-  private isDirectoryRead = false;
-  /** Nodes that were heard of since the last line on that. */
-  private newlyKnown = 0;
   private healthDueAt: number;
   private upkeepDueAt = 0;
-  private directoryDueAt: number;
   private isClosed = false;
 
   public constructor(private readonly options: MeshNodeOptions) {
     const { clock, random, self, settings } = options;
     this.startedAt = clock();
     this.healthDueAt = this.startedAt + firstReportMilliseconds;
-    this.directoryDueAt = this.startedAt + isolatedRereadMilliseconds;
-    this.directory = new NodeDirectory(self);
+    const log = (event: string, fields: Fields): void => {
+      options.events.record(event, fields);
+    };
+    this.inbox = new ServerInbox((message) => {
+      this.takeServerMessage(message);
+    });
+    this.directoryKeeper = new DirectoryKeeper({
+      isRemover: () => this.configuration.isWatching,
+      log,
+      self,
+      startedAt: this.startedAt,
+      store: () => options.ports().store,
+    });
+    this.directory = this.directoryKeeper.directory;
     this.configuration = new ConfigurationFollower({
       changed: (configuration) => {
         this.configured(configuration);
       },
       clock,
       decode: options.decodeConfiguration,
-      log: (event, fields) => {
-        this.log(event, fields);
-      },
+      log,
       ports: options.ports,
       self,
     });
@@ -193,7 +197,7 @@
   public get isReady(): boolean {
     if (this.stopPlan !== undefined || this.configuration.inForce === undefined) return false;
     if (this.options.clock() - this.startedAt > lonelyStartMilliseconds) return true;
-    return this.isMostlyConnected;
+    return this.directoryKeeper.isMostlyConnected;
   }
 
   /** Figures for the metrics, read when they are asked for. */
@@ -280,23 +284,7 @@
   }
 
   public serverMessage(message: ServerMessage): void {
-    // That it leaves is never held back.
-    if (message.kind === 'leave') this.earlyMessages = this.earlyMessages?.filter(isOther(message));
-    else if (this.earlyMessages !== undefined) {
-      this.earlyMessages.push(message);
-      return;
-    }
-    const now = this.options.clock();
-    switch (message.kind) {
-      case 'report':
-        this.gate.report(message.report, now);
-        return;
-      case 'leave':
-        this.gate.leave(message.instanceId, now);
-        return;
-      case 'invalid':
-        this.log(MeshEvent.ServerMessageInvalid, { detail: message.message });
-    }
+    this.inbox.receive(message);
   }
 
   /** The operators' configuration was read from the store. */
@@ -310,12 +298,11 @@
   }
 
   public directoryRead(): void {
-    this.isDirectoryRead = true;
-    this.tellNewlyKnown('store');
+    this.directoryKeeper.read();
   }
 
   public nodeMentioned(node: MeshNode): void {
-    if (this.directory.mentioned(node, this.options.clock())) this.newlyKnown += 1;
+    this.directoryKeeper.mentioned(node, this.options.clock());
   }
 
   public connected(hello: MeshHelloFrame): void {
@@ -388,7 +375,7 @@
         return;
       case 'members':
         for (const member of frame.members) if (isMeshNode(member)) this.nodeMentioned(member);
-        this.tellNewlyKnown(from.name);
+        this.directoryKeeper.tellNewlyKnown(from.name);
         return;
       case 'leaving':
         // The directory keeps it: it may start again while the store is away, and then waits to be dialed.
@@ -444,38 +431,34 @@
     this.options.ports().links.broadcast({ endedServer, kind: 'load', load });
   }
 
-  /** One line for all: a node that starts in a large fleet hears of hundreds at once. */
-  private tellNewlyKnown(source: string): void {
-    if (this.newlyKnown === 0) return;
-    this.log(MeshEvent.NodesKnown, {
-      known: this.directory.size - 1,
-      nodes: this.newlyKnown,
-      source,
-    });
-    this.newlyKnown = 0;
+  private takeServerMessage(message: ServerMessage): void {
+    const now = this.options.clock();
+    switch (message.kind) {
+      case 'report':
+        this.gate.report(message.report, now);
+        return;
+      case 'leave':
+        this.gate.leave(message.instanceId, now);
+        return;
+      case 'invalid':
+        this.log(MeshEvent.ServerMessageInvalid, { detail: message.message });
+    }
   }
 
   /** Others know which servers an earlier life of this process has shut for. */
-  private hearEndedServers({ endedServers = [] }: MeshHelloFrame, now: number): void {
-    for (const server of endedServers) {
-      if (server.node === this.options.self.name && isEndedServer(server)) {
-        this.gate.endedBefore(server, now);
-      }
+  private hearEndedServers({ endedServers }: MeshHelloFrame, now: number): void {
+    if (!Array.isArray(endedServers)) return;
+    for (const server of endedServers as readonly unknown[]) {
+      if (!isEndedServer(server) || !('node' in server)) continue;
+      if (server.node === this.options.self.name) this.gate.endedBefore(server, now);
     }
   }
 
   /** Takes up what the server said once others have been heard, or there was time enough to. */
   private hearServer(now: number): void {
-    if (this.earlyMessages === undefined) return;
-    const isHeard = this.directory.connected > 0 && this.isMostlyConnected;
-    if (!isHeard && now - this.startedAt < hearOthersMilliseconds) return;
-    const messages = this.earlyMessages;
-    this.earlyMessages = undefined;
-    for (const message of messages) this.serverMessage(message);
-  }
-
-  private get isMostlyConnected(): boolean {
-    return this.isDirectoryRead && this.directory.connected * 2 >= this.directory.wanted;
+    if (this.inbox.isOpen) return;
+    const isHeard = this.directory.connected > 0 && this.directoryKeeper.isMostlyConnected;
+    if (isHeard || now - this.startedAt >= hearOthersMilliseconds) this.inbox.open();
   }
 
   private tick(): void {
@@ -508,26 +491,13 @@
     this.upkeepDueAt = now + idleTickMilliseconds;
     links.tick(now);
     for (const node of this.directory.dueForDial(now)) links.dial(node);
-    this.keepUpDirectory(now);
+    this.directoryKeeper.tick(now);
     this.budget.shareBetween(this.directory.size);
     this.configuration.tick(now);
     this.hearServer(now);
     this.checkHealth(now);
   }
 
-  /** The first by rank removes what ended, so that it is done once; a node on its own looks for others. */
-  private keepUpDirectory(now: number): void {
-    const { store } = this.options.ports();
-    for (const node of this.directory.takeForgotten()) {
-      this.log(MeshEvent.NodeForgotten, { peer: node.name });
-      if (this.configuration.isWatching) store.removeEntry(node);
-    }
-    if (this.directory.connected > 0) this.directoryDueAt = now + isolatedRereadMilliseconds;
-    if (now < this.directoryDueAt) return;
-    this.directoryDueAt = now + isolatedRereadMilliseconds;
-    store.refreshDirectory();
-  }
-
   private get inProgress(): number {
     const { callers } = this.options.ports();
     return this.forwarder.inProgress + this.gate.inProgress + callers.inProgress;
@@ -573,17 +543,15 @@
     this.gate.serverLoad(answer.load, now);
   }
 
-  private log(event: string, fields: Readonly<Record<string, string | number | boolean>>): void {
+  private log(event: string, fields: Fields): void {
     this.options.events.record(event, fields);
   }
 }
 
-/** Whether a message speaks of another server than the one that leaves. */
-function isOther({ instanceId }: { readonly instanceId: string }) {
-  return (message: ServerMessage): boolean =>
-    message.kind !== 'report' || message.report.instanceId !== instanceId;
-}
-
-function isEndedServer(server: EndedServer | undefined): server is EndedServer {
-  return typeof server?.instanceId === 'string' && server.instanceId !== '';
+/** Whether what another node sent names a lifetime of a server. */
+function isEndedServer(value: unknown): value is EndedServer {
+  if (typeof value !== 'object' || value === null || !('instanceId' in value)) return false;
+  const startedAt = 'startedAt' in value ? value.startedAt : undefined;
+  const isStart = startedAt === undefined || Number.isSafeInteger(startedAt);
+  return isStart && typeof value.instanceId === 'string' && value.instanceId !== '';
 }
