--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -2,30 +2,15 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
 import { RouteTable } from '@peridotspring/mesh-core';
-import type { EntryOutcome, EntryRequest, Route } from '@peridotspring/mesh-core';
+import type { EntryOutcome, EntryRequest } from '@peridotspring/mesh-core';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import { RouteServer } from '../src/index.js';
+import { callerLimits, lookupRoute } from './shared/lookup-route.js';
 
-const route: Route = {
-  host: 'shop.example',
-  idempotent: true,
-  maximumAttempts: 1,
-  name: 'lookup',
-  pathPrefix: '/a/',
-  priority: 0,
-  split: [{ service: 'shop', weight: 1 }],
-  targetLatencyMilliseconds: 100,
-  timeoutMilliseconds: 700,
-};
-const limits = {
-  bodyBytes: 1_000,
-  headerBytes: 16_384,
-  headerTimeoutMilliseconds: 1_000,
-  idleTimeoutMilliseconds: 2_000,
-};
-const table = new RouteTable({ limits, routes: [route], services: new Map(), version: 1 });
+const limits = callerLimits(2_000);
+const table = new RouteTable({ limits, routes: [lookupRoute], services: new Map(), version: 1 });
 
 interface Answer {
   readonly status: number;
