--- a/packages/callers/src/routes/caller-connection.ts
+++ b/packages/callers/src/routes/caller-connection.ts
@@ -5,7 +5,7 @@
 import { lingerOnClose } from './lingering-close.js';
 import { RequestLine } from './request-line.js';
 
-/** Part of a millisecond below which nobody asks what a request waited for. */
+/** Shorter waits come from the turns of the event loop and are not told. */
 const shortestWaitMilliseconds = 1;
 
 /** One request as it was read from its connection. */
@@ -173,10 +173,8 @@
 
   private refuseRest(status: number): void {
     const { socket } = this;
-    if (!socket.writable) {
-      socket.destroy();
-      return;
-    }
+    // The last answer has ended the connection already; it lingers.
+    if (!socket.writable) return;
     socket.write(`HTTP/1.1 ${status} Unreadable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     socket.destroySoon();
   }
--- a/packages/callers/src/routes/request-line.ts
+++ b/packages/callers/src/routes/request-line.ts
@@ -1,12 +1,12 @@
 /** Requests of one connection that are in progress at once; more wait until answers have been written. */
-export const maximumStartedRequests = 8;
+const maximumStartedRequests = 8;
 /** Bytes of answers that wait to be written to one connection; no request of it starts above that. */
-export const maximumAnswerBytes = 1_048_576;
+const maximumAnswerBytes = 1_048_576;
 /**
  * Requests of one connection that were read and wait to start. Reading pauses as soon as one waits, so these
  * come from bytes that had been read before; a connection that exceeds the bound ends with its next answers.
  */
-export const maximumWaitingRequests = 2_000;
+const maximumWaitingRequests = 2_000;
 
 interface StartedRequest<Answer> {
   readonly requestNumber: number;
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -11,8 +11,8 @@
 /** Pause after a watch that brought changes, so that a series of changes costs few calls. */
 const watchPauseMilliseconds = 150;
 /**
- * Pauses before the directory is read again after the first start of a node. A read may be seconds old, so it may lack the nodes
- * that start at the same time.
+ * Pauses before the directory is read again after the first start of a node. A read may be seconds old, so it
+ * may lack the nodes that start at the same time.
  */
 const rereadMilliseconds: readonly number[] = [1_500, 5_000];
 /** Time between later reads; new nodes connect to others by themselves, so these may learn of them late. */
@@ -272,9 +272,10 @@
     const isReachable = outcome.kind !== 'unavailable';
     const isChange = isReachable !== this.isReachable;
     this.isReachable = isReachable;
-    if (isChange) this.wakeCheck?.();
-    if (isChange) this.options.reachabilityChanged(isReachable, outcome.detail ?? '');
-    return isChange && isReachable;
+    if (!isChange) return false;
+    this.wakeCheck?.();
+    this.options.reachabilityChanged(isReachable, outcome.detail ?? '');
+    return isReachable;
   }
 
   private retryDelay(failures: number): number {
