Hold through a store that comes back from an older copy

Cause: the store may return from a copy some seconds old; revisions go back and are given out again. A node that read an old answer first went on watching after a revision of the copy that had been replaced, for which the new one has an answer, and never saw the configuration written in between. Entries that the copy lacked stood again after up to ten minutes, and removed ones stayed back.

Change: each answer tells the era of the store (decoded in platform/), compared in StoreAccess only. An answer of an earlier era says nothing; in a new era the watch starts from an exact read, the own entry is looked at within 0.5 s and written if the copy lacks it, recent removals are repeated. Watchers tell the others the era with the version frame and the hello; a told era counts only once the store confirms it. After any failed watch one exact read comes before the next one, as an old read may be from before the outage. A configuration that is older than the one in force, or has its version and other content, is logged once and never replaces it. The session is split by what each part owns.

--- a/packages/daemon/src/mesh/configuration-follower.ts
+++ b/packages/daemon/src/mesh/configuration-follower.ts
@@ -2,6 +2,7 @@
   ConfigurationHolder,
   ConfigurationPull,
   isSameZone,
+  OfferResult,
   WatchDuty,
 } from '@peridotspring/mesh-core';
 import type { ConfigurationInForce, MeshNode, RouteConfiguration } from '@peridotspring/mesh-core';
@@ -15,7 +16,11 @@
 /** What follows the configuration uses to act on the world. */
 export interface ConfigurationPorts {
   readonly links: Pick<MeshLinks, 'broadcast' | 'send'>;
-  readonly store: { watchConfiguration(isWatching: boolean): void };
+  readonly store: {
+    watchConfiguration(isWatching: boolean): void;
+    /** Another node has seen this era of the store. */
+    eraTold(era: number): void;
+  };
 }
 
 export interface ConfigurationFollowerOptions {
@@ -38,6 +43,9 @@
   private readonly watchDuty: WatchDuty;
   /** When the configuration in force came into force. */
   private changedAt: number;
+  private newestEra: number | undefined;
+  /** The version that was last refused, so that each is logged once. */
+  private refusedVersion: number | undefined;
 
   public constructor(private readonly options: ConfigurationFollowerOptions) {
     this.pull = new ConfigurationPull(options.self.name);
@@ -62,6 +70,11 @@
     return this.watchDuty.isWatching;
   }
 
+  /** The newest era of the store that this node has seen; undefined if the store has not told any. */
+  public get storeEra(): number | undefined {
+    return this.newestEra;
+  }
+
   /** Time since the last change, or since the start. */
   public ageMilliseconds(now: number): number {
     return now - this.changedAt;
@@ -77,23 +90,43 @@
       return;
     }
     const { configuration } = decoded;
-    if (!this.holder.offer(configuration, content)) return;
     const { routes, version } = configuration;
+    const result = this.holder.offer(configuration, content);
+    if (result !== OfferResult.InForce) {
+      this.refused(result, version, source);
+      return;
+    }
     this.changedAt = clock();
     log(MeshEvent.ConfigurationInForce, { routes: routes.length, source, version });
     changed(configuration);
     ports().links.broadcast({ kind: 'version', version });
   }
 
+  /** The store told its era for the first time, or that it came back from an older copy. */
+  public eraSeen(storeEra: number, isRestored: boolean): void {
+    this.newestEra = storeEra;
+    if (!isRestored) return;
+    this.options.log(MeshEvent.StoreRestored, { era: storeEra, version: this.version });
+    this.options.ports().links.broadcast({ kind: 'version', storeEra, version: this.version });
+  }
+
+  /** Another node told an era of the store, if what it sent is one. */
+  public eraTold(era: unknown): void {
+    if (typeof era === 'number' && Number.isSafeInteger(era)) {
+      this.options.ports().store.eraTold(era);
+    }
+  }
+
   /** The store answers again, or does not answer any more. */
   public storeReached(reachesStore: boolean): void {
     this.watchDuty.storeReached(reachesStore);
     this.options.ports().links.broadcast({ kind: 'store-reach', reachesStore });
   }
 
-  public connected({ configurationVersion, node, reachesStore }: MeshHelloFrame): void {
+  public connected({ configurationVersion, node, reachesStore, storeEra }: MeshHelloFrame): void {
     this.watchDuty.connected(node, reachesStore);
     this.versionHeard(node, configurationVersion);
+    this.eraTold(storeEra);
   }
 
   public disconnected(node: string): void {
@@ -126,6 +159,19 @@
     if (source !== undefined) this.options.ports().links.send(source, { kind: 'pull' });
   }
 
+  /** A version never goes back, whatever the store shows. An operator who means to go back writes a higher one. */
+  private refused(
+    result: Exclude<OfferResult, typeof OfferResult.InForce>,
+    version: number,
+    source: string,
+  ): void {
+    if (result === OfferResult.Same || version === this.refusedVersion) return;
+    this.refusedVersion = version;
+    const event =
+      result === OfferResult.Older ? MeshEvent.ConfigurationOlder : MeshEvent.ConfigurationDiffers;
+    this.options.log(event, { inForce: this.version, source, version });
+  }
+
   private checkWatchDuty(now: number): void {
     const wasWatching = this.watchDuty.isWatching;
     const isWatching = this.watchDuty.evaluate(now);
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -1,7 +1,9 @@
 /** Names of the events of a node that routes by host and path; the core names its events itself. */
 export const MeshEvent = {
+  ConfigurationDiffers: 'configuration-differs',
   ConfigurationInForce: 'configuration-in-force',
   ConfigurationInvalid: 'configuration-invalid',
+  ConfigurationOlder: 'configuration-older',
   ConfigurationWatch: 'configuration-watch',
   DialFailed: 'dial-failed',
   HealthChecked: 'server-health-checked',
@@ -24,6 +26,7 @@
   SettingsReloaded: 'settings-reloaded',
   StoreCalled: 'store-called',
   StoreReachable: 'store-reachable',
+  StoreRestored: 'store-restored',
   StoreUnreachable: 'store-unreachable',
 } as const;
 export type MeshEvent = (typeof MeshEvent)[keyof typeof MeshEvent];
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -240,6 +240,7 @@
       knownNodes: this.directory.size - 1,
       load: this.gate.load(this.options.clock()),
       reachesStore: this.configuration.reachesStore,
+      storeEra: this.configuration.storeEra,
     };
   }
 
@@ -297,6 +298,11 @@
     this.configuration.storeReached(reachesStore);
   }
 
+  /** The store told its era for the first time, or that it came back from an older copy. */
+  public storeEraSeen(era: number, isRestored: boolean): void {
+    this.configuration.eraSeen(era, isRestored);
+  }
+
   public directoryRead(): void {
     this.directoryKeeper.read();
   }
@@ -366,6 +372,7 @@
         return;
       case 'version':
         this.configuration.versionHeard(from, frame.version);
+        this.configuration.eraTold(frame.storeEra);
         return;
       case 'store-reach':
         this.configuration.storeReachTold(from.name, frame.reachesStore);
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -81,6 +81,9 @@
     links,
     server,
     store: {
+      eraTold: (era) => {
+        store.session.eraTold(era);
+      },
       refreshDirectory: () => {
         void store.session.refreshDirectory();
       },
@@ -295,6 +298,7 @@
 ): StoreParts {
   const transport = new HttpStoreTransport({
     clock,
+    codec: adapter.storeCalls,
     contentType: adapter.storeContentType,
     host: settings.storeAddress.host,
     observed: (call, outcome, milliseconds) => {
@@ -309,6 +313,7 @@
     port: settings.storeAddress.port,
   });
   const session = new StoreSession({
+    clock,
     codec: adapter.storeCalls,
     configurationRead: (content) => {
       driver.configurationRead(content);
@@ -319,6 +324,9 @@
     },
     entry: encodeDirectoryEntry(self),
     isEntryCurrent: (stored) => isSameEntry(decodeDirectoryEntry(stored), self),
+    eraSeen: (era, isRestored) => {
+      driver.storeEraSeen(era, isRestored);
+    },
     entryRead: ({ value }) => {
       const node = decodeDirectoryEntry(value);
       if (node !== undefined) driver.nodeMentioned(node);
--- a/packages/daemon/tests/virtual-mesh.test.ts
+++ b/packages/daemon/tests/virtual-mesh.test.ts
@@ -42,4 +42,18 @@
   });
 }
 
+// What the store acknowledged for seconds is gone, also right after a change; nodes start on the older copy.
+for (const [seed, machines] of [
+  [1, 5],
+  [2, 5],
+  [3, 8],
+  [4, 8],
+] as const) {
+  test(`seed ${seed} with ${machines} nodes: a store that comes back from a copy takes nothing back`, async () => {
+    const { answered, broken, requests } = await playMesh(seed, { machines, restoresStore: true });
+    assert.equal(broken, []);
+    assert.ok(answered > requests / 2, `${answered} of ${requests} requests were answered`);
+  });
+}
+
 test.run();
--- a/packages/mesh-core/src/configuration/configuration-holder.ts
+++ b/packages/mesh-core/src/configuration/configuration-holder.ts
@@ -9,6 +9,16 @@
   readonly content: Uint8Array;
 }
 
+/** What became of a configuration that was offered. */
+export const OfferResult = {
+  /** It has the version in force and says something else; what is in force stays. */
+  Differs: 'differs',
+  InForce: 'in-force',
+  Older: 'older',
+  Same: 'same',
+} as const;
+export type OfferResult = (typeof OfferResult)[keyof typeof OfferResult];
+
 /** The newest configuration that this node has seen. An older one never replaces it. */
 export class ConfigurationHolder {
   private current: ConfigurationInForce | undefined;
@@ -21,10 +31,16 @@
     return this.current?.configuration.version ?? 0;
   }
 
-  /** True if the configuration is newer and in force now. */
-  public offer(configuration: RouteConfiguration, content: Uint8Array): boolean {
-    if (this.current !== undefined && configuration.version <= this.version) return false;
+  /** A newer configuration is in force from now on. */
+  public offer(configuration: RouteConfiguration, content: Uint8Array): OfferResult {
+    if (this.current !== undefined) {
+      if (configuration.version < this.version) return OfferResult.Older;
+      if (configuration.version === this.version) {
+        const isSame = Buffer.compare(content, this.current.content) === 0;
+        return isSame ? OfferResult.Same : OfferResult.Differs;
+      }
+    }
     this.current = { configuration, content, table: new RouteTable(configuration) };
-    return true;
+    return OfferResult.InForce;
   }
 }
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -1,6 +1,6 @@
 export { RepeatBudget } from './budget/repeat-budget.js';
 export type { RepeatBudgetOptions } from './budget/repeat-budget.js';
-export { ConfigurationHolder } from './configuration/configuration-holder.js';
+export { ConfigurationHolder, OfferResult } from './configuration/configuration-holder.js';
 export type { ConfigurationInForce } from './configuration/configuration-holder.js';
 export { ConfigurationPull } from './configuration/configuration-pull.js';
 export { WatchDuty } from './configuration/watch-duty.js';
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -143,6 +143,8 @@
 export interface VersionFrame {
   readonly kind: 'version';
   readonly version: number;
+  /** The newest era of the store that the sender has seen; nodes that don't ask the store learn of it so. */
+  readonly storeEra?: number | undefined;
 }
 
 /** Whether the store answers the sender. */
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -29,6 +29,8 @@
   readonly knownNodes: number;
   /** Servers that drained or left lately; a node that starts again may not know of its own. */
   readonly endedServers?: readonly NodeServer[] | undefined;
+  /** The newest era of the store that the sender has seen. */
+  readonly storeEra?: number | undefined;
 }
 
 /** What the first frame tells besides the node itself. */
--- a/packages/platform/src/key-values/http-store-transport.ts
+++ b/packages/platform/src/key-values/http-store-transport.ts
@@ -1,6 +1,7 @@
 import { Agent, request as httpRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 
-import type { StoreCall, StoreOutcome, StoreTransport } from './key-value-store.js';
+import type { StoreAnswer, StoreCall, StoreCallCodec, StoreTransport } from './key-value-store.js';
 
 /** A store that is slow by a factor of 80 answers within 350 ms; later answers are given up. */
 const answerTimeoutMilliseconds = 1_500;
@@ -12,6 +13,7 @@
   readonly host: string;
   readonly port: number;
   readonly contentType: string;
+  readonly codec: Pick<StoreCallCodec, 'eraHeader' | 'parseEra'>;
   /** Called for each call with its name and what became of it. */
   readonly observed: (call: string, outcome: string, milliseconds: number) => void;
   readonly clock: () => number;
@@ -26,7 +28,7 @@
   public async execute<Value>(
     call: StoreCall<Value>,
     signal?: AbortSignal,
-  ): Promise<StoreOutcome<Value>> {
+  ): Promise<StoreAnswer<Value>> {
     const { clock, observed } = this.options;
     const startedAt = clock();
     const outcome = await this.send(call, signal);
@@ -41,7 +43,7 @@
   private send<Value>(
     call: StoreCall<Value>,
     signal: AbortSignal | undefined,
-  ): Promise<StoreOutcome<Value>> {
+  ): Promise<StoreAnswer<Value>> {
     const { contentType, host, port } = this.options;
     const { body, holdMilliseconds = 0, method, path } = call;
     const headers = body === undefined ? {} : { 'content-type': contentType };
@@ -74,10 +76,17 @@
         });
         response.on('end', () => {
           clearTimeout(timer);
-          resolve(call.parse(response.statusCode ?? 0, Buffer.concat(chunks).toString('utf8')));
+          const text = Buffer.concat(chunks).toString('utf8');
+          resolve({ ...call.parse(response.statusCode ?? 0, text), era: this.eraOf(response) });
         });
       });
       request.end(body);
     });
   }
+
+  private eraOf({ headers }: IncomingMessage): number | undefined {
+    const { eraHeader, parseEra } = this.options.codec;
+    const value = headers[eraHeader];
+    return typeof value === 'string' ? parseEra(value) : undefined;
+  }
 }
--- a/packages/platform/src/key-values/key-value-store.ts
+++ b/packages/platform/src/key-values/key-value-store.ts
@@ -25,6 +25,9 @@
   /** The store did nothing, or nobody knows whether it did. */
   | { readonly kind: 'unavailable'; readonly detail: string };
 
+/** An outcome, and the era of the store that its answer told. */
+export type StoreAnswer<Value> = StoreOutcome<Value> & { readonly era?: number | undefined };
+
 /** One HTTP call to the store, in the store's form. */
 export interface StoreCall<Value> {
   /** For logs and counters. */
@@ -41,6 +44,10 @@
 export interface StoreCallCodec {
   /** The key that holds the operators' configuration. */
   readonly configurationKey: string;
+  /** The header field of all answers that tells the era of the store; in lower case. */
+  readonly eraHeader: string;
+  /** Undefined if the value can't be read. */
+  parseEra(value: string): number | undefined;
   /** `isOldEnough` allows an answer that is seconds old, at a tenth of the price. */
   list(prefix: string, after: string | undefined, isOldEnough: boolean): StoreCall<ItemPage>;
   watch(prefix: string, revision: number, waitMilliseconds: number): StoreCall<ItemPage>;
@@ -52,5 +59,5 @@
 /** Makes calls to the store. */
 export interface StoreTransport {
   /** `signal` gives the call up. */
-  execute<Value>(call: StoreCall<Value>, signal?: AbortSignal): Promise<StoreOutcome<Value>>;
+  execute<Value>(call: StoreCall<Value>, signal?: AbortSignal): Promise<StoreAnswer<Value>>;
 }
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -1,15 +1,11 @@
-import type {
-  ItemPage,
-  StoreCallCodec,
-  StoredItem,
-  StoreOutcome,
-  StoreTransport,
-} from './key-value-store.js';
+import { ConfigurationReading } from './configuration-reading.js';
+import type { ItemPage, StoreCallCodec, StoredItem, StoreTransport } from './key-value-store.js';
+import { Pauses } from './pauses.js';
+import { RecentRemovals } from './recent-removals.js';
+import type { EntryTest } from './recent-removals.js';
+import { StoreAccess } from './store-access.js';
+import type { AccessOutcome } from './store-access.js';
 
-/** Time that a watch waits for a change; the store holds one for 30 s at most, and each costs a call. */
-const watchMilliseconds = 29_000;
-/** Pause after a watch that brought changes, so that a series of changes costs few calls. */
-const watchPauseMilliseconds = 150;
 /**
  * Pauses before the directory is read again after the first start of a node. A read may be seconds old, so it
  * may lack the nodes that start at the same time.
@@ -24,24 +20,32 @@
 const reachCheckMilliseconds = 3_000;
 /** Reads that have to miss this node's entry before it is written again; one may be older than the entry. */
 const missesBeforeWrite = 2;
-const shortestRetryMilliseconds = 150;
-const longestRetryMilliseconds = 1_000;
+/**
+ * Nodes look at their entries within this time after they hear that the store came back from a copy. Entries
+ * are to stand again about 2 s after the return, and a watcher may take up to 1.5 s of these to find it.
+ */
+const entryCheckSpreadMilliseconds = 500;
+/** Reads that may be old are tried this often in a new era; then one that is exact. */
+const oldReadsOfNewEra = 3;
 
 export interface StoreSessionOptions {
   readonly transport: StoreTransport;
+  readonly clock: () => number;
   readonly codec: StoreCallCodec;
   /** Where nodes keep their entries, with a slash at its end. */
   readonly directoryPrefix: string;
   readonly nodeName: string;
   readonly entry: Uint8Array;
   /** Whether a stored entry of this node says the same as its own. */
-  readonly isEntryCurrent: (stored: Uint8Array) => boolean;
+  readonly isEntryCurrent: EntryTest;
   readonly random: () => number;
   readonly configurationRead: (content: Uint8Array) => void;
   readonly entryRead: (item: StoredItem) => void;
   /** All entries have been read once. */
   readonly directoryRead: () => void;
   readonly reachabilityChanged: (isReachable: boolean, detail: string) => void;
+  /** An answer told the era of the store for the first time, or that it came back from an older copy. */
+  readonly eraSeen: (era: number, isRestored: boolean) => void;
 }
 
 /**
@@ -49,38 +53,75 @@
  * configuration once, and watches the configuration while it is told to. Calls are billed, so a start reads
  * what may be seconds old at a tenth of the price, and an entry of an earlier life that still holds stays as it
  * is. An entry has no lease, whose renewals would grow with the fleet: others find out by its connections
- * whether a node lives, and remove the entry of one that ended for good.
+ * whether a node lives, and remove the entry of one that ended for good. A store that comes back from an older
+ * copy has lost what it acknowledged since: reads and watches start anew, entries and removals are repeated.
  */
 export class StoreSession {
+  private readonly access: StoreAccess;
+  private readonly configuration: ConfigurationReading;
+  private readonly pauses: Pauses;
+  private readonly removals: RecentRemovals;
   private entryMisses = 0;
   /** This node's entry was missing at its start, so others may have started with it. */
   private isNew = false;
   private isClosed = false;
-  private isReachable = true;
   private isWatching = false;
-  /** Ends the wait for the duty to watch. */
-  private wakeWatch: (() => void) | undefined;
+  /** The highest era that another node told. */
+  private toldEra = -Infinity;
+  /** The era in which the entry was last seen or written. */
+  private entryEra: number | undefined;
+  private isRestoringEntry = false;
   /** Ends the wait for the next check of the entry. */
   private wakeCheck: (() => void) | undefined;
-  private readonly sleepers = new Set<() => void>();
-  /** Ends the watch that waits, when it may have missed a change. */
-  private watching = new AbortController();
 
-  public constructor(private readonly options: StoreSessionOptions) {}
+  public constructor(private readonly options: StoreSessionOptions) {
+    const { clock, codec, configurationRead, random, transport } = options;
+    this.pauses = new Pauses(random);
+    this.removals = new RecentRemovals(clock);
+    this.access = new StoreAccess({
+      clock,
+      codec,
+      events: {
+        eraSeen: (era) => {
+          this.entryEra = era;
+          options.eraSeen(era, false);
+        },
+        reachabilityChanged: (isReachable, detail) => {
+          this.reachabilityChanged(isReachable, detail);
+        },
+        restored: (era) => {
+          this.restored(era);
+        },
+      },
+      transport,
+    });
+    this.configuration = new ConfigurationReading({
+      access: this.access,
+      codec,
+      pauses: this.pauses,
+      read: configurationRead,
+    });
+  }
 
   public start(): void {
     void this.keepEntry();
-    void this.followConfiguration();
+    void this.configuration.follow();
     void this.keepChecking();
   }
 
   /** Whether this node watches the configuration; the change is in force at once. */
   public watchConfiguration(isWatching: boolean): void {
     this.isWatching = isWatching;
-    if (isWatching) {
-      this.wakeWatch?.();
-      this.wakeCheck?.();
-    } else this.watching.abort();
+    this.configuration.watch(isWatching);
+    if (isWatching) this.wakeCheck?.();
+  }
+
+  /** Another node has had an answer of this era. Only the store's own answers show whether it is so. */
+  public eraTold(era: number): void {
+    const known = this.access.currentEra ?? -Infinity;
+    if (this.isClosed || era <= Math.max(known, this.toldEra)) return;
+    this.toldEra = era;
+    void this.confirmEra(era);
   }
 
   /** Reads the directory once more, for a node that is connected to no other. */
@@ -96,34 +137,32 @@
   }
 
   /** Removes the entry of a node if it is as expected and nobody writes it meanwhile. */
-  public async removeEntry(
-    name: string,
-    isExpected: (stored: Uint8Array) => boolean,
-  ): Promise<void> {
-    const { codec, transport } = this.options;
+  public async removeEntry(name: string, isExpected: EntryTest): Promise<void> {
     const item = await this.readEntry(name);
     if (item === undefined || !isExpected(item.value)) return;
-    const removed = await transport.execute(codec.remove(item.key, item.revision));
-    this.noteReachable(removed);
+    const eraOfRead = this.access.currentEra;
+    this.removals.note(name, isExpected);
+    const removed = await this.access.call(this.options.codec.remove(item.key, item.revision));
+    // A lost answer leaves open whether it was removed; the next who dials the node in vain tries again.
+    if (removed.kind !== 'ok' && eraOfRead === this.access.currentEra) this.removals.forget(name);
   }
 
   public close(): void {
     this.isClosed = true;
-    this.watching.abort();
-    this.wakeWatch?.();
+    this.configuration.close();
     this.wakeCheck?.();
-    for (const wake of this.sleepers) wake();
+    this.pauses.close();
   }
 
   private async keepEntry(): Promise<void> {
     let failures = 0;
     while (!this.isClosed && !(await this.register())) {
       failures += 1;
-      await this.sleep(this.retryDelay(failures));
+      await this.pauses.beforeRetry(failures);
     }
     const rereads = this.isNew ? rereadMilliseconds : [];
     for (let reread = 0; !this.isClosed; reread += 1) {
-      await this.sleep(rereads[reread] ?? directoryMilliseconds);
+      await this.pauses.sleep(rereads[reread] ?? directoryMilliseconds);
       await this.refreshDirectory();
     }
   }
@@ -132,22 +171,20 @@
   private async register(): Promise<boolean> {
     const items = await this.readDirectory();
     if (items === undefined) return false;
-    const own = items.find(({ key }) => key === this.entryKey(this.options.nodeName));
-    if (own !== undefined && this.options.isEntryCurrent(own.value)) return true;
+    if (this.isCurrentIn(items)) return true;
     this.isNew = true;
     return this.writeEntry();
   }
 
   private async writeEntry(): Promise<boolean> {
-    const { codec, entry, nodeName, transport } = this.options;
-    const written = await transport.execute(codec.write(this.entryKey(nodeName), entry));
-    this.noteReachable(written);
+    const { codec, entry, nodeName } = this.options;
+    const written = await this.access.call(codec.write(this.entryKey(nodeName), entry));
     return written.kind === 'ok';
   }
 
   private async readDirectory(): Promise<readonly StoredItem[] | undefined> {
     const { directoryPrefix, directoryRead, entryRead } = this.options;
-    const outcome = await this.listAll(directoryPrefix, true);
+    const outcome = await this.access.list(directoryPrefix, true);
     if (outcome.kind !== 'ok') return undefined;
     const { items } = outcome.value;
     for (const item of items) entryRead(item);
@@ -158,21 +195,15 @@
   /** Checks that the store answers, while that matters, with a call that tells of the entry too. */
   private async keepChecking(): Promise<void> {
     for (;;) {
-      const isReachNeeded = this.isWatching || !this.isReachable;
+      const isReachNeeded = this.isWatching || !this.access.isReachable;
       const isDue = await this.untilCheck(isReachNeeded ? reachCheckMilliseconds : undefined);
       if (this.isClosed) return;
-      if (isDue) await this.checkReach();
+      if (!isDue) continue;
+      const outcome = await this.listOwnEntry(true);
+      if (outcome.kind === 'ok') await this.checkEntry(outcome.value.items);
     }
   }
 
-  private async checkReach(): Promise<void> {
-    const { codec, nodeName, transport } = this.options;
-    const outcome = await transport.execute(codec.list(this.entryKey(nodeName), undefined, true));
-    // A watch that waited through an outage may never be answered.
-    if (this.noteReachable(outcome)) this.watching.abort();
-    if (outcome.kind === 'ok') await this.checkEntry(outcome.value.items);
-  }
-
   /** Writes the entry again if it was removed. */
   private async checkEntry(items: readonly StoredItem[]): Promise<void> {
     const key = this.entryKey(this.options.nodeName);
@@ -182,105 +213,76 @@
     if (await this.writeEntry()) this.entryMisses = 0;
   }
 
-  private async readEntry(name: string): Promise<StoredItem | undefined> {
-    const key = this.entryKey(name);
-    const outcome = await this.listAll(key, false);
-    if (outcome.kind !== 'ok') return undefined;
-    return outcome.value.items.find((item) => item.key === key);
+  /** Asks the store about an era that another node told, often enough for old reads to have passed. */
+  private async confirmEra(era: number): Promise<void> {
+    for (let reads = 0; reads <= oldReadsOfNewEra && !this.isClosed; reads += 1) {
+      await this.pauses.spread(entryCheckSpreadMilliseconds);
+      if ((this.access.currentEra ?? -Infinity) >= era) return;
+      await this.listOwnEntry(reads < oldReadsOfNewEra);
+    }
   }
 
-  private entryKey(name: string): string {
-    return `${this.options.directoryPrefix}${name}`;
+  /** The store came back from an older copy. */
+  private restored(era: number): void {
+    this.options.eraSeen(era, true);
+    this.configuration.restored();
+    void this.restoreEntry();
+    for (const [name, isExpected] of this.removals.recent()) {
+      void this.removeEntry(name, isExpected);
+    }
+    // Entries of nodes that ended before may be back too: whoever dials these in vain removes them.
+    if (this.isWatching) void this.readDirectory();
   }
 
-  private async followConfiguration(): Promise<void> {
-    let revision: number | undefined;
-    let hasRead = false;
+  /** Sees to it that the entry stands in the era that holds, as soon as an answer of that era tells of it. */
+  private async restoreEntry(): Promise<void> {
+    if (this.isRestoringEntry) return;
+    this.isRestoringEntry = true;
+    await this.pauses.spread(entryCheckSpreadMilliseconds);
     let failures = 0;
-    // A watch goes on from the revision of an old read and misses nothing, unless the store forgot that history.
-    let isOldReadEnough = true;
-    while (!this.isClosed) {
-      if (hasRead && !this.isWatching) {
-        await this.untilWatching();
-        // Changes since the last answer may be beyond the store's history.
-        revision = undefined;
-        isOldReadEnough = true;
+    while (!this.isClosed && this.entryEra !== this.access.currentEra) {
+      const era = this.access.currentEra;
+      if (await this.standsOrIsWritten(failures < oldReadsOfNewEra)) {
+        this.entryEra = era;
         continue;
       }
-      const outcome: StoreOutcome<ItemPage> =
-        revision === undefined
-          ? await this.listAll(this.options.codec.configurationKey, isOldReadEnough)
-          : await this.watch(revision);
-      const page = outcome.kind === 'ok' ? outcome.value : undefined;
-      if (page === undefined) {
-        const wasInterrupted = revision !== undefined && this.watching.signal.aborted;
-        failures = wasInterrupted ? 0 : failures + 1;
-        // After a failure nobody knows what the watch missed.
-        revision = undefined;
-        isOldReadEnough = outcome.kind !== 'compacted';
-        if (wasInterrupted) continue;
-        await this.sleep(this.retryDelay(failures));
-        continue;
-      }
-      failures = 0;
-      hasRead = true;
-      const wasWatch = revision !== undefined;
-      revision = page.revision;
-      for (const { key, value } of page.items) {
-        if (key === this.options.codec.configurationKey) this.options.configurationRead(value);
-      }
-      if (wasWatch && page.items.length > 0) await this.sleep(watchPauseMilliseconds);
+      failures += 1;
+      await this.pauses.beforeRetry(failures);
     }
+    this.isRestoringEntry = false;
   }
 
-  private async untilWatching(): Promise<void> {
-    if (this.isClosed) return;
-    await new Promise<void>((resolve) => {
-      this.wakeWatch = resolve;
-    });
-    this.wakeWatch = undefined;
+  private async standsOrIsWritten(isOldEnough: boolean): Promise<boolean> {
+    const outcome = await this.listOwnEntry(isOldEnough);
+    if (outcome.kind !== 'ok') return false;
+    return this.isCurrentIn(outcome.value.items) || (await this.writeEntry());
   }
 
-  /** If it is not answered, the watch has to start again from a read. */
-  private async watch(revision: number): Promise<StoreOutcome<ItemPage>> {
-    const { codec, transport } = this.options;
-    const call = codec.watch(codec.configurationKey, revision, watchMilliseconds);
-    this.watching = new AbortController();
-    const outcome = await transport.execute(call, this.watching.signal);
-    if (!this.watching.signal.aborted) this.noteReachable(outcome);
-    return outcome;
+  private listOwnEntry(isOldEnough: boolean): Promise<AccessOutcome<ItemPage>> {
+    const { codec, nodeName } = this.options;
+    return this.access.call(codec.list(this.entryKey(nodeName), undefined, isOldEnough));
   }
 
-  private async listAll(prefix: string, isOldEnough: boolean): Promise<StoreOutcome<ItemPage>> {
-    const { codec, transport } = this.options;
-    const items: StoredItem[] = [];
-    let after: string | undefined;
-    for (;;) {
-      const outcome = await transport.execute(codec.list(prefix, after, isOldEnough));
-      this.noteReachable(outcome);
-      if (outcome.kind !== 'ok') return outcome;
-      items.push(...outcome.value.items);
-      after = outcome.value.items.at(-1)?.key;
-      if (!outcome.value.hasMore || after === undefined) {
-        return { kind: 'ok', value: { ...outcome.value, items } };
-      }
-    }
+  private isCurrentIn(items: readonly StoredItem[]): boolean {
+    const own = items.find(({ key }) => key === this.entryKey(this.options.nodeName));
+    return own !== undefined && this.options.isEntryCurrent(own.value);
   }
 
-  /** True if the store answers again after it did not. */
-  private noteReachable(outcome: { readonly kind: string; readonly detail?: string }): boolean {
-    const isReachable = outcome.kind !== 'unavailable';
-    const isChange = isReachable !== this.isReachable;
-    this.isReachable = isReachable;
-    if (!isChange) return false;
-    this.wakeCheck?.();
-    this.options.reachabilityChanged(isReachable, outcome.detail ?? '');
-    return isReachable;
+  private async readEntry(name: string): Promise<StoredItem | undefined> {
+    const key = this.entryKey(name);
+    const outcome = await this.access.list(key, false);
+    if (outcome.kind !== 'ok') return undefined;
+    return outcome.value.items.find((item) => item.key === key);
   }
 
-  private retryDelay(failures: number): number {
-    const delay = shortestRetryMilliseconds * 2 ** Math.min(failures - 1, 5);
-    return Math.min(longestRetryMilliseconds, delay) * (0.5 + this.options.random());
+  private entryKey(name: string): string {
+    return `${this.options.directoryPrefix}${name}`;
+  }
+
+  private reachabilityChanged(isReachable: boolean, detail: string): void {
+    if (isReachable) this.configuration.restartWatch();
+    this.wakeCheck?.();
+    this.options.reachabilityChanged(isReachable, detail);
   }
 
   /** Without a time it waits for a reason to check. False if it ended since the time has changed. */
@@ -296,17 +298,4 @@
     this.wakeCheck = undefined;
     return isDue;
   }
-
-  private async sleep(milliseconds: number): Promise<void> {
-    if (this.isClosed) return;
-    await new Promise<void>((resolve) => {
-      const wake = (): void => {
-        clearTimeout(timer);
-        this.sleepers.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, milliseconds);
-      this.sleepers.add(wake);
-    });
-  }
 }
