Confirm the end of a server once other nodes know of it

Ruled out: the frames' order, and the store (no call is made for it).

Change: a report that drains or a DELETE is confirmed after every connected node has read of it (a ping behind the frame, so nodes of an earlier build answer it too), 200 ms at most; one that comes while the node still listens to others is acted on at once, not when the inbox opens. A known start of an ended lifetime is never lost or lowered.

The case of the inbox that kept a draining report in its place is replaced: it must be taken at once. Confirmations take a round trip to the slowest connected node longer.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -52,6 +52,11 @@
  * which lifetimes of it an earlier life of this process has shut for.
  */
 const hearOthersMilliseconds = 500;
+/**
+ * The end of a server is confirmed once other nodes know of it, which takes a round trip. Nodes that don't answer
+ * are not waited for longer; the platform allows a second for the confirmation.
+ */
+const endReadMilliseconds = 200;
 /** A node takes callers although it could not reach the others for this long. */
 const lonelyStartMilliseconds = 2_000;
 const millisecondsPerSecond = 1_000;
@@ -61,7 +66,7 @@
 /** What the node uses to act on the world. */
 export interface MeshNodePorts {
   readonly callers: Pick<RouteServer, 'configure' | 'inProgress' | 'refuse' | 'respond' | 'stop'>;
-  readonly links: Pick<MeshLinks, 'broadcast' | 'dial' | 'send' | 'tick'>;
+  readonly links: Pick<MeshLinks, 'broadcast' | 'dial' | 'send' | 'tick' | 'whenRead'>;
   readonly server: {
     run(execution: Execution): void;
     abort(executionId: number): void;
@@ -99,6 +104,8 @@
   private readonly announcer = new LoadAnnouncer();
   private readonly endedServers = new EndedServers();
   private readonly inbox: ServerInbox;
+  /** Settles when other nodes have read that the last server drains or left. */
+  private endRead: Promise<void> = Promise.resolve();
   private readonly startedAt: number;
   private cancelTick: (() => void) | undefined;
   private stopPlan: StopPlan | undefined;
@@ -284,8 +291,13 @@
     this.log(MeshEvent.OtherInstance, { instance: instanceId });
   }
 
-  public serverMessage(message: ServerMessage): void {
+  /**
+   * The server tells of itself. Settles when that may be confirmed: what confirms the end of a server has to hold in
+   * later lives of this process too, and these hear of it from other nodes.
+   */
+  public async serverMessage(message: ServerMessage): Promise<void> {
     this.inbox.receive(message);
+    await this.endRead;
   }
 
   /** The operators' configuration was read from the store. */
@@ -435,7 +447,19 @@
       load.state === ServerState.Ready || !this.gate.hasServerLeft
         ? undefined
         : this.gate.lastEndedServer;
-    this.options.ports().links.broadcast({ endedServer, kind: 'load', load });
+    const { links } = this.options.ports();
+    links.broadcast({ endedServer, kind: 'load', load });
+    if (endedServer !== undefined) this.endRead = this.orAfter(links.whenRead());
+  }
+
+  private async orAfter(read: Promise<void>): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const cancel = this.options.schedule(resolve, endReadMilliseconds);
+      void read.then(() => {
+        cancel();
+        resolve();
+      });
+    });
   }
 
   private takeServerMessage(message: ServerMessage): void {
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -114,9 +114,7 @@
     bindHost: host,
     bindPort: port,
     codec: adapter.serverMessages,
-    deliver: (message) => {
-      driver.serverMessage(message);
-    },
+    deliver: (message) => driver.serverMessage(message),
   });
   const readiness = new ReadinessServer(
     settings.readinessAddress.host,
--- a/packages/daemon/src/mesh/server-inbox.ts
+++ b/packages/daemon/src/mesh/server-inbox.ts
@@ -19,15 +19,23 @@
       this.take(message);
       return;
     }
-    if (message.kind !== 'leave') {
-      this.kept.push(message);
-      return;
+    // That a server drains or leaves binds from its confirmation on.
+    switch (message.kind) {
+      case 'report':
+        if (message.report.draining) this.take(message);
+        else this.kept.push(message);
+        return;
+      case 'leave':
+        // What it said before is void.
+        this.kept = this.kept.filter(
+          (earlier) =>
+            earlier.kind !== 'report' || earlier.report.instanceId !== message.instanceId,
+        );
+        this.take(message);
+        return;
+      case 'invalid':
+        this.kept.push(message);
     }
-    // That a server leaves binds from its confirmation on, and what it said before is void.
-    this.kept = this.kept.filter(
-      (earlier) => earlier.kind !== 'report' || earlier.report.instanceId !== message.instanceId,
-    );
-    this.take(message);
   }
 
   /** Takes what was kept, and what comes from now on. */
--- a/packages/daemon/tests/virtual-mesh/virtual-links.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-links.ts
@@ -63,6 +63,23 @@
     }
   }
 
+  /** Settles when the nodes connected to this one have read what it sent before, or are connected no more. */
+  public async whenRead(from: LinkedNode): Promise<void> {
+    const open = [...this.connections.values()].filter(({ ends }) => ends.includes(from));
+    const reads = open.map(
+      (connection) =>
+        new Promise<void>((resolve) => {
+          const check = (): void => {
+            const isCut = this.cuts.has(keyOf(...names(connection)));
+            if (!connection.isOpen || !isCut) resolve();
+            else this.queue.after(wayMilliseconds, check);
+          };
+          this.queue.after(2 * wayMilliseconds, check);
+        }),
+    );
+    await Promise.all(reads);
+  }
+
   /** A process has ended; the other ends of its connections are reset. */
   public ended(node: LinkedNode): void {
     for (const connection of [...this.connections.values()]) {
@@ -118,6 +135,10 @@
   }
 }
 
+function names({ ends: [first, second] }: Connection): [string, string] {
+  return [first.self.name, second.self.name];
+}
+
 function keyOf(first: string, second: string): string {
   return first < second ? `${first} ${second}` : `${second} ${first}`;
 }
--- a/packages/mesh-core/src/gate/server-lifetime.ts
+++ b/packages/mesh-core/src/gate/server-lifetime.ts
@@ -138,8 +138,12 @@
     return startedAt === undefined || endedStart === undefined || startedAt <= endedStart;
   }
 
+  /** Without a start, every lifetime of the identifier has ended; one that is known is kept. */
   private remember(instanceId: string, startedAt: number | undefined): void {
-    this.ended.set(instanceId, startedAt);
+    const known = this.ended.get(instanceId);
+    const newest = Math.max(startedAt ?? -Infinity, known ?? -Infinity);
+    this.ended.delete(instanceId);
+    this.ended.set(instanceId, newest === -Infinity ? undefined : newest);
     if (this.ended.size <= rememberedLifetimes) return;
     const [oldest] = this.ended.keys();
     if (oldest !== undefined) this.ended.delete(oldest);
--- a/packages/mesh-core/tests/gate/server-lifetime.test.ts
+++ b/packages/mesh-core/tests/gate/server-lifetime.test.ts
@@ -115,6 +115,31 @@
   assert.equal(lifetime.lastEnded, { instanceId: 'i-1', startedAt: 1_000 });
 });
 
+// A node that had started again beside a draining server ignored every later lifetime of the same identifier.
+test('a leave after another node told of the end keeps its start, so the next lifetime is used', () => {
+  const lifetime = new ServerLifetime();
+  lifetime.endedBefore({ instanceId: 'i-1', startedAt: 1_000 });
+  lifetime.leave('i-1');
+  assert.is(
+    lifetime.report(report({ instanceId: 'i-1', startedAt: 1_000 }), 0),
+    ReportEffect.Ignored,
+  );
+  assert.is(
+    lifetime.report(report({ instanceId: 'i-1', startedAt: 2_000 }), 0),
+    ReportEffect.Started,
+  );
+});
+
+test('an end that is told late does not bring an earlier start back', () => {
+  const lifetime = new ServerLifetime();
+  lifetime.endedBefore({ instanceId: 'i-1', startedAt: 2_000 });
+  lifetime.endedBefore({ instanceId: 'i-1', startedAt: 1_000 });
+  assert.is(
+    lifetime.report(report({ instanceId: 'i-1', startedAt: 2_000 }), 0),
+    ReportEffect.Ignored,
+  );
+});
+
 test('the leaving of another lifetime closes nothing', () => {
   const lifetime = new ServerLifetime();
   lifetime.report(report(), 0);
--- a/packages/nodes/src/mesh/mesh-link.ts
+++ b/packages/nodes/src/mesh/mesh-link.ts
@@ -32,6 +32,8 @@
   private lastReceivedAt: number;
   private pingedAt: number | undefined;
   private isClosed = false;
+  /** What waits for the answers to the pings in progress, in their order. */
+  private readonly pings: (() => void)[] = [];
   private isCorked = false;
 
   public constructor(
@@ -87,7 +89,13 @@
     const interval = isBusy ? busyPingMilliseconds : idlePingMilliseconds;
     if (now - this.lastReceivedAt < interval) return;
     this.pingedAt = now;
-    this.send({ kind: 'ping' });
+    this.ping(() => undefined);
+  }
+
+  /** Calls back once the other side has read what was sent before, or the connection has ended. */
+  public whenRead(action: () => void): void {
+    if (this.isClosed) action();
+    else this.ping(action);
   }
 
   public close(detail: string, code?: string): void {
@@ -95,6 +103,7 @@
     this.isClosed = true;
     this.socket.destroy();
     this.events.closed(this, detail, code);
+    for (const waiting of this.pings.splice(0)) waiting();
   }
 
   /** Sends what is written and closes the connection. */
@@ -104,6 +113,11 @@
     this.socket.end();
   }
 
+  private ping(answered: () => void): void {
+    this.pings.push(answered);
+    this.send({ kind: 'ping' });
+  }
+
   private receive(chunk: Buffer): void {
     this.lastReceivedAt = this.clock();
     this.pingedAt = undefined;
@@ -131,6 +145,7 @@
         this.send({ kind: 'pong' });
         return;
       case 'pong':
+        this.pings.shift()?.();
         return;
       default:
         if (this.peer === undefined) this.close(`${frame.kind} before hello`);
--- a/packages/nodes/src/mesh/mesh-links.ts
+++ b/packages/nodes/src/mesh/mesh-links.ts
@@ -79,6 +79,17 @@
     for (const link of this.pending) link.send(frame);
   }
 
+  /** Settles once every connected node has read what was broadcast before, or its connection has ended. */
+  public async whenRead(): Promise<void> {
+    const reads = [...this.links.values()].map(
+      (link) =>
+        new Promise<void>((resolve) => {
+          link.whenRead(resolve);
+        }),
+    );
+    await Promise.all(reads);
+  }
+
   public tick(now: number): void {
     for (const link of [...this.pending]) link.tick(now);
     for (const link of [...this.links.values()]) link.tick(now);
--- a/packages/upstreams/src/mesh/report-server.ts
+++ b/packages/upstreams/src/mesh/report-server.ts
@@ -22,8 +22,8 @@
   readonly bindHost: string;
   readonly bindPort: number;
   readonly codec: ServerMessageCodec;
-  /** Called before the answer is sent, so that an answer confirms what was done. */
-  readonly deliver: (message: ServerMessage) => void;
+  /** Waited for before the answer is sent, so that an answer confirms what was done. */
+  readonly deliver: (message: ServerMessage) => Promise<void>;
 }
 
 /** The port on which the server beside the node tells of itself. */
@@ -66,7 +66,7 @@
             request.url ?? '/',
             Buffer.concat(chunks).toString('utf8'),
           );
-    this.options.deliver(message);
+    await this.options.deliver(message);
     const isInvalid = message.kind === 'invalid';
     response.writeHead(isInvalid ? message.status : 200, { 'content-type': 'application/json' });
     response.end(isInvalid ? JSON.stringify({ error: message.message }) : '{}');
