End whatever may come without end: answers, health answers, reports, bodies of callers, first frames

Cause: bytes that are no answer may come until the caller closes. A body above 64 MiB was thrown away but read for ever, and its request's abort did nothing any more; the body of a health answer was neither bounded nor waited for; a report with a slow or endless body was kept for up to 36 s; a caller's body was read for as long as it came; whoever connected to the port between nodes could announce a first frame of 65 MiB.

A health answer counts once it is whole, within a second and 16 KiB. Reports end after 5 s, checked each second. A caller's body is read for as long as its caller waits, then answered 408, as nothing has run. A first frame has 64 KiB at most, a decompressed configuration 16 MiB. Found by the new cases: bytes right behind a whole answer made that answer fail; it stands now, and its connection does not.

Not bounded yet: the sum of callers' bodies, a frame of a node that has named itself, and the settings file.

--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -195,8 +195,12 @@
       this.answer(read, 404, 'no route has this host and path');
       return;
     }
-    const body = await this.readBody(message, routing.limits);
+    const body = await this.readBodyInTime(read, route, routing.limits);
     if (!this.open.has(requestNumber)) return;
+    if (body === 'late') {
+      this.answer(read, 408, 'the body did not come in time');
+      return;
+    }
     if (body === 'too-large') {
       this.answer(read, 413, 'the body is longer than the limit');
       return;
@@ -215,11 +219,9 @@
     body: Uint8Array | undefined,
   ): void {
     const { names } = this.options;
-    const stated = Number(single(message.headers[names.deadline]));
-    const patience = Number.isFinite(stated) && stated > 0 ? stated : route.timeoutMilliseconds;
     this.options.deliver({
       body,
-      callerDeadline: readAt + patience,
+      callerDeadline: readAt + this.patienceOf(message, route),
       headers: endToEndList(message.rawHeaders, names.reserved),
       method: message.method ?? 'GET',
       path: message.url ?? '/',
@@ -230,11 +232,33 @@
     });
   }
 
+  /** Time from the request's head for which its caller waits. */
+  private patienceOf({ headers }: IncomingMessage, route: Route): number {
+    const stated = Number(single(headers[this.options.names.deadline]));
+    return Number.isFinite(stated) && stated > 0 ? stated : route.timeoutMilliseconds;
+  }
+
+  /** A body may come a byte at a time without end; it is read for as long as its caller waits. */
+  private async readBodyInTime(
+    { message, readAt }: ReadRequest,
+    route: Route,
+    limits: CallerLimits,
+  ): Promise<Uint8Array | undefined | 'too-large' | 'cut' | 'late'> {
+    if (!announcesBody(message)) return undefined;
+    const left = readAt + this.patienceOf(message, route) - this.options.clock();
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<'late'>((resolve) => {
+      timer = setTimeout(resolve, left, 'late');
+    });
+    const body = await Promise.race([this.readBody(message, limits), late]);
+    clearTimeout(timer);
+    return body;
+  }
+
   private async readBody(
     request: IncomingMessage,
     { bodyBytes }: CallerLimits,
-  ): Promise<Uint8Array | undefined | 'too-large' | 'cut'> {
-    if (!announcesBody(request)) return undefined;
+  ): Promise<Uint8Array | 'too-large' | 'cut'> {
     if (Number(request.headers['content-length'] ?? 0) > bodyBytes) return 'too-large';
     const collected = await collectBody(request, bodyBytes, bodyBytes);
     switch (collected.kind) {
--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -1,5 +1,6 @@
 import { Agent, request as httpRequest } from 'node:http';
 import type { IncomingHttpHeaders } from 'node:http';
+import { connect } from 'node:net';
 
 import { RouteTable } from '@peridotspring/mesh-core';
 import type { EntryOutcome, EntryRequest } from '@peridotspring/mesh-core';
@@ -193,4 +194,24 @@
   });
 });
 
+test('a body that comes a byte at a time is read for as long as its caller waits, and nothing is passed on', async () => {
+  await withServer(async (bench) => {
+    const socket = connect({ host: '127.0.0.1', port: bench.port });
+    let answer = '';
+    socket.on('data', (chunk: Buffer) => (answer += chunk.toString()));
+    socket.on('error', () => undefined);
+    socket.write(
+      'POST /a/b HTTP/1.1\r\nhost: shop.example\r\nx-deadline: 200\r\ntransfer-encoding: chunked\r\n\r\n',
+    );
+    const timer = setInterval(() => socket.write('1\r\nx\r\n'), 20);
+    const startedAt = performance.now();
+    await new Promise((resolve) => socket.once('close', resolve));
+    clearInterval(timer);
+    assert.ok(answer.startsWith('HTTP/1.1 408 '), answer);
+    assert.ok(performance.now() - startedAt < 2_000);
+    assert.equal(bench.delivered, []);
+    assert.is(bench.server.inProgress, 0);
+  });
+});
+
 test.run();
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -28,6 +28,8 @@
   };
   /** Questions for the server's load and health that the node may ask in a second. */
   readonly probesPerSecond: number;
+  /** Bound on what all answers of the server that are being read hold together. */
+  readonly answerMemoryBytes: number;
   /** Time between the signal to stop and the end of the process by force. */
   readonly graceMilliseconds: number;
   readonly logLevel: LogLevel;
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -260,6 +260,7 @@
   clock: () => number,
 ): ServerClient {
   return new ServerClient({
+    answerMemoryBytes: settings.answerMemoryBytes,
     clock,
     codec: adapter.serverHeaders,
     concluded: (executionId, result) => {
--- a/packages/daemon/tests/settings-watch.test.ts
+++ b/packages/daemon/tests/settings-watch.test.ts
@@ -6,6 +6,7 @@
 
 const address = { host: '10.0.0.1', port: 1 };
 const settings: MeshSettings = {
+  answerMemoryBytes: 1_048_576,
   availabilityZone: 'a',
   callerAddress: address,
   graceMilliseconds: 6_000,
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -437,6 +437,7 @@
 function settingsOf({ availabilityZone, name, region, service }: MeshNode): MeshSettings {
   const address = { host: name, port: 1 };
   return {
+    answerMemoryBytes: 1_048_576,
     availabilityZone,
     callerAddress: address,
     graceMilliseconds,
--- a/packages/nodes/src/length-prefixed.ts
+++ b/packages/nodes/src/length-prefixed.ts
@@ -26,10 +26,15 @@
   private bufferedBytes = 0;
 
   public constructor(
-    private readonly maximumBytes: number,
+    private maximumBytes: number,
     private readonly decode: (bytes: Buffer) => Decoded<Frame>,
   ) {}
 
+  /** Frames that come from now on may have this length. */
+  public allow(maximumBytes: number): void {
+    this.maximumBytes = maximumBytes;
+  }
+
   /** Takes the next bytes of the stream and returns what they complete. */
   public push(chunk: Buffer): Decoded<Frame>[] {
     this.chunks.push(chunk);
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -49,6 +49,10 @@
 
 /** Largest encoded frame in bytes: a body of the largest configured size and its head. */
 const maximumFrameBytes = 68_157_440;
+/** The first frame names a node and a few servers; whoever sent none may be anybody. */
+const maximumHelloBytes = 65_536;
+/** The store holds values of up to 1 MiB; compressed content must not grow without end. */
+const maximumConfigurationBytes = 16_777_216;
 
 /** Field names that frames carry as numbers, in the order of their numbers. New names go to the end. */
 const fieldNames = [
@@ -157,14 +161,19 @@
   if (frame.kind !== 'configuration') return frame;
   return {
     ...frame,
-    content: inflateRawSync(frame.content, { maxOutputLength: maximumFrameBytes }),
+    content: inflateRawSync(frame.content, { maxOutputLength: maximumConfigurationBytes }),
   };
 }
 
 /** Splits the byte stream of a connection between nodes into frames. */
 export class MeshFrameDecoder extends LengthPrefixedDecoder<MeshWireFrame> {
   public constructor() {
-    super(maximumFrameBytes, decodeMeshFrame);
+    super(maximumHelloBytes, decodeMeshFrame);
+  }
+
+  /** The other side has named itself; frames with bodies may follow. */
+  public greeted(): void {
+    this.allow(maximumFrameBytes);
   }
 }
 
--- a/packages/nodes/src/mesh/mesh-link.ts
+++ b/packages/nodes/src/mesh/mesh-link.ts
@@ -139,6 +139,7 @@
           return;
         }
         this.peer = frame.node;
+        this.decoder.greeted();
         this.events.hello(this, frame);
         return;
       case 'ping':
--- a/packages/nodes/tests/mesh-links.test.ts
+++ b/packages/nodes/tests/mesh-links.test.ts
@@ -243,4 +243,34 @@
   assert.is(decoded?.kind, 'fault');
 });
 
+test('who has not named itself can send no more than a first frame', async () => {
+  await withPeers(async (first) => {
+    const socket = connect({ host: '127.0.0.1', port: Number(first.self.address.split(':')[1]) });
+    socket.on('error', () => undefined);
+    socket.resume();
+    const closed = new Promise((resolve) => socket.once('close', resolve));
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(1_048_576);
+    const startedAt = performance.now();
+    socket.write(length);
+    await closed;
+    assert.ok(performance.now() - startedAt < 1_000);
+  });
+});
+
+test('what was sent is known to be read once the other side answered, or its connection has ended', async () => {
+  await withPeers(async (first, second) => {
+    first.links.dial(second.self);
+    await until(
+      () => first.events.includes('connected b') && second.events.includes('connected a'),
+    );
+    first.links.broadcast({ kind: 'version', version: 9 });
+    await first.links.whenRead();
+    assert.equal(second.frames, [{ kind: 'version', version: 9 }]);
+    const read = first.links.whenRead();
+    second.close();
+    await read;
+  });
+});
+
 test.run();
--- a/packages/upstreams/src/answer-collector.ts
+++ b/packages/upstreams/src/answer-collector.ts
@@ -2,6 +2,9 @@
 import { PassThrough } from 'node:stream';
 import type { Readable } from 'node:stream';
 
+/** A body that is thrown away and goes on for longer than this is taken to have no end. */
+const maximumDiscardedBytes = 16_777_216;
+
 /** What became of the beginning of an answer's body. */
 export type CollectedAnswer =
   | { readonly kind: 'whole'; readonly body: Uint8Array }
@@ -14,7 +17,8 @@
 /** Up to which length a body is collected, and what happens to a longer one. */
 export interface CollectionRule {
   readonly limitBytes: number;
-  readonly whenLonger: 'stream' | 'discard';
+  /** A body that is discarded leaves its connection for the next request, if it ends within a bound. */
+  readonly whenLonger: 'stream' | 'discard' | 'close';
 }
 
 /**
@@ -31,6 +35,8 @@
     private readonly rule: CollectionRule,
     private readonly concluded: (answer: CollectedAnswer) => void,
     private readonly ended: (complete: boolean) => void,
+    /** Called for each part of the body that is held from then on. */
+    private readonly grown: () => void = () => undefined,
   ) {}
 
   public start(): void {
@@ -50,6 +56,19 @@
     if (announced > this.rule.limitBytes && !this.hasNoBody()) this.exceed();
   }
 
+  /** Bytes that are held now. */
+  public get heldBytes(): number {
+    return this.isConcluded ? 0 : this.collectedBytes;
+  }
+
+  /** Throws away what was collected and closes the connection. */
+  public giveUp(): void {
+    this.response.off('data', this.onData);
+    this.chunks.length = 0;
+    this.response.destroy();
+    this.conclude({ kind: 'too-long' });
+  }
+
   private readonly onData = (chunk: Buffer): void => {
     this.chunks.push(chunk);
     this.collectedBytes += chunk.length;
@@ -57,6 +76,7 @@
       this.exceed();
       return;
     }
+    this.grown();
     // A short answer has been parsed to its end when its only chunk arrives. 'end' and 'close' follow
     // after the connection's own cleanup, for which the caller need not wait.
     if (this.response.complete && this.response.readableLength === 0) this.concludeWhole();
@@ -71,9 +91,12 @@
 
   private exceed(): void {
     this.response.off('data', this.onData);
+    if (this.rule.whenLonger === 'close') {
+      this.giveUp();
+      return;
+    }
     if (this.rule.whenLonger === 'discard') {
-      this.response.resume();
-      this.conclude({ kind: 'too-long' });
+      this.discard();
       return;
     }
     const body = new PassThrough();
@@ -90,6 +113,16 @@
     this.conclude({ body, kind: 'streamed' });
   }
 
+  private discard(): void {
+    this.chunks.length = 0;
+    this.response.on('data', (chunk: Buffer) => {
+      this.collectedBytes += chunk.length;
+      if (this.collectedBytes > maximumDiscardedBytes) this.response.destroy();
+    });
+    this.response.resume();
+    this.conclude({ kind: 'too-long' });
+  }
+
   private concludeWhole(): void {
     if (!this.isConcluded) this.conclude({ body: Buffer.concat(this.chunks), kind: 'whole' });
   }
--- a/packages/upstreams/src/mesh/readiness-server.ts
+++ b/packages/upstreams/src/mesh/readiness-server.ts
@@ -16,6 +16,11 @@
 
 const notFound: PageContent = { status: 404, text: 'not found\n' };
 
+/** For a question; the platform asks once a second. */
+const requestTimeoutMilliseconds = 5_000;
+/** How often connections are checked for that. */
+const checkMilliseconds = 1_000;
+
 /** Serves the pages by which the platform watches the process. */
 export class ReadinessServer {
   private readonly server: Server;
@@ -25,7 +30,12 @@
     private readonly bindPort: number,
     pages: readonly TextPage[],
   ) {
-    this.server = createServer((request, response) => {
+    const bounds = {
+      connectionsCheckingInterval: checkMilliseconds,
+      headersTimeout: requestTimeoutMilliseconds,
+      requestTimeout: requestTimeoutMilliseconds,
+    };
+    this.server = createServer(bounds, (request, response) => {
       const path = (request.url ?? '/').split('?')[0];
       const page = pages.find((candidate) => candidate.path === path);
       request.resume();
--- a/packages/upstreams/src/mesh/report-server.ts
+++ b/packages/upstreams/src/mesh/report-server.ts
@@ -5,7 +5,10 @@
 import type { ServerReport } from '@peridotspring/mesh-core';
 
 const maximumBodyBytes = 16_384;
+/** For the head and the body of a report; the server gives up after a second. */
 const requestTimeoutMilliseconds = 5_000;
+/** How often connections are checked for that. */
+const checkMilliseconds = 1_000;
 
 /** What a server told, or why it can't be read. */
 export type ServerMessage =
@@ -31,11 +34,15 @@
   private readonly server: Server;
 
   public constructor(private readonly options: ReportServerOptions) {
-    this.server = createServer((request, response) => {
+    const bounds = {
+      connectionsCheckingInterval: checkMilliseconds,
+      headersTimeout: requestTimeoutMilliseconds,
+      requestTimeout: requestTimeoutMilliseconds,
+    };
+    this.server = createServer(bounds, (request, response) => {
       // A request that was cut gets no answer; the server repeats it.
       this.handle(request, response).catch(() => response.destroy());
     });
-    this.server.requestTimeout = requestTimeoutMilliseconds;
   }
 
   public async listen(): Promise<void> {
@@ -51,6 +58,7 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { socket } = request;
     const chunks: Buffer[] = [];
     let bytes = 0;
     for await (const chunk of request) {
@@ -69,6 +77,8 @@
     await this.options.deliver(message);
     const isInvalid = message.kind === 'invalid';
     response.writeHead(isInvalid ? message.status : 200, { 'content-type': 'application/json' });
+    // The rest of a body that is too long may have no end.
+    if (bytes > maximumBodyBytes) response.once('finish', () => socket.destroy());
     response.end(isInvalid ? JSON.stringify({ error: message.message }) : '{}');
   }
 }
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -6,11 +6,14 @@
 import type { Execution, ExecutionResult, HeaderList, ServerLoad } from '@peridotspring/mesh-core';
 
 import { AnswerCollector } from '../answer-collector.js';
+import type { CollectedAnswer } from '../answer-collector.js';
+import { AnswerMemory } from './answer-memory.js';
 import { ServerAgent } from './server-agent.js';
 
-/** Longest answer that is passed on. */
-const maximumAnswerBytes = 67_108_864;
+/** For a health check and the whole of its answer. */
 const healthTimeoutMilliseconds = 1_000;
+/** A health answer tells by its status and its fields; a body of more than this is no health answer. */
+const maximumHealthBytes = 16_384;
 
 /** Names and forms of the header fields between the gate and its server; names in lower case. */
 export interface ServerHeaderCodec {
@@ -37,6 +40,8 @@
 export interface ServerClientOptions {
   readonly host: string;
   readonly port: number;
+  /** Bound on what all answers that are being read hold together, and so on each. */
+  readonly answerMemoryBytes: number;
   readonly codec: ServerHeaderCodec;
   readonly clock: () => number;
   readonly concluded: (executionId: number, result: ExecutionResult) => void;
@@ -50,9 +55,11 @@
   private readonly agent: ServerAgent;
   private readonly requests = new Map<number, ClientRequest>();
   private readonly droppedFields: ReadonlySet<string>;
+  private readonly memory: AnswerMemory;
 
   public constructor(private readonly options: ServerClientOptions) {
     this.agent = new ServerAgent(options.clock);
+    this.memory = new AnswerMemory(options.answerMemoryBytes);
     this.droppedFields = new Set([options.codec.load, options.codec.instanceId]);
   }
 
@@ -99,14 +106,30 @@
   public async health(path: string): Promise<HealthAnswer | undefined> {
     const { codec, host, port } = this.options;
     return new Promise((resolve) => {
+      const rule = { limitBytes: maximumHealthBytes, whenLonger: 'close' } as const;
       const request = httpRequest({ agent: this.agent, host, path, port }, (response) => {
-        response.resume();
-        const load = this.loadOf(response);
-        const instanceId = headerOf(response, codec.instanceId);
-        resolve({ instanceId, isReady: response.statusCode === 200, load });
+        const concluded = ({ kind }: CollectedAnswer): void => {
+          if (kind !== 'whole') {
+            resolve(undefined);
+            return;
+          }
+          const load = this.loadOf(response);
+          const instanceId = headerOf(response, codec.instanceId);
+          resolve({ instanceId, isReady: response.statusCode === 200, load });
+        };
+        new AnswerCollector(response, rule, concluded, () => {
+          clearTimeout(timer);
+        }).start();
       });
-      request.setTimeout(healthTimeoutMilliseconds, () => request.destroy());
-      request.on('error', () => {
+      // Not an idle time: bytes may come without end, and seldom.
+      const timer = setTimeout(() => {
+        resolve(undefined);
+        request.destroy();
+      }, healthTimeoutMilliseconds);
+      // The answer itself concludes; without one, 'close' tells that none comes. An error is followed by it.
+      request.on('error', () => undefined);
+      request.on('close', () => {
+        clearTimeout(timer);
         resolve(undefined);
       });
       request.end();
@@ -135,7 +158,7 @@
   private listen(request: ClientRequest, execution: Execution): void {
     const { executionId } = execution;
     let isConnected = false;
-    let hasResponse = false;
+    let received: IncomingMessage | undefined;
     const conclude = (result: ExecutionResult): void => {
       if (!this.requests.delete(executionId)) return;
       this.options.concluded(executionId, result);
@@ -145,16 +168,21 @@
       else socket.once('connect', () => (isConnected = true));
     });
     request.on('error', (error) => {
+      // Bytes behind a whole answer belong to no request; the answer stands, its connection does not.
+      if (received?.complete === true) {
+        this.agent.distrust();
+        return;
+      }
       const detail = error.message;
       if (isConnected) conclude({ detail, kind: 'failed' });
       else conclude({ detail, kind: 'not-run', reason: DeclineReason.ServerUnreachable });
     });
     request.on('response', (response) => {
-      hasResponse = true;
+      received = response;
       this.receive(request, response, execution, conclude);
     });
     request.on('close', () => {
-      if (!hasResponse) conclude({ detail: 'closed without an answer', kind: 'failed' });
+      if (received === undefined) conclude({ detail: 'closed without an answer', kind: 'failed' });
     });
   }
 
@@ -178,18 +206,23 @@
       const { socket } = response;
       socket.prependOnceListener('end', () => (hasEnd = isStillConnected(socket)));
     }
-    const rule = { limitBytes: maximumAnswerBytes, whenLonger: 'discard' } as const;
-    const collector = new AnswerCollector(
+    const rule = { limitBytes: this.options.answerMemoryBytes, whenLonger: 'close' } as const;
+    const collector: AnswerCollector = new AnswerCollector(
       response,
       rule,
       (answer) => {
+        this.memory.closed(collector);
         if (answer.kind === 'whole' && hasEnd) conclude(this.resultOf(response, answer.body));
         else conclude({ detail: 'the answer was cut or is too long', kind: 'failed' });
       },
       (isComplete) => {
         if (!isComplete) this.agent.distrust();
       },
+      () => {
+        this.memory.grown();
+      },
     );
+    this.memory.opened(collector);
     collector.start();
   }
 
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -21,6 +21,9 @@
   signature: 'x-signature',
 };
 
+/** Small, so that a test reaches it soon. */
+const answerMemoryBytes = 4_194_304;
+
 type Behaviour = (socket: Socket, requestId: string) => void;
 
 /** A server that answers each request with whatever bytes the test says. */
@@ -61,6 +64,7 @@
 
   public constructor(port: number) {
     this.client = new ServerClient({
+      answerMemoryBytes,
       clock: () => performance.now(),
       codec,
       concluded: (executionId, result) => this.waiting.get(executionId)?.(result),
@@ -122,6 +126,31 @@
   }
 }
 
+/** A server that answers whatever it is sent, for health checks. */
+async function withHealth(
+  behaviour: (socket: Socket, requestId: string) => void,
+  run: (client: ServerClient, server: { readonly sockets: Set<Socket> }) => Promise<void>,
+): Promise<void> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    socket.once('data', () => {
+      behaviour(socket, 'h');
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { client } = new Bench((server.address() as AddressInfo).port);
+  try {
+    await run(client, { sockets });
+  } finally {
+    client.close();
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  }
+}
+
 const pause = (milliseconds: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, milliseconds));
 
@@ -277,6 +306,119 @@
 
 // The runtime looked for the name of a TLS server in the host field and tested whether it is an address: two
 // expressions for each request, one of which took 3.6 ms of a new process's processor time to compile.
+/** Writes parts of an answer as fast as they are read, until the connection is closed. */
+function writeForEver(socket: Socket, head: string, part: string): void {
+  socket.write(head);
+  const writeOn = (): void => {
+    if (socket.destroyed) return;
+    if (socket.write(part)) setImmediate(writeOn);
+    else socket.once('drain', writeOn);
+  };
+  writeOn();
+}
+
+const chunk = `4000\r\n${'x'.repeat(16_384)}\r\n`;
+const bytes = 'x'.repeat(16_384);
+
+/** What a server may send without end, by the head and the part that is repeated. */
+const endless: readonly (readonly [string, (id: string) => string, string])[] = [
+  ['a head', () => 'HTTP/1.1 200 Any\r\n', 'x-more: 1\r\n'],
+  ['one line of a head', () => 'HTTP/1.1 200 Any\r\nx-more: ', bytes],
+  ['bytes that are no answer', () => '', bytes],
+  ['a body in chunks', (id) => answer(id, [signed, 'transfer-encoding: chunked'], ''), chunk],
+  ['a body up to the end of the connection', (id) => answer(id, [signed], ''), bytes],
+  [
+    'a body of an absurd length',
+    (id) => answer(id, [signed, 'content-length: 999999999999'], ''),
+    bytes,
+  ],
+  [
+    'an extension of a chunk',
+    (id) => answer(id, [signed, 'transfer-encoding: chunked'], '1;'),
+    bytes,
+  ],
+  ['extra bytes behind an answer', whole, bytes],
+];
+
+for (const [name, head, part] of endless) {
+  test(`${name} without end ends with the connection, for a request and for a health check`, async () => {
+    const behaviour: Behaviour = (socket, id) => {
+      writeForEver(socket, head(id), part);
+    };
+    await withServer(behaviour, async (bench, server) => {
+      const before = process.memoryUsage.rss();
+      const { kind } = await bench.run('r-1');
+      assert.is(kind, head('r-1').endsWith('body') ? 'answered' : 'failed');
+      await pause(200);
+      assert.is(server.sockets.size, 0);
+      assert.ok(process.memoryUsage.rss() - before < 64_000_000);
+    });
+    const health: Behaviour = (socket) => {
+      writeForEver(socket, head('h'), part);
+    };
+    const isAnswer = head('h').endsWith('body');
+    await withHealth(health, async (client, server) => {
+      assert.is((await client.health('/health')) === undefined, !isAnswer);
+      await pause(200);
+      assert.is(server.sockets.size, 0);
+    });
+  });
+}
+
+test('a health answer that comes a byte at a time without end is given up after its time', async () => {
+  const behaviour: Behaviour = (socket) => {
+    socket.write(answer('h', ['content-length: 9999'], ''));
+    const timer = setInterval(() => socket.write('x'), 100);
+    socket.once('close', () => {
+      clearInterval(timer);
+    });
+  };
+  await withHealth(behaviour, async (client, server) => {
+    const startedAt = performance.now();
+    assert.is(await client.health('/health'), undefined);
+    assert.ok(performance.now() - startedAt < 1_500);
+    await pause(50);
+    assert.is(server.sockets.size, 0);
+  });
+});
+
+test('a request whose answer comes a byte at a time is closed by its abort', async () => {
+  const behaviour: Behaviour = (socket, id) => {
+    socket.write(answer(id, [signed, 'content-length: 9999'], ''));
+    const timer = setInterval(() => socket.write('x'), 20);
+    socket.once('close', () => {
+      clearInterval(timer);
+    });
+  };
+  await withServer(behaviour, async (bench, server) => {
+    const result = bench.run('r-1');
+    await pause(100);
+    bench.client.abort(1);
+    assert.is((await result).kind, 'failed');
+    await pause(50);
+    assert.is(server.sockets.size, 0);
+  });
+});
+
+test('endless answers on several connections fail one by one, and ordinary ones beside them are answered', async () => {
+  const behaviour: Behaviour = (socket, id) => {
+    if (id.startsWith('endless')) {
+      writeForEver(socket, answer(id, [signed, 'transfer-encoding: chunked'], ''), chunk);
+    } else socket.write(whole(id));
+  };
+  await withServer(behaviour, async (bench, server) => {
+    const before = process.memoryUsage.rss();
+    const failing = Array.from({ length: 6 }, (_, index) => bench.run(`endless-${index}`));
+    for (let request = 0; request < 20; request += 1) {
+      assert.is((await bench.run(`r-${request}`)).kind, 'answered');
+    }
+    for (const result of await Promise.all(failing)) assert.is(result.kind, 'failed');
+    await pause(200);
+    assert.is(server.sockets.size, 0);
+    assert.ok(process.memoryUsage.rss() - before < 64_000_000);
+  });
+});
+
 test('the host field of a request is not tested for an address', async () => {
   const tested: string[] = [];
   const { isIP } = net;
