--- a/packages/daemon/tests/virtual-mesh.test.ts
+++ b/packages/daemon/tests/virtual-mesh.test.ts
@@ -26,7 +26,8 @@
 }
 
 // A late report reached a node that had started again beside a server that drained: it took the server for ready.
-for (const seed of [39, 59, 95, 133]) {
+// In 2115 the earlier life had ended 1 ms after it confirmed the drain, in 2226 a DELETE wiped what others had told.
+for (const seed of [39, 59, 95, 133, 2_115, 2_226]) {
   test(`seed ${seed} with 8 nodes: a server that an earlier life has shut for is not used again`, async () => {
     const { broken } = await playMesh(seed, { machines: 8 });
     assert.equal(broken, []);
