--- a/scripts/check-specifications.mjs
+++ b/scripts/check-specifications.mjs
@@ -117,6 +117,12 @@
     variant,
     macros: [],
   })),
+  { model: 'store-eras', name: 'two returns, three versions', macros: [] },
+  ...['ERA_IGNORED', 'WATCH_KEPT', 'ENTRY_FORGOTTEN'].map((variant) => ({
+    model: 'store-eras',
+    macros: [],
+    variant,
+  })),
 ];
 
 function run(command, argumentList, folder) {
