--- a/packages/mesh-core/src/gate/concurrency-bound.ts
+++ b/packages/mesh-core/src/gate/concurrency-bound.ts
@@ -30,9 +30,13 @@
     (running > fullSpeedSlots(slots) ? this.above : this.below).add(relativeTime);
   }
 
-  /** Slots for requests of callers. */
-  public limit(slots: number): number {
-    const usable = this.isSlowWhenFull(slots) ? fullSpeedSlots(slots) : slots;
+  /**
+   * Slots for requests of callers. A server that has just started is slow already: until it is known whether it
+   * gets slower when nearly full, that is not tried out while it is cold.
+   */
+  public limit(slots: number, isCold: boolean): number {
+    const isCareful = this.isKnown ? this.isSlowWhenFull(slots) : isCold;
+    const usable = isCareful ? fullSpeedSlots(slots) : slots;
     return Math.max(1, usable - this.foreign);
   }
 
@@ -41,9 +45,13 @@
     return Math.max(1, slots - this.foreign);
   }
 
+  /** Whether enough requests have started below and above the full speed. */
+  private get isKnown(): boolean {
+    return this.above.samples >= neededSamples && this.below.samples >= neededSamples;
+  }
+
   /** Whether all slots together finish less than those up to full speed. */
   private isSlowWhenFull(slots: number): boolean {
-    if (this.above.samples < neededSamples || this.below.samples < neededSamples) return false;
     return (this.above.value / this.below.value) * fullSpeedSlots(slots) > slots;
   }
 }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -133,16 +133,12 @@
   public load(now: number): GateLoad {
     return {
       failureShare: this.failures.share(now),
-      limit: this.bound.limit(this.lifetime.slots),
+      limit: this.limit(now),
       running: this.running,
       serviceMilliseconds: this.work.mean,
       slowdown: this.speed.state(now) === SpeedState.Slow ? this.speed.current : 1,
       state: this.state,
-      waitMilliseconds: this.waitFor(
-        this.queue.size + 1,
-        this.bound.limit(this.lifetime.slots),
-        now,
-      ),
+      waitMilliseconds: this.waitFor(this.queue.size + 1, this.limit(now), now),
       waiting: this.queue.size,
     };
   }
@@ -307,6 +303,10 @@
     return call.isTrial ? undefined : DeclineReason.DeadlineTooShort;
   }
 
+  private limit(now: number): number {
+    return this.bound.limit(this.lifetime.slots, this.lifetime.isCold(now));
+  }
+
   private isIdleSince(milliseconds: number, now: number): boolean {
     return this.inProgress === 0 && now - this.activeAt > milliseconds;
   }
@@ -405,7 +405,7 @@
    * take no more than half of the slots: their parents may be less urgent than those who wait.
    */
   private get areNestedFirst(): boolean {
-    return this.nestedRunning * 2 < this.bound.limit(this.lifetime.slots);
+    return this.nestedRunning * 2 < this.limit(now);
   }
 
   private startWaiting(now: number): void {
