Leave the last slots of a cold server free until it is known what they cost

Change: while the server is cold and it is not known whether it slows down when nearly full, a gate uses the slots up to full speed.

--- a/packages/mesh-core/src/gate/concurrency-bound.ts
+++ b/packages/mesh-core/src/gate/concurrency-bound.ts
@@ -14,6 +14,7 @@
  */
 export class ConcurrencyBound {
   private foreign = 0;
+  private isCold = false;
   private readonly below = new DecayingMean(1, sampleWeight);
   private readonly above = new DecayingMean(1, sampleWeight);
 
@@ -30,12 +31,17 @@
     (running > fullSpeedSlots(slots) ? this.above : this.below).add(relativeTime);
   }
 
+  /** Whether the server has just started and is slow for that reason. */
+  public setCold(isCold: boolean): void {
+    this.isCold = isCold;
+  }
+
   /**
-   * Slots for requests of callers. A server that has just started is slow already: until it is known whether it
-   * gets slower when nearly full, that is not tried out while it is cold.
+   * Slots for requests of callers. A cold server is slow already: until it is known whether it gets slower when
+   * nearly full, that is not tried out.
    */
-  public limit(slots: number, isCold: boolean): number {
-    const isCareful = this.isKnown ? this.isSlowWhenFull(slots) : isCold;
+  public limit(slots: number): number {
+    const isCareful = this.isKnown ? this.isSlowWhenFull(slots) : this.isCold;
     const usable = isCareful ? fullSpeedSlots(slots) : slots;
     return Math.max(1, usable - this.foreign);
   }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -133,12 +133,16 @@
   public load(now: number): GateLoad {
     return {
       failureShare: this.failures.share(now),
-      limit: this.limit(now),
+      limit: this.bound.limit(this.lifetime.slots),
       running: this.running,
       serviceMilliseconds: this.work.mean,
       slowdown: this.speed.state(now) === SpeedState.Slow ? this.speed.current : 1,
       state: this.state,
-      waitMilliseconds: this.waitFor(this.queue.size + 1, this.limit(now), now),
+      waitMilliseconds: this.waitFor(
+        this.queue.size + 1,
+        this.bound.limit(this.lifetime.slots),
+        now,
+      ),
       waiting: this.queue.size,
     };
   }
@@ -208,7 +212,9 @@
   }
 
   public report(report: ServerReport, now: number): void {
-    this.applyEffect(this.lifetime.report(report, now), report.instanceId, now);
+    const effect = this.lifetime.report(report, now);
+    this.bound.setCold(this.lifetime.isCold(now));
+    this.applyEffect(effect, report.instanceId, now);
   }
 
   /** A health check was answered; `instanceId` is who answered. */
@@ -254,6 +260,7 @@
   }
 
   public tick(now: number): void {
+    this.bound.setCold(this.lifetime.isCold(now));
     for (const waiting of [...this.queue.values()]) {
       const call = this.calls.execution(waiting.executionId);
       if (call === undefined) continue;
@@ -303,10 +310,6 @@
     return call.isTrial ? undefined : DeclineReason.DeadlineTooShort;
   }
 
-  private limit(now: number): number {
-    return this.bound.limit(this.lifetime.slots, this.lifetime.isCold(now));
-  }
-
   private isIdleSince(milliseconds: number, now: number): boolean {
     return this.inProgress === 0 && now - this.activeAt > milliseconds;
   }
@@ -405,7 +408,7 @@
    * take no more than half of the slots: their parents may be less urgent than those who wait.
    */
   private get areNestedFirst(): boolean {
-    return this.nestedRunning * 2 < this.limit(now);
+    return this.nestedRunning * 2 < this.bound.limit(this.lifetime.slots);
   }
 
   private startWaiting(now: number): void {
--- a/packages/mesh-core/tests/gate/concurrency-bound.test.ts
+++ b/packages/mesh-core/tests/gate/concurrency-bound.test.ts
@@ -21,29 +21,32 @@
         bound.answered(slots, running, running > slots * 0.8 ? ratio : 1);
       }
     }
-    assert.is(bound.limit(slots, false), limit);
+    assert.is(bound.limit(slots), limit);
   });
 }
 
 test('slots that an earlier life of the gate still uses are left free', () => {
   const bound = new ConcurrencyBound();
   bound.reported(5, 2);
-  assert.is(bound.limit(6, false), 3);
+  assert.is(bound.limit(6), 3);
   bound.reported(2, 2);
-  assert.is(bound.limit(6, false), 6);
+  assert.is(bound.limit(6), 6);
   bound.reported(40, 0);
-  assert.is(bound.limit(6, false), 1);
+  assert.is(bound.limit(6), 1);
 });
 
 // After the restart of all machines, gates ran cold servers with all slots: 7 of 246 requests were in time.
 test('what a cold server does when it is nearly full is not tried out', () => {
   const bound = new ConcurrencyBound();
-  assert.is(bound.limit(9, true), 7);
-  assert.is(bound.limit(9, false), 9);
+  bound.setCold(true);
+  assert.is(bound.limit(9), 7);
+  bound.setCold(false);
+  assert.is(bound.limit(9), 9);
   for (let running = 1; running <= 9; running += 1) {
     for (let round = 0; round < 20; round += 1) bound.answered(9, running, 1);
   }
-  assert.is(bound.limit(9, true), 9);
+  bound.setCold(true);
+  assert.is(bound.limit(9), 9);
 });
 
 test.run();
