One copy of the time bounds of the servers on this machine's own ports

Found by reading the whole change: the report and the readiness server had the same constants and options twice.

--- a/packages/upstreams/src/mesh/readiness-server.ts
+++ b/packages/upstreams/src/mesh/readiness-server.ts
@@ -2,6 +2,8 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 
+import { requestBounds } from './request-bounds.js';
+
 export interface PageContent {
   readonly status: number;
   readonly text: string;
@@ -16,11 +18,6 @@
 
 const notFound: PageContent = { status: 404, text: 'not found\n' };
 
-/** For a question; the platform asks once a second. */
-const requestTimeoutMilliseconds = 5_000;
-/** How often connections are checked for that. */
-const checkMilliseconds = 1_000;
-
 /** Serves the pages by which the platform watches the process. */
 export class ReadinessServer {
   private readonly server: Server;
@@ -30,12 +27,7 @@
     private readonly bindPort: number,
     pages: readonly TextPage[],
   ) {
-    const bounds = {
-      connectionsCheckingInterval: checkMilliseconds,
-      headersTimeout: requestTimeoutMilliseconds,
-      requestTimeout: requestTimeoutMilliseconds,
-    };
-    this.server = createServer(bounds, (request, response) => {
+    this.server = createServer(requestBounds, (request, response) => {
       const path = (request.url ?? '/').split('?')[0];
       const page = pages.find((candidate) => candidate.path === path);
       request.resume();
--- a/packages/upstreams/src/mesh/report-server.ts
+++ b/packages/upstreams/src/mesh/report-server.ts
@@ -4,11 +4,9 @@
 
 import type { ServerReport } from '@peridotspring/mesh-core';
 
+import { requestBounds } from './request-bounds.js';
+
 const maximumBodyBytes = 16_384;
-/** For the head and the body of a report; the server gives up after a second. */
-const requestTimeoutMilliseconds = 5_000;
-/** How often connections are checked for that. */
-const checkMilliseconds = 1_000;
 
 /** What a server told, or why it can't be read. */
 export type ServerMessage =
@@ -34,12 +32,7 @@
   private readonly server: Server;
 
   public constructor(private readonly options: ReportServerOptions) {
-    const bounds = {
-      connectionsCheckingInterval: checkMilliseconds,
-      headersTimeout: requestTimeoutMilliseconds,
-      requestTimeout: requestTimeoutMilliseconds,
-    };
-    this.server = createServer(bounds, (request, response) => {
+    this.server = createServer(requestBounds, (request, response) => {
       // A request that was cut gets no answer; the server repeats it.
       this.handle(request, response).catch(() => response.destroy());
     });
