--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -6,6 +6,7 @@
   ConfigurationOlder: 'configuration-older',
   ConfigurationWatch: 'configuration-watch',
   DialFailed: 'dial-failed',
+  EvacuationsChanged: 'evacuations-changed',
   HealthChecked: 'server-health-checked',
   LinesSuppressed: 'log-lines-suppressed',
   NodeConnected: 'node-connected',
--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -7,11 +7,13 @@
   readonly gate_concurrency_limit: number;
   readonly gate_running: number;
   readonly gate_waiting: number;
+  readonly evacuated_zones: number;
   readonly nodes_connected: number;
   readonly nodes_gone: number;
   readonly nodes_known: number;
   readonly nodes_wanted: number;
   readonly requests_in_progress: number;
+  readonly server_cold: number;
   readonly server_failure_share: number;
   readonly server_probes_allowed_per_second: number;
   readonly server_service_milliseconds: number;
@@ -31,11 +33,13 @@
   gate_concurrency_limit: 'Maximum number of requests that the gate runs concurrently.',
   gate_running: 'Requests that the server is running.',
   gate_waiting: 'Requests in the queue of the gate.',
+  evacuated_zones: 'Availability zones that the operator has evacuated.',
   nodes_connected: 'Peers that this node is connected to.',
   nodes_gone: 'Peers that were connected and are not connected now.',
   nodes_known: "Peers in this node's directory.",
   nodes_wanted: 'Peers that this node aims to be connected to; further peers may connect to it.',
   requests_in_progress: 'Requests of callers that have not been answered yet.',
+  server_cold: 'Whether the server is cold or may be, so that its request rate is limited: 1 or 0.',
   server_failure_share: 'Recent share of requests that failed at the server, 0 to 1.',
   server_probes_allowed_per_second: 'Maximum number of load probes sent to the server per second.',
   server_service_milliseconds: 'Recent mean duration of a request at the server.',
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -28,10 +28,13 @@
 import type { MeshHelloPayload, MeshHelloFrame, MeshConnections } from '@peridotspring/nodes';
 import type { HealthCheckResult, ServerMessage } from '@peridotspring/upstreams/mesh';
 
+import type { EvacuationRead } from '@peridotspring/platform/key-values';
+
 import { ConfigurationSynchronizer } from './configuration-synchronizer.js';
 import type { ConfigurationPorts } from './configuration-synchronizer.js';
 import { DirectorySynchronizer } from './directory-synchronizer.js';
 import type { DirectoryStore } from './directory-synchronizer.js';
+import { EvacuationSynchronizer } from './evacuation-synchronizer.js';
 import type { EventRecorder } from './event-recorder.js';
 import { MeshEvent } from './mesh-event.js';
 import type { MeshSettings } from './mesh-settings.js';
@@ -87,6 +90,8 @@
   readonly self: MeshNode;
   readonly random: RandomSource;
   readonly clock: () => number;
+  /** Start of the process, on the clock. */
+  readonly processStartedAt: number;
   readonly events: EventRecorder;
   readonly ports: () => MeshNodePorts;
   /** Runs the action once after the delay; the returned function cancels it. */
@@ -101,6 +106,7 @@
   public readonly directory: NodeDirectory;
   private readonly directorySynchronizer: DirectorySynchronizer;
   private readonly configuration: ConfigurationSynchronizer;
+  private readonly evacuations: EvacuationSynchronizer;
   private readonly gateTable = new GateTable();
   private readonly trafficSplit: TrafficSplit;
   private readonly retryBudget: RetryBudget;
@@ -115,6 +121,7 @@
   private cancelTick: (() => void) | undefined;
   private shutdown: GracefulShutdown | undefined;
   private healthCheckDueAt: number;
+  private coldStartTolerance: MeshSettings['coldStartTolerance'];
   private maintenanceDueAt = 0;
   private announcementDueAt = 0;
   private isClosed = false;
@@ -122,6 +129,7 @@
   public constructor(private readonly options: MeshNodeOptions) {
     const { clock, random, self, settings } = options;
     this.startedAt = clock();
+    this.coldStartTolerance = settings.coldStartTolerance;
     this.healthCheckDueAt = this.startedAt + firstReportTimeoutMilliseconds;
     const log = (event: string, fields: LogFields): void => {
       options.events.record(event, fields);
@@ -147,6 +155,15 @@
       ports: options.ports,
       self,
     });
+    this.evacuations = new EvacuationSynchronizer({
+      configurationVersion: () => this.configuration.version,
+      connections: () => options.ports().connections,
+      log,
+      onChange: (availabilityZones, now) => {
+        this.gateTable.setEvacuatedZones(availabilityZones);
+        this.gate.setEvacuated(availabilityZones.includes(self.availabilityZone), now);
+      },
+    });
     this.trafficSplit = new TrafficSplit(random);
     this.retryBudget = new RetryBudget(settings.repeats);
     this.gate = new ServerGate({
@@ -171,6 +188,8 @@
         },
       },
       probesPerSecond: settings.probesPerSecond,
+      processStartedAt: options.processStartedAt,
+      reportIntervalMilliseconds: settings.reportIntervalMilliseconds,
       service: self.service,
     });
     this.forwarder = new RequestForwarder({
@@ -220,6 +239,7 @@
     return {
       configuration_age_seconds: this.configuration.ageMilliseconds(now) / millisecondsPerSecond,
       configuration_version: this.configuration.version,
+      evacuated_zones: this.evacuations.names.length,
       gate_concurrency_limit: load.limit,
       gate_running: load.running,
       gate_waiting: load.waiting,
@@ -228,6 +248,7 @@
       nodes_known: this.directory.nodeCount - 1,
       nodes_wanted: this.directory.wantedConnectionCount,
       requests_in_progress: this.forwarder.inProgressCount,
+      server_cold: this.gate.isCold(now) ? 1 : 0,
       server_failure_share: load.failureShare,
       server_probes_allowed_per_second: this.gate.probesPerSecond,
       server_service_milliseconds: load.serviceMilliseconds,
@@ -250,6 +271,7 @@
     return {
       configurationVersion: this.configuration.version,
       endedServers: this.endedServers.listRecent(this.options.clock()),
+      evacuations: this.evacuations.snapshot,
       knownNodes: this.directory.nodeCount - 1,
       load: this.gate.load(this.options.clock()),
       reachesStore: this.configuration.reachesStore,
@@ -267,9 +289,11 @@
   }
 
   /** Applies new limits at once. Addresses and names cannot change while the process runs. */
-  public applySettings({ probesPerSecond, repeats }: MeshSettings): void {
-    this.retryBudget.configure(repeats);
-    this.gate.setProbesPerSecond(probesPerSecond);
+  public applySettings(settings: MeshSettings): void {
+    this.retryBudget.configure(settings.repeats);
+    this.gate.setProbesPerSecond(settings.probesPerSecond);
+    this.coldStartTolerance = settings.coldStartTolerance;
+    this.configureColdStart();
   }
 
   public onCallerRequest(request: EntryRequest): void {
@@ -314,6 +338,11 @@
     this.configuration.onContentReceived(content, 'store');
   }
 
+  /** Evacuations of zones were read from the store. */
+  public onEvacuationsRead(read: EvacuationRead, storeEra: number | undefined): void {
+    this.evacuations.onStoreRead(read, storeEra, this.options.clock());
+  }
+
   /** The store became reachable or unreachable. */
   public onStoreReachabilityChanged(isReachable: boolean): void {
     this.configuration.onStoreReachabilityChanged(isReachable);
@@ -336,6 +365,7 @@
     const { knownNodes, load, node } = hello;
     const now = this.options.clock();
     this.log(MeshEvent.NodeConnected, { boot: node.boot, peer: node.name });
+    this.evacuations.onPeerSnapshot(hello.evacuations, node.name, now);
     this.directory.onConnected(node, now);
     this.recordEndedServers(hello, now);
     this.gateTable.onConnected(node, load, now);
@@ -395,6 +425,7 @@
       case 'version':
         this.configuration.onPeerVersion(from, frame.version);
         this.configuration.onPeerEra(frame.storeEra);
+        this.evacuations.onPeerSnapshot(frame.evacuations, from.name, now);
         return;
       case 'store-reach':
         this.configuration.onPeerStoreReachability(from.name, frame.reachesStore);
@@ -426,9 +457,23 @@
     this.trafficSplit.retain(routeNames);
     this.forwarder.onConfigurationChange(routeNames, version);
     this.gate.onRoutesChanged(routeNames);
+    this.configureColdStart();
     this.options.ports().callers.configure(limits);
   }
 
+  /** Limits the requests to the server while it is cold, if the operator declares what its service bears. */
+  private configureColdStart(): void {
+    const { configuration } = this.configuration.inForce ?? {};
+    const coldStart = configuration?.services.get(this.options.self.service)?.coldStart;
+    const { ratio, slack } = this.coldStartTolerance;
+    this.gate.configureColdStart(
+      coldStart && {
+        durationMilliseconds: coldStart.durationMilliseconds,
+        maximumRequests: Math.max(1, Math.floor(coldStart.requestsPerSecond * ratio + slack)),
+      },
+    );
+  }
+
   /** Sends the current load to the nodes that send requests to this gate. Called after each event that changes it. */
   private announceLoad(now: number): void {
     if (now < this.announcementDueAt) return;
@@ -544,6 +589,7 @@
     this.directorySynchronizer.tick(now);
     this.retryBudget.setNodeCount(this.directory.nodeCount);
     this.configuration.tick(now);
+    this.evacuations.tick(now);
     this.releaseServerMessages(now);
     this.checkHealth(now);
   }
@@ -557,12 +603,13 @@
   private checkHealth(now: number): void {
     if (this.gate.hasServer || now < this.healthCheckDueAt || this.healthPath === undefined) return;
     this.healthCheckDueAt = Infinity;
+    const sentAt = now;
     void this.options
       .ports()
       .server.health(this.healthPath)
       .then((answer) => {
         this.healthCheckDueAt = this.options.clock() + healthRetryDelayMilliseconds;
-        this.onHealthAnswer(answer);
+        this.onHealthAnswer(answer, sentAt);
       });
   }
 
@@ -576,13 +623,15 @@
   private async probe(): Promise<void> {
     this.options.events.count('server_probes');
     const path = this.healthPath;
+    const sentAt = this.options.clock();
     const answer = path === undefined ? undefined : await this.options.ports().server.health(path);
     const now = this.options.clock();
+    if (answer !== undefined) this.gate.onColdTimeChecked(sentAt, answer.coldMilliseconds, now);
     if (answer?.load !== undefined) this.gate.onServerLoad(answer.load, now);
     this.gate.onProbeFinished(now);
   }
 
-  private onHealthAnswer(answer: HealthCheckResult | undefined): void {
+  private onHealthAnswer(answer: HealthCheckResult | undefined, sentAt: number): void {
     this.log(MeshEvent.HealthChecked, {
       instance: answer?.instanceId ?? 'unknown',
       ready: answer?.isReady ?? false,
@@ -590,6 +639,7 @@
     if (answer?.instanceId === undefined || !answer.isReady || answer.load === undefined) return;
     const now = this.options.clock();
     this.gate.onHealthCheckPassed(answer.instanceId, answer.load.slots, now);
+    this.gate.onColdTimeChecked(sentAt, answer.coldMilliseconds, now);
     this.gate.onServerLoad(answer.load, now);
   }
 
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -11,6 +11,8 @@
   readonly nodeName: string;
   readonly availabilityZone: string;
   readonly region: string;
+  /** All regions of the deployment. */
+  readonly knownRegions: readonly string[];
   /** The service of the server beside the node. */
   readonly service: string;
   readonly serverAddress: HostAndPort;
@@ -26,6 +28,16 @@
     readonly slack: number;
     readonly windowMilliseconds: number;
   };
+  /**
+   * How far beyond the rate that a service declares its cold servers may be used: `ratio` times the rate plus `slack`
+   * requests in any second.
+   */
+  readonly coldStartTolerance: {
+    readonly ratio: number;
+    readonly slack: number;
+  };
+  /** Interval at which the server reports its state. */
+  readonly reportIntervalMilliseconds: number;
   /** Maximum number of load and health probes that the node sends to the server per second. */
   readonly probesPerSecond: number;
   /** Maximum total size of the server's answers that are being read. */
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -57,6 +57,8 @@
     },
     events,
     ports: () => ports,
+    // The clock of the process starts at 0 with it.
+    processStartedAt: 0,
     random,
     schedule: (action, milliseconds) => {
       const timer = setTimeout(action, milliseconds);
@@ -317,6 +319,9 @@
     onConfigurationRead: (content) => {
       driver.onConfigurationRead(content);
     },
+    onEvacuationsRead: (read, era) => {
+      driver.onEvacuationsRead(read, era);
+    },
     directoryPrefix,
     onDirectoryRead: () => {
       driver.onDirectoryRead();
--- a/packages/daemon/tests/virtual-mesh.test.ts
+++ b/packages/daemon/tests/virtual-mesh.test.ts
@@ -63,4 +63,21 @@
   });
 }
 
+// Servers bear few requests after their start, zones are evacuated, and nodes beside cold servers are killed repeatedly.
+for (const [seed, machines] of [
+  [1, 5],
+  [2, 5],
+  [3, 8],
+  [4, 8],
+] as const) {
+  test(`seed ${seed} with ${machines} nodes: cold servers and evacuated zones are spared`, async () => {
+    const { answered, violations, requests } = await simulateMesh(seed, {
+      machines,
+      startsCold: true,
+    });
+    assert.equal(violations, []);
+    assert.ok(answered > requests / 4, `${answered} of ${requests} requests were answered`);
+  });
+}
+
 test.run();
--- a/packages/daemon/tests/virtual-mesh/main.ts
+++ b/packages/daemon/tests/virtual-mesh/main.ts
@@ -1,14 +1,19 @@
 import { simulateMesh } from './simulate-mesh.js';
 
-/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store]. */
-const [first = 1, count = 1_000, zones = 2, machines = 5, restores = 0] = process.argv
+/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store] [1: cold servers]. */
+const [first = 1, count = 1_000, zones = 2, machines = 5, restores = 0, cold = 0] = process.argv
   .slice(2)
   .map(Number);
 let failed = 0;
 let requests = 0;
 let answered = 0;
 for (let seed = first; seed < first + count; seed += 1) {
-  const result = await simulateMesh(seed, { machines, restoresStore: restores > 0, zones });
+  const result = await simulateMesh(seed, {
+    machines,
+    restoresStore: restores > 0,
+    startsCold: cold > 0,
+    zones,
+  });
   requests += result.requests;
   answered += result.answered;
   if (result.violations.length === 0) continue;
--- a/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
@@ -1,6 +1,6 @@
 import { pickRandom, SeededRandomSource } from '@peridotspring/core';
 
-import { retryBudget, timeoutMilliseconds, VirtualMesh } from './virtual-mesh.js';
+import { coldStart, retryBudget, timeoutMilliseconds, VirtualMesh } from './virtual-mesh.js';
 import type { VirtualRequest } from './virtual-mesh.js';
 import type { Run } from './virtual-server.js';
 
@@ -148,12 +148,44 @@
   ],
 ];
 
+/** Time after the start of an evacuation by which no request may reach a server of the zone. */
+const evacuationBoundMilliseconds = 1_500;
+
+/** Additional faults if servers start cold. */
+const coldServerFaults: readonly (readonly [string, InjectFault])[] = [
+  [
+    'evacuate a zone',
+    (mesh, random) => {
+      const { availabilityZone } = mesh.pickMachine();
+      mesh.evacuate(availabilityZone, true);
+      mesh.queue.after(500 + 2_500 * random.next(), () => {
+        mesh.evacuate(availabilityZone, false);
+      });
+    },
+  ],
+  [
+    'kill a node beside a cold server several times',
+    (mesh, random) => {
+      const machine = mesh.pickMachine();
+      machine.server.restart(random.next() < 0.5);
+      for (const after of [150, 400, 700]) {
+        mesh.queue.after(after, () => {
+          mesh.kill(machine);
+          mesh.start(machine);
+        });
+      }
+    },
+  ],
+];
+
 export interface SimulationOptions {
   /** Availability zones. With one zone most nodes receive configurations from two others, with two zones from four. */
   readonly zones?: number;
   readonly machines?: number;
   /** Whether the store is occasionally restored from a backup. */
   readonly restoresStore?: boolean;
+  /** Whether servers are cold after their start, and zones are evacuated. */
+  readonly startsCold?: boolean;
 }
 
 export interface SimulationResult {
@@ -166,14 +198,20 @@
 /** Simulates one seed: requests and faults at the same time, then no faults, so that the mesh must recover. */
 export async function simulateMesh(
   seed: number,
-  { machines = fullyConnectedFleetSize, restoresStore = false, zones = 2 }: SimulationOptions = {},
+  {
+    machines = fullyConnectedFleetSize,
+    restoresStore = false,
+    startsCold = false,
+    zones = 2,
+  }: SimulationOptions = {},
 ): Promise<SimulationResult> {
   const random = new SeededRandomSource(seed);
-  const mesh = new VirtualMesh(machines, random, zones);
+  const mesh = new VirtualMesh(machines, random, zones, startsCold);
   const injectedFaults: string[] = [];
   const possibleFaults = [
     ...faults,
     ...(machines > fullyConnectedFleetSize ? largeFleetFaults : []),
+    ...(startsCold ? [...coldServerFaults, ...coldServerFaults] : []),
     ...(restoresStore ? [...storeRestoreFaults, ...storeRestoreFaults] : []),
   ];
   const { queue } = mesh;
@@ -242,10 +280,42 @@
       }
     }
   }
+  violations.push(...coldServerViolations(mesh), ...evacuationViolations(mesh));
   violations.push(...retryBudgetViolations(mesh, runsByRequest), ...mesh.versionRegressions);
   return violations;
 }
 
+/** Checks the requests that each cold server received in any second. */
+function coldServerViolations(mesh: VirtualMesh): readonly string[] {
+  const violations: string[] = [];
+  for (const { server } of mesh.machines) {
+    const coldRuns = server.runs.filter(({ isCold }) => isCold);
+    for (const { at: from, incarnation } of coldRuns) {
+      const count = coldRuns.filter(
+        (run) => run.incarnation === incarnation && run.at >= from && run.at < from + 1_000,
+      ).length;
+      if (count <= coldStart.maximumRequests) continue;
+      violations.push(`${incarnation}: cold, ${count} requests from ${Math.round(from)} on`);
+      break;
+    }
+  }
+  return violations;
+}
+
+function evacuationViolations(mesh: VirtualMesh): readonly string[] {
+  const violations: string[] = [];
+  for (const { availabilityZone, endedAt, startedAt } of mesh.evacuations) {
+    for (const { availabilityZone: zone, name, server } of mesh.machines) {
+      if (zone !== availabilityZone) continue;
+      const late = server.runs.filter(
+        ({ at }) => at > startedAt + evacuationBoundMilliseconds && at < endedAt,
+      ).length;
+      if (late > 0) violations.push(`${name}: ${late} requests in the evacuated zone ${zone}`);
+    }
+  }
+  return violations;
+}
+
 function requestViolations(
   mesh: VirtualMesh,
   request: VirtualRequest,
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -18,6 +18,8 @@
 export const timeoutMilliseconds = 1_000;
 export const targetMilliseconds = 300;
 const slots = 4;
+/** What a cold server bears in any second, if servers start cold. */
+export const coldStart = { durationMilliseconds: 1_500, maximumRequests: 6 } as const;
 const maximumStartDelayMilliseconds = 30;
 /** Share of reads of the store that return an outdated answer. */
 const staleReadShare = 0.2;
@@ -52,6 +54,13 @@
   era: number | undefined;
 }
 
+/** An evacuation of a zone; `endedAt` is infinite while it lasts. */
+export interface Evacuation {
+  readonly availabilityZone: string;
+  readonly startedAt: number;
+  endedAt: number;
+}
+
 /** The content of the store since a point in time. */
 interface StoreSnapshot {
   readonly since: number;
@@ -73,6 +82,10 @@
   private readonly snapshots: StoreSnapshot[] = [];
   private lastBoot = 0;
   private readonly lastVersions = new Map<LinkedNode, number>();
+  /** Evacuated zones with the revision at which each was evacuated, as the store holds them. */
+  private readonly evacuatedZones = new Map<string, number>();
+  private revision = 1;
+  public readonly evacuations: Evacuation[] = [];
   /** Descriptions of cases in which a node's configuration version decreased. */
   public readonly versionRegressions: string[] = [];
 
@@ -80,6 +93,7 @@
     size: number,
     private readonly random: SeededRandomSource,
     private readonly zones = 2,
+    private readonly startsCold = false,
   ) {
     this.links = new VirtualLinks(this.queue, (name) => this.findMachine(name)?.node);
     for (let index = 0; index < size; index += 1) this.addMachine(index);
@@ -109,6 +123,24 @@
     });
   }
 
+  /** Evacuates a zone, or ends its evacuation, and lets nodes that watch the store read it after a delay. */
+  public evacuate(availabilityZone: string, isEvacuated: boolean): void {
+    this.revision += 1;
+    if (isEvacuated) {
+      this.evacuatedZones.set(availabilityZone, this.revision);
+      this.evacuations.push({ availabilityZone, endedAt: Infinity, startedAt: this.queue.now });
+    } else if (this.evacuatedZones.delete(availabilityZone)) {
+      for (const evacuation of this.evacuations)
+        if (evacuation.availabilityZone === availabilityZone)
+          evacuation.endedAt = Math.min(evacuation.endedAt, this.queue.now);
+      for (const { availabilityZone: zone, server } of this.machines)
+        if (zone === availabilityZone) server.turnCold();
+    }
+    for (const machine of this.machines) {
+      if (machine.isWatchingConfiguration) this.scheduleStoreRead(machine);
+    }
+  }
+
   /** Nodes that reach the store but have no entry in it. */
   public get missingEntries(): readonly string[] {
     const reachingMachines = this.machines.filter(({ hasLostStore }) => !hasLostStore);
@@ -268,6 +300,7 @@
         onLoad: (load) => {
           machine.node?.driver.onServerLoad(load);
         },
+        coldMilliseconds: this.startsCold ? coldStart.durationMilliseconds : 0,
         name,
         queue: this.queue,
         random: this.random,
@@ -287,7 +320,10 @@
     const driver: MeshNodeDriver = new MeshNodeDriver({
       clock,
       decodeConfiguration: (content) => ({
-        configuration: createMeshConfiguration(Number(Buffer.from(content).toString())),
+        configuration: createMeshConfiguration(
+          Number(Buffer.from(content).toString()),
+          this.startsCold,
+        ),
         kind: 'configuration',
       }),
       defer: (action) => {
@@ -300,6 +336,7 @@
         write: () => undefined,
       }),
       ports: () => ports,
+      processStartedAt: this.queue.now,
       random: this.random,
       schedule: (action, milliseconds) => this.queue.after(milliseconds, action),
       self,
@@ -377,6 +414,17 @@
     node.driver.onStoreEraObserved(this.era, isRestored);
   }
 
+  private reportEvacuations(node: LinkedNode): void {
+    const zones = [...this.evacuatedZones].map(([availabilityZone, revision]) => ({
+      availabilityZone,
+      revision,
+    }));
+    node.driver.onEvacuationsRead(
+      { endedZones: [], isComplete: true, revision: this.revision, zones },
+      this.era,
+    );
+  }
+
   /**
    * After a delay, the node reads the configuration and the directory from the store, and other nodes observe its
    * directory entry.
@@ -404,6 +452,7 @@
       const isStale = this.random.next() < staleReadShare;
       const version = Math.max(1, isStale ? this.storedVersion - 1 : this.storedVersion);
       node.driver.onConfigurationRead(Buffer.from(String(version)));
+      this.reportEvacuations(node);
       if (isStale) this.scheduleStoreRead(machine);
     });
   }
@@ -420,7 +469,7 @@
   return [Math.floor(encoded / executionsPerBoot), encoded % executionsPerBoot];
 }
 
-function createMeshConfiguration(version: number): RouteConfiguration {
+function createMeshConfiguration(version: number, startsCold: boolean): RouteConfiguration {
   const routeOf = (name: string, idempotent: boolean): Route =>
     createRoute({
       host: 'shop',
@@ -432,7 +481,22 @@
     });
   return createConfiguration({
     routes: [routeOf('safe', true), routeOf('unsafe', false)],
-    services: new Map([['shop', { connectionLimit: 100, healthPath: '/health', name: 'shop' }]]),
+    services: new Map([
+      [
+        'shop',
+        {
+          connectionLimit: 100,
+          healthPath: '/health',
+          name: 'shop',
+          ...(startsCold && {
+            coldStart: {
+              durationMilliseconds: coldStart.durationMilliseconds,
+              requestsPerSecond: coldStart.maximumRequests,
+            },
+          }),
+        },
+      ],
+    ]),
     version,
   });
 }
@@ -443,7 +507,9 @@
     answerMemoryBytes: 1_048_576,
     availabilityZone,
     callerAddress: address,
+    coldStartTolerance: { ratio: 1, slack: 0 },
     graceMilliseconds,
+    knownRegions: [region],
     logLevel: 'info',
     nodeName: name,
     peerAddress: address,
@@ -452,6 +518,7 @@
     region,
     repeats: retryBudget,
     reportAddress: address,
+    reportIntervalMilliseconds: 300,
     serverAddress: address,
     service,
     storeAddress: address,
--- a/packages/daemon/tests/virtual-mesh/virtual-server.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-server.ts
@@ -11,6 +11,7 @@
   readonly at: number;
   /** Identifies one incarnation of a server; instance identifiers may be reused. */
   readonly incarnation: string;
+  readonly isCold: boolean;
 }
 
 export interface VirtualServerOptions {
@@ -18,6 +19,8 @@
   readonly random: RandomSource;
   readonly name: string;
   readonly slots: number;
+  /** Time for which an incarnation is cold after its start. */
+  readonly coldMilliseconds: number;
   /** Sends a message to the node beside the server; false if the node is down or ends before it confirms. */
   readonly sendMessage: (message: ServerMessage) => Promise<boolean>;
   /** Called with the load that accompanies each answer. */
@@ -44,6 +47,7 @@
   /** Share of answers that are lost because the connection is reset. */
   public lostAnswerShare = 0;
   public slowdown = 1;
+  private coldUntil = Number.NEGATIVE_INFINITY;
   private incarnationNumber = 0;
   private instanceId = '';
   private incarnationStartedAt = 0;
@@ -65,6 +69,11 @@
     this.startIncarnation(keepsIdentifier ? this.instanceId : `i-${this.incarnationNumber + 1}`);
   }
 
+  /** Turns cold again under the same identifier. */
+  public turnCold(): void {
+    this.coldUntil = this.options.queue.now + this.options.coldMilliseconds;
+  }
+
   /** Drains, leaves once nothing runs, and starts again. The leave message is repeated until it is confirmed. */
   public replace(keepsIdentifier: boolean): void {
     const { incarnation } = this;
@@ -86,7 +95,8 @@
         return;
       }
       const { incarnation } = this;
-      this.runs.push({ at: queue.now, incarnation, requestId: frame.requestId });
+      const isCold = queue.now < this.coldUntil;
+      this.runs.push({ at: queue.now, incarnation, isCold, requestId: frame.requestId });
       this.running += 1;
       const spread = longestWorkMilliseconds - shortestWorkMilliseconds;
       const work = (shortestWorkMilliseconds + spread * random.next() ** 2) * this.slowdown;
@@ -122,7 +132,12 @@
   }
 
   public health(): HealthCheckResult {
-    return { instanceId: this.instanceId, isReady: !this.isDraining, load: this.load };
+    return {
+      coldMilliseconds: this.coldRemaining,
+      instanceId: this.instanceId,
+      isReady: !this.isDraining,
+      load: this.load,
+    };
   }
 
   private get load(): ServerLoad {
@@ -134,6 +149,10 @@
     };
   }
 
+  private get coldRemaining(): number {
+    return Math.max(0, this.coldUntil - this.options.queue.now);
+  }
+
   private get incarnation(): string {
     return `${this.options.name}/${this.incarnationNumber}`;
   }
@@ -158,6 +177,7 @@
     this.instanceId = instanceId;
     // Nodes expect an integer. The addend makes incarnations differ that begin within the same millisecond.
     this.incarnationStartedAt = Math.ceil(this.options.queue.now) + this.incarnationNumber;
+    this.turnCold();
     this.sequence = 0;
     this.isDraining = false;
     this.running = 0;
@@ -178,7 +198,7 @@
     const message: ServerMessage = {
       kind: 'report',
       report: {
-        coldMilliseconds: 0,
+        coldMilliseconds: this.coldRemaining,
         draining: this.isDraining,
         instanceId: this.instanceId,
         sequence: this.sequence,
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -328,7 +328,7 @@
   private chooseGate(state: RequestState, now: number): GateChoice | undefined {
     const { placementPolicy, gates } = this.options;
     return placementPolicy.choose(
-      gates.readyGates(state.service),
+      gates.readyGates(state.service, state.request.route.homeRegions),
       this.placementContextOf(state, now),
     );
   }
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -32,6 +32,14 @@
   readonly slowdown: number | undefined;
 }
 
+/** How many requests a service's servers bear while they are cold. */
+export interface ColdStartLimit {
+  /** Maximum number of requests that a cold server may receive in any second. */
+  readonly maximumRequests: number;
+  /** Time for which a server is cold after its start. */
+  readonly durationMilliseconds: number;
+}
+
 /** State that a server reports about itself. */
 export interface ServerReport {
   readonly instanceId: string;
@@ -48,7 +56,10 @@
   run(execution: Execution): void;
   /** Aborts a request at the server. */
   abort(executionId: number): void;
-  /** Requests the server's load; the implementation calls `ServerGate.onProbeFinished` afterwards. */
+  /**
+   * Sends a health check, which shows the server's load and whether it is cold; the implementation calls
+   * `ServerGate.onProbeFinished` afterwards.
+   */
   probe(): void;
   reply(node: string, frame: ReplyFrame): void;
   /** Called when the state of the server or of the gate has changed. */
@@ -57,10 +68,13 @@
 
 /** Names of the gate's log events. They must stay stable, since operators filter and alert on them. */
 export const GateEventName = {
+  EvacuationEnded: 'gate-evacuation-ended',
+  EvacuationStarted: 'gate-evacuation-started',
   RequestCancelled: 'request-cancelled',
   RequestDeclined: 'request-declined',
   RequestFinished: 'request-finished',
   RequestStarted: 'request-started',
+  ServerAssumedCold: 'server-assumed-cold',
   ServerDraining: 'server-draining',
   ServerLeft: 'server-left',
   ServerReady: 'server-ready',
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -8,11 +8,13 @@
 } from '../messages/mesh-frames.js';
 import { AdmissionQueue } from './admission-queue.js';
 import type { WaitingRequest } from './admission-queue.js';
+import { ColdAssumptionCause, ColdStartGuard } from './cold-start-guard.js';
 import { ConcurrencyLimit } from './concurrency-limit.js';
 import { GateCallRegistry } from './gate-call-registry.js';
 import type { GateCall } from './gate-call-registry.js';
 import { GateEventName } from './gate-contract.js';
 import type {
+  ColdStartLimit,
   Execution,
   ExecutionResult,
   GateEvent,
@@ -69,6 +71,10 @@
   readonly port: GatePort;
   /** Maximum rate at which the gate probes the server's speed. */
   readonly probesPerSecond: number;
+  /** Interval at which the server reports its state. */
+  readonly reportIntervalMilliseconds: number;
+  /** Start of this process on the monotonic clock. */
+  readonly processStartedAt: number;
   readonly log: (event: GateEvent) => void;
 }
 
@@ -87,6 +93,8 @@
   private readonly failures = new RecentFailures();
   private readonly startIntervalEstimator = new StartIntervalEstimator();
   private readonly calls = new GateCallRegistry();
+  private readonly coldStartGuard: ColdStartGuard;
+  private isEvacuated = false;
   private running = 0;
   private nestedRunning = 0;
   private isStopping = false;
@@ -96,11 +104,24 @@
 
   public constructor(private readonly options: ServerGateOptions) {
     this.probes = new ProbeRateLimiter(options.probesPerSecond);
+    this.coldStartGuard = new ColdStartGuard({
+      onAssumed: (cause) => {
+        options.log({ event: GateEventName.ServerAssumedCold, fields: { cause } });
+      },
+      processStartedAt: options.processStartedAt,
+      reportIntervalMilliseconds: options.reportIntervalMilliseconds,
+    });
   }
 
   public get state(): ServerState {
     if (this.isStopping) return ServerState.Draining;
-    return this.serverTracker.state;
+    const { state } = this.serverTracker;
+    return this.isEvacuated && state === ServerState.Ready ? ServerState.Evacuated : state;
+  }
+
+  /** Whether the server is cold, or may be, so that the rate of requests is limited. */
+  public isCold(now: number): boolean {
+    return this.coldStartGuard.isCold(now);
   }
 
   public get inProgress(): number {
@@ -198,6 +219,9 @@
       this.failures.add(isFailure, now);
       if (!isFailure) this.estimator.recordResponse(call, this.serverTracker.slots, now);
     }
+    // The server may have ended, and the next one is cold.
+    if (!wasAborted && isServerMissing(result))
+      this.coldStartGuard.assumeCold(ColdAssumptionCause.NoResponse, now);
     this.logFinished(call, result, now);
     this.finish(call, wasAborted ? undefined : this.toReply(call, result, now), now);
     this.startQueued(now);
@@ -209,6 +233,31 @@
     this.startQueued(now);
   }
 
+  /**
+   * Handles how long the server stays cold, according to its answer to a health check that was sent at the given time.
+   */
+  public onColdTimeChecked(sentAt: number, coldMilliseconds: number, now: number): void {
+    this.coldStartGuard.onHealthChecked(sentAt, coldMilliseconds, now);
+    this.concurrencyLimit.setCold(this.isCold(now));
+  }
+
+  /** Sets how many requests a cold server may receive. */
+  public configureColdStart(limit: ColdStartLimit | undefined): void {
+    this.coldStartGuard.configure(limit);
+  }
+
+  /** Handles the start or the end of the evacuation of the gate's availability zone. */
+  public setEvacuated(isEvacuated: boolean, now: number): void {
+    if (isEvacuated === this.isEvacuated) return;
+    this.isEvacuated = isEvacuated;
+    const event = isEvacuated ? GateEventName.EvacuationStarted : GateEventName.EvacuationEnded;
+    const fields = { running: this.running, waiting: this.queue.size };
+    this.options.log({ event, fields });
+    if (isEvacuated) this.declineAllQueued(DeclineReason.ZoneEvacuated, now);
+    else this.coldStartGuard.assumeCold(ColdAssumptionCause.EvacuationEnded, now);
+    this.options.port.onStateChanged();
+  }
+
   /** Handles the load that came with a response of the server. */
   public onServerLoad(load: ServerLoad, now: number): void {
     this.concurrencyLimit.recordServerRunning(load.running, this.running);
@@ -217,18 +266,17 @@
   }
 
   public onServerReport(report: ServerReport, now: number): void {
-    const effect = this.serverTracker.onReport(report, now);
-    this.concurrencyLimit.setCold(this.serverTracker.isCold(now));
+    const effect = this.serverTracker.onReport(report);
+    if (effect !== ReportEffect.Ignored) {
+      this.coldStartGuard.onReport(report, effect === ReportEffect.Started, now);
+      this.concurrencyLimit.setCold(this.isCold(now));
+    }
     this.applyEffect(effect, report.instanceId, now);
   }
 
   /** Handles a successful health check; `instanceId` is the server that answered it. */
   public onHealthCheckPassed(instanceId: string, slots: number, now: number): void {
-    this.applyEffect(
-      this.serverTracker.onHealthCheckPassed(instanceId, slots, now),
-      instanceId,
-      now,
-    );
+    this.applyEffect(this.serverTracker.onHealthCheckPassed(instanceId, slots), instanceId, now);
   }
 
   /** Handles the announcement of a server that it leaves. Once this returns, no further request is sent to it. */
@@ -272,7 +320,9 @@
   }
 
   public tick(now: number): void {
-    this.concurrencyLimit.setCold(this.serverTracker.isCold(now));
+    this.concurrencyLimit.setCold(this.isCold(now));
+    if (this.state === ServerState.Ready && this.coldStartGuard.isHealthCheckDue(now))
+      this.checkColdness(now);
     for (const waiting of [...this.queue.values()]) {
       const call = this.calls.findByExecutionId(waiting.executionId);
       if (call === undefined) continue;
@@ -290,6 +340,12 @@
     if (now >= this.nextSweepAt) this.sweep(now);
   }
 
+  private checkColdness(now: number): void {
+    if (!this.probes.tryTake(now)) return;
+    this.coldStartGuard.onHealthCheckSent(now);
+    this.options.port.probe();
+  }
+
   private onSlowdownReported(slowdown: number, now: number): void {
     const lastReportAt = now - this.speed.reportAge(now);
     this.speed.recordSlowdown(slowdown, now);
@@ -311,11 +367,13 @@
   private immediateDeclineReason(call: GateCall, now: number): DeclineReason | undefined {
     const { frame } = call;
     if (this.isStopping) return DeclineReason.Draining;
-    switch (this.serverTracker.state) {
+    switch (this.state) {
       case ServerState.Absent:
         return DeclineReason.NoServer;
       case ServerState.Draining:
         return DeclineReason.Draining;
+      case ServerState.Evacuated:
+        return DeclineReason.ZoneEvacuated;
       case ServerState.Ready:
     }
     if (frame.service !== this.options.service) return DeclineReason.WrongService;
@@ -342,6 +400,7 @@
    */
   private isIdleProbeDue(now: number): boolean {
     return (
+      this.state === ServerState.Ready &&
       this.speed.baselineSlowdown > 1 &&
       this.speed.reportAge(now) > idleProbeIntervalMilliseconds &&
       this.isIdleFor(idleProbeIntervalMilliseconds, now)
@@ -357,7 +416,10 @@
 
   private admit(call: GateCall, now: number): void {
     const waiting = toWaitingRequest(call, now);
-    const isFree = this.queue.size === 0 && this.running < this.limitFor(call.frame);
+    const isFree =
+      this.queue.size === 0 &&
+      this.running < this.limitFor(call.frame) &&
+      this.coldStartGuard.waitForStart(1, now) === 0;
     if (!isFree) {
       const wait = this.expectedWait(waiting, now);
       const finish = wait + this.estimator.expectedServiceMilliseconds(call.frame.routeName);
@@ -420,6 +482,14 @@
 
   /** Expected time until the request at a position of the queue, counted from 1, starts. */
   private waitAtPosition(position: number, limit: number, now: number): number {
+    return Math.max(
+      this.waitForSlot(position, limit, now),
+      this.coldStartGuard.expectedWaitForStart(position, now),
+    );
+  }
+
+  /** Expected time until the request at a position of the queue, counted from 1, gets a slot. */
+  private waitForSlot(position: number, limit: number, now: number): number {
     if (this.running + position <= limit) return 0;
     const excess = Math.max(0, this.running - limit);
     const byService = ((position + excess) * this.estimator.meanServiceMilliseconds) / limit;
@@ -438,8 +508,8 @@
   }
 
   private startQueued(now: number): void {
-    if (this.serverTracker.state !== ServerState.Ready || this.isStopping) return;
-    while (this.queue.size > 0) {
+    if (this.state !== ServerState.Ready) return;
+    while (this.queue.size > 0 && this.coldStartGuard.waitForStart(1, now) === 0) {
       const next = this.queue.next(now, this.estimator.meanServiceMilliseconds, this.isNestedFirst);
       if (next === undefined || this.running >= this.limitFor(next.frame)) return;
       const speed = this.currentSpeed(now);
@@ -500,6 +570,7 @@
     const { deadline, executionId, frame } = call;
     this.running += 1;
     this.lastActivityAt = now;
+    this.coldStartGuard.recordStart(now);
     if (frame.nested) this.nestedRunning += 1;
     else if (now - call.arrivedAt > 0) this.startIntervalEstimator.recordStart(now);
     call.runningAtStart = this.running;
@@ -633,6 +704,12 @@
   }
 }
 
+/** Whether there was no response at all, as from a server that has ended. */
+function isServerMissing(result: ExecutionResult): boolean {
+  if (result.kind === 'not-run') return result.reason === DeclineReason.ServerUnreachable;
+  return result.kind === 'failed';
+}
+
 function toWaitingRequest(call: GateCall, now: number): WaitingRequest {
   const { deadline, executionId, frame, targetAt } = call;
   return { deadline, enqueuedAt: now, executionId, frame, targetAt };
--- a/packages/mesh-core/src/gate/server-incarnation-tracker.ts
+++ b/packages/mesh-core/src/gate/server-incarnation-tracker.ts
@@ -20,7 +20,6 @@
   sequence: number;
   slots: number;
   state: ServerState;
-  coldUntil: number;
 }
 
 /**
@@ -59,15 +58,11 @@
     return this.current?.slots ?? 0;
   }
 
-  public isCold(now: number): boolean {
-    return (this.current?.coldUntil ?? 0) > now;
-  }
-
-  public onReport(report: ServerReport, now: number): ReportEffect {
+  public onReport(report: ServerReport): ReportEffect {
     if (this.hasEnded(report)) return ReportEffect.Ignored;
     const { current } = this;
     if (current === undefined || !isSameIncarnation(current, report))
-      return this.startIncarnation(report, now);
+      return this.startIncarnation(report);
     if (report.sequence < current.sequence) return ReportEffect.Ignored;
     // Without its start, the next incarnation under the same identifier would be taken for this one.
     current.startedAt ??= report.startedAt;
@@ -80,19 +75,16 @@
   }
 
   /** Handles a successful health check: a server is running under this identifier. */
-  public onHealthCheckPassed(instanceId: string, slots: number, now: number): ReportEffect {
+  public onHealthCheckPassed(instanceId: string, slots: number): ReportEffect {
     if (this.current?.instanceId === instanceId) return ReportEffect.Unchanged;
-    return this.onReport(
-      {
-        coldMilliseconds: 0,
-        draining: false,
-        instanceId,
-        sequence: 0,
-        slots,
-        startedAt: undefined,
-      },
-      now,
-    );
+    return this.onReport({
+      coldMilliseconds: 0,
+      draining: false,
+      instanceId,
+      sequence: 0,
+      slots,
+      startedAt: undefined,
+    });
   }
 
   /** Handles the announcement of a server that it leaves. Returns whether it was the current incarnation. */
@@ -120,7 +112,7 @@
     return true;
   }
 
-  private startIncarnation(report: ServerReport, now: number): ReportEffect {
+  private startIncarnation(report: ServerReport): ReportEffect {
     const { current } = this;
     if (current !== undefined) {
       if (isOlder(report, current)) return ReportEffect.Ignored;
@@ -129,7 +121,6 @@
       }
     }
     this.current = {
-      coldUntil: now + report.coldMilliseconds,
       instanceId: report.instanceId,
       sequence: report.sequence,
       slots: report.slots,
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -4,12 +4,14 @@
 export type { ConfigurationInForce } from './configuration/configuration-holder.js';
 export { ConfigurationPullScheduler } from './configuration/configuration-pull-scheduler.js';
 export { StoreWatchElection } from './configuration/store-watch-election.js';
+export { EvacuatedZones } from './evacuation/evacuated-zones.js';
 export { EntryEventName, RefusalCause, UnknownCause } from './entry/entry-contract.js';
 export type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry/entry-contract.js';
 export { RequestForwarder } from './entry/request-forwarder.js';
 export type { RequestForwarderOptions } from './entry/request-forwarder.js';
 export { GateEventName } from './gate/gate-contract.js';
 export type {
+  ColdStartLimit,
   Execution,
   ExecutionResult,
   GateEvent,
@@ -33,6 +35,8 @@
   ControlFrame,
   DeclinedFrame,
   EndedServer,
+  EvacuatedZone,
+  EvacuationSnapshot,
   FailedFrame,
   GateLoad,
   HeaderList,
@@ -61,6 +65,7 @@
   Route,
   RouteConfiguration,
   RoutedService,
+  ServiceColdStart,
   WeightedService,
 } from './routes/route-configuration.js';
 export { RouteTable } from './routes/route-table.js';
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -18,6 +18,8 @@
   /** No server is known, or it has left. */
   Absent: 'absent',
   Draining: 'draining',
+  /** The server's availability zone is evacuated: it gets no requests until the operator ends that. */
+  Evacuated: 'evacuated',
   Ready: 'ready',
 } as const;
 export type ServerState = (typeof ServerState)[keyof typeof ServerState];
@@ -50,6 +52,8 @@
   ServerRefused: 'server-refused',
   ServerUnreachable: 'server-unreachable',
   WrongService: 'wrong-service',
+  /** The operator has evacuated the gate's availability zone. */
+  ZoneEvacuated: 'zone-evacuated',
 } as const;
 export type DeclineReason = (typeof DeclineReason)[keyof typeof DeclineReason];
 
@@ -140,12 +144,28 @@
   readonly content: Uint8Array;
 }
 
+/** The evacuated availability zones at one revision of the store. */
+export interface EvacuationSnapshot {
+  /** Era of the store; revisions are comparable only within one era. */
+  readonly era: number;
+  readonly revision: number;
+  readonly zones: readonly EvacuatedZone[];
+}
+
+export interface EvacuatedZone {
+  readonly availabilityZone: string;
+  /** Revision at which the operator wrote the evacuation. */
+  readonly revision: number;
+}
+
 /** Reports the version of the configuration that is in force at the sender. */
 export interface VersionFrame {
   readonly kind: 'version';
   readonly version: number;
   /** The newest store era that the sender has observed, for nodes that do not query the store themselves. */
   readonly storeEra?: number | undefined;
+  /** The evacuated zones, if they have changed. */
+  readonly evacuations?: EvacuationSnapshot | undefined;
 }
 
 /** Reports whether the sender can reach the store. */
--- a/packages/mesh-core/src/placement/gate-table.ts
+++ b/packages/mesh-core/src/placement/gate-table.ts
@@ -14,6 +14,7 @@
 /** The gates of all services that this node is or was connected to, with the last reported load of each. */
 export class GateTable {
   private readonly views = new Map<string, GateView>();
+  private evacuatedZones: ReadonlySet<string> = new Set();
 
   public onConnected(node: MeshNode, load: GateLoad, now: number): void {
     this.views.set(node.name, {
@@ -51,6 +52,11 @@
     return this.views.get(name);
   }
 
+  /** Sets the availability zones whose servers get no requests. */
+  public setEvacuatedZones(availabilityZones: readonly string[]): void {
+    this.evacuatedZones = new Set(availabilityZones);
+  }
+
   /** Age in milliseconds of the newest load report of each service. */
   public loadAges(now: number): ReadonlyMap<string, number> {
     const ages = new Map<string, number>();
@@ -60,13 +66,18 @@
     return ages;
   }
 
-  /** The gates of a service that are connected and whose server is ready. */
-  public *readyGates(service: string): Generator<GateView> {
+  /**
+   * The gates of a service that are connected, whose server is ready, and whose zone is not evacuated; with regions, only
+   * those in one of them.
+   */
+  public *readyGates(service: string, regions?: readonly string[]): Generator<GateView> {
     for (const view of this.views.values()) {
       if (
         view.node.service === service &&
         view.isConnected &&
-        view.load.state === ServerState.Ready
+        view.load.state === ServerState.Ready &&
+        !this.evacuatedZones.has(view.node.availabilityZone) &&
+        regions?.includes(view.node.region) !== false
       ) {
         yield view;
       }
--- a/packages/mesh-core/src/routes/route-configuration.ts
+++ b/packages/mesh-core/src/routes/route-configuration.ts
@@ -22,6 +22,8 @@
   /** Maximum number of servers to which one request may be sent. */
   readonly maximumAttempts: number;
   readonly split: readonly WeightedService[];
+  /** Regions that requests and their bodies must not leave, apart from the node that received them; undefined for any. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** Configuration of one service. */
@@ -30,6 +32,14 @@
   readonly healthPath: string;
   /** Maximum number of connections that one server accepts from all callers together. */
   readonly connectionLimit: number;
+  /** How servers behave after their start; undefined if the operator declares nothing about it. */
+  readonly coldStart?: ServiceColdStart | undefined;
+}
+
+/** For some time after its start, a server bears only a low rate of requests. */
+export interface ServiceColdStart {
+  readonly durationMilliseconds: number;
+  readonly requestsPerSecond: number;
 }
 
 /** Limits on the size of a caller's requests, and on how long it may take to send headers or stay idle. */
--- /dev/null
+++ b/packages/mesh-core/tests/evacuation/evacuated-zones.test.ts
@@ -0,0 +1,122 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { EvacuatedZones } from '../../src/index.js';
+import type { EvacuationSnapshot } from '../../src/index.js';
+
+/** A snapshot; zones are written as `name@revision`. */
+function snapshot(era: number, revision: number, ...zones: readonly string[]): EvacuationSnapshot {
+  return {
+    era,
+    revision,
+    zones: zones.map((zone) => {
+      const [availabilityZone = '', writtenAt] = zone.split('@');
+      return { availabilityZone, revision: Number(writtenAt) };
+    }),
+  };
+}
+
+interface Step {
+  readonly offer?: EvacuationSnapshot;
+  /** Removed zones, in a change at this era and revision. */
+  readonly end?: readonly [era: number, revision: number, zone: string];
+  readonly at?: number;
+  readonly zones: readonly string[];
+}
+
+/** Name, and steps with the zones that are evacuated after each. */
+const cases: readonly (readonly [string, readonly Step[]])[] = [
+  [
+    'an evacuation begins and ends',
+    [
+      { offer: snapshot(1, 10, 'a@9'), zones: ['a'] },
+      { end: [1, 12, 'a'], zones: [] },
+    ],
+  ],
+  [
+    'several zones at once',
+    [
+      { offer: snapshot(1, 10, 'b@9', 'a@8'), zones: ['a', 'b'] },
+      { end: [1, 12, 'a'], zones: ['b'] },
+    ],
+  ],
+  [
+    'an older snapshot neither forgets an evacuation nor brings one back',
+    [
+      { offer: snapshot(1, 10, 'a@9'), zones: ['a'] },
+      { offer: snapshot(1, 8), zones: ['a'] },
+      { end: [1, 12, 'a'], zones: [] },
+      { offer: snapshot(1, 11, 'a@9'), zones: [] },
+    ],
+  ],
+  [
+    'a zone is evacuated again after its evacuation ended',
+    [
+      { offer: snapshot(1, 10, 'a@9'), zones: ['a'] },
+      { end: [1, 12, 'a'], zones: [] },
+      { offer: snapshot(1, 15, 'a@14'), zones: ['a'] },
+    ],
+  ],
+  [
+    'a store restored from a copy without the evacuation: it holds until the operator writes it again',
+    [
+      { offer: snapshot(1, 10, 'a@9'), zones: ['a'] },
+      { offer: snapshot(2, 7), zones: ['a'] },
+      { at: 1_000, offer: snapshot(2, 9, 'a@8'), zones: ['a'] },
+      { at: 60_000, zones: ['a'] },
+      { end: [2, 10, 'a'], zones: [] },
+    ],
+  ],
+  [
+    'a store restored from a copy without the evacuation, which the operator does not write again',
+    [
+      { offer: snapshot(1, 10, 'a@9'), zones: ['a'] },
+      { offer: snapshot(2, 7), zones: ['a'] },
+      { at: 4_000, zones: ['a'] },
+      { at: 6_000, zones: [] },
+    ],
+  ],
+  [
+    'a store restored from a copy that still has an evacuation that ended',
+    [
+      { offer: snapshot(1, 10, 'a@9'), zones: ['a'] },
+      { end: [1, 12, 'a'], zones: [] },
+      { offer: snapshot(2, 10, 'a@9'), zones: [] },
+      { offer: snapshot(2, 13, 'a@13'), zones: ['a'] },
+    ],
+  ],
+  [
+    'a late snapshot of an earlier era is ignored',
+    [
+      { offer: snapshot(2, 10), zones: [] },
+      { offer: snapshot(1, 90, 'a@80'), zones: [] },
+    ],
+  ],
+];
+
+for (const [name, steps] of cases) {
+  test(name, () => {
+    const evacuatedZones = new EvacuatedZones();
+    for (const { at = 0, end, offer, zones } of steps) {
+      if (offer !== undefined) evacuatedZones.offer(offer, at);
+      if (end !== undefined) {
+        const [era, revision, zone] = end;
+        evacuatedZones.applyChanges([], [zone], { era, revision }, at);
+      }
+      evacuatedZones.tick(at);
+      assert.equal(evacuatedZones.names, zones);
+      for (const zone of ['a', 'b']) assert.is(evacuatedZones.has(zone), zones.includes(zone));
+    }
+  });
+}
+
+test('reports a change only if the evacuated zones differ', () => {
+  const evacuatedZones = new EvacuatedZones();
+  assert.not(evacuatedZones.offer(snapshot(1, 10), 0));
+  assert.ok(evacuatedZones.offer(snapshot(1, 12, 'a@11'), 0));
+  assert.not(evacuatedZones.offer(snapshot(1, 20, 'a@11'), 0));
+  assert.not(evacuatedZones.offer(snapshot(1, 21, 'a@21'), 0));
+  assert.ok(evacuatedZones.applyChanges([], ['a'], { era: 1, revision: 22 }, 0));
+});
+
+test.run();
--- a/packages/mesh-core/tests/gate/server-incarnation-tracker.test.ts
+++ b/packages/mesh-core/tests/gate/server-incarnation-tracker.test.ts
@@ -69,7 +69,7 @@
     const tracker = new ServerIncarnationTracker();
     for (const [change, expected] of steps) {
       if (change === 'leave') assert.is(tracker.onLeaving('i-1'), expected);
-      else assert.is(tracker.onReport(createServerReport(change), 0), expected);
+      else assert.is(tracker.onReport(createServerReport(change)), expected);
     }
     assert.is(tracker.state, state);
   });
@@ -90,7 +90,7 @@
       const tracker = new ServerIncarnationTracker();
       const ended = { instanceId: 'i-1', startedAt: 1_000 };
       if (isEndReportedFirst) tracker.onEndReported(ended);
-      tracker.onReport(createServerReport(change), 0);
+      tracker.onReport(createServerReport(change));
       if (!isEndReportedFirst) tracker.onEndReported(ended);
       assert.is(tracker.state, state);
     });
@@ -100,16 +100,16 @@
 test('a successful health check does not revive a server whose end was reported', () => {
   const tracker = new ServerIncarnationTracker();
   tracker.onEndReported({ instanceId: 'i-1', startedAt: 1_000 });
-  tracker.onHealthCheckPassed('i-1', 4, 0);
+  tracker.onHealthCheckPassed('i-1', 4);
   assert.is(tracker.state, 'absent');
 });
 
 test('returns the incarnation that is draining or that ended last', () => {
   const tracker = new ServerIncarnationTracker();
   assert.is(tracker.lastEnded, undefined);
-  tracker.onReport(createServerReport({ startedAt: 1_000 }), 0);
+  tracker.onReport(createServerReport({ startedAt: 1_000 }));
   assert.is(tracker.lastEnded, undefined);
-  tracker.onReport(createServerReport({ draining: true, sequence: 2, startedAt: 1_000 }), 0);
+  tracker.onReport(createServerReport({ draining: true, sequence: 2, startedAt: 1_000 }));
   assert.equal(tracker.lastEnded, { instanceId: 'i-1', startedAt: 1_000 });
   tracker.onLeaving('i-1');
   assert.equal(tracker.lastEnded, { instanceId: 'i-1', startedAt: 1_000 });
@@ -121,11 +121,11 @@
   tracker.onEndReported({ instanceId: 'i-1', startedAt: 1_000 });
   tracker.onLeaving('i-1');
   assert.is(
-    tracker.onReport(createServerReport({ instanceId: 'i-1', startedAt: 1_000 }), 0),
+    tracker.onReport(createServerReport({ instanceId: 'i-1', startedAt: 1_000 })),
     ReportEffect.Ignored,
   );
   assert.is(
-    tracker.onReport(createServerReport({ instanceId: 'i-1', startedAt: 2_000 }), 0),
+    tracker.onReport(createServerReport({ instanceId: 'i-1', startedAt: 2_000 })),
     ReportEffect.Started,
   );
 });
@@ -135,23 +135,23 @@
   tracker.onEndReported({ instanceId: 'i-1', startedAt: 2_000 });
   tracker.onEndReported({ instanceId: 'i-1', startedAt: 1_000 });
   assert.is(
-    tracker.onReport(createServerReport({ instanceId: 'i-1', startedAt: 2_000 }), 0),
+    tracker.onReport(createServerReport({ instanceId: 'i-1', startedAt: 2_000 })),
     ReportEffect.Ignored,
   );
 });
 
 test('ignores that another incarnation leaves', () => {
   const tracker = new ServerIncarnationTracker();
-  tracker.onReport(createServerReport(), 0);
+  tracker.onReport(createServerReport());
   assert.not(tracker.onLeaving('i-0'));
   assert.is(tracker.state, 'ready');
 });
 
 test('uses a health check like a report only while no report is known', () => {
   const tracker = new ServerIncarnationTracker();
-  assert.is(tracker.onHealthCheckPassed('i-1', 3, 0), ReportEffect.Started);
+  assert.is(tracker.onHealthCheckPassed('i-1', 3), ReportEffect.Started);
   assert.is(tracker.slots, 3);
-  assert.is(tracker.onReport(createServerReport({ slots: 5 }), 0), ReportEffect.Unchanged);
+  assert.is(tracker.onReport(createServerReport({ slots: 5 })), ReportEffect.Unchanged);
   assert.is(tracker.slots, 5);
 });
 
@@ -159,14 +159,14 @@
 // one under the same identifier, including that it drains, were ignored as outdated.
 test('ends an incarnation known from a health check when the server restarts under the same identifier', () => {
   const tracker = new ServerIncarnationTracker();
-  tracker.onHealthCheckPassed('i-1', 3, 0);
-  tracker.onReport(createServerReport({ sequence: 7, startedAt: 1_000 }), 0);
+  tracker.onHealthCheckPassed('i-1', 3);
+  tracker.onReport(createServerReport({ sequence: 7, startedAt: 1_000 }));
   assert.is(
-    tracker.onReport(createServerReport({ sequence: 1, startedAt: 2_000 }), 0),
+    tracker.onReport(createServerReport({ sequence: 1, startedAt: 2_000 })),
     ReportEffect.Started,
   );
   const draining = createServerReport({ draining: true, sequence: 2, startedAt: 2_000 });
-  assert.is(tracker.onReport(draining, 0), ReportEffect.Draining);
+  assert.is(tracker.onReport(draining), ReportEffect.Draining);
 });
 
 test.run();
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -4,6 +4,7 @@
 
 import type {
   ConfigurationFrame,
+  EvacuationSnapshot,
   GateLoad,
   MeshFrame,
   MeshNode,
@@ -31,6 +32,8 @@
   readonly endedServers?: readonly EndedNodeServer[] | undefined;
   /** The newest store era that the sender has observed. */
   readonly storeEra?: number | undefined;
+  /** The evacuated zones that the sender knows of. */
+  readonly evacuations?: EvacuationSnapshot | undefined;
 }
 
 /** The fields of the hello frame other than the node's identity and the protocol version. */
--- a/packages/platform/src/key-values/index.ts
+++ b/packages/platform/src/key-values/index.ts
@@ -1,7 +1,9 @@
 export { HttpStoreTransport } from './http-store-transport.js';
 export type { HttpStoreTransportOptions } from './http-store-transport.js';
+export type { EvacuatedZoneItem, EvacuationRead } from './operator-reader.js';
 export type {
   ItemPage,
+  RemovedKey,
   StoreResponse,
   StoreCall,
   StoreCallCodec,
--- a/packages/platform/src/key-values/key-value-store.ts
+++ b/packages/platform/src/key-values/key-value-store.ts
@@ -6,9 +6,17 @@
   readonly revision: number;
 }
 
+/** A key that was removed. */
+export interface RemovedKey {
+  readonly key: string;
+  readonly revision: number;
+}
+
 /** One page of items, read at a revision of the store. */
 export interface ItemPage {
   readonly items: readonly StoredItem[];
+  /** Keys that a watch reports as removed; empty for other calls. A key may also be in `items`: the later event holds. */
+  readonly removedKeys: readonly RemovedKey[];
   /** Whether another page follows; it starts after the last item of this one. */
   readonly hasMore: boolean;
   /** Revision of the store, from which a watch can continue. */
@@ -42,8 +50,12 @@
 
 /** Encodes the calls of a node in the protocol of the store. */
 export interface StoreCallCodec {
+  /** Key prefix of everything that operators write, with a trailing slash. */
+  readonly operatorPrefix: string;
   /** The key that holds the operators' configuration. */
   readonly configurationKey: string;
+  /** The availability zone that the operator evacuates with this key; undefined for any other key. */
+  parseEvacuationKey(key: string): string | undefined;
   /** Name (in lower case) of the header field of all responses that carries the era of the store. */
   readonly eraHeader: string;
   /** Returns `undefined` if the value is invalid. */
--- a/packages/platform/src/key-values/configuration-reader.ts
+++ b/packages/platform/src/key-values/operator-reader.ts
@@ -1,4 +1,4 @@
-import type { ItemPage, StoreCallCodec } from './key-value-store.js';
+import type { ItemPage, StoreCallCodec, StoredItem } from './key-value-store.js';
 import type { CancellableDelays } from './cancellable-delays.js';
 import type { StoreClientOutcome, StoreClient } from './store-client.js';
 
@@ -17,15 +17,35 @@
 } as const;
 type ReadConsistency = (typeof ReadConsistency)[keyof typeof ReadConsistency];
 
-export interface ConfigurationReaderOptions {
+/** The evacuations in one response of the store. */
+export interface EvacuationRead {
+  /** Whether `zones` are all evacuated zones, rather than those that changed since the last response. */
+  readonly isComplete: boolean;
+  /** Evacuated zones, with the revision at which the operator wrote each. */
+  readonly zones: readonly EvacuatedZoneItem[];
+  /** Zones whose evacuation the operator has ended. */
+  readonly endedZones: readonly string[];
+  readonly revision: number;
+}
+
+export interface EvacuatedZoneItem {
+  readonly availabilityZone: string;
+  readonly revision: number;
+}
+
+export interface OperatorReaderOptions {
   readonly storeClient: StoreClient;
   readonly codec: StoreCallCodec;
   readonly delays: CancellableDelays;
-  readonly onRead: (content: Uint8Array) => void;
+  readonly onConfigurationRead: (content: Uint8Array) => void;
+  readonly onEvacuationsRead: (read: EvacuationRead) => void;
 }
 
-/** Reads the configuration once at start, and watches it for changes while watching is enabled. */
-export class ConfigurationReader {
+/**
+ * Reads what operators write, the configuration and the evacuated zones, once at start, and watches it for changes
+ * while watching is enabled.
+ */
+export class OperatorReader {
   private isClosed = false;
   private isWatching = false;
   /** The last revision belongs to a copy of the store that has been replaced. */
@@ -35,9 +55,9 @@
   /** Aborts the pending watch when it may have missed a change. */
   private watchAbort = new AbortController();
 
-  public constructor(private readonly options: ConfigurationReaderOptions) {}
+  public constructor(private readonly options: OperatorReaderOptions) {}
 
-  /** Starts or stops watching the configuration, with immediate effect. */
+  /** Starts or stops watching, with immediate effect. */
   public setWatching(isWatching: boolean): void {
     this.isWatching = isWatching;
     if (isWatching) this.resumeWatching?.();
@@ -65,7 +85,7 @@
   }
 
   public async run(): Promise<void> {
-    const { codec, delays, onRead } = this.options;
+    const { delays } = this.options;
     let revision: number | undefined;
     let hasRead = false;
     let failures = 0;
@@ -98,21 +118,44 @@
       }
       failures = 0;
       hasRead = true;
-      const { items } = outcome.value;
+      const { items, removedKeys } = outcome.value;
       revision = outcome.value.revision;
-      for (const { key, value } of items) if (key === codec.configurationKey) onRead(value);
-      if (wasWatch && items.length > 0) await delays.sleep(watchPauseMilliseconds);
+      this.deliver(outcome.value, !wasWatch);
+      const hasChanges = items.length + removedKeys.length > 0;
+      if (wasWatch && hasChanges) await delays.sleep(watchPauseMilliseconds);
+    }
+  }
+
+  private deliver({ items, removedKeys, revision }: ItemPage, isComplete: boolean): void {
+    const { codec, onConfigurationRead, onEvacuationsRead } = this.options;
+    const itemByKey = new Map<string, StoredItem>();
+    for (const item of items) {
+      if (item.key === codec.configurationKey) onConfigurationRead(item.value);
+      else itemByKey.set(item.key, item);
+    }
+    const endedZones: string[] = [];
+    for (const { key, revision: removedAt } of removedKeys) {
+      if ((itemByKey.get(key)?.revision ?? 0) > removedAt) continue;
+      itemByKey.delete(key);
+      const availabilityZone = codec.parseEvacuationKey(key);
+      if (availabilityZone !== undefined) endedZones.push(availabilityZone);
+    }
+    const zones: EvacuatedZoneItem[] = [];
+    for (const { key, revision: writtenAt } of itemByKey.values()) {
+      const availabilityZone = codec.parseEvacuationKey(key);
+      if (availabilityZone !== undefined) zones.push({ availabilityZone, revision: writtenAt });
     }
+    onEvacuationsRead({ endedZones, isComplete, revision, zones });
   }
 
   /** While the store may be unreachable, it is probed with stale reads, since rejected calls are billed as well. */
   private async readOnce(consistency: ReadConsistency): Promise<StoreClientOutcome<ItemPage>> {
     const { storeClient, codec } = this.options;
     if (consistency !== ReadConsistency.UpToDate) {
-      const staleRead = await storeClient.list(codec.configurationKey, true);
+      const staleRead = await storeClient.list(codec.operatorPrefix, true);
       if (consistency === ReadConsistency.StaleAllowed || staleRead.kind !== 'ok') return staleRead;
     }
-    return storeClient.list(codec.configurationKey, false);
+    return storeClient.list(codec.operatorPrefix, false);
   }
 
   /** After a failure the watch may have missed changes, and a stale read may predate the outage. */
@@ -127,7 +170,7 @@
   private async watchOnce(revision: number): Promise<StoreClientOutcome<ItemPage>> {
     const { storeClient, codec } = this.options;
     this.watchAbort = new AbortController();
-    const call = codec.watch(codec.configurationKey, revision, watchWaitMilliseconds);
+    const call = codec.watch(codec.operatorPrefix, revision, watchWaitMilliseconds);
     return storeClient.call(call, this.watchAbort.signal);
   }
 
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -1,6 +1,7 @@
-import { ConfigurationReader } from './configuration-reader.js';
 import type { ItemPage, StoreCallCodec, StoredItem, StoreTransport } from './key-value-store.js';
 import { CancellableDelays } from './cancellable-delays.js';
+import { OperatorReader } from './operator-reader.js';
+import type { EvacuationRead } from './operator-reader.js';
 import { RecentRemovals } from './recent-removals.js';
 import type { EntryPredicate } from './recent-removals.js';
 import { StoreClient } from './store-client.js';
@@ -40,6 +41,8 @@
   readonly isEntryCurrent: EntryPredicate;
   readonly random: () => number;
   readonly onConfigurationRead: (content: Uint8Array) => void;
+  /** `era` is the current era of the store, undefined if it reports none. */
+  readonly onEvacuationsRead: (read: EvacuationRead, era: number | undefined) => void;
   readonly onEntryRead: (item: StoredItem) => void;
   /** Called after each complete read of the directory. */
   readonly onDirectoryRead: () => void;
@@ -50,7 +53,7 @@
 
 /**
  * The use of the store by one node: it maintains the entry of the node in the directory, reads the other entries and
- * the configuration, and watches the configuration while this is enabled.
+ * what operators write, and watches the latter while this is enabled.
  *
  * Calls are billed, so a start uses stale reads at a tenth of the price, and a current entry of an earlier
  * incarnation is not written again. Entries have no lease, since the number of renewals would grow with the number of
@@ -60,7 +63,7 @@
  */
 export class StoreSession {
   private readonly storeClient: StoreClient;
-  private readonly configurationReader: ConfigurationReader;
+  private readonly operatorReader: OperatorReader;
   private readonly delays: CancellableDelays;
   private readonly recentRemovals: RecentRemovals;
   private entryMisses = 0;
@@ -97,24 +100,27 @@
       },
       transport,
     });
-    this.configurationReader = new ConfigurationReader({
+    this.operatorReader = new OperatorReader({
       storeClient: this.storeClient,
       codec,
       delays: this.delays,
-      onRead: onConfigurationRead,
+      onConfigurationRead,
+      onEvacuationsRead: (read) => {
+        options.onEvacuationsRead(read, this.storeClient.currentEra);
+      },
     });
   }
 
   public start(): void {
     void this.maintainEntry();
-    void this.configurationReader.run();
+    void this.operatorReader.run();
     void this.checkPeriodically();
   }
 
   /** Starts or stops watching the configuration, with immediate effect. */
   public setConfigurationWatching(isWatching: boolean): void {
     this.isWatching = isWatching;
-    this.configurationReader.setWatching(isWatching);
+    this.operatorReader.setWatching(isWatching);
     if (isWatching) this.wakeCheck?.();
   }
 
@@ -152,7 +158,7 @@
 
   public close(): void {
     this.isClosed = true;
-    this.configurationReader.close();
+    this.operatorReader.close();
     this.wakeCheck?.();
     this.delays.close();
   }
@@ -230,7 +236,7 @@
   /** Called when the store was restored from an older copy. */
   private handleStoreRestored(era: number): void {
     this.options.onEraObserved(era, true);
-    this.configurationReader.handleStoreRestored();
+    this.operatorReader.handleStoreRestored();
     void this.restoreEntry();
     for (const [name, isExpected] of this.recentRemovals.recent()) {
       void this.removeEntry(name, isExpected);
@@ -285,7 +291,7 @@
   }
 
   private handleReachabilityChange(isReachable: boolean, detail: string): void {
-    if (isReachable) this.configurationReader.restartWatch();
+    if (isReachable) this.operatorReader.restartWatch();
     this.wakeCheck?.();
     this.options.onReachabilityChange(isReachable, detail);
   }
--- a/packages/platform/tests/store-session.test.ts
+++ b/packages/platform/tests/store-session.test.ts
@@ -95,7 +95,7 @@
   }
 
   private page(items: readonly StoredItem[]): ItemPage {
-    return { hasMore: false, items, revision: this.revision };
+    return { hasMore: false, items, removedKeys: [], revision: this.revision };
   }
 }
 
@@ -116,10 +116,12 @@
 
 const codec: StoreCallCodec = {
   configurationKey: 'config',
+  operatorPrefix: 'config',
   eraHeader: 'era',
   list: (prefix, _after, isOldEnough) =>
     call(`${listNames[prefix] ?? prefix}${isOldEnough ? '-old' : ''}`),
   parseEra: Number,
+  parseEvacuationKey: () => undefined,
   remove: () => call('remove'),
   watch: () => call('watch'),
   write: () => call('write'),
@@ -149,6 +151,7 @@
     clock: () => performance.now(),
     codec,
     onConfigurationRead: (content) => recorded.configurations.push(Buffer.from(content).toString()),
+    onEvacuationsRead: () => undefined,
     directoryPrefix: 'nodes/',
     onDirectoryRead: () => (recorded.directoryReads += 1),
     entry: bytes('a'),
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -32,6 +32,8 @@
   readonly notExecuted: string;
   readonly instanceId: string;
   readonly load: string;
+  /** Time in milliseconds for which the server stays cold; on responses to health checks. */
+  readonly coldRemaining: string;
   parseLoad(value: string): ServerLoad | undefined;
 }
 
@@ -40,6 +42,8 @@
   readonly instanceId: string | undefined;
   readonly isReady: boolean;
   readonly load: ServerLoad | undefined;
+  /** Time for which the server stays cold; 0 if it is not cold. */
+  readonly coldMilliseconds: number;
 }
 
 export interface ServerClientOptions {
@@ -123,7 +127,12 @@
           }
           const load = this.readLoad(response);
           const instanceId = firstHeaderValue(response, codec.instanceId);
-          resolve({ instanceId, isReady: response.statusCode === 200, load });
+          resolve({
+            coldMilliseconds: parseMilliseconds(firstHeaderValue(response, codec.coldRemaining)),
+            instanceId,
+            isReady: response.statusCode === 200,
+            load,
+          });
         };
         new ResponseCollector(response, collectionOptions, onCollected, () => {
           clearTimeout(timer);
@@ -289,6 +298,12 @@
   return socket.remoteAddress !== undefined;
 }
 
+/** A server that is not cold may send no value, and an invalid one says nothing. */
+function parseMilliseconds(value: string | undefined): number {
+  const milliseconds = Number(value ?? 0);
+  return Number.isFinite(milliseconds) && milliseconds > 0 ? milliseconds : 0;
+}
+
 function firstHeaderValue(response: IncomingMessage, name: string): string | undefined {
   const value = response.headers[name];
   return Array.isArray(value) ? value[0] : value;
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -11,6 +11,7 @@
 
 const codec: ServerHeaderCodec = {
   callerService: 'x-caller-service',
+  coldRemaining: 'x-cold-remaining',
   deadline: 'x-deadline',
   expectedInstance: 'x-expected-instance',
   instanceId: 'x-instance',
