Replies go to the process that asked, not to the next one of its node

Cause: a gate addressed a reply by the node's name.

Ruled out: call numbers that begin at a random value (old builds would still need luck, and the check belongs where the reply is sent).

Change: a call keeps the incarnation of its entry; the reply is dropped unless that incarnation is the connected one.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -180,8 +180,8 @@
         probe: () => {
           void this.probe();
         },
-        reply: (node, frame) => {
-          this.sendReply(node, frame);
+        reply: (node, boot, frame) => {
+          this.sendReply(node, boot, frame);
         },
         run: (execution) => {
           options.ports().server.run(execution);
@@ -485,7 +485,8 @@
     }
   }
 
-  private sendReply(node: string, frame: ReplyFrame): void {
+  private sendReply(node: string, boot: number, frame: ReplyFrame): void {
+    if (this.gateTable.get(node)?.node.boot !== boot) return;
     this.loadAnnouncer.onReplySent(node, frame.load, this.options.clock());
     if (node !== this.options.self.name) {
       this.options.ports().connections.send(node, frame);
--- a/packages/daemon/tests/virtual-mesh.test.ts
+++ b/packages/daemon/tests/virtual-mesh.test.ts
@@ -80,4 +80,14 @@
   });
 }
 
+// Regression: a gate sent its reply for a call of an ended process of a node to the next process of that node, which had
+// a call with the same number. It took the reply for its own: a request got the answer of another one (seeds 4, 25 and
+// 95), or ran again because the reply was a decline (seed 71).
+for (const seed of [4, 25, 71, 95]) {
+  test(`seed ${seed}: a restarted node gets no replies for calls of its previous process`, async () => {
+    const { violations } = await simulateMesh(seed, { restoresStore: true, startsCold: true });
+    assert.equal(violations, []);
+  });
+}
+
 test.run();
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -11,6 +11,8 @@
   readonly key: string;
   readonly executionId: number;
   readonly from: string;
+  /** Incarnation of the entry's process that sent the request. */
+  readonly boot: number;
   readonly frame: StartFrame;
   readonly arrivedAt: number;
   readonly deadline: number;
@@ -51,6 +53,7 @@
   public open(from: string, boot: number, frame: StartFrame, now: number): GateCall {
     const call: GateCall = {
       arrivedAt: now,
+      boot,
       deadline: now + frame.remainingMilliseconds,
       executionId: this.nextExecutionId,
       finishedAt: 0,
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -61,7 +61,11 @@
    * `ServerGate.onProbeFinished` afterwards.
    */
   probe(): void;
-  reply(node: string, frame: ReplyFrame): void;
+  /**
+   * Sends a reply to the incarnation `boot` of a node's process, and to no other: a later incarnation numbers its calls
+   * anew, and would take the reply for that to a call of its own.
+   */
+  reply(node: string, boot: number, frame: ReplyFrame): void;
   /** Called when the state of the server or of the gate has changed. */
   onStateChanged(): void;
 }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -177,7 +177,7 @@
   public start(from: string, boot: number, frame: StartFrame, now: number): void {
     const existing = this.calls.find(from, boot, frame.callId);
     if (existing !== undefined) {
-      if (existing.reply !== undefined) this.options.port.reply(from, existing.reply);
+      if (existing.reply !== undefined) this.options.port.reply(from, boot, existing.reply);
       return;
     }
     const call = this.calls.open(from, boot, frame, now);
@@ -664,7 +664,7 @@
 
   private finish(call: GateCall, reply: ReplyFrame | undefined, now: number): void {
     this.calls.finish(call, reply, now);
-    if (reply !== undefined) this.options.port.reply(call.from, reply);
+    if (reply !== undefined) this.options.port.reply(call.from, call.boot, reply);
   }
 
   private applyEffect(effect: ReportEffect, instanceId: string, now: number): void {
--- a/packages/mesh-core/tests/gate/server-gate.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate.test.ts
@@ -8,6 +8,8 @@
 /** A gate whose server is simulated by the test. */
 class GateHarness {
   public readonly replies: ReplyFrame[] = [];
+  /** The incarnation of the entry's process that each reply was sent to. */
+  public readonly replyBoots: number[] = [];
   public readonly running: Execution[] = [];
   public readonly aborted: number[] = [];
   public probes = 0;
@@ -22,7 +24,10 @@
         abort: (executionId) => this.aborted.push(executionId),
         onStateChanged: () => (this.stateChanges += 1),
         probe: () => (this.probes += 1),
-        reply: (_node, frame) => this.replies.push(frame),
+        reply: (_node, boot, frame) => {
+          this.replies.push(frame);
+          this.replyBoots.push(boot);
+        },
         run: (execution) => this.running.push(execution),
       },
       probesPerSecond: 30,
@@ -493,4 +498,13 @@
   assert.is(harness.gate.load(10).state, 'draining');
 });
 
+test('replies are sent to the incarnation of the entry that sent the request', () => {
+  const harness = new GateHarness();
+  harness.gate.start('entry', 1, createStartFrame({ callId: 7, requestId: 'first' }), 0);
+  harness.gate.start('entry', 2, createStartFrame({ callId: 7, requestId: 'second' }), 10);
+  harness.finish(0, 20);
+  harness.finish(1, 30);
+  assert.equal(harness.replyBoots, [1, 2]);
+});
+
 test.run();
