--- a/packages/mesh-core/src/gate/start-rate-limit.ts
+++ b/packages/mesh-core/src/gate/start-rate-limit.ts
@@ -4,6 +4,9 @@
  */
 export const startWindowMilliseconds = 1_100;
 
+/** Requests of an earlier process left it before this one started, so the time between start and sending does not count. */
+const earlierProcessMilliseconds = 1_000;
+
 /**
  * Counts the requests that the server received in the last second. The window slides: with a count that restarts
  * each second, twice the limit could arrive around the restart.
@@ -14,7 +17,7 @@
 
   /**
    * @param processStartedAt start of the process. An earlier process may have used up the limit just before, so no
-   * start is available within one window from then on.
+   * start is available for one second from then on.
    */
   public constructor(private readonly processStartedAt: number) {}
 
@@ -26,7 +29,7 @@
   /** Time until the start at the given position, counted from 1, is available with at most so many starts per window. */
   public waitForStart(position: number, maximumStarts: number, now: number): number {
     this.removeExpired(now);
-    const untilKnown = Math.max(0, this.processStartedAt + startWindowMilliseconds - now);
+    const untilKnown = Math.max(0, this.processStartedAt + earlierProcessMilliseconds - now);
     const missingStarts = this.starts.length + position - maximumStarts;
     if (missingStarts <= 0) return untilKnown;
     // A start is available one window after the start that precedes it by `maximumStarts`.
