--- a/packages/daemon/tests/virtual-mesh/simulate-load.ts
+++ b/packages/daemon/tests/virtual-mesh/simulate-load.ts
@@ -4,7 +4,10 @@
 import { meanWorkMilliseconds } from './virtual-server.js';
 
 const machines = 5;
+const zones = 2;
 const slotsPerServer = 4;
+const restartMilliseconds = 500;
+const coldFactor = 2;
 const warmUpMilliseconds = 2_000;
 const loadPhaseMilliseconds = 4_000;
 /** Length of the periods in which a server is either slow, as with busy neighbours on its host, or not. */
@@ -17,6 +20,12 @@
   /** Share of the periods in which a server is slow, drawn for each server independently. */
   readonly slowShare: number;
   readonly slowdown: number;
+  /** Duration of the work relative to the usual one of the simulation. */
+  readonly workFactor?: number;
+  /** Slowdown of requests that start while nearly all slots of their server are in use. */
+  readonly crowdedFactor?: number;
+  /** Whether all nodes and servers restart at once when the load has run for a while; the servers are cold afterwards. */
+  readonly restartsAll?: boolean;
 }
 
 /** Outcomes of requests as seen by callers, as shares of all requests. */
@@ -29,18 +38,41 @@
   readonly refusalPercentile95Milliseconds: number;
 }
 
+function restartAll(mesh: VirtualMesh): void {
+  for (const machine of mesh.machines) {
+    mesh.kill(machine);
+    machine.server.restart(false);
+    mesh.queue.after(restartMilliseconds, () => {
+      mesh.start(machine);
+    });
+  }
+}
+
 /** Sends a constant mean load with random intervals to all nodes, and returns the outcomes for callers. */
 export async function simulateLoad({
   load,
   seed,
   slowShare,
   slowdown,
+  crowdedFactor = 1,
+  restartsAll = false,
+  workFactor = 1,
 }: LoadOptions): Promise<CallerOutcomes> {
   const random = new SeededRandomSource(seed);
-  const mesh = new VirtualMesh(machines, random);
+  const mesh = new VirtualMesh(machines, random, zones, restartsAll);
   const { queue } = mesh;
   const end = warmUpMilliseconds + loadPhaseMilliseconds;
-  const meanIntervalMilliseconds = meanWorkMilliseconds / (machines * slotsPerServer * load);
+  const meanIntervalMilliseconds =
+    (meanWorkMilliseconds * workFactor) / (machines * slotsPerServer * load);
+  for (const { server } of mesh.machines) {
+    server.workFactor = workFactor;
+    server.crowdedFactor = crowdedFactor;
+    server.coldFactor = restartsAll ? coldFactor : 1;
+  }
+  if (restartsAll)
+    queue.after(warmUpMilliseconds, () => {
+      restartAll(mesh);
+    });
   const sendNextRequest = (): void => {
     if (queue.now >= end) return;
     mesh.sendRequest(mesh.pickMachine());
--- a/packages/daemon/tests/virtual-mesh/virtual-server.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-server.ts
@@ -28,6 +28,8 @@
   readonly onConcluded: (executionId: number, result: ExecutionResult) => void;
 }
 
+/** Share of the slots above which some servers slow down. */
+const crowdedShare = 0.8;
 const oneWayLatencyMilliseconds = 0.5;
 const reportIntervalMilliseconds = 300;
 /** Share of reports that are delivered a second time, possibly after later ones. */
@@ -47,6 +49,12 @@
   /** Share of answers that are lost because the connection is reset. */
   public lostAnswerShare = 0;
   public slowdown = 1;
+  /** Duration of all work relative to the usual one of this simulation. */
+  public workFactor = 1;
+  /** Slowdown of a request that starts while more than four fifths of the slots are in use. */
+  public crowdedFactor = 1;
+  /** Slowdown of a request that starts while the server is cold. */
+  public coldFactor = 1;
   private coldUntil = Number.NEGATIVE_INFINITY;
   private incarnationNumber = 0;
   private instanceId = '';
@@ -99,7 +107,8 @@
       this.runs.push({ at: queue.now, incarnation, isCold, requestId: frame.requestId });
       this.running += 1;
       const spread = longestWorkMilliseconds - shortestWorkMilliseconds;
-      const work = (shortestWorkMilliseconds + spread * random.next() ** 2) * this.slowdown;
+      const usualWork = shortestWorkMilliseconds + spread * random.next() ** 2;
+      const work = usualWork * this.workFactor * this.currentSlowdown;
       const cancel = queue.after(work, () => {
         this.cancelByExecution.delete(executionId);
         if (incarnation !== this.incarnation) {
@@ -140,11 +149,20 @@
     };
   }
 
+  private get currentSlowdown(): number {
+    const isCrowded = this.running > this.options.slots * crowdedShare;
+    return (
+      this.slowdown *
+      (isCrowded ? this.crowdedFactor : 1) *
+      (this.coldRemaining > 0 ? this.coldFactor : 1)
+    );
+  }
+
   private get load(): ServerLoad {
     return {
       running: this.running,
       slots: this.options.slots,
-      slowdown: this.slowdown,
+      slowdown: this.slowdown * (this.coldRemaining > 0 ? this.coldFactor : 1),
       waiting: 0,
     };
   }
