--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -604,13 +604,12 @@
   private checkHealth(now: number): void {
     if (this.gate.hasServer || now < this.healthCheckDueAt || this.healthPath === undefined) return;
     this.healthCheckDueAt = Infinity;
-    const sentAt = now;
     void this.options
       .ports()
       .server.health(this.healthPath)
       .then((answer) => {
         this.healthCheckDueAt = this.options.clock() + healthRetryDelayMilliseconds;
-        this.onHealthAnswer(answer, sentAt);
+        this.onHealthAnswer(answer, now);
       });
   }
 
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -222,7 +222,7 @@
       if (!isFailure) this.estimator.recordResponse(call, this.serverTracker.slots, now);
     }
     // The server may have ended, and the next one is cold.
-    if (!wasAborted && isServerMissing(result))
+    if (!wasAborted && hasNoResponse(result))
       this.coldStartGuard.assumeCold(ColdAssumptionCause.NoResponse, now);
     this.logFinished(call, result, now);
     this.finish(call, wasAborted ? undefined : this.toReply(call, result, now), now);
@@ -348,6 +348,7 @@
     if (now >= this.nextSweepAt) this.sweep(now);
   }
 
+  /** Sends a health check, whose answer shows whether the server is cold. */
   private checkColdness(now: number): void {
     if (!this.probes.tryTake(now)) return;
     this.coldStartGuard.onHealthCheckSent(now);
@@ -710,8 +711,8 @@
   }
 }
 
-/** Whether there was no response at all, as from a server that has ended. */
-function isServerMissing(result: ExecutionResult): boolean {
+/** Whether there was no valid response, as from a server that has ended or restarted. */
+function hasNoResponse(result: ExecutionResult): boolean {
   if (result.kind === 'not-run') return result.reason === DeclineReason.ServerUnreachable;
   return result.kind === 'failed';
 }
