Evacuations end and coldness is assumed in whatever order news arrives

Cause 1: applyChanges dropped the hold of a zone before it was decided whether the change is newer and whether the set differs. Now one method decides on the order first. The unused has() went; names shows the same. Cause 2: an assumption that the server is cold was lost if the limit was not declared yet, as with the first report of a node that has not read its configuration. Now the assumption is kept as the time of its event, and the declared duration is applied when it is asked for. While the server is known to be cold, no request waits for a check that may end an assumption.

--- a/packages/mesh-core/src/evacuation/evacuated-zones.ts
+++ b/packages/mesh-core/src/evacuation/evacuated-zones.ts
@@ -29,11 +29,6 @@
   /** Revisions of the latest evacuation of each zone that has ended. */
   private readonly endedRevisions = new Map<string, number>();
 
-  public has(availabilityZone: string): boolean {
-    if (this.heldUntil.has(availabilityZone)) return true;
-    return this.snapshot?.zones.some((zone) => zone.availabilityZone === availabilityZone) ?? false;
-  }
-
   /** Names of all evacuated zones, in alphabetical order. */
   public get names(): readonly string[] {
     const zones = this.snapshot?.zones.map(({ availabilityZone }) => availabilityZone) ?? [];
@@ -58,6 +53,27 @@
 
   /** Handles a snapshot from the store or from a peer. Returns whether the evacuated zones have changed. */
   public offer(offered: EvacuationSnapshot, now: number): boolean {
+    return this.replaceSnapshot(offered, [], now);
+  }
+
+  /** Handles changes that the operator made since the latest snapshot. Returns whether the evacuated zones have changed. */
+  public applyChanges(
+    changed: readonly EvacuatedZone[],
+    endedZones: readonly string[],
+    { era, revision }: Pick<EvacuationSnapshot, 'era' | 'revision'>,
+    now: number,
+  ): boolean {
+    const zones = new Map(this.snapshot?.zones.map((zone) => [zone.availabilityZone, zone]));
+    for (const zone of changed) zones.set(zone.availabilityZone, zone);
+    for (const name of endedZones) zones.delete(name);
+    return this.replaceSnapshot({ era, revision, zones: [...zones.values()] }, endedZones, now);
+  }
+
+  private replaceSnapshot(
+    offered: EvacuationSnapshot,
+    endedZones: readonly string[],
+    now: number,
+  ): boolean {
     const { snapshot } = this;
     if (snapshot !== undefined && !isLater(offered, snapshot)) return false;
     const before = this.names;
@@ -66,37 +82,17 @@
     const zones = offered.zones.filter(
       ({ availabilityZone, revision }) => this.endedRevisions.get(availabilityZone) !== revision,
     );
-    const offeredNames = new Set(zones.map(({ availabilityZone }) => availabilityZone));
+    const remainingNames = new Set(zones.map(({ availabilityZone }) => availabilityZone));
     for (const { availabilityZone, revision } of snapshot?.zones ?? []) {
-      if (offeredNames.has(availabilityZone)) continue;
+      if (remainingNames.has(availabilityZone)) continue;
       if (isRestored) this.heldUntil.set(availabilityZone, now + restoreGraceMilliseconds);
       else this.endedRevisions.set(availabilityZone, revision);
     }
-    for (const name of offeredNames) this.heldUntil.delete(name);
+    for (const name of [...remainingNames, ...endedZones]) this.heldUntil.delete(name);
     this.snapshot = { ...offered, zones };
     return this.names.join() !== before.join();
   }
 
-  /** Handles changes that the operator made since the latest snapshot. Returns whether the evacuated zones have changed. */
-  public applyChanges(
-    changed: readonly EvacuatedZone[],
-    removedZones: readonly string[],
-    { era, revision }: Pick<EvacuationSnapshot, 'era' | 'revision'>,
-    now: number,
-  ): boolean {
-    const replaced = new Set([
-      ...changed.map(({ availabilityZone }) => availabilityZone),
-      ...removedZones,
-    ]);
-    const kept = (this.snapshot?.zones ?? []).filter(
-      ({ availabilityZone }) => !replaced.has(availabilityZone),
-    );
-    for (const name of removedZones) this.heldUntil.delete(name);
-    const removed = new Set(removedZones);
-    const zones = changed.filter(({ availabilityZone }) => !removed.has(availabilityZone));
-    return this.offer({ era, revision, zones: [...kept, ...zones] }, now);
-  }
-
   /** Ends evacuations that the operator did not write again. Returns whether the evacuated zones have changed. */
   public tick(now: number): boolean {
     let hasChanged = false;
--- a/packages/mesh-core/src/gate/cold-period.ts
+++ b/packages/mesh-core/src/gate/cold-period.ts
@@ -2,68 +2,64 @@
  * Until when the server has to be treated as cold. A server is cold after its start and may turn cold again at any
  * moment, under the same identifier.
  *
- * Reports only extend the period, because a report may have been sent seconds before it arrives. Only the answer to a
- * health check that was sent after all other evidence can shorten it.
+ * Reports only extend the time that is known, because a report may have been sent seconds before it arrives. Only the
+ * answer to a health check that was sent after all other evidence can shorten it, or end an assumption.
  */
 export class ColdPeriod {
-  private until = Number.NEGATIVE_INFINITY;
-  /** When the period was last extended. */
-  private extendedAt = Number.NEGATIVE_INFINITY;
-  private isAssumed = false;
-  /** Until when the server was certainly cold, according to its reports and health checks. */
-  private certainUntil = Number.NEGATIVE_INFINITY;
+  /** Until when the server is or was cold, according to its reports and health checks. */
+  private knownUntil = Number.NEGATIVE_INFINITY;
+  /** An assumption that the server is cold which no health check has confirmed or ended. */
+  private assumption: { readonly since: number; readonly renewedAt: number } | undefined;
+  /** Time of the latest evidence that the server is cold, known or assumed. */
+  private evidenceAt = Number.NEGATIVE_INFINITY;
 
-  public isCold(now: number): boolean {
-    return now < this.until;
+  /** Time until the server is no longer cold, if it stays so for `durationMilliseconds` after the event assumed. */
+  public remainingMilliseconds(durationMilliseconds: number, now: number): number {
+    const assumedUntil =
+      (this.assumption?.renewedAt ?? Number.NEGATIVE_INFINITY) + durationMilliseconds;
+    return Math.max(0, this.knownUntil - now, assumedUntil - now);
   }
 
-  public remainingMilliseconds(now: number): number {
-    return Math.max(0, this.until - now);
+  /** Time since the server was last known to be cold; 0 while it is. */
+  public millisecondsSinceKnownCold(now: number): number {
+    return Math.max(0, now - this.knownUntil);
   }
 
-  /** Time since the server was last certainly cold; 0 while it is. */
-  public millisecondsSinceCold(now: number): number {
-    return Math.max(0, now - this.certainUntil);
-  }
-
-  /** Whether the server is only assumed to be cold, so that a health check should show whether it is. */
-  public needsHealthCheck(now: number): boolean {
-    return this.isAssumed && this.isCold(now);
+  /** Time since an assumption was made that still needs a health check; undefined if there is none. */
+  public millisecondsSinceAssumed(durationMilliseconds: number, now: number): number | undefined {
+    if (this.assumption === undefined) return undefined;
+    const { renewedAt, since } = this.assumption;
+    return now < renewedAt + durationMilliseconds ? now - since : undefined;
   }
 
   /** Handles the start of another incarnation of the server. */
   public reset(): void {
-    this.until = Number.NEGATIVE_INFINITY;
-    this.certainUntil = Number.NEGATIVE_INFINITY;
-    this.isAssumed = false;
+    this.knownUntil = Number.NEGATIVE_INFINITY;
+    this.assumption = undefined;
   }
 
   /** Handles a report of the server that it stays cold for this long. */
   public onReported(coldMilliseconds: number, now: number): void {
     if (coldMilliseconds <= 0) return;
-    this.extend(now + coldMilliseconds, now);
-    this.certainUntil = Math.max(this.certainUntil, now + coldMilliseconds);
+    this.knownUntil = Math.max(this.knownUntil, now + coldMilliseconds);
+    this.evidenceAt = now;
   }
 
   /** Handles an event after which the server may be cold, such as a failure to respond. */
-  public assume(coldStartMilliseconds: number, now: number): void {
-    this.extend(now + coldStartMilliseconds, now);
-    this.isAssumed = true;
+  public assume(durationMilliseconds: number, now: number): void {
+    const elapsed = this.millisecondsSinceAssumed(durationMilliseconds, now) ?? 0;
+    this.assumption = { renewedAt: now, since: now - elapsed };
+    this.evidenceAt = now;
   }
 
   /** Handles the answer to a health check that was sent at the given time. */
   public onHealthChecked(sentAt: number, coldMilliseconds: number, now: number): void {
-    if (sentAt < this.extendedAt) {
+    if (sentAt < this.evidenceAt) {
       this.onReported(coldMilliseconds, now);
       return;
     }
-    this.until = now + coldMilliseconds;
-    this.certainUntil = coldMilliseconds > 0 ? this.until : Math.min(this.certainUntil, now);
-    this.isAssumed = false;
-  }
-
-  private extend(until: number, now: number): void {
-    this.until = Math.max(this.until, until);
-    this.extendedAt = now;
+    this.assumption = undefined;
+    this.knownUntil =
+      coldMilliseconds > 0 ? now + coldMilliseconds : Math.min(this.knownUntil, now);
   }
 }
--- a/packages/mesh-core/src/gate/cold-start-guard.ts
+++ b/packages/mesh-core/src/gate/cold-start-guard.ts
@@ -39,8 +39,6 @@
   private readonly startRateLimit: StartRateLimit;
   private limit: ColdStartLimit | undefined;
   private nextCheckAt = 0;
-  /** Since when the server is assumed to be cold without a health check that shows it. */
-  private assumedSince = 0;
   /** Time of the last report or health check, from which a gap in the reports is measured. */
   private serverSeenAt = Infinity;
 
@@ -54,7 +52,7 @@
 
   /** Whether the server is cold, or may be. */
   public isCold(now: number): boolean {
-    return this.coldPeriod.isCold(now);
+    return this.coldPeriod.remainingMilliseconds(this.durationMilliseconds, now) > 0;
   }
 
   /** Handles a report of the server that is not outdated. */
@@ -78,12 +76,8 @@
   }
 
   public assumeCold(cause: ColdAssumptionCause, now: number): void {
-    if (this.limit === undefined) return;
-    if (!this.coldPeriod.isCold(now)) {
-      this.assumedSince = now;
-      this.options.onAssumed(cause);
-    }
-    this.coldPeriod.assume(this.limit.durationMilliseconds, now);
+    if (this.limit !== undefined && !this.isCold(now)) this.options.onAssumed(cause);
+    this.coldPeriod.assume(this.durationMilliseconds, now);
   }
 
   public recordStart(now: number): void {
@@ -105,8 +99,11 @@
    */
   public expectedWaitForStart(position: number, now: number): number {
     const wait = this.waitForStart(position, now);
+    const sinceAssumed = this.coldPeriod.millisecondsSinceAssumed(this.durationMilliseconds, now);
     const isCheckHopeful =
-      this.coldPeriod.needsHealthCheck(now) && now - this.assumedSince < hopefulCheckMilliseconds;
+      sinceAssumed !== undefined &&
+      sinceAssumed < hopefulCheckMilliseconds &&
+      this.coldPeriod.millisecondsSinceKnownCold(now) > 0;
     return isCheckHopeful ? Math.min(wait, expectedCheckMilliseconds) : wait;
   }
 
@@ -117,7 +114,17 @@
       this.serverSeenAt = now;
       this.assumeCold(ColdAssumptionCause.MissingReports, now);
     }
-    return now >= this.nextCheckAt && this.coldPeriod.needsHealthCheck(now);
+    if (now < this.nextCheckAt) return false;
+    return this.coldPeriod.millisecondsSinceAssumed(this.durationMilliseconds, now) !== undefined;
+  }
+
+  public onHealthCheckSent(now: number): void {
+    this.nextCheckAt = now + checkIntervalMilliseconds;
+  }
+
+  /** Time for which an assumption holds; without a declared limit there is no need for any. */
+  private get durationMilliseconds(): number {
+    return this.limit?.durationMilliseconds ?? 0;
   }
 
   /**
@@ -126,13 +133,9 @@
    */
   private limitRemaining(now: number): number {
     return Math.max(
-      this.coldPeriod.remainingMilliseconds(now),
-      startWindowMilliseconds - this.coldPeriod.millisecondsSinceCold(now),
+      this.coldPeriod.remainingMilliseconds(this.durationMilliseconds, now),
+      startWindowMilliseconds - this.coldPeriod.millisecondsSinceKnownCold(now),
       0,
     );
   }
-
-  public onHealthCheckSent(now: number): void {
-    this.nextCheckAt = now + checkIntervalMilliseconds;
-  }
 }
--- a/packages/mesh-core/tests/evacuation/evacuated-zones.test.ts
+++ b/packages/mesh-core/tests/evacuation/evacuated-zones.test.ts
@@ -20,6 +20,7 @@
   readonly offer?: EvacuationSnapshot;
   /** Removed zones, in a change at this era and revision. */
   readonly end?: readonly [era: number, revision: number, zone: string];
+  readonly hasChanged?: boolean;
   readonly at?: number;
   readonly zones: readonly string[];
 }
@@ -76,6 +77,22 @@
       { at: 6_000, zones: [] },
     ],
   ],
+  [
+    'a store restored from a copy without the evacuation, which the operator writes again and ends at once',
+    [
+      { offer: snapshot(1, 10, 'a@9'), zones: ['a'] },
+      { offer: snapshot(2, 7), zones: ['a'] },
+      { end: [2, 9, 'a'], hasChanged: true, zones: [] },
+    ],
+  ],
+  [
+    'a change that is older than the snapshot ends nothing',
+    [
+      { offer: snapshot(1, 10, 'a@9'), zones: ['a'] },
+      { offer: snapshot(2, 7), zones: ['a'] },
+      { end: [2, 6, 'a'], hasChanged: false, zones: ['a'] },
+    ],
+  ],
   [
     'a store restored from a copy that still has an evacuation that ended',
     [
@@ -97,15 +114,15 @@
 for (const [name, steps] of cases) {
   test(name, () => {
     const evacuatedZones = new EvacuatedZones();
-    for (const { at = 0, end, offer, zones } of steps) {
+    for (const { at = 0, end, hasChanged, offer, zones } of steps) {
       if (offer !== undefined) evacuatedZones.offer(offer, at);
       if (end !== undefined) {
         const [era, revision, zone] = end;
-        evacuatedZones.applyChanges([], [zone], { era, revision }, at);
+        const result = evacuatedZones.applyChanges([], [zone], { era, revision }, at);
+        if (hasChanged !== undefined) assert.is(result, hasChanged);
       }
       evacuatedZones.tick(at);
       assert.equal(evacuatedZones.names, zones);
-      for (const zone of ['a', 'b']) assert.is(evacuatedZones.has(zone), zones.includes(zone));
     }
   });
 }
--- a/packages/mesh-core/tests/gate/cold-start-guard.test.ts
+++ b/packages/mesh-core/tests/gate/cold-start-guard.test.ts
@@ -176,6 +176,17 @@
   assert.is(checks, 8);
 });
 
+// A node receives the first report of its server before it has read the configuration.
+test('an assumption made before the limit is declared holds once it is', () => {
+  const [guard] = createGuard();
+  guard.configure(undefined);
+  guard.onReport(createServerReport(), true, 0);
+  guard.configure(limit);
+  assert.ok(guard.isHealthCheckDue(100));
+  const starts = startAllPossible(guard, 100, 2_000);
+  assert.ok(mostInOneSecond(starts) <= limit.maximumRequests);
+});
+
 test('without a declared limit no server counts as cold', () => {
   const [guard, causes] = createGuard();
   guard.configure(undefined);
