A rejected health check does not show that a server is warm

Cause, found by reading: the answer to a health check without the cold time counted as "not cold", also that of a full server, which rejects the check without looking at it. It ended the assumption that the server is cold, and the limit with it. Change: without a value only a healthy answer counts as not cold; an invalid value shows nothing. The case of the rejected check fails before.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -626,7 +626,8 @@
     const sentAt = this.options.clock();
     const answer = path === undefined ? undefined : await this.options.ports().server.health(path);
     const now = this.options.clock();
-    if (answer !== undefined) this.gate.onColdTimeChecked(sentAt, answer.coldMilliseconds, now);
+    if (answer?.coldMilliseconds !== undefined)
+      this.gate.onColdTimeChecked(sentAt, answer.coldMilliseconds, now);
     if (answer?.load !== undefined) this.gate.onServerLoad(answer.load, now);
     this.gate.onProbeFinished(now);
   }
@@ -639,7 +640,8 @@
     if (answer?.instanceId === undefined || !answer.isReady || answer.load === undefined) return;
     const now = this.options.clock();
     this.gate.onHealthCheckPassed(answer.instanceId, answer.load.slots, now);
-    this.gate.onColdTimeChecked(sentAt, answer.coldMilliseconds, now);
+    if (answer.coldMilliseconds !== undefined)
+      this.gate.onColdTimeChecked(sentAt, answer.coldMilliseconds, now);
     this.gate.onServerLoad(answer.load, now);
   }
 
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -32,9 +32,11 @@
   readonly notExecuted: string;
   readonly instanceId: string;
   readonly load: string;
-  /** Time in milliseconds for which the server stays cold; on responses to health checks. */
+  /** How long the server stays cold; on responses to health checks. */
   readonly coldRemaining: string;
   parseLoad(value: string): ServerLoad | undefined;
+  /** In milliseconds; undefined if the value is invalid. */
+  parseColdTime(value: string): number | undefined;
 }
 
 /** The result of a health check: which server responded, and whether it accepts requests. */
@@ -42,8 +44,8 @@
   readonly instanceId: string | undefined;
   readonly isReady: boolean;
   readonly load: ServerLoad | undefined;
-  /** Time for which the server stays cold; 0 if it is not cold. */
-  readonly coldMilliseconds: number;
+  /** Time for which the server stays cold, 0 if it is not cold; undefined if the response does not show it. */
+  readonly coldMilliseconds: number | undefined;
 }
 
 export interface ServerClientOptions {
@@ -128,7 +130,7 @@
           const load = this.readLoad(response);
           const instanceId = firstHeaderValue(response, codec.instanceId);
           resolve({
-            coldMilliseconds: parseMilliseconds(firstHeaderValue(response, codec.coldRemaining)),
+            coldMilliseconds: this.readColdTime(response),
             instanceId,
             isReady: response.statusCode === 200,
             load,
@@ -279,6 +281,14 @@
     return isSuccess && !isSigned ? 'response has no signature' : undefined;
   }
 
+  /** A healthy server that is not cold may send no value. A rejected check without one shows nothing. */
+  private readColdTime(response: IncomingMessage): number | undefined {
+    const { codec } = this.options;
+    const value = firstHeaderValue(response, codec.coldRemaining);
+    if (value !== undefined) return codec.parseColdTime(value);
+    return response.statusCode === 200 ? 0 : undefined;
+  }
+
   private readLoad(response: IncomingMessage): ServerLoad | undefined {
     const value = firstHeaderValue(response, this.options.codec.load);
     return value === undefined ? undefined : this.options.codec.parseLoad(value);
@@ -298,12 +308,6 @@
   return socket.remoteAddress !== undefined;
 }
 
-/** A server that is not cold may send no value, and an invalid one says nothing. */
-function parseMilliseconds(value: string | undefined): number {
-  const milliseconds = Number(value ?? 0);
-  return Number.isFinite(milliseconds) && milliseconds > 0 ? milliseconds : 0;
-}
-
 function firstHeaderValue(response: IncomingMessage, name: string): string | undefined {
   const value = response.headers[name];
   return Array.isArray(value) ? value[0] : value;
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -17,6 +17,7 @@
   instanceId: 'x-instance',
   load: 'x-load',
   notExecuted: 'x-not-executed',
+  parseColdTime: (value) => (value === 'soon' ? undefined : Number(value)),
   parseLoad: (value) => ({ running: Number(value), slots: 4, slowdown: 1, waiting: 0 }),
   requestId: 'x-request-id',
   signature: 'x-signature',
@@ -377,6 +378,27 @@
   });
 }
 
+/** Status and header fields of the answer to a health check, and the time for which the server says that it stays cold. */
+const coldTimes: readonly (readonly [string, readonly string[], number | undefined])[] = [
+  ['200 OK', ['x-cold-remaining: 1200'], 1_200],
+  ['200 OK', [], 0],
+  ['200 OK', ['x-cold-remaining: soon'], undefined],
+  ['503 Service Unavailable', ['x-cold-remaining: 300'], 300],
+  // A full server rejects the check without looking at it.
+  ['503 Service Unavailable', [], undefined],
+];
+
+for (const [status, fields, expected] of coldTimes) {
+  test(`a health check answered ${status} with ${fields.join() || 'no field'}: cold for ${String(expected)} ms`, async () => {
+    const behaviour: Behaviour = (socket) => {
+      socket.end(`HTTP/1.1 ${[status, ...fields, 'content-length: 0'].join('\r\n')}\r\n\r\n`);
+    };
+    await withHealthServer(behaviour, async (client) => {
+      assert.is((await client.health('/health'))?.coldMilliseconds, expected);
+    });
+  });
+}
+
 test('a health check whose response arrives one byte at a time times out', async () => {
   const behaviour: Behaviour = (socket) => {
     socket.write(responseText('h', ['content-length: 9999'], ''));
