--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -35,6 +35,8 @@
 export * from './routing/router-options.js';
 export * from './routing/selection-policy.js';
 export { MinimumHeap } from './shared/minimum-heap.js';
+export { TokenBucket } from './shared/token-bucket.js';
+export type { TokenBucketOptions } from './shared/token-bucket.js';
 export { TargetPool } from './routing/target-pool.js';
 export { TargetStatus, TargetState } from './routing/target-state.js';
 export type { ConcurrencyLimit, ConcurrencySample } from './gate/concurrency-limit.js';
--- a/packages/core/src/membership/gossip-disseminator.ts
+++ b/packages/core/src/membership/gossip-disseminator.ts
@@ -1,24 +1,20 @@
 import { MemberState, type MemberRecord, type ZoneReachability } from '../messages/member.js';
 import type { ClockReading } from '../shared/clock-reading.js';
+import { TokenBucket } from '../shared/token-bucket.js';
 import type { MembershipContext } from './membership-context.js';
 import { UpdateQueue } from './update-queue.js';
 import type { MemberEntry } from './zone-members.js';
 
 /** Members to which each node that receives a new urgent update sends it at once. */
 const pushFanOut = 4;
-/**
- * Rate limit of urgent updates that a node forwards at once: refill per second and burst. Further ones
- * are only piggybacked on pings.
- */
-const urgentPerSecond = 3;
-const urgentBurst = 20;
+/** Rate limit of urgent updates that a node forwards at once. Further ones are only piggybacked on pings. */
+const urgentRateLimit = { burst: 20, tokensPerSecond: 3 } as const;
 
 /** Gossips updates within the own zone: piggybacked on pings, and in frames of their own if urgent. */
 export class GossipDisseminator {
   /** Updates to be piggybacked on pings and acknowledgements. */
   public readonly pendingUpdates = new UpdateQueue();
-  private urgentTokens = urgentBurst;
-  private tokensRefilledAt = 0;
+  private readonly urgentTokens = new TokenBucket(urgentRateLimit);
 
   public constructor(private readonly context: MembershipContext) {}
 
@@ -49,7 +45,7 @@
   ): void {
     this.pendingUpdates.add(record, this.context.ownZone().live.length);
     const isOwn = record.server === this.context.self().record.server;
-    if (!isUrgent || isOwn || !this.takeUrgentToken(now)) return;
+    if (!isUrgent || isOwn || !this.urgentTokens.tryTake(now.monotonic)) return;
     this.push(this.pickMembers([from, record.server]), [record]);
   }
 
@@ -91,13 +87,4 @@
     }
     return picked;
   }
-
-  private takeUrgentToken(now: ClockReading): boolean {
-    const refill = ((now.monotonic - this.tokensRefilledAt) * urgentPerSecond) / 1_000;
-    this.tokensRefilledAt = now.monotonic;
-    this.urgentTokens = Math.min(urgentBurst, this.urgentTokens + refill);
-    if (this.urgentTokens < 1) return false;
-    this.urgentTokens -= 1;
-    return true;
-  }
 }
--- a/packages/core/src/membership/zone-bridge.ts
+++ b/packages/core/src/membership/zone-bridge.ts
@@ -1,5 +1,6 @@
 import { MemberState, type MemberRecord } from '../messages/member.js';
 import type { ClockReading } from '../shared/clock-reading.js';
+import { TokenBucket } from '../shared/token-bucket.js';
 import type { FailureDetector } from './failure-detector.js';
 import type { AntiEntropy } from './anti-entropy.js';
 import type { MembershipContext } from './membership-context.js';
@@ -21,9 +22,8 @@
 const unacknowledgedPingsUntilUnreachable = 4;
 /** Updates of the own zone kept for sending to other zones; anti-entropy transfers older ones. */
 const updateLogCapacity = 1_024;
-/** Rate limit of urgent updates that are sent to all zones at once: refill per second and burst. */
-const urgentPerSecond = 1;
-const urgentBurst = 10;
+/** Rate limit of urgent updates that are sent to all zones at once. */
+const urgentRateLimit = { burst: 10, tokensPerSecond: 1 } as const;
 
 interface ZoneLink {
   /** Position in the update log up to which updates have been sent to the zone. */
@@ -42,8 +42,7 @@
   private isActive = false;
   private nextRoundAt = 0;
   private rotation: string[] = [];
-  private urgentTokens = urgentBurst;
-  private tokensRefilledAt = 0;
+  private readonly urgentTokens = new TokenBucket(urgentRateLimit);
 
   public constructor(
     private readonly context: MembershipContext,
@@ -65,7 +64,7 @@
       this.updateLog = this.updateLog.slice(updateLogCapacity / 2);
       this.updateLogStart += updateLogCapacity / 2;
     }
-    if (!isUrgent || !this.takeUrgentToken(now)) return;
+    if (!isUrgent || !this.urgentTokens.tryTake(now.monotonic)) return;
     for (const zone of this.otherZones()) {
       const bridge = this.context.table.isReachable(zone) ? this.pickBridge(zone) : undefined;
       if (bridge === undefined) continue;
@@ -196,13 +195,4 @@
     const bridges = zone.bridges();
     return bridges[Math.floor(this.context.random.next() * bridges.length)];
   }
-
-  private takeUrgentToken(now: ClockReading): boolean {
-    const refill = ((now.monotonic - this.tokensRefilledAt) * urgentPerSecond) / 1_000;
-    this.tokensRefilledAt = now.monotonic;
-    this.urgentTokens = Math.min(urgentBurst, this.urgentTokens + refill);
-    if (this.urgentTokens < 1) return false;
-    this.urgentTokens -= 1;
-    return true;
-  }
 }
--- a/packages/nodes/src/mesh/mesh-connection.ts
+++ b/packages/nodes/src/mesh/mesh-connection.ts
@@ -2,6 +2,7 @@
 
 import type { MeshFrame, MeshNode } from '@peridotspring/mesh-core';
 
+import { CorkedWriter } from '../corked-writer.js';
 import { encodeMeshFrame, MeshFrameDecoder, meshProtocolVersion } from './mesh-frame-codec.js';
 import type { MeshHelloFrame, MeshWireFrame } from './mesh-frame-codec.js';
 
@@ -34,7 +35,7 @@
   private isClosed = false;
   /** Callbacks for the pings that have not been answered, in the order in which they were sent. */
   private readonly pongCallbacks: (() => void)[] = [];
-  private isCorked = false;
+  private readonly writer: CorkedWriter;
 
   public constructor(
     private readonly socket: Socket,
@@ -43,6 +44,7 @@
     private readonly clock: () => number,
     private readonly events: MeshConnectionEvents,
   ) {
+    this.writer = new CorkedWriter(socket);
     this.openedAt = clock();
     this.lastReceivedAt = this.openedAt;
     socket.setNoDelay(true);
@@ -59,17 +61,7 @@
 
   public send(frame: MeshWireFrame): void {
     if (this.isClosed) return;
-    const { socket } = this;
-    if (!this.isCorked) {
-      // Frames sent in the same turn of the event loop are written with one system call.
-      this.isCorked = true;
-      socket.cork();
-      process.nextTick(() => {
-        this.isCorked = false;
-        socket.uncork();
-      });
-    }
-    socket.write(encodeMeshFrame(frame));
+    this.writer.write(encodeMeshFrame(frame));
   }
 
   /** Sends a ping when one is due, and closes the connection when the other side does not respond in time. */
--- a/packages/nodes/src/peer-connection.ts
+++ b/packages/nodes/src/peer-connection.ts
@@ -3,6 +3,7 @@
 
 import type { NodeIdentity, PeerFrame } from '@peridotspring/core';
 
+import { CorkedWriter } from './corked-writer.js';
 import { encodeFrame, FrameDecoder } from './frame-codec.js';
 import { createProof, verifyProof } from './peer-authentication.js';
 import type { ConnectionSide, PeerSecrets } from './peer-authentication.js';
@@ -63,7 +64,7 @@
   private readonly nonce = randomBytes(nonceBytes);
   private peerHello: HelloFrame | undefined;
   private isClosed = false;
-  private isCorked = false;
+  private readonly writer: CorkedWriter;
   private lastReceivedAt: number;
   private lastSentAt: number;
   /** When the last frame other than handshake and heartbeat frames was sent or received. */
@@ -73,6 +74,7 @@
 
   public constructor(private readonly options: PeerConnectionOptions) {
     const now = options.clock();
+    this.writer = new CorkedWriter(options.socket);
     this.lastReceivedAt = now;
     this.lastSentAt = now;
     this.lastActivityAt = now;
@@ -154,20 +156,11 @@
     if (this.isClosed) {
       return;
     }
-    const { clock, socket } = this.options;
+    const { clock } = this.options;
     const encoded = encodeFrame(frame);
     this.lastSentAt = clock();
     this.bytesSent += encoded.length;
-    if (!this.isCorked) {
-      // Frames sent in the same turn of the event loop are written with one system call.
-      this.isCorked = true;
-      socket.cork();
-      process.nextTick(() => {
-        this.isCorked = false;
-        socket.uncork();
-      });
-    }
-    socket.write(encoded);
+    this.writer.write(encoded);
   }
 
   private handleChunk(chunk: Buffer): void {
