One type for evacuations that were read, and the cold-start limit in the core

From reading the diff: EvacuationRead and its zones were declared in the store's client and again in mesh-core, and the wiring of the node worked out how many requests a cold server may receive, which is a decision.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -24,7 +24,7 @@
   nodes: ['core', 'mesh-core'],
   callers: ['core', 'mesh-core'],
   upstreams: ['core', 'mesh-core'],
-  platform: ['core'],
+  platform: ['core', 'mesh-core'],
   operators: ['core', 'language'],
   daemon: [
     'core',
--- a/packages/daemon/src/mesh/evacuation-synchronizer.ts
+++ b/packages/daemon/src/mesh/evacuation-synchronizer.ts
@@ -1,7 +1,6 @@
 import { EvacuatedZones } from '@peridotspring/mesh-core';
-import type { EvacuationSnapshot } from '@peridotspring/mesh-core';
+import type { EvacuationRead, EvacuationSnapshot } from '@peridotspring/mesh-core';
 import type { MeshConnections } from '@peridotspring/nodes';
-import type { EvacuationRead } from '@peridotspring/platform/key-values';
 
 import { MeshEvent } from './mesh-event.js';
 
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -10,11 +10,14 @@
   ServerGate,
   ServerState,
   GateTable,
+  toColdStartLimit,
   TrafficSplit,
 } from '@peridotspring/mesh-core';
 import type {
+  ColdStartTolerance,
   EndedServer,
   EntryRequest,
+  EvacuationRead,
   Execution,
   ExecutionResult,
   MeshFrame,
@@ -28,8 +31,6 @@
 import type { MeshHelloPayload, MeshHelloFrame, MeshConnections } from '@peridotspring/nodes';
 import type { HealthCheckResult, ServerMessage } from '@peridotspring/upstreams/mesh';
 
-import type { EvacuationRead } from '@peridotspring/platform/key-values';
-
 import { ConfigurationSynchronizer } from './configuration-synchronizer.js';
 import type { ConfigurationPorts } from './configuration-synchronizer.js';
 import { DirectorySynchronizer } from './directory-synchronizer.js';
@@ -121,7 +122,7 @@
   private cancelTick: (() => void) | undefined;
   private shutdown: GracefulShutdown | undefined;
   private healthCheckDueAt: number;
-  private coldStartTolerance: MeshSettings['coldStartTolerance'];
+  private coldStartTolerance: ColdStartTolerance;
   private maintenanceDueAt = 0;
   private announcementDueAt = 0;
   private isClosed = false;
@@ -465,13 +466,7 @@
   private configureColdStart(): void {
     const { configuration } = this.configuration.inForce ?? {};
     const coldStart = configuration?.services.get(this.options.self.service)?.coldStart;
-    const { ratio, slack } = this.coldStartTolerance;
-    this.gate.configureColdStart(
-      coldStart && {
-        durationMilliseconds: coldStart.durationMilliseconds,
-        maximumRequests: Math.max(1, Math.floor(coldStart.requestsPerSecond * ratio + slack)),
-      },
-    );
+    this.gate.configureColdStart(coldStart && toColdStartLimit(coldStart, this.coldStartTolerance));
   }
 
   /** Sends the current load to the nodes that send requests to this gate. Called after each event that changes it. */
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -1,3 +1,5 @@
+import type { ColdStartTolerance } from '@peridotspring/mesh-core';
+
 import type { LogLevel } from '../logging/format-line.js';
 
 /** An address to listen on or to connect to. */
@@ -28,14 +30,7 @@
     readonly slack: number;
     readonly windowMilliseconds: number;
   };
-  /**
-   * How far beyond the rate that a service declares its cold servers may be used: `ratio` times the rate plus `slack`
-   * requests in any second.
-   */
-  readonly coldStartTolerance: {
-    readonly ratio: number;
-    readonly slack: number;
-  };
+  readonly coldStartTolerance: ColdStartTolerance;
   /** Interval at which the server reports its state. */
   readonly reportIntervalMilliseconds: number;
   /** Maximum number of load and health probes that the node sends to the server per second. */
--- a/packages/mesh-core/src/evacuation/evacuated-zones.ts
+++ b/packages/mesh-core/src/evacuation/evacuated-zones.ts
@@ -9,7 +9,7 @@
 const restoreGraceMilliseconds = 5_000;
 
 /** What one response of the store shows of the evacuated zones. */
-export interface StoreEvacuationRead {
+export interface EvacuationRead {
   /** Whether `zones` are all evacuated zones, rather than those that changed since the previous response. */
   readonly isComplete: boolean;
   readonly zones: readonly EvacuatedZone[];
@@ -42,7 +42,7 @@
 
   /** Handles a response of the store. Returns whether the evacuated zones have changed. */
   public onStoreRead(
-    { endedZones, isComplete, revision, zones }: StoreEvacuationRead,
+    { endedZones, isComplete, revision, zones }: EvacuationRead,
     storeEra: number | undefined,
     now: number,
   ): boolean {
--- a/packages/mesh-core/src/gate/cold-start-guard.ts
+++ b/packages/mesh-core/src/gate/cold-start-guard.ts
@@ -1,5 +1,6 @@
 import { ColdPeriod } from './cold-period.js';
-import type { ColdStartLimit, ServerReport } from './gate-contract.js';
+import type { ColdStartLimit } from './cold-start-limit.js';
+import type { ServerReport } from './gate-contract.js';
 import { StartRateLimit, startWindowMilliseconds } from './start-rate-limit.js';
 
 /** Interval between two health checks of a server that is assumed to be cold. */
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -32,14 +32,6 @@
   readonly slowdown: number | undefined;
 }
 
-/** How many requests a service's servers bear while they are cold. */
-export interface ColdStartLimit {
-  /** Maximum number of requests that a cold server may receive in any second. */
-  readonly maximumRequests: number;
-  /** Time for which a server is cold after its start. */
-  readonly durationMilliseconds: number;
-}
-
 /** State that a server reports about itself. */
 export interface ServerReport {
   readonly instanceId: string;
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -10,12 +10,12 @@
 import { AdmissionQueue } from './admission-queue.js';
 import type { WaitingRequest } from './admission-queue.js';
 import { ColdAssumptionCause, ColdStartGuard } from './cold-start-guard.js';
+import type { ColdStartLimit } from './cold-start-limit.js';
 import { ConcurrencyLimit } from './concurrency-limit.js';
 import { GateCallRegistry } from './gate-call-registry.js';
 import type { GateCall } from './gate-call-registry.js';
 import { GateEventName } from './gate-contract.js';
 import type {
-  ColdStartLimit,
   Execution,
   ExecutionResult,
   GateEvent,
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -5,13 +5,15 @@
 export { ConfigurationPullScheduler } from './configuration/configuration-pull-scheduler.js';
 export { StoreWatchElection } from './configuration/store-watch-election.js';
 export { EvacuatedZones } from './evacuation/evacuated-zones.js';
+export type { EvacuationRead } from './evacuation/evacuated-zones.js';
 export { EntryEventName, RefusalCause, UnknownCause } from './entry/entry-contract.js';
 export type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry/entry-contract.js';
 export { RequestForwarder } from './entry/request-forwarder.js';
 export type { RequestForwarderOptions } from './entry/request-forwarder.js';
 export { GateEventName } from './gate/gate-contract.js';
+export { toColdStartLimit } from './gate/cold-start-limit.js';
+export type { ColdStartLimit, ColdStartTolerance } from './gate/cold-start-limit.js';
 export type {
-  ColdStartLimit,
   Execution,
   ExecutionResult,
   GateEvent,
--- a/packages/platform/src/key-values/index.ts
+++ b/packages/platform/src/key-values/index.ts
@@ -1,6 +1,5 @@
 export { HttpStoreTransport } from './http-store-transport.js';
 export type { HttpStoreTransportOptions } from './http-store-transport.js';
-export type { EvacuatedZoneItem, EvacuationRead } from './operator-reader.js';
 export type {
   ItemPage,
   RemovedKey,
--- a/packages/platform/src/key-values/operator-reader.ts
+++ b/packages/platform/src/key-values/operator-reader.ts
@@ -1,3 +1,5 @@
+import type { EvacuatedZone, EvacuationRead } from '@peridotspring/mesh-core';
+
 import type { ItemPage, StoreCallCodec, StoredItem } from './key-value-store.js';
 import type { CancellableDelays } from './cancellable-delays.js';
 import type { StoreClientOutcome, StoreClient } from './store-client.js';
@@ -17,22 +19,6 @@
 } as const;
 type ReadConsistency = (typeof ReadConsistency)[keyof typeof ReadConsistency];
 
-/** The evacuations in one response of the store. */
-export interface EvacuationRead {
-  /** Whether `zones` are all evacuated zones, rather than those that changed since the last response. */
-  readonly isComplete: boolean;
-  /** Evacuated zones, with the revision at which the operator wrote each. */
-  readonly zones: readonly EvacuatedZoneItem[];
-  /** Zones whose evacuation the operator has ended. */
-  readonly endedZones: readonly string[];
-  readonly revision: number;
-}
-
-export interface EvacuatedZoneItem {
-  readonly availabilityZone: string;
-  readonly revision: number;
-}
-
 export interface OperatorReaderOptions {
   readonly storeClient: StoreClient;
   readonly codec: StoreCallCodec;
@@ -140,7 +126,7 @@
       const availabilityZone = codec.parseEvacuationKey(key);
       if (availabilityZone !== undefined) endedZones.push(availabilityZone);
     }
-    const zones: EvacuatedZoneItem[] = [];
+    const zones: EvacuatedZone[] = [];
     for (const { key, revision: writtenAt } of itemByKey.values()) {
       const availabilityZone = codec.parseEvacuationKey(key);
       if (availabilityZone !== undefined) zones.push({ availabilityZone, revision: writtenAt });
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -1,7 +1,8 @@
+import type { EvacuationRead } from '@peridotspring/mesh-core';
+
 import type { ItemPage, StoreCallCodec, StoredItem, StoreTransport } from './key-value-store.js';
 import { CancellableDelays } from './cancellable-delays.js';
 import { OperatorReader } from './operator-reader.js';
-import type { EvacuationRead } from './operator-reader.js';
 import { RecentRemovals } from './recent-removals.js';
 import type { EntryPredicate } from './recent-removals.js';
 import { StoreClient } from './store-client.js';
