Health checks of the server have a class of their own

From reading the diff: the two ways to check the server's health repeated what is done with an answer, in the longest class of the node. ServerHealthChecks identifies a server that hasn't reported and probes one that has; what an answer shows is reported in one place.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -42,6 +42,7 @@
 import type { MeshGaugeValues, MeshServiceGaugeValues } from './mesh-gauges.js';
 import { isMeshNode } from './mesh-directory-entry.js';
 import type { DecodedConfiguration } from './platform-adapter.js';
+import { ServerHealthChecks } from './server-health-checks.js';
 import { ServerMessageBuffer } from './server-message-buffer.js';
 import { GracefulShutdown } from './graceful-shutdown.js';
 
@@ -52,9 +53,6 @@
 const idleTickIntervalMilliseconds = 50;
 /** Minimum interval between checks for due load reports. The reports to each single node are limited further. */
 const announcementIntervalMilliseconds = 10;
-/** If the server has not sent a report within this time after the start, the node checks its health. */
-const firstReportTimeoutMilliseconds = 500;
-const healthRetryDelayMilliseconds = 3_000;
 /**
  * Messages of the server are buffered until half of the connections are up, but at most for this long after the
  * start. Peers report, when they connect, which incarnations of the server have ended according to an earlier
@@ -113,6 +111,7 @@
   private readonly retryBudget: RetryBudget;
   private readonly forwarder: RequestForwarder;
   private readonly gate: ServerGate;
+  private readonly healthChecks: ServerHealthChecks;
   private readonly loadAnnouncer = new LoadAnnouncer();
   private readonly endedServers = new EndedServers();
   private readonly serverMessages: ServerMessageBuffer;
@@ -121,7 +120,6 @@
   private readonly startedAt: number;
   private cancelTick: (() => void) | undefined;
   private shutdown: GracefulShutdown | undefined;
-  private healthCheckDueAt: number;
   private coldStartTolerance: ColdStartTolerance;
   private maintenanceDueAt = 0;
   private announcementDueAt = 0;
@@ -131,7 +129,6 @@
     const { clock, random, self, settings } = options;
     this.startedAt = clock();
     this.coldStartTolerance = settings.coldStartTolerance;
-    this.healthCheckDueAt = this.startedAt + firstReportTimeoutMilliseconds;
     const log = (event: string, fields: LogFields): void => {
       options.events.record(event, fields);
     };
@@ -179,7 +176,7 @@
           this.onLoadChanged();
         },
         probe: () => {
-          void this.probe();
+          void this.healthChecks.probe();
         },
         reply: (node, boot, frame) => {
           this.sendReply(node, boot, frame);
@@ -193,6 +190,17 @@
       reportIntervalMilliseconds: settings.reportIntervalMilliseconds,
       service: self.service,
     });
+    this.healthChecks = new ServerHealthChecks({
+      check: (path) => options.ports().server.health(path),
+      clock,
+      gate: this.gate,
+      log,
+      onProbe: () => {
+        options.events.count('server_probes');
+      },
+      path: () => this.healthPath,
+      startedAt: this.startedAt,
+    });
     this.forwarder = new RequestForwarder({
       retryBudget: this.retryBudget,
       callerService: self.service,
@@ -587,7 +595,7 @@
     this.configuration.tick(now);
     this.evacuations.tick(now);
     this.releaseServerMessages(now);
-    this.checkHealth(now);
+    this.healthChecks.tick(now);
   }
 
   private get inProgress(): number {
@@ -595,51 +603,12 @@
     return this.forwarder.inProgressCount + this.gate.inProgress + callers.inProgress;
   }
 
-  /** After a restart, a health check identifies the server's incarnation before the server's next report. */
-  private checkHealth(now: number): void {
-    if (this.gate.hasServer || now < this.healthCheckDueAt || this.healthPath === undefined) return;
-    this.healthCheckDueAt = Infinity;
-    void this.options
-      .ports()
-      .server.health(this.healthPath)
-      .then((answer) => {
-        this.healthCheckDueAt = this.options.clock() + healthRetryDelayMilliseconds;
-        this.onHealthAnswer(answer, now);
-      });
-  }
-
   private get healthPath(): string | undefined {
     const { configuration } = this.configuration.inForce ?? {};
     const path = configuration?.services.get(this.options.self.service)?.healthPath;
     return path === '' ? undefined : path;
   }
 
-  /** Asks the server for its current load, which shows slowdowns, with a health check. */
-  private async probe(): Promise<void> {
-    this.options.events.count('server_probes');
-    const path = this.healthPath;
-    const sentAt = this.options.clock();
-    const answer = path === undefined ? undefined : await this.options.ports().server.health(path);
-    const now = this.options.clock();
-    if (answer?.coldMilliseconds !== undefined)
-      this.gate.onColdTimeChecked(sentAt, answer.coldMilliseconds, now);
-    if (answer?.load !== undefined) this.gate.onServerLoad(answer.load, now);
-    this.gate.onProbeFinished(now);
-  }
-
-  private onHealthAnswer(answer: HealthCheckResult | undefined, sentAt: number): void {
-    this.log(MeshEvent.HealthChecked, {
-      instance: answer?.instanceId ?? 'unknown',
-      ready: answer?.isReady ?? false,
-    });
-    if (answer?.instanceId === undefined || !answer.isReady || answer.load === undefined) return;
-    const now = this.options.clock();
-    this.gate.onHealthCheckPassed(answer.instanceId, answer.load.slots, now);
-    if (answer.coldMilliseconds !== undefined)
-      this.gate.onColdTimeChecked(sentAt, answer.coldMilliseconds, now);
-    this.gate.onServerLoad(answer.load, now);
-  }
-
   private log(event: string, fields: LogFields): void {
     this.options.events.record(event, fields);
   }
