--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -23,6 +23,8 @@
   ServerLoad,
   ServerReport,
 } from './gate-contract.js';
+import { GateLog } from './gate-log.js';
+import { toReplyFrame } from './gate-replies.js';
 import { ProbeRateLimiter } from './probe-rate-limiter.js';
 import { RecentFailures } from './recent-failures.js';
 import { ReportEffect, ServerIncarnationTracker } from './server-incarnation-tracker.js';
@@ -96,6 +98,7 @@
   private readonly startIntervalEstimator = new StartIntervalEstimator();
   private readonly calls = new GateCallRegistry();
   private readonly coldStartGuard: ColdStartGuard;
+  private readonly gateLog: GateLog;
   private isEvacuated = false;
   private running = 0;
   private nestedRunning = 0;
@@ -105,6 +108,7 @@
   private lastActivityAt = 0;
 
   public constructor(private readonly options: ServerGateOptions) {
+    this.gateLog = new GateLog(options.log);
     this.probes = new ProbeRateLimiter(options.probesPerSecond);
     this.coldStartGuard = new ColdStartGuard({
       onAssumed: (cause) => {
@@ -203,7 +207,7 @@
       call.state = 'aborted';
       this.options.port.abort(call.executionId);
     }
-    this.log(GateEventName.RequestCancelled, call, { state: call.state });
+    this.gateLog.requestCancelled(call);
   }
 
   /** Handles the end of a request at the server. */
@@ -224,8 +228,9 @@
     // The server may have ended, and the next one is cold.
     if (!wasAborted && hasNoResponse(result))
       this.coldStartGuard.assumeCold(ColdAssumptionCause.NoResponse, now);
-    this.logFinished(call, result, now);
-    this.finish(call, wasAborted ? undefined : this.toReply(call, result, now), now);
+    this.gateLog.requestFinished(call, this.limitFor(call.frame), result, now);
+    const reply = wasAborted ? undefined : toReplyFrame(call.frame.callId, result, this.load(now));
+    this.finish(call, reply, now);
     this.startQueued(now);
   }
 
@@ -585,65 +590,20 @@
     call.slowdownAtStart = this.speed.hasReports ? this.speed.currentSlowdown : 1;
     const execution: Execution = { deadline, executionId, frame, instanceId };
     call.slowdownAgeAtStart = this.speed.reportAge(now);
-    this.log(GateEventName.RequestStarted, call, this.startFields(call));
+    this.gateLog.requestStarted(call, this.limitFor(frame));
     this.options.port.run(execution);
   }
 
-  /** Log fields that describe the state of the gate when it started the request. */
-  private startFields(call: GateCall): GateEvent['fields'] {
-    const { frame, runningAtStart, slowdownAtStart, slowdownAgeAtStart, startedAt } = call;
-    return {
-      limit: this.limitFor(frame),
-      running: runningAtStart,
-      slowdown: slowdownAtStart,
-      waited: Math.round(startedAt - call.arrivedAt),
-      ...(Number.isFinite(slowdownAgeAtStart) && { slowdownAge: Math.round(slowdownAgeAtStart) }),
-    };
-  }
-
-  private logFinished(call: GateCall, result: ExecutionResult, now: number): void {
-    const isAborted = call.state === 'aborted';
-    this.log(GateEventName.RequestFinished, call, {
-      ...this.startFields(call),
-      late: now > call.targetAt,
-      milliseconds: Math.round(now - call.startedAt),
-      outcome: isAborted ? 'cancelled' : result.kind,
-      ...(result.kind === 'answered' && { status: result.status }),
-      ...(result.kind === 'failed' && { detail: result.detail }),
-    });
-  }
-
-  private toReply(call: GateCall, result: ExecutionResult, now: number): ReplyFrame {
-    const { callId } = call.frame;
-    const load = this.load(now);
-    switch (result.kind) {
-      case 'answered': {
-        const { body, headers, status } = result;
-        return { body, callId, headers, kind: 'answered', load, status };
-      }
-      case 'failed':
-        return { callId, detail: result.detail, kind: 'failed', load };
-      case 'not-run':
-        return {
-          callId,
-          expectedMilliseconds: 0,
-          kind: 'declined',
-          load,
-          reason: result.reason,
-        };
-    }
-  }
-
   private decline(call: GateCall, reason: DeclineReason, expected: number, now: number): void {
-    this.log(GateEventName.RequestDeclined, call, {
-      expected: Math.round(expected),
+    const details = {
+      expected,
       limit: this.limitFor(call.frame),
-      needed: Math.round(this.estimator.minimumMilliseconds(call.frame.routeName)),
+      needed: this.estimator.minimumMilliseconds(call.frame.routeName),
       reason,
-      remaining: Math.round(call.deadline - now),
       running: this.running,
       waiting: this.queue.size,
-    });
+    };
+    this.gateLog.requestDeclined(call, details, now);
     const frame: ReplyFrame = {
       callId: call.frame.callId,
       expectedMilliseconds: expected,
@@ -698,17 +658,6 @@
         port.onStateChanged();
     }
   }
-
-  private log(
-    event: GateEvent['event'],
-    { frame, from }: GateCall,
-    fields: GateEvent['fields'],
-  ): void {
-    this.options.log({
-      event,
-      fields: { from, request: frame.requestId, route: frame.routeName, ...fields },
-    });
-  }
 }
 
 /** Whether there was no valid response, as from a server that has ended or restarted. */
