--- /dev/null
+++ b/packages/mesh-core/tests/gate/gate-harness.ts
@@ -0,0 +1,60 @@
+import { ServerGate } from '../../src/index.js';
+import type { Execution, ExecutionResult, ReplyFrame, StartFrame } from '../../src/index.js';
+import { createServerReport, createStartFrame } from '../fixtures.js';
+
+/** A gate whose server is simulated by the test. */
+export class GateHarness {
+  public readonly replies: ReplyFrame[] = [];
+  /** The incarnation of the entry's process that each reply was sent to. */
+  public readonly replyBoots: number[] = [];
+  public readonly running: Execution[] = [];
+  public readonly aborted: number[] = [];
+  public probes = 0;
+  public stateChanges = 0;
+  public readonly gate: ServerGate;
+  private nextCallId = 1;
+
+  public constructor(slots = 2) {
+    this.gate = new ServerGate({
+      log: () => undefined,
+      port: {
+        abort: (executionId) => this.aborted.push(executionId),
+        onStateChanged: () => (this.stateChanges += 1),
+        probe: () => (this.probes += 1),
+        reply: (_node, boot, frame) => {
+          this.replies.push(frame);
+          this.replyBoots.push(boot);
+        },
+        run: (execution) => this.running.push(execution),
+      },
+      probesPerSecond: 30,
+      processStartedAt: Number.NEGATIVE_INFINITY,
+      reportIntervalMilliseconds: 1_500,
+      service: 'shop',
+    });
+    this.gate.onServerReport(createServerReport({ slots }), 0);
+  }
+
+  public start(changes: Partial<StartFrame> = {}, now = 0): number {
+    const callId = changes.callId ?? this.nextCallId;
+    this.nextCallId += 1;
+    const requestId = `r${callId}`;
+    this.gate.start('entry', 1, createStartFrame({ callId, requestId, ...changes }), now);
+    return callId;
+  }
+
+  public finish(index: number, now: number, result: Partial<ExecutionResult> = {}): void {
+    const executionId = this.running[index]?.executionId ?? 0;
+    const answered = { body: new Uint8Array(), headers: [], kind: 'answered', status: 200 };
+    this.gate.onExecutionFinished(executionId, { ...answered, ...result } as ExecutionResult, now);
+  }
+
+  public get startedCalls(): readonly number[] {
+    return this.running.map(({ frame }) => frame.callId);
+  }
+
+  public outcomeOf(callId: number): string | undefined {
+    const reply = this.replies.find((frame) => frame.callId === callId);
+    return reply?.kind === 'declined' ? reply.reason : reply?.kind;
+  }
+}
