Gates find out under overload whether the last slots slow a server down

Two faults: responses were compared with an average of the last twelve, so that under lasting overload the crowded ones were compared with themselves; and under such load requests that ran with few slots in use were never seen. Change: a CrowdingEstimator compares the logarithms of service times of the same route with and without crowding, with their standard error; the limit that is not in force is tried for 40 of 240 responses; the last slots have to raise the throughput by 15 %, as requests take longer in them; cold servers are left out.

--- a/packages/daemon/tests/mesh-load.test.ts
+++ b/packages/daemon/tests/mesh-load.test.ts
@@ -9,6 +9,8 @@
  * stated for it; queues in which requests expire achieve far less.
  */
 const minimumUsedCapacityShare = 0.85;
+/** Share of the slots of a simulated server in which requests run at full speed, if the last slot slows it down. */
+const fullSpeedSlotShare = 0.75;
 /** Time that a refusal may take to reach the caller after the request has missed its target latency. */
 const refusalDelayToleranceMilliseconds = 50;
 
@@ -17,6 +19,8 @@
   readonly load: number;
   readonly slowShare: number;
   readonly workFactor?: number;
+  /** Slowdown of requests that start in the last slots of their server. */
+  readonly crowdedFactor?: number;
   /** Minimum share of requests that must be answered in time. */
   readonly minimumInTimeShare: number;
 }
@@ -56,12 +60,28 @@
     slowShare: 0,
     workFactor: 4,
   },
+  // Regression: under lasting overload, gates did not find out that requests take longer in the last slots, and used them.
+  {
+    crowdedFactor: 1.7,
+    minimumInTimeShare: (minimumUsedCapacityShare * fullSpeedSlotShare) / 1.5,
+    load: 1.5,
+    name: 'load of 1.5 times the capacity, on servers whose last slot slows them down',
+    slowShare: 0,
+    workFactor: 4,
+  },
 ];
 
-for (const { minimumInTimeShare, load, name, slowShare, workFactor = 1 } of cases) {
+for (const { crowdedFactor, minimumInTimeShare, load, name, slowShare, workFactor = 1 } of cases) {
   test(`${name}: requests are answered in time or refused early`, async () => {
     for (const seed of [1, 2, 3]) {
-      const outcomes = await simulateLoad({ load, seed, slowShare, slowdown: 5, workFactor });
+      const outcomes = await simulateLoad({
+        crowdedFactor,
+        load,
+        seed,
+        slowShare,
+        slowdown: 5,
+        workFactor,
+      });
       assert.ok(
         outcomes.inTime >= minimumInTimeShare,
         `seed ${seed}: ${outcomes.inTime.toFixed(3)} in time`,
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -20,6 +20,10 @@
   state: 'waiting' | 'running' | 'aborted' | 'finished';
   startedAt: number;
   runningAtStart: number;
+  /** Time for which the server had been crowded in total when the call started, in milliseconds. */
+  crowdedAtStart: number;
+  /** Whether the call started in one of the last slots of the server. */
+  isCrowdedAtStart: boolean;
   /**
    * Whether the call was admitted although its remaining time seemed too short: on an idle gate only a request
    * can show whether the estimated service time is still right.
@@ -63,6 +67,8 @@
       key: callKey(from, boot, frame.callId),
       reply: undefined,
       runningAtStart: 0,
+      crowdedAtStart: 0,
+      isCrowdedAtStart: false,
       slowdownAtStart: 1,
       slowdownAgeAtStart: Infinity,
       startedAt: 0,
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -216,6 +216,7 @@
     if (call === undefined) return;
     const wasAborted = call.state === 'aborted';
     this.running -= 1;
+    this.concurrencyLimit.recordRunning(this.serverTracker.slots, this.running, now);
     this.lastActivityAt = now;
     if (call.frame.nested) this.nestedRunning -= 1;
     if (wasAborted) this.estimator.recordAbort(call, now);
@@ -223,7 +224,7 @@
       const isFailure =
         result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
       this.failures.add(isFailure, now);
-      if (!isFailure) this.estimator.recordResponse(call, this.serverTracker.slots, now);
+      if (!isFailure) this.estimator.recordResponse(call, now);
     }
     // The server may have ended, and the next one is cold.
     if (!wasAborted && hasNoResponse(result))
@@ -581,11 +582,14 @@
     call.startedAt = now;
     const { deadline, executionId, frame } = call;
     this.running += 1;
+    this.concurrencyLimit.recordRunning(this.serverTracker.slots, this.running, now);
     this.lastActivityAt = now;
     this.coldStartGuard.recordStart(now);
     if (frame.nested) this.nestedRunning += 1;
     else if (now - call.arrivedAt > 0) this.startIntervalEstimator.recordStart(now);
     call.runningAtStart = this.running;
+    call.crowdedAtStart = this.concurrencyLimit.crowdedMilliseconds(now);
+    call.isCrowdedAtStart = this.concurrencyLimit.isCrowded;
     call.isFastAtStart = this.speed.state(now) === SpeedState.Fast;
     call.slowdownAtStart = this.speed.hasReports ? this.speed.currentSlowdown : 1;
     const execution: Execution = { deadline, executionId, frame, instanceId };
--- a/packages/mesh-core/src/gate/service-time-estimator.ts
+++ b/packages/mesh-core/src/gate/service-time-estimator.ts
@@ -48,15 +48,21 @@
   /** Sets the target latencies in milliseconds of the routes to this service, and forgets all other routes. */
   public setTargets(targets: ReadonlyMap<string, number>): void {
     this.times.setTargets(targets);
+    this.concurrencyLimit.retainRoutes(new Set(targets.keys()));
   }
 
   /** Records the service time of a response, unless the request started when the speed was unknown. */
-  public recordResponse(call: GateCall, slots: number, now: number): void {
+  public recordResponse(call: GateCall, now: number): void {
     if (!this.isSpeedAtStartKnown(call)) return;
     const { routeName } = call.frame;
     const normalized = normalizedMilliseconds(call, now);
-    const relativeTime = normalized / this.times.expectedMilliseconds(routeName);
-    this.concurrencyLimit.recordResponse(slots, call.runningAtStart, relativeTime);
+    const crowded = this.concurrencyLimit.crowdedMilliseconds(now) - call.crowdedAtStart;
+    this.concurrencyLimit.recordResponse({
+      crowdedShare: crowded / Math.max(1, now - call.startedAt),
+      isCrowdedAtStart: call.isCrowdedAtStart,
+      milliseconds: normalized,
+      routeName,
+    });
     this.times.add(routeName, normalized);
   }
 
