--- a/scripts/write-restricted-days.mjs
+++ b/scripts/write-restricted-days.mjs
@@ -72,6 +72,8 @@
     `name = "restricted-${name}"`,
     'slot = "trouble"',
     `seed = ${seed}`,
+    // With --small the bench divides the number of machines by this.
+    'small = { shrink = 3.5 }',
     'one = 0.5',
     'zero = 0.1',
     'plan = [',
