--- a/packages/mesh-core/src/gate/concurrency-limit.ts
+++ b/packages/mesh-core/src/gate/concurrency-limit.ts
@@ -81,6 +81,7 @@
     this.isCold = isCold;
   }
 
+  /** Forgets the routes that are no longer configured. */
   public retainRoutes(routeNames: ReadonlySet<string>): void {
     this.crowding.retainRoutes(routeNames);
   }
--- a/packages/mesh-core/src/gate/crowding-estimator.ts
+++ b/packages/mesh-core/src/gate/crowding-estimator.ts
@@ -34,6 +34,7 @@
     else if (crowding === Crowding.Uncrowded) this.uncrowded.add(routeName, milliseconds);
   }
 
+  /** Forgets the routes that are no longer configured. */
   public retainRoutes(routeNames: ReadonlySet<string>): void {
     this.crowded.byRoute.retain(routeNames);
     this.uncrowded.byRoute.retain(routeNames);
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -20,8 +20,8 @@
   state: 'waiting' | 'running' | 'aborted' | 'finished';
   startedAt: number;
   runningAtStart: number;
-  /** Time for which the server had been crowded in total when the call started, in milliseconds. */
-  crowdedAtStart: number;
+  /** Time for which the server had been crowded in total when the call started. */
+  crowdedMillisecondsAtStart: number;
   /** Whether the call started in one of the last slots of the server. */
   isCrowdedAtStart: boolean;
   /**
@@ -67,7 +67,7 @@
       key: callKey(from, boot, frame.callId),
       reply: undefined,
       runningAtStart: 0,
-      crowdedAtStart: 0,
+      crowdedMillisecondsAtStart: 0,
       isCrowdedAtStart: false,
       slowdownAtStart: 1,
       slowdownAgeAtStart: Infinity,
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -588,7 +588,7 @@
     if (frame.nested) this.nestedRunning += 1;
     else if (now - call.arrivedAt > 0) this.startIntervalEstimator.recordStart(now);
     call.runningAtStart = this.running;
-    call.crowdedAtStart = this.concurrencyLimit.crowdedMilliseconds(now);
+    call.crowdedMillisecondsAtStart = this.concurrencyLimit.crowdedMilliseconds(now);
     call.isCrowdedAtStart = this.concurrencyLimit.isCrowded;
     call.isFastAtStart = this.speed.state(now) === SpeedState.Fast;
     call.slowdownAtStart = this.speed.hasReports ? this.speed.currentSlowdown : 1;
--- a/packages/mesh-core/src/gate/service-time-estimator.ts
+++ b/packages/mesh-core/src/gate/service-time-estimator.ts
@@ -56,7 +56,8 @@
     if (!this.isSpeedAtStartKnown(call)) return;
     const { routeName } = call.frame;
     const normalized = normalizedMilliseconds(call, now);
-    const crowded = this.concurrencyLimit.crowdedMilliseconds(now) - call.crowdedAtStart;
+    const crowded =
+      this.concurrencyLimit.crowdedMilliseconds(now) - call.crowdedMillisecondsAtStart;
     this.concurrencyLimit.recordResponse({
       crowdedShare: crowded / Math.max(1, now - call.startedAt),
       isCrowdedAtStart: call.isCrowdedAtStart,
