--- a/packages/daemon/src/mesh/evacuation-synchronizer.ts
+++ b/packages/daemon/src/mesh/evacuation-synchronizer.ts
@@ -67,14 +67,17 @@
 }
 
 function isHeldZone(value: unknown): boolean {
-  if (typeof value !== 'object' || value === null) return false;
-  if (!('availabilityZone' in value && 'remainingMilliseconds' in value)) return false;
-  const { availabilityZone, remainingMilliseconds } = value;
-  return typeof availabilityZone === 'string' && Number.isFinite(remainingMilliseconds);
+  return isZone(value) && Number.isFinite(value.remainingMilliseconds);
 }
 
 function isEvacuatedZone(value: unknown): boolean {
+  return isZone(value) && Number.isSafeInteger(value.revision);
+}
+
+/** Whether the value names an availability zone; its other fields may have any value or be missing. */
+function isZone(
+  value: unknown,
+): value is Readonly<Record<'remainingMilliseconds' | 'revision', unknown>> {
   if (typeof value !== 'object' || value === null) return false;
-  if (!('availabilityZone' in value && 'revision' in value)) return false;
-  return typeof value.availabilityZone === 'string' && Number.isSafeInteger(value.revision);
+  return 'availabilityZone' in value && typeof value.availabilityZone === 'string';
 }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -322,6 +322,7 @@
         targets.set(name, targetLatencyMilliseconds);
     }
     this.estimator.setTargets(targets);
+    this.concurrencyLimit.retainRoutes(new Set(targets.keys()));
   }
 
   public setProbesPerSecond(probesPerSecond: number): void {
--- a/packages/mesh-core/src/gate/service-time-estimator.ts
+++ b/packages/mesh-core/src/gate/service-time-estimator.ts
@@ -48,7 +48,6 @@
   /** Sets the target latencies in milliseconds of the routes to this service, and forgets all other routes. */
   public setTargets(targets: ReadonlyMap<string, number>): void {
     this.times.setTargets(targets);
-    this.concurrencyLimit.retainRoutes(new Set(targets.keys()));
   }
 
   /** Records the service time of a response, unless the request started when the speed was unknown. */
