--- a/packages/upstreams/src/response-collector.ts
+++ b/packages/upstreams/src/response-collector.ts
@@ -42,6 +42,10 @@
   ) {}
 
   public start(): void {
+    if (this.declaresBodyOfNoContent()) {
+      this.endAtHead();
+      return;
+    }
     this.response.on('data', this.onData);
     this.response.on('end', () => {
       if (this.response.complete) this.settleComplete();
@@ -84,6 +88,24 @@
     if (this.response.complete && this.response.readableLength === 0) this.settleComplete();
   };
 
+  /** Whether the status is 204, which ends a response with its head, while the head declares a body (RFC 9112, section 6.3). */
+  private declaresBodyOfNoContent(): boolean {
+    const { headers, statusCode } = this.response;
+    if (statusCode !== 204) return false;
+    const declaredLength = Number(headers['content-length'] ?? 0);
+    return declaredLength > 0 || headers['transfer-encoding'] !== undefined;
+  }
+
+  /** Some versions of Node.js read the declared body, so the connection can't carry another response. */
+  private endAtHead(): void {
+    this.response.on('error', () => undefined);
+    this.response.on('close', () => {
+      this.onEnded(true);
+    });
+    this.settleComplete();
+    this.response.destroy();
+  }
+
   /** The response to HEAD may declare the length of a body that is not sent. */
   private hasNoBody(): boolean {
     const { statusCode } = this.response;
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -288,6 +288,20 @@
   });
 });
 
+test('a response with status 204 that declares a body ends with its head', async () => {
+  const declarations = ['content-length: 100000', 'transfer-encoding: chunked'];
+  for (const declaration of declarations) {
+    const behaviour: Behaviour = (socket, id) =>
+      socket.write(responseText(id, [signed, declaration], '', 204));
+    await withServer(behaviour, async (harness) => {
+      for (const requestId of ['r-1', 'r-2']) {
+        const result = await Promise.race([harness.run(requestId), sleep(1_500)]);
+        assert.is(result?.kind === 'answered' && result.body.length, 0, declaration);
+      }
+    });
+  }
+});
+
 test('a keep-alive connection is reused for the next request', async () => {
   await withServer(
     (socket, id) => socket.write(completeResponse(id)),
