--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -12,6 +12,7 @@
 
 import { ResponseCollector } from '../response-collector.js';
 import type { CollectedResponse } from '../response-collector.js';
+import { isSelfDelimiting } from '../response-framing.js';
 import { ResponseMemoryLimiter } from './response-memory-limiter.js';
 import { ServerAgent } from './server-agent.js';
 
@@ -221,7 +222,7 @@
       settle({ detail: 'response carries the identifier of another request', kind: 'failed' });
       return;
     }
-    let isEndKnown = isSelfDelimiting(response);
+    let isEndKnown = isSelfDelimiting(response, frame.method);
     if (!isEndKnown) {
       // The end of the connection marks the end of the body. The listener is prepended because the one of
       // Node.js destroys the socket.
@@ -295,11 +296,6 @@
   }
 }
 
-/** Whether the response itself defines where its body ends (RFC 9112, section 6.3). */
-function isSelfDelimiting({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 /**
  * Whether a connection that has ended was closed with FIN. Node.js reports a reset that arrives together with
  * data as an ordinary end, but the kernel then no longer has a peer address for the socket.
--- a/packages/upstreams/src/upstream-execution.ts
+++ b/packages/upstreams/src/upstream-execution.ts
@@ -6,6 +6,7 @@
 import type { RunUpstreamCommand, UpstreamResult } from '@peridotspring/core';
 
 import { ResponseCollector } from './response-collector.js';
+import { isSelfDelimiting } from './response-framing.js';
 import type { CollectedResponse, CollectionOptions } from './response-collector.js';
 import { upstreamResponseFields, upstreamRequestFields } from './header-fields.js';
 import type { UpstreamConnections } from './upstream-connections.js';
@@ -21,13 +22,6 @@
   onFinished(isComplete: boolean): void;
 }
 
-/** Whether the end of the response body can be distinguished from a lost connection (RFC 9112, section 6.3). */
-function isSelfDelimiting(response: IncomingMessage, method: string): boolean {
-  const { headers, statusCode } = response;
-  if (method === 'HEAD' || statusCode === 204 || statusCode === 304) return true;
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 /** Sends one request to the upstream and reports its response. */
 export class UpstreamExecution {
   private request: ClientRequest | undefined;
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -78,13 +78,17 @@
     });
   }
 
-  public async run(requestId: string, headers: HeaderList = []): Promise<ExecutionResult> {
+  public async run(
+    requestId: string,
+    headers: HeaderList = [],
+    method = 'GET',
+  ): Promise<ExecutionResult> {
     const executionId = this.nextExecutionId;
     this.nextExecutionId += 1;
     const execution: Execution = {
       deadline: performance.now() + 2_000,
       executionId,
-      frame: { ...startFrame(requestId), headers },
+      frame: { ...startFrame(requestId), headers, method },
       instanceId: 'i-1',
     };
     return new Promise((resolve) => {
@@ -302,6 +306,22 @@
   }
 });
 
+test('a response that can have no body needs no length', async () => {
+  const responses = [
+    { method: 'GET', status: 204 },
+    { method: 'GET', status: 304 },
+    { method: 'HEAD', status: 200 },
+  ];
+  for (const { method, status } of responses) {
+    const behaviour: Behaviour = (socket, id) =>
+      socket.write(responseText(id, [signed], '', status));
+    await withServer(behaviour, async (harness) => {
+      const result = await harness.run('r-1', [], method);
+      assert.is(result.kind === 'answered' && result.status, status);
+    });
+  }
+});
+
 test('a keep-alive connection is reused for the next request', async () => {
   await withServer(
     (socket, id) => socket.write(completeResponse(id)),
