--- a/packages/daemon/src/mesh/configuration-synchronizer.ts
+++ b/packages/daemon/src/mesh/configuration-synchronizer.ts
@@ -1,4 +1,5 @@
 import {
+  ConfigurationFreshness,
   ConfigurationHolder,
   ConfigurationPullScheduler,
   isSameZone,
@@ -18,6 +19,8 @@
   readonly connections: Pick<MeshConnections, 'broadcast' | 'send'>;
   readonly store: {
     watchConfiguration(isWatching: boolean): void;
+    /** Reads the configuration once, although this node does not watch it. */
+    refreshConfiguration(): void;
     /** A peer has observed this era of the store. */
     observeEra(era: number): void;
   };
@@ -26,6 +29,8 @@
 export interface ConfigurationSynchronizerOptions {
   readonly self: MeshNode;
   readonly clock: () => number;
+  /** Time within which a change of the configuration must be in force on each node. */
+  readonly propagationMilliseconds: number;
   readonly ports: () => ConfigurationPorts;
   readonly decode: (content: Uint8Array) => DecodedConfiguration;
   /** Called when a newer configuration came into force. */
@@ -39,6 +44,7 @@
  */
 export class ConfigurationSynchronizer {
   private readonly holder = new ConfigurationHolder();
+  private readonly freshness: ConfigurationFreshness;
   private readonly pull: ConfigurationPullScheduler;
   private readonly storeWatchElection: StoreWatchElection;
   /** Time when the configuration in force was applied; the start time before that. */
@@ -51,6 +57,11 @@
     this.pull = new ConfigurationPullScheduler(options.self.name);
     this.storeWatchElection = new StoreWatchElection(options.self);
     this.changedAt = options.clock();
+    this.freshness = new ConfigurationFreshness(
+      options.self.name,
+      options.propagationMilliseconds,
+      this.changedAt,
+    );
   }
 
   public get inForce(): ConfigurationInForce | undefined {
@@ -80,6 +91,11 @@
     return now - this.changedAt;
   }
 
+  /** Time since the store or a peer last confirmed that the version in force is the newest. */
+  public unconfirmedMilliseconds(now: number): number {
+    return this.freshness.ageMilliseconds(now);
+  }
+
   /** The operators' configuration was read from the store or received from a peer; `source` names which. */
   public onContentReceived(content: Uint8Array, source: string): void {
     const { onChange, clock, decode, log, ports } = this.options;
@@ -102,6 +118,14 @@
     ports().connections.broadcast({ kind: 'version', version });
   }
 
+  /** The store has shown that it holds no newer configuration than those that were read from it. */
+  public onStoreConfirmed(): void {
+    this.freshness.onConfirmed(this.options.clock());
+    const { version } = this;
+    if (version === 0) return;
+    this.options.ports().connections.broadcast({ isConfirmed: true, kind: 'version', version });
+  }
+
   /** The store's era was read for the first time, or the era shows that the store was restored from a backup. */
   public onEraObserved(storeEra: number, isRestored: boolean): void {
     this.newestEra = storeEra;
@@ -141,6 +165,11 @@
     this.pull.onVersionAnnounced(from.name, version, isSameZone(from, self), clock());
   }
 
+  /** A peer reported that the store has confirmed its version as the newest. */
+  public onPeerConfirmed(version: number): void {
+    if (version <= this.version) this.freshness.onConfirmed(this.options.clock());
+  }
+
   /** A peer reported whether it reaches the store. */
   public onPeerStoreReachability(node: string, reachesStore: boolean): void {
     this.storeWatchElection.onStoreReachabilityReported(node, reachesStore);
@@ -159,6 +188,17 @@
     this.updateWatch(now);
     const source = this.pull.takeDueSource(this.version, this.storeWatchElection.isWatching, now);
     if (source !== undefined) this.options.ports().connections.send(source, { kind: 'pull' });
+    this.readIfUnconfirmed(now);
+  }
+
+  /** A watching node reads whenever its watch fails, and a node that the store does not respond to polls for its return. */
+  private readIfUnconfirmed(now: number): void {
+    if (this.isWatching || !this.reachesStore || !this.freshness.takeDueRead(now)) return;
+    this.options.log(MeshEvent.ConfigurationUnconfirmed, {
+      milliseconds: Math.round(this.unconfirmedMilliseconds(now)),
+      version: this.version,
+    });
+    this.options.ports().store.refreshConfiguration();
   }
 
   /**
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -4,6 +4,7 @@
   ConfigurationInForce: 'configuration-in-force',
   ConfigurationInvalid: 'configuration-invalid',
   ConfigurationOlder: 'configuration-older',
+  ConfigurationUnconfirmed: 'configuration-unconfirmed',
   ConfigurationWatch: 'configuration-watch',
   DialFailed: 'dial-failed',
   EvacuationsChanged: 'evacuations-changed',
--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -3,6 +3,7 @@
 /** Gauge values of a routing node; each property is the name of a gauge. */
 export interface MeshGaugeValues {
   readonly configuration_age_seconds: number;
+  readonly configuration_unconfirmed_seconds: number;
   readonly configuration_version: number;
   readonly gate_concurrency_limit: number;
   readonly gate_running: number;
@@ -29,6 +30,8 @@
 
 const gaugeHelpTexts: Readonly<Record<keyof MeshGaugeValues, string>> = {
   configuration_age_seconds: 'Time since the configuration came into force on this node.',
+  configuration_unconfirmed_seconds:
+    'Time since the store or a peer last confirmed that the configuration in force is the newest.',
   configuration_version: 'Version of the configuration in force.',
   gate_concurrency_limit: 'Maximum number of requests that the gate runs concurrently.',
   gate_running: 'Requests that the server is running.',
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -149,6 +149,7 @@
       },
       clock,
       decode: options.decodeConfiguration,
+      propagationMilliseconds: settings.configurationPropagationMilliseconds,
       log,
       ports: options.ports,
       self,
@@ -247,6 +248,8 @@
     const load = this.gate.load(now);
     return {
       configuration_age_seconds: this.configuration.ageMilliseconds(now) / millisecondsPerSecond,
+      configuration_unconfirmed_seconds:
+        this.configuration.unconfirmedMilliseconds(now) / millisecondsPerSecond,
       configuration_version: this.configuration.version,
       evacuated_zones: this.evacuations.names.length,
       gate_concurrency_limit: load.limit,
@@ -347,6 +350,11 @@
     this.configuration.onContentReceived(content, 'store');
   }
 
+  /** The store has shown that it holds nothing newer of what operators write. */
+  public onConfigurationConfirmed(): void {
+    this.configuration.onStoreConfirmed();
+  }
+
   /** Evacuations of zones were read from the store. */
   public onEvacuationsRead(read: EvacuationRead, storeEra: number | undefined): void {
     this.evacuations.onStoreRead(read, storeEra, this.options.clock());
@@ -433,6 +441,7 @@
         return;
       case 'version':
         this.configuration.onPeerVersion(from, frame.version);
+        if (frame.isConfirmed === true) this.configuration.onPeerConfirmed(frame.version);
         this.configuration.onPeerEra(frame.storeEra);
         this.evacuations.onPeerSnapshot(frame.evacuations, from.name, now);
         return;
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -30,6 +30,8 @@
     readonly slack: number;
     readonly windowMilliseconds: number;
   };
+  /** Time within which a change of the configuration must be in force on each node. */
+  readonly configurationPropagationMilliseconds: number;
   readonly coldStartTolerance: ColdStartTolerance;
   /** Interval at which the server reports its state. */
   readonly reportIntervalMilliseconds: number;
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -94,6 +94,9 @@
           isSameEntry(decodeDirectoryEntry(stored), node);
         void store.session.removeEntry(node.name, isExpected);
       },
+      refreshConfiguration: () => {
+        void store.session.refreshConfiguration();
+      },
       watchConfiguration: (isWatching) => {
         store.session.setConfigurationWatching(isWatching);
       },
@@ -319,6 +322,10 @@
     onConfigurationRead: (content) => {
       driver.onConfigurationRead(content);
     },
+    onConfigurationConfirmed: () => {
+      driver.onConfigurationConfirmed();
+    },
+    propagationMilliseconds: settings.configurationPropagationMilliseconds,
     onEvacuationsRead: (read, era) => {
       driver.onEvacuationsRead(read, era);
     },
--- a/packages/daemon/tests/configuration-synchronizer.test.ts
+++ b/packages/daemon/tests/configuration-synchronizer.test.ts
@@ -8,6 +8,7 @@
 /** Follows the configuration with a store and other nodes that the test plays. */
 class ConfigurationHarness {
   public now = 0;
+  public refreshes = 0;
   public readonly sentFrames: string[] = [];
   public readonly watchChanges: boolean[] = [];
   public readonly observedEras: number[] = [];
@@ -35,10 +36,12 @@
         },
       },
       store: {
+        refreshConfiguration: () => (this.refreshes += 1),
         observeEra: (era) => this.observedEras.push(era),
         watchConfiguration: (isWatching) => this.watchChanges.push(isWatching),
       },
     }),
+    propagationMilliseconds: 2_000,
     self: createNode('self'),
   });
 
@@ -141,4 +144,31 @@
   assert.equal(bench.sentFrames, ['all store-reach']);
 });
 
+test('a node that hears no confirmation reads the configuration itself, and tells others that it is the newest', () => {
+  const bench = new ConfigurationHarness();
+  bench.receive('7');
+  // Two of these precede the node in the order of those that watch.
+  for (let index = 0; index < 15; index += 1) bench.connect(`n${index}`, 7);
+  for (let now = 0; now <= 6_000; now += 50) {
+    if (now % 700 === 0) bench.synchronizer.onPeerConfirmed(7);
+    bench.tick(now);
+  }
+  assert.is(bench.refreshes, 0);
+  assert.equal(bench.watchChanges, []);
+  for (let now = 6_000; now <= 7_200; now += 50) bench.tick(now);
+  assert.is(bench.refreshes, 1);
+  assert.match(bench.logLines.join('\n'), /configuration-unconfirmed/);
+  bench.synchronizer.onStoreConfirmed();
+  assert.is(bench.synchronizer.unconfirmedMilliseconds(7_200), 0);
+  assert.equal(bench.sentFrames, ['all version', 'all version']);
+});
+
+test('a peer that confirms a newer version does not confirm the one in force', () => {
+  const bench = new ConfigurationHarness();
+  bench.receive('7');
+  bench.now = 1_000;
+  bench.synchronizer.onPeerConfirmed(8);
+  assert.is(bench.synchronizer.unconfirmedMilliseconds(1_000), 1_000);
+});
+
 test.run();
--- a/packages/daemon/tests/settings-watcher.test.ts
+++ b/packages/daemon/tests/settings-watcher.test.ts
@@ -10,6 +10,7 @@
   availabilityZone: 'a',
   callerAddress: address,
   coldStartTolerance: { ratio: 1.5, slack: 8 },
+  configurationPropagationMilliseconds: 2_000,
   graceMilliseconds: 6_000,
   knownRegions: ['r'],
   logLevel: 'info',
--- a/packages/daemon/tests/virtual-mesh/mesh-faults.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-faults.ts
@@ -163,8 +163,22 @@
   ],
 ];
 
+/** Additional faults if all nodes that watch the configuration may fail at once. */
+const watcherFaults: readonly NamedFault[] = [
+  [
+    'cut all watchers off from the store and change the configuration',
+    (mesh, random) => {
+      mesh.cutWatchers(3_000 + 3_000 * random.next());
+      mesh.queue.after(500 * random.next(), () => {
+        mesh.configure();
+      });
+    },
+  ],
+];
+
 /** What a simulation contains that has faults of its own. */
 export interface FaultOptions {
+  readonly cutsWatchers: boolean;
   readonly isLargeFleet: boolean;
   readonly restoresStore: boolean;
   readonly startsCold: boolean;
@@ -172,12 +186,14 @@
 
 /** The faults that may be injected; those that an option adds are listed twice, so that they are more frequent. */
 export function selectFaults({
+  cutsWatchers,
   isLargeFleet,
   restoresStore,
   startsCold,
 }: FaultOptions): readonly NamedFault[] {
   return [
     ...faults,
+    ...(cutsWatchers ? [...watcherFaults, ...watcherFaults] : []),
     ...(isLargeFleet ? largeFleetFaults : []),
     ...(startsCold ? [...coldServerFaults, ...coldServerFaults] : []),
     ...(restoresStore ? [...storeRestoreFaults, ...storeRestoreFaults] : []),
--- a/packages/daemon/tests/virtual-mesh/mesh-violations.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-violations.ts
@@ -31,6 +31,7 @@
     }
   }
   violations.push(...coldServerViolations(mesh), ...evacuationViolations(mesh));
+  violations.push(...mesh.lateVersions);
   violations.push(...retryBudgetViolations(mesh, runsByRequest), ...mesh.versionRegressions);
   return violations;
 }
--- a/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
@@ -21,6 +21,8 @@
   readonly machines?: number;
   /** Whether the store is occasionally restored from a backup. */
   readonly restoresStore?: boolean;
+  /** Whether all nodes that watch the configuration are cut off from the store at once. */
+  readonly cutsWatchers?: boolean;
   /** Whether servers are cold after their start, and zones are evacuated. */
   readonly startsCold?: boolean;
 }
@@ -36,6 +38,7 @@
 export async function simulateMesh(
   seed: number,
   {
+    cutsWatchers = false,
     machines = fullyConnectedFleetSize,
     restoresStore = false,
     startsCold = false,
@@ -46,6 +49,7 @@
   const mesh = new VirtualMesh(machines, random, zones, startsCold);
   const injectedFaults: string[] = [];
   const possibleFaults = selectFaults({
+    cutsWatchers,
     isLargeFleet: machines > fullyConnectedFleetSize,
     restoresStore,
     startsCold,
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -25,6 +25,17 @@
 /** Share of reads of the store that return an outdated answer. */
 const staleReadShare = 0.2;
 const graceMilliseconds = 4_000;
+/** Time within which a change of the configuration must be in force on each node. */
+const configurationBoundMilliseconds = 2_000;
+/** Time without any fault after which a node has to keep the bound. */
+const stabilityMilliseconds = 3_000;
+/** Interval at which a watching node confirms that its version is the newest. */
+const confirmationIntervalMilliseconds = 700;
+/** Time until a watching node detects that it cannot reach the store. */
+const watcherLossDetectionMilliseconds = 1_300;
+/** Time that an up-to-date read takes. */
+const readMilliseconds = 20;
+const configurationCheckMilliseconds = 100;
 /** Time within which an operator writes the configuration again that the store lost in a restore. */
 const maximumOperatorReactionMilliseconds = 1_000;
 /** Interval of lease renewals plus the time-out of a renewal. */
@@ -72,6 +83,10 @@
   private readonly store = new VirtualStore(() => this.queue.now);
   private lastBoot = 0;
   private readonly lastVersions = new Map<LinkedNode, number>();
+  private readonly writtenVersions: { readonly at: number; readonly version: number }[] = [];
+  private readonly lastFaultAt = new Map<Machine, number>();
+  /** Descriptions of nodes that did not have a version in force in time. */
+  public readonly lateVersions = new Set<string>();
   public readonly evacuations: Evacuation[] = [];
   /** Descriptions of cases in which a node's configuration version decreased. */
   public readonly versionRegressions: string[] = [];
@@ -86,18 +101,38 @@
     for (let index = 0; index < size; index += 1) this.addMachine(index);
     this.configure();
     for (const machine of this.machines) this.start(machine);
+    this.checkConfigurations();
+    this.confirmVersions();
   }
 
   /** Writes the next configuration version; nodes that watch the store read it after a delay. */
   public configure(): void {
     this.version += 1;
+    this.writtenVersions.push({ at: this.queue.now, version: this.version });
     this.writeConfiguration();
   }
 
+  /** Cuts all nodes that watch the configuration off from the store for some time. */
+  public cutWatchers(milliseconds: number): void {
+    for (const machine of this.machines) {
+      if (!machine.isWatchingConfiguration || machine.hasLostStore) continue;
+      machine.canReadStore = false;
+      this.queue.after(watcherLossDetectionMilliseconds, () => {
+        if (!machine.canReadStore) machine.node?.driver.onStoreReachabilityChanged(false);
+      });
+      this.queue.after(milliseconds, () => {
+        machine.canReadStore = true;
+        machine.node?.driver.onStoreReachabilityChanged(true);
+      });
+    }
+  }
+
   /** Restores the store from a backup. The operator notices later and writes again what the store lost. */
   public restoreStore(millisecondsAgo: number): void {
     this.store.restore(millisecondsAgo);
     this.notifyWatchers();
+    const writtenAgainAt = this.queue.now + maximumOperatorReactionMilliseconds;
+    for (const machine of this.machines) this.lastFaultAt.set(machine, writtenAgainAt);
     this.queue.after(maximumOperatorReactionMilliseconds * this.random.next(), () => {
       this.store.writeEvacuations(this.evacuatedZones);
       this.writeConfiguration();
@@ -186,6 +221,7 @@
     if (node === undefined) return;
     node.driver.close();
     machine.node = undefined;
+    this.lastFaultAt.set(machine, this.queue.now);
     this.links.onProcessEnded(node);
   }
 
@@ -244,6 +280,46 @@
     });
   }
 
+  /** Watching nodes confirm their version, as `StoreSession` does after each check of the store. */
+  private confirmVersions(): void {
+    for (const { canReadStore, hasLostStore, isWatchingConfiguration, node } of this.machines) {
+      const isNewest = node?.driver.gaugeValues.configuration_version === this.store.version;
+      if (isNewest && isWatchingConfiguration && canReadStore && !hasLostStore)
+        node.driver.onConfigurationConfirmed();
+    }
+    this.queue.after(confirmationIntervalMilliseconds, () => {
+      this.confirmVersions();
+    });
+  }
+
+  private readUpToDate(machine: Machine): void {
+    this.queue.after(readMilliseconds, () => {
+      const { node } = machine;
+      if (node === undefined || !machine.canReadStore || machine.hasLostStore) return;
+      node.driver.onConfigurationRead(Buffer.from(String(this.store.version)));
+      node.driver.onConfigurationConfirmed();
+    });
+  }
+
+  /** Records the nodes that have been without faults for some time and have an outdated configuration in force. */
+  private checkConfigurations(): void {
+    const { now } = this.queue;
+    const required = this.writtenVersions.findLast(
+      ({ at }) => at <= now - configurationBoundMilliseconds,
+    );
+    for (const machine of this.machines) {
+      const { canReadStore, hasLostStore, name, node } = machine;
+      if (node === undefined || !canReadStore || hasLostStore) this.lastFaultAt.set(machine, now);
+      if (now - (this.lastFaultAt.get(machine) ?? 0) < stabilityMilliseconds) continue;
+      const version = node?.driver.gaugeValues.configuration_version ?? 0;
+      if (required !== undefined && version < required.version)
+        this.lateVersions.add(`${name}: version ${version} in force, ${required.version} is due`);
+    }
+    this.queue.after(configurationCheckMilliseconds, () => {
+      this.checkConfigurations();
+    });
+  }
+
   private recordVersion(node: LinkedNode): void {
     const version = node.driver.gaugeValues.configuration_version;
     const last = this.lastVersions.get(node) ?? 0;
@@ -376,6 +452,9 @@
         removeEntry: (ended) => {
           this.store.removeNode(ended);
         },
+        refreshConfiguration: () => {
+          this.readUpToDate(machine);
+        },
         watchConfiguration: (isWatching) => {
           machine.isWatchingConfiguration = isWatching;
           if (isWatching) this.scheduleStoreRead(machine);
@@ -475,6 +554,7 @@
     availabilityZone,
     callerAddress: address,
     coldStartTolerance: { ratio: 1, slack: 0 },
+    configurationPropagationMilliseconds: configurationBoundMilliseconds,
     graceMilliseconds,
     knownRegions: [region],
     logLevel: 'info',
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -1,5 +1,6 @@
 export { RetryBudget } from './budget/retry-budget.js';
 export type { RetryBudgetOptions } from './budget/retry-budget.js';
+export { ConfigurationFreshness } from './configuration/configuration-freshness.js';
 export { ConfigurationHolder, OfferResult } from './configuration/configuration-holder.js';
 export type { ConfigurationInForce } from './configuration/configuration-holder.js';
 export { ConfigurationPullScheduler } from './configuration/configuration-pull-scheduler.js';
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -173,6 +173,8 @@
 export interface VersionFrame {
   readonly kind: 'version';
   readonly version: number;
+  /** Whether the store has just shown the sender that this version is the newest. */
+  readonly isConfirmed?: boolean | undefined;
   /** The newest store era that the sender has observed, for nodes that do not query the store themselves. */
   readonly storeEra?: number | undefined;
   /** The evacuated zones, if they have changed. */
--- a/packages/platform/src/key-values/http-store-transport.ts
+++ b/packages/platform/src/key-values/http-store-transport.ts
@@ -9,7 +9,7 @@
 } from './key-value-store.js';
 
 /** A store that is slowed down by a factor of 80 responds within 350 ms; later responses are not awaited. */
-const responseTimeoutMilliseconds = 1_500;
+const defaultResponseTimeoutMilliseconds = 1_500;
 const maximumResponseBytes = 4_194_304;
 /** Delay of the first TCP keep-alive probe on an idle connection, which detects dead connections. */
 const keepAliveProbeDelayMilliseconds = 1_000;
@@ -53,7 +53,13 @@
     signal: AbortSignal | undefined,
   ): Promise<StoreResponse<Value>> {
     const { contentType, host, port } = this.options;
-    const { body, holdMilliseconds = 0, method, path } = call;
+    const {
+      body,
+      holdMilliseconds = 0,
+      method,
+      path,
+      responseTimeoutMilliseconds = defaultResponseTimeoutMilliseconds,
+    } = call;
     const headers = body === undefined ? {} : { 'content-type': contentType };
     return new Promise((resolve) => {
       const fail = (detail: string): void => {
--- a/packages/platform/src/key-values/key-value-store.ts
+++ b/packages/platform/src/key-values/key-value-store.ts
@@ -45,6 +45,8 @@
   readonly body?: string;
   /** Time for which the store may hold the call open before it responds (long polling). */
   readonly holdMilliseconds?: number;
+  /** Time to wait for the response, in addition to `holdMilliseconds`, if it differs from that of other calls. */
+  readonly responseTimeoutMilliseconds?: number;
   parse(status: number, body: string): StoreOutcome<Value>;
 }
 
--- a/packages/platform/src/key-values/operator-reader.ts
+++ b/packages/platform/src/key-values/operator-reader.ts
@@ -25,6 +25,8 @@
   readonly delays: CancellableDelays;
   readonly onConfigurationRead: (content: Uint8Array) => void;
   readonly onEvacuationsRead: (read: EvacuationRead) => void;
+  /** Called after each response that shows everything that operators have written. */
+  readonly onUpToDate: () => void;
 }
 
 /**
@@ -34,6 +36,9 @@
 export class OperatorReader {
   private isClosed = false;
   private isWatching = false;
+  private isWatchPending = false;
+  /** An up-to-date read was requested while watching is disabled. */
+  private isReadRequested = false;
   /** The last revision belongs to a copy of the store that has been replaced. */
   private isRevisionOutdated = false;
   /** Ends the wait in `waitUntilWatching`. */
@@ -50,6 +55,18 @@
     else this.watchAbort.abort();
   }
 
+  /** Whether a watch is waiting for changes; all earlier ones have been delivered. */
+  public isFollowing(): boolean {
+    return this.isWatchPending;
+  }
+
+  /** Reads once, up to date, while watching is disabled. */
+  public requestRead(): void {
+    if (this.isWatching) return;
+    this.isReadRequested = true;
+    this.resumeWatching?.();
+  }
+
   /** Restarts the pending watch. One that was open during an outage may never be answered. */
   public restartWatch(): void {
     this.watchAbort.abort();
@@ -79,15 +96,16 @@
     // that history or was restored from an older copy in the meantime.
     let consistency: ReadConsistency = ReadConsistency.StaleAllowed;
     while (!this.isClosed) {
-      if (hasRead && !this.isWatching) {
+      if (hasRead && !this.isWatching && !this.isReadRequested) {
         await this.waitUntilWatching();
         // The store may have compacted the changes since the last response.
         revision = undefined;
         consistency = ReadConsistency.StaleAllowed;
         continue;
       }
-      if (this.isRevisionOutdated) {
+      if (this.isRevisionOutdated || this.isReadRequested) {
         this.isRevisionOutdated = false;
+        this.isReadRequested = false;
         revision = undefined;
         consistency = ReadConsistency.UpToDate;
       }
@@ -107,6 +125,7 @@
       const { items, removedKeys } = outcome.value;
       revision = outcome.value.revision;
       this.deliver(outcome.value, !wasWatch);
+      if (wasWatch || consistency !== ReadConsistency.StaleAllowed) this.options.onUpToDate();
       const hasChanges = items.length + removedKeys.length > 0;
       if (wasWatch && hasChanges) await delays.sleep(watchPauseMilliseconds);
     }
@@ -157,7 +176,10 @@
     const { storeClient, codec } = this.options;
     this.watchAbort = new AbortController();
     const call = codec.watch(codec.operatorPrefix, revision, watchWaitMilliseconds);
-    return storeClient.call(call, this.watchAbort.signal);
+    this.isWatchPending = true;
+    const outcome = await storeClient.call(call, this.watchAbort.signal);
+    this.isWatchPending = false;
+    return outcome;
   }
 
   private async waitUntilWatching(): Promise<void> {
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -16,12 +16,17 @@
 /** Interval of later directory reads. It can be long, since new nodes connect to the existing ones themselves. */
 const directoryReadIntervalMilliseconds = 300_000;
 /**
- * Interval of checks whether the store responds, while this node watches the configuration or the store is
- * unreachable. A watch that was open during an outage may never be answered.
+ * Interval of checks whether the store responds while this node watches the configuration, as a share of the time within
+ * which a change must be in force everywhere. A watch that was open during an outage may never be answered, and nodes
+ * that do not watch depend on this one.
  */
-const reachabilityCheckMilliseconds = 3_000;
-/** Consecutive reads without this node's entry before it is written again; one may be older than the entry. */
-const missesBeforeWrite = 2;
+const watchingCheckShare = 0.35;
+/** Interval of checks while the store is unreachable, as a share of the same time. */
+const unreachableCheckShare = 1;
+/** Time to wait for the response to a check, as a share of the same time. */
+const checkTimeoutShare = 0.3;
+/** Time for which reads have to lack this node's entry before it is written again; one may be seconds old. */
+const missingEntryMilliseconds = 3_000;
 /**
  * Nodes check their entries within this time after they have learned that the store was restored from a copy.
  * Entries should exist again about 2 s after the restore, of which a watching node may need up to 1.5 s to detect it.
@@ -41,6 +46,10 @@
   /** Whether a stored entry of this node is equivalent to `entry`. */
   readonly isEntryCurrent: EntryPredicate;
   readonly random: () => number;
+  /** Time within which a change by an operator must be in force on each node. */
+  readonly propagationMilliseconds: number;
+  /** The store has shown that it holds nothing newer from operators than what was read. */
+  readonly onConfigurationConfirmed: () => void;
   readonly onConfigurationRead: (content: Uint8Array) => void;
   /** `era` is the current era of the store, undefined if it reports none. */
   readonly onEvacuationsRead: (read: EvacuationRead, era: number | undefined) => void;
@@ -67,7 +76,8 @@
   private readonly operatorReader: OperatorReader;
   private readonly delays: CancellableDelays;
   private readonly recentRemovals: RecentRemovals;
-  private entryMisses = 0;
+  /** Time of the first of the reads in a row that lacked this node's entry. */
+  private entryMissingSince: number | undefined;
   /** This node's entry was missing at its start, so other nodes may have started at the same time. */
   private isFirstRegistration = false;
   private isClosed = false;
@@ -106,6 +116,7 @@
       codec,
       delays: this.delays,
       onConfigurationRead,
+      onUpToDate: options.onConfigurationConfirmed,
       onEvacuationsRead: (read) => {
         options.onEvacuationsRead(read, this.storeClient.currentEra);
       },
@@ -125,6 +136,14 @@
     if (isWatching) this.wakeCheck?.();
   }
 
+  /**
+   * Reads what operators wrote once, up to date, while watching is disabled. A check at a tenth of the price comes first, and
+   * once more on another connection, since one that was idle may be dead.
+   */
+  public async refreshConfiguration(): Promise<void> {
+    if ((await this.check()) || (await this.check())) this.operatorReader.requestRead();
+  }
+
   /** Another node reported this era. It takes effect only when a response of the store itself confirms it. */
   public handleReportedEra(era: number): void {
     const known = this.storeClient.currentEra ?? -Infinity;
@@ -205,24 +224,42 @@
   /** Checks while necessary that the store responds, with a call that also reads this node's entry. */
   private async checkPeriodically(): Promise<void> {
     for (;;) {
-      const isCheckNeeded = this.isWatching || !this.storeClient.isReachable;
-      const isDue = await this.waitForCheck(
-        isCheckNeeded ? reachabilityCheckMilliseconds : undefined,
-      );
+      const isDue = await this.waitForCheck(this.checkIntervalMilliseconds);
       if (this.isClosed) return;
-      if (!isDue) continue;
-      const outcome = await this.listOwnEntry(true);
-      if (outcome.kind === 'ok') await this.checkEntry(outcome.value.items);
+      if (isDue) await this.check();
     }
   }
 
-  /** Writes the entry again if `missesBeforeWrite` reads in a row lacked it. */
+  private get checkIntervalMilliseconds(): number | undefined {
+    const { propagationMilliseconds } = this.options;
+    if (this.isWatching) return propagationMilliseconds * watchingCheckShare;
+    return this.storeClient.isReachable
+      ? undefined
+      : propagationMilliseconds * unreachableCheckShare;
+  }
+
+  /** Returns whether the store responded in time. */
+  private async check(): Promise<boolean> {
+    const { onConfigurationConfirmed, propagationMilliseconds } = this.options;
+    const wasFollowing = this.operatorReader.isFollowing();
+    const outcome = await this.listOwnEntry(true, propagationMilliseconds * checkTimeoutShare);
+    if (outcome.kind !== 'ok' || this.isClosed) return false;
+    if (wasFollowing && this.operatorReader.isFollowing()) onConfigurationConfirmed();
+    await this.checkEntry(outcome.value.items);
+    return true;
+  }
+
+  /** Writes the entry again if reads have lacked it for `missingEntryMilliseconds`. */
   private async checkEntry(items: readonly StoredItem[]): Promise<void> {
+    const now = this.options.clock();
     const key = this.entryKey(this.options.nodeName);
-    const isPresent = items.some((item) => item.key === key);
-    this.entryMisses = isPresent ? 0 : this.entryMisses + 1;
-    if (this.entryMisses < missesBeforeWrite) return;
-    if (await this.writeEntry()) this.entryMisses = 0;
+    if (items.some((item) => item.key === key)) {
+      this.entryMissingSince = undefined;
+      return;
+    }
+    this.entryMissingSince ??= now;
+    if (now - this.entryMissingSince < missingEntryMilliseconds) return;
+    if (await this.writeEntry()) this.entryMissingSince = undefined;
   }
 
   /** Reads from the store until it confirms an era that another node reported; the last read is up to date. */
@@ -270,9 +307,15 @@
     return this.hasCurrentEntry(outcome.value.items) || (await this.writeEntry());
   }
 
-  private listOwnEntry(isStaleAllowed: boolean): Promise<StoreClientOutcome<ItemPage>> {
+  private listOwnEntry(
+    isStaleAllowed: boolean,
+    responseTimeoutMilliseconds?: number,
+  ): Promise<StoreClientOutcome<ItemPage>> {
     const { codec, nodeName } = this.options;
-    return this.storeClient.call(codec.list(this.entryKey(nodeName), undefined, isStaleAllowed));
+    const call = codec.list(this.entryKey(nodeName), undefined, isStaleAllowed);
+    return this.storeClient.call(
+      responseTimeoutMilliseconds === undefined ? call : { ...call, responseTimeoutMilliseconds },
+    );
   }
 
   private hasCurrentEntry(items: readonly StoredItem[]): boolean {
--- a/packages/platform/tests/store-session.test.ts
+++ b/packages/platform/tests/store-session.test.ts
@@ -132,6 +132,8 @@
   readonly entryKeys: string[];
   readonly reachability: boolean[];
   readonly eras: string[];
+  /** Revision of the store at each confirmation. */
+  readonly confirmations: number[];
   directoryReads: number;
 }
 
@@ -142,6 +144,7 @@
 ): Promise<void> {
   const recorded: RecordedEvents = {
     configurations: [],
+    confirmations: [],
     eras: [],
     entryKeys: [],
     reachability: [],
@@ -161,6 +164,8 @@
       recorded.eras.push(`${era}${isRestored ? ' restored' : ''}`),
     nodeName: 'a',
     random: () => 0,
+    propagationMilliseconds: 2_000,
+    onConfigurationConfirmed: () => recorded.confirmations.push(store.revision),
     onReachabilityChange: (isReachable) => recorded.reachability.push(isReachable),
     transport: store,
   });
@@ -378,4 +383,36 @@
   );
 });
 
+test('a watching node confirms within half of the bound that nothing newer exists, and not while the store is away', async () => {
+  await withSession(async (store, recorded) => {
+    await waitUntil(() => recorded.confirmations.length >= 2);
+    store.outageResponse = { detail: 'status 503', kind: 'unavailable' };
+    await waitUntil(() => recorded.reachability.includes(false));
+    const confirmations = recorded.confirmations.length;
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    assert.is(recorded.confirmations.length, confirmations);
+  });
+});
+
+test('a node that does not watch reads up to date once when asked to, and confirms what it read', async () => {
+  await withSession(async (store, recorded, session) => {
+    await waitUntil(() => recorded.configurations.length === 1);
+    store.changeConfiguration('second');
+    await session.refreshConfiguration();
+    await waitUntil(() => recorded.confirmations.length === 1);
+    assert.equal(recorded.configurations, ['first', 'second']);
+    assert.is(store.countCalls('list-configuration'), 1);
+    assert.is(store.countCalls('watch'), 0);
+  }, false);
+});
+
+test('a node that is asked to read while the store is away makes no call at full price', async () => {
+  await withSession(async (store, recorded, session) => {
+    await waitUntil(() => store.entry === 'a' && recorded.configurations.length === 1);
+    store.outageResponse = { detail: 'status 503', kind: 'unavailable' };
+    await session.refreshConfiguration();
+    assert.is(store.countCalls('list-configuration'), 0);
+  }, false);
+});
+
 test.run();
