--- a/packages/platform/src/key-values/http-store-transport.ts
+++ b/packages/platform/src/key-values/http-store-transport.ts
@@ -70,6 +70,7 @@
       const request = httpRequest({ agent: this.agent, headers, host, method, path, port, signal });
       const timer = setTimeout(() => {
         fail('no response in time');
+        this.closeIdleConnections();
       }, holdMilliseconds + responseTimeoutMilliseconds);
       request.on('error', (error) => {
         fail(error.message);
@@ -98,6 +99,13 @@
     });
   }
 
+  /** Connections that were open together often go silent together, without a reset. */
+  private closeIdleConnections(): void {
+    for (const sockets of Object.values(this.agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
   private readEra({ headers }: IncomingMessage): number | undefined {
     const { eraHeader, parseEra } = this.options.codec;
     const value = headers[eraHeader];
--- a/packages/platform/src/key-values/operator-reader.ts
+++ b/packages/platform/src/key-values/operator-reader.ts
@@ -4,8 +4,15 @@
 import type { CancellableDelays } from './cancellable-delays.js';
 import type { StoreClientOutcome, StoreClient } from './store-client.js';
 
-/** Long-poll duration of a watch. The store holds one for at most 30 s, and each is billed as a call. */
-const watchWaitMilliseconds = 29_000;
+/**
+ * Long-poll duration of a watch, as a multiple of the time within which a change must be in force everywhere. A connection
+ * that has gone silent shows only when the response is overdue; each watch is billed as a call.
+ */
+const watchHoldShare = 2.5;
+/** Time to wait for the response to a watch after that, as a share of the same time. */
+const watchTimeoutShare = 0.3;
+/** The store holds a watch for at most this time. */
+const maximumWatchHoldMilliseconds = 30_000;
 /** Delay after a watch that returned changes, so that a burst of changes costs few calls. */
 const watchPauseMilliseconds = 150;
 
@@ -23,6 +30,8 @@
   readonly storeClient: StoreClient;
   readonly codec: StoreCallCodec;
   readonly delays: CancellableDelays;
+  /** Time within which a change by an operator must be in force on each node. */
+  readonly propagationMilliseconds: number;
   readonly onConfigurationRead: (content: Uint8Array) => void;
   readonly onEvacuationsRead: (read: EvacuationRead) => void;
   /** Called after each response that shows everything that operators have written. */
@@ -173,9 +182,16 @@
 
   /** After a failed watch, the next one has to start from a new read. */
   private async watchOnce(revision: number): Promise<StoreClientOutcome<ItemPage>> {
-    const { storeClient, codec } = this.options;
+    const { codec, propagationMilliseconds, storeClient } = this.options;
     this.watchAbort = new AbortController();
-    const call = codec.watch(codec.operatorPrefix, revision, watchWaitMilliseconds);
+    const holdMilliseconds = Math.min(
+      maximumWatchHoldMilliseconds,
+      Math.round(propagationMilliseconds * watchHoldShare),
+    );
+    const call = {
+      ...codec.watch(codec.operatorPrefix, revision, holdMilliseconds),
+      responseTimeoutMilliseconds: propagationMilliseconds * watchTimeoutShare,
+    };
     this.isWatchPending = true;
     const outcome = await storeClient.call(call, this.watchAbort.signal);
     this.isWatchPending = false;
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -91,7 +91,8 @@
   private wakeCheck: (() => void) | undefined;
 
   public constructor(private readonly options: StoreSessionOptions) {
-    const { clock, codec, onConfigurationRead, random, transport } = options;
+    const { clock, codec, onConfigurationRead, propagationMilliseconds, random, transport } =
+      options;
     this.delays = new CancellableDelays(random);
     this.recentRemovals = new RecentRemovals(clock);
     this.storeClient = new StoreClient({
@@ -117,6 +118,7 @@
       delays: this.delays,
       onConfigurationRead,
       onUpToDate: options.onConfigurationConfirmed,
+      propagationMilliseconds,
       onEvacuationsRead: (read) => {
         options.onEvacuationsRead(read, this.storeClient.currentEra);
       },
