--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -17,6 +17,7 @@
   readonly server_cold: number;
   readonly server_failure_share: number;
   readonly server_probes_allowed_per_second: number;
+  readonly server_request_limit_per_second: number;
   readonly server_service_milliseconds: number;
   readonly server_slots: number;
 }
@@ -45,6 +46,8 @@
   server_cold: 'Whether the server is cold or may be, so that its request rate is limited: 1 or 0.',
   server_failure_share: 'Recent share of requests that failed at the server, 0 to 1.',
   server_probes_allowed_per_second: 'Maximum number of load probes sent to the server per second.',
+  server_request_limit_per_second:
+    'Requests per second that the server says it takes from all nodes; 0 if it states no limit.',
   server_service_milliseconds: 'Recent mean duration of a request at the server.',
   server_slots:
     'Number of concurrent requests that the server reports it can run; 0 without a server.',
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -27,6 +27,7 @@
   RequestFrame,
   RouteConfiguration,
   ServerLoad,
+  ServerNotice,
 } from '@peridotspring/mesh-core';
 import type { MeshHelloPayload, MeshHelloFrame, MeshConnections } from '@peridotspring/nodes';
 import type { HealthCheckResult, ServerMessage } from '@peridotspring/upstreams/mesh';
@@ -262,6 +263,7 @@
       requests_in_progress: this.forwarder.inProgressCount,
       server_cold: this.gate.isCold(now) ? 1 : 0,
       server_failure_share: load.failureShare,
+      server_request_limit_per_second: this.gate.statedRequestsPerSecond ?? 0,
       server_probes_allowed_per_second: this.gate.probesPerSecond,
       server_service_milliseconds: load.serviceMilliseconds,
       server_slots: this.gate.slots,
@@ -332,6 +334,13 @@
     this.announceLoad(now);
   }
 
+  /** The server stated something about itself in a response. */
+  public onServerNotice(notice: ServerNotice): void {
+    const now = this.options.clock();
+    this.gate.onServerNotice(notice, now);
+    this.announceLoad(now);
+  }
+
   /** A different server instance than the expected one answered at the server's address. */
   public onUnexpectedInstance(instanceId: string): void {
     this.log(MeshEvent.OtherInstance, { instance: instanceId });
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -275,6 +275,9 @@
     onLoadReport: (load) => {
       driver.onServerLoad(load);
     },
+    onNotice: (notice) => {
+      driver.onServerNotice(notice);
+    },
     onUnexpectedInstance: (instanceId) => {
       driver.onUnexpectedInstance(instanceId);
     },
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -32,6 +32,14 @@
   readonly slowdown: number | undefined;
 }
 
+/** What a server states about itself in the header of a response. */
+export interface ServerNotice {
+  /** The server that responded. */
+  readonly instanceId: string;
+  /** Requests per second that it takes from all nodes together; infinite if it states no limit, undefined if the value is invalid. */
+  readonly requestsPerSecond: number | undefined;
+}
+
 /** State that a server reports about itself. */
 export interface ServerReport {
   readonly instanceId: string;
@@ -70,6 +78,7 @@
   RequestDeclined: 'request-declined',
   RequestFinished: 'request-finished',
   RequestStarted: 'request-started',
+  ServerLimitChanged: 'server-limit-changed',
   ServerAssumedCold: 'server-assumed-cold',
   ServerDraining: 'server-draining',
   ServerLeft: 'server-left',
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -21,12 +21,14 @@
   GateEvent,
   GatePort,
   ServerLoad,
+  ServerNotice,
   ServerReport,
 } from './gate-contract.js';
 import { GateLog } from './gate-log.js';
 import { toReplyFrame } from './gate-replies.js';
 import { ProbeRateLimiter } from './probe-rate-limiter.js';
 import { RecentFailures } from './recent-failures.js';
+import { RequestRateLimit } from './request-rate-limit.js';
 import { ReportEffect, ServerIncarnationTracker } from './server-incarnation-tracker.js';
 import { SpeedState, ServerSpeedTracker } from './server-speed-tracker.js';
 import { StartIntervalEstimator } from './start-interval-estimator.js';
@@ -67,6 +69,14 @@
 /** Interval at which an idle gate probes the speed of a server that was slow. */
 const idleProbeIntervalMilliseconds = 1_000;
 
+/**
+ * Maximum number of requests in progress before the first response of a server that was running already. It may have
+ * stated a limit to an earlier process of this node.
+ */
+const maximumRunningBeforeResponse = 2;
+/** Sequence number of the first report of a server. */
+const firstReportSequence = 1;
+
 /** Interval between two searches for overdue calls and for finished calls whose retention has ended. */
 const sweepIntervalMilliseconds = 100;
 
@@ -98,6 +108,9 @@
   private readonly startIntervalEstimator = new StartIntervalEstimator();
   private readonly calls = new GateCallRegistry();
   private readonly coldStartGuard: ColdStartGuard;
+  private readonly requestRate = new RequestRateLimit();
+  private requestsPerSecond = Infinity;
+  private hasResponse = false;
   private readonly gateLog: GateLog;
   private isEvacuated = false;
   private running = 0;
@@ -153,6 +166,11 @@
     return this.serverTracker.hasLeft;
   }
 
+  /** Requests per second that the server says it takes; undefined if it states no limit. */
+  public get statedRequestsPerSecond(): number | undefined {
+    return Number.isFinite(this.requestsPerSecond) ? this.requestsPerSecond : undefined;
+  }
+
   /** Number of requests that the server reports it can run at once; 0 without a server. */
   public get slots(): number {
     return this.hasServer ? this.serverTracker.slots : 0;
@@ -221,6 +239,7 @@
     if (call.frame.nested) this.nestedRunning -= 1;
     if (wasAborted) this.estimator.recordAbort(call, now);
     else {
+      if (result.kind === 'answered') this.hasResponse = true;
       const isFailure =
         result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
       this.failures.add(isFailure, now);
@@ -266,6 +285,14 @@
     this.options.port.onStateChanged();
   }
 
+  /** Handles what the server states about itself in a response. */
+  public onServerNotice({ instanceId, requestsPerSecond }: ServerNotice, now: number): void {
+    if (instanceId !== this.serverTracker.instanceId) return;
+    this.hasResponse = true;
+    if (requestsPerSecond !== undefined) this.setRequestRate(requestsPerSecond, now);
+    this.startQueued(now);
+  }
+
   /** Handles the load that came with a response of the server. */
   public onServerLoad(load: ServerLoad, now: number): void {
     this.concurrencyLimit.recordServerRunning(load.running, this.running);
@@ -275,6 +302,8 @@
 
   public onServerReport(report: ServerReport, now: number): void {
     const effect = this.serverTracker.onReport(report);
+    // Only a server that has been running for some time can have responded to an earlier process of this node.
+    if (effect === ReportEffect.Started) this.hasResponse = report.sequence <= firstReportSequence;
     if (effect !== ReportEffect.Ignored) {
       this.coldStartGuard.onReport(report, effect === ReportEffect.Started, now);
       this.concurrencyLimit.setCold(this.isCold(now));
@@ -362,6 +391,17 @@
     this.options.port.probe();
   }
 
+  private setRequestRate(requestsPerSecond: number, now: number): void {
+    this.requestsPerSecond = requestsPerSecond;
+    if (!this.requestRate.setRate(requestsPerSecond, now)) return;
+    const { running, queue } = this;
+    const perSecond = this.requestRate.isLimited ? requestsPerSecond : 'unlimited';
+    this.options.log({
+      event: GateEventName.ServerLimitChanged,
+      fields: { perSecond, running, waiting: queue.size },
+    });
+  }
+
   private onSlowdownReported(slowdown: number, now: number): void {
     const lastReportAt = now - this.speed.reportAge(now);
     this.speed.recordSlowdown(slowdown, now);
@@ -435,7 +475,7 @@
     const isFree =
       this.queue.size === 0 &&
       this.running < this.limitFor(call.frame) &&
-      this.coldStartGuard.waitForStart(1, now) === 0;
+      this.waitForStart(1, now) === 0;
     if (!isFree) {
       const wait = this.expectedWait(waiting, now);
       const finish = wait + this.estimator.expectedServiceMilliseconds(call.frame.routeName);
@@ -483,9 +523,18 @@
 
   private limitFor(frame: StartFrame): number {
     const { slots } = this.serverTracker;
-    return frame.nested
+    const limit = frame.nested
       ? this.concurrencyLimit.nestedLimit(slots)
       : this.concurrencyLimit.limit(slots);
+    return this.hasResponse ? limit : Math.min(limit, maximumRunningBeforeResponse);
+  }
+
+  /** Time until the server may receive the request at a position of the queue, counted from 1. */
+  private waitForStart(position: number, now: number): number {
+    return Math.max(
+      this.coldStartGuard.waitForStart(position, now),
+      this.requestRate.waitForStart(position, now),
+    );
   }
 
   /** Expected time until the request would start if it waited in the queue. */
@@ -499,6 +548,7 @@
     return Math.max(
       this.waitForSlot(position, limit, now),
       this.coldStartGuard.expectedWaitForStart(position, now),
+      this.requestRate.waitForStart(position, now),
     );
   }
 
@@ -523,7 +573,7 @@
 
   private startQueued(now: number): void {
     if (this.state !== ServerState.Ready) return;
-    while (this.queue.size > 0 && this.coldStartGuard.waitForStart(1, now) === 0) {
+    while (this.queue.size > 0 && this.waitForStart(1, now) === 0) {
       const next = this.queue.next(now, this.estimator.meanServiceMilliseconds, this.isNestedFirst);
       if (next === undefined || this.running >= this.limitFor(next.frame)) return;
       const speed = this.currentSpeed(now);
@@ -586,6 +636,7 @@
     this.concurrencyLimit.recordRunning(this.serverTracker.slots, this.running, now);
     this.lastActivityAt = now;
     this.coldStartGuard.recordStart(now);
+    this.requestRate.recordStart(now);
     if (frame.nested) this.nestedRunning += 1;
     else if (now - call.arrivedAt > 0) this.startIntervalEstimator.recordStart(now);
     call.runningAtStart = this.running;
@@ -648,6 +699,7 @@
         log({ event: GateEventName.ServerReportIgnored, fields: { instance: instanceId } });
         return;
       case ReportEffect.Started:
+        this.setRequestRate(Infinity, now);
         log({
           event: GateEventName.ServerReady,
           fields: { instance: instanceId, slots: this.serverTracker.slots },
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -20,6 +20,7 @@
   GateEvent,
   GatePort,
   ServerLoad,
+  ServerNotice,
   ServerReport,
 } from './gate/gate-contract.js';
 export { LoadAnnouncer } from './gate/load-announcer.js';
--- a/packages/mesh-core/tests/gate/gate-harness.ts
+++ b/packages/mesh-core/tests/gate/gate-harness.ts
@@ -8,6 +8,8 @@
 } from '../../src/index.js';
 import { createServerReport, createStartFrame } from '../fixtures.js';
 
+const serverInstanceId = createServerReport().instanceId;
+
 /** A gate whose server is simulated by the test. */
 export class GateHarness {
   public readonly replies: ReplyFrame[] = [];
@@ -20,7 +22,7 @@
   public readonly gate: ServerGate;
   private nextCallId = 1;
 
-  public constructor(slots = 2, log: (event: GateEvent) => void = () => undefined) {
+  public constructor(slots = 2, log: (event: GateEvent) => void = () => undefined, sequence = 1) {
     this.gate = new ServerGate({
       log,
       port: {
@@ -38,7 +40,12 @@
       reportIntervalMilliseconds: 1_500,
       service: 'shop',
     });
-    this.gate.onServerReport(createServerReport({ slots }), 0);
+    this.gate.onServerReport(createServerReport({ sequence, slots }), 0);
+  }
+
+  /** The server states in a response how many requests per second it takes. */
+  public stateLimit(requestsPerSecond: number | undefined, now: number): void {
+    this.gate.onServerNotice({ instanceId: serverInstanceId, requestsPerSecond }, now);
   }
 
   public start(changes: Partial<StartFrame> = {}, now = 0): number {
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -8,7 +8,13 @@
   headerValue,
   toOutgoingHeaders,
 } from '@peridotspring/mesh-core';
-import type { Execution, ExecutionResult, HeaderList, ServerLoad } from '@peridotspring/mesh-core';
+import type {
+  Execution,
+  ExecutionResult,
+  HeaderList,
+  ServerLoad,
+  ServerNotice,
+} from '@peridotspring/mesh-core';
 
 import { ResponseCollector } from '../response-collector.js';
 import type { CollectedResponse } from '../response-collector.js';
@@ -35,9 +41,13 @@
   readonly load: string;
   /** How long the server stays cold; on responses to health checks. */
   readonly coldRemaining: string;
+  /** Requests per second that the server takes from all nodes together; on all responses of a server in need. */
+  readonly requestLimit: string;
   parseLoad(value: string): ServerLoad | undefined;
   /** In milliseconds; undefined if the value is invalid. */
   parseColdTime(value: string): number | undefined;
+  /** In requests per second; undefined if the value is invalid. */
+  parseRequestLimit(value: string): number | undefined;
 }
 
 /** The result of a health check: which server responded, and whether it accepts requests. */
@@ -58,6 +68,8 @@
   readonly clock: () => number;
   readonly onResult: (executionId: number, result: ExecutionResult) => void;
   readonly onLoadReport: (load: ServerLoad) => void;
+  /** Called with what the expected server states about itself, before the result of the request. */
+  readonly onNotice: (notice: ServerNotice) => void;
   /** Called when a server other than the expected one responded (status 421). */
   readonly onUnexpectedInstance: (instanceId: string) => void;
 }
@@ -211,7 +223,7 @@
   private handleResponse(
     request: ClientRequest,
     response: IncomingMessage,
-    { frame }: Execution,
+    { frame, instanceId }: Execution,
     settle: (result: ExecutionResult) => void,
   ): void {
     const { codec } = this.options;
@@ -239,7 +251,7 @@
       (collected) => {
         this.responseMemory.untrack(collector);
         if (collected.kind === 'whole' && isEndKnown)
-          settle(this.toExecutionResult(response, collected.body));
+          settle(this.toExecutionResult(response, collected.body, instanceId));
         else settle({ detail: 'response aborted or too long', kind: 'failed' });
       },
       (isComplete) => {
@@ -253,7 +265,11 @@
     collector.start();
   }
 
-  private toExecutionResult(response: IncomingMessage, body: Uint8Array): ExecutionResult {
+  private toExecutionResult(
+    response: IncomingMessage,
+    body: Uint8Array,
+    expectedInstanceId: string,
+  ): ExecutionResult {
     const { codec } = this.options;
     const load = this.readLoad(response);
     if (load !== undefined) this.options.onLoadReport(load);
@@ -261,7 +277,7 @@
     if (status === 421) {
       const instanceId = firstHeaderValue(response, codec.instanceId);
       if (instanceId !== undefined) this.options.onUnexpectedInstance(instanceId);
-    }
+    } else this.options.onNotice(this.readNotice(response, expectedInstanceId));
     if (status === 421 || firstHeaderValue(response, codec.notExecuted) !== undefined) {
       const detail = `server rejected the request with status ${status} before executing it`;
       return { detail, kind: 'not-run', reason: DeclineReason.ServerRefused };
@@ -290,6 +306,13 @@
     return response.statusCode === 200 ? 0 : undefined;
   }
 
+  private readNotice(response: IncomingMessage, instanceId: string): ServerNotice {
+    const { codec } = this.options;
+    const limit = firstHeaderValue(response, codec.requestLimit);
+    const requestsPerSecond = limit === undefined ? Infinity : codec.parseRequestLimit(limit);
+    return { instanceId, requestsPerSecond };
+  }
+
   private readLoad(response: IncomingMessage): ServerLoad | undefined {
     const value = firstHeaderValue(response, this.options.codec.load);
     return value === undefined ? undefined : this.options.codec.parseLoad(value);
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -2,7 +2,13 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 
 import { DeclineReason } from '@peridotspring/mesh-core';
-import type { Execution, ExecutionResult, HeaderList, StartFrame } from '@peridotspring/mesh-core';
+import type {
+  Execution,
+  ExecutionResult,
+  HeaderList,
+  ServerNotice,
+  StartFrame,
+} from '@peridotspring/mesh-core';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -15,6 +21,8 @@
   deadline: 'x-deadline',
   expectedInstance: 'x-expected-instance',
   instanceId: 'x-instance',
+  parseRequestLimit: Number,
+  requestLimit: 'x-limit',
   load: 'x-load',
   notExecuted: 'x-not-executed',
   parseColdTime: (value) => (value === 'soon' ? undefined : Number(value)),
@@ -62,6 +70,7 @@
 class ServerClientHarness {
   public readonly client: ServerClient;
   public readonly unexpectedInstances: string[] = [];
+  public readonly notices: ServerNotice[] = [];
   private readonly resolvers = new Map<number, (result: ExecutionResult) => void>();
   private nextExecutionId = 1;
 
@@ -73,6 +82,7 @@
       onResult: (executionId, result) => this.resolvers.get(executionId)?.(result),
       host: '127.0.0.1',
       onLoadReport: () => undefined,
+      onNotice: (notice) => this.notices.push(notice),
       onUnexpectedInstance: (instanceId) => this.unexpectedInstances.push(instanceId),
       port,
     });
@@ -322,6 +332,22 @@
   }
 });
 
+test('the limit that a server states in a response is reported before the result, also for a request it did not run', async () => {
+  const limits: Readonly<Record<string, readonly string[]>> = {
+    'r-1': ['x-limit: 8.9'],
+    'r-2': ['x-limit: 7', 'x-not-executed: full'],
+    'r-3': [],
+  };
+  const behaviour: Behaviour = (socket, id) =>
+    socket.write(responseText(id, [signed, 'content-length: 0', ...(limits[id] ?? [])], ''));
+  await withServer(behaviour, async (harness) => {
+    for (const [index, requestsPerSecond] of [8.9, 7, Infinity].entries()) {
+      await harness.run(`r-${index + 1}`);
+      assert.equal(harness.notices.at(-1), { instanceId: 'i-1', requestsPerSecond });
+    }
+  });
+});
+
 test('a keep-alive connection is reused for the next request', async () => {
   await withServer(
     (socket, id) => socket.write(completeResponse(id)),
