--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -38,6 +38,8 @@
   readonly instanceId: string;
   /** Requests per second that it takes from all nodes together; infinite if it states no limit, undefined if the value is invalid. */
   readonly requestsPerSecond: number | undefined;
+  /** Whether it leaves, so that it should get no further requests. */
+  readonly isLeaving: boolean;
 }
 
 /** State that a server reports about itself. */
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -286,8 +286,11 @@
   }
 
   /** Handles what the server states about itself in a response. */
-  public onServerNotice({ instanceId, requestsPerSecond }: ServerNotice, now: number): void {
+  public onServerNotice(notice: ServerNotice, now: number): void {
+    const { instanceId, isLeaving, requestsPerSecond } = notice;
     if (instanceId !== this.serverTracker.instanceId) return;
+    if (isLeaving)
+      this.applyEffect(this.serverTracker.onLeavingStated(instanceId), instanceId, now);
     this.hasResponse = true;
     if (requestsPerSecond !== undefined) this.setRequestRate(requestsPerSecond, now);
     this.startQueued(now);
--- a/packages/mesh-core/src/gate/server-incarnation-tracker.ts
+++ b/packages/mesh-core/src/gate/server-incarnation-tracker.ts
@@ -87,6 +87,15 @@
     });
   }
 
+  /** Handles a response in which the server states that it leaves. */
+  public onLeavingStated(instanceId: string): ReportEffect {
+    const { current } = this;
+    if (current?.instanceId !== instanceId) return ReportEffect.Ignored;
+    if (current.state === ServerState.Draining) return ReportEffect.Unchanged;
+    current.state = ServerState.Draining;
+    return ReportEffect.Draining;
+  }
+
   /** Handles the announcement of a server that it leaves. Returns whether it was the current incarnation. */
   public onLeaving(instanceId: string): boolean {
     const { current } = this;
--- a/packages/mesh-core/tests/gate/gate-harness.ts
+++ b/packages/mesh-core/tests/gate/gate-harness.ts
@@ -45,7 +45,15 @@
 
   /** The server states in a response how many requests per second it takes. */
   public stateLimit(requestsPerSecond: number | undefined, now: number): void {
-    this.gate.onServerNotice({ instanceId: serverInstanceId, requestsPerSecond }, now);
+    this.gate.onServerNotice(
+      { instanceId: serverInstanceId, isLeaving: false, requestsPerSecond },
+      now,
+    );
+  }
+
+  /** The server states in a response that it leaves. */
+  public stateLeaving(now: number, instanceId = serverInstanceId): void {
+    this.gate.onServerNotice({ instanceId, isLeaving: true, requestsPerSecond: Infinity }, now);
   }
 
   public start(changes: Partial<StartFrame> = {}, now = 0): number {
--- a/packages/mesh-core/tests/gate/server-gate-limited.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate-limited.test.ts
@@ -52,7 +52,10 @@
   const harness = new GateHarness(slots);
   harness.stateLimit(1, 0);
   harness.stateLimit(undefined, 10);
-  harness.gate.onServerNotice({ instanceId: 'other', requestsPerSecond: Infinity }, 20);
+  harness.gate.onServerNotice(
+    { instanceId: 'other', isLeaving: false, requestsPerSecond: Infinity },
+    20,
+  );
   assert.is(harness.gate.statedRequestsPerSecond, 1);
 });
 
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -27,6 +27,8 @@
 /** A health check uses the status and header fields only; a larger body fails the check. */
 const maximumHealthBodyBytes = 16_384;
 
+const leavingValue = '1';
+
 /** Names (in lower case) and encoding of the header fields between the gate and its server. */
 export interface ServerHeaderCodec {
   readonly requestId: string;
@@ -43,6 +45,8 @@
   readonly coldRemaining: string;
   /** Requests per second that the server takes from all nodes together; on all responses of a server in need. */
   readonly requestLimit: string;
+  /** `1` on all responses of a server that leaves. */
+  readonly leaving: string;
   parseLoad(value: string): ServerLoad | undefined;
   /** In milliseconds; undefined if the value is invalid. */
   parseColdTime(value: string): number | undefined;
@@ -310,7 +314,8 @@
     const { codec } = this.options;
     const limit = firstHeaderValue(response, codec.requestLimit);
     const requestsPerSecond = limit === undefined ? Infinity : codec.parseRequestLimit(limit);
-    return { instanceId, requestsPerSecond };
+    const isLeaving = firstHeaderValue(response, codec.leaving) === leavingValue;
+    return { instanceId, isLeaving, requestsPerSecond };
   }
 
   private readLoad(response: IncomingMessage): ServerLoad | undefined {
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -22,6 +22,7 @@
   expectedInstance: 'x-expected-instance',
   instanceId: 'x-instance',
   parseRequestLimit: Number,
+  leaving: 'x-leaving',
   requestLimit: 'x-limit',
   load: 'x-load',
   notExecuted: 'x-not-executed',
@@ -343,11 +344,23 @@
   await withServer(behaviour, async (harness) => {
     for (const [index, requestsPerSecond] of [8.9, 7, Infinity].entries()) {
       await harness.run(`r-${index + 1}`);
-      assert.equal(harness.notices.at(-1), { instanceId: 'i-1', requestsPerSecond });
+      const expected = { instanceId: 'i-1', isLeaving: false, requestsPerSecond };
+      assert.equal(harness.notices.at(-1), expected);
     }
   });
 });
 
+test('a server that states in a response that it leaves is reported before the result', async () => {
+  for (const [value, isLeaving] of [['1', true] as const, ['0', false] as const]) {
+    const behaviour: Behaviour = (socket, id) =>
+      socket.write(responseText(id, [signed, 'content-length: 0', `x-leaving: ${value}`], ''));
+    await withServer(behaviour, async (harness) => {
+      await harness.run('r-1');
+      assert.is(harness.notices.at(-1)?.isLeaving, isLeaving);
+    });
+  }
+});
+
 test('a keep-alive connection is reused for the next request', async () => {
   await withServer(
     (socket, id) => socket.write(completeResponse(id)),
