--- a/packages/daemon/src/mesh/mesh-directory-entry.ts
+++ b/packages/daemon/src/mesh/mesh-directory-entry.ts
@@ -1,5 +1,10 @@
 import type { MeshNode } from '@peridotspring/mesh-core';
 
+const maximumEntryBytes = 4_096;
+const maximumTextLength = 256;
+const maximumPort = 65_535;
+/** An entry of an incarnation later than this would keep out all later entries of the node. */
+const maximumClockDifferenceMilliseconds = 86_400_000;
 const entryFields = ['name', 'service', 'availabilityZone', 'region', 'address'] as const;
 
 /** Encodes a node as the value of its entry in the store's directory. */
@@ -7,15 +12,19 @@
   return Buffer.from(JSON.stringify(node));
 }
 
-/** Returns undefined if the value is not a valid entry of a mesh node. */
-export function decodeDirectoryEntry(value: Uint8Array): MeshNode | undefined {
+/**
+ * Returns undefined if the value is not a valid entry of a mesh node. `latestBoot` is the highest incarnation that is
+ * plausible now.
+ */
+export function decodeDirectoryEntry(value: Uint8Array, latestBoot: number): MeshNode | undefined {
+  if (value.length > maximumEntryBytes) return undefined;
   let parsed: unknown;
   try {
     parsed = JSON.parse(Buffer.from(value).toString('utf8'));
   } catch {
     return undefined;
   }
-  return isMeshNode(parsed) ? parsed : undefined;
+  return readMeshNode(parsed, latestBoot);
 }
 
 /** Whether two entries describe the same node. `boot` is ignored: connections tell incarnations of a node apart. */
@@ -23,13 +32,34 @@
   return stored !== undefined && entryFields.every((name) => stored[name] === node[name]);
 }
 
-/** Validates a node description that another process sent or stored. */
-export function isMeshNode(value: unknown): value is MeshNode {
-  if (typeof value !== 'object' || value === null) return false;
+/**
+ * Reads a node description that another process sent or stored; undefined if it is not valid. Only the known fields are
+ * kept: others may be of any size and depth, and would be sent on to all peers.
+ */
+export function readMeshNode(value: unknown, latestBoot: number): MeshNode | undefined {
+  if (typeof value !== 'object' || value === null) return undefined;
   const fields = value as Readonly<Record<string, unknown>>;
-  return Number.isSafeInteger(fields.boot) && entryFields.every((name) => isNonEmpty(fields[name]));
+  const { address, availabilityZone, boot, name, region, service } = fields;
+  if (!isText(name) || !isText(service) || !isText(availabilityZone) || !isText(region))
+    return undefined;
+  if (!isText(address) || !isAddress(address) || !isBoot(boot, latestBoot)) return undefined;
+  return { address, availabilityZone, boot, name, region, service };
+}
+
+/** The highest plausible incarnation at a time of day: clocks of nodes differ. */
+export function latestPlausibleBoot(unixMilliseconds: number): number {
+  return unixMilliseconds + maximumClockDifferenceMilliseconds;
+}
+
+function isText(value: unknown): value is string {
+  return typeof value === 'string' && value !== '' && value.length <= maximumTextLength;
+}
+
+function isAddress(address: string): boolean {
+  const port = /^\S+:(\d{1,5})$/.exec(address)?.[1];
+  return port !== undefined && Number(port) >= 1 && Number(port) <= maximumPort;
 }
 
-function isNonEmpty(value: unknown): boolean {
-  return typeof value === 'string' && value !== '';
+function isBoot(value: unknown, latestBoot: number): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0 && Number(value) <= latestBoot;
 }
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -41,7 +41,7 @@
 import { MeshEvent } from './mesh-event.js';
 import type { MeshSettings } from './mesh-settings.js';
 import type { MeshGaugeValues, MeshServiceGaugeValues } from './mesh-gauges.js';
-import { isMeshNode } from './mesh-directory-entry.js';
+import { latestPlausibleBoot, readMeshNode } from './mesh-directory-entry.js';
 import type { DecodedConfiguration } from './platform-adapter.js';
 import { ServerHealthChecks } from './server-health-checks.js';
 import { ServerMessageBuffer } from './server-message-buffer.js';
@@ -461,8 +461,7 @@
         this.configuration.onPullRequested(from.name);
         return;
       case 'members':
-        for (const member of frame.members) if (isMeshNode(member)) this.onNodeObserved(member);
-        this.directorySynchronizer.logObservedNodes(from.name);
+        this.onMembersReceived(frame.members, from.name, now);
         return;
       case 'leaving':
         // The peer stays in the directory: if it restarts while the store is unreachable, it waits to be dialed.
@@ -470,6 +469,16 @@
     }
   }
 
+  private onMembersReceived(members: readonly unknown[], source: string, now: number): void {
+    // The incarnation of a node is the time of day of its start.
+    const latestBoot = latestPlausibleBoot(this.options.self.boot + now - this.startedAt);
+    for (const member of members) {
+      const node = readMeshNode(member, latestBoot);
+      if (node !== undefined) this.onNodeObserved(node);
+    }
+    this.directorySynchronizer.logObservedNodes(source);
+  }
+
   private send(node: string, frame: RequestFrame): boolean {
     if (node !== this.options.self.name) return this.options.ports().connections.send(node, frame);
     // The local gate is called asynchronously like remote ones, so that the forwarder is not re-entered.
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -9,7 +9,12 @@
 
 import { Logger } from '../logging/logger.js';
 import { EventRecorder } from './event-recorder.js';
-import { decodeDirectoryEntry, encodeDirectoryEntry, isSameEntry } from './mesh-directory-entry.js';
+import {
+  decodeDirectoryEntry,
+  encodeDirectoryEntry,
+  isSameEntry,
+  latestPlausibleBoot,
+} from './mesh-directory-entry.js';
 import { MeshEvent } from './mesh-event.js';
 import { registerMeshGauges } from './mesh-gauges.js';
 import { MeshNodeDriver } from './mesh-node.js';
@@ -91,7 +96,7 @@
       },
       removeEntry: (node) => {
         const isExpected = (stored: Uint8Array): boolean =>
-          isSameEntry(decodeDirectoryEntry(stored), node);
+          isSameEntry(readDirectoryEntry(stored), node);
         void store.session.removeEntry(node.name, isExpected);
       },
       refreshConfiguration: () => {
@@ -337,12 +342,12 @@
       driver.onDirectoryRead();
     },
     entry: encodeDirectoryEntry(self),
-    isEntryCurrent: (stored) => isSameEntry(decodeDirectoryEntry(stored), self),
+    isEntryCurrent: (stored) => isSameEntry(readDirectoryEntry(stored), self),
     onEraObserved: (era, isRestored) => {
       driver.onStoreEraObserved(era, isRestored);
     },
     onEntryRead: ({ value }) => {
-      const node = decodeDirectoryEntry(value);
+      const node = readDirectoryEntry(value);
       if (node !== undefined) driver.onNodeObserved(node);
     },
     nodeName: self.name,
@@ -357,6 +362,10 @@
   return { session, transport };
 }
 
+function readDirectoryEntry(value: Uint8Array): MeshNode | undefined {
+  return decodeDirectoryEntry(value, latestPlausibleBoot(Date.now()));
+}
+
 async function delay(milliseconds: number): Promise<void> {
   await new Promise((resolve) => {
     setTimeout(resolve, milliseconds);
--- a/packages/daemon/tests/mesh-parts.test.ts
+++ b/packages/daemon/tests/mesh-parts.test.ts
@@ -35,8 +35,20 @@
   service: 'shop',
 };
 
+const latestBoot = 1_000;
+
+/** An entry that is valid apart from an additional field. */
+function entryWithNestedLists(depth: number): Uint8Array {
+  const nested = `${'['.repeat(depth)}${']'.repeat(depth)}`;
+  return Buffer.from(`{"other":${nested},${JSON.stringify(node).slice(1)}`);
+}
+
+test('unknown fields of a directory entry are not kept, since they would be sent on to all peers', () => {
+  assert.equal(decodeDirectoryEntry(entryWithNestedLists(1_000), latestBoot), node);
+});
+
 test('a directory entry is decoded to the node that was encoded', () => {
-  assert.equal(decodeDirectoryEntry(encodeDirectoryEntry(node)), node);
+  assert.equal(decodeDirectoryEntry(encodeDirectoryEntry(node), latestBoot), node);
 });
 
 /** Values that other programs may write to the directory; none is a valid entry. */
@@ -47,11 +59,21 @@
   ['a missing field', Buffer.from(JSON.stringify({ ...node, address: undefined }))],
   ['a field of another type', Buffer.from(JSON.stringify({ ...node, boot: '12' }))],
   ['an empty name', Buffer.from(JSON.stringify({ ...node, name: '' }))],
+  ['a port out of range', Buffer.from(JSON.stringify({ ...node, address: '10.0.0.1:99999' }))],
+  ['port 0', Buffer.from(JSON.stringify({ ...node, address: '10.0.0.1:0' }))],
+  ['a negative port', Buffer.from(JSON.stringify({ ...node, address: '10.0.0.1:-1' }))],
+  ['a port that is no whole number', Buffer.from(JSON.stringify({ ...node, address: 'a:1e400' }))],
+  ['an address without a port', Buffer.from(JSON.stringify({ ...node, address: '10.0.0.1' }))],
+  ['an implausibly late start', Buffer.from(JSON.stringify({ ...node, boot: latestBoot + 1 }))],
+  ['a number that is too large', Buffer.from(JSON.stringify(node).replace('12', '1e400'))],
+  ['a field of 20,000 nested lists', entryWithNestedLists(20_000)],
+  ['a field that is too long', Buffer.from(JSON.stringify({ ...node, region: 'r'.repeat(300) }))],
+  ['a size of a megabyte', Buffer.from(JSON.stringify({ ...node, other: 'x'.repeat(1_000_000) }))],
 ];
 
 for (const [name, value] of invalidEntries) {
   test(`a directory entry with ${name} is rejected`, () => {
-    assert.is(decodeDirectoryEntry(value), undefined);
+    assert.is(decodeDirectoryEntry(value, latestBoot), undefined);
   });
 }
 
