--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -336,9 +336,7 @@
 
   /** The server stated something about itself in a response. */
   public onServerNotice(notice: ServerNotice): void {
-    const now = this.options.clock();
-    this.gate.onServerNotice(notice, now);
-    this.announceLoad(now);
+    this.gate.onServerNotice(notice, this.options.clock());
   }
 
   /** A different server instance than the expected one answered at the server's address. */
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -291,9 +291,11 @@
     if (instanceId !== this.serverTracker.instanceId) return;
     if (isLeaving)
       this.applyEffect(this.serverTracker.onLeavingStated(instanceId), instanceId, now);
+    const isFirstResponse = !this.hasResponse;
     this.hasResponse = true;
-    if (requestsPerSecond !== undefined) this.setRequestRate(requestsPerSecond, now);
-    this.startQueued(now);
+    const isRateChanged =
+      requestsPerSecond !== undefined && this.setRequestRate(requestsPerSecond, now);
+    if (isFirstResponse || isRateChanged) this.startQueued(now);
   }
 
   /** Handles the load that came with a response of the server. */
@@ -394,15 +396,17 @@
     this.options.port.probe();
   }
 
-  private setRequestRate(requestsPerSecond: number, now: number): void {
+  /** Returns whether the rate has changed. */
+  private setRequestRate(requestsPerSecond: number, now: number): boolean {
     this.requestsPerSecond = requestsPerSecond;
-    if (!this.requestRate.setRate(requestsPerSecond, now)) return;
+    if (!this.requestRate.setRate(requestsPerSecond, now)) return false;
     const { running, queue } = this;
     const perSecond = this.requestRate.isLimited ? requestsPerSecond : 'unlimited';
     this.options.log({
       event: GateEventName.ServerLimitChanged,
       fields: { perSecond, running, waiting: queue.size },
     });
+    return true;
   }
 
   private onSlowdownReported(slowdown: number, now: number): void {
