--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -103,6 +103,16 @@
   }
 }
 
+test('each answer states its exact length, so that one that is cut off on the way cannot look complete', async () => {
+  for (const body of ['', 'b', 'x'.repeat(200_000)]) {
+    await withServer(async (testServer) => {
+      testServer.outcome = { body: Buffer.from(body), headers: [], kind: 'answered', status: 200 };
+      const { headers } = await testServer.call();
+      assert.is(headers['content-length'], String(body.length));
+    });
+  }
+});
+
 test('a request is passed on unchanged, except that reserved headers are removed', async () => {
   await withServer(async (testServer) => {
     const headers = { 'x-b': '2', 'x-caller': 'forged', 'x-deadline': '300' };
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -211,6 +211,16 @@
   assert.is(fixture.outcomes[0]?.kind, 'refused');
 });
 
+// A server that repeats its refusal could otherwise refuse the second run of the same request, which has the same identifier.
+test('a request that a server has refused is not sent to that server again', () => {
+  const fixture = new EntryFixture(['a', 'b'], 5);
+  fixture.begin({ idempotent: false });
+  for (let attempt = 0; attempt < fixture.startFrames.length; attempt += 1)
+    fixture.decline(attempt, 10, 'server-refused');
+  assert.equal(fixture.startFrames.map(({ node }) => node).sort(), ['a', 'b']);
+  assert.is(fixture.outcomes[0]?.kind, 'refused');
+});
+
 test('a late idempotent request is hedged, and the slower attempt is cancelled', () => {
   const fixture = new EntryFixture();
   fixture.begin();
--- a/packages/nodes/tests/mesh-connections.test.ts
+++ b/packages/nodes/tests/mesh-connections.test.ts
@@ -14,6 +14,22 @@
 } from '../src/mesh/mesh-frame-codec.js';
 import type { MeshWireFrame } from '../src/mesh/mesh-frame-codec.js';
 
+test('an answer that is cut off at any byte between two nodes is not delivered', () => {
+  const answer = encodeMeshFrame({
+    body: Buffer.from('the whole body'),
+    callId: 7,
+    headers: [['content-type', 'text/plain']],
+    kind: 'answered',
+    load: createLoad(),
+    status: 200,
+  });
+  for (let cut = 0; cut < answer.length; cut += 1) {
+    const decoder = new MeshFrameDecoder();
+    decoder.allowLargeFrames();
+    assert.equal(decoder.push(answer.subarray(0, cut)), [], `cut after ${cut} bytes`);
+  }
+});
+
 async function freePort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -289,6 +289,66 @@
   });
 });
 
+/** When a server writes the refusal of its first request once more on a connection that is kept. */
+const repeatedRefusals: readonly (readonly [string, (socket: Socket, refusal: string) => void])[] =
+  [
+    ['together with the first', (socket, refusal) => socket.write(refusal + refusal)],
+    [
+      'while the connection is idle',
+      (socket, refusal) => {
+        socket.write(refusal);
+        setTimeout(() => socket.write(refusal), 5);
+      },
+    ],
+    [
+      'when the next request has arrived',
+      (socket, refusal) => {
+        socket.write(refusal);
+        socket.once('data', () => socket.write(refusal));
+      },
+    ],
+  ];
+
+for (const [when, refuse] of repeatedRefusals) {
+  test(`a refusal that a server repeats ${when} does not refuse the next request`, async () => {
+    const executed: string[] = [];
+    const behaviour: Behaviour = (socket, id) => {
+      if (id === 'r-1') {
+        refuse(socket, responseText(id, ['x-not-executed: full', 'content-length: 0'], '', 503));
+        return;
+      }
+      executed.push(id);
+      setTimeout(() => socket.write(completeResponse(id)), 20);
+    };
+    for (const pauseMilliseconds of [0, 2, 30]) {
+      await withServer(behaviour, async (harness) => {
+        assert.is((await harness.run('r-1')).kind, 'not-run');
+        await sleep(pauseMilliseconds);
+        const before = executed.length;
+        const { kind } = await harness.run('r-2');
+        if (executed.length > before)
+          assert.is.not(kind, 'not-run', `after ${pauseMilliseconds} ms`);
+      });
+    }
+  });
+}
+
+for (const framing of ['content-length: 4', 'transfer-encoding: chunked', 'x-framing: none']) {
+  test(`a head with ${framing} that is cut off at any byte is no answer`, async () => {
+    const headLength = responseText('r-1', [signed, framing], '').length;
+    for (let cut = 0; cut < headLength; cut += 1) {
+      const behaviour: Behaviour = (socket, id) => {
+        const head = responseText(id, [signed, framing], '').slice(0, cut);
+        if (cut % 2 === 0) socket.end(head);
+        else socket.write(head, () => socket.resetAndDestroy());
+      };
+      await withServer(behaviour, async (harness) => {
+        assert.is((await harness.run('r-1')).kind, 'failed', `cut after ${cut} bytes`);
+      });
+    }
+  });
+}
+
 test('connections are not reused after a response to another request', async () => {
   let requestCount = 0;
   const behaviour: Behaviour = (socket, id) => {
