--- a/packages/daemon/tests/virtual-mesh.test.ts
+++ b/packages/daemon/tests/virtual-mesh.test.ts
@@ -104,4 +104,11 @@
   });
 }
 
+for (const seed of [1, 2, 3, 4, 5, 6]) {
+  test(`seed ${seed}: servers that state a limit get no more requests than it allows, beside restarts of their nodes`, async () => {
+    const { violations } = await simulateMesh(seed, { limitsServers: true });
+    assert.equal(violations, []);
+  });
+}
+
 test.run();
--- a/packages/daemon/tests/virtual-mesh/main.ts
+++ b/packages/daemon/tests/virtual-mesh/main.ts
@@ -1,14 +1,23 @@
 import { simulateMesh } from './simulate-mesh.js';
 
-/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store] [1: cold servers] [1: cuts of all watchers]. */
-const [first = 1, count = 1_000, zones = 2, machines = 5, restores = 0, cold = 0, cuts = 0] =
-  process.argv.slice(2).map(Number);
+/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store] [1: cold servers] [1: cuts of all watchers] [1: limited servers]. */
+const [
+  first = 1,
+  count = 1_000,
+  zones = 2,
+  machines = 5,
+  restores = 0,
+  cold = 0,
+  cuts = 0,
+  limits = 0,
+] = process.argv.slice(2).map(Number);
 let failed = 0;
 let requests = 0;
 let answered = 0;
 for (let seed = first; seed < first + count; seed += 1) {
   const result = await simulateMesh(seed, {
     cutsWatchers: cuts > 0,
+    limitsServers: limits > 0,
     machines,
     restoresStore: restores > 0,
     startsCold: cold > 0,
--- a/packages/daemon/tests/virtual-mesh/mesh-faults.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-faults.ts
@@ -176,10 +176,25 @@
   ],
 ];
 
+/** The limit has to end before the mesh must have recovered. */
+const latestLimitMilliseconds = 5_000;
+
+/** Additional faults if servers may state that they take few requests. */
+const limitedServerFaults: readonly NamedFault[] = [
+  [
+    'a server takes few requests',
+    (mesh, random) => {
+      if (mesh.queue.now > latestLimitMilliseconds) return;
+      mesh.pickMachine().server.stateLimit(1 + 6 * random.next(), 8_000);
+    },
+  ],
+];
+
 /** What a simulation contains that has faults of its own. */
 export interface FaultOptions {
   readonly cutsWatchers: boolean;
   readonly isLargeFleet: boolean;
+  readonly limitsServers: boolean;
   readonly restoresStore: boolean;
   readonly startsCold: boolean;
 }
@@ -188,12 +203,14 @@
 export function selectFaults({
   cutsWatchers,
   isLargeFleet,
+  limitsServers,
   restoresStore,
   startsCold,
 }: FaultOptions): readonly NamedFault[] {
   return [
     ...faults,
     ...(cutsWatchers ? [...watcherFaults, ...watcherFaults] : []),
+    ...(limitsServers ? [...limitedServerFaults, ...limitedServerFaults] : []),
     ...(isLargeFleet ? largeFleetFaults : []),
     ...(startsCold ? [...coldServerFaults, ...coldServerFaults] : []),
     ...(restoresStore ? [...storeRestoreFaults, ...storeRestoreFaults] : []),
--- a/packages/daemon/tests/virtual-mesh/mesh-violations.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-violations.ts
@@ -7,6 +7,13 @@
 /** Time after the start of an evacuation by which no request may reach a server of the zone. */
 const evacuationBoundMilliseconds = 1_500;
 
+/** From this time after a server first stated a limit, it must hold. */
+const limitStabilityMilliseconds = 3_000;
+const limitWindowMilliseconds = 4_000;
+/** In each window, a server may get this many times what its limit allows, and `limitSlack` requests more. */
+const limitFactor = 1.5;
+const limitSlack = 5;
+
 /** Violations of what must hold at any time. */
 export function guaranteeViolations(mesh: VirtualMesh): readonly string[] {
   const violations: string[] = [];
@@ -30,6 +37,7 @@
       }
     }
   }
+  violations.push(...limitViolations(mesh));
   violations.push(...coldServerViolations(mesh), ...evacuationViolations(mesh));
   violations.push(...mesh.lateVersions);
   violations.push(...retryBudgetViolations(mesh, runsByRequest), ...mesh.versionRegressions);
@@ -53,6 +61,30 @@
   return violations;
 }
 
+/** Checks the requests that each server received in any window while it stated a limit. */
+function limitViolations(mesh: VirtualMesh): readonly string[] {
+  const violations: string[] = [];
+  for (const { server } of mesh.machines) {
+    for (const { endedAt, firstStatedAt, incarnation, requestsPerSecond } of server.statedLimits) {
+      const allowed =
+        (limitFactor * requestsPerSecond * limitWindowMilliseconds) / 1_000 + limitSlack;
+      const times = server.runs
+        .filter((run) => run.incarnation === incarnation && run.at <= endedAt)
+        .map(({ at }) => at)
+        .filter((at) => at >= firstStatedAt + limitStabilityMilliseconds);
+      for (const from of times) {
+        const count = times.filter(
+          (at) => at >= from && at < from + limitWindowMilliseconds,
+        ).length;
+        if (count <= allowed) continue;
+        violations.push(`${incarnation}: takes ${requestsPerSecond}/s, ${count} from ${from} on`);
+        break;
+      }
+    }
+  }
+  return violations;
+}
+
 function evacuationViolations(mesh: VirtualMesh): readonly string[] {
   const violations: string[] = [];
   for (const { availabilityZone, endedAt, startedAt } of mesh.evacuations) {
--- a/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
@@ -23,6 +23,8 @@
   readonly restoresStore?: boolean;
   /** Whether all nodes that watch the configuration are cut off from the store at once. */
   readonly cutsWatchers?: boolean;
+  /** Whether servers state for some time that they take few requests. */
+  readonly limitsServers?: boolean;
   /** Whether servers are cold after their start, and zones are evacuated. */
   readonly startsCold?: boolean;
 }
@@ -39,6 +41,7 @@
   seed: number,
   {
     cutsWatchers = false,
+    limitsServers = false,
     machines = fullyConnectedFleetSize,
     restoresStore = false,
     startsCold = false,
@@ -51,6 +54,7 @@
   const possibleFaults = selectFaults({
     cutsWatchers,
     isLargeFleet: machines > fullyConnectedFleetSize,
+    limitsServers,
     restoresStore,
     startsCold,
   });
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -359,6 +359,9 @@
         onLoad: (load) => {
           machine.node?.driver.onServerLoad(load);
         },
+        onNotice: (notice) => {
+          machine.node?.driver.onServerNotice(notice);
+        },
         coldMilliseconds: this.startsCold ? coldStart.durationMilliseconds : 0,
         name,
         queue: this.queue,
--- a/packages/daemon/tests/virtual-mesh/virtual-server.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-server.ts
@@ -1,5 +1,10 @@
 import { DeclineReason } from '@peridotspring/mesh-core';
-import type { Execution, ExecutionResult, ServerLoad } from '@peridotspring/mesh-core';
+import type {
+  Execution,
+  ExecutionResult,
+  ServerLoad,
+  ServerNotice,
+} from '@peridotspring/mesh-core';
 import type { RandomSource } from '@peridotspring/core';
 import type { HealthCheckResult, ServerMessage } from '@peridotspring/upstreams/mesh';
 
@@ -14,6 +19,15 @@
   readonly isCold: boolean;
 }
 
+/** A limit on its requests that a server states in its answers for some time. */
+export interface StatedLimit {
+  readonly incarnation: string;
+  readonly requestsPerSecond: number;
+  /** Time of the first answer that stated it. */
+  firstStatedAt: number;
+  endedAt: number;
+}
+
 export interface VirtualServerOptions {
   readonly queue: EventQueue;
   readonly random: RandomSource;
@@ -25,6 +39,8 @@
   readonly sendMessage: (message: ServerMessage) => Promise<boolean>;
   /** Called with the load that accompanies each answer. */
   readonly onLoad: (load: ServerLoad) => void;
+  /** Called with what the server states about itself in each answer. */
+  readonly onNotice: (notice: ServerNotice) => void;
   readonly onConcluded: (executionId: number, result: ExecutionResult) => void;
 }
 
@@ -46,6 +62,7 @@
   public readonly runs: Run[] = [];
   /** Time at which the end of each incarnation was confirmed; no request may start in that incarnation afterwards. */
   public readonly endConfirmedAt = new Map<string, number>();
+  public readonly statedLimits: StatedLimit[] = [];
   /** Share of answers that are lost because the connection is reset. */
   public lostAnswerShare = 0;
   public slowdown = 1;
@@ -55,6 +72,7 @@
   public crowdedFactor = 1;
   /** Slowdown of a request that starts while the server is cold. */
   public coldFactor = 1;
+  private currentLimit: StatedLimit | undefined;
   private coldUntil = Number.NEGATIVE_INFINITY;
   private incarnationNumber = 0;
   private instanceId = '';
@@ -77,6 +95,22 @@
     this.startIncarnation(keepsIdentifier ? this.instanceId : `i-${this.incarnationNumber + 1}`);
   }
 
+  /** States a limit on its requests in its answers for some time. */
+  public stateLimit(requestsPerSecond: number, milliseconds: number): void {
+    if (this.currentLimit !== undefined) return;
+    const limit: StatedLimit = {
+      endedAt: Infinity,
+      firstStatedAt: Infinity,
+      incarnation: this.incarnation,
+      requestsPerSecond,
+    };
+    this.statedLimits.push(limit);
+    this.currentLimit = limit;
+    this.options.queue.after(milliseconds, () => {
+      this.endLimit(limit);
+    });
+  }
+
   /** Turns cold again under the same identifier. */
   public turnCold(): void {
     this.coldUntil = this.options.queue.now + this.options.coldMilliseconds;
@@ -122,6 +156,7 @@
         }
         const body = Buffer.from(frame.requestId);
         this.options.onLoad(this.load);
+        this.options.onNotice(this.createNotice());
         onConcluded(executionId, { body, headers: [], kind: 'answered', status: 200 });
       });
       this.cancelByExecution.set(executionId, () => {
@@ -149,6 +184,19 @@
     };
   }
 
+  private createNotice(): ServerNotice {
+    const { currentLimit, instanceId, options } = this;
+    if (currentLimit !== undefined)
+      currentLimit.firstStatedAt = Math.min(currentLimit.firstStatedAt, options.queue.now);
+    const requestsPerSecond = currentLimit?.requestsPerSecond ?? Infinity;
+    return { instanceId, isLeaving: false, requestsPerSecond };
+  }
+
+  private endLimit(limit: StatedLimit): void {
+    limit.endedAt = Math.min(limit.endedAt, this.options.queue.now);
+    if (this.currentLimit === limit) this.currentLimit = undefined;
+  }
+
   private get currentSlowdown(): number {
     const isCrowded = this.running > this.options.slots * crowdedShare;
     return (
@@ -191,6 +239,7 @@
   }
 
   private startIncarnation(instanceId: string): void {
+    if (this.currentLimit !== undefined) this.endLimit(this.currentLimit);
     this.incarnationNumber += 1;
     this.instanceId = instanceId;
     // Nodes expect an integer. The addend makes incarnations differ that begin within the same millisecond.
