--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -296,7 +296,9 @@
     this.queue.after(readMilliseconds, () => {
       const { node } = machine;
       if (node === undefined || !machine.canReadStore || machine.hasLostStore) return;
+      this.reportEra(machine, node);
       node.driver.onConfigurationRead(Buffer.from(String(this.store.version)));
+      node.driver.onEvacuationsRead(this.store.evacuations, this.store.era);
       node.driver.onConfigurationConfirmed();
     });
   }
