--- a/packages/mesh-core/src/gate/request-rate-limit.ts
+++ b/packages/mesh-core/src/gate/request-rate-limit.ts
@@ -6,24 +6,27 @@
 
 /** Spaces the requests to a server so that it gets no more per second than it says it takes. */
 export class RequestRateLimit {
+  private rate = Infinity;
   /** Interval between two starts; 0 without a limit. */
   private intervalMilliseconds = 0;
   /** Time of the next start if all starts were spaced by exactly the interval. */
   private nextStartAt = Number.NEGATIVE_INFINITY;
 
-  public get isLimited(): boolean {
-    return this.intervalMilliseconds > 0;
+  /** The rate that the server takes; infinite without a limit. */
+  public get requestsPerSecond(): number {
+    return this.rate;
   }
 
   /** Sets the rate that the server takes, infinite for no limit. Returns whether it has changed. */
   public setRate(requestsPerSecond: number, now: number): boolean {
+    if (requestsPerSecond === this.rate) return false;
+    this.rate = requestsPerSecond;
     const interval = Math.min(
       maximumIntervalMilliseconds,
       millisecondsPerSecond / requestsPerSecond,
     );
-    if (interval === this.intervalMilliseconds) return false;
     // Requests that were started without a limit leave nothing of the allowance for bursts.
-    if (!this.isLimited) this.nextStartAt = now + burstMilliseconds;
+    if (this.intervalMilliseconds === 0) this.nextStartAt = now + burstMilliseconds;
     this.intervalMilliseconds = interval;
     this.nextStartAt = Math.min(this.nextStartAt, now + burstMilliseconds + interval);
     return true;
@@ -35,7 +38,7 @@
 
   /** Time until the request at a position of the queue, counted from 1, may start. */
   public waitForStart(position: number, now: number): number {
-    if (!this.isLimited) return 0;
+    if (this.intervalMilliseconds === 0) return 0;
     const startAt = this.nextStartAt + (position - 1) * this.intervalMilliseconds;
     return Math.max(0, startAt - burstMilliseconds - now);
   }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -109,7 +109,6 @@
   private readonly calls = new GateCallRegistry();
   private readonly coldStartGuard: ColdStartGuard;
   private readonly requestRate = new RequestRateLimit();
-  private requestsPerSecond = Infinity;
   private hasResponse = false;
   private readonly gateLog: GateLog;
   private isEvacuated = false;
@@ -168,7 +167,8 @@
 
   /** Requests per second that the server says it takes; undefined if it states no limit. */
   public get statedRequestsPerSecond(): number | undefined {
-    return Number.isFinite(this.requestsPerSecond) ? this.requestsPerSecond : undefined;
+    const { requestsPerSecond } = this.requestRate;
+    return Number.isFinite(requestsPerSecond) ? requestsPerSecond : undefined;
   }
 
   /** Number of requests that the server reports it can run at once; 0 without a server. */
@@ -398,14 +398,13 @@
 
   /** Returns whether the rate has changed. */
   private setRequestRate(requestsPerSecond: number, now: number): boolean {
-    this.requestsPerSecond = requestsPerSecond;
     if (!this.requestRate.setRate(requestsPerSecond, now)) return false;
-    const { running, queue } = this;
-    const perSecond = this.requestRate.isLimited ? requestsPerSecond : 'unlimited';
-    this.options.log({
-      event: GateEventName.ServerLimitChanged,
-      fields: { perSecond, running, waiting: queue.size },
-    });
+    const fields = {
+      perSecond: this.statedRequestsPerSecond ?? 'unlimited',
+      running: this.running,
+      waiting: this.queue.size,
+    };
+    this.options.log({ event: GateEventName.ServerLimitChanged, fields });
     return true;
   }
 
