--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -109,7 +109,8 @@
   private readonly calls = new GateCallRegistry();
   private readonly coldStartGuard: ColdStartGuard;
   private readonly requestRate = new RequestRateLimit();
-  private hasResponse = false;
+  /** Whether the current server has responded to a request of this process. */
+  private hasServerResponded = false;
   private readonly gateLog: GateLog;
   private isEvacuated = false;
   private running = 0;
@@ -239,7 +240,7 @@
     if (call.frame.nested) this.nestedRunning -= 1;
     if (wasAborted) this.estimator.recordAbort(call, now);
     else {
-      if (result.kind === 'answered') this.hasResponse = true;
+      if (result.kind === 'answered') this.hasServerResponded = true;
       const isFailure =
         result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
       this.failures.add(isFailure, now);
@@ -291,8 +292,8 @@
     if (instanceId !== this.serverTracker.instanceId) return;
     if (isLeaving)
       this.applyEffect(this.serverTracker.onLeavingStated(instanceId), instanceId, now);
-    const isFirstResponse = !this.hasResponse;
-    this.hasResponse = true;
+    const isFirstResponse = !this.hasServerResponded;
+    this.hasServerResponded = true;
     const isRateChanged =
       requestsPerSecond !== undefined && this.setRequestRate(requestsPerSecond, now);
     if (isFirstResponse || isRateChanged) this.startQueued(now);
@@ -308,7 +309,8 @@
   public onServerReport(report: ServerReport, now: number): void {
     const effect = this.serverTracker.onReport(report);
     // Only a server that has been running for some time can have responded to an earlier process of this node.
-    if (effect === ReportEffect.Started) this.hasResponse = report.sequence <= firstReportSequence;
+    if (effect === ReportEffect.Started)
+      this.hasServerResponded = report.sequence <= firstReportSequence;
     if (effect !== ReportEffect.Ignored) {
       this.coldStartGuard.onReport(report, effect === ReportEffect.Started, now);
       this.concurrencyLimit.setCold(this.isCold(now));
@@ -532,7 +534,7 @@
     const limit = frame.nested
       ? this.concurrencyLimit.nestedLimit(slots)
       : this.concurrencyLimit.limit(slots);
-    return this.hasResponse ? limit : Math.min(limit, maximumRunningBeforeResponse);
+    return this.hasServerResponded ? limit : Math.min(limit, maximumRunningBeforeResponse);
   }
 
   /** Time until the server may receive the request at a position of the queue, counted from 1. */
