--- /dev/null
+++ b/packages/upstreams/tests/server-client-framing.test.ts
@@ -0,0 +1,107 @@
+import type { Socket } from 'node:net';
+
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import {
+  completeResponse,
+  responseText,
+  signed,
+  sleep,
+  withServer,
+} from './server-client-harness.js';
+import type { Behaviour } from './server-client-harness.js';
+
+// Where a response begins and ends, and which request it belongs to.
+
+test('a response with status 204 that declares a body ends with its head', async () => {
+  const declarations = ['content-length: 100000', 'transfer-encoding: chunked'];
+  for (const declaration of declarations) {
+    const behaviour: Behaviour = (socket, id) =>
+      socket.write(responseText(id, [signed, declaration], '', 204));
+    await withServer(behaviour, async (harness) => {
+      for (const requestId of ['r-1', 'r-2']) {
+        const result = await Promise.race([harness.run(requestId), sleep(1_500)]);
+        assert.is(result?.kind === 'answered' && result.body.length, 0, declaration);
+      }
+    });
+  }
+});
+
+test('a response that can have no body needs no length', async () => {
+  const responses = [
+    { method: 'GET', status: 204 },
+    { method: 'GET', status: 304 },
+    { method: 'HEAD', status: 200 },
+  ];
+  for (const { method, status } of responses) {
+    const behaviour: Behaviour = (socket, id) =>
+      socket.write(responseText(id, [signed], '', status));
+    await withServer(behaviour, async (harness) => {
+      const result = await harness.run('r-1', [], method);
+      assert.is(result.kind === 'answered' && result.status, status);
+    });
+  }
+});
+
+/** When a server writes the refusal of its first request once more on a connection that is kept. */
+const repeatedRefusals: readonly (readonly [string, (socket: Socket, refusal: string) => void])[] =
+  [
+    ['together with the first', (socket, refusal) => socket.write(refusal + refusal)],
+    [
+      'while the connection is idle',
+      (socket, refusal) => {
+        socket.write(refusal);
+        setTimeout(() => socket.write(refusal), 5);
+      },
+    ],
+    [
+      'when the next request has arrived',
+      (socket, refusal) => {
+        socket.write(refusal);
+        socket.once('data', () => socket.write(refusal));
+      },
+    ],
+  ];
+
+for (const [when, refuse] of repeatedRefusals) {
+  test(`a refusal that a server repeats ${when} does not refuse the next request`, async () => {
+    const executed: string[] = [];
+    const behaviour: Behaviour = (socket, id) => {
+      if (id === 'r-1') {
+        refuse(socket, responseText(id, ['x-not-executed: full', 'content-length: 0'], '', 503));
+        return;
+      }
+      executed.push(id);
+      setTimeout(() => socket.write(completeResponse(id)), 20);
+    };
+    for (const pauseMilliseconds of [0, 2, 30]) {
+      await withServer(behaviour, async (harness) => {
+        assert.is((await harness.run('r-1')).kind, 'not-run');
+        await sleep(pauseMilliseconds);
+        const before = executed.length;
+        const { kind } = await harness.run('r-2');
+        if (executed.length > before)
+          assert.is.not(kind, 'not-run', `after ${pauseMilliseconds} ms`);
+      });
+    }
+  });
+}
+
+for (const framing of ['content-length: 4', 'transfer-encoding: chunked', 'x-framing: none']) {
+  test(`a head with ${framing} that is cut off at any byte is no answer`, async () => {
+    const headLength = responseText('r-1', [signed, framing], '').length;
+    for (let cut = 0; cut < headLength; cut += 1) {
+      const behaviour: Behaviour = (socket, id) => {
+        const head = responseText(id, [signed, framing], '').slice(0, cut);
+        if (cut % 2 === 0) socket.end(head);
+        else socket.write(head, () => socket.resetAndDestroy());
+      };
+      await withServer(behaviour, async (harness) => {
+        assert.is((await harness.run('r-1')).kind, 'failed', `cut after ${cut} bytes`);
+      });
+    }
+  });
+}
+
+test.run();
--- /dev/null
+++ b/packages/upstreams/tests/server-client-harness.ts
@@ -0,0 +1,162 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+
+import type {
+  Execution,
+  ExecutionResult,
+  HeaderList,
+  ServerNotice,
+  StartFrame,
+} from '@peridotspring/mesh-core';
+
+import { ServerClient } from '../src/mesh/index.js';
+import type { ServerHeaderCodec } from '../src/mesh/index.js';
+
+const codec: ServerHeaderCodec = {
+  callerService: 'x-caller-service',
+  coldRemaining: 'x-cold-remaining',
+  deadline: 'x-deadline',
+  expectedInstance: 'x-expected-instance',
+  instanceId: 'x-instance',
+  parseRequestLimit: Number,
+  leaving: 'x-leaving',
+  requestLimit: 'x-limit',
+  load: 'x-load',
+  notExecuted: 'x-not-executed',
+  parseColdTime: (value) => (value === 'soon' ? undefined : Number(value)),
+  parseLoad: (value) => ({ running: Number(value), slots: 4, slowdown: 1, waiting: 0 }),
+  requestId: 'x-request-id',
+  signature: 'x-signature',
+};
+
+/** Small, so that tests reach the limit quickly. */
+export const responseMemoryBytes = 4_194_304;
+
+export type Behaviour = (socket: Socket, requestId: string) => void;
+
+/** A TCP server that responds to each request with the bytes that the test writes. */
+export class RawServer {
+  public connections = 0;
+  public readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+
+  public constructor(private readonly behaviour: Behaviour) {
+    this.server = createServer((socket) => {
+      this.connections += 1;
+      this.sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.on('close', () => this.sockets.delete(socket));
+      socket.on('data', (chunk: Buffer) => {
+        const requestId = /x-request-id: (\S+)/i.exec(chunk.toString('latin1'))?.[1];
+        if (requestId !== undefined) this.behaviour(socket, requestId);
+      });
+    });
+  }
+
+  public async listen(): Promise<number> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  public close(): void {
+    for (const socket of this.sockets) socket.destroy();
+    this.server.close();
+  }
+}
+
+/** A `ServerClient` whose results can be awaited. */
+export class ServerClientHarness {
+  public readonly client: ServerClient;
+  public readonly unexpectedInstances: string[] = [];
+  public readonly notices: ServerNotice[] = [];
+  private readonly resolvers = new Map<number, (result: ExecutionResult) => void>();
+  private nextExecutionId = 1;
+
+  public constructor(port: number) {
+    this.client = new ServerClient({
+      responseMemoryBytes,
+      clock: () => performance.now(),
+      codec,
+      onResult: (executionId, result) => this.resolvers.get(executionId)?.(result),
+      host: '127.0.0.1',
+      onLoadReport: () => undefined,
+      onNotice: (notice) => this.notices.push(notice),
+      onUnexpectedInstance: (instanceId) => this.unexpectedInstances.push(instanceId),
+      port,
+    });
+  }
+
+  public async run(
+    requestId: string,
+    headers: HeaderList = [],
+    method = 'GET',
+  ): Promise<ExecutionResult> {
+    const executionId = this.nextExecutionId;
+    this.nextExecutionId += 1;
+    const execution: Execution = {
+      deadline: performance.now() + 2_000,
+      executionId,
+      frame: { ...startFrame(requestId), headers, method },
+      instanceId: 'i-1',
+    };
+    return new Promise((resolve) => {
+      this.resolvers.set(executionId, resolve);
+      this.client.run(execution);
+    });
+  }
+}
+
+function startFrame(requestId: string): StartFrame {
+  return {
+    callerService: 'shop',
+    callId: 1,
+    headers: [],
+    idempotent: true,
+    kind: 'start',
+    method: 'GET',
+    nested: false,
+    optional: false,
+    path: '/a',
+    priority: 0,
+    remainingMilliseconds: 2_000,
+    repeat: false,
+    requestId,
+    routeName: 'r',
+    service: 'shop',
+    targetMilliseconds: 500,
+  };
+}
+
+export async function withServer(
+  behaviour: Behaviour,
+  runTest: (harness: ServerClientHarness, server: RawServer) => Promise<void>,
+): Promise<void> {
+  const server = new RawServer(behaviour);
+  const harness = new ServerClientHarness(await server.listen());
+  try {
+    await runTest(harness, server);
+  } finally {
+    harness.client.close();
+    server.close();
+  }
+}
+
+export async function sleep(milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+export function responseText(
+  requestId: string,
+  lines: readonly string[],
+  body: string,
+  status = 200,
+): string {
+  const head = [`HTTP/1.1 ${status} Any`, `x-request-id: ${requestId}`, ...lines];
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
+}
+
+export const signed = 'x-signature: s';
+
+export function completeResponse(requestId: string): string {
+  return responseText(requestId, [signed, 'content-length: 4'], 'body');
+}
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -1,148 +1,22 @@
 import net, { createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 import { DeclineReason } from '@peridotspring/mesh-core';
-import type {
-  Execution,
-  ExecutionResult,
-  HeaderList,
-  ServerNotice,
-  StartFrame,
-} from '@peridotspring/mesh-core';
+import type { ExecutionResult } from '@peridotspring/mesh-core';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { ServerClient } from '../src/mesh/index.js';
-import type { ServerHeaderCodec } from '../src/mesh/index.js';
-
-const codec: ServerHeaderCodec = {
-  callerService: 'x-caller-service',
-  coldRemaining: 'x-cold-remaining',
-  deadline: 'x-deadline',
-  expectedInstance: 'x-expected-instance',
-  instanceId: 'x-instance',
-  parseRequestLimit: Number,
-  leaving: 'x-leaving',
-  requestLimit: 'x-limit',
-  load: 'x-load',
-  notExecuted: 'x-not-executed',
-  parseColdTime: (value) => (value === 'soon' ? undefined : Number(value)),
-  parseLoad: (value) => ({ running: Number(value), slots: 4, slowdown: 1, waiting: 0 }),
-  requestId: 'x-request-id',
-  signature: 'x-signature',
-};
-
-/** Small, so that tests reach the limit quickly. */
-const responseMemoryBytes = 4_194_304;
-
-type Behaviour = (socket: Socket, requestId: string) => void;
-
-/** A TCP server that responds to each request with the bytes that the test writes. */
-class RawServer {
-  public connections = 0;
-  public readonly sockets = new Set<Socket>();
-  private readonly server: Server;
-
-  public constructor(private readonly behaviour: Behaviour) {
-    this.server = createServer((socket) => {
-      this.connections += 1;
-      this.sockets.add(socket);
-      socket.on('error', () => undefined);
-      socket.on('close', () => this.sockets.delete(socket));
-      socket.on('data', (chunk: Buffer) => {
-        const requestId = /x-request-id: (\S+)/i.exec(chunk.toString('latin1'))?.[1];
-        if (requestId !== undefined) this.behaviour(socket, requestId);
-      });
-    });
-  }
-
-  public async listen(): Promise<number> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
-    return (this.server.address() as AddressInfo).port;
-  }
-
-  public close(): void {
-    for (const socket of this.sockets) socket.destroy();
-    this.server.close();
-  }
-}
-
-/** A `ServerClient` whose results can be awaited. */
-class ServerClientHarness {
-  public readonly client: ServerClient;
-  public readonly unexpectedInstances: string[] = [];
-  public readonly notices: ServerNotice[] = [];
-  private readonly resolvers = new Map<number, (result: ExecutionResult) => void>();
-  private nextExecutionId = 1;
-
-  public constructor(port: number) {
-    this.client = new ServerClient({
-      responseMemoryBytes,
-      clock: () => performance.now(),
-      codec,
-      onResult: (executionId, result) => this.resolvers.get(executionId)?.(result),
-      host: '127.0.0.1',
-      onLoadReport: () => undefined,
-      onNotice: (notice) => this.notices.push(notice),
-      onUnexpectedInstance: (instanceId) => this.unexpectedInstances.push(instanceId),
-      port,
-    });
-  }
-
-  public async run(
-    requestId: string,
-    headers: HeaderList = [],
-    method = 'GET',
-  ): Promise<ExecutionResult> {
-    const executionId = this.nextExecutionId;
-    this.nextExecutionId += 1;
-    const execution: Execution = {
-      deadline: performance.now() + 2_000,
-      executionId,
-      frame: { ...startFrame(requestId), headers, method },
-      instanceId: 'i-1',
-    };
-    return new Promise((resolve) => {
-      this.resolvers.set(executionId, resolve);
-      this.client.run(execution);
-    });
-  }
-}
-
-function startFrame(requestId: string): StartFrame {
-  return {
-    callerService: 'shop',
-    callId: 1,
-    headers: [],
-    idempotent: true,
-    kind: 'start',
-    method: 'GET',
-    nested: false,
-    optional: false,
-    path: '/a',
-    priority: 0,
-    remainingMilliseconds: 2_000,
-    repeat: false,
-    requestId,
-    routeName: 'r',
-    service: 'shop',
-    targetMilliseconds: 500,
-  };
-}
-
-async function withServer(
-  behaviour: Behaviour,
-  runTest: (harness: ServerClientHarness, server: RawServer) => Promise<void>,
-): Promise<void> {
-  const server = new RawServer(behaviour);
-  const harness = new ServerClientHarness(await server.listen());
-  try {
-    await runTest(harness, server);
-  } finally {
-    harness.client.close();
-    server.close();
-  }
-}
+import type { ServerClient } from '../src/mesh/index.js';
+import {
+  RawServer,
+  ServerClientHarness,
+  completeResponse,
+  responseText,
+  signed,
+  sleep,
+  withServer,
+} from './server-client-harness.js';
+import type { Behaviour } from './server-client-harness.js';
 
 /** Runs a test against a TCP server that responds to anything it receives, for health checks. */
 async function withHealthServer(
@@ -169,23 +43,6 @@
   }
 }
 
-const sleep = (milliseconds: number): Promise<void> =>
-  new Promise((resolve) => setTimeout(resolve, milliseconds));
-
-function responseText(
-  requestId: string,
-  lines: readonly string[],
-  body: string,
-  status = 200,
-): string {
-  const head = [`HTTP/1.1 ${status} Any`, `x-request-id: ${requestId}`, ...lines];
-  return `${head.join('\r\n')}\r\n\r\n${body}`;
-}
-
-const signed = 'x-signature: s';
-const completeResponse = (requestId: string): string =>
-  responseText(requestId, [signed, 'content-length: 4'], 'body');
-
 /** Name, behaviour of the server, and the kind of result that the client has to report. */
 const cases: readonly (readonly [string, Behaviour, ExecutionResult['kind']])[] = [
   ['a complete response', (socket, id) => socket.write(completeResponse(id)), 'answered'],
@@ -289,66 +146,6 @@
   });
 });
 
-/** When a server writes the refusal of its first request once more on a connection that is kept. */
-const repeatedRefusals: readonly (readonly [string, (socket: Socket, refusal: string) => void])[] =
-  [
-    ['together with the first', (socket, refusal) => socket.write(refusal + refusal)],
-    [
-      'while the connection is idle',
-      (socket, refusal) => {
-        socket.write(refusal);
-        setTimeout(() => socket.write(refusal), 5);
-      },
-    ],
-    [
-      'when the next request has arrived',
-      (socket, refusal) => {
-        socket.write(refusal);
-        socket.once('data', () => socket.write(refusal));
-      },
-    ],
-  ];
-
-for (const [when, refuse] of repeatedRefusals) {
-  test(`a refusal that a server repeats ${when} does not refuse the next request`, async () => {
-    const executed: string[] = [];
-    const behaviour: Behaviour = (socket, id) => {
-      if (id === 'r-1') {
-        refuse(socket, responseText(id, ['x-not-executed: full', 'content-length: 0'], '', 503));
-        return;
-      }
-      executed.push(id);
-      setTimeout(() => socket.write(completeResponse(id)), 20);
-    };
-    for (const pauseMilliseconds of [0, 2, 30]) {
-      await withServer(behaviour, async (harness) => {
-        assert.is((await harness.run('r-1')).kind, 'not-run');
-        await sleep(pauseMilliseconds);
-        const before = executed.length;
-        const { kind } = await harness.run('r-2');
-        if (executed.length > before)
-          assert.is.not(kind, 'not-run', `after ${pauseMilliseconds} ms`);
-      });
-    }
-  });
-}
-
-for (const framing of ['content-length: 4', 'transfer-encoding: chunked', 'x-framing: none']) {
-  test(`a head with ${framing} that is cut off at any byte is no answer`, async () => {
-    const headLength = responseText('r-1', [signed, framing], '').length;
-    for (let cut = 0; cut < headLength; cut += 1) {
-      const behaviour: Behaviour = (socket, id) => {
-        const head = responseText(id, [signed, framing], '').slice(0, cut);
-        if (cut % 2 === 0) socket.end(head);
-        else socket.write(head, () => socket.resetAndDestroy());
-      };
-      await withServer(behaviour, async (harness) => {
-        assert.is((await harness.run('r-1')).kind, 'failed', `cut after ${cut} bytes`);
-      });
-    }
-  });
-}
-
 test('connections are not reused after a response to another request', async () => {
   let requestCount = 0;
   const behaviour: Behaviour = (socket, id) => {
@@ -363,64 +160,6 @@
   });
 });
 
-test('a response with status 204 that declares a body ends with its head', async () => {
-  const declarations = ['content-length: 100000', 'transfer-encoding: chunked'];
-  for (const declaration of declarations) {
-    const behaviour: Behaviour = (socket, id) =>
-      socket.write(responseText(id, [signed, declaration], '', 204));
-    await withServer(behaviour, async (harness) => {
-      for (const requestId of ['r-1', 'r-2']) {
-        const result = await Promise.race([harness.run(requestId), sleep(1_500)]);
-        assert.is(result?.kind === 'answered' && result.body.length, 0, declaration);
-      }
-    });
-  }
-});
-
-test('a response that can have no body needs no length', async () => {
-  const responses = [
-    { method: 'GET', status: 204 },
-    { method: 'GET', status: 304 },
-    { method: 'HEAD', status: 200 },
-  ];
-  for (const { method, status } of responses) {
-    const behaviour: Behaviour = (socket, id) =>
-      socket.write(responseText(id, [signed], '', status));
-    await withServer(behaviour, async (harness) => {
-      const result = await harness.run('r-1', [], method);
-      assert.is(result.kind === 'answered' && result.status, status);
-    });
-  }
-});
-
-test('the limit that a server states in a response is reported before the result, also for a request it did not run', async () => {
-  const limits: Readonly<Record<string, readonly string[]>> = {
-    'r-1': ['x-limit: 8.9'],
-    'r-2': ['x-limit: 7', 'x-not-executed: full'],
-    'r-3': [],
-  };
-  const behaviour: Behaviour = (socket, id) =>
-    socket.write(responseText(id, [signed, 'content-length: 0', ...(limits[id] ?? [])], ''));
-  await withServer(behaviour, async (harness) => {
-    for (const [index, requestsPerSecond] of [8.9, 7, Infinity].entries()) {
-      await harness.run(`r-${index + 1}`);
-      const expected = { instanceId: 'i-1', isLeaving: false, requestsPerSecond };
-      assert.equal(harness.notices.at(-1), expected);
-    }
-  });
-});
-
-test('a server that states in a response that it leaves is reported before the result', async () => {
-  for (const [value, isLeaving] of [['1', true] as const, ['0', false] as const]) {
-    const behaviour: Behaviour = (socket, id) =>
-      socket.write(responseText(id, [signed, 'content-length: 0', `x-leaving: ${value}`], ''));
-    await withServer(behaviour, async (harness) => {
-      await harness.run('r-1');
-      assert.is(harness.notices.at(-1)?.isLeaving, isLeaving);
-    });
-  }
-});
-
 test('a keep-alive connection is reused for the next request', async () => {
   await withServer(
     (socket, id) => socket.write(completeResponse(id)),
