--- a/packages/daemon/tests/virtual-mesh/mesh-violations.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-violations.ts
@@ -39,7 +39,7 @@
   }
   violations.push(...limitViolations(mesh));
   violations.push(...coldServerViolations(mesh), ...evacuationViolations(mesh));
-  violations.push(...mesh.lateVersions);
+  violations.push(...mesh.configurationBound.violations);
   violations.push(...retryBudgetViolations(mesh, runsByRequest), ...mesh.versionRegressions);
   return violations;
 }
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -8,6 +8,7 @@
 import { MeshNodeDriver } from '../../src/mesh/mesh-node.js';
 import type { MeshNodePorts } from '../../src/mesh/mesh-node.js';
 import type { MeshSettings } from '../../src/mesh/mesh-settings.js';
+import { ConfigurationBound, configurationBoundMilliseconds } from './configuration-bound.js';
 import { EventQueue } from './event-queue.js';
 import { VirtualLinks } from './virtual-links.js';
 import type { LinkedNode } from './virtual-links.js';
@@ -25,17 +26,12 @@
 /** Share of reads of the store that return an outdated answer. */
 const staleReadShare = 0.2;
 const graceMilliseconds = 4_000;
-/** Time within which a change of the configuration must be in force on each node. */
-const configurationBoundMilliseconds = 2_000;
-/** Time without any fault after which a node has to keep the bound. */
-const stabilityMilliseconds = 3_000;
 /** Interval at which a watching node confirms that its version is the newest. */
 const confirmationIntervalMilliseconds = 700;
 /** Time until a watching node detects that it cannot reach the store. */
 const watcherLossDetectionMilliseconds = 1_300;
 /** Time that an up-to-date read takes. */
 const readMilliseconds = 20;
-const configurationCheckMilliseconds = 100;
 /** Time within which an operator writes the configuration again that the store lost in a restore. */
 const maximumOperatorReactionMilliseconds = 1_000;
 /** Interval of lease renewals plus the time-out of a renewal. */
@@ -85,10 +81,13 @@
   private readonly store = new VirtualStore(() => this.queue.now);
   private lastBoot = 0;
   private readonly lastVersions = new Map<LinkedNode, number>();
-  private readonly writtenVersions: { readonly at: number; readonly version: number }[] = [];
-  private readonly lastFaultAt = new Map<Machine, number>();
-  /** Descriptions of nodes that did not have a version in force in time. */
-  public readonly lateVersions = new Set<string>();
+  public readonly configurationBound = new ConfigurationBound(this.queue, () =>
+    this.machines.map(({ canReadStore, hasLostStore, name, node }) => ({
+      isUnimpaired: node !== undefined && canReadStore && !hasLostStore,
+      name,
+      version: node?.driver.gaugeValues.configuration_version ?? 0,
+    })),
+  );
   public readonly evacuations: Evacuation[] = [];
   /** Descriptions of cases in which a node's configuration version decreased. */
   public readonly versionRegressions: string[] = [];
@@ -103,14 +102,14 @@
     for (let index = 0; index < size; index += 1) this.addMachine(index);
     this.configure();
     for (const machine of this.machines) this.start(machine);
-    this.checkConfigurations();
+    this.configurationBound.start();
     this.confirmVersions();
   }
 
   /** Writes the next configuration version; nodes that watch the store read it after a delay. */
   public configure(): void {
     this.version += 1;
-    this.writtenVersions.push({ at: this.queue.now, version: this.version });
+    this.configurationBound.onVersionWritten(this.version);
     this.writeConfiguration();
   }
 
@@ -135,7 +134,7 @@
     this.store.restore(millisecondsAgo);
     this.notifyWatchers();
     const writtenAgainAt = this.queue.now + maximumOperatorReactionMilliseconds;
-    for (const machine of this.machines) this.lastFaultAt.set(machine, writtenAgainAt);
+    for (const { name } of this.machines) this.configurationBound.onFault(name, writtenAgainAt);
     this.queue.after(maximumOperatorReactionMilliseconds * this.random.next(), () => {
       this.store.writeEvacuations(this.evacuatedZones);
       this.writeConfiguration();
@@ -225,7 +224,7 @@
     if (node === undefined) return;
     node.driver.close();
     machine.node = undefined;
-    this.lastFaultAt.set(machine, this.queue.now);
+    this.configurationBound.onFault(machine.name, this.queue.now);
     this.links.onProcessEnded(node);
   }
 
@@ -312,25 +311,6 @@
     });
   }
 
-  /** Records the nodes that have been without faults for some time and have an outdated configuration in force. */
-  private checkConfigurations(): void {
-    const { now } = this.queue;
-    const required = this.writtenVersions.findLast(
-      ({ at }) => at <= now - configurationBoundMilliseconds,
-    );
-    for (const machine of this.machines) {
-      const { canReadStore, hasLostStore, name, node } = machine;
-      if (node === undefined || !canReadStore || hasLostStore) this.lastFaultAt.set(machine, now);
-      if (now - (this.lastFaultAt.get(machine) ?? 0) < stabilityMilliseconds) continue;
-      const version = node?.driver.gaugeValues.configuration_version ?? 0;
-      if (required !== undefined && version < required.version)
-        this.lateVersions.add(`${name}: version ${version} in force, ${required.version} is due`);
-    }
-    this.queue.after(configurationCheckMilliseconds, () => {
-      this.checkConfigurations();
-    });
-  }
-
   private recordVersion(node: LinkedNode): void {
     const version = node.driver.gaugeValues.configuration_version;
     const last = this.lastVersions.get(node) ?? 0;
