--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -240,7 +240,6 @@
     if (call.frame.nested) this.nestedRunning -= 1;
     if (wasAborted) this.estimator.recordAbort(call, now);
     else {
-      if (result.kind === 'answered') this.hasServerResponded = true;
       const isFailure =
         result.kind !== 'answered' || (result.status >= 500 && now < call.deadline - 1);
       this.failures.add(isFailure, now);
