--- a/packages/platform/src/key-values/operator-reader.ts
+++ b/packages/platform/src/key-values/operator-reader.ts
@@ -8,7 +8,7 @@
  * Long-poll duration of a watch, as a multiple of the time within which a change must be in force everywhere. A connection
  * that has gone silent shows only when the response is overdue; each watch is billed as a call.
  */
-const watchHoldShare = 2.5;
+const watchHoldFactor = 2.5;
 /** Time to wait for the response to a watch after that, as a share of the same time. */
 const watchTimeoutShare = 0.3;
 /** The store holds a watch for at most this time. */
@@ -186,7 +186,7 @@
     this.watchAbort = new AbortController();
     const holdMilliseconds = Math.min(
       maximumWatchHoldMilliseconds,
-      Math.round(propagationMilliseconds * watchHoldShare),
+      Math.round(propagationMilliseconds * watchHoldFactor),
     );
     const call = {
       ...codec.watch(codec.operatorPrefix, revision, holdMilliseconds),
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -27,8 +27,6 @@
 /** A health check uses the status and header fields only; a larger body fails the check. */
 const maximumHealthBodyBytes = 16_384;
 
-const leavingValue = '1';
-
 /** Names (in lower case) and encoding of the header fields between the gate and its server. */
 export interface ServerHeaderCodec {
   readonly requestId: string;
@@ -45,13 +43,15 @@
   readonly coldRemaining: string;
   /** Requests per second that the server takes from all nodes together; on all responses of a server in need. */
   readonly requestLimit: string;
-  /** `1` on all responses of a server that leaves. */
+  /** On all responses of a server that leaves. */
   readonly leaving: string;
   parseLoad(value: string): ServerLoad | undefined;
   /** In milliseconds; undefined if the value is invalid. */
   parseColdTime(value: string): number | undefined;
   /** In requests per second; undefined if the value is invalid. */
   parseRequestLimit(value: string): number | undefined;
+  /** Whether the value states that the server leaves. */
+  parseLeaving(value: string): boolean;
 }
 
 /** The result of a health check: which server responded, and whether it accepts requests. */
@@ -314,7 +314,8 @@
     const { codec } = this.options;
     const limit = firstHeaderValue(response, codec.requestLimit);
     const requestsPerSecond = limit === undefined ? Infinity : codec.parseRequestLimit(limit);
-    const isLeaving = firstHeaderValue(response, codec.leaving) === leavingValue;
+    const leaving = firstHeaderValue(response, codec.leaving);
+    const isLeaving = leaving !== undefined && codec.parseLeaving(leaving);
     return { instanceId, isLeaving, requestsPerSecond };
   }
 
--- a/packages/upstreams/tests/server-client-harness.ts
+++ b/packages/upstreams/tests/server-client-harness.ts
@@ -18,6 +18,7 @@
   deadline: 'x-deadline',
   expectedInstance: 'x-expected-instance',
   instanceId: 'x-instance',
+  parseLeaving: (value) => value === '1',
   parseRequestLimit: Number,
   leaving: 'x-leaving',
   requestLimit: 'x-limit',
