Gates log the crash of a server with the requests that it was running

The logs showed that requests failed with "socket hang up", not whether a server had ended or single connections had been reset, nor which requests had been running. Now a gate whose connections close without a response checks whether connections to the server are refused; a new incarnation whose predecessor did not announce its end shows the same.

No decision changes.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -79,6 +79,7 @@
     run(execution: Execution): void;
     abort(executionId: number): void;
     health(path: string): Promise<HealthCheckResult | undefined>;
+    isRefusingConnections(): Promise<boolean>;
   };
   readonly store: ConfigurationPorts['store'] & DirectoryStore;
   /** Called when the process may exit. `isPermanent` is true if the server has left too, so its entry is removed. */
@@ -174,6 +175,9 @@
         abort: (executionId) => {
           options.ports().server.abort(executionId);
         },
+        checkListener: () => {
+          void this.checkListener();
+        },
         onStateChanged: () => {
           this.onLoadChanged();
         },
@@ -502,6 +506,11 @@
     this.gate.configureColdStart(coldStart && toColdStartLimit(coldStart, this.coldStartTolerance));
   }
 
+  private async checkListener(): Promise<void> {
+    const isRefused = await this.options.ports().server.isRefusingConnections();
+    this.gate.onListenerChecked(isRefused, this.options.clock());
+  }
+
   /** Sends the current load to the nodes that send requests to this gate. Called after each event that changes it. */
   private announceLoad(now: number): void {
     if (now < this.announcementDueAt) return;
--- a/packages/daemon/tests/virtual-mesh/main.ts
+++ b/packages/daemon/tests/virtual-mesh/main.ts
@@ -1,6 +1,6 @@
 import { simulateMesh } from './simulate-mesh.js';
 
-/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store] [1: cold servers] [1: cuts of all watchers] [1: limited servers]. */
+/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store] [1: cold servers] [1: cuts of all watchers] [1: limited servers] [1: a request that crashes servers]. */
 const [
   first = 1,
   count = 1_000,
@@ -10,6 +10,7 @@
   cold = 0,
   cuts = 0,
   limits = 0,
+  deadly = 0,
 ] = process.argv.slice(2).map(Number);
 let failed = 0;
 let requests = 0;
@@ -20,6 +21,7 @@
     limitsServers: limits > 0,
     machines,
     restoresStore: restores > 0,
+    sendsDeadlyRequest: deadly > 0,
     startsCold: cold > 0,
     zones,
   });
--- a/packages/daemon/tests/virtual-mesh/mesh-violations.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-violations.ts
@@ -14,6 +14,12 @@
 const limitFactor = 1.5;
 const limitSlack = 5;
 
+/** Number of servers that a request crashes before it has to be recognized. */
+const toleratedCrashes = 3;
+/** From this time after the last tolerated crash, the request may reach servers in `toleratedRetries` retries. */
+const recognitionMilliseconds = 3_000;
+const toleratedRetries = 3;
+
 /** Violations of what must hold at any time. */
 export function guaranteeViolations(mesh: VirtualMesh): readonly string[] {
   const violations: string[] = [];
@@ -37,7 +43,7 @@
       }
     }
   }
-  violations.push(...limitViolations(mesh));
+  violations.push(...limitViolations(mesh), ...deadlyRequestViolations(mesh));
   violations.push(...coldServerViolations(mesh), ...evacuationViolations(mesh));
   violations.push(...mesh.configurationBound.violations);
   violations.push(...retryBudgetViolations(mesh, runsByRequest), ...mesh.versionRegressions);
@@ -61,6 +67,23 @@
   return violations;
 }
 
+/** Checks how often a request that crashes servers reached them after it had crashed several. */
+function deadlyRequestViolations(mesh: VirtualMesh): readonly string[] {
+  const servers = mesh.machines.map(({ server }) => server);
+  const crashTimes = servers.flatMap((server) => server.crashTimes).sort((a, b) => a - b);
+  const lastTolerated = crashTimes[toleratedCrashes - 1] ?? Infinity;
+  const retries = servers
+    .flatMap(({ deadlyStarts }) => deadlyStarts)
+    .filter((at) => at > lastTolerated + recognitionMilliseconds).length;
+  const violations: string[] = [];
+  if (retries > toleratedRetries) {
+    violations.push(
+      `a request that crashes servers reached ${retries} after it had crashed ${toleratedCrashes}`,
+    );
+  }
+  return violations;
+}
+
 /** Checks the requests that each server received in any window while it stated a limit. */
 function limitViolations(mesh: VirtualMesh): readonly string[] {
   const violations: string[] = [];
--- a/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
@@ -25,6 +25,8 @@
   readonly cutsWatchers?: boolean;
   /** Whether servers state for some time that they take few requests. */
   readonly limitsServers?: boolean;
+  /** Whether one request crashes each server that runs it, and comes again and again. */
+  readonly sendsDeadlyRequest?: boolean;
   /** Whether servers are cold after their start, and zones are evacuated. */
   readonly startsCold?: boolean;
 }
@@ -44,6 +46,7 @@
     limitsServers = false,
     machines = fullyConnectedFleetSize,
     restoresStore = false,
+    sendsDeadlyRequest = false,
     startsCold = false,
     zones = 2,
   }: SimulationOptions = {},
@@ -72,7 +75,13 @@
     injectFault?.(mesh, random);
     queue.after(900 * random.next(), injectNextFault);
   };
+  const sendDeadlyRequest = (): void => {
+    if (queue.now >= end) return;
+    mesh.sendDeadlyRequest(mesh.pickMachine());
+    queue.after(400 * random.next(), sendDeadlyRequest);
+  };
   queue.after(500, sendNextRequest);
+  if (sendsDeadlyRequest) queue.after(1_000, sendDeadlyRequest);
   // From then on, one node receives the configuration only from its peers.
   queue.after(warmUpMilliseconds, () => {
     mesh.loseStore(mesh.pickMachine());
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -12,7 +12,7 @@
 import { EventQueue } from './event-queue.js';
 import { VirtualLinks } from './virtual-links.js';
 import type { LinkedNode } from './virtual-links.js';
-import { VirtualServer } from './virtual-server.js';
+import { deadlyPathSuffix, VirtualServer } from './virtual-server.js';
 import { VirtualStore } from './virtual-store.js';
 
 /** Small, so that the faults of a simulation exhaust the budget. */
@@ -41,6 +41,8 @@
 export interface VirtualRequest {
   readonly requestId: string;
   readonly isIdempotent: boolean;
+  /** Whether it crashes each server that runs it. */
+  readonly isDeadly: boolean;
   readonly sentAt: number;
   readonly entry: LinkedNode;
   readonly outcomes: EntryOutcome[];
@@ -232,10 +234,15 @@
     machine.node?.driver.stop();
   }
 
+  /** Sends a request that crashes each server that runs it; it is the same each time but for its identifier. */
+  public sendDeadlyRequest(machine: Machine): VirtualRequest | undefined {
+    return this.sendRequest(machine, true);
+  }
+
   /** Sends one request to a machine's node if it accepts requests. */
-  public sendRequest(machine: Machine): VirtualRequest | undefined {
+  public sendRequest(machine: Machine, isDeadly = false): VirtualRequest | undefined {
     const { node } = machine;
-    const isIdempotent = this.random.next() < 0.5;
+    const isIdempotent = isDeadly || this.random.next() < 0.5;
     const route = node?.driver.routing?.table.match('shop', isIdempotent ? '/safe/' : '/unsafe/');
     if (node === undefined || route === undefined) return undefined;
     this.recordVersion(node);
@@ -245,6 +252,7 @@
       concludedAt: Infinity,
       entry: node,
       isAbandoned: false,
+      isDeadly,
       isIdempotent,
       outcomes: [],
       requestId: `r${requestNumber}x`,
@@ -256,13 +264,13 @@
       callerDeadline: now + timeoutMilliseconds,
       headers: [],
       method: isIdempotent ? 'GET' : 'POST',
-      path: route.pathPrefix,
+      path: `${route.pathPrefix}${isDeadly ? deadlyPathSuffix : requestNumber}`,
       receivedAt: now,
       requestId: request.requestId,
       requestNumber,
       route,
     });
-    if (this.random.next() < 0.02) this.abandonLater(node, request, requestNumber);
+    if (!isDeadly && this.random.next() < 0.02) this.abandonLater(node, request, requestNumber);
     return request;
   }
 
@@ -433,6 +441,7 @@
           server.abort(encodeExecutionId(boot, executionId));
         },
         health: () => Promise.resolve(server.health()),
+        isRefusingConnections: () => Promise.resolve(server.isRefusingConnections()),
         run: (execution) => {
           server.run({ ...execution, executionId: encodeExecutionId(boot, execution.executionId) });
         },
--- a/packages/daemon/tests/virtual-mesh/virtual-server.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-server.ts
@@ -57,6 +57,12 @@
 export const meanWorkMilliseconds =
   shortestWorkMilliseconds + (longestWorkMilliseconds - shortestWorkMilliseconds) / 3;
 
+/** Requests whose path ends with this crash the server that runs them. */
+export const deadlyPathSuffix = '/deadly';
+const crashedMilliseconds = 1_000;
+
+const lostConnection = { isConnectionLost: true, kind: 'failed' } as const;
+
 /** A server beside a node. Its incarnations end either by draining and leaving or without notice. */
 export class VirtualServer {
   public readonly runs: Run[] = [];
@@ -72,6 +78,10 @@
   public crowdedFactor = 1;
   /** Slowdown of a request that starts while the server is cold. */
   public coldFactor = 1;
+  /** Times at which requests that crash servers started here. */
+  public readonly deadlyStarts: number[] = [];
+  public readonly crashTimes: number[] = [];
+  private isDown = false;
   private currentLimit: StatedLimit | undefined;
   private coldUntil = Number.NEGATIVE_INFINITY;
   private incarnationNumber = 0;
@@ -82,6 +92,7 @@
   private running = 0;
   /** Functions that cancel running requests, by execution identifier. */
   private readonly cancelByExecution = new Map<number, () => void>();
+  private readonly lostByExecution = new Map<number, () => void>();
 
   public constructor(private readonly options: VirtualServerOptions) {
     this.startIncarnation('i-1');
@@ -95,6 +106,26 @@
     this.startIncarnation(keepsIdentifier ? this.instanceId : `i-${this.incarnationNumber + 1}`);
   }
 
+  /** Ends without notice and is down for some time; the connections of running requests are lost. */
+  public crash(downMilliseconds: number): void {
+    if (this.isDown) return;
+    this.crashTimes.push(this.options.queue.now);
+    this.isDown = true;
+    const lost = [...this.lostByExecution.values()];
+    this.cancelByExecution.clear();
+    this.lostByExecution.clear();
+    for (const lose of lost) lose();
+    this.options.queue.after(downMilliseconds, () => {
+      this.isDown = false;
+      this.startIncarnation(`i-${this.incarnationNumber + 1}`);
+    });
+  }
+
+  /** Whether connections to the server are refused. */
+  public isRefusingConnections(): boolean {
+    return this.isDown;
+  }
+
   /** States a limit on its requests in its answers for some time. */
   public stateLimit(requestsPerSecond: number, milliseconds: number): void {
     if (this.currentLimit !== undefined) return;
@@ -131,6 +162,11 @@
   public run({ executionId, frame, instanceId }: Execution): void {
     const { onConcluded, queue, random } = this.options;
     queue.after(oneWayLatencyMilliseconds, () => {
+      if (this.isDown) {
+        const reason = DeclineReason.ServerUnreachable;
+        onConcluded(executionId, { detail: 'refused', kind: 'not-run', reason });
+        return;
+      }
       if (instanceId !== this.instanceId || this.running >= this.options.slots) {
         const reason = DeclineReason.ServerRefused;
         onConcluded(executionId, { detail: 'not run', kind: 'not-run', reason });
@@ -143,15 +179,22 @@
       const spread = longestWorkMilliseconds - shortestWorkMilliseconds;
       const usualWork = shortestWorkMilliseconds + spread * random.next() ** 2;
       const work = usualWork * this.workFactor * this.currentSlowdown;
+      const isDeadly = frame.path.endsWith(deadlyPathSuffix);
+      if (isDeadly) this.deadlyStarts.push(queue.now);
       const cancel = queue.after(work, () => {
         this.cancelByExecution.delete(executionId);
+        if (isDeadly && incarnation === this.incarnation) {
+          this.crash(crashedMilliseconds);
+          return;
+        }
+        this.lostByExecution.delete(executionId);
         if (incarnation !== this.incarnation) {
-          onConcluded(executionId, { detail: 'the server ended', kind: 'failed' });
+          onConcluded(executionId, { ...lostConnection, detail: 'the server ended' });
           return;
         }
         this.running -= 1;
         if (random.next() < this.lostAnswerShare) {
-          onConcluded(executionId, { detail: 'reset', kind: 'failed' });
+          onConcluded(executionId, { ...lostConnection, detail: 'reset' });
           return;
         }
         const body = Buffer.from(frame.requestId);
@@ -159,8 +202,13 @@
         this.options.onNotice(this.createNotice());
         onConcluded(executionId, { body, headers: [], kind: 'answered', status: 200 });
       });
+      this.lostByExecution.set(executionId, () => {
+        cancel();
+        onConcluded(executionId, { ...lostConnection, detail: 'the server crashed' });
+      });
       this.cancelByExecution.set(executionId, () => {
         cancel();
+        this.lostByExecution.delete(executionId);
         if (incarnation === this.incarnation) this.running -= 1;
       });
     });
@@ -175,7 +223,8 @@
     });
   }
 
-  public health(): HealthCheckResult {
+  public health(): HealthCheckResult | undefined {
+    if (this.isDown) return undefined;
     return {
       coldMilliseconds: this.coldRemaining,
       instanceId: this.instanceId,
@@ -239,6 +288,8 @@
   }
 
   private startIncarnation(instanceId: string): void {
+    // A server that is down starts when it is back.
+    if (this.isDown) return;
     if (this.currentLimit !== undefined) this.endLimit(this.currentLimit);
     this.incarnationNumber += 1;
     this.instanceId = instanceId;
@@ -261,6 +312,7 @@
   }
 
   private async report(): Promise<boolean> {
+    if (this.isDown) return false;
     this.sequence += 1;
     const message: ServerMessage = {
       kind: 'report',
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -17,7 +17,8 @@
   readonly arrivedAt: number;
   readonly deadline: number;
   readonly targetAt: number;
-  state: 'waiting' | 'running' | 'aborted' | 'finished';
+  /** `lost`: the connection to the server closed, and it is being checked whether the server crashed. */
+  state: 'waiting' | 'running' | 'aborted' | 'lost' | 'finished';
   startedAt: number;
   runningAtStart: number;
   /** Time for which the server had been crowded in total when the call started. */
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -21,7 +21,12 @@
   /** The server refused the request, or no connection was made: it did not run. */
   | { readonly kind: 'not-run'; readonly reason: DeclineReason; readonly detail: string }
   /** The request may have run, but there is no response. */
-  | { readonly kind: 'failed'; readonly detail: string };
+  | {
+      readonly kind: 'failed';
+      readonly detail: string;
+      /** Whether the connection closed before the response was complete, though this node did not close it. */
+      readonly isConnectionLost?: boolean | undefined;
+    };
 
 /** Load that the server reports with its responses. */
 export interface ServerLoad {
@@ -58,6 +63,11 @@
   run(execution: Execution): void;
   /** Aborts a request at the server. */
   abort(executionId: number): void;
+  /**
+   * Finds out whether anything accepts connections at the server's address; the implementation calls
+   * `ServerGate.onListenerChecked` with the result.
+   */
+  checkListener(): void;
   /**
    * Sends a health check, which shows the server's load and whether it is cold; the implementation calls
    * `ServerGate.onProbeFinished` afterwards.
@@ -82,6 +92,7 @@
   RequestStarted: 'request-started',
   ServerLimitChanged: 'server-limit-changed',
   ServerAssumedCold: 'server-assumed-cold',
+  ServerCrashed: 'server-crashed',
   ServerDraining: 'server-draining',
   ServerLeft: 'server-left',
   ServerReady: 'server-ready',
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -29,6 +29,7 @@
 import { ProbeRateLimiter } from './probe-rate-limiter.js';
 import { RecentFailures } from './recent-failures.js';
 import { RequestRateLimit } from './request-rate-limit.js';
+import { ServerCrashDetector } from './server-crash-detector.js';
 import { ReportEffect, ServerIncarnationTracker } from './server-incarnation-tracker.js';
 import { SpeedState, ServerSpeedTracker } from './server-speed-tracker.js';
 import { StartIntervalEstimator } from './start-interval-estimator.js';
@@ -109,6 +110,7 @@
   private readonly calls = new GateCallRegistry();
   private readonly coldStartGuard: ColdStartGuard;
   private readonly requestRate = new RequestRateLimit();
+  private readonly crashDetector: ServerCrashDetector;
   /** Whether the current server has responded to a request of this process. */
   private hasServerResponded = false;
   private readonly gateLog: GateLog;
@@ -130,6 +132,17 @@
       processStartedAt: options.processStartedAt,
       reportIntervalMilliseconds: options.reportIntervalMilliseconds,
     });
+    this.crashDetector = new ServerCrashDetector({
+      check: () => {
+        options.port.checkListener();
+      },
+      onCrashed: (calls) => {
+        this.onServerCrashed(calls);
+      },
+      onReleased: (call, reply, now) => {
+        this.finish(call, reply, now);
+      },
+    });
   }
 
   public get state(): ServerState {
@@ -144,7 +157,7 @@
   }
 
   public get inProgress(): number {
-    return this.running + this.queue.size;
+    return this.running + this.queue.size + this.crashDetector.pendingCount;
   }
 
   /** Number of queued requests. */
@@ -250,10 +263,19 @@
       this.coldStartGuard.assumeCold(ColdAssumptionCause.NoResponse, now);
     this.gateLog.requestFinished(call, this.limitFor(call.frame), result, now);
     const reply = wasAborted ? undefined : toReplyFrame(call.frame.callId, result, this.load(now));
-    this.finish(call, reply, now);
+    if (result.kind === 'answered') this.crashDetector.onResponse();
+    if (reply !== undefined && result.kind === 'failed' && result.isConnectionLost === true) {
+      call.state = 'lost';
+      this.crashDetector.onConnectionLost(call, reply, now);
+    } else this.finish(call, reply, now);
     this.startQueued(now);
   }
 
+  /** Handles whether connections to the server's address are refused. */
+  public onListenerChecked(isRefused: boolean, now: number): void {
+    this.crashDetector.onChecked(isRefused, now);
+  }
+
   /** Handles the end of a probe, whether it succeeded or failed. */
   public onProbeFinished(now: number): void {
     this.probes.onFinished();
@@ -306,7 +328,9 @@
   }
 
   public onServerReport(report: ServerReport, now: number): void {
+    const hadServer = this.hasServer;
     const effect = this.serverTracker.onReport(report);
+    if (effect === ReportEffect.Started && hadServer) this.crashDetector.onIncarnationReplaced(now);
     // Only a server that has been running for some time can have responded to an earlier process of this node.
     if (effect === ReportEffect.Started)
       this.hasServerResponded = report.sequence <= firstReportSequence;
@@ -390,6 +414,14 @@
     if (now >= this.nextSweepAt) this.sweep(now);
   }
 
+  private onServerCrashed(calls: readonly GateCall[]): void {
+    const fields = {
+      instance: this.serverTracker.instanceId ?? 'none',
+      requests: calls.map(({ frame }) => frame.requestId).join(),
+    };
+    this.options.log({ event: GateEventName.ServerCrashed, fields });
+  }
+
   /** Sends a health check, whose answer shows whether the server is cold. */
   private checkColdness(now: number): void {
     if (!this.probes.tryTake(now)) return;
--- a/packages/mesh-core/tests/gate/gate-harness.ts
+++ b/packages/mesh-core/tests/gate/gate-harness.ts
@@ -18,6 +18,7 @@
   public readonly running: Execution[] = [];
   public readonly aborted: number[] = [];
   public probes = 0;
+  public listenerChecks = 0;
   public stateChanges = 0;
   public readonly gate: ServerGate;
   private nextCallId = 1;
@@ -27,6 +28,7 @@
       log,
       port: {
         abort: (executionId) => this.aborted.push(executionId),
+        checkListener: () => (this.listenerChecks += 1),
         onStateChanged: () => (this.stateChanges += 1),
         probe: () => (this.probes += 1),
         reply: (_node, boot, frame) => {
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -19,6 +19,7 @@
 import { ResponseCollector } from '../response-collector.js';
 import type { CollectedResponse } from '../response-collector.js';
 import { isSelfDelimiting } from '../response-framing.js';
+import { isConnectionRefused } from './listener-check.js';
 import { ResponseMemoryLimiter } from './response-memory-limiter.js';
 import { ServerAgent } from './server-agent.js';
 
@@ -82,6 +83,8 @@
 export class ServerClient {
   private readonly agent: ServerAgent;
   private readonly activeRequests = new Map<number, ClientRequest>();
+  /** Requests that this node aborted; their connections were not lost. */
+  private readonly abortedRequests = new WeakSet<ClientRequest>();
   private readonly strippedFields: ReadonlySet<string>;
   private readonly responseMemory: ResponseMemoryLimiter;
 
@@ -127,9 +130,15 @@
     const request = this.activeRequests.get(executionId);
     if (request === undefined) return;
     if (request.reusedSocket) this.agent.closeIdleConnections();
+    this.abortedRequests.add(request);
     request.destroy(new Error('aborted'));
   }
 
+  /** Resolves to whether connections to the server are refused, as after a crash. */
+  public async isRefusingConnections(): Promise<boolean> {
+    return isConnectionRefused(this.options.host, this.options.port);
+  }
+
   /** Sends one health check; resolves to `undefined` if it fails or times out. */
   public async health(path: string): Promise<HealthCheckResult | undefined> {
     const { codec, host, port } = this.options;
@@ -211,7 +220,8 @@
         return;
       }
       const detail = error.message;
-      if (isConnected) settle({ detail, kind: 'failed' });
+      const isConnectionLost = !this.abortedRequests.has(request);
+      if (isConnected) settle({ detail, isConnectionLost, kind: 'failed' });
       else settle({ detail, kind: 'not-run', reason: DeclineReason.ServerUnreachable });
     });
     request.on('response', (response) => {
@@ -220,7 +230,11 @@
     });
     request.on('close', () => {
       if (received === undefined)
-        settle({ detail: 'connection closed before a response', kind: 'failed' });
+        settle({
+          detail: 'connection closed before a response',
+          isConnectionLost: !this.abortedRequests.has(request),
+          kind: 'failed',
+        });
     });
   }
 
@@ -256,7 +270,10 @@
         this.responseMemory.untrack(collector);
         if (collected.kind === 'whole' && isEndKnown)
           settle(this.toExecutionResult(response, collected.body, instanceId));
-        else settle({ detail: 'response aborted or too long', kind: 'failed' });
+        else {
+          const isConnectionLost = collected.kind === 'cut' && !this.abortedRequests.has(request);
+          settle({ detail: 'response aborted or too long', isConnectionLost, kind: 'failed' });
+        }
       },
       (isComplete) => {
         if (!isComplete) this.agent.disableReuse();
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -146,6 +146,24 @@
   });
 });
 
+test('only a connection that this node did not close counts as lost, and the server then refuses connections if it has ended', async () => {
+  const behaviour: Behaviour = (socket, id) => {
+    if (id === 'r-lost') socket.destroy();
+  };
+  await withServer(behaviour, async (harness, server) => {
+    const lost = await harness.run('r-lost');
+    assert.ok(lost.kind === 'failed' && lost.isConnectionLost);
+    const aborted = harness.run('r-aborted');
+    await sleep(30);
+    harness.client.abort(2);
+    const result = await aborted;
+    assert.ok(result.kind === 'failed' && result.isConnectionLost !== true);
+    assert.not(await harness.client.isRefusingConnections());
+    server.close();
+    assert.ok(await harness.client.isRefusingConnections());
+  });
+});
+
 test('connections are not reused after a response to another request', async () => {
   let requestCount = 0;
   const behaviour: Behaviour = (socket, id) => {
