A request that has crashed three servers is quarantined

Callers saw 22 to 26 % of their requests refused while one request, which came again and again, ended 23 to 25 servers.

Cause: an entry took the end of a server for a failure like any other and sent the request on, and nothing connected a return of its caller with what had happened before, as each return has a new identifier at any node. Class of fault: a retry without knowledge of the damage that the first try did.

Now gates report the requests that were running on a crashed server, by digests of calling service, method, host, path and body. Nodes exchange and merge these records; from the second crash on a request runs beside no other suspect, from the third it is refused at entries and gates, and aborted where it runs. A completed run refutes the crashes before it. Replies to lost requests follow the report, so that entries know of the crash before they decide.

Weighed: counting by identifier (each return has a new one); one node that owns each digest (a call for each request, and its loss loses the count); a bound on retries after crashes (ordinary crashes would lose requests).

--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -20,6 +20,8 @@
   NodesKnown: 'nodes-known',
   OtherInstance: 'server-is-another',
   RequestAnsweredLocally: 'request-answered-locally',
+  RequestQuarantined: 'request-quarantined',
+  RequestReleased: 'request-released',
   RequestsNotPassedOn: 'requests-not-passed-on',
   RequestWaitedBehind: 'request-waited-behind',
   ServerMessageInvalid: 'server-message-invalid',
--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -13,6 +13,7 @@
   readonly nodes_gone: number;
   readonly nodes_known: number;
   readonly nodes_wanted: number;
+  readonly quarantined_requests: number;
   readonly requests_in_progress: number;
   readonly server_cold: number;
   readonly server_failure_share: number;
@@ -42,6 +43,7 @@
   nodes_gone: 'Peers that were connected and are not connected now.',
   nodes_known: "Peers in this node's directory.",
   nodes_wanted: 'Peers that this node aims to be connected to; further peers may connect to it.',
+  quarantined_requests: 'Requests that are refused because they have crashed several servers.',
   requests_in_progress: 'Requests of callers that have not been answered yet.',
   server_cold: 'Whether the server is cold or may be, so that its request rate is limited: 1 or 0.',
   server_failure_share: 'Recent share of requests that failed at the server, 0 to 1.',
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -43,6 +43,7 @@
 import type { MeshGaugeValues, MeshServiceGaugeValues } from './mesh-gauges.js';
 import { latestPlausibleBoot, readMeshNode } from './mesh-directory-entry.js';
 import type { DecodedConfiguration } from './platform-adapter.js';
+import { QuarantineSynchronizer } from './quarantine-synchronizer.js';
 import { ServerHealthChecks } from './server-health-checks.js';
 import { ServerMessageBuffer } from './server-message-buffer.js';
 import { GracefulShutdown } from './graceful-shutdown.js';
@@ -108,6 +109,7 @@
   private readonly directorySynchronizer: DirectorySynchronizer;
   private readonly configuration: ConfigurationSynchronizer;
   private readonly evacuations: EvacuationSynchronizer;
+  private readonly quarantines: QuarantineSynchronizer;
   private readonly gateTable = new GateTable();
   private readonly trafficSplit: TrafficSplit;
   private readonly retryBudget: RetryBudget;
@@ -165,6 +167,16 @@
         this.gate.setEvacuated(availabilityZones.includes(self.availabilityZone), now);
       },
     });
+    this.quarantines = new QuarantineSynchronizer({
+      configurationVersion: () => this.configuration.version,
+      connections: () => options.ports().connections,
+      log,
+      onQuarantineChanged: (now) => {
+        this.gate.onQuarantineChanged(now);
+      },
+      self,
+    });
+    const { quarantine } = this.quarantines;
     this.trafficSplit = new TrafficSplit(random);
     this.retryBudget = new RetryBudget(settings.repeats);
     this.gate = new ServerGate({
@@ -178,6 +190,9 @@
         checkListener: () => {
           void this.checkListener();
         },
+        onServerCrashed: (requests) => {
+          this.quarantines.onServerCrashed(requests, clock());
+        },
         onStateChanged: () => {
           this.onLoadChanged();
         },
@@ -193,6 +208,7 @@
       },
       probesPerSecond: settings.probesPerSecond,
       processStartedAt: options.processStartedAt,
+      quarantine,
       reportIntervalMilliseconds: settings.reportIntervalMilliseconds,
       service: self.service,
     });
@@ -220,6 +236,7 @@
         },
         send: (node, frame) => this.send(node, frame),
       },
+      quarantine,
       random,
       gates: this.gateTable,
     });
@@ -260,6 +277,7 @@
       gate_concurrency_limit: load.limit,
       gate_running: load.running,
       gate_waiting: load.waiting,
+      quarantined_requests: this.quarantines.quarantine.quarantinedFingerprints.length,
       nodes_connected: this.directory.connectedCount,
       nodes_gone: this.directory.lostNodeCount,
       nodes_known: this.directory.nodeCount - 1,
@@ -288,6 +306,7 @@
   public get helloPayload(): MeshHelloPayload {
     return {
       configurationVersion: this.configuration.version,
+      crashRecords: this.quarantines.records(this.options.clock()),
       endedServers: this.endedServers.listRecent(this.options.clock()),
       evacuations: this.evacuations.snapshot(this.options.clock()),
       knownNodes: this.directory.nodeCount - 1,
@@ -394,6 +413,7 @@
     const now = this.options.clock();
     this.log(MeshEvent.NodeConnected, { boot: node.boot, peer: node.name });
     this.evacuations.onPeerSnapshot(hello.evacuations, node.name, now);
+    this.quarantines.onPeerRecords(hello.crashRecords, now);
     this.directory.onConnected(node, now);
     this.recordEndedServers(hello, now);
     this.gateTable.onConnected(node, load, now);
@@ -455,6 +475,7 @@
         if (frame.isConfirmed === true) this.configuration.onPeerConfirmed(frame.version);
         this.configuration.onPeerEra(frame.storeEra);
         this.evacuations.onPeerSnapshot(frame.evacuations, from.name, now);
+        this.quarantines.onPeerRecords(frame.crashRecords, now);
         return;
       case 'store-reach':
         this.configuration.onPeerStoreReachability(from.name, frame.reachesStore);
@@ -628,6 +649,7 @@
     this.retryBudget.setNodeCount(this.directory.nodeCount);
     this.configuration.tick(now);
     this.evacuations.tick(now);
+    this.quarantines.tick(now);
     this.releaseServerMessages(now);
     this.healthChecks.tick(now);
   }
--- /dev/null
+++ b/packages/daemon/src/mesh/quarantine-synchronizer.ts
@@ -0,0 +1,92 @@
+import { createHash } from 'node:crypto';
+
+import { RequestQuarantine } from '@peridotspring/mesh-core';
+import type { CrashRecord, MeshNode, RequestIdentity } from '@peridotspring/mesh-core';
+import type { MeshConnections } from '@peridotspring/nodes';
+
+import { MeshEvent } from './mesh-event.js';
+
+/** Length of a digest in base64url characters: 192 bits. */
+const digestLength = 32;
+/** Bounds on what a peer may send. */
+const maximumIdentifierLength = 256;
+const maximumCrashes = 16;
+
+export interface QuarantineSynchronizerOptions {
+  readonly self: MeshNode;
+  readonly connections: () => Pick<MeshConnections, 'broadcast'>;
+  readonly configurationVersion: () => number;
+  readonly onQuarantineChanged: (now: number) => void;
+  readonly log: (event: string, fields: Readonly<Record<string, string | number>>) => void;
+}
+
+/** Exchanges with other nodes which requests crashed servers. */
+export class QuarantineSynchronizer {
+  public readonly quarantine: RequestQuarantine;
+  private crashes = 0;
+
+  public constructor(private readonly options: QuarantineSynchronizerOptions) {
+    this.quarantine = new RequestQuarantine({
+      digest: (content) =>
+        createHash('sha256').update(content).digest('base64url').slice(0, digestLength),
+      onQuarantineChanged: (fingerprint, isQuarantined, now) => {
+        const event = isQuarantined ? MeshEvent.RequestQuarantined : MeshEvent.RequestReleased;
+        options.log(event, { fingerprint });
+        options.onQuarantineChanged(now);
+      },
+    });
+  }
+
+  /** What a peer that connects needs to know. */
+  public records(now: number): readonly CrashRecord[] {
+    return this.quarantine.records(now);
+  }
+
+  /** The server beside this node crashed while it ran the requests. */
+  public onServerCrashed(requests: readonly RequestIdentity[], now: number): void {
+    const { boot, name } = this.options.self;
+    this.crashes += 1;
+    this.quarantine.recordCrash(`${name}/${boot}/${this.crashes}`, requests, now);
+    this.announce(now);
+  }
+
+  /** A peer sent what it knows; invalid values are ignored. */
+  public onPeerRecords(records: unknown, now: number): void {
+    if (!Array.isArray(records)) return;
+    const valid = (records as readonly unknown[]).filter(isCrashRecord);
+    this.quarantine.merge(valid, now);
+    this.announce(now);
+  }
+
+  public tick(now: number): void {
+    this.quarantine.tick(now);
+    this.announce(now);
+  }
+
+  private announce(now: number): void {
+    const crashRecords = this.quarantine.takeAnnouncements(now);
+    if (crashRecords.length === 0) return;
+    const { configurationVersion, connections } = this.options;
+    connections().broadcast({ crashRecords, kind: 'version', version: configurationVersion() });
+  }
+}
+
+function isCrashRecord(value: unknown): value is CrashRecord {
+  if (typeof value !== 'object' || value === null) return false;
+  if (!('fingerprint' in value && 'crashes' in value)) return false;
+  const { crashes, fingerprint } = value;
+  if (!isIdentifier(fingerprint) || !Array.isArray(crashes)) return false;
+  return crashes.length <= maximumCrashes && crashes.every(isCrashReport);
+}
+
+function isCrashReport(value: unknown): boolean {
+  if (typeof value !== 'object' || value === null) return false;
+  if (!('ageMilliseconds' in value && 'id' in value && 'isRefuted' in value)) return false;
+  const { ageMilliseconds, id, isRefuted } = value;
+  const isValidAge = typeof ageMilliseconds === 'number' && ageMilliseconds >= 0;
+  return isValidAge && isIdentifier(id) && typeof isRefuted === 'boolean';
+}
+
+function isIdentifier(value: unknown): value is string {
+  return typeof value === 'string' && value !== '' && value.length <= maximumIdentifierLength;
+}
--- a/packages/daemon/tests/virtual-mesh/mesh-violations.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-violations.ts
@@ -1,3 +1,5 @@
+import { RefusalCause } from '@peridotspring/mesh-core';
+
 import { coldStart, retryBudget, timeoutMilliseconds } from './virtual-mesh.js';
 import type { VirtualMesh, VirtualRequest } from './virtual-mesh.js';
 import type { Run } from './virtual-server.js';
@@ -81,6 +83,11 @@
       `a request that crashes servers reached ${retries} after it had crashed ${toleratedCrashes}`,
     );
   }
+  for (const { isDeadly, outcomes, requestId } of mesh.requests) {
+    const [outcome] = outcomes;
+    if (!isDeadly && outcome?.kind === 'refused' && outcome.cause === RefusalCause.Quarantined)
+      violations.push(`${requestId}: quarantined, though it crashed no server`);
+  }
   return violations;
 }
 
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -22,6 +22,8 @@
   /** No server of the service has the capacity to run the request before its deadline. */
   Overloaded: 'overloaded',
   NoServer: 'no-server',
+  /** The request has crashed several servers and is not sent to any further one. */
+  Quarantined: 'quarantined',
 } as const;
 export type RefusalCause = (typeof RefusalCause)[keyof typeof RefusalCause];
 
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -17,6 +17,7 @@
   PlacementContext,
 } from '../placement/placement-policy.js';
 import type { GateView, GateTable } from '../placement/gate-table.js';
+import type { RequestScreening, RequestSuspicion } from '../quarantine/request-quarantine.js';
 import { EntryEventName, RefusalCause, UnknownCause } from './entry-contract.js';
 import type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry-contract.js';
 import { isHedgeDue } from './hedge-rule.js';
@@ -45,6 +46,7 @@
   readonly port: EntryPort;
   readonly gates: GateTable;
   readonly placementPolicy: PlacementPolicy;
+  readonly quarantine: RequestScreening;
   readonly retryBudget: RetryBudget;
   readonly random: RandomSource;
   readonly callerService: string;
@@ -168,7 +170,10 @@
     }
     for (const attempt of [...this.attempts.values()]) {
       if (!attempt.state.request.route.idempotent || attempt.state.attempts.size > 1) continue;
-      if (this.isOverdue(attempt, now)) this.retry(attempt.state, 'hedge', now);
+      if (!this.isOverdue(attempt, now)) continue;
+      // Two servers must not run a request at the same time that may have crashed others.
+      if (this.suspicionOf(attempt.state, now)?.isIsolated === true) continue;
+      this.retry(attempt.state, 'hedge', now);
     }
   }
 
@@ -253,6 +258,7 @@
   }
 
   private findRetryDenial(state: RequestState, now: number): string | undefined {
+    if (this.isQuarantined(state, now)) return 'quarantined';
     if (state.usedNodes.size >= state.request.route.maximumAttempts) return 'attempts';
     if (state.deadline - now < minimumRemainingMilliseconds) return 'deadline';
     return state.expectedMillisecondsByDecliningNode.size > maximumDeclines
@@ -275,6 +281,7 @@
    */
   private tryNextGate(state: RequestState, now: number): void {
     while (state.finalDeclineCount < maximumDeclines) {
+      if (this.isQuarantined(state, now)) break;
       if (state.deadline - now < minimumRemainingMilliseconds) break;
       const choice = this.chooseGate(state, now);
       const busy = this.cheapestBusyGate(state, now);
@@ -443,15 +450,39 @@
     this.conclude(state, { cause: UnknownCause.AttemptFailed, kind: 'unknown' }, undefined, now);
   }
 
+  private suspicionOf({ request }: RequestState, now: number): RequestSuspicion | undefined {
+    const { callerService, quarantine } = this.options;
+    return quarantine.isEmpty
+      ? undefined
+      : quarantine.suspicionOf({ ...request, callerService }, now);
+  }
+
+  private isQuarantined(state: RequestState, now: number): boolean {
+    return (
+      state.isQuarantinedByGate || this.suspicionOf(state, now)?.quarantinedUntil !== undefined
+    );
+  }
+
   private refuse(state: RequestState, now: number): void {
-    const cause = refusalCauseOf(state, now);
+    const quarantinedUntil = this.suspicionOf(state, now)?.quarantinedUntil;
+    if (quarantinedUntil !== undefined || state.isQuarantinedByGate) {
+      const until = quarantinedUntil ?? now + maximumRetryAfterMilliseconds;
+      this.refuseUntil(state, RefusalCause.Quarantined, until, now);
+      return;
+    }
     // The random part spreads out the retries of callers that were refused at the same time.
     const baseMilliseconds = Math.min(
       maximumRetryAfterMilliseconds,
       Math.max(minimumRetryAfterMilliseconds, state.shortestExpectedMilliseconds / 2),
     );
     const retryAfterMilliseconds = baseMilliseconds * (1 + this.options.random.next());
-    this.conclude(state, { cause, kind: 'refused', retryAfterMilliseconds }, undefined, now);
+    this.refuseUntil(state, refusalCauseOf(state, now), now + retryAfterMilliseconds, now);
+  }
+
+  /** Refuses a request, which the caller may send again at the given time. */
+  private refuseUntil(state: RequestState, cause: RefusalCause, until: number, now: number): void {
+    const outcome = { cause, kind: 'refused', retryAfterMilliseconds: until - now } as const;
+    this.conclude(state, outcome, undefined, now);
   }
 
   private conclude(
--- a/packages/mesh-core/src/entry/request-state.ts
+++ b/packages/mesh-core/src/entry/request-state.ts
@@ -45,6 +45,8 @@
   public lastDecline: { readonly node: string; readonly frame: DeclinedFrame } | undefined;
   /** Number of attempts in which the gate was allowed to decline as busy. */
   public optionalAttemptCount = 0;
+  /** Whether a gate declined because the request has crashed several servers. */
+  public isQuarantinedByGate = false;
   /** Whether a server received the request and reported that it did not run it. */
   public hasServerRefusal = false;
   public isConcluded = false;
@@ -76,6 +78,7 @@
   public recordDecline(nodeName: string, frame: DeclinedFrame): void {
     const { expectedMilliseconds, reason } = frame;
     this.lastDecline = { frame, node: nodeName };
+    this.isQuarantinedByGate ||= reason === DeclineReason.Quarantined;
     const isBusy = reason === DeclineReason.Busy;
     if (isBusy || reason === DeclineReason.QueueFull) {
       this.shortestExpectedMilliseconds = Math.min(
--- a/packages/mesh-core/src/gate/admission-queue.ts
+++ b/packages/mesh-core/src/gate/admission-queue.ts
@@ -40,16 +40,19 @@
    * The request that should start next.
    *
    * @param serviceMilliseconds expected service time, which decides whether a request can meet its target
+   * @param mayStart whether a request may start now; others are passed over
    */
   public next(
     now: number,
     serviceMilliseconds: number,
     isNestedFirst = true,
+    mayStart: (request: WaitingRequest) => boolean = () => true,
   ): WaitingRequest | undefined {
     const finishAt = now + serviceMilliseconds;
     let best: WaitingRequest | undefined;
     for (const request of this.waiting.values()) {
-      if (best === undefined || precedes(request, best, finishAt, isNestedFirst)) best = request;
+      if (best !== undefined && !precedes(request, best, finishAt, isNestedFirst)) continue;
+      if (mayStart(request)) best = request;
     }
     return best;
   }
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -96,6 +96,10 @@
       if (call.state === 'running') yield call;
   }
 
+  public *runningFrames(): Generator<StartFrame> {
+    for (const { frame } of this.runningCalls()) yield frame;
+  }
+
   /** Removes finished calls whose retention period has passed. */
   public removeExpired(now: number): void {
     for (const { deadline, finishedAt, key, state } of this.byKey.values()) {
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -6,6 +6,7 @@
   ReplyFrame,
   StartFrame,
 } from '../messages/mesh-frames.js';
+import type { RequestQuarantine } from '../quarantine/request-quarantine.js';
 import type { Route } from '../routes/route-configuration.js';
 import { AdmissionQueue } from './admission-queue.js';
 import type { WaitingRequest } from './admission-queue.js';
@@ -32,6 +33,7 @@
 import { ServerCrashDetector } from './server-crash-detector.js';
 import { ReportEffect, ServerIncarnationTracker } from './server-incarnation-tracker.js';
 import { SpeedState, ServerSpeedTracker } from './server-speed-tracker.js';
+import { SuspectIsolation } from './suspect-isolation.js';
 import { StartIntervalEstimator } from './start-interval-estimator.js';
 import { shortestUsefulMilliseconds, ServiceTimeEstimator } from './service-time-estimator.js';
 
@@ -84,6 +86,7 @@
 export interface ServerGateOptions {
   readonly service: string;
   readonly port: GatePort;
+  readonly quarantine: Pick<RequestQuarantine, 'isEmpty' | 'recordCompletion' | 'suspicionOf'>;
   /** Maximum rate at which the gate probes the server's speed. */
   readonly probesPerSecond: number;
   /** Interval at which the server reports its state. */
@@ -111,6 +114,7 @@
   private readonly coldStartGuard: ColdStartGuard;
   private readonly requestRate = new RequestRateLimit();
   private readonly crashDetector: ServerCrashDetector;
+  private readonly isolation: SuspectIsolation;
   /** Whether the current server has responded to a request of this process. */
   private hasServerResponded = false;
   private readonly gateLog: GateLog;
@@ -132,6 +136,7 @@
       processStartedAt: options.processStartedAt,
       reportIntervalMilliseconds: options.reportIntervalMilliseconds,
     });
+    this.isolation = new SuspectIsolation(options.quarantine);
     this.crashDetector = new ServerCrashDetector({
       check: () => {
         options.port.checkListener();
@@ -263,7 +268,10 @@
       this.coldStartGuard.assumeCold(ColdAssumptionCause.NoResponse, now);
     this.gateLog.requestFinished(call, this.limitFor(call.frame), result, now);
     const reply = wasAborted ? undefined : toReplyFrame(call.frame.callId, result, this.load(now));
-    if (result.kind === 'answered') this.crashDetector.onResponse();
+    if (result.kind === 'answered') {
+      this.crashDetector.onResponse();
+      if (result.status < 500) this.options.quarantine.recordCompletion(call.frame, now);
+    }
     if (reply !== undefined && result.kind === 'failed' && result.isConnectionLost === true) {
       call.state = 'lost';
       this.crashDetector.onConnectionLost(call, reply, now);
@@ -271,6 +279,16 @@
     this.startQueued(now);
   }
 
+  /** Ends the requests that have become quarantined; those at the server are aborted before they crash it. */
+  public onQuarantineChanged(now: number): void {
+    for (const waiting of [...this.queue.values()]) {
+      if (this.isQuarantined(waiting.frame, now))
+        this.declineQueued(waiting, DeclineReason.Quarantined, 0, now);
+    }
+    for (const { executionId, frame } of [...this.calls.runningCalls()])
+      if (this.isQuarantined(frame, now)) this.options.port.abort(executionId);
+  }
+
   /** Handles whether connections to the server's address are refused. */
   public onListenerChecked(isRefused: boolean, now: number): void {
     this.crashDetector.onChecked(isRefused, now);
@@ -420,6 +438,8 @@
       requests: calls.map(({ frame }) => frame.requestId).join(),
     };
     this.options.log({ event: GateEventName.ServerCrashed, fields });
+    const latestFirst = [...calls].sort((first, second) => second.startedAt - first.startedAt);
+    this.options.port.onServerCrashed(latestFirst.map(({ frame }) => frame));
   }
 
   /** Sends a health check, whose answer shows whether the server is cold. */
@@ -472,6 +492,7 @@
       case ServerState.Ready:
     }
     if (frame.service !== this.options.service) return DeclineReason.WrongService;
+    if (this.isQuarantined(frame, now)) return DeclineReason.Quarantined;
     if (frame.remainingMilliseconds >= this.estimator.minimumMilliseconds(frame.routeName))
       return undefined;
     call.isTrial = this.isTrialDue(frame, now);
@@ -514,7 +535,8 @@
     const isFree =
       this.queue.size === 0 &&
       this.running < this.limitFor(call.frame) &&
-      this.waitForStart(1, now) === 0;
+      this.waitForStart(1, now) === 0 &&
+      this.mayStart(call.frame, now);
     if (!isFree) {
       const wait = this.expectedWait(waiting, now);
       const finish = wait + this.estimator.expectedServiceMilliseconds(call.frame.routeName);
@@ -613,7 +635,12 @@
   private startQueued(now: number): void {
     if (this.state !== ServerState.Ready) return;
     while (this.queue.size > 0 && this.waitForStart(1, now) === 0) {
-      const next = this.queue.next(now, this.estimator.meanServiceMilliseconds, this.isNestedFirst);
+      const next = this.queue.next(
+        now,
+        this.estimator.meanServiceMilliseconds,
+        this.isNestedFirst,
+        ({ frame }) => this.mayStart(frame, now),
+      );
       if (next === undefined || this.running >= this.limitFor(next.frame)) return;
       const speed = this.currentSpeed(now);
       if (speed === SpeedState.Slow && next.frame.optional) {
@@ -630,6 +657,16 @@
     }
   }
 
+  private isQuarantined(frame: StartFrame, now: number): boolean {
+    const { quarantine } = this.options;
+    return !quarantine.isEmpty && quarantine.suspicionOf(frame, now).quarantinedUntil !== undefined;
+  }
+
+  /** Whether a request may run beside those that are running, given the crashes that it may have caused. */
+  private mayStart(frame: StartFrame, now: number): boolean {
+    return this.isolation.mayStart(frame, this.calls.runningFrames(), now);
+  }
+
   /** The speed of the server. Sends a probe if the last report is too old. */
   private currentSpeed(now: number): SpeedState {
     const state = this.speed.state(now);
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -37,6 +37,8 @@
   CancelFrame,
   ConfigurationFrame,
   ControlFrame,
+  CrashRecord,
+  CrashReport,
   DeclinedFrame,
   EndedServer,
   EvacuatedZone,
@@ -54,7 +56,15 @@
   ReplyFrame,
   RequestFrame,
   StartFrame,
+  VersionFrame,
 } from './messages/mesh-frames.js';
+export { RequestQuarantine } from './quarantine/request-quarantine.js';
+export type {
+  RequestQuarantineOptions,
+  RequestScreening,
+  RequestSuspicion,
+} from './quarantine/request-quarantine.js';
+export type { Digest, RequestIdentity } from './quarantine/request-fingerprint.js';
 export { isSameZone } from './shared/same-zone.js';
 export type { Location } from './shared/same-zone.js';
 export { PlacementPolicy } from './placement/placement-policy.js';
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -47,6 +47,8 @@
   DeadlineTooShort: 'deadline-too-short',
   Draining: 'draining',
   NoServer: 'no-server',
+  /** The request has crashed several servers. */
+  Quarantined: 'quarantined',
   QueueFull: 'queue-full',
   /** The server reported that it did not run the request. */
   ServerRefused: 'server-refused',
@@ -169,6 +171,22 @@
   readonly revision: number;
 }
 
+/** The crash of a server that was running a certain request. */
+export interface CrashReport {
+  /** Unique among all crashes. */
+  readonly id: string;
+  readonly ageMilliseconds: number;
+  /** Whether a server has completed the request since. */
+  readonly isRefuted: boolean;
+}
+
+/** A request that was running on servers that crashed. */
+export interface CrashRecord {
+  /** Identifies the request by its content. */
+  readonly fingerprint: string;
+  readonly crashes: readonly CrashReport[];
+}
+
 /** Reports the version of the configuration that is in force at the sender. */
 export interface VersionFrame {
   readonly kind: 'version';
@@ -179,6 +197,8 @@
   readonly storeEra?: number | undefined;
   /** The evacuated zones, if they have changed. */
   readonly evacuations?: EvacuationSnapshot | undefined;
+  /** News of requests that were running on servers that crashed. */
+  readonly crashRecords?: readonly CrashRecord[] | undefined;
 }
 
 /** Reports whether the sender can reach the store. */
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -2,7 +2,13 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { PlacementPolicy, RetryBudget, RequestForwarder, GateTable } from '../../src/index.js';
+import {
+  PlacementPolicy,
+  RequestQuarantine,
+  RetryBudget,
+  RequestForwarder,
+  GateTable,
+} from '../../src/index.js';
 import type {
   DeclinedFrame,
   EntryEvent,
@@ -27,6 +33,10 @@
   public readonly events: EntryEvent[] = [];
   public readonly unreachableNodes = new Set<string>();
   public readonly gates = new GateTable();
+  public readonly quarantine = new RequestQuarantine({
+    digest: (content) => content.toString(),
+    onQuarantineChanged: () => undefined,
+  });
   public readonly forwarder: RequestForwarder;
 
   public constructor(names: readonly string[] = ['a', 'b', 'c'], retrySlack = 100) {
@@ -49,6 +59,7 @@
           return true;
         },
       },
+      quarantine: this.quarantine,
       random,
       gates: this.gates,
     });
@@ -323,4 +334,55 @@
   assert.is(targets[16], -100);
 });
 
+/** Records crashes of servers while they ran the request of this fixture, seen by any node. */
+function recordCrashes({ quarantine }: EntryFixture, count: number): void {
+  const { headers, method, path } = createEntryRequest();
+  const request = { callerService: 'web', headers, method, path };
+  for (let crash = 0; crash < count; crash += 1) quarantine.recordCrash(`${crash}`, [request], 0);
+}
+
+test('a quarantined request is refused at once, as not run, with the time until the quarantine ends', () => {
+  const fixture = new EntryFixture();
+  recordCrashes(fixture, 3);
+  fixture.begin();
+  assert.equal(fixture.startFrames, []);
+  const [outcome] = fixture.outcomes;
+  assert.ok(outcome?.kind === 'refused' && outcome.cause === 'quarantined');
+  assert.is(outcome.retryAfterMilliseconds, 600_000);
+});
+
+test('a request that becomes quarantined while it runs is not retried, and its outcome is unknown', () => {
+  const fixture = new EntryFixture();
+  fixture.begin();
+  recordCrashes(fixture, 3);
+  fixture.reply(0, 50, { detail: 'reset', kind: 'failed' });
+  assert.is(fixture.startFrames.length, 1);
+  assert.is(fixture.outcomes[0]?.kind, 'unknown');
+});
+
+for (const runsBefore of [0, 1]) {
+  test(`a gate's decline as quarantined is final, after ${runsBefore} earlier runs`, () => {
+    const fixture = new EntryFixture();
+    fixture.begin();
+    if (runsBefore > 0) fixture.reply(0, 20, { detail: 'reset', kind: 'failed' });
+    fixture.decline(runsBefore, 50, 'quarantined');
+    assert.is(fixture.startFrames.length, runsBefore + 1);
+    const [outcome] = fixture.outcomes;
+    assert.is(outcome?.kind, runsBefore > 0 ? 'unknown' : 'refused');
+  });
+}
+
+for (const [crashes, starts] of [
+  [1, 2],
+  [2, 1],
+] as const) {
+  test(`a late request that ran during ${crashes} crashes is sent ${starts} times`, () => {
+    const fixture = new EntryFixture();
+    recordCrashes(fixture, crashes);
+    fixture.begin();
+    fixture.forwarder.tick(200);
+    assert.is(fixture.startFrames.length, starts);
+  });
+}
+
 test.run();
--- a/packages/mesh-core/tests/gate/gate-harness.ts
+++ b/packages/mesh-core/tests/gate/gate-harness.ts
@@ -1,4 +1,4 @@
-import { ServerGate } from '../../src/index.js';
+import { RequestQuarantine, ServerGate } from '../../src/index.js';
 import type {
   Execution,
   ExecutionResult,
@@ -20,6 +20,11 @@
   public probes = 0;
   public listenerChecks = 0;
   public stateChanges = 0;
+  public readonly crashes: (readonly StartFrame[])[] = [];
+  public readonly quarantine = new RequestQuarantine({
+    digest: (content) => content.toString(),
+    onQuarantineChanged: () => undefined,
+  });
   public readonly gate: ServerGate;
   private nextCallId = 1;
 
@@ -29,6 +34,7 @@
       port: {
         abort: (executionId) => this.aborted.push(executionId),
         checkListener: () => (this.listenerChecks += 1),
+        onServerCrashed: (requests) => this.crashes.push(requests),
         onStateChanged: () => (this.stateChanges += 1),
         probe: () => (this.probes += 1),
         reply: (_node, boot, frame) => {
@@ -38,6 +44,7 @@
         run: (execution) => this.running.push(execution),
       },
       probesPerSecond: 30,
+      quarantine: this.quarantine,
       processStartedAt: Number.NEGATIVE_INFINITY,
       reportIntervalMilliseconds: 1_500,
       service: 'shop',
--- /dev/null
+++ b/packages/mesh-core/tests/quarantine/request-quarantine.test.ts
@@ -0,0 +1,130 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { RequestQuarantine } from '../../src/index.js';
+import type { RequestIdentity } from '../../src/index.js';
+
+function createQuarantine(): { quarantine: RequestQuarantine; changes: boolean[] } {
+  const changes: boolean[] = [];
+  const quarantine = new RequestQuarantine({
+    digest: (content) => Buffer.from(content).toString('hex'),
+    onQuarantineChanged: (_fingerprint, isQuarantined) => changes.push(isQuarantined),
+  });
+  return { changes, quarantine };
+}
+
+function createIdentity(changes: Partial<RequestIdentity> = {}): RequestIdentity {
+  return {
+    callerService: 'web',
+    headers: [['host', 'a.example']],
+    method: 'GET',
+    path: '/1',
+    ...changes,
+  };
+}
+
+function crashThreeTimes(quarantine: RequestQuarantine, request: RequestIdentity): void {
+  for (const id of ['crash-1', 'crash-2', 'crash-3']) quarantine.recordCrash(id, [request], 0);
+}
+
+/** Requests beside one that is quarantined, and whether they are the same request. */
+const comparedRequests: readonly (readonly [string, Partial<RequestIdentity>, boolean])[] = [
+  ['an equal request', {}, true],
+  [
+    'one with other header fields',
+    {
+      headers: [
+        ['a', 'b'],
+        ['host', 'a.example'],
+      ],
+    },
+    true,
+  ],
+  ['one with an empty body', { body: new Uint8Array() }, true],
+  ['one with a body', { body: Buffer.from('body') }, false],
+  ['one with another path', { path: '/1?a=b' }, false],
+  ['one with another method', { method: 'POST' }, false],
+  ['one to another host', { headers: [['host', 'b.example']] }, false],
+  ['one of another caller', { callerService: 'shop' }, false],
+];
+
+for (const [description, changes, isSame] of comparedRequests) {
+  test(`${description} is ${isSame ? '' : 'not '}the quarantined request`, () => {
+    const { quarantine } = createQuarantine();
+    crashThreeTimes(quarantine, createIdentity());
+    const { quarantinedUntil } = quarantine.suspicionOf(createIdentity(changes), 1);
+    assert.is(quarantinedUntil !== undefined, isSame);
+  });
+}
+
+test('bodies distinguish requests', () => {
+  const { quarantine } = createQuarantine();
+  crashThreeTimes(quarantine, createIdentity({ body: Buffer.from('a') }));
+  const suspicionOf = (body: string): number =>
+    quarantine.suspicionOf(createIdentity({ body: Buffer.from(body) }), 1).crashes;
+  assert.equal([suspicionOf('a'), suspicionOf('b')], [3, 0]);
+});
+
+test('a request is isolated from the second crash on, and quarantined from the third', () => {
+  const { changes, quarantine } = createQuarantine();
+  const states: unknown[] = [];
+  for (const id of ['crash-1', 'crash-2', 'crash-3']) {
+    quarantine.recordCrash(id, [createIdentity()], 0);
+    const { isIsolated, quarantinedUntil } = quarantine.suspicionOf(createIdentity(), 0);
+    states.push([isIsolated, quarantinedUntil !== undefined]);
+  }
+  assert.equal(states, [
+    [false, false],
+    [true, false],
+    [true, true],
+  ]);
+  assert.equal(changes, [true]);
+});
+
+test('news are announced once, those of quarantined requests first, and at a bounded rate', () => {
+  const { quarantine } = createQuarantine();
+  const innocent = Array.from({ length: 60 }, (_, index) => createIdentity({ path: `/i${index}` }));
+  for (const crash of [1, 2, 3, 4, 5]) {
+    const requests = innocent.map(({ path }) => createIdentity({ path: `${path}-${crash}` }));
+    quarantine.recordCrash(`x${crash}`, requests, 0);
+  }
+  crashThreeTimes(quarantine, createIdentity());
+  const first = quarantine.takeAnnouncements(0);
+  assert.is(first[0]?.crashes.length, 3);
+  assert.is(first.length, 128);
+  assert.is(quarantine.takeAnnouncements(1_000).length, 8);
+});
+
+test('another node that merges the records comes to the same result, and announces only news', () => {
+  const [first, second] = [createQuarantine(), createQuarantine()];
+  crashThreeTimes(first.quarantine, createIdentity());
+  second.quarantine.merge(first.quarantine.records(5), 6);
+  assert.ok(second.quarantine.suspicionOf(createIdentity(), 6).quarantinedUntil);
+  assert.is(second.quarantine.takeAnnouncements(6).length, 1);
+  second.quarantine.merge(first.quarantine.records(7), 8);
+  assert.equal(second.quarantine.takeAnnouncements(8), []);
+});
+
+test('a released request is quarantined no longer, on other nodes too', () => {
+  const [first, second] = [createQuarantine(), createQuarantine()];
+  crashThreeTimes(first.quarantine, createIdentity());
+  second.quarantine.merge(first.quarantine.records(5), 6);
+  const [fingerprint = ''] = first.quarantine.quarantinedFingerprints;
+  assert.ok(first.quarantine.release(fingerprint, 10));
+  second.quarantine.merge(first.quarantine.records(11), 12);
+  assert.is(second.quarantine.suspicionOf(createIdentity(), 12).crashes, 0);
+  assert.equal(second.changes, [true, false]);
+});
+
+test('without any crash, no request is hashed', () => {
+  let hashes = 0;
+  const quarantine = new RequestQuarantine({
+    digest: () => `${(hashes += 1)}`,
+    onQuarantineChanged: () => undefined,
+  });
+  quarantine.suspicionOf(createIdentity(), 0);
+  quarantine.recordCompletion(createIdentity(), 0);
+  assert.is(hashes, 0);
+});
+
+test.run();
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -4,6 +4,7 @@
 
 import type {
   ConfigurationFrame,
+  CrashRecord,
   EvacuationSnapshot,
   GateLoad,
   MeshFrame,
@@ -34,6 +35,8 @@
   readonly storeEra?: number | undefined;
   /** The evacuated zones that the sender knows of. */
   readonly evacuations?: EvacuationSnapshot | undefined;
+  /** Requests that were running on servers that crashed; the sender may know of more. */
+  readonly crashRecords?: readonly CrashRecord[] | undefined;
 }
 
 /** The fields of the hello frame other than the node's identity and the protocol version. */
