A stopping node takes only requests that it can answer, and answers all that it has taken

Report of other operators: requests that came late in the grace period of a planned stop were cut at its end without an answer.

Cause: a node took requests for 3 s after the signal, whatever time they might need, and ended 5.3 s after it, whatever was still in progress; the refusal began with a tick, so up to 50 ms late; for short grace periods the times did not scale. Class: a deadline (the end of the process) that the decision did not know.

Now the forwarder knows when the process refuses and when outcomes are due. A request is taken if the longest recent answer on its route, or its caller's time limit, ends before that; others are refused at once as not run. A stopping gate has always declined what has not started.

Ruled out: refusing everything from the signal on (callers notice it only after two readiness checks); moving running requests (they may run once only).

--- a/packages/daemon/src/mesh/graceful-shutdown.ts
+++ b/packages/daemon/src/mesh/graceful-shutdown.ts
@@ -1,24 +1,39 @@
 /** Callers notice the shutdown after two failed readiness checks, one second apart; until then new requests arrive. */
 const readinessNoticeMilliseconds = 2_300;
-/** After this time new requests are refused, because they might not complete before the process exits. */
-const refusalStartMilliseconds = 3_000;
-/** The process exits by itself this long before it would be terminated by force. */
+/** The process takes requests for at most this time after the stop signal, and for at most this share of the grace period. */
+const acceptanceMilliseconds = 3_000;
+const acceptanceShare = 0.5;
+/** The process exits by itself before it would be terminated by force: by this time, and by at most this share of the grace period. */
 const exitMarginMilliseconds = 700;
+const exitMarginShare = 0.125;
+/** Time to write the last responses. */
+const responseMarginMilliseconds = 100;
 
-/** Decides when a process that received a stop signal refuses requests and when it may exit. */
+/** Decides until when a process that received a stop signal takes requests and answers them, and when it may exit. */
 export class GracefulShutdown {
   public constructor(
     private readonly startedAt: number,
     private readonly graceMilliseconds: number,
   ) {}
 
-  public refusesRequests(now: number): boolean {
-    return now - this.startedAt >= refusalStartMilliseconds;
+  /** From this time on, new requests are refused. */
+  public get refusesFrom(): number {
+    const acceptance = Math.min(acceptanceMilliseconds, this.graceMilliseconds * acceptanceShare);
+    return this.startedAt + acceptance;
+  }
+
+  /** By this time, each request that was taken must have an outcome. */
+  public get outcomesDueAt(): number {
+    return this.exitsAt - responseMarginMilliseconds;
   }
 
   public mayExit(now: number, inProgress: number): boolean {
-    const elapsed = now - this.startedAt;
-    if (elapsed >= this.graceMilliseconds - exitMarginMilliseconds) return true;
-    return elapsed >= readinessNoticeMilliseconds && inProgress === 0;
+    if (now >= this.exitsAt) return true;
+    return now - this.startedAt >= readinessNoticeMilliseconds && inProgress === 0;
+  }
+
+  private get exitsAt(): number {
+    const margin = Math.min(exitMarginMilliseconds, this.graceMilliseconds * exitMarginShare);
+    return this.startedAt + this.graceMilliseconds - margin;
   }
 }
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -322,6 +322,7 @@
     const now = this.options.clock();
     this.shutdown = new GracefulShutdown(now, this.options.settings.graceMilliseconds);
     this.gate.stop(now);
+    this.forwarder.stop(this.shutdown);
     this.options.ports().callers.stop();
   }
 
@@ -619,7 +620,7 @@
     this.gate.tick(now);
     this.announceLoad(now);
     if (now >= this.maintenanceDueAt) this.runMaintenance(now);
-    if (this.shutdown?.refusesRequests(now) === true) callers.refuse();
+    if (this.shutdown !== undefined && now >= this.shutdown.refusesFrom) callers.refuse();
     if (this.shutdown?.mayExit(now, this.inProgress) === true) {
       connections.broadcast({ kind: 'leaving' });
       this.close();
--- a/packages/daemon/tests/mesh-parts.test.ts
+++ b/packages/daemon/tests/mesh-parts.test.ts
@@ -22,8 +22,16 @@
 
 test('requests are refused that might not complete before the process exits', () => {
   const shutdown = new GracefulShutdown(0, 6_000);
-  assert.not(shutdown.refusesRequests(2_900));
-  assert.ok(shutdown.refusesRequests(3_100));
+  assert.is(shutdown.refusesFrom, 3_000);
+  assert.is(shutdown.outcomesDueAt, 5_200);
+});
+
+test('a short grace period leaves time to answer the requests that were taken, and to exit before its end', () => {
+  const shutdown = new GracefulShutdown(0, 4_000);
+  assert.is(shutdown.refusesFrom, 2_000);
+  assert.is(shutdown.outcomesDueAt, 3_400);
+  assert.not(shutdown.mayExit(3_499, 1));
+  assert.ok(shutdown.mayExit(3_500, 1));
 });
 
 const node = {
--- a/packages/daemon/tests/virtual-mesh/mesh-violations.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-violations.ts
@@ -1,6 +1,6 @@
 import { RefusalCause } from '@peridotspring/mesh-core';
 
-import { coldStart, retryBudget, timeoutMilliseconds } from './virtual-mesh.js';
+import { coldStart, retryBudget } from './virtual-mesh.js';
 import type { VirtualMesh, VirtualRequest } from './virtual-mesh.js';
 import type { Run } from './virtual-server.js';
 
@@ -45,6 +45,8 @@
       }
     }
   }
+  for (const { requestId } of mesh.cutRequests)
+    violations.push(`${requestId}: its node exited after a stop signal without an outcome`);
   violations.push(...limitViolations(mesh), ...deadlyRequestViolations(mesh));
   violations.push(...coldServerViolations(mesh), ...evacuationViolations(mesh));
   violations.push(...mesh.configurationBound.violations);
@@ -139,7 +141,7 @@
   if (outcomes.length > 1) found.push('more than one outcome');
   if (outcomes.length === 0 && !isAbandoned && mesh.isEntryAlive(request)) found.push('no outcome');
   if (outcomes.length > 0) {
-    const late = request.concludedAt - sentAt - timeoutMilliseconds;
+    const late = request.concludedAt - sentAt - mesh.requestTimeoutMilliseconds;
     if (late > deadlineToleranceMilliseconds)
       found.push(`${Math.round(late)} ms after its deadline`);
   }
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -91,6 +91,8 @@
     })),
   );
   public readonly evacuations: Evacuation[] = [];
+  /** Requests that had no outcome when their node exited after a stop signal. */
+  public readonly cutRequests: VirtualRequest[] = [];
   /** Descriptions of cases in which a node's configuration version decreased. */
   public readonly versionRegressions: string[] = [];
 
@@ -99,6 +101,7 @@
     private readonly random: SeededRandomSource,
     private readonly zones = 2,
     private readonly startsCold = false,
+    public readonly requestTimeoutMilliseconds = timeoutMilliseconds,
   ) {
     this.links = new VirtualLinks(this.queue, (name) => this.findMachine(name)?.node);
     for (let index = 0; index < size; index += 1) this.addMachine(index);
@@ -261,7 +264,7 @@
     this.requests.push(request);
     node.driver.onCallerRequest({
       body: undefined,
-      callerDeadline: now + timeoutMilliseconds,
+      callerDeadline: now + this.requestTimeoutMilliseconds,
       headers: [],
       method: isIdempotent ? 'GET' : 'POST',
       path: `${route.pathPrefix}${isDeadly ? deadlyPathSuffix : requestNumber}`,
@@ -285,6 +288,12 @@
     return this.findMachine(entry.self.name)?.node === entry;
   }
 
+  private unansweredRequestsOf(node: LinkedNode): readonly VirtualRequest[] {
+    return this.requests.filter(
+      ({ entry, isAbandoned, outcomes }) => entry === node && !isAbandoned && outcomes.length === 0,
+    );
+  }
+
   private scheduleStoreLossDetection(machine: Machine): void {
     this.queue.after(maximumStoreLossDetectionMilliseconds * this.random.next(), () => {
       machine.node?.driver.onStoreReachabilityChanged(false);
@@ -385,6 +394,7 @@
         configuration: createMeshConfiguration(
           Number(Buffer.from(content).toString()),
           this.startsCold,
+          this.requestTimeoutMilliseconds,
         ),
         kind: 'configuration',
       }),
@@ -465,6 +475,7 @@
         },
       },
       onStopped: () => {
+        this.cutRequests.push(...this.unansweredRequestsOf(node));
         this.kill(machine);
         this.start(machine);
       },
@@ -519,7 +530,11 @@
   return [Math.floor(encoded / executionsPerBoot), encoded % executionsPerBoot];
 }
 
-function createMeshConfiguration(version: number, startsCold: boolean): RouteConfiguration {
+function createMeshConfiguration(
+  version: number,
+  startsCold: boolean,
+  requestTimeoutMilliseconds: number,
+): RouteConfiguration {
   const routeOf = (name: string, idempotent: boolean): Route =>
     createRoute({
       host: 'shop',
@@ -527,7 +542,7 @@
       name,
       pathPrefix: `/${name}/`,
       targetLatencyMilliseconds: targetMilliseconds,
-      timeoutMilliseconds,
+      timeoutMilliseconds: requestTimeoutMilliseconds,
     });
   return createConfiguration({
     routes: [routeOf('safe', true), routeOf('unsafe', false)],
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -24,6 +24,8 @@
   NoServer: 'no-server',
   /** The request has crashed several servers and is not sent to any further one. */
   Quarantined: 'quarantined',
+  /** This node stops before the request might end. */
+  Stopping: 'stopping',
 } as const;
 export type RefusalCause = (typeof RefusalCause)[keyof typeof RefusalCause];
 
--- a/packages/mesh-core/src/entry/request-state.ts
+++ b/packages/mesh-core/src/entry/request-state.ts
@@ -59,7 +59,7 @@
     public readonly request: EntryRequest,
     public readonly service: string,
     /** Monotonic time by which the caller must have an answer or an error. */
-    public readonly deadline: number,
+    public deadline: number,
     public readonly isNested: boolean,
     /** Version of the configuration that declares the request's route. */
     public readonly configurationVersion: number,
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -10,7 +10,7 @@
 export { EntryEventName, RefusalCause, UnknownCause } from './entry/entry-contract.js';
 export type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry/entry-contract.js';
 export { RequestForwarder } from './entry/request-forwarder.js';
-export type { RequestForwarderOptions } from './entry/request-forwarder.js';
+export type { RequestForwarderOptions, StopSchedule } from './entry/request-forwarder.js';
 export { GateEventName } from './gate/gate-contract.js';
 export { toColdStartLimit } from './gate/cold-start-limit.js';
 export type { ColdStartLimit, ColdStartTolerance } from './gate/cold-start-limit.js';
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -385,4 +385,59 @@
   });
 }
 
+const stopSchedule = { outcomesDueAt: 5_200, refusesFrom: 3_000 };
+const longRoute = { targetLatencyMilliseconds: 1_000, timeoutMilliseconds: 8_000 };
+
+/** A forwarder whose last answer on the route took the given time, if any, and that received a stop signal at 0. */
+function createStopping(answerMilliseconds?: number): EntryFixture {
+  const fixture = new EntryFixture();
+  if (answerMilliseconds !== undefined) {
+    fixture.begin(longRoute, { receivedAt: -answerMilliseconds });
+    fixture.answer(0, 0);
+  }
+  fixture.forwarder.stop(stopSchedule);
+  return fixture;
+}
+
+/**
+ * Description, duration of the last answer on the route, time of the request after the stop signal, time that its caller
+ * waits, and whether it is taken.
+ */
+const stoppingCases: readonly (readonly [string, number | undefined, number, number, boolean])[] = [
+  ['requests on its route are short', 500, 2_900, 8_000, true],
+  ['requests on its route may outlast the process', 2_900, 2_900, 8_000, false],
+  ['its caller waits only briefly', 2_900, 2_900, 1_000, true],
+  ['nothing is known of its route', undefined, 100, 8_000, false],
+  ['nothing is known of its route, and its caller waits only briefly', undefined, 100, 1_000, true],
+  ['it comes too late', 500, 3_000, 1_000, false],
+];
+
+for (const [description, duration, at, waitMilliseconds, isTaken] of stoppingCases) {
+  test(`a stopping node ${isTaken ? 'takes' : 'refuses'} a request if ${description}`, () => {
+    const fixture = createStopping(duration);
+    const before = fixture.startFrames.length;
+    const route = createRoute(longRoute);
+    const times = { callerDeadline: at + waitMilliseconds, receivedAt: at };
+    const request = createEntryRequest({ requestNumber: 2, route, ...times });
+    fixture.forwarder.forward(request, 'shop', false, at);
+    assert.is(fixture.startFrames.length - before, isTaken ? 1 : 0);
+    const outcome = fixture.outcomes.at(-1);
+    assert.is(outcome?.kind === 'refused' && outcome.cause === 'stopping', !isTaken);
+  });
+}
+
+test('a request in progress when the node stops has an outcome before the process ends', () => {
+  const fixture = new EntryFixture();
+  const times = { callerDeadline: 8_000 };
+  fixture.begin(longRoute, { ...times, requestNumber: 1 });
+  fixture.forwarder.stop(stopSchedule);
+  assert.is(fixture.forwarder.nextDeadline, 5_200);
+  fixture.forwarder.tick(5_199);
+  assert.equal(fixture.outcomes, []);
+  fixture.forwarder.tick(5_200);
+  assert.is(fixture.outcomes[0]?.kind, 'unknown');
+  fixture.forwarder.tick(8_000);
+  assert.is(fixture.outcomes.length, 1);
+});
+
 test.run();
