Quarantined requests are kept in the store for the case that all nodes restart

When all nodes had restarted at once, a request that had been quarantined crashed three more servers, as the knowledge was in the nodes' memory only.

Weighed: knowledge of peers alone (lost with a restart of all); a record per crash (nine requests a crash, mostly innocent); a record per quarantined request, written by the node that saw the last crash: one paid call each, and none for reading, as one list call covers directory and records. The last one was kept.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -43,6 +43,7 @@
 import type { MeshGaugeValues, MeshServiceGaugeValues } from './mesh-gauges.js';
 import { latestPlausibleBoot, readMeshNode } from './mesh-directory-entry.js';
 import type { DecodedConfiguration } from './platform-adapter.js';
+import type { QuarantineStore } from './quarantine-synchronizer.js';
 import { QuarantineSynchronizer } from './quarantine-synchronizer.js';
 import { ServerHealthChecks } from './server-health-checks.js';
 import { ServerMessageBuffer } from './server-message-buffer.js';
@@ -82,7 +83,7 @@
     health(path: string): Promise<HealthCheckResult | undefined>;
     isRefusingConnections(): Promise<boolean>;
   };
-  readonly store: ConfigurationPorts['store'] & DirectoryStore;
+  readonly store: ConfigurationPorts['store'] & DirectoryStore & QuarantineStore;
   /** Called when the process may exit. `isPermanent` is true if the server has left too, so its entry is removed. */
   readonly onStopped: (isPermanent: boolean) => void;
 }
@@ -92,6 +93,8 @@
   readonly self: MeshNode;
   readonly random: RandomSource;
   readonly clock: () => number;
+  /** Time of day in Unix milliseconds. */
+  readonly wallClock: () => number;
   /** Start of the process, on the clock. */
   readonly processStartedAt: number;
   readonly events: EventRecorder;
@@ -170,11 +173,14 @@
     this.quarantines = new QuarantineSynchronizer({
       configurationVersion: () => this.configuration.version,
       connections: () => options.ports().connections,
+      isRemovingRecords: () => this.configuration.isWatching,
       log,
       onQuarantineChanged: (now) => {
         this.gate.onQuarantineChanged(now);
       },
       self,
+      store: () => options.ports().store,
+      wallClock: options.wallClock,
     });
     const { quarantine } = this.quarantines;
     this.trafficSplit = new TrafficSplit(random);
@@ -405,6 +411,11 @@
     this.directorySynchronizer.onReadComplete();
   }
 
+  /** A quarantined request was read from the store. */
+  public onQuarantineRead(value: Uint8Array): void {
+    this.quarantines.onStoredRecord(value, this.options.clock());
+  }
+
   public onNodeObserved(node: MeshNode): void {
     this.directorySynchronizer.observe(node, this.options.clock());
   }
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -25,8 +25,12 @@
 
 /** Path of the metrics on the readiness port. */
 const metricsPath = '/metrics';
+/** Prefix of all keys that nodes write. */
+const commonPrefix = 'peridotspring/';
 /** Prefix of the keys under which nodes store their directory entries. */
 const directoryPrefix = 'peridotspring/nodes/';
+/** Prefix of the keys under which nodes store the requests that are quarantined. */
+const quarantinePrefix = 'peridotspring/quarantine/';
 /** Calls to the store that take longer are logged; they usually take a few milliseconds. */
 const slowStoreCallMilliseconds = 500;
 /** Time-out at shutdown for closing the caller server and removing the node's directory entry. */
@@ -73,6 +77,7 @@
     },
     self,
     settings,
+    wallClock: () => Date.now(),
   });
   const callers = createCallers(options, driver, clock, events);
   const connections = createConnections(settings, self, driver, clock);
@@ -102,9 +107,15 @@
       refreshConfiguration: () => {
         void store.session.refreshConfiguration();
       },
+      removeQuarantine: (fingerprint) => {
+        store.session.removeRecord(fingerprint);
+      },
       watchConfiguration: (isWatching) => {
         store.session.setConfigurationWatching(isWatching);
       },
+      writeQuarantine: (fingerprint, value) => {
+        store.session.writeRecord(fingerprint, value);
+      },
     },
     onStopped: (isPermanent) => {
       // If the process will be restarted, its directory entry stays in the store.
@@ -337,6 +348,7 @@
     onEvacuationsRead: (read, era) => {
       driver.onEvacuationsRead(read, era);
     },
+    commonPrefix,
     directoryPrefix,
     onDirectoryRead: () => {
       driver.onDirectoryRead();
@@ -351,7 +363,11 @@
       if (node !== undefined) driver.onNodeObserved(node);
     },
     nodeName: self.name,
+    onRecordRead: (value) => {
+      driver.onQuarantineRead(value);
+    },
     random,
+    recordPrefix: quarantinePrefix,
     onReachabilityChange: (isReachable, detail) => {
       const event = isReachable ? MeshEvent.StoreReachable : MeshEvent.StoreUnreachable;
       events.record(event, { detail });
--- a/packages/daemon/src/mesh/quarantine-synchronizer.ts
+++ b/packages/daemon/src/mesh/quarantine-synchronizer.ts
@@ -5,6 +5,7 @@
 import type { MeshConnections } from '@peridotspring/nodes';
 
 import { MeshEvent } from './mesh-event.js';
+import { decodeStoredQuarantine, encodeStoredQuarantine } from './stored-quarantine.js';
 
 /** Length of a digest in base64url characters: 192 bits. */
 const digestLength = 32;
@@ -12,15 +13,28 @@
 const maximumIdentifierLength = 256;
 const maximumCrashes = 16;
 
+/** Operations on the quarantined requests in the store, which nodes read when they start. */
+export interface QuarantineStore {
+  writeQuarantine(fingerprint: string, value: Uint8Array): void;
+  removeQuarantine(fingerprint: string): void;
+}
+
 export interface QuarantineSynchronizerOptions {
   readonly self: MeshNode;
   readonly connections: () => Pick<MeshConnections, 'broadcast'>;
   readonly configurationVersion: () => number;
+  readonly store: () => QuarantineStore;
+  /** Whether this node removes records from the store that are no longer needed; only a few nodes of the fleet do. */
+  readonly isRemovingRecords: () => boolean;
+  readonly wallClock: () => number;
   readonly onQuarantineChanged: (now: number) => void;
   readonly log: (event: string, fields: Readonly<Record<string, string | number>>) => void;
 }
 
-/** Exchanges with other nodes which requests crashed servers. */
+/**
+ * Exchanges with other nodes which requests crashed servers. Quarantined requests are also kept in the store, since all nodes may
+ * restart at once.
+ */
 export class QuarantineSynchronizer {
   public readonly quarantine: RequestQuarantine;
   private crashes = 0;
@@ -32,6 +46,8 @@
       onQuarantineChanged: (fingerprint, isQuarantined, now) => {
         const event = isQuarantined ? MeshEvent.RequestQuarantined : MeshEvent.RequestReleased;
         options.log(event, { fingerprint });
+        if (isQuarantined) this.store(fingerprint, now);
+        else if (options.isRemovingRecords()) options.store().removeQuarantine(fingerprint);
         options.onQuarantineChanged(now);
       },
     });
@@ -44,12 +60,16 @@
 
   /** The server beside this node crashed while it ran the requests. */
   public onServerCrashed(requests: readonly RequestIdentity[], now: number): void {
-    const { boot, name } = this.options.self;
     this.crashes += 1;
-    this.quarantine.recordCrash(`${name}/${boot}/${this.crashes}`, requests, now);
+    this.quarantine.recordCrash(`${this.crashIdPrefix}${this.crashes}`, requests, now);
     this.announce(now);
   }
 
+  /** The store holds this record of a quarantined request; invalid ones are ignored. */
+  public onStoredRecord(value: Uint8Array, now: number): void {
+    this.onPeerRecords([decodeStoredQuarantine(value, this.options.wallClock())], now);
+  }
+
   /** A peer sent what it knows; invalid values are ignored. */
   public onPeerRecords(records: unknown, now: number): void {
     if (!Array.isArray(records)) return;
@@ -63,6 +83,22 @@
     this.announce(now);
   }
 
+  /** Writes a request that became quarantined to the store if its last crash was seen by this node, so that one node does. */
+  private store(fingerprint: string, now: number): void {
+    const record = this.quarantine.recordOf(fingerprint, now);
+    const [latest] = [...record.crashes].sort(
+      (first, second) => first.ageMilliseconds - second.ageMilliseconds,
+    );
+    if (latest?.id.startsWith(this.crashIdPrefix) !== true) return;
+    const value = encodeStoredQuarantine(record, this.options.wallClock());
+    this.options.store().writeQuarantine(fingerprint, value);
+  }
+
+  private get crashIdPrefix(): string {
+    const { boot, name } = this.options.self;
+    return `${name}/${boot}/`;
+  }
+
   private announce(now: number): void {
     const crashRecords = this.quarantine.takeAnnouncements(now);
     if (crashRecords.length === 0) return;
--- a/packages/daemon/tests/crashing-requests.test.ts
+++ b/packages/daemon/tests/crashing-requests.test.ts
@@ -1,7 +1,10 @@
+import { SeededRandomSource } from '@peridotspring/core';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { guaranteeViolations } from './virtual-mesh/mesh-violations.js';
 import { simulateMesh } from './virtual-mesh/simulate-mesh.js';
+import { VirtualMesh } from './virtual-mesh/virtual-mesh.js';
 
 for (const seed of [1, 2, 3, 4, 5, 6]) {
   test(`seed ${seed}: a request that crashes each server that runs it is held off, beside faults of all kinds`, async () => {
@@ -10,4 +13,32 @@
   });
 }
 
+// Regression: when all nodes had restarted at once, the request crashed three more servers.
+for (const seed of [1, 2, 3]) {
+  test(`seed ${seed}: a request that crashes servers is remembered when all nodes restart at once, again and again`, async () => {
+    const random = new SeededRandomSource(seed);
+    const mesh = new VirtualMesh(5, random);
+    const { queue } = mesh;
+    const sendNextRequest = (): void => {
+      if (queue.now > 20_000) return;
+      mesh.sendDeadlyRequest(mesh.pickMachine());
+      queue.after(200 * random.next(), sendNextRequest);
+    };
+    queue.after(1_000, sendNextRequest);
+    for (const killedAt of [6_000, 10_000, 14_000]) {
+      queue.after(killedAt, () => {
+        for (const machine of mesh.machines) {
+          mesh.kill(machine);
+          queue.after(300, () => {
+            mesh.start(machine);
+          });
+        }
+      });
+    }
+    await queue.runUntil(22_000);
+    assert.equal(guaranteeViolations(mesh), []);
+    assert.ok(mesh.machines.flatMap(({ server }) => server.crashTimes).length <= 5);
+  });
+}
+
 test.run();
--- a/packages/daemon/tests/quarantine-synchronizer.test.ts
+++ b/packages/daemon/tests/quarantine-synchronizer.test.ts
@@ -9,7 +9,9 @@
 class SynchronizerFixture {
   public readonly events: string[] = [];
   public readonly frames: VersionFrame[] = [];
+  public readonly stored = new Map<string, Uint8Array>();
   public readonly synchronizer: QuarantineSynchronizer;
+  public unixMilliseconds = 1_000_000;
 
   public constructor(name: string) {
     this.synchronizer = new QuarantineSynchronizer({
@@ -19,9 +21,15 @@
           if (frame.kind === 'version') this.frames.push(frame);
         },
       }),
+      isRemovingRecords: () => true,
       log: (event) => this.events.push(event),
       onQuarantineChanged: () => undefined,
       self: createNode(name),
+      store: () => ({
+        removeQuarantine: (fingerprint) => this.stored.delete(fingerprint),
+        writeQuarantine: (fingerprint, value) => this.stored.set(fingerprint, value),
+      }),
+      wallClock: () => this.unixMilliseconds,
     });
   }
 }
@@ -47,6 +55,48 @@
   assert.ok(restarted.synchronizer.quarantine.suspicionOf(request, 11).quarantinedUntil);
 });
 
+test('one node keeps a quarantined request in the store, which tells a node that starts when all have restarted', () => {
+  const fixtures = ['a', 'b', 'c'].map((name) => new SynchronizerFixture(name));
+  for (const [index, { frames, synchronizer }] of fixtures.entries()) {
+    synchronizer.onServerCrashed([request], index);
+    for (const other of fixtures)
+      other.synchronizer.onPeerRecords(frames.at(-1)?.crashRecords, index + 0.5);
+  }
+  assert.equal(
+    fixtures.map(({ stored }) => stored.size),
+    [0, 0, 1],
+  );
+  const started = new SynchronizerFixture('d');
+  started.unixMilliseconds += 100_000;
+  for (const value of fixtures[2]?.stored.values() ?? [])
+    started.synchronizer.onStoredRecord(value, 50);
+  const { quarantinedUntil } = started.synchronizer.quarantine.suspicionOf(request, 50);
+  assert.ok(quarantinedUntil !== undefined && Math.abs(quarantinedUntil - 500_050) < 10);
+  assert.is(started.stored.size, 0);
+});
+
+test('the end of a quarantine removes it from the store', () => {
+  const { stored, synchronizer } = new SynchronizerFixture('a');
+  for (const now of [0, 1, 2]) synchronizer.onServerCrashed([request], now);
+  assert.is(stored.size, 1);
+  synchronizer.tick(600_002);
+  assert.is(stored.size, 0);
+});
+
+for (const [description, value] of [
+  ['bytes that are not JSON', Buffer.from([0xff])],
+  ['a number', Buffer.from('1')],
+  ['a record without crashes', Buffer.from('{"fingerprint":"a."}')],
+  ['a record with an odd crash', Buffer.from('{"crashes":[null,{"id":"a"}],"fingerprint":"a."}')],
+  ['a long value', Buffer.alloc(20_000, '[')],
+] as const) {
+  test(`${description} in the store is ignored`, () => {
+    const { synchronizer } = new SynchronizerFixture('a');
+    synchronizer.onStoredRecord(value, 0);
+    assert.ok(synchronizer.quarantine.isEmpty);
+  });
+}
+
 const invalidRecords: readonly (readonly [string, unknown])[] = [
   ['nothing', undefined],
   ['no list', { crashes: [], fingerprint: 'a.' }],
--- a/packages/daemon/tests/virtual-mesh/mesh-faults.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-faults.ts
@@ -190,12 +190,28 @@
   ],
 ];
 
+/** Additional faults if a request crashes servers. */
+const deadlyRequestFaults: readonly NamedFault[] = [
+  [
+    'kill all nodes',
+    (mesh) => {
+      for (const machine of mesh.machines) {
+        mesh.kill(machine);
+        mesh.queue.after(300, () => {
+          mesh.start(machine);
+        });
+      }
+    },
+  ],
+];
+
 /** What a simulation contains that has faults of its own. */
 export interface FaultOptions {
   readonly cutsWatchers: boolean;
   readonly isLargeFleet: boolean;
   readonly limitsServers: boolean;
   readonly restoresStore: boolean;
+  readonly sendsDeadlyRequest: boolean;
   readonly startsCold: boolean;
 }
 
@@ -205,12 +221,14 @@
   isLargeFleet,
   limitsServers,
   restoresStore,
+  sendsDeadlyRequest,
   startsCold,
 }: FaultOptions): readonly NamedFault[] {
   return [
     ...faults,
     ...(cutsWatchers ? [...watcherFaults, ...watcherFaults] : []),
     ...(limitsServers ? [...limitedServerFaults, ...limitedServerFaults] : []),
+    ...(sendsDeadlyRequest ? deadlyRequestFaults : []),
     ...(isLargeFleet ? largeFleetFaults : []),
     ...(startsCold ? [...coldServerFaults, ...coldServerFaults] : []),
     ...(restoresStore ? [...storeRestoreFaults, ...storeRestoreFaults] : []),
--- a/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
@@ -59,6 +59,7 @@
     isLargeFleet: machines > fullyConnectedFleetSize,
     limitsServers,
     restoresStore,
+    sendsDeadlyRequest,
     startsCold,
   });
   const { queue } = mesh;
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -413,6 +413,7 @@
       schedule: (action, milliseconds) => this.queue.after(milliseconds, action),
       self,
       settings: createSettings(self),
+      wallClock: clock,
     });
     const node: LinkedNode = { driver, self };
     const ports = this.createPorts(machine, node);
@@ -469,6 +470,12 @@
         refreshConfiguration: () => {
           this.readUpToDate(machine);
         },
+        removeQuarantine: (fingerprint) => {
+          this.store.quarantines.delete(fingerprint);
+        },
+        writeQuarantine: (fingerprint, value) => {
+          this.store.quarantines.set(fingerprint, value);
+        },
         watchConfiguration: (isWatching) => {
           machine.isWatchingConfiguration = isWatching;
           if (isWatching) this.scheduleStoreRead(machine);
@@ -504,6 +511,7 @@
         return;
       }
       this.reportEra(machine, node);
+      for (const value of this.store.quarantines.values()) node.driver.onQuarantineRead(value);
       this.store.writeNode(node.self);
       for (const entry of this.store.nodes) node.driver.onNodeObserved(entry);
       for (const other of this.machines) {
--- a/packages/daemon/tests/virtual-mesh/virtual-store.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-store.ts
@@ -14,6 +14,8 @@
   public era = 1;
   /** The version of the configuration. */
   public version = 0;
+  /** Quarantined requests, by fingerprint. */
+  public readonly quarantines = new Map<string, Uint8Array>();
   private entries = new Map<string, MeshNode>();
   /** Evacuated zones with the revision at which each was evacuated. */
   private evacuatedZones = new Map<string, number>();
--- a/packages/mesh-core/src/quarantine/request-quarantine.ts
+++ b/packages/mesh-core/src/quarantine/request-quarantine.ts
@@ -118,6 +118,11 @@
     return records;
   }
 
+  /** What is known of a request. */
+  public recordOf(fingerprint: string, now: number): CrashRecord {
+    return this.evidence.recordOf(fingerprint, now);
+  }
+
   /** What a node that connects has to know. */
   public records(now: number): readonly CrashRecord[] {
     return this.evidence
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -3,6 +3,7 @@
 import type { ItemPage, StoreCallCodec, StoredItem, StoreTransport } from './key-value-store.js';
 import { CancellableDelays } from './cancellable-delays.js';
 import { OperatorReader } from './operator-reader.js';
+import { SharedRecords } from './shared-records.js';
 import { RecentRemovals } from './recent-removals.js';
 import type { EntryPredicate } from './recent-removals.js';
 import { StoreClient } from './store-client.js';
@@ -39,8 +40,13 @@
   readonly transport: StoreTransport;
   readonly clock: () => number;
   readonly codec: StoreCallCodec;
+  /** Common prefix of the two following ones: one call reads both. */
+  readonly commonPrefix: string;
   /** Key prefix of the entries of nodes, with a trailing slash. */
   readonly directoryPrefix: string;
+  /** Key prefix of the records that nodes keep for those that start later, with a trailing slash. */
+  readonly recordPrefix: string;
+  readonly onRecordRead: (value: Uint8Array) => void;
   readonly nodeName: string;
   readonly entry: Uint8Array;
   /** Whether a stored entry of this node is equivalent to `entry`. */
@@ -74,6 +80,7 @@
 export class StoreSession {
   private readonly storeClient: StoreClient;
   private readonly operatorReader: OperatorReader;
+  private readonly sharedRecords: SharedRecords;
   private readonly delays: CancellableDelays;
   private readonly recentRemovals: RecentRemovals;
   /** Time of the first of the reads in a row that lacked this node's entry. */
@@ -112,6 +119,12 @@
       },
       transport,
     });
+    this.sharedRecords = new SharedRecords({
+      codec,
+      delays: this.delays,
+      prefix: options.recordPrefix,
+      storeClient: this.storeClient,
+    });
     this.operatorReader = new OperatorReader({
       storeClient: this.storeClient,
       codec,
@@ -131,6 +144,15 @@
     void this.checkPeriodically();
   }
 
+  /** Keeps a record for nodes that start later; it replaces an earlier one with this name. */
+  public writeRecord(name: string, value: Uint8Array): void {
+    void this.sharedRecords.write(name, value);
+  }
+
+  public removeRecord(name: string): void {
+    void this.sharedRecords.remove(name);
+  }
+
   /** Starts or stops watching the configuration, with immediate effect. */
   public setConfigurationWatching(isWatching: boolean): void {
     this.isWatching = isWatching;
@@ -181,6 +203,7 @@
   public close(): void {
     this.isClosed = true;
     this.operatorReader.close();
+    this.sharedRecords.close();
     this.wakeCheck?.();
     this.delays.close();
   }
@@ -214,13 +237,22 @@
   }
 
   private async readDirectory(): Promise<readonly StoredItem[] | undefined> {
-    const { directoryPrefix, onDirectoryRead, onEntryRead } = this.options;
-    const outcome = await this.storeClient.list(directoryPrefix, true);
+    const {
+      commonPrefix,
+      directoryPrefix,
+      onDirectoryRead,
+      onEntryRead,
+      onRecordRead,
+      recordPrefix,
+    } = this.options;
+    const outcome = await this.storeClient.list(commonPrefix, true);
     if (outcome.kind !== 'ok') return undefined;
     const { items } = outcome.value;
-    for (const item of items) onEntryRead(item);
+    for (const { key, value } of items) if (key.startsWith(recordPrefix)) onRecordRead(value);
+    const entries = items.filter(({ key }) => key.startsWith(directoryPrefix));
+    for (const entry of entries) onEntryRead(entry);
     onDirectoryRead();
-    return items;
+    return entries;
   }
 
   /** Checks while necessary that the store responds, with a call that also reads this node's entry. */
--- a/packages/platform/tests/store-session.test.ts
+++ b/packages/platform/tests/store-session.test.ts
@@ -18,6 +18,7 @@
   public readonly calls: string[] = [];
   public revision = 1;
   public configuration = 'first';
+  public records: readonly StoredItem[] = [];
   /** The stored entry of the node; `undefined` if it is missing. */
   public entry: string | undefined;
   public outageResponse: FakeResponse | undefined;
@@ -62,8 +63,10 @@
         return { kind: 'ok', value: this.page(this.ownItems()) };
       case 'list-nodes-old': {
         const others = [{ key: 'nodes/b', revision: 1, value: bytes('b') }];
-        return { kind: 'ok', value: this.page([...this.ownItems(), ...others]) };
+        return { kind: 'ok', value: this.page([...this.ownItems(), ...others, ...this.records]) };
       }
+      case 'list-record':
+        return { kind: 'ok', value: this.page(this.records) };
       case 'list-configuration':
       case 'list-configuration-old':
         return { kind: 'ok', value: this.page([this.configurationItem()]) };
@@ -110,8 +113,9 @@
 
 const listNames: Readonly<Record<string, string>> = {
   config: 'list-configuration',
-  'nodes/': 'list-nodes',
   'nodes/a': 'list-entry',
+  '': 'list-nodes',
+  'records/a': 'list-record',
 };
 
 const codec: StoreCallCodec = {
@@ -130,6 +134,7 @@
 interface RecordedEvents {
   readonly configurations: string[];
   readonly entryKeys: string[];
+  readonly records: string[];
   readonly reachability: boolean[];
   readonly eras: string[];
   /** Revision of the store at each confirmation. */
@@ -147,6 +152,7 @@
     confirmations: [],
     eras: [],
     entryKeys: [],
+    records: [],
     reachability: [],
     directoryReads: 0,
   };
@@ -156,6 +162,9 @@
     onConfigurationRead: (content) => recorded.configurations.push(Buffer.from(content).toString()),
     onEvacuationsRead: () => undefined,
     directoryPrefix: 'nodes/',
+    commonPrefix: '',
+    recordPrefix: 'records/',
+    onRecordRead: (value) => recorded.records.push(Buffer.from(value).toString()),
     onDirectoryRead: () => (recorded.directoryReads += 1),
     entry: bytes('a'),
     isEntryCurrent: (stored) => Buffer.from(stored).toString() === 'a',
@@ -220,6 +229,20 @@
   assert.equal(store.calls, ['list-nodes-old', 'list-configuration-old']);
 });
 
+test('records are read together with the directory, and are not taken for entries', async () => {
+  const store = new FakeStore();
+  store.records = [{ key: 'records/a', revision: 3, value: bytes('a quarantine') }];
+  await withSession(
+    async (_store, { entryKeys, records }) => {
+      await waitUntil(() => records.length > 0);
+      assert.equal(records, ['a quarantine']);
+      assert.not(entryKeys.includes('records/a'));
+    },
+    false,
+    store,
+  );
+});
+
 test('an entry with another address is overwritten', async () => {
   const store = new FakeStore();
   store.entry = 'a at another address';
