Servers that crash at the same time count once against a request

A request that many callers send ran on many servers at once. When these crashed together, as on a shared host, three crashes counted against it, and all its callers were refused for ten minutes.

Cause: the number of crashes says nothing about their order. A request that causes crashes is sent to the next server after the last one crashed, so a crash counts only if its run began after the crash that counted before, within the accuracy to which nodes know each other's times.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -196,8 +196,8 @@
         checkListener: () => {
           void this.checkListener();
         },
-        onServerCrashed: (requests) => {
-          this.quarantines.onServerCrashed(requests, clock());
+        onServerCrashed: (runs) => {
+          this.quarantines.onServerCrashed(runs, clock());
         },
         onStateChanged: () => {
           this.onLoadChanged();
--- a/packages/daemon/src/mesh/quarantine-synchronizer.ts
+++ b/packages/daemon/src/mesh/quarantine-synchronizer.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 
 import { RequestQuarantine } from '@peridotspring/mesh-core';
-import type { CrashRecord, MeshNode, RequestIdentity } from '@peridotspring/mesh-core';
+import type { CrashedRun, CrashRecord, MeshNode } from '@peridotspring/mesh-core';
 import type { MeshConnections } from '@peridotspring/nodes';
 
 import { MeshEvent } from './mesh-event.js';
@@ -58,10 +58,10 @@
     return this.quarantine.records(now);
   }
 
-  /** The server beside this node crashed while it ran the requests. */
-  public onServerCrashed(requests: readonly RequestIdentity[], now: number): void {
+  /** The server beside this node crashed, which ended the runs. */
+  public onServerCrashed(runs: readonly CrashedRun[], now: number): void {
     this.crashes += 1;
-    this.quarantine.recordCrash(`${this.crashIdPrefix}${this.crashes}`, requests, now);
+    this.quarantine.recordCrash(`${this.crashIdPrefix}${this.crashes}`, runs, now);
     this.announce(now);
   }
 
@@ -117,10 +117,15 @@
 
 function isCrashReport(value: unknown): boolean {
   if (typeof value !== 'object' || value === null) return false;
-  if (!('ageMilliseconds' in value && 'id' in value && 'isRefuted' in value)) return false;
-  const { ageMilliseconds, id, isRefuted } = value;
-  const isValidAge = typeof ageMilliseconds === 'number' && ageMilliseconds >= 0;
-  return isValidAge && isIdentifier(id) && typeof isRefuted === 'boolean';
+  const { ageMilliseconds, id, isRefuted, runMilliseconds } = value as Readonly<
+    Record<string, unknown>
+  >;
+  if (!isDuration(ageMilliseconds) || !isDuration(runMilliseconds)) return false;
+  return isIdentifier(id) && typeof isRefuted === 'boolean';
+}
+
+function isDuration(value: unknown): boolean {
+  return typeof value === 'number' && value >= 0;
 }
 
 function isIdentifier(value: unknown): value is string {
--- a/packages/daemon/src/mesh/stored-quarantine.ts
+++ b/packages/daemon/src/mesh/stored-quarantine.ts
@@ -13,7 +13,11 @@
 ): Uint8Array {
   const times = crashes
     .filter(({ isRefuted }) => !isRefuted)
-    .map(({ ageMilliseconds, id }) => ({ crashedAt: unixMilliseconds - ageMilliseconds, id }));
+    .map(({ ageMilliseconds, id, runMilliseconds }) => ({
+      crashedAt: unixMilliseconds - ageMilliseconds,
+      id,
+      runMilliseconds,
+    }));
   return Buffer.from(JSON.stringify({ crashes: times, fingerprint }));
 }
 
@@ -37,8 +41,9 @@
 
 function toReport(value: unknown, unixMilliseconds: number): unknown {
   if (typeof value !== 'object' || value === null) return undefined;
-  const { crashedAt, id } = value as Readonly<Record<string, unknown>>;
+  const { crashedAt, id, runMilliseconds } = value as Readonly<Record<string, unknown>>;
   if (typeof crashedAt !== 'number') return undefined;
   // The clock of the node that wrote the record may be ahead.
-  return { ageMilliseconds: Math.max(0, unixMilliseconds - crashedAt), id, isRefuted: false };
+  const ageMilliseconds = Math.max(0, unixMilliseconds - crashedAt);
+  return { ageMilliseconds, id, isRefuted: false, runMilliseconds };
 }
--- a/packages/daemon/tests/crashing-requests.test.ts
+++ b/packages/daemon/tests/crashing-requests.test.ts
@@ -41,4 +41,26 @@
   });
 }
 
+// Servers that share a host or a power supply crash together, while many of them run the same request.
+for (const seed of [1, 2, 3]) {
+  test(`seed ${seed}: a popular request is not held off because servers crash at the same time, three times`, async () => {
+    const random = new SeededRandomSource(seed);
+    const mesh = new VirtualMesh(6, random);
+    const { queue } = mesh;
+    const sendNextRequest = (): void => {
+      if (queue.now > 12_000) return;
+      mesh.sendPopularRequest(mesh.pickMachine());
+      queue.after(6 * random.next(), sendNextRequest);
+    };
+    queue.after(1_000, sendNextRequest);
+    for (const crashedAt of [3_000, 6_000, 9_000]) {
+      queue.after(crashedAt, () => {
+        for (const { server } of mesh.machines) server.crash(500);
+      });
+    }
+    await queue.runUntil(15_000);
+    assert.equal(guaranteeViolations(mesh), []);
+  });
+}
+
 test.run();
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -1,3 +1,4 @@
+import type { CrashedRun } from '../quarantine/request-quarantine.js';
 import type { DeclineReason, HeaderList, ReplyFrame, StartFrame } from '../messages/mesh-frames.js';
 
 /** A request that the gate passes to its server. */
@@ -78,8 +79,8 @@
    * anew, and would take the reply for that to a call of its own.
    */
   reply(node: string, boot: number, frame: ReplyFrame): void;
-  /** Called when the server has crashed, with the requests that it was running, the one that started last first. */
-  onServerCrashed(requests: readonly StartFrame[]): void;
+  /** Called when the server has crashed, with the runs that this ended, the one that started last first. */
+  onServerCrashed(runs: readonly CrashedRun[]): void;
   /** Called when the state of the server or of the gate has changed. */
   onStateChanged(): void;
 }
--- a/packages/mesh-core/src/gate/server-crash-detector.ts
+++ b/packages/mesh-core/src/gate/server-crash-detector.ts
@@ -18,7 +18,7 @@
   /** Starts a check whether the server accepts connections; `onChecked` must be called with the result. */
   readonly check: () => void;
   /** Called with the calls that the server was running when it crashed, before they are released. */
-  readonly onCrashed: (calls: readonly GateCall[], now: number) => void;
+  readonly onCrashed: (lost: readonly LostCall[]) => void;
   /** Called once for each lost call, when it is known whether the server crashed. */
   readonly onReleased: (call: GateCall, reply: ReplyFrame, now: number) => void;
 }
@@ -52,7 +52,7 @@
     const isCovered = ({ lostAt }: LostCall): boolean => isRefused || lostAt <= startedAt;
     const covered = this.pending.filter(isCovered);
     this.pending = this.pending.filter((lost) => !isCovered(lost));
-    if (isRefused) this.reportCrash(covered, now);
+    if (isRefused) this.reportCrash(covered);
     else this.released = [...this.recentlyReleased(now), ...covered];
     for (const { call, reply } of covered) this.options.onReleased(call, reply, now);
     if (this.pending.length > 0) this.startCheck(now);
@@ -60,9 +60,9 @@
 
   /** Handles the first report of an incarnation that replaced one whose end was not announced. */
   public onIncarnationReplaced(now: number): void {
-    const calls = this.recentlyReleased(now);
+    const lost = this.recentlyReleased(now);
     this.released = [];
-    this.reportCrash(calls, now);
+    this.reportCrash(lost);
   }
 
   /** Handles a complete response: the server has been running, so the connections lost before say nothing about it. */
@@ -79,11 +79,7 @@
     return this.released.filter(({ lostAt }) => now - lostAt < retentionMilliseconds);
   }
 
-  private reportCrash(lost: readonly LostCall[], now: number): void {
-    if (lost.length === 0) return;
-    this.options.onCrashed(
-      lost.map(({ call }) => call),
-      now,
-    );
+  private reportCrash(lost: readonly LostCall[]): void {
+    if (lost.length > 0) this.options.onCrashed(lost);
   }
 }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -31,6 +31,7 @@
 import { RecentFailures } from './recent-failures.js';
 import { RequestRateLimit } from './request-rate-limit.js';
 import { ServerCrashDetector } from './server-crash-detector.js';
+import type { LostCall } from './server-crash-detector.js';
 import { ReportEffect, ServerIncarnationTracker } from './server-incarnation-tracker.js';
 import { SpeedState, ServerSpeedTracker } from './server-speed-tracker.js';
 import { SuspectIsolation } from './suspect-isolation.js';
@@ -141,8 +142,8 @@
       check: () => {
         options.port.checkListener();
       },
-      onCrashed: (calls) => {
-        this.onServerCrashed(calls);
+      onCrashed: (lost) => {
+        this.onServerCrashed(lost);
       },
       onReleased: (call, reply, now) => {
         this.finish(call, reply, now);
@@ -432,14 +433,19 @@
     if (now >= this.nextSweepAt) this.sweep(now);
   }
 
-  private onServerCrashed(calls: readonly GateCall[]): void {
+  private onServerCrashed(lost: readonly LostCall[]): void {
     const fields = {
       instance: this.serverTracker.instanceId ?? 'none',
-      requests: calls.map(({ frame }) => frame.requestId).join(),
+      requests: lost.map(({ call }) => call.frame.requestId).join(),
     };
     this.options.log({ event: GateEventName.ServerCrashed, fields });
-    const latestFirst = [...calls].sort((first, second) => second.startedAt - first.startedAt);
-    this.options.port.onServerCrashed(latestFirst.map(({ frame }) => frame));
+    const runs = lost.map(({ call: { frame, startedAt }, lostAt }) => ({
+      crashedAt: lostAt,
+      request: frame,
+      runMilliseconds: lostAt - startedAt,
+    }));
+    runs.sort((first, second) => first.runMilliseconds - second.runMilliseconds);
+    this.options.port.onServerCrashed(runs);
   }
 
   /** Sends a health check, whose answer shows whether the server is cold. */
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -60,6 +60,7 @@
 } from './messages/mesh-frames.js';
 export { RequestQuarantine } from './quarantine/request-quarantine.js';
 export type {
+  CrashedRun,
   RequestQuarantineOptions,
   RequestScreening,
   RequestSuspicion,
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -176,6 +176,8 @@
   /** Unique among all crashes. */
   readonly id: string;
   readonly ageMilliseconds: number;
+  /** Time for which the request had been running. */
+  readonly runMilliseconds: number;
   /** Whether a server has completed the request since. */
   readonly isRefuted: boolean;
 }
--- a/packages/mesh-core/src/quarantine/crash-evidence.ts
+++ b/packages/mesh-core/src/quarantine/crash-evidence.ts
@@ -10,10 +10,13 @@
 /** Bounds the memory and the size of messages; the youngest crashes are kept. */
 const maximumCrashesPerRequest = 6;
 const maximumRequests = 512;
+/** Times of crashes at other nodes are known to this accuracy; for shorter runs, to half of their duration. */
+const timeAccuracyMilliseconds = 20;
 
 interface Crash {
   /** Monotonic time of this node's clock. */
   crashedAt: number;
+  readonly runMilliseconds: number;
   /** Whether a server has completed the request since, so that this crash does not count. */
   isRefuted: boolean;
 }
@@ -39,7 +42,10 @@
     return this.heads.has(head);
   }
 
-  /** Number of crashes that count against the request. */
+  /**
+   * Number of crashes that count against the request. A crash counts if the request began to run after the one that counted
+   * before: servers that crash at the same time do so for another reason than this request, which may run on many of them.
+   */
   public countOf(fingerprint: string, now: number): number {
     return this.countingTimes(fingerprint, now).length;
   }
@@ -50,8 +56,8 @@
     return decisive === undefined ? undefined : decisive + evidenceRetentionMilliseconds;
   }
 
-  public add(fingerprint: string, crashId: string, now: number): boolean {
-    return this.mergeCrash(fingerprint, { ageMilliseconds: 0, id: crashId, isRefuted: false }, now);
+  public add(fingerprint: string, crash: Omit<CrashReport, 'isRefuted'>, now: number): boolean {
+    return this.mergeCrash(fingerprint, { ...crash, isRefuted: false }, now);
   }
 
   /**
@@ -85,8 +91,10 @@
 
   public recordOf(fingerprint: string, now: number): CrashRecord {
     const crashes: CrashReport[] = [];
-    for (const [id, { crashedAt, isRefuted }] of this.crashesByRequest.get(fingerprint) ?? [])
-      crashes.push({ ageMilliseconds: Math.round(now - crashedAt), id, isRefuted });
+    for (const [id, crash] of this.crashesByRequest.get(fingerprint) ?? []) {
+      const { crashedAt, isRefuted, runMilliseconds } = crash;
+      crashes.push({ ageMilliseconds: now - crashedAt, id, isRefuted, runMilliseconds });
+    }
     return { crashes, fingerprint };
   }
 
@@ -110,7 +118,7 @@
 
   private mergeCrash(
     fingerprint: string,
-    { ageMilliseconds, id, isRefuted }: CrashReport,
+    { ageMilliseconds, id, isRefuted, runMilliseconds }: CrashReport,
     now: number,
   ): boolean {
     if (ageMilliseconds >= evidenceRetentionMilliseconds) return false;
@@ -124,9 +132,10 @@
       known.isRefuted = true;
       return true;
     }
-    if (crashes === undefined) this.insert(fingerprint, new Map([[id, { crashedAt, isRefuted }]]));
+    const crash: Crash = { crashedAt, isRefuted, runMilliseconds };
+    if (crashes === undefined) this.insert(fingerprint, new Map([[id, crash]]));
     else {
-      crashes.set(id, { crashedAt, isRefuted });
+      crashes.set(id, crash);
       removeOldestCrash(crashes);
     }
     this.removeLeastSuspicious(now);
@@ -165,10 +174,17 @@
 
   /** Times of the crashes that count, the latest first. */
   private countingTimes(fingerprint: string, now: number): readonly number[] {
+    const crashes = [...(this.crashesByRequest.get(fingerprint)?.values() ?? [])].filter(
+      ({ crashedAt, isRefuted }) => !isRefuted && now - crashedAt < evidenceRetentionMilliseconds,
+    );
+    crashes.sort((first, second) => first.crashedAt - second.crashedAt);
     const times: number[] = [];
-    for (const { crashedAt, isRefuted } of this.crashesByRequest.get(fingerprint)?.values() ?? [])
-      if (!isRefuted && now - crashedAt < evidenceRetentionMilliseconds) times.push(crashedAt);
-    return times.sort((first, second) => second - first);
+    for (const { crashedAt, runMilliseconds } of crashes) {
+      const accuracy = Math.min(timeAccuracyMilliseconds, runMilliseconds / 2);
+      const latestStart = crashedAt - runMilliseconds + accuracy;
+      if (latestStart >= (times.at(-1) ?? -Infinity)) times.push(crashedAt);
+    }
+    return times.reverse();
   }
 }
 
--- a/packages/mesh-core/src/quarantine/request-quarantine.ts
+++ b/packages/mesh-core/src/quarantine/request-quarantine.ts
@@ -22,6 +22,13 @@
   readonly quarantinedUntil: number | undefined;
 }
 
+/** A run of a request that ended with the crash of its server. */
+export interface CrashedRun {
+  readonly request: RequestIdentity;
+  readonly crashedAt: number;
+  readonly runMilliseconds: number;
+}
+
 /** The part of the quarantine by which entries and gates decide. */
 export type RequestScreening = Pick<RequestQuarantine, 'isEmpty' | 'suspicionOf'>;
 
@@ -74,12 +81,13 @@
     };
   }
 
-  /** Handles the crash of a server while it ran the requests, the one that started last first. */
-  public recordCrash(crashId: string, requests: readonly RequestIdentity[], now: number): void {
-    for (const request of requests.slice(0, maximumRequestsPerCrash)) {
+  /** Handles the crash of a server, with the runs that it ended, the one that started last first. */
+  public recordCrash(id: string, runs: readonly CrashedRun[], now: number): void {
+    for (const { crashedAt, request, runMilliseconds } of runs.slice(0, maximumRequestsPerCrash)) {
       const head = this.fingerprinter.headOf(request);
       const fingerprint = this.fingerprinter.withBody(head, request);
-      if (this.evidence.add(fingerprint, crashId, now)) this.onChanged(fingerprint, now);
+      const crash = { ageMilliseconds: now - crashedAt, id, runMilliseconds };
+      if (this.evidence.add(fingerprint, crash, now)) this.onChanged(fingerprint, now);
     }
   }
 
