An operator ends a quarantine by the settings of one node

A quarantined request, for example after its service has been mended, stayed refused for up to ten minutes with no way to end that. `released_requests` in the settings file of any node lists fingerprints; each takes effect once, when it is added, and spreads to all nodes.

Weighed: a key in the store (operators write only keys of the platform's own form), peridotctl (it has no connection to routing nodes), the settings file (watched already).

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -128,6 +128,7 @@
   private cancelTick: (() => void) | undefined;
   private shutdown: GracefulShutdown | undefined;
   private coldStartTolerance: ColdStartTolerance;
+  private releasedRequests: ReadonlySet<string>;
   private maintenanceDueAt = 0;
   private announcementDueAt = 0;
   private isClosed = false;
@@ -136,6 +137,7 @@
     const { clock, random, self, settings } = options;
     this.startedAt = clock();
     this.coldStartTolerance = settings.coldStartTolerance;
+    this.releasedRequests = new Set(settings.releasedRequests);
     const log = (event: string, fields: LogFields): void => {
       options.events.record(event, fields);
     };
@@ -338,6 +340,11 @@
     this.gate.setProbesPerSecond(settings.probesPerSecond);
     this.coldStartTolerance = settings.coldStartTolerance;
     this.configureColdStart();
+    const added = settings.releasedRequests.filter(
+      (fingerprint) => !this.releasedRequests.has(fingerprint),
+    );
+    this.releasedRequests = new Set(settings.releasedRequests);
+    this.quarantines.release(added, this.options.clock());
   }
 
   public onCallerRequest(request: EntryRequest): void {
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -42,6 +42,8 @@
   /** Time between the stop signal and the forced termination of the process. */
   readonly graceMilliseconds: number;
   readonly logLevel: LogLevel;
+  /** Fingerprints of requests whose quarantine the operator ends; each takes effect when it is added. */
+  readonly releasedRequests: readonly string[];
 }
 
 /** An invalid or missing setting. */
--- a/packages/daemon/src/mesh/quarantine-synchronizer.ts
+++ b/packages/daemon/src/mesh/quarantine-synchronizer.ts
@@ -78,6 +78,12 @@
     this.announce(now);
   }
 
+  /** The operator ends the quarantine of requests, on all nodes. */
+  public release(fingerprints: readonly string[], now: number): void {
+    for (const fingerprint of fingerprints) this.quarantine.release(fingerprint, now);
+    this.announce(now);
+  }
+
   public tick(now: number): void {
     this.quarantine.tick(now);
     this.announce(now);
--- a/packages/daemon/tests/crashing-requests.test.ts
+++ b/packages/daemon/tests/crashing-requests.test.ts
@@ -63,4 +63,28 @@
   });
 }
 
+test('an operator releases a quarantined request by the settings of one node, once for each entry', async () => {
+  const mesh = new VirtualMesh(5, new SeededRandomSource(1));
+  const [machine] = mesh.machines;
+  assert.ok(machine);
+  const countQuarantined = (): number =>
+    mesh.machines.filter(({ node }) => node?.driver.gaugeValues.quarantined_requests === 1).length;
+  const crashServers = async (until: number): Promise<void> => {
+    while (mesh.queue.now < until) {
+      mesh.sendDeadlyRequest(mesh.pickMachine());
+      await mesh.queue.runUntil(mesh.queue.now + 200);
+    }
+  };
+  await mesh.queue.runUntil(1_000);
+  await crashServers(3_000);
+  assert.is(countQuarantined(), 5);
+  mesh.releaseRequests(machine, [...mesh.quarantinedFingerprints]);
+  await mesh.queue.runUntil(mesh.queue.now + 100);
+  assert.is(countQuarantined(), 0);
+  await crashServers(6_000);
+  mesh.releaseRequests(machine, [...mesh.quarantinedFingerprints]);
+  await mesh.queue.runUntil(mesh.queue.now + 100);
+  assert.is(countQuarantined(), 5);
+});
+
 test.run();
--- a/packages/daemon/tests/quarantine-synchronizer.test.ts
+++ b/packages/daemon/tests/quarantine-synchronizer.test.ts
@@ -82,6 +82,17 @@
   assert.is(started.stored.size, 0);
 });
 
+test('an operator releases a request on one node, and all nodes learn of it', () => {
+  const [first, second] = [new SynchronizerFixture('a'), new SynchronizerFixture('b')];
+  for (const now of [0, 100, 200]) first.synchronizer.onServerCrashed([createRun(now)], now);
+  second.synchronizer.onPeerRecords(first.synchronizer.records(210), 211);
+  const [fingerprint = ''] = first.synchronizer.quarantine.quarantinedFingerprints;
+  second.synchronizer.release([fingerprint, 'unknown'], 300);
+  first.synchronizer.onPeerRecords(second.frames.at(-1)?.crashRecords, 301);
+  assert.ok(first.synchronizer.quarantine.suspicionOf(request, 301).crashes === 0);
+  assert.is(first.stored.size, 0);
+});
+
 test('the end of a quarantine removes it from the store', () => {
   const { stored, synchronizer } = new SynchronizerFixture('a');
   for (const now of [0, 100, 200]) synchronizer.onServerCrashed([createRun(now)], now);
--- a/packages/daemon/tests/settings-watcher.test.ts
+++ b/packages/daemon/tests/settings-watcher.test.ts
@@ -19,6 +19,7 @@
   probesPerSecond: 30,
   readinessAddress: address,
   region: 'r',
+  releasedRequests: [],
   repeats: { ratio: 0.2, slack: 60, windowMilliseconds: 10_000 },
   reportAddress: address,
   reportIntervalMilliseconds: 1_500,
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -5,6 +5,7 @@
 import { Metrics } from '@peridotspring/operators/metrics';
 
 import { EventRecorder } from '../../src/mesh/event-recorder.js';
+import { MeshEvent } from '../../src/mesh/mesh-event.js';
 import { MeshNodeDriver } from '../../src/mesh/mesh-node.js';
 import type { MeshNodePorts } from '../../src/mesh/mesh-node.js';
 import type { MeshSettings } from '../../src/mesh/mesh-settings.js';
@@ -92,6 +93,8 @@
     })),
   );
   public readonly evacuations: Evacuation[] = [];
+  /** Fingerprints that any node has logged as quarantined. */
+  public readonly quarantinedFingerprints = new Set<string>();
   /** Requests that had no outcome when their node exited after a stop signal. */
   public readonly cutRequests: VirtualRequest[] = [];
   /** Descriptions of cases in which a node's configuration version decreased. */
@@ -284,6 +287,14 @@
     return request;
   }
 
+  /** The settings file of a machine lists requests to be released, as an operator writes them. */
+  public releaseRequests(machine: Machine, fingerprints: readonly string[]): void {
+    const { node } = machine;
+    const settings = node && createSettings(node.self);
+    if (settings !== undefined)
+      node?.driver.applySettings({ ...settings, releasedRequests: fingerprints });
+  }
+
   public pickMachine(): Machine {
     const machine = pickRandom(this.random, this.machines);
     if (machine === undefined) throw new Error('there are no machines');
@@ -412,7 +423,10 @@
         clock,
         metrics: new Metrics(),
         wallClock: clock,
-        write: () => undefined,
+        write: (event, { fingerprint }) => {
+          if (event === MeshEvent.RequestQuarantined)
+            this.quarantinedFingerprints.add(String(fingerprint));
+        },
       }),
       ports: () => ports,
       processStartedAt: this.queue.now,
@@ -596,6 +610,7 @@
     peerAddress: address,
     probesPerSecond: 30,
     readinessAddress: address,
+    releasedRequests: [],
     region,
     repeats: retryBudget,
     reportAddress: address,
