--- a/packages/nodes/tests/mesh-connections.test.ts
+++ b/packages/nodes/tests/mesh-connections.test.ts
@@ -194,6 +194,25 @@
   });
 });
 
+// Of a silent connection without requests, nothing but an unanswered ping shows that it is dead.
+test('a connection that becomes silent while it is idle is closed, and a new one to the same node works', async () => {
+  await withTwoNodes(async (first) => {
+    const other = await nodeOnFreePort('silent');
+    const silent = await sendRaw(first, [hello(other)]);
+    await waitUntil(() => first.events.includes('connected silent'));
+    const startedAt = performance.now();
+    await waitUntil(() => first.events.includes('lost silent'));
+    const milliseconds = performance.now() - startedAt;
+    assert.ok(milliseconds > 1_000 && milliseconds < 7_000, `${milliseconds} ms`);
+    silent.destroy();
+    const next = await sendRaw(first, [hello(other)]);
+    await waitUntil(
+      () => first.events.filter((event) => event === 'connected silent').length === 2,
+    );
+    next.destroy();
+  });
+});
+
 /** Invalid input, after which the connection that sent it is closed. */
 const invalidInputs: readonly (readonly [string, readonly MeshWireFrame[]])[] = [
   ['a frame before hello', [{ kind: 'version', version: 1 }]],
