A crash is logged with the server that crashed; releases are kept where they are applied

Found in reading the diff: after a replacement without an announced end, `server-crashed` named the next incarnation; which entries of released_requests had taken effect was decided in the driver, and entries that were there at the start took effect with the first change of any other setting. Tests: server-crash-detector 6 (one asserts the instance, which was i-2 before), synchronizer 24, crashing-requests 13, server-gate 32.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -128,7 +128,6 @@
   private cancelTick: (() => void) | undefined;
   private shutdown: GracefulShutdown | undefined;
   private coldStartTolerance: ColdStartTolerance;
-  private releasedRequests: ReadonlySet<string>;
   private maintenanceDueAt = 0;
   private announcementDueAt = 0;
   private isClosed = false;
@@ -137,7 +136,6 @@
     const { clock, random, self, settings } = options;
     this.startedAt = clock();
     this.coldStartTolerance = settings.coldStartTolerance;
-    this.releasedRequests = new Set(settings.releasedRequests);
     const log = (event: string, fields: LogFields): void => {
       options.events.record(event, fields);
     };
@@ -184,6 +182,8 @@
       store: () => options.ports().store,
       wallClock: options.wallClock,
     });
+    // What is listed at the start has taken effect before.
+    this.quarantines.setReleased(settings.releasedRequests, this.startedAt);
     const { quarantine } = this.quarantines;
     this.trafficSplit = new TrafficSplit(random);
     this.retryBudget = new RetryBudget(settings.repeats);
@@ -340,11 +340,7 @@
     this.gate.setProbesPerSecond(settings.probesPerSecond);
     this.coldStartTolerance = settings.coldStartTolerance;
     this.configureColdStart();
-    const added = settings.releasedRequests.filter(
-      (fingerprint) => !this.releasedRequests.has(fingerprint),
-    );
-    this.releasedRequests = new Set(settings.releasedRequests);
-    this.quarantines.release(added, this.options.clock());
+    this.quarantines.setReleased(settings.releasedRequests, this.options.clock());
   }
 
   public onCallerRequest(request: EntryRequest): void {
--- a/packages/daemon/src/mesh/quarantine-synchronizer.ts
+++ b/packages/daemon/src/mesh/quarantine-synchronizer.ts
@@ -38,6 +38,7 @@
 export class QuarantineSynchronizer {
   public readonly quarantine: RequestQuarantine;
   private crashes = 0;
+  private released: ReadonlySet<string> = new Set();
 
   public constructor(private readonly options: QuarantineSynchronizerOptions) {
     this.quarantine = new RequestQuarantine({
@@ -46,7 +47,7 @@
       onQuarantineChanged: (fingerprint, isQuarantined, now) => {
         const event = isQuarantined ? MeshEvent.RequestQuarantined : MeshEvent.RequestReleased;
         options.log(event, { fingerprint });
-        if (isQuarantined) this.store(fingerprint, now);
+        if (isQuarantined) this.keepInStore(fingerprint, now);
         else if (options.isRemovingRecords()) options.store().removeQuarantine(fingerprint);
         options.onQuarantineChanged(now);
       },
@@ -78,9 +79,11 @@
     this.announce(now);
   }
 
-  /** The operator ends the quarantine of requests, on all nodes. */
-  public release(fingerprints: readonly string[], now: number): void {
-    for (const fingerprint of fingerprints) this.quarantine.release(fingerprint, now);
+  /** The operator lists requests whose quarantine ends, on all nodes. Each takes effect when it is added. */
+  public setReleased(fingerprints: readonly string[], now: number): void {
+    for (const fingerprint of fingerprints)
+      if (!this.released.has(fingerprint)) this.quarantine.release(fingerprint, now);
+    this.released = new Set(fingerprints);
     this.announce(now);
   }
 
@@ -90,7 +93,7 @@
   }
 
   /** Writes a request that became quarantined to the store if its last crash was seen by this node, so that one node does. */
-  private store(fingerprint: string, now: number): void {
+  private keepInStore(fingerprint: string, now: number): void {
     const record = this.quarantine.recordOf(fingerprint, now);
     const [latest] = [...record.crashes].sort(
       (first, second) => first.ageMilliseconds - second.ageMilliseconds,
--- a/packages/daemon/tests/quarantine-synchronizer.test.ts
+++ b/packages/daemon/tests/quarantine-synchronizer.test.ts
@@ -87,7 +87,7 @@
   for (const now of [0, 100, 200]) first.synchronizer.onServerCrashed([createRun(now)], now);
   second.synchronizer.onPeerRecords(first.synchronizer.records(210), 211);
   const [fingerprint = ''] = first.synchronizer.quarantine.quarantinedFingerprints;
-  second.synchronizer.release([fingerprint, 'unknown'], 300);
+  second.synchronizer.setReleased([fingerprint, 'unknown'], 300);
   first.synchronizer.onPeerRecords(second.frames.at(-1)?.crashRecords, 301);
   assert.ok(first.synchronizer.quarantine.suspicionOf(request, 301).crashes === 0);
   assert.is(first.stored.size, 0);
--- a/packages/mesh-core/src/gate/server-crash-detector.ts
+++ b/packages/mesh-core/src/gate/server-crash-detector.ts
@@ -10,6 +10,8 @@
 /** A call whose connection to the server closed before the response was complete. */
 export interface LostCall {
   readonly call: GateCall;
+  /** The server that was running the call. */
+  readonly instanceId: string;
   readonly reply: ReplyFrame;
   readonly lostAt: number;
 }
@@ -39,9 +41,9 @@
     return this.pending.length;
   }
 
-  public onConnectionLost(call: GateCall, reply: ReplyFrame, now: number): void {
-    this.pending.push({ call, lostAt: now, reply });
-    if (this.checkStartedAt === undefined) this.startCheck(now);
+  public onConnectionLost(lost: LostCall): void {
+    this.pending.push(lost);
+    if (this.checkStartedAt === undefined) this.startCheck(lost.lostAt);
   }
 
   /** Handles the result of a check. `isRefused` means that nothing listens at the server's address. */
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -275,7 +275,8 @@
     }
     if (reply !== undefined && result.kind === 'failed' && result.isConnectionLost === true) {
       call.state = 'lost';
-      this.crashDetector.onConnectionLost(call, reply, now);
+      const instanceId = this.serverTracker.instanceId ?? '';
+      this.crashDetector.onConnectionLost({ call, instanceId, lostAt: now, reply });
     } else this.finish(call, reply, now);
     this.startQueued(now);
   }
@@ -435,7 +436,7 @@
 
   private onServerCrashed(lost: readonly LostCall[]): void {
     const fields = {
-      instance: this.serverTracker.instanceId ?? 'none',
+      instance: lost[0]?.instanceId ?? '',
       requests: lost.map(({ call }) => call.frame.requestId).join(),
     };
     this.options.log({ event: GateEventName.ServerCrashed, fields });
--- a/packages/mesh-core/tests/gate/server-crash-detector.test.ts
+++ b/packages/mesh-core/tests/gate/server-crash-detector.test.ts
@@ -7,19 +7,22 @@
 
 const lostConnection = { detail: 'reset', isConnectionLost: true, kind: 'failed' } as const;
 
-/** A gate of whose two running requests both lose their connections, and the requests of each crash that it logs. */
-function loseConnections(): { harness: GateHarness; crashes: () => readonly unknown[] } {
+/** A gate of whose two running requests both lose their connections, and the requests and servers of the crashes that it logs. */
+function loseConnections(): {
+  harness: GateHarness;
+  crashes: () => readonly unknown[];
+  instances: () => readonly unknown[];
+} {
   const events: GateEvent[] = [];
   const harness = new GateHarness(4, (event) => events.push(event));
   harness.start();
   harness.start();
   harness.finish(0, 10, lostConnection);
   harness.finish(1, 10, lostConnection);
-  const crashes = (): readonly unknown[] =>
-    events
-      .filter(({ event }) => event === 'server-crashed')
-      .map(({ fields: { requests } }) => requests);
-  return { crashes, harness };
+  const valuesOf = (name: string): readonly unknown[] =>
+    events.filter(({ event }) => event === 'server-crashed').map(({ fields }) => fields[name]);
+  const crashes = (): readonly unknown[] => valuesOf('requests');
+  return { crashes, harness, instances: () => valuesOf('instance') };
 }
 
 test('a lost connection is answered once the check has shown whether the server crashed', () => {
@@ -57,10 +60,11 @@
 });
 
 test('a new incarnation shows that the one before it crashed', () => {
-  const { crashes, harness } = loseConnections();
+  const { crashes, harness, instances } = loseConnections();
   harness.gate.onListenerChecked(false, 11);
   harness.gate.onServerReport(createServerReport({ instanceId: 'i-2', startedAt: 2_000 }), 500);
   assert.equal(crashes(), ['r1,r2']);
+  assert.equal(instances(), ['i-1']);
 });
 
 test('a new incarnation says nothing about connections that were lost before a response, or long ago', () => {
