The forwarder's stop rule and the gate's screening of suspects have classes of their own

No behaviour changes. Which requests a stopping node takes is decided in StopAdmission, which owns the durations of routes; whether a request may reach the server, given its crashes, in SuspectScreening.

--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -23,8 +23,9 @@
 import { isHedgeDue } from './hedge-rule.js';
 import { RequestState } from './request-state.js';
 import type { Attempt } from './request-state.js';
-import { RouteDurations } from './route-durations.js';
 import { RouteSizes } from './route-sizes.js';
+import { StopAdmission } from './stop-admission.js';
+import type { StopSchedule } from './stop-admission.js';
 import { CallerTimeLimits } from './caller-time-limits.js';
 
 /** Number of attempts in which the gate may decline as busy; after them, the best gate must accept the request. */
@@ -45,14 +46,6 @@
 /** Retry-After of a node that is about to exit; its successor is up after about a second. */
 const stoppingRetryAfterMilliseconds = 500;
 
-/** The end of the process, as far as it concerns requests. */
-export interface StopSchedule {
-  /** From this time on, new requests are refused. */
-  readonly refusesFrom: number;
-  /** By this time, each request that was taken must have an outcome. */
-  readonly outcomesDueAt: number;
-}
-
 export interface RequestForwarderOptions {
   readonly port: EntryPort;
   readonly gates: GateTable;
@@ -74,8 +67,7 @@
   private readonly attempts = new Map<number, Attempt>();
   private readonly deadlines = new MinimumHeap<RequestState>();
   private readonly routeSizes = new RouteSizes();
-  private readonly routeDurations = new RouteDurations();
-  private stopSchedule: StopSchedule | undefined;
+  private readonly stopAdmission = new StopAdmission();
   private readonly callerTimeLimits = new CallerTimeLimits();
   private nextCallId = 1;
   private configurationVersion = 0;
@@ -89,8 +81,8 @@
   public forward(request: EntryRequest, service: string, isNested: boolean, now: number): void {
     assertInvariant(!this.requests.has(request.requestNumber), 'request numbers are unique');
     const timeoutAt = request.receivedAt + request.route.timeoutMilliseconds;
-    const outcomeDueAt = this.stopSchedule?.outcomesDueAt ?? Infinity;
-    const deadline = Math.min(request.callerDeadline, timeoutAt, outcomeDueAt);
+    const { outcomesDueAt } = this.stopAdmission;
+    const deadline = Math.min(request.callerDeadline, timeoutAt, outcomesDueAt);
     const state = new RequestState(
       request,
       service,
@@ -103,13 +95,13 @@
     this.deadlines.push(deadline, state);
     // The retry budget is relative to the requests of callers, so nested calls of servers do not add to it.
     if (!isNested) this.options.retryBudget.recordRequest(service, now);
-    if (this.mayOutlastProcess(request, now)) this.refuseAsStopping(state, now);
+    if (this.stopAdmission.mayOutlastProcess(request, now)) this.refuseAsStopping(state, now);
     else this.tryNextGate(state, now);
   }
 
   /** Bounds the time of all requests by the end of the process. */
   public stop(schedule: StopSchedule): void {
-    this.stopSchedule = schedule;
+    this.stopAdmission.stop(schedule);
     for (const state of this.requests.values()) {
       if (state.deadline <= schedule.outcomesDueAt) continue;
       state.deadline = schedule.outcomesDueAt;
@@ -121,7 +113,7 @@
   public onConfigurationChange(routeNames: ReadonlySet<string>, version: number): void {
     this.configurationVersion = version;
     this.routeSizes.retain(routeNames);
-    this.routeDurations.retain(routeNames);
+    this.stopAdmission.retain(routeNames);
     this.callerTimeLimits.retain(routeNames);
   }
 
@@ -203,17 +195,6 @@
     }
   }
 
-  /** Whether a new request might need more time than is left until the process ends. */
-  private mayOutlastProcess(request: EntryRequest, now: number): boolean {
-    if (this.stopSchedule === undefined) return false;
-    const { outcomesDueAt, refusesFrom } = this.stopSchedule;
-    if (now >= refusesFrom) return true;
-    const { callerDeadline, receivedAt, route } = request;
-    const latestEnd = Math.min(callerDeadline, receivedAt + route.timeoutMilliseconds);
-    const longest = this.routeDurations.longestMilliseconds(route.name, now) ?? Infinity;
-    return Math.min(latestEnd, now + longest) > outcomesDueAt;
-  }
-
   private isOverdue(attempt: Attempt, now: number): boolean {
     if (attempt.connectionLostAt !== undefined)
       return now - attempt.connectionLostAt > lostConnectionTimeoutMilliseconds;
@@ -228,7 +209,7 @@
     const { body, headers, status } = frame;
     const transferredBytes = body.length + (state.request.body?.length ?? 0);
     this.routeSizes.addSample(state.request.route.name, transferredBytes);
-    this.routeDurations.record(state.request.route.name, now - state.request.receivedAt, now);
+    this.stopAdmission.recordAnswer(state.request, now);
     const isServerError = status >= 500;
     if (isServerError && state.request.route.idempotent) {
       if (state.attempts.size > 0 || this.retry(state, 'server-error', now)) return;
@@ -480,7 +461,7 @@
   /** Concludes a request whose deadline has passed. */
   private expire(state: RequestState, now: number): void {
     if (state.usedNodes.size === 0) {
-      if (state.deadline === this.stopSchedule?.outcomesDueAt) this.refuseAsStopping(state, now);
+      if (state.deadline === this.stopAdmission.outcomesDueAt) this.refuseAsStopping(state, now);
       else this.refuse(state, now);
     } else this.conclude(state, { cause: UnknownCause.Timeout, kind: 'unknown' }, undefined, now);
   }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -34,7 +34,7 @@
 import type { LostCall } from './server-crash-detector.js';
 import { ReportEffect, ServerIncarnationTracker } from './server-incarnation-tracker.js';
 import { SpeedState, ServerSpeedTracker } from './server-speed-tracker.js';
-import { SuspectIsolation } from './suspect-isolation.js';
+import { SuspectScreening } from './suspect-screening.js';
 import { StartIntervalEstimator } from './start-interval-estimator.js';
 import { shortestUsefulMilliseconds, ServiceTimeEstimator } from './service-time-estimator.js';
 
@@ -115,7 +115,7 @@
   private readonly coldStartGuard: ColdStartGuard;
   private readonly requestRate = new RequestRateLimit();
   private readonly crashDetector: ServerCrashDetector;
-  private readonly isolation: SuspectIsolation;
+  private readonly screening: SuspectScreening;
   /** Whether the current server has responded to a request of this process. */
   private hasServerResponded = false;
   private readonly gateLog: GateLog;
@@ -137,7 +137,7 @@
       processStartedAt: options.processStartedAt,
       reportIntervalMilliseconds: options.reportIntervalMilliseconds,
     });
-    this.isolation = new SuspectIsolation(options.quarantine);
+    this.screening = new SuspectScreening(options.quarantine);
     this.crashDetector = new ServerCrashDetector({
       check: () => {
         options.port.checkListener();
@@ -284,11 +284,11 @@
   /** Ends the requests that have become quarantined; those at the server are aborted before they crash it. */
   public onQuarantineChanged(now: number): void {
     for (const waiting of [...this.queue.values()]) {
-      if (this.isQuarantined(waiting.frame, now))
+      if (this.screening.isQuarantined(waiting.frame, now))
         this.declineQueued(waiting, DeclineReason.Quarantined, 0, now);
     }
     for (const { executionId, frame } of [...this.calls.runningCalls()])
-      if (this.isQuarantined(frame, now)) this.options.port.abort(executionId);
+      if (this.screening.isQuarantined(frame, now)) this.options.port.abort(executionId);
   }
 
   /** Handles whether connections to the server's address are refused. */
@@ -499,7 +499,7 @@
       case ServerState.Ready:
     }
     if (frame.service !== this.options.service) return DeclineReason.WrongService;
-    if (this.isQuarantined(frame, now)) return DeclineReason.Quarantined;
+    if (this.screening.isQuarantined(frame, now)) return DeclineReason.Quarantined;
     if (frame.remainingMilliseconds >= this.estimator.minimumMilliseconds(frame.routeName))
       return undefined;
     call.isTrial = this.isTrialDue(frame, now);
@@ -664,14 +664,9 @@
     }
   }
 
-  private isQuarantined(frame: StartFrame, now: number): boolean {
-    const { quarantine } = this.options;
-    return !quarantine.isEmpty && quarantine.suspicionOf(frame, now).quarantinedUntil !== undefined;
-  }
-
   /** Whether a request may run beside those that are running, given the crashes that it may have caused. */
   private mayStart(frame: StartFrame, now: number): boolean {
-    return this.isolation.mayStart(frame, this.calls.runningFrames(), now);
+    return this.screening.mayStart(frame, this.calls.runningFrames(), now);
   }
 
   /** The speed of the server. Sends a probe if the last report is too old. */
