--- a/packages/daemon/tests/crashing-requests.test.ts
+++ b/packages/daemon/tests/crashing-requests.test.ts
@@ -2,10 +2,25 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import type { EventQueue } from './virtual-mesh/event-queue.js';
 import { guaranteeViolations } from './virtual-mesh/mesh-violations.js';
 import { simulateMesh } from './virtual-mesh/simulate-mesh.js';
 import { VirtualMesh } from './virtual-mesh/virtual-mesh.js';
 
+/** Sends a request from the first second on, with random pauses. */
+function sendRepeatedly(
+  queue: EventQueue,
+  random: SeededRandomSource,
+  { maximumPause, send, until }: { maximumPause: number; send: () => void; until: number },
+): void {
+  const sendNext = (): void => {
+    if (queue.now > until) return;
+    send();
+    queue.after(maximumPause * random.next(), sendNext);
+  };
+  queue.after(1_000, sendNext);
+}
+
 for (const seed of [1, 2, 3, 4, 5, 6]) {
   test(`seed ${seed}: a request that crashes each server that runs it is held off, beside faults of all kinds`, async () => {
     const { violations } = await simulateMesh(seed, { sendsDeadlyRequest: true });
@@ -19,12 +34,10 @@
     const random = new SeededRandomSource(seed);
     const mesh = new VirtualMesh(5, random);
     const { queue } = mesh;
-    const sendNextRequest = (): void => {
-      if (queue.now > 20_000) return;
+    const sendDeadlyRequest = (): void => {
       mesh.sendDeadlyRequest(mesh.pickMachine());
-      queue.after(200 * random.next(), sendNextRequest);
     };
-    queue.after(1_000, sendNextRequest);
+    sendRepeatedly(queue, random, { maximumPause: 200, send: sendDeadlyRequest, until: 20_000 });
     for (const killedAt of [6_000, 10_000, 14_000]) {
       queue.after(killedAt, () => {
         for (const machine of mesh.machines) {
@@ -47,12 +60,10 @@
     const random = new SeededRandomSource(seed);
     const mesh = new VirtualMesh(6, random);
     const { queue } = mesh;
-    const sendNextRequest = (): void => {
-      if (queue.now > 12_000) return;
+    const sendPopularRequest = (): void => {
       mesh.sendPopularRequest(mesh.pickMachine());
-      queue.after(6 * random.next(), sendNextRequest);
     };
-    queue.after(1_000, sendNextRequest);
+    sendRepeatedly(queue, random, { maximumPause: 6, send: sendPopularRequest, until: 12_000 });
     for (const crashedAt of [3_000, 6_000, 9_000]) {
       queue.after(crashedAt, () => {
         for (const { server } of mesh.machines) server.crash(500);
