Test ports: outside the range of outgoing connections, each once

Cause: the tests of connections between nodes took a port with listen(0), closed it and listened on it later. Until then the system may give it to another socket: 12 of 120,000 pairs of such ports taken one after the other were equal (script), and each listen(0) of a test that runs beside may get it too. 36 nodes of this test file take a port so. Ruled out: the connections themselves; no test listens twice. Change: the file and the tests of the report server use findFreePorts of the stand-ins, below the range of ports for outgoing connections and each only once in a process.

--- a/packages/nodes/tests/mesh-connections.test.ts
+++ b/packages/nodes/tests/mesh-connections.test.ts
@@ -1,8 +1,9 @@
-import { connect, createServer } from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 
 import type { MeshFrame, MeshNode } from '@peridotspring/mesh-core';
 import { createLoad, createNode } from '@peridotspring/mesh-core/fixtures';
+import { findFreePorts } from '@peridotspring/stand-ins';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -30,14 +31,6 @@
   }
 });
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 class TestNode {
   public readonly events: string[] = [];
   public readonly frames: MeshFrame[] = [];
@@ -76,7 +69,8 @@
 }
 
 async function nodeOnFreePort(name: string, boot = 1): Promise<MeshNode> {
-  const address = `127.0.0.1:${await freePort()}`;
+  const [port] = await findFreePorts(1);
+  const address = `127.0.0.1:${port}`;
   return createNode(name, { address, boot });
 }
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -18,3 +18,4 @@
 export { fleetOperatorSecret, ProcessFleet } from './fleet/process-fleet.js';
 export type { FleetServer, ProcessFleetOptions } from './fleet/process-fleet.js';
 export { ChildProgram } from './fleet/child-program.js';
+export { findFreePorts } from './fleet/free-ports.js';
--- a/packages/upstreams/tests/report-server.test.ts
+++ b/packages/upstreams/tests/report-server.test.ts
@@ -1,25 +1,17 @@
-import { connect, createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { connect } from 'node:net';
 
+import { findFreePorts } from '@peridotspring/stand-ins';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import { ReportServer } from '../src/mesh/index.js';
 import type { ServerMessage } from '../src/mesh/index.js';
 
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 async function withReportServer(
   onMessage: (message: ServerMessage) => Promise<void>,
   runTest: (port: number) => Promise<void>,
 ): Promise<void> {
-  const port = await findFreePort();
+  const [port = 0] = await findFreePorts(1);
   const reportServer = new ReportServer({
     bindHost: '127.0.0.1',
     bindPort: port,
