Connections between nodes: replaced when a check is overdue

A connection silent in one direction was never closed by the side that still received load reports. Ruled out: requests as such; a start sent again is recognized by its gate. Change: ConnectionMonitor decides from the traffic: 60 ms after a request without a reply a ping, its bound from observed round trips (RFC 6298), then a second connection whose hello names the one it replaces, so that both sides change over at once. One silent connection causes a check of all, at most once a second. A stall of this process doesn't count. New optional fields of the hello; older nodes ignore them and behave as before. SilencingForwarder moves to the stand-ins.

--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -6,6 +6,7 @@
   ConfigurationOlder: 'configuration-older',
   ConfigurationUnconfirmed: 'configuration-unconfirmed',
   ConfigurationWatch: 'configuration-watch',
+  ConnectionSuspected: 'connection-suspected',
   DialFailed: 'dial-failed',
   EvacuationsChanged: 'evacuations-changed',
   HealthChecked: 'server-health-checked',
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -451,6 +451,11 @@
     this.forwarder.onConnectionLost(name, now);
   }
 
+  /** The connection to a node may have gone silent; another one is being opened in its place. */
+  public onConnectionSuspected({ name }: MeshNode): void {
+    this.log(MeshEvent.ConnectionSuspected, { peer: name });
+  }
+
   public onDialFailed({ name }: MeshNode, detail: string, isRefused: boolean): void {
     const now = this.options.clock();
     this.log(MeshEvent.DialFailed, { detail, peer: name });
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -269,6 +269,9 @@
       onFrame: (from, frame) => {
         driver.onFrame(from, frame);
       },
+      onSuspected: (node) => {
+        driver.onConnectionSuspected(node);
+      },
     },
     helloPayload: () => driver.helloPayload,
     self,
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -28,6 +28,7 @@
 export { ServerGate } from './gate/server-gate.js';
 export type { ServerGateOptions } from './gate/server-gate.js';
 export { ReportEffect, ServerIncarnationTracker } from './gate/server-incarnation-tracker.js';
+export { ConnectionAction, ConnectionMonitor } from './membership/connection-monitor.js';
 export { EndedServers } from './membership/ended-servers.js';
 export { NodeDirectory } from './membership/node-directory.js';
 export { maximumFullMeshNodes, PeerSelection } from './membership/peer-selection.js';
--- a/packages/nodes/src/mesh/mesh-connection.ts
+++ b/packages/nodes/src/mesh/mesh-connection.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 
+import { ConnectionAction, ConnectionMonitor } from '@peridotspring/mesh-core';
 import type { MeshFrame, MeshNode } from '@peridotspring/mesh-core';
 
 import { CorkedWriter } from '../corked-writer.js';
@@ -8,17 +9,11 @@
 
 /** Time limit for the hello of the other side; the slowest path between regions needs well under this. */
 const helloTimeoutMilliseconds = 1_500;
-/** Ping interval of a connection without pending answers. */
-const idlePingIntervalMilliseconds = 3_000;
-/** Ping interval of a connection with pending answers. */
-const busyPingIntervalMilliseconds = 400;
-/** Time after a ping without any received data after which a connection with pending answers is closed. */
-const busyPongTimeoutMilliseconds = 1_200;
-const idlePongTimeoutMilliseconds = 3_000;
-
 export interface MeshConnectionEvents {
   readonly onHello: (connection: MeshConnection, hello: MeshHelloFrame) => void;
   readonly onFrame: (connection: MeshConnection, frame: MeshFrame) => void;
+  /** The connection may have gone silent, so another one should be opened in its place. */
+  readonly onSuspected: (connection: MeshConnection) => void;
   readonly onClosed: (connection: MeshConnection, detail: string, code: string | undefined) => void;
 }
 
@@ -26,12 +21,11 @@
 export class MeshConnection {
   /** The other node; undefined until its hello has been received. */
   public peer: MeshNode | undefined;
-  /** Number of calls sent on this connection whose answer has not been received. */
-  public pendingAnswers = 0;
+  /** Identifies the connection on both sides: the dialing node, its incarnation and its count of dials. */
+  public id: string | undefined;
+  private readonly monitor: ConnectionMonitor;
   private readonly decoder = new MeshFrameDecoder();
   private readonly openedAt: number;
-  private lastReceivedAt: number;
-  private pingedAt: number | undefined;
   private isClosed = false;
   /** Callbacks for the pings that have not been answered, in the order in which they were sent. */
   private readonly pongCallbacks: (() => void)[] = [];
@@ -41,12 +35,14 @@
     private readonly socket: Socket,
     /** The node that was dialed; undefined if the other side opened the connection. */
     public readonly dialedNode: MeshNode | undefined,
+    /** Identifier of the connection to the dialed node that this one is opened in place of. */
+    public readonly replacedId: string | undefined,
     private readonly clock: () => number,
     private readonly events: MeshConnectionEvents,
   ) {
     this.writer = new CorkedWriter(socket);
     this.openedAt = clock();
-    this.lastReceivedAt = this.openedAt;
+    this.monitor = new ConnectionMonitor(this.openedAt);
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => {
       this.handleChunk(chunk);
@@ -59,31 +55,48 @@
     });
   }
 
+  /** Whether an answer to a ping is overdue. */
+  public get isSilent(): boolean {
+    return this.monitor.isSilent;
+  }
+
   public send(frame: MeshWireFrame): void {
     if (this.isClosed) return;
-    this.writer.write(encodeMeshFrame(frame));
+    const bytes = encodeMeshFrame(frame);
+    this.monitor.onSent(bytes.length);
+    if (frame.kind === 'start') this.monitor.onRequestSent(this.clock());
+    else if (frame.kind === 'cancel') this.monitor.onRequestCancelled();
+    this.writer.write(bytes);
+  }
+
+  /** Sends a ping at the next tick. */
+  public requestCheck(): void {
+    this.monitor.requestCheck();
   }
 
-  /** Sends a ping when one is due, and closes the connection when the other side does not respond in time. */
-  public tick(now: number): void {
+  /**
+   * Sends a ping when one is due, and reports or closes the connection when the other side does not respond in time.
+   * `hasStalled` tells that this process did not run for a while.
+   */
+  public tick(now: number, hasStalled: boolean): void {
     if (this.peer === undefined) {
       if (now - this.openedAt > helloTimeoutMilliseconds) this.close('no hello received in time');
       return;
     }
-    const isBusy = this.pendingAnswers > 0;
-    if (this.pingedAt !== undefined) {
-      const pongTimeout = isBusy ? busyPongTimeoutMilliseconds : idlePongTimeoutMilliseconds;
-      if (now - this.pingedAt > pongTimeout) {
-        this.close(`nothing received for ${Math.round(now - this.lastReceivedAt)} ms`);
-      }
-      return;
+    const action = this.monitor.nextAction(now, hasStalled);
+    switch (action) {
+      case ConnectionAction.None:
+        return;
+      case ConnectionAction.Check:
+        this.ping(() => undefined);
+        return;
+      case ConnectionAction.Replace:
+        this.events.onSuspected(this);
+        return;
+      case ConnectionAction.Close:
+        this.close(`nothing received for ${Math.round(this.monitor.quietMilliseconds(now))} ms`);
     }
-    const pingInterval = isBusy ? busyPingIntervalMilliseconds : idlePingIntervalMilliseconds;
-    if (now - this.lastReceivedAt < pingInterval) return;
-    this.pingedAt = now;
-    this.ping(() => undefined);
   }
-
   /** Calls back once the other side has read all frames sent so far, or the connection has closed. */
   public callWhenRead(callback: () => void): void {
     if (this.isClosed) callback();
@@ -107,12 +120,12 @@
 
   private ping(onPong: () => void): void {
     this.pongCallbacks.push(onPong);
+    this.monitor.onCheckSent(this.clock());
     this.send({ kind: 'ping' });
   }
 
   private handleChunk(chunk: Buffer): void {
-    this.lastReceivedAt = this.clock();
-    this.pingedAt = undefined;
+    this.monitor.onReceived(this.clock());
     for (const decoded of this.decoder.push(chunk)) {
       if (this.isClosed) return;
       if (decoded.kind === 'fault') {
@@ -138,11 +151,20 @@
         this.send({ kind: 'pong' });
         return;
       case 'pong':
+        this.monitor.onCheckAnswered(this.clock());
         this.pongCallbacks.shift()?.();
         return;
       default:
-        if (this.peer === undefined) this.close(`received ${frame.kind} before hello`);
-        else this.events.onFrame(this, frame);
+        if (this.peer === undefined) {
+          this.close(`received ${frame.kind} before hello`);
+          return;
+        }
+        if (isReply(frame)) this.monitor.onReplyReceived(this.clock());
+        this.events.onFrame(this, frame);
     }
   }
 }
+
+function isReply({ kind }: MeshFrame): boolean {
+  return kind === 'answered' || kind === 'declined' || kind === 'failed';
+}
--- a/packages/nodes/src/mesh/mesh-connections.ts
+++ b/packages/nodes/src/mesh/mesh-connections.ts
@@ -9,11 +9,17 @@
 
 /** Error code of a refused connection: no process listens at the address. */
 const connectionRefusedCode = 'ECONNREFUSED';
+/** Above the intervals at which a process that runs freely calls `tick`. */
+const stallMilliseconds = 150;
+/** Minimum interval between checks of all connections. */
+const fullCheckIntervalMilliseconds = 1_000;
 
 export interface MeshConnectionsEvents {
   /** A connection to a node is established; frames sent on an earlier connection to it may be lost. */
   readonly onConnected: (hello: MeshHelloFrame) => void;
   readonly onDisconnected: (node: MeshNode, detail: string) => void;
+  /** The connection to a node may have gone silent; another one is being opened in its place. */
+  readonly onSuspected: (node: MeshNode) => void;
   /** A dial failed; `isRefused` means that the dialed node no longer runs at its address. */
   readonly onDialFailed: (node: MeshNode, detail: string, isRefused: boolean) => void;
   readonly onFrame: (from: MeshNode, frame: MeshFrame) => void;
@@ -34,6 +40,12 @@
   private readonly server: Server;
   private readonly connections = new Map<string, MeshConnection>();
   private readonly handshaking = new Set<MeshConnection>();
+  /** Identifiers of connections that this node closed, of which the other node may not know, by its name. */
+  private readonly closedIds = new Map<string, string>();
+  private dialCount = 0;
+  private lastTickAt = Infinity;
+  private hadStalled = false;
+  private fullCheckDueAt = -Infinity;
 
   public constructor(private readonly options: MeshConnectionsOptions) {
     this.server = createServer((socket) => {
@@ -69,9 +81,6 @@
     const connection = this.connections.get(name);
     if (connection === undefined) return false;
     connection.send(frame);
-    if (frame.kind === 'start') connection.pendingAnswers += 1;
-    else if (frame.kind === 'cancel')
-      connection.pendingAnswers = Math.max(0, connection.pendingAnswers - 1);
     return true;
   }
 
@@ -96,8 +105,11 @@
   }
 
   public tick(now: number): void {
-    for (const connection of [...this.handshaking]) connection.tick(now);
-    for (const connection of [...this.connections.values()]) connection.tick(now);
+    // After a stall, the next turn of the event loop reads what has arrived; a node that always stalls still checks.
+    this.hadStalled = !this.hadStalled && now - this.lastTickAt > stallMilliseconds;
+    this.lastTickAt = now;
+    for (const connection of [...this.handshaking]) connection.tick(now, this.hadStalled);
+    for (const connection of [...this.connections.values()]) connection.tick(now, this.hadStalled);
   }
 
   /** Stops listening, flushes written frames and closes all connections. */
@@ -110,30 +122,58 @@
 
   private open(socket: Socket, dialedNode: MeshNode | undefined): void {
     const { clock, events, helloPayload, self } = this.options;
-    const connection = new MeshConnection(socket, dialedNode, clock, {
+    const replacedId = dialedNode && this.idToReplace(dialedNode.name);
+    const connection = new MeshConnection(socket, dialedNode, replacedId, clock, {
       onClosed: (closed, detail, code) => {
         this.handleClosed(closed, detail, code);
       },
       onFrame: (from, frame) => {
-        if (from.peer === undefined) return;
-        if (frame.kind === 'answered' || frame.kind === 'declined' || frame.kind === 'failed') {
-          from.pendingAnswers = Math.max(0, from.pendingAnswers - 1);
-        }
-        events.onFrame(from.peer, frame);
+        if (from.peer !== undefined) events.onFrame(from.peer, frame);
       },
       onHello: (source, hello) => {
         this.handleHello(source, hello);
       },
+      onSuspected: (suspected) => {
+        this.handleSuspected(suspected);
+      },
     });
+    if (dialedNode !== undefined) {
+      this.dialCount += 1;
+      connection.id = `${self.name}/${self.boot}/${this.dialCount}`;
+    }
     this.handshaking.add(connection);
     connection.send({
       ...helloPayload(),
+      ...(dialedNode !== undefined && { connectionId: connection.id, replacedId }),
       kind: 'hello',
       node: self,
       protocol: meshProtocolVersion,
     });
   }
 
+  /** Identifier of the last connection to the node, which the node may take for one that works. */
+  private idToReplace(name: string): string | undefined {
+    return this.connections.get(name)?.id ?? this.closedIds.get(name);
+  }
+
+  private handleSuspected({ peer }: MeshConnection): void {
+    if (peer === undefined) return;
+    const isBeingReplaced = [...this.handshaking].some(
+      ({ dialedNode }) => dialedNode?.name === peer.name,
+    );
+    if (isBeingReplaced) return;
+    this.options.events.onSuspected(peer);
+    this.dial(peer);
+  }
+
+  /** What silenced one connection may have silenced others, on which nothing has been sent since. */
+  private checkAllConnections(): void {
+    const now = this.options.clock();
+    if (now < this.fullCheckDueAt) return;
+    this.fullCheckDueAt = now + fullCheckIntervalMilliseconds;
+    for (const connection of this.connections.values()) connection.requestCheck();
+  }
+
   private handleHello(connection: MeshConnection, hello: MeshHelloFrame): void {
     const { node } = hello;
     if (!this.handshaking.delete(connection)) {
@@ -148,16 +188,21 @@
     if (dialedNode !== undefined && dialedNode.name !== node.name) {
       this.options.events.onDialFailed(dialedNode, `found node ${node.name} at this address`, true);
     }
+    if (dialedNode === undefined) connection.id = hello.connectionId;
+    const replacedId = dialedNode === undefined ? hello.replacedId : connection.replacedId;
     const existing = this.connections.get(node.name);
     if (existing !== undefined) {
-      if (this.isExistingPreferred(existing, connection, node)) {
+      const isReplaced = existing.id !== undefined && existing.id === replacedId;
+      if (!isReplaced && this.isExistingPreferred(existing, connection, node)) {
         connection.close('another connection to this node is kept');
         return;
       }
+      if (isReplaced) this.checkAllConnections();
       this.connections.delete(node.name);
       existing.close('replaced by another connection');
       this.options.events.onDisconnected(node, 'replaced by another connection');
     }
+    this.closedIds.delete(node.name);
     this.connections.set(node.name, connection);
     this.options.events.onConnected(hello);
   }
@@ -179,19 +224,23 @@
 
   private handleClosed(connection: MeshConnection, detail: string, code: string | undefined): void {
     if (this.handshaking.delete(connection)) {
-      if (connection.dialedNode !== undefined) {
-        this.options.events.onDialFailed(
-          connection.dialedNode,
-          detail,
-          code === connectionRefusedCode,
-        );
-      }
+      if (connection.dialedNode !== undefined)
+        this.handleDialFailed(connection.dialedNode, detail, code === connectionRefusedCode);
       return;
     }
     const { peer } = connection;
     if (peer === undefined) return;
     if (this.connections.get(peer.name) !== connection) return;
     this.connections.delete(peer.name);
+    if (connection.id !== undefined) this.closedIds.set(peer.name, connection.id);
     this.options.events.onDisconnected(peer, detail);
   }
+
+  private handleDialFailed(node: MeshNode, detail: string, isRefused: boolean): void {
+    const suspected = this.connections.get(node.name);
+    // The suspected connection stays in use, unless no process listens any more at the address.
+    if (suspected !== undefined && !isRefused) return;
+    suspected?.close('the process of the other side has ended');
+    this.options.events.onDialFailed(node, detail, isRefused);
+  }
 }
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -37,10 +37,17 @@
   readonly evacuations?: EvacuationSnapshot | undefined;
   /** Requests that were running on servers that crashed; the sender may know of more. */
   readonly crashRecords?: readonly CrashRecord[] | undefined;
+  /** Identifies the connection on both sides. Sent by the node that dialed. */
+  readonly connectionId?: string | undefined;
+  /** An earlier connection between the two nodes, of which the dialing node knows or suspects that it is dead. */
+  readonly replacedId?: string | undefined;
 }
 
-/** The fields of the hello frame other than the node's identity and the protocol version. */
-export type MeshHelloPayload = Omit<MeshHelloFrame, 'kind' | 'node' | 'protocol'>;
+/** The fields of the hello frame other than those about the connection and the node's identity. */
+export type MeshHelloPayload = Omit<
+  MeshHelloFrame,
+  'connectionId' | 'kind' | 'node' | 'protocol' | 'replacedId'
+>;
 
 /** Liveness check; the receiver answers with a pong. */
 export interface PingFrame {
--- a/packages/nodes/tests/mesh-connections.test.ts
+++ b/packages/nodes/tests/mesh-connections.test.ts
@@ -48,6 +48,7 @@
           this.events.push(`failed ${name}${isRefused ? ' refused' : ''}`),
         onDisconnected: ({ name }) => this.events.push(`lost ${name}`),
         onFrame: (_from, frame) => this.frames.push(frame),
+        onSuspected: ({ name }) => this.events.push(`suspected ${name}`),
       },
       helloPayload: () => ({
         configurationVersion: 3,
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -19,3 +19,4 @@
 export type { FleetServer, ProcessFleetOptions } from './fleet/process-fleet.js';
 export { ChildProgram } from './fleet/child-program.js';
 export { findFreePorts } from './fleet/free-ports.js';
+export { SilencingForwarder, SilentDirection } from './silencing-forwarder.js';
--- a/platform/tests/soak/silencing-forwarder.ts
+++ b/packages/stand-ins/src/silencing-forwarder.ts
@@ -1,11 +1,21 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 
+/** Which bytes of a silenced connection are lost, seen from the side that opened it. */
+export const SilentDirection = {
+  Both: 'both',
+  FromClient: 'from-client',
+  ToClient: 'to-client',
+} as const;
+export type SilentDirection = (typeof SilentDirection)[keyof typeof SilentDirection];
+
 interface ForwardedConnection {
   readonly incoming: Socket;
   readonly outgoing: Socket;
   /** The bytes that the client sent last. */
   lastSent: string;
+  /** A silent connection does not show either side that the other one has closed it. */
+  isSilent: boolean;
 }
 
 /** Forwards TCP connections, which may go silent: they stay open and deliver nothing more, while new ones work. */
@@ -25,11 +35,13 @@
   }
 
   /** Silences the open connections whose last request contains the text; returns their number. */
-  public silence(requestText = ''): number {
+  public silence(requestText = '', direction: SilentDirection = SilentDirection.Both): number {
     const silenced = [...this.connections].filter(({ lastSent }) => lastSent.includes(requestText));
-    for (const { incoming, outgoing } of silenced) {
-      incoming.removeAllListeners('data').resume();
-      outgoing.removeAllListeners('data').resume();
+    for (const connection of silenced) {
+      const { incoming, outgoing } = connection;
+      connection.isSilent = true;
+      if (direction !== SilentDirection.ToClient) incoming.removeAllListeners('data').resume();
+      if (direction !== SilentDirection.FromClient) outgoing.removeAllListeners('data').resume();
     }
     return silenced.length;
   }
@@ -43,7 +55,7 @@
   }
 
   private forward(incoming: Socket, outgoing: Socket): void {
-    const connection: ForwardedConnection = { incoming, lastSent: '', outgoing };
+    const connection: ForwardedConnection = { incoming, isSilent: false, lastSent: '', outgoing };
     this.connections.add(connection);
     incoming.on('data', (chunk: Buffer) => {
       connection.lastSent = chunk.toString('latin1');
@@ -56,6 +68,7 @@
     ] as const) {
       socket.on('error', () => undefined);
       socket.on('close', () => {
+        if (connection.isSilent) return;
         this.connections.delete(connection);
         other.destroy();
       });
