Requests avoid gates whose connection may have gone silent

Cause: between the overdue check of a connection and its close 1.2 s later the entry went on placing new requests at the gate, and repeated idempotent ones only by their own lateness. Change: a gate is not offered while a check of its connection is overdue and others are there; its idempotent requests count as those on a lost connection until the check is answered. The rule on late requests holds on lost connections too; before, a request that was late already waited 100 ms more. Tests: a suspected gate (gate-table), a check that is answered in time, and a late request on a lost connection (the last one fails on the commit before).

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -454,6 +454,13 @@
   /** The connection to a node may have gone silent; another one is being opened in its place. */
   public onConnectionSuspected({ name }: MeshNode): void {
     this.log(MeshEvent.ConnectionSuspected, { peer: name });
+    this.gateTable.setSuspected(name, true);
+    this.forwarder.onConnectionLost(name, this.options.clock());
+  }
+
+  public onConnectionConfirmed({ name }: MeshNode): void {
+    this.gateTable.setSuspected(name, false);
+    this.forwarder.onConnectionConfirmed(name);
   }
 
   public onDialFailed({ name }: MeshNode, detail: string, isRefused: boolean): void {
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -257,6 +257,9 @@
     bindPort: settings.peerAddress.port,
     clock,
     events: {
+      onConfirmed: (node) => {
+        driver.onConnectionConfirmed(node);
+      },
       onConnected: (hello) => {
         driver.onConnected(hello);
       },
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -146,13 +146,20 @@
     this.remove(state);
   }
 
-  /** Marks the attempts at a node whose connection was lost; their frames may or may not have arrived. */
+  /** Marks the attempts at a node whose connection was lost or may be; their frames may or may not have arrived. */
   public onConnectionLost(nodeName: string, now: number): void {
     for (const attempt of this.attempts.values()) {
       if (attempt.nodeName === nodeName) attempt.connectionLostAt ??= now;
     }
   }
 
+  /** Handles an answer that arrived on a connection which was taken for lost. */
+  public onConnectionConfirmed(nodeName: string): void {
+    for (const attempt of this.attempts.values()) {
+      if (attempt.nodeName === nodeName) attempt.connectionLostAt = undefined;
+    }
+  }
+
   /**
    * Handles a restored connection to a node. If its `boot` is unchanged, its process has kept running: the start
    * frames are sent again, and the node ignores those that it has already received. Otherwise the process has been
@@ -196,8 +203,8 @@
   }
 
   private isOverdue(attempt: Attempt, now: number): boolean {
-    if (attempt.connectionLostAt !== undefined)
-      return now - attempt.connectionLostAt > lostConnectionTimeoutMilliseconds;
+    const lostFor = now - (attempt.connectionLostAt ?? now);
+    if (lostFor > lostConnectionTimeoutMilliseconds) return true;
     const view = this.options.gates.get(attempt.nodeName);
     if (view === undefined) return false;
     const millisecondsToTarget = attempt.state.targetDeadline - now;
--- a/packages/mesh-core/src/placement/gate-table.ts
+++ b/packages/mesh-core/src/placement/gate-table.ts
@@ -9,6 +9,8 @@
   /** Number of requests that this node has sent since the last load report, which does not include them. */
   unreportedRequests: number;
   isConnected: boolean;
+  /** Whether the connection to it may have gone silent. */
+  isSuspected: boolean;
 }
 
 /** The gates of all services that this node is or was connected to, with the last reported load of each. */
@@ -19,6 +21,7 @@
   public onConnected(node: MeshNode, load: GateLoad, now: number): void {
     this.views.set(node.name, {
       isConnected: true,
+      isSuspected: false,
       load,
       loadReceivedAt: now,
       node,
@@ -31,6 +34,12 @@
     if (view !== undefined) view.isConnected = false;
   }
 
+  /** Records whether the connection to a gate may have gone silent. */
+  public setSuspected(name: string, isSuspected: boolean): void {
+    const view = this.views.get(name);
+    if (view !== undefined) view.isSuspected = isSuspected;
+  }
+
   public remove(name: string): void {
     this.views.delete(name);
   }
@@ -68,19 +77,34 @@
 
   /**
    * The gates of a service that are connected, whose server is ready, and whose zone is not evacuated; with regions, only
-   * those in one of them.
+   * those in one of them. Gates whose connection may have gone silent are included only if there are no others.
    */
   public *readyGates(service: string, regions?: readonly string[]): Generator<GateView> {
+    const suspectedGates: GateView[] = [];
+    let hasOthers = false;
     for (const view of this.views.values()) {
-      if (
-        view.node.service === service &&
-        view.isConnected &&
-        view.load.state === ServerState.Ready &&
-        !this.evacuatedZones.has(view.node.availabilityZone) &&
-        regions?.includes(view.node.region) !== false
-      ) {
-        yield view;
+      if (!this.isReady(view, service, regions)) continue;
+      if (view.isSuspected) {
+        suspectedGates.push(view);
+        continue;
       }
+      hasOthers = true;
+      yield view;
     }
+    if (!hasOthers) yield* suspectedGates;
+  }
+
+  private isReady(
+    { isConnected, load, node }: GateView,
+    service: string,
+    regions: readonly string[] | undefined,
+  ): boolean {
+    return (
+      node.service === service &&
+      isConnected &&
+      load.state === ServerState.Ready &&
+      !this.evacuatedZones.has(node.availabilityZone) &&
+      regions?.includes(node.region) !== false
+    );
   }
 }
--- a/packages/mesh-core/tests/entry/hedge-rule.test.ts
+++ b/packages/mesh-core/tests/entry/hedge-rule.test.ts
@@ -30,6 +30,7 @@
   test(`${title}: ${isDue ? 'hedges the request' : 'waits'}`, () => {
     const view = {
       isConnected: true,
+      isSuspected: false,
       load: createLoad(changes),
       loadReceivedAt: 0,
       node: createNode('a'),
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -292,6 +292,29 @@
   assert.is(fixture.startFrames.length, 2);
 });
 
+test('a request is not sent to a second gate if the connection to the first one proves to work in time', () => {
+  const fixture = new EntryFixture();
+  fixture.begin();
+  const first = fixture.startFrames[0]?.node ?? '';
+  fixture.forwarder.onConnectionLost(first, 20);
+  fixture.forwarder.onConnectionConfirmed(first);
+  fixture.forwarder.tick(130);
+  assert.is(fixture.startFrames.length, 1);
+});
+
+test('a late request is sent to a second gate as early as without a lost connection', () => {
+  const lateAt = 180;
+  const undisturbed = new EntryFixture();
+  undisturbed.begin();
+  undisturbed.forwarder.tick(lateAt);
+  assert.is(undisturbed.startFrames.length, 2);
+  const fixture = new EntryFixture();
+  fixture.begin();
+  fixture.forwarder.onConnectionLost(fixture.startFrames[0]?.node ?? '', lateAt - 20);
+  fixture.forwarder.tick(lateAt);
+  assert.is(fixture.startFrames.length, 2);
+});
+
 test('a gate without a connection is skipped', () => {
   const fixture = new EntryFixture(['a', 'b']);
   fixture.unreachableNodes.add('a');
--- a/packages/mesh-core/tests/placement/gate-table.test.ts
+++ b/packages/mesh-core/tests/placement/gate-table.test.ts
@@ -48,4 +48,18 @@
   });
 }
 
+test('offers a gate whose connection may be silent only if there is no other', () => {
+  const table = new GateTable();
+  for (const name of ['a', 'b']) table.onConnected(createNode(name), createLoad(), 0);
+  const offered = (): string => [...table.readyGates('shop')].map(({ node }) => node.name).join('');
+  table.setSuspected('a', true);
+  assert.is(offered(), 'b');
+  table.setSuspected('b', true);
+  assert.is(offered(), 'ab');
+  table.setSuspected('a', false);
+  assert.is(offered(), 'a');
+  table.onConnected(createNode('b'), createLoad(), 10);
+  assert.is(offered(), 'ab');
+});
+
 test.run();
--- a/packages/nodes/src/mesh/mesh-connection.ts
+++ b/packages/nodes/src/mesh/mesh-connection.ts
@@ -14,6 +14,8 @@
   readonly onFrame: (connection: MeshConnection, frame: MeshFrame) => void;
   /** The connection may have gone silent, so another one should be opened in its place. */
   readonly onSuspected: (connection: MeshConnection) => void;
+  /** The suspected connection has shown that it works. */
+  readonly onConfirmed: (connection: MeshConnection) => void;
   readonly onClosed: (connection: MeshConnection, detail: string, code: string | undefined) => void;
 }
 
@@ -136,6 +138,13 @@
     }
   }
 
+  private handlePong(): void {
+    const wasSilent = this.monitor.isSilent;
+    this.monitor.onCheckAnswered(this.clock());
+    if (wasSilent) this.events.onConfirmed(this);
+    this.pongCallbacks.shift()?.();
+  }
+
   private handleFrame(frame: MeshWireFrame): void {
     switch (frame.kind) {
       case 'hello':
@@ -151,8 +160,7 @@
         this.send({ kind: 'pong' });
         return;
       case 'pong':
-        this.monitor.onCheckAnswered(this.clock());
-        this.pongCallbacks.shift()?.();
+        this.handlePong();
         return;
       default:
         if (this.peer === undefined) {
--- a/packages/nodes/src/mesh/mesh-connections.ts
+++ b/packages/nodes/src/mesh/mesh-connections.ts
@@ -20,6 +20,8 @@
   readonly onDisconnected: (node: MeshNode, detail: string) => void;
   /** The connection to a node may have gone silent; another one is being opened in its place. */
   readonly onSuspected: (node: MeshNode) => void;
+  /** The suspected connection to a node has shown that it works. */
+  readonly onConfirmed: (node: MeshNode) => void;
   /** A dial failed; `isRefused` means that the dialed node no longer runs at its address. */
   readonly onDialFailed: (node: MeshNode, detail: string, isRefused: boolean) => void;
   readonly onFrame: (from: MeshNode, frame: MeshFrame) => void;
@@ -127,6 +129,9 @@
       onClosed: (closed, detail, code) => {
         this.handleClosed(closed, detail, code);
       },
+      onConfirmed: ({ peer }) => {
+        if (peer !== undefined) events.onConfirmed(peer);
+      },
       onFrame: (from, frame) => {
         if (from.peer !== undefined) events.onFrame(from.peer, frame);
       },
--- a/packages/nodes/tests/mesh-connections.test.ts
+++ b/packages/nodes/tests/mesh-connections.test.ts
@@ -43,6 +43,7 @@
       bindPort: Number(self.address.split(':')[1]),
       clock: () => performance.now(),
       events: {
+        onConfirmed: () => undefined,
         onConnected: ({ node }) => this.events.push(`connected ${node.name}`),
         onDialFailed: ({ name }, _detail, isRefused) =>
           this.events.push(`failed ${name}${isRefused ? ' refused' : ''}`),
--- a/packages/nodes/tests/silent-connections.test.ts
+++ b/packages/nodes/tests/silent-connections.test.ts
@@ -27,6 +27,7 @@
       bindPort: port,
       clock: () => performance.now(),
       events: {
+        onConfirmed: () => undefined,
         onConnected: () => {
           this.connectedCount += 1;
         },
