Store: nodes that watch take turns, so a silent watch shows within a bound

Cause: the store holds a watch for 2.5 bounds, an overdue response is waited for 0.3 bounds more, and after each change all watches start at the same time. Weighed: a hold of one bound (2.5 times as many paid watches); reading the configuration with the check at a tenth of the price (may be seconds old, and a configuration of 1,400 routes each 0.7 s is more than a node's 4 KB/s); TCP keepalive (the system's shortest rounds are longer than the bound). Change: the hold ends at the node's turn by the time of day, 0.6 bounds after the one before; StoreWatchElection knows place and number. The node that reads tells the others the version as before. A fleet in one zone with two nodes watches twice as often as before.

--- a/packages/daemon/src/mesh/configuration-synchronizer.ts
+++ b/packages/daemon/src/mesh/configuration-synchronizer.ts
@@ -81,6 +81,11 @@
     return this.storeWatchElection.isWatching;
   }
 
+  /** The place of this node among those that watch the configuration. */
+  public get watchTurn(): StoreWatchElection['watchTurn'] {
+    return this.storeWatchElection.watchTurn;
+  }
+
   /** The newest era of the store that this node has observed; undefined before the first one. */
   public get storeEra(): number | undefined {
     return this.newestEra;
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -311,6 +311,11 @@
     };
   }
 
+  /** The place of this node among those that watch the configuration. */
+  public get watchTurn(): ConfigurationSynchronizer['watchTurn'] {
+    return this.configuration.watchTurn;
+  }
+
   public get helloPayload(): MeshHelloPayload {
     return {
       configurationVersion: this.configuration.version,
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -351,6 +351,8 @@
       driver.onConfigurationConfirmed();
     },
     propagationMilliseconds: settings.configurationPropagationMilliseconds,
+    wallClock: Date.now,
+    watchTurn: () => driver.watchTurn,
     onEvacuationsRead: (read, era) => {
       driver.onEvacuationsRead(read, era);
     },
--- a/packages/mesh-core/src/configuration/store-watch-election.ts
+++ b/packages/mesh-core/src/configuration/store-watch-election.ts
@@ -12,6 +12,7 @@
 
 interface Peer {
   readonly isInSameZone: boolean;
+  readonly node: MeshNode;
   readonly rank: string;
   isStoreReachable: boolean;
 }
@@ -48,6 +49,7 @@
     const isInSameZone = isSameZone(node, this.self);
     this.peers.set(node.name, {
       isInSameZone,
+      node,
       rank: zoneRank(node),
       isStoreReachable,
     });
@@ -68,6 +70,22 @@
     this.isStoreReached = isStoreReachable;
   }
 
+  /** The place of this node among those that watch, as far as it knows them. */
+  public get watchTurn(): { readonly count: number; readonly index: number } {
+    const ranksByZone = new Map<string, string[]>();
+    for (const { isStoreReachable, node, rank } of this.peers.values()) {
+      if (isStoreReachable) addRank(ranksByZone, node, rank);
+    }
+    addRank(ranksByZone, this.self, this.rank);
+    const watcherRanks = [...ranksByZone.values()].flatMap((ranks) =>
+      ranks.sort().slice(0, watchersPerZone),
+    );
+    const precedingCount = watcherRanks.filter((rank) => rank < this.rank).length;
+    // During a takeover, this node may watch without being among the first of its zone.
+    const count = watcherRanks.includes(this.rank) ? watcherRanks.length : watcherRanks.length + 1;
+    return { count, index: precedingCount };
+  }
+
   /** Re-evaluates whether this node watches the store, and returns the result. */
   public evaluate(now: number): boolean {
     if (!this.isWatcherMissing()) {
@@ -94,3 +112,14 @@
     return true;
   }
 }
+
+function addRank(
+  ranksByZone: Map<string, string[]>,
+  { availabilityZone, region }: MeshNode,
+  rank: string,
+): void {
+  const zone = `${region}/${availabilityZone}`;
+  const ranks = ranksByZone.get(zone);
+  if (ranks === undefined) ranksByZone.set(zone, [rank]);
+  else ranks.push(rank);
+}
--- a/packages/mesh-core/tests/configuration/store-watch-election.test.ts
+++ b/packages/mesh-core/tests/configuration/store-watch-election.test.ts
@@ -46,6 +46,28 @@
   }
 });
 
+test('gives each watching node a place of its own, the same at all nodes', () => {
+  const elections = electionsOfConnectedFleet();
+  const turns = watchersOf(elections, electionMilliseconds).map(
+    (name) => elections.get(name)?.watchTurn,
+  );
+  assert.equal(
+    turns.map((turn) => turn?.count),
+    [4, 4, 4, 4],
+  );
+  assert.equal(turns.map((turn) => turn?.index).sort(), [0, 1, 2, 3]);
+});
+
+test('gives a node that takes over a place although others precede it', () => {
+  const [first = createNode('a'), ...others] = fleet.slice(0, 6);
+  const election = new StoreWatchElection(first);
+  for (const node of others) election.onNodeConnected(node, true);
+  const { count, index } = election.watchTurn;
+  assert.ok(index < count, `place ${index} of ${count}`);
+  for (const node of others) election.onStoreReachabilityReported(node.name, false);
+  assert.equal(election.watchTurn, { count: 1, index: 0 });
+});
+
 // When all nodes start together, none is connected yet, and each of them would call the store at once.
 test('waits for other nodes after the start before it watches', () => {
   const election = new StoreWatchElection(createNode('alone'));
--- a/packages/platform/src/key-values/operator-reader.ts
+++ b/packages/platform/src/key-values/operator-reader.ts
@@ -3,16 +3,14 @@
 import type { ItemPage, StoreCallCodec, StoredItem } from './key-value-store.js';
 import type { CancellableDelays } from './cancellable-delays.js';
 import type { StoreClientOutcome, StoreClient } from './store-client.js';
+import { watchHoldMilliseconds } from './watch-schedule.js';
+import type { WatchTurn } from './watch-schedule.js';
 
 /**
- * Long-poll duration of a watch, as a multiple of the time within which a change must be in force everywhere. A connection
- * that has gone silent shows only when the response is overdue; each watch is billed as a call.
+ * Time to wait for the response to a watch after the store should have sent it, as a share of the time within which a
+ * change must be in force everywhere.
  */
-const watchHoldFactor = 2.5;
-/** Time to wait for the response to a watch after that, as a share of the same time. */
 const watchTimeoutShare = 0.3;
-/** The store holds a watch for at most this time. */
-const maximumWatchHoldMilliseconds = 30_000;
 /** Delay after a watch that returned changes, so that a burst of changes costs few calls. */
 const watchPauseMilliseconds = 150;
 
@@ -34,6 +32,10 @@
   readonly propagationMilliseconds: number;
   readonly onConfigurationRead: (content: Uint8Array) => void;
   readonly onEvacuationsRead: (read: EvacuationRead) => void;
+  /** Time of day in Unix milliseconds. */
+  readonly wallClock: () => number;
+  /** The place of this node among those that watch. */
+  readonly watchTurn: () => WatchTurn;
   /** Called after each response that shows everything that operators have written. */
   readonly onUpToDate: () => void;
 }
@@ -182,11 +184,12 @@
 
   /** After a failed watch, the next one has to start from a new read. */
   private async watchOnce(revision: number): Promise<StoreClientOutcome<ItemPage>> {
-    const { codec, propagationMilliseconds, storeClient } = this.options;
+    const { codec, propagationMilliseconds, storeClient, wallClock, watchTurn } = this.options;
     this.watchAbort = new AbortController();
-    const holdMilliseconds = Math.min(
-      maximumWatchHoldMilliseconds,
-      Math.round(propagationMilliseconds * watchHoldFactor),
+    const holdMilliseconds = watchHoldMilliseconds(
+      watchTurn(),
+      propagationMilliseconds,
+      wallClock(),
     );
     const call = {
       ...codec.watch(codec.operatorPrefix, revision, holdMilliseconds),
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -8,6 +8,7 @@
 import type { EntryPredicate } from './recent-removals.js';
 import { StoreClient } from './store-client.js';
 import type { StoreClientOutcome } from './store-client.js';
+import type { WatchTurn } from './watch-schedule.js';
 
 /**
  * Delays before the additional reads of the directory after the first registration of a node. A read may be
@@ -54,6 +55,10 @@
   readonly random: () => number;
   /** Time within which a change by an operator must be in force on each node. */
   readonly propagationMilliseconds: number;
+  /** Time of day in Unix milliseconds. */
+  readonly wallClock: () => number;
+  /** The place of this node among those that watch the configuration. */
+  readonly watchTurn: () => WatchTurn;
   /** The store has shown that it holds nothing newer from operators than what was read. */
   readonly onConfigurationConfirmed: () => void;
   readonly onConfigurationRead: (content: Uint8Array) => void;
@@ -132,6 +137,8 @@
       onConfigurationRead,
       onUpToDate: options.onConfigurationConfirmed,
       propagationMilliseconds,
+      wallClock: options.wallClock,
+      watchTurn: options.watchTurn,
       onEvacuationsRead: (read) => {
         options.onEvacuationsRead(read, this.storeClient.currentEra);
       },
--- a/packages/platform/tests/store-session.test.ts
+++ b/packages/platform/tests/store-session.test.ts
@@ -173,6 +173,8 @@
       recorded.eras.push(`${era}${isRestored ? ' restored' : ''}`),
     nodeName: 'a',
     random: () => 0,
+    wallClock: Date.now,
+    watchTurn: () => ({ count: 1, index: 0 }),
     propagationMilliseconds: 2_000,
     onConfigurationConfirmed: () => recorded.confirmations.push(store.revision),
     onReachabilityChange: (isReachable) => recorded.reachability.push(isReachable),
