Log: requests that waited on a silent connection, and when they were sent again

Cause: peridotctl explain prints the lines of a request, and no line of the entry named a connection that did not answer; a late request showed a gap.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -39,7 +39,7 @@
   ctl: ['language'],
   'stand-ins': ['core'],
   'virtual-time': ['core', 'nodes', 'operators'],
-  measure: ['stand-ins'],
+  measure: ['mesh-core', 'nodes', 'stand-ins'],
 };
 
 const packageNames = Object.keys(allowedDependencies);
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -52,6 +52,8 @@
 /** Events of a request at its entry that are buffered until the request ends. */
 const bufferedEvents: ReadonlySet<string> = new Set([
   EntryEventName.AttemptFailed,
+  EntryEventName.AttemptSentAgain,
+  EntryEventName.AttemptUnconfirmed,
   EntryEventName.RequestMoved,
   EntryEventName.RequestNotRepeated,
   EntryEventName.RequestPlaced,
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -62,6 +62,8 @@
 /** Names of the entry's log events. They must not change, because operators filter and alert by them. */
 export const EntryEventName = {
   AttemptFailed: 'attempt-failed',
+  AttemptSentAgain: 'attempt-sent-again',
+  AttemptUnconfirmed: 'attempt-unconfirmed',
   RequestAbandoned: 'request-abandoned',
   RequestConcluded: 'request-concluded',
   RequestMoved: 'request-moved',
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -149,7 +149,9 @@
   /** Marks the attempts at a node whose connection was lost or may be; their frames may or may not have arrived. */
   public onConnectionLost(nodeName: string, now: number): void {
     for (const attempt of this.attempts.values()) {
-      if (attempt.nodeName === nodeName) attempt.connectionLostAt ??= now;
+      if (attempt.nodeName !== nodeName || attempt.connectionLostAt !== undefined) continue;
+      attempt.connectionLostAt = now;
+      this.logAttempt(EntryEventName.AttemptUnconfirmed, attempt, now);
     }
   }
 
@@ -170,6 +172,7 @@
       if (attempt.nodeName !== nodeName) continue;
       if (attempt.boot === boot) {
         attempt.connectionLostAt = undefined;
+        this.logAttempt(EntryEventName.AttemptSentAgain, attempt, now);
         this.options.port.send(nodeName, this.createStartFrame(attempt, now));
       } else this.onGateEnded(attempt, now);
     }
@@ -559,6 +562,13 @@
     attempt.state.attempts.delete(attempt.callId);
   }
 
+  private logAttempt(event: EntryEvent['event'], attempt: Attempt, now: number): void {
+    this.log(event, attempt.state, {
+      gate: attempt.nodeName,
+      milliseconds: Math.round(now - attempt.sentAt),
+    });
+  }
+
   private log(event: EntryEvent['event'], state: RequestState, fields: EntryEvent['fields']): void {
     this.options.log({ event, fields: { request: state.request.requestId, ...fields } });
   }
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -302,6 +302,22 @@
   assert.is(fixture.startFrames.length, 1);
 });
 
+test('the log names the gate whose connection a request waited on, and when it was sent again', () => {
+  const fixture = new EntryFixture(['a']);
+  fixture.begin({ idempotent: false });
+  fixture.forwarder.onConnectionLost('a', 160);
+  fixture.forwarder.onConnectionLost('a', 180);
+  fixture.forwarder.onConnectionRestored('a', 1, 190);
+  const logged = fixture.events.filter(({ event }) => event.startsWith('attempt-'));
+  assert.equal(
+    logged.map(({ event, fields }) => [event, fields.gate, fields.milliseconds]),
+    [
+      ['attempt-unconfirmed', 'a', 160],
+      ['attempt-sent-again', 'a', 190],
+    ],
+  );
+});
+
 test('a late request is sent to a second gate as early as without a lost connection', () => {
   const lateAt = 180;
   const undisturbed = new EntryFixture();
