Planned stops: the gate goes on for a part of the time for which callers come

Cause: a stopping node takes callers for 2.3 s until they notice, but its gate declined everything from the signal on, so that the server beside it was out of use for 3.2 s in each restart.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -334,7 +334,7 @@
     if (this.shutdown !== undefined) return;
     const now = this.options.clock();
     this.shutdown = new GracefulShutdown(now, this.options.settings.graceMilliseconds);
-    this.gate.stop(now);
+    this.gate.prepareStop(this.shutdown.exitsAt);
     this.forwarder.stop(this.shutdown);
     this.options.ports().callers.stop();
   }
@@ -652,6 +652,7 @@
     this.announceLoad(now);
     if (now >= this.maintenanceDueAt) this.runMaintenance(now);
     if (this.shutdown !== undefined && now >= this.shutdown.refusesFrom) callers.refuse();
+    if (this.shutdown !== undefined && now >= this.shutdown.gateClosesFrom) this.gate.stop(now);
     if (this.shutdown?.mayExit(now, this.inProgress) === true) {
       connections.broadcast({ kind: 'leaving' });
       this.close();
--- a/packages/daemon/tests/mesh-parts.test.ts
+++ b/packages/daemon/tests/mesh-parts.test.ts
@@ -26,6 +26,14 @@
   assert.is(shutdown.outcomesDueAt, 5_200);
 });
 
+test('the gate of a stopping node goes on for a part of the time for which callers still come', () => {
+  for (const graceMilliseconds of [2_000, 6_000, 30_000]) {
+    const shutdown = new GracefulShutdown(0, graceMilliseconds);
+    assert.ok(shutdown.gateClosesFrom > 0 && shutdown.gateClosesFrom < shutdown.refusesFrom);
+    assert.not(shutdown.mayExit(shutdown.gateClosesFrom + 500, 0));
+  }
+});
+
 test('a short grace period leaves time to answer the requests that were taken, and to exit before its end', () => {
   const shutdown = new GracefulShutdown(0, 4_000);
   assert.is(shutdown.refusesFrom, 2_000);
--- a/packages/daemon/tests/stopping-node.test.ts
+++ b/packages/daemon/tests/stopping-node.test.ts
@@ -37,4 +37,27 @@
   });
 }
 
+// Regression: each stop took the server beside the node out of use for the whole grace period, so that a service had no server
+// left while its nodes were stopped one after the other.
+test('the server beside a stopping node gets requests of other nodes for another second', async () => {
+  const random = new SeededRandomSource(5);
+  const mesh = new VirtualMesh(machines, random, 2);
+  const { queue } = mesh;
+  const [stopping, ...others] = mesh.machines;
+  assert.ok(stopping);
+  const sendNextRequest = (): void => {
+    if (queue.now > stoppedAt + 1_000) return;
+    for (const machine of others) mesh.sendRequest(machine);
+    queue.after(20, sendNextRequest);
+  };
+  queue.after(1_500, sendNextRequest);
+  queue.after(stoppedAt, () => {
+    mesh.stop(stopping);
+  });
+  await queue.runUntil(stoppedAt + 8_000);
+  const runsSince = stopping.server.runs.filter(({ at }) => at > stoppedAt + 300);
+  assert.ok(runsSince.length > 0);
+  assert.equal(guaranteeViolations(mesh), []);
+});
+
 test.run();
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -123,6 +123,8 @@
   private running = 0;
   private nestedRunning = 0;
   private isStopping = false;
+  /** Infinity while the process is not stopping. */
+  private processEndsAt = Infinity;
   private nextSweepAt = 0;
   /** Time of the last start or end of a request at the server. */
   private lastActivityAt = 0;
@@ -386,8 +388,14 @@
     this.options.port.onStateChanged();
   }
 
+  /** Declines further requests whose deadline is after the end of the process. */
+  public prepareStop(processEndsAt: number): void {
+    this.processEndsAt = processEndsAt;
+  }
+
   /** Declines all queued and further requests because the process is about to end. */
   public stop(now: number): void {
+    if (this.isStopping) return;
     this.isStopping = true;
     this.declineAllQueued(DeclineReason.Draining, now);
     this.options.port.onStateChanged();
@@ -488,7 +496,7 @@
 
   private immediateDeclineReason(call: GateCall, now: number): DeclineReason | undefined {
     const { frame } = call;
-    if (this.isStopping) return DeclineReason.Draining;
+    if (this.isStopping || call.deadline > this.processEndsAt) return DeclineReason.Draining;
     switch (this.state) {
       case ServerState.Absent:
         return DeclineReason.NoServer;
--- a/packages/mesh-core/tests/gate/server-gate.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate.test.ts
@@ -70,6 +70,20 @@
   assert.is(harness.outcomeOf(1), 'answered');
 });
 
+test('runs requests that end before the process does, and declines others, until the gate stops', () => {
+  const harness = new GateHarness();
+  harness.gate.prepareStop(1_500);
+  harness.start({ remainingMilliseconds: 1_000 });
+  harness.start({ remainingMilliseconds: 2_000 });
+  assert.is(harness.running.length, 1);
+  assert.is(harness.outcomeOf(2), 'draining');
+  harness.gate.stop(100);
+  harness.start({ remainingMilliseconds: 1_000 }, 110);
+  assert.is(harness.outcomeOf(3), 'draining');
+  harness.finish(0, 150);
+  assert.is(harness.outcomeOf(1), 'answered');
+});
+
 test('declines a request for another service, since the address may have been reassigned', () => {
   const harness = new GateHarness();
   harness.start({ service: 'cart' });
