Connections between nodes: a refused dial closes only a suspected connection

Cause: since connections are replaced on suspicion, a dial that was refused closed whatever connection to that node there was, also one that works and that the dial was not made for (a stale address); and a dial that found another node at the address left the suspected connection of the earlier one open. Change: only a connection whose check is overdue is closed, in both cases.

--- a/packages/nodes/src/mesh/mesh-connections.ts
+++ b/packages/nodes/src/mesh/mesh-connections.ts
@@ -46,7 +46,7 @@
   private readonly closedIds = new Map<string, string>();
   private dialCount = 0;
   private lastTickAt = Infinity;
-  private hadStalled = false;
+  private hasStalled = false;
   private fullCheckDueAt = -Infinity;
 
   public constructor(private readonly options: MeshConnectionsOptions) {
@@ -108,10 +108,10 @@
 
   public tick(now: number): void {
     // After a stall, the next turn of the event loop reads what has arrived; a node that always stalls still checks.
-    this.hadStalled = !this.hadStalled && now - this.lastTickAt > stallMilliseconds;
+    this.hasStalled = !this.hasStalled && now - this.lastTickAt > stallMilliseconds;
     this.lastTickAt = now;
-    for (const connection of [...this.handshaking]) connection.tick(now, this.hadStalled);
-    for (const connection of [...this.connections.values()]) connection.tick(now, this.hadStalled);
+    for (const connection of [...this.handshaking]) connection.tick(now, this.hasStalled);
+    for (const connection of [...this.connections.values()]) connection.tick(now, this.hasStalled);
   }
 
   /** Stops listening, flushes written frames and closes all connections. */
@@ -191,7 +191,7 @@
     }
     const { dialedNode } = connection;
     if (dialedNode !== undefined && dialedNode.name !== node.name) {
-      this.options.events.onDialFailed(dialedNode, `found node ${node.name} at this address`, true);
+      this.handleDialFailed(dialedNode, `found node ${node.name} at this address`, true);
     }
     if (dialedNode === undefined) connection.id = hello.connectionId;
     const replacedId = dialedNode === undefined ? hello.replacedId : connection.replacedId;
@@ -242,10 +242,10 @@
   }
 
   private handleDialFailed(node: MeshNode, detail: string, isRefused: boolean): void {
-    const suspected = this.connections.get(node.name);
-    // The suspected connection stays in use, unless no process listens any more at the address.
-    if (suspected !== undefined && !isRefused) return;
-    suspected?.close('the process of the other side has ended');
+    const existing = this.connections.get(node.name);
+    // A suspected connection stays in use, unless its process no longer listens at the address.
+    if (existing !== undefined && !isRefused) return;
+    if (existing?.isSilent === true) existing.close('the process of the other side has ended');
     this.options.events.onDialFailed(node, detail, isRefused);
   }
 }
--- a/packages/nodes/tests/mesh-connections.test.ts
+++ b/packages/nodes/tests/mesh-connections.test.ts
@@ -145,6 +145,18 @@
   });
 });
 
+test('a refused dial does not close a connection that works', async () => {
+  await withTwoNodes(async (first, second) => {
+    first.connections.dial(second.self);
+    await waitUntil(() => second.events.includes('connected a'));
+    first.connections.dial({ ...(await nodeOnFreePort('b')) });
+    await waitUntil(() => first.events.includes('failed b refused'));
+    assert.not(first.events.includes('lost b'));
+    assert.ok(first.connections.send('b', { kind: 'version', version: 1 }));
+    await waitUntil(() => second.frames.length === 1);
+  });
+});
+
 test('finding another node at the address reports the dialed node as refused', async () => {
   await withTwoNodes(async (first, second) => {
     first.connections.dial({ ...second.self, name: 'earlier' });
--- a/packages/nodes/tests/silent-connections.test.ts
+++ b/packages/nodes/tests/silent-connections.test.ts
@@ -13,8 +13,8 @@
 class TestNode {
   public readonly connections: MeshConnections;
   public readonly frames: MeshFrame[] = [];
+  public readonly events: string[] = [];
   public connectedCount = 0;
-  public isAnswering = true;
   private readonly timer: NodeJS.Timeout;
 
   public constructor(
@@ -31,8 +31,8 @@
         onConnected: () => {
           this.connectedCount += 1;
         },
-        onDialFailed: () => undefined,
-        onDisconnected: () => undefined,
+        onDialFailed: ({ name }) => this.events.push(`failed ${name}`),
+        onDisconnected: ({ name }) => this.events.push(`lost ${name}`),
         onFrame: (_from, frame) => this.frames.push(frame),
         onSuspected: () => undefined,
       },
@@ -136,6 +136,20 @@
   });
 });
 
+test('a silent connection is closed at once when no process listens at its address any more', async () => {
+  await withNodes(['a', 'b'], async ([first, second]) => {
+    assert.ok(first !== undefined && second !== undefined);
+    first.connections.dial(second.self);
+    await waitUntil(() => first.connectedCount === 1, 2_000);
+    await first.connections.whenRead();
+    second.forwarder.silence();
+    second.forwarder.stopListening();
+    first.connections.send('b', start);
+    await waitUntil(() => first.events.length === 2, recoveryMilliseconds);
+    assert.equal(first.events, ['lost b', 'failed b']);
+  });
+});
+
 test('nodes that both open another connection keep the same one', async () => {
   await withNodes(['a', 'b'], async ([first, second]) => {
     assert.ok(first !== undefined && second !== undefined);
--- a/packages/stand-ins/src/silencing-forwarder.ts
+++ b/packages/stand-ins/src/silencing-forwarder.ts
@@ -46,6 +46,11 @@
     return silenced.length;
   }
 
+  /** Further connections are refused; those that are open stay. */
+  public stopListening(): void {
+    this.server.close();
+  }
+
   public close(): void {
     for (const { incoming, outgoing } of this.connections) {
       incoming.destroy();
