Test ports: processes that start at the same time begin at different ones

The fleet of the test did not start; the hook that closes it failed in turn and uvu showed that error alone. Possible cause: a port is found, released and used some time later; 4 of 60 pairs of processes that found 30 ports each at the same time shared one (script). Change: each process begins at ports of its own, by its id; the error that ends the start of a fleet is printed.

--- a/packages/daemon/tests/shared/test-fleet.ts
+++ b/packages/daemon/tests/shared/test-fleet.ts
@@ -62,6 +62,8 @@
     return fleet;
   } catch (error) {
     await fleet.close();
+    // The hook of a test that closes its fleet fails too, and uvu shows that error alone.
+    console.error(error);
     throw error;
   }
 }
--- a/packages/stand-ins/src/fleet/free-ports.ts
+++ b/packages/stand-ins/src/fleet/free-ports.ts
@@ -7,8 +7,10 @@
  */
 const lowestPort = 10_000;
 const highestPort = 30_000;
+const portsPerProcess = 100;
 
-const handedOut = new Set<number>();
+/** Processes that run at the same time begin at different ports, since a port is in use only some time after it was found. */
+let nextPort = lowestPort + ((process.pid * portsPerProcess) % (highestPort - lowestPort));
 
 async function isFree(port: number): Promise<boolean> {
   const server = createServer();
@@ -25,15 +27,13 @@
   return true;
 }
 
-/** Returns loopback ports that were free a moment ago, each only once in this process. */
+/** Returns loopback ports that were free a moment ago, none twice until all have been handed out. */
 export async function findFreePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
   while (ports.length < count) {
-    const port = lowestPort + Math.floor(Math.random() * (highestPort - lowestPort));
-    if (!handedOut.has(port) && (await isFree(port))) {
-      handedOut.add(port);
-      ports.push(port);
-    }
+    const port = nextPort;
+    nextPort = port + 1 < highestPort ? port + 1 : lowestPort;
+    if (await isFree(port)) ports.push(port);
   }
   return ports;
 }
--- a/packages/stand-ins/tests/free-ports.test.ts
+++ b/packages/stand-ins/tests/free-ports.test.ts
@@ -1,3 +1,6 @@
+import { execFile } from 'node:child_process';
+import { promisify } from 'node:util';
+
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -14,4 +17,18 @@
   for (const port of await findFreePorts(50)) assert.ok(port < firstOutgoingPort);
 });
 
+// Regression: of two fleets that started at the same time, one in fifteen pairs shared a port.
+test('processes that start at the same time find different ports', async () => {
+  const source = new URL('../src/index.js', import.meta.url).href;
+  const script = `import(${JSON.stringify(source)}).then(async ({ findFreePorts }) => console.log((await findFreePorts(30)).join()));`;
+  for (let round = 0; round < 4; round += 1) {
+    const outputs = await Promise.all(
+      Array.from({ length: 6 }, () => promisify(execFile)(process.execPath, ['-e', script])),
+    );
+    const ports = outputs.flatMap(({ stdout }) => stdout.trim().split(','));
+    assert.is(ports.length, 180);
+    assert.is(new Set(ports).size, 180);
+  }
+});
+
 test.run();
