--- /dev/null
+++ b/review/lib/client.mjs
@@ -0,0 +1,99 @@
+// Requesters of a machine: they keep connections open and send requests at a steady rate to the machine's `outbound` address.
+import { Agent, request as httpRequest } from 'node:http';
+import { setTimeout, clearTimeout } from 'node:timers';
+
+import { pause } from './cluster.mjs';
+
+let nextId = 1;
+const run = Math.floor(Math.random() * 0xffffff)
+  .toString(16)
+  .padStart(6, '0');
+
+/** An id of the platform's form: 16 hexadecimal digits. */
+export const newId = () => {
+  nextId += 1;
+  return `${run}${nextId.toString(16).padStart(10, '0')}`;
+};
+
+export class Requesters {
+  results = [];
+
+  constructor(machine, { timeLimitMilliseconds = 1_200 } = {}) {
+    this.machine = machine;
+    this.timeLimitMilliseconds = timeLimitMilliseconds;
+    this.agent = new Agent({ keepAlive: true, maxSockets: 200, timeout: 12_000 });
+  }
+
+  /** Sends one request; resolves to what the requester saw. */
+  send({ body, headers = {}, id = newId(), kind, method, path }) {
+    const { host, port } = this.machine.outbound;
+    const sentAt = Date.now();
+    const result = { id, kind, machine: this.machine.name, path, sentAt };
+    this.results.push(result);
+    return new Promise((resolve) => {
+      const finish = (fields) => {
+        if (result.endedAt !== undefined) return;
+        clearTimeout(timer);
+        Object.assign(result, fields, { endedAt: Date.now(), isKept: call.reusedSocket });
+        resolve(result);
+      };
+      const call = httpRequest({
+        agent: this.agent,
+        headers: {
+          host: 'registry.example',
+          'Peridotspring-Request-Id': id,
+          'Peridotspring-Request-Deadline': String(this.timeLimitMilliseconds),
+          ...headers,
+        },
+        host,
+        method,
+        path,
+        port,
+      });
+      const timer = setTimeout(() => {
+        finish({ outcome: 'gave up' });
+        call.destroy();
+      }, this.timeLimitMilliseconds + 300);
+      call.on('error', (error) => {
+        const outcome =
+          error.code === 'ECONNREFUSED' ? 'not connected' : 'closed without an answer';
+        finish({ detail: error.code ?? error.message, outcome });
+      });
+      call.on('response', (response) => {
+        let text = '';
+        response.setEncoding('utf8');
+        response.on('data', (chunk) => (text += chunk));
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          if (!response.complete) finish({ outcome: 'closed without an answer' });
+          else
+            finish({
+              body: text,
+              outcome: 'answered',
+              retryAfter: response.headers['retry-after'],
+              signature: response.headers['peridotspring-response-signature'],
+              status: response.statusCode,
+            });
+        });
+      });
+      call.end(body);
+    });
+  }
+
+  /** Sends `perSecond` requests for the time; `next()` returns what to send. Resolves when all have ended. */
+  async sendSteadily(perSecond, milliseconds, next) {
+    const pending = [];
+    const startedAt = Date.now();
+    for (let count = 0; ; count += 1) {
+      const dueAt = startedAt + (count * 1_000) / perSecond;
+      if (dueAt - startedAt >= milliseconds) break;
+      if (dueAt > Date.now()) await pause(dueAt - Date.now());
+      pending.push(this.send(next(count)));
+    }
+    await Promise.all(pending);
+  }
+
+  close() {
+    this.agent.destroy();
+  }
+}
