--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -18,8 +18,9 @@
 export class Requesters {
   results = [];
 
-  constructor(machine, { timeLimitMilliseconds = 1_200 } = {}) {
+  constructor(machine, cluster, { timeLimitMilliseconds = 1_200 } = {}) {
     this.machine = machine;
+    this.cluster = cluster;
     this.timeLimitMilliseconds = timeLimitMilliseconds;
     this.agent = new Agent({ keepAlive: true, maxSockets: 200, timeout: 12_000 });
   }
@@ -60,6 +61,7 @@
         finish({ detail: error.code ?? error.message, outcome });
       });
       call.on('response', (response) => {
+        result.seenStatus = response.statusCode;
         let text = '';
         response.setEncoding('utf8');
         response.on('data', (chunk) => (text += chunk));
@@ -88,7 +90,7 @@
       const dueAt = startedAt + (count * 1_000) / perSecond;
       if (dueAt - startedAt >= milliseconds) break;
       if (dueAt > Date.now()) await pause(dueAt - Date.now());
-      pending.push(this.send(next(count)));
+      if (this.cluster.isIn(this.machine)) pending.push(this.send(next(count)));
     }
     await Promise.all(pending);
   }
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -5,13 +5,15 @@
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { setTimeout } from 'node:timers';
+import { clearInterval, setInterval, setTimeout } from 'node:timers';
 import { fileURLToPath } from 'node:url';
 
 import { Server } from './server.mjs';
 import { Store } from './store.mjs';
 
 const repository = fileURLToPath(new URL('../../', import.meta.url));
+/** Interval at which the platform checks the memory of processes. */
+const memoryCheckMilliseconds = 20;
 /** Delay after which the platform starts a process again that has ended. */
 const restartMilliseconds = 500;
 
@@ -42,6 +44,11 @@
   ends = [];
   starts = [];
   isWanted = false;
+  /** Misses of the readiness check in a row; after two, requesters get no new work. */
+  misses = 0;
+  peakMegabytes = 0;
+  /** { at, megabytes } of each end by the platform since the process exceeded its memory. */
+  memoryKills = [];
 
   constructor(directory, settings, server) {
     this.settings = settings;
@@ -109,6 +116,25 @@
     });
   }
 
+  /** Private memory of the process in MB; shared pages of files are not counted. */
+  get memoryMegabytes() {
+    try {
+      const status = readFileSync(`/proc/${this.pid}/status`, 'utf8');
+      return Number(/RssAnon:\s+(\d+)/.exec(status)[1]) / 1024;
+    } catch {
+      return 0;
+    }
+  }
+
+  /** "A process that exceeds `memory_mb` is killed." */
+  enforceMemoryLimit() {
+    const megabytes = this.memoryMegabytes;
+    this.peakMegabytes = Math.max(this.peakMegabytes, megabytes);
+    if (megabytes <= this.settings.limits.memory_mb || !this.isWanted) return;
+    this.memoryKills.push({ at: Date.now(), megabytes });
+    this.child.kill('SIGKILL');
+  }
+
   get log() {
     return readFileSync(this.logFile, 'utf8');
   }
@@ -145,7 +171,26 @@
     for (const { server } of this.machines) await server.listen();
     for (const machine of this.machines) machine.start();
     for (const { server } of this.machines) server.startReports();
+    this.memoryTimer = setInterval(() => {
+      for (const machine of this.machines) machine.enforceMemoryLimit();
+    }, memoryCheckMilliseconds);
     await this.untilReady();
+    this.readinessTimer = setInterval(() => {
+      for (const machine of this.machines) void this.checkReadiness(machine);
+    }, 1_000);
+  }
+
+  async checkReadiness(machine) {
+    const status = await machine.readiness();
+    machine.misses = status === 200 ? 0 : machine.misses + 1;
+  }
+
+  /** Whether requesters on the machine get new work. */
+  isIn(machine) {
+    const { zone } = machine.settings;
+    const zoneMachines = this.machines.filter(({ settings }) => settings.zone === zone);
+    const inCount = zoneMachines.filter(({ misses }) => misses < 2).length;
+    return machine.misses < 2 || inCount * 2 < zoneMachines.length;
   }
 
   add(index, service) {
@@ -237,7 +282,7 @@
         metadata: { name: 'limits' },
         specification: {
           max_header_bytes: 16384,
-          max_body_bytes: 1048576,
+          max_body_bytes: 67108864,
           header_timeout_ms: 3000,
           idle_timeout_ms: 15000,
         },
@@ -277,6 +322,8 @@
   }
 
   async close({ keepLogs = false } = {}) {
+    clearInterval(this.readinessTimer);
+    clearInterval(this.memoryTimer);
     for (const machine of this.machines) {
       await machine.end('SIGKILL');
       machine.server.close();
