--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -14,7 +14,7 @@
 const endlessEvery = 25;
 const chunkBytes = 16;
 const troubleMilliseconds = 5_000;
-const perSecondAndMachine = 40;
+const perSecondAndMachine = 70;
 const record = fileURLToPath(new URL('record.txt', import.meta.url));
 
 let isEndless = false;
@@ -58,7 +58,7 @@
   const cluster = new Cluster({
     server: (index) => ({
       ...(faultyServers.has(index) && { spoil }),
-      workMilliseconds: () => 90 + 60 * Math.random(),
+      workMilliseconds: () => 60 + 60 * Math.random(),
     }),
     services: Array.from({ length: 6 }, () => 'registry'),
   });
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -82,15 +82,19 @@
     });
   }
 
-  /** Sends `perSecond` requests for the time; `next()` returns what to send. Resolves when all have ended. */
-  async sendSteadily(perSecond, milliseconds, next) {
+  /**
+   * Sends `perSecond` requests for the time; `next` returns what to send, and `choose` on which machine. Resolves when all have
+   * ended.
+   */
+  async sendSteadily(perSecond, milliseconds, next, choose = () => this) {
     const pending = [];
     const startedAt = Date.now();
     for (let count = 0; ; count += 1) {
       const dueAt = startedAt + (count * 1_000) / perSecond;
       if (dueAt - startedAt >= milliseconds) break;
       if (dueAt > Date.now()) await pause(dueAt - Date.now());
-      if (this.cluster.isIn(this.machine)) pending.push(this.send(next(count)));
+      const requesters = choose(count);
+      if (this.cluster.isIn(requesters.machine)) pending.push(requesters.send(next(count)));
     }
     await Promise.all(pending);
   }
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -146,7 +146,7 @@
   directory = mkdtempSync(join(tmpdir(), 'peridotspring-review-'));
   version = 0;
 
-  /** `services`: one name for each machine. `bounds` and `server` change the defaults. */
+  /** `services`: one name for each machine. `zones`: taken in turn. `bounds` and `server` change the defaults. */
   constructor({
     services,
     zones = ['hall-a', 'hall-b', 'hall-c'],
