--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -26,16 +26,20 @@
   }
 
   /** Sends one request; resolves to what the requester saw. */
-  send({ body, headers = {}, id = newId(), kind, method, path }) {
+  send({ body, headers = {}, id = newId(), isRepeat = false, kind, method, path }) {
     const { host, port } = this.machine.outbound;
     const sentAt = Date.now();
     const result = { id, kind, machine: this.machine.name, path, sentAt };
+    if (typeof body === 'string') result.sentBody = body;
     this.results.push(result);
     return new Promise((resolve) => {
       const finish = (fields) => {
         if (result.endedAt !== undefined) return;
         clearTimeout(timer);
         Object.assign(result, fields, { endedAt: Date.now(), isKept: call.reusedSocket });
+        const isPromise = result.status === 503 || result.status === 429;
+        if (isPromise && kind === 'unsafe' && !isRepeat)
+          this.onPromise?.({ body, method, path, retryAfter: result.retryAfter });
         resolve(result);
       };
       const call = httpRequest({
