--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -3,9 +3,9 @@
 import { writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 
-import { Requesters } from '../lib/client.mjs';
-import { Cluster, pause } from '../lib/cluster.mjs';
-import { isLostBroken } from '../lib/lost.mjs';
+import { Requesters } from '../client.mjs';
+import { Cluster, pause } from '../cluster.mjs';
+import { isLostBroken } from '../lost.mjs';
 
 const isTroubled = process.env.TROUBLE !== '0';
 /** Garbled answers: two of six servers spoil one answer in fifty, for 5 s. */
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -2,8 +2,8 @@
 import { writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 
-import { newId, Requesters } from '../lib/client.mjs';
-import { Cluster, pause } from '../lib/cluster.mjs';
+import { newId, Requesters } from '../client.mjs';
+import { Cluster, pause } from '../cluster.mjs';
 
 const isTroubled = process.env.TROUBLE !== '0';
 /** Garbled answers: three of six servers spoil one answer in fifty-one, for 5 s. A third of the answers are to unsafe requests. */
--- a/review/lib/cluster.mjs
+++ b/review/cluster.mjs
@@ -11,7 +11,7 @@
 import { Server } from './server.mjs';
 import { Store } from './store.mjs';
 
-const repository = fileURLToPath(new URL('../../', import.meta.url));
+const repository = fileURLToPath(new URL('../', import.meta.url));
 /** Interval at which the platform checks the memory of processes. */
 const memoryCheckMilliseconds = 20;
 /** Delay after which the platform starts a process again that has ended. */
