End one request, not the process, on an answer with an invalid status

Cause: the gate checked only the signature of a 2xx, the entry passed any status to writeHead, which throws below 100 and above 999, and the call comes from the handler of a peer's frame, which caught nothing. Header fields named constructor or __proto__ took the same way through an object with a prototype.

Ruled out: the parser (the gate's process went on), memory, a special case of 000 (001 and 099 end the process too; 600 and 999 reached the caller).

Change: response-rules.ts states which responses are answers (a final status, 200 to 599), applied at the gate and, for gates of older versions, at the entry. Field names are looked up without a prototype. An error while one answer, frame, message or request is handled fails that request (502) and is logged as error-contained; a violated invariant still ends the process. Frames are checked down to header fields and loads.

--- a/packages/callers/src/routes/caller-connection.ts
+++ b/packages/callers/src/routes/caller-connection.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { containError } from '@peridotspring/core';
+
 import { announcesBody } from '../request-body.js';
 import { lingerOnClose } from './lingering-close.js';
 import { RequestPipeline } from './request-pipeline.js';
@@ -40,6 +42,8 @@
   /** The caller disconnected; the request was started and has no answer. */
   readonly onCallerGone: (requestNumber: number) => void;
   readonly onPipelineWait: (wait: PipelineWait) => void;
+  /** A response could not be written; the request was answered 502, or its connection closed. */
+  readonly onResponseInvalid: (requestId: string, error: Error) => void;
   /** Requests were read but will never be started, since the connection closes first. */
   readonly onRequestsDiscarded: (count: number) => void;
 }
@@ -161,7 +165,16 @@
     });
     // The rest of an unread body would be parsed as the next request.
     const isLast = next.isLast && this.parseErrorStatus === undefined;
-    writeResponse(request.response, next.response, isLast || !request.message.complete);
+    const closesConnection = isLast || !request.message.complete;
+    containError(
+      () => {
+        writeResponse(request.response, next.response, closesConnection);
+      },
+      (error) => {
+        this.events.onResponseInvalid(request.requestId, error);
+        writeFallbackResponse(request.response, closesConnection);
+      },
+    );
     return true;
   }
 
@@ -210,3 +223,9 @@
   if (hasBody && response.req.method !== 'HEAD') response.end(body);
   else response.end();
 }
+
+/** Replaces a response that could not be written. Once its head has been sent, only closing the connection is left. */
+function writeFallbackResponse(response: ServerResponse, isLast: boolean): void {
+  if (response.headersSent) response.destroy();
+  else writeResponse(response, { body: Buffer.alloc(0), fields: {}, status: 502 }, isLast);
+}
--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
+import { toContainableError } from '@peridotspring/core';
 import {
   endToEndHeaders,
   stoppingRetryAfterMilliseconds,
@@ -62,6 +63,8 @@
   readonly onCallerGone: (requestNumber: number) => void;
   /** A request was answered by this server itself, without being passed on. */
   readonly onAnsweredLocally: (answer: LocallyAnsweredRequest) => void;
+  /** An error ended one request, which was answered 502 or whose connection was closed. */
+  readonly onErrorContained: (requestId: string, error: Error) => void;
   /** A pipelined request waited for earlier requests on the same connection. */
   readonly onPipelineWait: (wait: PipelineWait) => void;
   /** Requests were read on a connection that closes before they start; none of them was passed on. */
@@ -164,16 +167,20 @@
   }
 
   private handleConnection(socket: Socket): void {
-    const { clock, onCallerGone, onRequestsDiscarded, onPipelineWait } = this.options;
+    const { clock, onCallerGone, onErrorContained, onRequestsDiscarded, onPipelineWait } =
+      this.options;
     const connection: CallerConnection = new CallerConnection(socket, clock, {
       onRequestStart: (request) => {
         this.pendingRequests.set(request.requestNumber, connection);
-        void this.startRequest(request);
+        this.startRequest(request).catch((error: unknown) => {
+          this.handleRequestError(request, toContainableError(error));
+        });
       },
       onCallerGone: (requestNumber) => {
         if (this.pendingRequests.delete(requestNumber)) onCallerGone(requestNumber);
       },
       onRequestsDiscarded,
+      onResponseInvalid: onErrorContained,
       onPipelineWait,
     });
     this.connections.set(socket, connection);
@@ -242,6 +249,12 @@
     });
   }
 
+  /** The request may have been passed on before the error, so the answer must not say that it did not run. */
+  private handleRequestError({ requestId, requestNumber }: ParsedRequest, error: Error): void {
+    this.options.onErrorContained(requestId, error);
+    this.write(requestNumber, { body: textBody('internal error'), fields: {}, status: 502 });
+  }
+
   /** How long the caller waits for the answer, counted from the request's head. */
   private timeoutMillisecondsOf({ headers }: IncomingMessage, route: Route): number {
     const requestedMilliseconds = Number(firstValue(headers[this.options.headerNames.deadline]));
--- a/packages/callers/tests/pipelined-requests.test.ts
+++ b/packages/callers/tests/pipelined-requests.test.ts
@@ -107,6 +107,7 @@
     onRequest: (request) => this.delivered.push(request),
     onCallerGone: (requestNumber) => this.goneRequests.push(requestNumber),
     headerNames: { deadline: 'x-deadline', requestId: 'x-request-id', reserved: new Set() },
+    onErrorContained: () => undefined,
     onRequestsDiscarded: (count) => {
       this.discardedCount += count;
     },
--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -31,6 +31,8 @@
   public readonly delivered: EntryRequest[] = [];
   public readonly goneRequests: number[] = [];
   public readonly agent = new Agent({ keepAlive: true });
+  public readonly containedErrors: string[] = [];
+  public requestError: Error | undefined;
   public isConfigured = true;
   public outcome: EntryOutcome | undefined = {
     body: Buffer.from('body'),
@@ -45,6 +47,7 @@
     bindPort: 0,
     clock: () => 1_000,
     onRequest: (request) => {
+      if (this.requestError !== undefined) throw this.requestError;
       this.delivered.push(request);
       if (this.outcome !== undefined) this.server.respond(request, this.outcome);
     },
@@ -54,6 +57,7 @@
       requestId: 'x-request-id',
       reserved: new Set(['x-caller', 'x-deadline', 'x-request-id']),
     },
+    onErrorContained: (requestId) => this.containedErrors.push(requestId),
     onRequestsDiscarded: () => undefined,
     routing: () => (this.isConfigured ? { limits, table } : undefined),
     onPipelineWait: () => undefined,
@@ -232,4 +236,40 @@
   });
 });
 
+/** Answers that can't be written as HTTP. */
+const unwritableAnswers: readonly (readonly [
+  string,
+  number,
+  readonly (readonly [string, string])[],
+])[] = [
+  ['status 0', 0, []],
+  ['status 1000', 1_000, []],
+  ['a field name with a space', 200, [['x a', '1']]],
+  ['a field value with a line break', 200, [['x-a', '1\r\nx-b: 2']]],
+];
+
+// Guards against the end of the process, with all requests that it had taken, by one answer.
+for (const [name, status, headers] of unwritableAnswers) {
+  test(`an answer with ${name} becomes a 502, and the connection carries the next request`, async () => {
+    await withServer(async (testServer) => {
+      const { outcome } = testServer;
+      testServer.outcome = { body: Buffer.from('body'), headers, kind: 'answered', status };
+      assert.is((await testServer.call()).status, 502);
+      assert.equal(testServer.containedErrors, ['r1']);
+      testServer.outcome = outcome;
+      assert.is((await testServer.call()).status, 200);
+    });
+  });
+}
+
+test('an error while a request is passed on answers it 502 and ends no other', async () => {
+  await withServer(async (testServer) => {
+    testServer.requestError = new Error('injected');
+    assert.is((await testServer.call()).status, 502);
+    assert.equal(testServer.containedErrors, ['r1']);
+    testServer.requestError = undefined;
+    assert.is((await testServer.call()).status, 200);
+  });
+});
+
 test.run();
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -45,6 +45,7 @@
   [EntryEventName.RequestRepeated]: ['reason'],
   [GateEventName.RequestDeclined]: ['reason'],
   [GateEventName.RequestFinished]: ['outcome'],
+  [MeshEvent.ErrorContained]: ['place'],
   [MeshEvent.RequestAnsweredLocally]: ['status'],
   [MeshEvent.StoreCalled]: ['call', 'outcome'],
 };
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -8,6 +8,7 @@
   ConfigurationWatch: 'configuration-watch',
   ConnectionSuspected: 'connection-suspected',
   DialFailed: 'dial-failed',
+  ErrorContained: 'error-contained',
   EvacuationsChanged: 'evacuations-changed',
   HealthChecked: 'server-health-checked',
   LinesSuppressed: 'log-lines-suppressed',
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -1,4 +1,5 @@
 import type { RouteServer, RoutingConfiguration } from '@peridotspring/callers';
+import { containError } from '@peridotspring/core';
 import type { RandomSource } from '@peridotspring/core';
 import {
   PlacementPolicy,
@@ -212,7 +213,7 @@
           this.sendReply(node, boot, frame);
         },
         run: (execution) => {
-          options.ports().server.run(execution);
+          this.runAtServer(execution);
         },
       },
       probesPerSecond: settings.probesPerSecond,
@@ -476,7 +477,46 @@
     if (isRefused) this.forwarder.onNodeEnded(name, now);
   }
 
+  /** An error while a frame is handled ends the request of the frame and no other. */
   public onFrame(from: MeshNode, frame: MeshFrame): void {
+    containError(
+      () => {
+        this.handleFrame(from, frame);
+      },
+      (error) => {
+        this.onFrameError(from, frame, error);
+      },
+    );
+  }
+
+  private onFrameError(from: MeshNode, frame: MeshFrame, { message }: Error): void {
+    const request = frame.kind === 'start' ? frame.requestId : 'none';
+    const place = `frame-${frame.kind}`;
+    this.log(MeshEvent.ErrorContained, { detail: message, peer: from.name, place, request });
+    const now = this.options.clock();
+    switch (frame.kind) {
+      case 'start': {
+        const detail = 'internal error of the gate';
+        const load = this.gate.load(now);
+        this.sendReply(from.name, from.boot, {
+          callId: frame.callId,
+          detail,
+          kind: 'failed',
+          load,
+        });
+        return;
+      }
+      case 'answered':
+      case 'declined':
+      case 'failed':
+        this.forwarder.onReplyError(from.name, frame.callId, now);
+        return;
+      default:
+        return;
+    }
+  }
+
+  private handleFrame(from: MeshNode, frame: MeshFrame): void {
     const now = this.options.clock();
     switch (frame.kind) {
       case 'start':
@@ -560,6 +600,26 @@
     this.gate.configureColdStart(coldStart && toColdStartLimit(coldStart, this.coldStartTolerance));
   }
 
+  /** An error before the request was sent, or while it was, ends its execution; the gate counts it as running until then. */
+  private runAtServer(execution: Execution): void {
+    const { executionId, frame } = execution;
+    containError(
+      () => {
+        this.options.ports().server.run(execution);
+      },
+      ({ message }) => {
+        this.log(MeshEvent.ErrorContained, {
+          detail: message,
+          place: 'server',
+          request: frame.requestId,
+        });
+        this.options.defer(() => {
+          this.onExecutionConcluded(executionId, { detail: 'internal error', kind: 'failed' });
+        });
+      },
+    );
+  }
+
   private async checkListener(): Promise<void> {
     const isRefused = await this.options.ports().server.isRefusingConnections();
     this.gate.onListenerChecked(isRefused, this.options.clock());
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -81,7 +81,7 @@
   });
   const callers = createCallers(options, driver, clock, events);
   const connections = createConnections(settings, self, driver, clock);
-  const server = createServerClient(options, driver, clock);
+  const server = createServerClient(options, driver, clock, events);
   const store = createStore(options, self, driver, {
     clock,
     events,
@@ -135,6 +135,9 @@
     bindHost: host,
     bindPort: port,
     codec: adapter.serverMessages,
+    onErrorContained: ({ message }) => {
+      events.record(MeshEvent.ErrorContained, { detail: message, place: 'server-message' });
+    },
     onMessage: (message) => driver.onServerMessage(message),
   });
   const readiness = new ReadinessServer(
@@ -232,6 +235,9 @@
       driver.onCallerDisconnected(requestNumber);
     },
     headerNames: adapter.callerHeaders,
+    onErrorContained: (request, { message }) => {
+      events.record(MeshEvent.ErrorContained, { detail: message, place: 'caller', request });
+    },
     onRequestsDiscarded: (requests) => {
       events.record(MeshEvent.RequestsNotPassedOn, { requests });
     },
@@ -285,6 +291,7 @@
   { adapter, settings }: MeshWiringOptions,
   driver: MeshNodeDriver,
   clock: () => number,
+  events: EventRecorder,
 ): ServerClient {
   return new ServerClient({
     responseMemoryBytes: settings.answerMemoryBytes,
@@ -294,6 +301,10 @@
       driver.onExecutionConcluded(executionId, result);
     },
     host: settings.serverAddress.host,
+    onErrorContained: (requestId, { message }) => {
+      const request = requestId ?? 'health-check';
+      events.record(MeshEvent.ErrorContained, { detail: message, place: 'server', request });
+    },
     onLoadReport: (load) => {
       driver.onServerLoad(load);
     },
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -1,12 +1,12 @@
 import { assertInvariant, MinimumHeap } from '@peridotspring/core';
 import type { RandomSource } from '@peridotspring/core';
 
+import { findResponseFault } from '../answers/response-rules.js';
 import type { RetryBudget } from '../budget/retry-budget.js';
 import { DeclineReason } from '../messages/mesh-frames.js';
 import type {
   AnsweredFrame,
   DeclinedFrame,
-  FailedFrame,
   GateLoad,
   ReplyFrame,
   StartFrame,
@@ -122,17 +122,29 @@
     if (attempt?.nodeName !== nodeName) return;
     this.endAttempt(attempt);
     switch (frame.kind) {
-      case 'answered':
-        this.onAnswered(attempt, frame, now);
+      case 'answered': {
+        // The gate has checked the response too, unless it runs an older version.
+        const fault = findResponseFault(frame);
+        if (fault === undefined) this.onAnswered(attempt, frame, now);
+        else this.onFailed(attempt, fault, now);
         return;
+      }
       case 'declined':
         this.onDeclined(attempt, frame, now);
         return;
       case 'failed':
-        this.onFailed(attempt, frame, now);
+        this.onFailed(attempt, frame.detail, now);
     }
   }
 
+  /** Fails the attempt whose reply could not be handled. */
+  public onReplyError(nodeName: string, callId: number, now: number): void {
+    const attempt = this.attempts.get(callId);
+    if (attempt?.nodeName !== nodeName) return;
+    this.endAttempt(attempt);
+    this.onFailed(attempt, 'reply could not be handled', now);
+  }
+
   /** Cancels the attempts of a request whose caller has closed its connection. */
   public onCallerDisconnected(requestNumber: number, now: number): void {
     const state = this.requests.get(requestNumber);
@@ -248,9 +260,9 @@
     } else this.tryNextGate(state, now);
   }
 
-  private onFailed(attempt: Attempt, frame: FailedFrame, now: number): void {
+  private onFailed(attempt: Attempt, detail: string, now: number): void {
     const { state } = attempt;
-    this.log(EntryEventName.AttemptFailed, state, { detail: frame.detail, gate: attempt.nodeName });
+    this.log(EntryEventName.AttemptFailed, state, { detail, gate: attempt.nodeName });
     this.retryOrGiveUp(state, now);
   }
 
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -1,3 +1,5 @@
+export { findResponseFault } from './answers/response-rules.js';
+export type { ResponseHead } from './answers/response-rules.js';
 export { RetryBudget } from './budget/retry-budget.js';
 export type { RetryBudgetOptions } from './budget/retry-budget.js';
 export { ConfigurationFreshness } from './configuration/configuration-freshness.js';
--- a/packages/mesh-core/src/messages/header-list.ts
+++ b/packages/mesh-core/src/messages/header-list.ts
@@ -31,9 +31,12 @@
   return fields.find(([field]) => field === name)?.[1];
 }
 
-/** Converts header fields to the form that Node.js writes: a name with several values has an array. */
+/**
+ * Converts header fields to the form that Node.js writes: a name with several values has an array. The result has no
+ * prototype, so that a field may have the name of a property that all objects inherit.
+ */
 export function toOutgoingHeaders(fields: HeaderList): Record<string, string | string[]> {
-  const outgoing: Record<string, string | string[]> = {};
+  const outgoing = Object.create(null) as Record<string, string | string[]>;
   for (const [name, value] of fields) {
     const existing = outgoing[name];
     if (existing === undefined) outgoing[name] = value;
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -184,6 +184,9 @@
   [true, { body: new Uint8Array(), headers: [], kind: 'answered', status: 500 }, 2, undefined],
   [false, { body: new Uint8Array(), headers: [], kind: 'answered', status: 500 }, 1, 'answered'],
   [true, { body: new Uint8Array(), headers: [], kind: 'answered', status: 404 }, 1, 'answered'],
+  // A gate of an older version may pass on a status that is no answer.
+  [true, { body: new Uint8Array(), headers: [], kind: 'answered', status: 0 }, 2, undefined],
+  [false, { body: new Uint8Array(), headers: [], kind: 'answered', status: 101 }, 1, 'unknown'],
 ];
 
 for (const [idempotent, reply, starts, outcome] of failureCases) {
--- a/packages/mesh-core/tests/messages/header-list.test.ts
+++ b/packages/mesh-core/tests/messages/header-list.test.ts
@@ -55,7 +55,19 @@
     ['b', '2'],
     ['a', '3'],
   ]);
-  assert.equal(fields, { a: ['1', '3'], b: '2' });
+  assert.equal({ ...fields }, { a: ['1', '3'], b: '2' });
+});
+
+// Guards against field names that every object inherits: `constructor` became an array with a function in it, which
+// could not be written and ended the process.
+test('a field may have the name of a property that objects inherit', () => {
+  const names = ['constructor', '__proto__', 'tostring'];
+  const fields = toOutgoingHeaders(names.map((name) => [name, 'v']));
+  assert.equal(Object.entries(fields), [
+    ['constructor', 'v'],
+    ['__proto__', 'v'],
+    ['tostring', 'v'],
+  ]);
 });
 
 test.run();
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -110,14 +110,15 @@
   useRecords: false,
 });
 
-type FieldType = 'array' | 'boolean' | 'bytes' | 'number' | 'object' | 'string';
+type FieldType =
+  'array' | 'boolean' | 'bytes' | 'headers' | 'load' | 'number' | 'object' | 'string';
 
 const callFields = { callId: 'number' } as const;
-const callFieldsWithLoad = { ...callFields, load: 'object' } as const;
+const callFieldsWithLoad = { ...callFields, load: 'load' } as const;
 
 /** Required fields of each frame kind and their types. */
 const frameShapes: Readonly<Record<MeshWireFrame['kind'], Readonly<Record<string, FieldType>>>> = {
-  answered: { ...callFieldsWithLoad, body: 'bytes', headers: 'array', status: 'number' },
+  answered: { ...callFieldsWithLoad, body: 'bytes', headers: 'headers', status: 'number' },
   cancel: callFields,
   configuration: { content: 'bytes', version: 'number' },
   declined: { ...callFieldsWithLoad, expectedMilliseconds: 'number', reason: 'string' },
@@ -125,13 +126,13 @@
   hello: {
     configurationVersion: 'number',
     knownNodes: 'number',
-    load: 'object',
+    load: 'load',
     node: 'object',
     protocol: 'number',
     reachesStore: 'boolean',
   },
   leaving: {},
-  load: { load: 'object' },
+  load: { load: 'load' },
   members: { members: 'array' },
   ping: {},
   pong: {},
@@ -139,7 +140,7 @@
   start: {
     ...callFields,
     callerService: 'string',
-    headers: 'array',
+    headers: 'headers',
     idempotent: 'boolean',
     method: 'string',
     nested: 'boolean',
@@ -224,9 +225,41 @@
       return Array.isArray(value);
     case 'bytes':
       return value instanceof Uint8Array;
+    case 'headers':
+      return Array.isArray(value) && value.every(isHeaderField);
+    case 'load':
+      return isGateLoad(value);
     case 'object':
       return typeof value === 'object' && value !== null;
     default:
       return typeof value === type;
   }
 }
+
+/** Whether the value is a pair of a name and a value, as in a `HeaderList`. */
+function isHeaderField(value: unknown): boolean {
+  return (
+    Array.isArray(value) &&
+    value.length === 2 &&
+    typeof value[0] === 'string' &&
+    typeof value[1] === 'string'
+  );
+}
+
+const loadNumbers = [
+  'failureShare',
+  'limit',
+  'running',
+  'serviceMilliseconds',
+  'slowdown',
+  'waitMilliseconds',
+  'waiting',
+] as const satisfies readonly (keyof GateLoad)[];
+
+function isGateLoad(value: unknown): boolean {
+  if (typeof value !== 'object' || value === null) return false;
+  const load = value as Readonly<Record<string, unknown>>;
+  return (
+    typeof load.state === 'string' && loadNumbers.every((name) => typeof load[name] === 'number')
+  );
+}
--- a/packages/nodes/tests/mesh-connections.test.ts
+++ b/packages/nodes/tests/mesh-connections.test.ts
@@ -31,6 +31,33 @@
   }
 });
 
+/** Frames with parts that only another version or a faulty node sends. */
+const malformedFrames: readonly (readonly [string, object])[] = [
+  ['a field without a value', { headers: [['x-a']] }],
+  ['a field value that is a number', { headers: [['x-a', 1]] }],
+  ['a field that is no pair', { headers: ['x-a'] }],
+  ['a load without a state', { load: { ...createLoad(), state: undefined } }],
+  ['a load with a text in place of a number', { load: { ...createLoad(), running: 'many' } }],
+];
+
+// Guards against values that end the process when they are used: the decoder checked only the outermost fields.
+for (const [name, change] of malformedFrames) {
+  test(`an answer with ${name} is a fault of its connection`, () => {
+    const answer = {
+      body: Buffer.from('body'),
+      callId: 7,
+      headers: [],
+      kind: 'answered',
+      load: createLoad(),
+      status: 200,
+      ...change,
+    };
+    const decoder = new MeshFrameDecoder();
+    const [decoded] = decoder.push(encodeMeshFrame(answer as unknown as MeshWireFrame));
+    assert.is(decoded?.kind, 'fault');
+  });
+}
+
 async function nodeOnFreePort(name: string, boot = 1): Promise<MeshNode> {
   const [port] = await findFreePorts(1);
   const address = `127.0.0.1:${port}`;
--- a/packages/upstreams/src/mesh/report-server.ts
+++ b/packages/upstreams/src/mesh/report-server.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
+import { toContainableError } from '@peridotspring/core';
 import type { ServerReport } from '@peridotspring/mesh-core';
 
 import { requestTimeouts } from './request-timeouts.js';
@@ -25,6 +26,8 @@
   readonly codec: ServerMessageCodec;
   /** Awaited before the response is sent, so that the response confirms that the message was processed. */
   readonly onMessage: (message: ServerMessage) => Promise<void>;
+  /** An error ended one message, which was not confirmed; the server sends it again. */
+  readonly onErrorContained: (error: Error) => void;
 }
 
 /** HTTP server on which the server beside the node reports its state and leaves. */
@@ -34,7 +37,11 @@
   public constructor(private readonly options: ReportServerOptions) {
     this.server = createServer(requestTimeouts, (request, response) => {
       // A request that was aborted midway gets no response; the server sends it again.
-      this.handleRequest(request, response).catch(() => response.destroy());
+      this.handleRequest(request, response).catch((error: unknown) => {
+        response.destroy();
+        if (!request.destroyed || request.complete)
+          options.onErrorContained(toContainableError(error));
+      });
     });
   }
 
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -2,9 +2,11 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { containError } from '@peridotspring/core';
 import {
   DeclineReason,
   endToEndHeaders,
+  findResponseFault,
   headerValue,
   toOutgoingHeaders,
 } from '@peridotspring/mesh-core';
@@ -72,6 +74,8 @@
   readonly codec: ServerHeaderCodec;
   readonly clock: () => number;
   readonly onResult: (executionId: number, result: ExecutionResult) => void;
+  /** An error while a response was read ended one request, or a health check if there is no identifier. */
+  readonly onErrorContained: (requestId: string | undefined, error: Error) => void;
   readonly onLoadReport: (load: ServerLoad) => void;
   /** Called with what the expected server states about itself, before the result of the request. */
   readonly onNotice: (notice: ServerNotice) => void;
@@ -153,14 +157,20 @@
             resolve(undefined);
             return;
           }
-          const load = this.readLoad(response);
-          const instanceId = firstHeaderValue(response, codec.instanceId);
-          resolve({
-            coldMilliseconds: this.readColdTime(response),
-            instanceId,
-            isReady: response.statusCode === 200,
-            load,
-          });
+          containError(
+            () => {
+              resolve({
+                coldMilliseconds: this.readColdTime(response),
+                instanceId: firstHeaderValue(response, codec.instanceId),
+                isReady: response.statusCode === 200,
+                load: this.readLoad(response),
+              });
+            },
+            (error) => {
+              this.options.onErrorContained(undefined, error);
+              resolve(undefined);
+            },
+          );
         };
         new ResponseCollector(response, collectionOptions, onCollected, () => {
           clearTimeout(timer);
@@ -241,15 +251,24 @@
   private handleResponse(
     request: ClientRequest,
     response: IncomingMessage,
-    { frame, instanceId }: Execution,
+    execution: Execution,
     settle: (result: ExecutionResult) => void,
   ): void {
+    const { frame } = execution;
     const { codec } = this.options;
-    if (firstHeaderValue(response, codec.requestId) !== frame.requestId) {
-      this.agent.disableReuse();
+    const reject = (detail: string): void => {
       response.on('error', () => undefined);
       request.destroy();
-      settle({ detail: 'response carries the identifier of another request', kind: 'failed' });
+      settle({ detail, kind: 'failed' });
+    };
+    if (firstHeaderValue(response, codec.requestId) !== frame.requestId) {
+      this.agent.disableReuse();
+      reject('response carries the identifier of another request');
+      return;
+    }
+    const fault = findResponseFault({ status: response.statusCode ?? 0 });
+    if (fault !== undefined) {
+      reject(fault);
       return;
     }
     let isEndKnown = isSelfDelimiting(response, frame.method);
@@ -269,7 +288,7 @@
       (collected) => {
         this.responseMemory.untrack(collector);
         if (collected.kind === 'whole' && isEndKnown)
-          settle(this.toExecutionResult(response, collected.body, instanceId));
+          settle(this.readResult(response, collected.body, execution));
         else {
           const isConnectionLost = collected.kind === 'cut' && !this.abortedRequests.has(request);
           settle({ detail: 'response aborted or too long', isConnectionLost, kind: 'failed' });
@@ -286,6 +305,24 @@
     collector.start();
   }
 
+  /** A response that can't be interpreted fails its request; the request may have run. */
+  private readResult(
+    response: IncomingMessage,
+    body: Uint8Array,
+    { frame, instanceId }: Execution,
+  ): ExecutionResult {
+    let result: ExecutionResult = { detail: 'response could not be read', kind: 'failed' };
+    containError(
+      () => {
+        result = this.toExecutionResult(response, body, instanceId);
+      },
+      (error) => {
+        this.options.onErrorContained(frame.requestId, error);
+      },
+    );
+    return result;
+  }
+
   private toExecutionResult(
     response: IncomingMessage,
     body: Uint8Array,
@@ -304,14 +341,14 @@
       return { detail, kind: 'not-run', reason: DeclineReason.ServerRefused };
     }
     const headers = endToEndHeaders(response.rawHeaders, this.strippedFields);
-    const fault = this.findResponseFault(status, headers);
+    const fault = this.findContentFault(status, headers);
     return fault === undefined
       ? { body, headers, kind: 'answered', status }
       : { detail: fault, kind: 'failed' };
   }
 
   /** Why a response cannot originate from the server itself; `undefined` if it can. */
-  private findResponseFault(status: number, headers: HeaderList): string | undefined {
+  private findContentFault(status: number, headers: HeaderList): string | undefined {
     if (headerValue(headers, 'content-encoding') !== undefined)
       return 'response has a content encoding';
     const isSuccess = status >= 200 && status < 300;
--- a/packages/upstreams/tests/report-server.test.ts
+++ b/packages/upstreams/tests/report-server.test.ts
@@ -7,6 +7,8 @@
 import { ReportServer } from '../src/mesh/index.js';
 import type { ServerMessage } from '../src/mesh/index.js';
 
+const containedErrors: string[] = [];
+
 async function withReportServer(
   onMessage: (message: ServerMessage) => Promise<void>,
   runTest: (port: number) => Promise<void>,
@@ -16,6 +18,7 @@
     bindHost: '127.0.0.1',
     bindPort: port,
     codec: { parse: (_method, path) => ({ instanceId: path, kind: 'leave' }) },
+    onErrorContained: (error) => containedErrors.push(error.message),
     onMessage,
   });
   await reportServer.listen();
@@ -91,4 +94,27 @@
   });
 });
 
+test('an error while a message is handled closes its connection and ends nothing else', async () => {
+  let count = 0;
+  const onMessage = async (): Promise<void> => {
+    count += 1;
+    if (count === 1) throw new Error('injected');
+    return Promise.resolve();
+  };
+  const send = async (port: number): Promise<string> => {
+    const socket = connect({ host: '127.0.0.1', port });
+    let response = '';
+    socket.setEncoding('utf8');
+    socket.on('data', (text: string) => (response += text));
+    socket.write('DELETE /i-1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n');
+    await new Promise((resolve) => socket.once('close', resolve));
+    return response;
+  };
+  await withReportServer(onMessage, async (port) => {
+    assert.is(await send(port), '');
+    assert.match(await send(port), /^HTTP\/1\.1 200 /);
+  });
+  assert.equal(containedErrors, ['injected']);
+});
+
 test.run();
--- /dev/null
+++ b/packages/upstreams/tests/server-client-answers.test.ts
@@ -0,0 +1,65 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { responseText, signed, withHealthServer, withServer } from './server-client-harness.js';
+import type { Behaviour } from './server-client-harness.js';
+
+// Which responses count as the server's own answer, as bytes on a socket.
+
+function rawResponse(requestId: string, statusDigits: string): string {
+  const text = responseText(requestId, [signed, 'content-length: 4'], 'body');
+  return text.replace(/^HTTP\/1\.1 \d+/, `HTTP/1.1 ${statusDigits}`);
+}
+
+// Guards against a wrong digit in a status, which ended the process of the node at which the request began.
+for (const statusDigits of ['000', '001', '099', '600', '999']) {
+  test(`a response with the status ${statusDigits} is no answer, and no sign of a lost connection`, async () => {
+    const behaviour: Behaviour = (socket, id) => socket.write(rawResponse(id, statusDigits));
+    await withServer(behaviour, async (harness) => {
+      const result = await harness.run('r-1');
+      assert.is(result.kind, 'failed');
+      assert.ok(result.kind === 'failed' && result.isConnectionLost !== true);
+    });
+  });
+}
+
+for (const status of [200, 206, 299, 404, 418, 499, 500, 599]) {
+  test(`a signed response with the status ${status} is passed on unchanged`, async () => {
+    const fields = [signed, 'x-odd_~name!: odd; value', 'content-length: 4'];
+    const behaviour: Behaviour = (socket, id) =>
+      socket.write(responseText(id, fields, 'body', status));
+    await withServer(behaviour, async (harness) => {
+      const result = await harness.run('r-1');
+      assert.ok(result.kind === 'answered', result.kind);
+      assert.is(result.status, status);
+      assert.is(Buffer.from(result.body).toString(), 'body');
+      assert.ok(result.headers.some(([name]) => name === 'x-odd_~name!'));
+    });
+  });
+}
+
+test('an error while a response is read fails that request only', async () => {
+  const behaviour: Behaviour = (socket, id) => {
+    const load = id === 'r-1' ? 'throw' : '1';
+    socket.write(responseText(id, [signed, `x-load: ${load}`, 'content-length: 4'], 'body'));
+  };
+  await withServer(behaviour, async (harness) => {
+    assert.is((await harness.run('r-1')).kind, 'failed');
+    assert.equal(
+      harness.containedErrors.map(({ message }) => message),
+      ['injected'],
+    );
+    assert.is((await harness.run('r-2')).kind, 'answered');
+  });
+});
+
+test('an error while the response to a health check is read fails that check only', async () => {
+  const behaviour: Behaviour = (socket) =>
+    socket.write('HTTP/1.1 200 OK\r\nx-cold-remaining: throw\r\ncontent-length: 0\r\n\r\n');
+  await withHealthServer(behaviour, async ({ client, containedErrors }) => {
+    assert.is(await client.health('/health'), undefined);
+    assert.is(containedErrors.length, 1);
+  });
+});
+
+test.run();
--- a/packages/upstreams/tests/server-client-harness.ts
+++ b/packages/upstreams/tests/server-client-harness.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 
+import { InvariantError } from '@peridotspring/core';
 import type {
   Execution,
   ExecutionResult,
@@ -24,8 +25,15 @@
   requestLimit: 'x-limit',
   load: 'x-load',
   notExecuted: 'x-not-executed',
-  parseColdTime: (value) => (value === 'soon' ? undefined : Number(value)),
-  parseLoad: (value) => ({ running: Number(value), slots: 4, slowdown: 1, waiting: 0 }),
+  parseColdTime: (value) => {
+    if (value === 'throw') throw new Error('injected');
+    return value === 'soon' ? undefined : Number(value);
+  },
+  parseLoad: (value) => {
+    if (value === 'throw') throw new Error('injected');
+    if (value === 'inconsistent') throw new InvariantError('injected');
+    return { running: Number(value), slots: 4, slowdown: 1, waiting: 0 };
+  },
   requestId: 'x-request-id',
   signature: 'x-signature',
 };
@@ -70,6 +78,7 @@
   public readonly client: ServerClient;
   public readonly unexpectedInstances: string[] = [];
   public readonly notices: ServerNotice[] = [];
+  public readonly containedErrors: Error[] = [];
   private readonly resolvers = new Map<number, (result: ExecutionResult) => void>();
   private nextExecutionId = 1;
 
@@ -80,6 +89,7 @@
       codec,
       onResult: (executionId, result) => this.resolvers.get(executionId)?.(result),
       host: '127.0.0.1',
+      onErrorContained: (_requestId, error) => this.containedErrors.push(error),
       onLoadReport: () => undefined,
       onNotice: (notice) => this.notices.push(notice),
       onUnexpectedInstance: (instanceId) => this.unexpectedInstances.push(instanceId),
@@ -142,6 +152,34 @@
   }
 }
 
+/** Runs a test against a TCP server that responds to anything it receives, for health checks. */
+export async function withHealthServer(
+  behaviour: (socket: Socket, requestId: string) => void,
+  runTest: (
+    harness: ServerClientHarness,
+    server: { readonly sockets: Set<Socket> },
+  ) => Promise<void>,
+): Promise<void> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    socket.once('data', () => {
+      behaviour(socket, 'h');
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const harness = new ServerClientHarness((server.address() as AddressInfo).port);
+  try {
+    await runTest(harness, { sockets });
+  } finally {
+    harness.client.close();
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  }
+}
+
 export async function sleep(milliseconds: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -1,12 +1,11 @@
-import net, { createServer } from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
+import net from 'node:net';
+import type { Socket } from 'node:net';
 
 import { DeclineReason } from '@peridotspring/mesh-core';
 import type { ExecutionResult } from '@peridotspring/mesh-core';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import type { ServerClient } from '../src/mesh/index.js';
 import {
   RawServer,
   ServerClientHarness,
@@ -14,35 +13,11 @@
   responseText,
   signed,
   sleep,
+  withHealthServer,
   withServer,
 } from './server-client-harness.js';
 import type { Behaviour } from './server-client-harness.js';
 
-/** Runs a test against a TCP server that responds to anything it receives, for health checks. */
-async function withHealthServer(
-  behaviour: (socket: Socket, requestId: string) => void,
-  runTest: (client: ServerClient, server: { readonly sockets: Set<Socket> }) => Promise<void>,
-): Promise<void> {
-  const sockets = new Set<Socket>();
-  const server = createServer((socket) => {
-    sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.on('close', () => sockets.delete(socket));
-    socket.once('data', () => {
-      behaviour(socket, 'h');
-    });
-  });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { client } = new ServerClientHarness((server.address() as AddressInfo).port);
-  try {
-    await runTest(client, { sockets });
-  } finally {
-    client.close();
-    for (const socket of sockets) socket.destroy();
-    server.close();
-  }
-}
-
 /** Name, behaviour of the server, and the kind of result that the client has to report. */
 const cases: readonly (readonly [string, Behaviour, ExecutionResult['kind']])[] = [
   ['a complete response', (socket, id) => socket.write(completeResponse(id)), 'answered'],
@@ -260,7 +235,7 @@
       writeEndlessly(socket, head('h'), part);
     };
     const isAnswer = head('h').endsWith('body');
-    await withHealthServer(health, async (client, server) => {
+    await withHealthServer(health, async ({ client }, server) => {
       assert.is((await client.health('/health')) === undefined, !isAnswer);
       await sleep(200);
       assert.is(server.sockets.size, 0);
@@ -283,7 +258,7 @@
     const behaviour: Behaviour = (socket) => {
       socket.end(`HTTP/1.1 ${[status, ...fields, 'content-length: 0'].join('\r\n')}\r\n\r\n`);
     };
-    await withHealthServer(behaviour, async (client) => {
+    await withHealthServer(behaviour, async ({ client }) => {
       assert.is((await client.health('/health'))?.coldMilliseconds, expected);
     });
   });
@@ -297,7 +272,7 @@
       clearInterval(timer);
     });
   };
-  await withHealthServer(behaviour, async (client, server) => {
+  await withHealthServer(behaviour, async ({ client }, server) => {
     const startedAt = performance.now();
     assert.is(await client.health('/health'), undefined);
     assert.ok(performance.now() - startedAt < 1_500);
