Bound the memory of answers by what is held, not by what was sent

Cause: the collector kept each chunk as a buffer of its own, 200 to 300 bytes of memory for 16 bytes of body, and counted the body only. Lists of the same kind collected answers of the store and callers' bodies. Retained replies were not counted at all.

Ruled out: heads and the parser's state (16 KiB), slices of larger receive buffers (each chunk has its own memory on Node.js 20.19), the queue to other nodes.

Change: ByteAccumulator joins chunks in one growing buffer, which is what the limit counts. A body of more than 65,536 chunks and one for each 64 bytes is too long.

--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import { Readable } from 'node:stream';
 
+import { ByteAccumulator } from '@peridotspring/core';
+
 /** The result of reading a request's body; `cut` means that the connection closed before the end of the body. */
 export type CollectedBody =
   | { readonly kind: 'whole'; readonly bytes: Uint8Array }
@@ -20,18 +22,21 @@
  * Reads a body with a known length within the buffer limit. Listeners take about half the time of the
  * iterator below, and are enough here since no part of the body has to be left for a stream.
  */
-function collectBodyOfKnownLength(request: IncomingMessage): Promise<CollectedBody> {
+function collectBodyOfKnownLength(
+  request: IncomingMessage,
+  length: number,
+): Promise<CollectedBody> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const bytes = new ByteAccumulator(length);
     request.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
+      bytes.append(chunk);
       // For a short body, the parser has reached its end before the stream emits its only chunk.
       if (request.complete && request.readableLength === 0) {
-        resolve({ bytes: Buffer.concat(chunks), kind: 'whole' });
+        resolve({ bytes: bytes.take(), kind: 'whole' });
       }
     });
     request.on('end', () => {
-      resolve(request.complete ? { bytes: Buffer.concat(chunks), kind: 'whole' } : { kind: 'cut' });
+      resolve(request.complete ? { bytes: bytes.take(), kind: 'whole' } : { kind: 'cut' });
     });
     // An error of the request is always followed by 'close'.
     request.on('error', () => undefined);
@@ -52,24 +57,22 @@
 ): Promise<CollectedBody> {
   const contentLength = request.headers['content-length'];
   if (contentLength !== undefined && Number(contentLength) <= bufferLimitBytes)
-    return collectBodyOfKnownLength(request);
+    return collectBodyOfKnownLength(request, Number(contentLength));
   // The iterator must not destroy the request when it is abandoned early: that would close the connection
   // before the caller can read a response.
   const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
-  const chunks: Buffer[] = [];
-  let byteCount = 0;
+  const bytes = new ByteAccumulator(bufferLimitBytes);
   try {
     for (;;) {
       const next = await iterator.next();
       if (next.done === true) {
-        return request.complete ? { bytes: Buffer.concat(chunks), kind: 'whole' } : { kind: 'cut' };
+        return request.complete ? { bytes: bytes.take(), kind: 'whole' } : { kind: 'cut' };
       }
-      chunks.push(next.value);
-      byteCount += next.value.length;
-      if (byteCount > bufferLimitBytes) {
+      bytes.append(next.value);
+      if (bytes.length > bufferLimitBytes) {
         return {
           kind: 'longer',
-          stream: Readable.from(streamBody(request, chunks, iterator, maximumBytes)),
+          stream: Readable.from(streamBody(request, bytes.take(), iterator, maximumBytes)),
         };
       }
     }
@@ -80,15 +83,12 @@
 
 async function* streamBody(
   request: IncomingMessage,
-  chunks: readonly Buffer[],
+  start: Uint8Array,
   iterator: AsyncIterator<Buffer>,
   maximumBytes: number,
-): AsyncGenerator<Buffer> {
-  let byteCount = 0;
-  for (const chunk of chunks) {
-    byteCount += chunk.length;
-    yield chunk;
-  }
+): AsyncGenerator<Uint8Array> {
+  let byteCount = start.length;
+  yield start;
   for (;;) {
     const next = await iterator.next();
     if (next.done === true) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 export * from './messages/index.js';
 export type { ClockReading } from './shared/clock-reading.js';
 export { assertInvariant, InvariantError } from './shared/invariant-error.js';
+export { ByteAccumulator } from './shared/byte-accumulator.js';
 export { containError, toContainableError } from './shared/contain-error.js';
 export { nextInteger, pickRandom, SeededRandomSource, shuffled } from './shared/random-source.js';
 export type { RandomSource } from './shared/random-source.js';
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -220,6 +220,7 @@
       processStartedAt: options.processStartedAt,
       quarantine,
       reportIntervalMilliseconds: settings.reportIntervalMilliseconds,
+      retainedReplyBytes: settings.answerMemoryBytes,
       service: self.service,
     });
     this.healthChecks = new ServerHealthChecks({
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -37,14 +37,26 @@
   slowdownAgeAtStart: number;
   finishedAt: number;
   reply: ReplyFrame | undefined;
+  /** Estimated memory of the reply. */
+  replyBytes: number;
 }
 
-/** The calls of a gate: those in progress, and finished ones whose reply may have to be sent again. */
+/** Estimated memory of a reply and of each of its header fields, beyond their bytes. */
+const replyOverheadBytes = 512;
+const headerFieldOverheadBytes = 128;
+
+/**
+ * The calls of a gate: those in progress, and finished ones whose reply may have to be sent again. The memory of
+ * retained replies is limited: beyond it, the largest are replaced by one that says that the answer is gone.
+ */
 export class GateCallRegistry {
+  private retainedBytes = 0;
   private readonly byKey = new Map<string, GateCall>();
   private readonly unfinishedByExecutionId = new Map<number, GateCall>();
   private nextExecutionId = 1;
 
+  public constructor(private readonly maximumRetainedBytes: number) {}
+
   /** The call that an entry's frame refers to, in progress or finished and still retained. */
   public find(from: string, boot: number, callId: number): GateCall | undefined {
     return this.byKey.get(callKey(from, boot, callId));
@@ -67,6 +79,7 @@
       isTrial: false,
       key: callKey(from, boot, frame.callId),
       reply: undefined,
+      replyBytes: 0,
       runningAtStart: 0,
       crowdedMillisecondsAtStart: 0,
       isCrowdedAtStart: false,
@@ -87,7 +100,10 @@
     call.state = 'finished';
     call.finishedAt = now;
     call.reply = reply;
+    call.replyBytes = bytesOf(reply);
+    this.retainedBytes += call.replyBytes;
     this.unfinishedByExecutionId.delete(call.executionId);
+    this.enforceRetentionLimit();
   }
 
   /** Calls that the server is running; aborted ones are not included. */
@@ -102,10 +118,34 @@
 
   /** Removes finished calls whose retention period has passed. */
   public removeExpired(now: number): void {
-    for (const { deadline, finishedAt, key, state } of this.byKey.values()) {
+    for (const { deadline, finishedAt, key, replyBytes, state } of this.byKey.values()) {
       const retainedUntil = Math.max(finishedAt, deadline) + replyRetentionMilliseconds;
-      if (state === 'finished' && now > retainedUntil) this.byKey.delete(key);
+      if (state !== 'finished' || now <= retainedUntil) continue;
+      this.byKey.delete(key);
+      this.retainedBytes -= replyBytes;
+    }
+  }
+
+  private enforceRetentionLimit(): void {
+    while (this.retainedBytes > this.maximumRetainedBytes) {
+      const largest = this.findLargestAnswer();
+      if (largest?.reply?.kind !== 'answered') return;
+      const { callId, load } = largest.reply;
+      this.retainedBytes -= largest.replyBytes;
+      // The request has run, so the entry must not be told that it was declined.
+      largest.reply = { callId, detail: 'answer is no longer retained', kind: 'failed', load };
+      largest.replyBytes = bytesOf(largest.reply);
+      this.retainedBytes += largest.replyBytes;
+    }
+  }
+
+  private findLargestAnswer(): GateCall | undefined {
+    let largest: GateCall | undefined;
+    for (const call of this.byKey.values()) {
+      if (call.reply?.kind === 'answered' && call.replyBytes > (largest?.replyBytes ?? 0))
+        largest = call;
     }
+    return largest;
   }
 
   /**
@@ -121,6 +161,15 @@
   }
 }
 
+function bytesOf(reply: ReplyFrame | undefined): number {
+  if (reply === undefined) return 0;
+  if (reply.kind !== 'answered') return replyOverheadBytes;
+  let bytes = replyOverheadBytes + reply.body.length;
+  for (const [name, value] of reply.headers)
+    bytes += headerFieldOverheadBytes + name.length + value.length;
+  return bytes;
+}
+
 function callKey(from: string, boot: number, callId: number): string {
   return `${from}/${boot}/${callId}`;
 }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -89,6 +89,8 @@
   readonly service: string;
   readonly port: GatePort;
   readonly quarantine: Pick<RequestQuarantine, 'recordCompletion' | 'suspicionOf'>;
+  /** Limit on the memory of replies that are retained in case an entry asks for them again. */
+  readonly retainedReplyBytes: number;
   /** Maximum rate at which the gate probes the server's speed. */
   readonly probesPerSecond: number;
   /** Interval at which the server reports its state. */
@@ -112,7 +114,7 @@
   private readonly probes: ProbeRateLimiter;
   private readonly failures = new RecentFailures();
   private readonly startIntervalEstimator = new StartIntervalEstimator();
-  private readonly calls = new GateCallRegistry();
+  private readonly calls: GateCallRegistry;
   private readonly coldStartGuard: ColdStartGuard;
   private readonly requestRate = new RequestRateLimit();
   private readonly crashDetector: ServerCrashDetector;
@@ -132,6 +134,7 @@
   private lastActivityAt = 0;
 
   public constructor(private readonly options: ServerGateOptions) {
+    this.calls = new GateCallRegistry(options.retainedReplyBytes);
     this.gateLog = new GateLog(options.log);
     this.probes = new ProbeRateLimiter(options.probesPerSecond);
     this.coldStartGuard = new ColdStartGuard({
--- a/packages/mesh-core/tests/gate/gate-harness.ts
+++ b/packages/mesh-core/tests/gate/gate-harness.ts
@@ -9,6 +9,9 @@
 } from '../../src/index.js';
 import { createServerReport, createStartFrame } from '../fixtures.js';
 
+/** Small, so that tests reach the limit. */
+export const retainedReplyBytes = 10_000;
+
 const serverInstanceId = createServerReport().instanceId;
 
 /** A gate whose server is simulated by the test. */
@@ -45,6 +48,7 @@
         run: (execution) => this.running.push(execution),
       },
       probesPerSecond: 30,
+      retainedReplyBytes,
       quarantine: this.quarantine,
       processStartedAt: Number.NEGATIVE_INFINITY,
       reportIntervalMilliseconds: 1_500,
--- a/packages/mesh-core/tests/gate/server-gate.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate.test.ts
@@ -3,7 +3,7 @@
 
 import type { StartFrame } from '../../src/index.js';
 import { createServerReport, createStartFrame } from '../fixtures.js';
-import { GateHarness } from './gate-harness.js';
+import { GateHarness, retainedReplyBytes } from './gate-harness.js';
 
 test('runs as many requests as the server has slots and queues the next', () => {
   const harness = new GateHarness();
@@ -24,6 +24,21 @@
   assert.is(harness.replies.filter(({ callId }) => callId === 7).length, 2);
 });
 
+// Guards against retained answers that together take all memory of the process.
+test('retains replies up to a limit, and a resent frame whose answer is gone fails without running again', () => {
+  const harness = new GateHarness(4);
+  const body = Buffer.alloc(retainedReplyBytes / 2);
+  for (const callId of [1, 2, 3]) {
+    harness.start({ callId, idempotent: false });
+    harness.finish(callId - 1, 10, { body, headers: [], kind: 'answered', status: 200 });
+  }
+  const sentReplies = harness.replies.length;
+  for (const callId of [1, 2, 3]) harness.start({ callId, idempotent: false }, 20);
+  const resent = harness.replies.slice(sentReplies).map(({ kind }) => kind);
+  assert.equal(resent, ['failed', 'failed', 'answered']);
+  assert.is(harness.running.length, 3);
+});
+
 test('retains a reply until the deadline, so that a frame resent late does not run twice', () => {
   const harness = new GateHarness();
   const frame = { callId: 7, idempotent: false, remainingMilliseconds: 30_000 };
--- a/packages/platform/src/key-values/http-store-transport.ts
+++ b/packages/platform/src/key-values/http-store-transport.ts
@@ -1,6 +1,8 @@
 import { Agent, request as httpRequest } from 'node:http';
 import type { IncomingMessage } from 'node:http';
 
+import { ByteAccumulator } from '@peridotspring/core';
+
 import type {
   StoreResponse,
   StoreCall,
@@ -76,12 +78,10 @@
         fail(error.message);
       });
       request.on('response', (response) => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const bytes = new ByteAccumulator(maximumResponseBytes);
         response.on('data', (chunk: Buffer) => {
-          chunks.push(chunk);
-          bytes += chunk.length;
-          if (bytes > maximumResponseBytes) fail('response too long');
+          bytes.append(chunk);
+          if (bytes.length > maximumResponseBytes) fail('response too long');
         });
         response.on('error', (error) => {
           fail(error.message);
@@ -91,7 +91,7 @@
         });
         response.on('end', () => {
           clearTimeout(timer);
-          const text = Buffer.concat(chunks).toString('utf8');
+          const text = Buffer.from(bytes.take()).toString('utf8');
           resolve({ ...call.parse(response.statusCode ?? 0, text), era: this.readEra(response) });
         });
       });
--- a/packages/upstreams/src/response-collector.ts
+++ b/packages/upstreams/src/response-collector.ts
@@ -2,9 +2,18 @@
 import { PassThrough } from 'node:stream';
 import type { Readable } from 'node:stream';
 
+import { ByteAccumulator } from '@peridotspring/core';
+
 /** A discarded body that exceeds this is considered endless, and its connection is closed. */
 const maximumDiscardedBytes = 16_777_216;
 
+/**
+ * Number of chunks of a body, beyond one for each `bytesPerChunk` of it, after which the body counts as too long. Each
+ * chunk takes processor time, however short it is, and an endless body of short chunks would take all of it.
+ */
+const maximumShortChunks = 65_536;
+const bytesPerChunk = 64;
+
 /** The result of collecting the body of a response. */
 export type CollectedResponse =
   | { readonly kind: 'whole'; readonly body: Uint8Array }
@@ -28,8 +37,8 @@
  * the body was incomplete.
  */
 export class ResponseCollector {
-  private readonly chunks: Buffer[] = [];
-  private receivedBytes = 0;
+  private readonly bytes: ByteAccumulator;
+  private chunkCount = 0;
   private isSettled = false;
 
   public constructor(
@@ -39,7 +48,9 @@
     private readonly onEnded: (isComplete: boolean) => void,
     /** Called after each chunk that was added to the buffer. */
     private readonly onBuffered: () => void = () => undefined,
-  ) {}
+  ) {
+    this.bytes = new ByteAccumulator(options.limitBytes);
+  }
 
   public start(): void {
     if (this.declaresBodyOfNoContent()) {
@@ -62,23 +73,27 @@
     if (declaredLength > this.options.limitBytes && !this.hasNoBody()) this.handleOverflow();
   }
 
-  /** Size of the buffer; 0 once the result has been handed over. */
+  /** Memory that the buffer takes; 0 once the result has been handed over. */
   public get bufferedBytes(): number {
-    return this.isSettled ? 0 : this.receivedBytes;
+    return this.isSettled ? 0 : this.bytes.heldBytes;
   }
 
   /** Discards the collected chunks and closes the connection. */
   public abort(): void {
     this.response.off('data', this.onData);
-    this.chunks.length = 0;
+    this.bytes.clear();
     this.response.destroy();
     this.settle({ kind: 'too-long' });
   }
 
   private readonly onData = (chunk: Buffer): void => {
-    this.chunks.push(chunk);
-    this.receivedBytes += chunk.length;
-    if (this.receivedBytes > this.options.limitBytes) {
+    this.bytes.append(chunk);
+    this.chunkCount += 1;
+    if (this.chunkCount > maximumShortChunks + this.bytes.length / bytesPerChunk) {
+      this.abort();
+      return;
+    }
+    if (this.bytes.length > this.options.limitBytes) {
       this.handleOverflow();
       return;
     }
@@ -127,7 +142,7 @@
     // An unhandled 'error' event would end the process while nobody reads the body. Readers add their own
     // listener.
     body.on('error', () => undefined);
-    for (const chunk of this.chunks) body.write(chunk);
+    body.write(this.bytes.take());
     this.response.pipe(body);
     this.response.on('close', () => {
       if (!this.response.readableEnded)
@@ -140,17 +155,18 @@
   }
 
   private discardRest(): void {
-    this.chunks.length = 0;
+    let receivedBytes = this.bytes.length;
+    this.bytes.clear();
     this.response.on('data', (chunk: Buffer) => {
-      this.receivedBytes += chunk.length;
-      if (this.receivedBytes > maximumDiscardedBytes) this.response.destroy();
+      receivedBytes += chunk.length;
+      if (receivedBytes > maximumDiscardedBytes) this.response.destroy();
     });
     this.response.resume();
     this.settle({ kind: 'too-long' });
   }
 
   private settleComplete(): void {
-    if (!this.isSettled) this.settle({ body: Buffer.concat(this.chunks), kind: 'whole' });
+    if (!this.isSettled) this.settle({ body: this.bytes.take(), kind: 'whole' });
   }
 
   private settle(result: CollectedResponse): void {
