Never pass on an interim status as the answer, nor read them without end

Cause: the client of Node.js reports a 101 without Upgrade as the final response; no status was checked; Node.js leaves out the body below 200, and the request counted as answered, so that its deadline no longer applied. On the same path, interim responses without end kept a request open and took the processor from others until its deadline.

Ruled out: a lost timer, the caller's connection, a 101 with Upgrade (Node.js closes its connection).

Change: tests for 101 at the client and with the real program; at most 16 interim responses precede an answer, for requests, health checks and the keyed program; responses that the parser delivers for a destroyed request are ignored; the keyed program applies the rule for statuses too.

--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -20,6 +20,7 @@
 
 import { ResponseCollector } from '../response-collector.js';
 import type { CollectedResponse } from '../response-collector.js';
+import { limitInterimResponses } from '../interim-responses.js';
 import { isSelfDelimiting } from '../response-framing.js';
 import { isConnectionRefused } from './listener-check.js';
 import { ResponseMemoryLimiter } from './response-memory-limiter.js';
@@ -125,6 +126,7 @@
       });
       return;
     }
+    limitInterimResponses(request, () => this.abortedRequests.add(request));
     this.activeRequests.set(executionId, request);
     this.attachListeners(request, execution);
     request.end(frame.body);
@@ -176,6 +178,7 @@
           clearTimeout(timer);
         }).start();
       });
+      limitInterimResponses(request);
       // A total timeout rather than an idle timeout: the server may send bytes rarely but endlessly.
       const timer = setTimeout(() => {
         resolve(undefined);
@@ -235,6 +238,11 @@
       else settle({ detail, kind: 'not-run', reason: DeclineReason.ServerUnreachable });
     });
     request.on('response', (response) => {
+      // The parser finishes the bytes that it has, also those behind the ones for which the request was destroyed.
+      if (request.destroyed) {
+        response.on('error', () => undefined);
+        return;
+      }
       received = response;
       this.handleResponse(request, response, execution, settle);
     });
--- a/packages/upstreams/src/upstream-execution.ts
+++ b/packages/upstreams/src/upstream-execution.ts
@@ -4,8 +4,10 @@
 import type { Readable } from 'node:stream';
 
 import type { RunUpstreamCommand, UpstreamResult } from '@peridotspring/core';
+import { findResponseFault } from '@peridotspring/mesh-core';
 
 import { ResponseCollector } from './response-collector.js';
+import { limitInterimResponses } from './interim-responses.js';
 import { isSelfDelimiting } from './response-framing.js';
 import type { CollectedResponse, CollectionOptions } from './response-collector.js';
 import { upstreamResponseFields, upstreamRequestFields } from './header-fields.js';
@@ -62,6 +64,7 @@
       return;
     }
     this.request = request;
+    limitInterimResponses(request);
     this.attachListeners(request);
     this.sendBody(request);
   }
@@ -117,12 +120,12 @@
   }
 
   private handleResponse(response: IncomingMessage, request: ClientRequest): void {
-    if (!isSelfDelimiting(response, this.command.head.method)) {
+    const fault =
+      findResponseFault({ status: response.statusCode ?? 0 }) ?? this.findFramingFault(response);
+    if (fault !== undefined) {
       response.on('error', () => undefined);
       request.destroy();
-      this.fail(
-        'response has neither Content-Length nor Transfer-Encoding, so truncation is undetectable',
-      );
+      this.fail(fault);
       return;
     }
     const collectionOptions: CollectionOptions = this.command.collectAnswer
@@ -139,6 +142,12 @@
     new ResponseCollector(response, collectionOptions, onCollected, onEnded).start();
   }
 
+  private findFramingFault(response: IncomingMessage): string | undefined {
+    return isSelfDelimiting(response, this.command.head.method)
+      ? undefined
+      : 'response has neither Content-Length nor Transfer-Encoding, so truncation is undetectable';
+  }
+
   private reportCollected(response: IncomingMessage, collected: CollectedResponse): void {
     const headers = upstreamResponseFields(response.headers);
     const head = { headers, kind: 'answered' as const, status: response.statusCode ?? 0 };
--- a/packages/upstreams/src/upstream-poll.ts
+++ b/packages/upstreams/src/upstream-poll.ts
@@ -2,6 +2,7 @@
 
 import { z } from 'zod';
 
+import { limitInterimResponses } from './interim-responses.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
 const pollTimeoutMilliseconds = 2_000;
@@ -41,6 +42,7 @@
         resolve(response.complete ? { status: response.statusCode ?? 0, text } : undefined);
       });
     });
+    limitInterimResponses(request);
     request.on('error', () => {
       resolve(undefined);
     });
--- a/packages/upstreams/tests/server-client-answers.test.ts
+++ b/packages/upstreams/tests/server-client-answers.test.ts
@@ -23,6 +23,39 @@
   });
 }
 
+// Guards against an interim status as the last response to a request: its caller got a head and never an answer.
+test('a response with the status 101 that no upgrade follows is no answer', async () => {
+  const behaviour: Behaviour = (socket, id) => socket.write(rawResponse(id, '101'));
+  await withServer(behaviour, async (harness) => {
+    assert.is((await harness.run('r-1')).kind, 'failed');
+  });
+});
+
+test('a switch of protocols that nobody asked for is no answer', async () => {
+  const fields = [signed, 'connection: upgrade', 'upgrade: x'];
+  const behaviour: Behaviour = (socket, id) => socket.write(responseText(id, fields, '', 101));
+  await withServer(behaviour, async (harness) => {
+    assert.is((await harness.run('r-1')).kind, 'failed');
+  });
+});
+
+test('a few interim responses precede an answer, and more than that end the connection', async () => {
+  for (const [count, kind] of [
+    [3, 'answered'],
+    [16, 'answered'],
+    [17, 'failed'],
+    [100_000, 'failed'],
+  ] as const) {
+    const behaviour: Behaviour = (socket, id) => {
+      socket.write('HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'.repeat(count));
+      socket.write(rawResponse(id, '200'));
+    };
+    await withServer(behaviour, async (harness) => {
+      assert.is((await harness.run('r-1')).kind, kind, `${count} interim responses`);
+    });
+  }
+});
+
 for (const status of [200, 206, 299, 404, 418, 499, 500, 599]) {
   test(`a signed response with the status ${status} is passed on unchanged`, async () => {
     const fields = [signed, 'x-odd_~name!: odd; value', 'content-length: 4'];
--- a/packages/upstreams/tests/upstream-faults.test.ts
+++ b/packages/upstreams/tests/upstream-faults.test.ts
@@ -71,6 +71,19 @@
     respondWith(`${ok}\r\nhalf an ans`, 'end'),
     'failed',
   ],
+  ...['000', '099', '101', '600'].map(
+    (status) =>
+      [
+        `responds with the status ${status}`,
+        respondWith(`HTTP/1.1 ${status} Any\r\nContent-Length: 4\r\n\r\nbody`, 'keep'),
+        'failed',
+      ] as const,
+  ),
+  [
+    'sends interim responses without end',
+    respondWith('HTTP/1.1 100 Continue\r\n\r\n'.repeat(1_000), 'keep'),
+    'failed',
+  ],
   ['omits the last chunk', respondWith(`${chunked}4\r\nhalf\r\n`, 'end'), 'failed'],
   [
     'sends less than its Content-Length',
