Pass on a promise that a request has not run only on the server's statement

Cause: the gate asked for a signature of a 2xx only and passed any other status on; a bare 421 even counted as not run. 408, 421, 429 and 503 are promises to the caller and had no evidence.

Ruled out: repeats by the node itself, refusals by the entry.

Change: judgeResponse (response-rules.ts) decides by the head: not run only with Peridotspring-Not-Executed on a 4xx or 5xx; without it, none of the four statuses is passed on to the caller of an unsafe request, and unsigned ones to nobody; a 2xx needs exactly one signature. The entry checks again for gates of older versions.

Tests changed: server-client.test sent a bare 421 and server-client-notices.test a 200 as refusals, which PROTOCOL.md does not allow; both now send what it says, and the bare forms are tested to be failures.

--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -1,7 +1,7 @@
 import { assertInvariant, MinimumHeap } from '@peridotspring/core';
 import type { RandomSource } from '@peridotspring/core';
 
-import { findResponseFault } from '../answers/response-rules.js';
+import { findAnswerFault } from '../answers/response-rules.js';
 import type { RetryBudget } from '../budget/retry-budget.js';
 import { DeclineReason } from '../messages/mesh-frames.js';
 import type {
@@ -124,7 +124,8 @@
     switch (frame.kind) {
       case 'answered': {
         // The gate has checked the response too, unless it runs an older version.
-        const fault = findResponseFault(frame);
+        const { idempotent } = attempt.state.request.route;
+        const fault = findAnswerFault(frame.status, idempotent);
         if (fault === undefined) this.onAnswered(attempt, frame, now);
         else this.onFailed(attempt, fault, now);
         return;
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -1,5 +1,5 @@
-export { findResponseFault } from './answers/response-rules.js';
-export type { ResponseHead } from './answers/response-rules.js';
+export { findAnswerFault, findStatusFault, judgeResponse } from './answers/response-rules.js';
+export type { ResponseHead, ResponseVerdict } from './answers/response-rules.js';
 export { RetryBudget } from './budget/retry-budget.js';
 export type { RetryBudgetOptions } from './budget/retry-budget.js';
 export { ConfigurationFreshness } from './configuration/configuration-freshness.js';
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -187,6 +187,10 @@
   // A gate of an older version may pass on a status that is no answer.
   [true, { body: new Uint8Array(), headers: [], kind: 'answered', status: 0 }, 2, undefined],
   [false, { body: new Uint8Array(), headers: [], kind: 'answered', status: 101 }, 1, 'unknown'],
+  // It may also pass on a promise that nobody gave.
+  [false, { body: new Uint8Array(), headers: [], kind: 'answered', status: 503 }, 1, 'unknown'],
+  [false, { body: new Uint8Array(), headers: [], kind: 'answered', status: 429 }, 1, 'unknown'],
+  [true, { body: new Uint8Array(), headers: [], kind: 'answered', status: 429 }, 1, 'answered'],
 ];
 
 for (const [idempotent, reply, starts, outcome] of failureCases) {
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -6,14 +6,14 @@
 import {
   DeclineReason,
   endToEndHeaders,
-  findResponseFault,
-  headerValue,
+  judgeResponse,
   toOutgoingHeaders,
 } from '@peridotspring/mesh-core';
 import type {
   Execution,
   ExecutionResult,
   HeaderList,
+  ResponseHead,
   ServerLoad,
   ServerNotice,
 } from '@peridotspring/mesh-core';
@@ -31,13 +31,16 @@
 /** A health check uses the status and header fields only; a larger body fails the check. */
 const maximumHealthBodyBytes = 16_384;
 
+/** Status of a server that is not the one named in the request. */
+const unexpectedInstanceStatus = 421;
+
 /** Names (in lower case) and encoding of the header fields between the gate and its server. */
 export interface ServerHeaderCodec {
   readonly requestId: string;
   readonly deadline: string;
   readonly expectedInstance: string;
   readonly callerService: string;
-  /** Present on every response that the server itself produced. */
+  /** Present on every answer that the server itself produced. */
   readonly signature: string;
   /** Present on responses to requests that the server did not execute. */
   readonly notExecuted: string;
@@ -263,6 +266,7 @@
     settle: (result: ExecutionResult) => void,
   ): void {
     const { frame } = execution;
+    const { statusCode: status = 0 } = response;
     const { codec } = this.options;
     const reject = (detail: string): void => {
       response.on('error', () => undefined);
@@ -274,9 +278,10 @@
       reject('response carries the identifier of another request');
       return;
     }
-    const fault = findResponseFault({ status: response.statusCode ?? 0 });
-    if (fault !== undefined) {
-      reject(fault);
+    const headers = endToEndHeaders(response.rawHeaders, this.strippedFields);
+    const verdict = judgeResponse(this.readHead(response, headers), frame.idempotent);
+    if (verdict.kind === 'invalid') {
+      reject(verdict.detail);
       return;
     }
     let isEndKnown = isSelfDelimiting(response, frame.method);
@@ -296,7 +301,13 @@
       (collected) => {
         this.responseMemory.untrack(collector);
         if (collected.kind === 'whole' && isEndKnown)
-          settle(this.readResult(response, collected.body, execution));
+          settle(
+            this.readResult(response, execution, () =>
+              verdict.kind === 'not-run'
+                ? this.toNotRunResult(response)
+                : { body: collected.body, headers, kind: 'answered', status },
+            ),
+          );
         else {
           const isConnectionLost = collected.kind === 'cut' && !this.abortedRequests.has(request);
           settle({ detail: 'response aborted or too long', isConnectionLost, kind: 'failed' });
@@ -313,16 +324,20 @@
     collector.start();
   }
 
-  /** A response that can't be interpreted fails its request; the request may have run. */
+  /** Reads what accompanies a response. If it can't be read, the request failed; it may have run. */
   private readResult(
     response: IncomingMessage,
-    body: Uint8Array,
     { frame, instanceId }: Execution,
+    toResult: () => ExecutionResult,
   ): ExecutionResult {
     let result: ExecutionResult = { detail: 'response could not be read', kind: 'failed' };
     containError(
       () => {
-        result = this.toExecutionResult(response, body, instanceId);
+        const load = this.readLoad(response);
+        if (load !== undefined) this.options.onLoadReport(load);
+        if (response.statusCode !== unexpectedInstanceStatus)
+          this.options.onNotice(this.readNotice(response, instanceId));
+        result = toResult();
       },
       (error) => {
         this.options.onErrorContained(frame.requestId, error);
@@ -331,37 +346,25 @@
     return result;
   }
 
-  private toExecutionResult(
-    response: IncomingMessage,
-    body: Uint8Array,
-    expectedInstanceId: string,
-  ): ExecutionResult {
-    const { codec } = this.options;
-    const load = this.readLoad(response);
-    if (load !== undefined) this.options.onLoadReport(load);
+  private toNotRunResult(response: IncomingMessage): ExecutionResult {
     const status = response.statusCode ?? 0;
-    if (status === 421) {
-      const instanceId = firstHeaderValue(response, codec.instanceId);
+    if (status === unexpectedInstanceStatus) {
+      const instanceId = firstHeaderValue(response, this.options.codec.instanceId);
       if (instanceId !== undefined) this.options.onUnexpectedInstance(instanceId);
-    } else this.options.onNotice(this.readNotice(response, expectedInstanceId));
-    if (status === 421 || firstHeaderValue(response, codec.notExecuted) !== undefined) {
-      const detail = `server rejected the request with status ${status} before executing it`;
-      return { detail, kind: 'not-run', reason: DeclineReason.ServerRefused };
     }
-    const headers = endToEndHeaders(response.rawHeaders, this.strippedFields);
-    const fault = this.findContentFault(status, headers);
-    return fault === undefined
-      ? { body, headers, kind: 'answered', status }
-      : { detail: fault, kind: 'failed' };
+    const detail = `server rejected the request with status ${status} before executing it`;
+    return { detail, kind: 'not-run', reason: DeclineReason.ServerRefused };
   }
 
-  /** Why a response cannot originate from the server itself; `undefined` if it can. */
-  private findContentFault(status: number, headers: HeaderList): string | undefined {
-    if (headerValue(headers, 'content-encoding') !== undefined)
-      return 'response has a content encoding';
-    const isSuccess = status >= 200 && status < 300;
-    const isSigned = headerValue(headers, this.options.codec.signature) !== undefined;
-    return isSuccess && !isSigned ? 'response has no signature' : undefined;
+  private readHead(response: IncomingMessage, headers: HeaderList): ResponseHead {
+    const { notExecuted, signature } = this.options.codec;
+    const signatures = headers.filter(([name]) => name === signature);
+    return {
+      isEncoded: response.headers['content-encoding'] !== undefined,
+      isSigned: signatures.length === 1 && signatures[0]?.[1] !== '',
+      statesNotExecuted: firstHeaderValue(response, notExecuted) !== undefined,
+      status: response.statusCode ?? 0,
+    };
   }
 
   /** A healthy server that is not cold may send no value. A rejected check without one shows nothing. */
--- a/packages/upstreams/src/upstream-execution.ts
+++ b/packages/upstreams/src/upstream-execution.ts
@@ -4,7 +4,7 @@
 import type { Readable } from 'node:stream';
 
 import type { RunUpstreamCommand, UpstreamResult } from '@peridotspring/core';
-import { findResponseFault } from '@peridotspring/mesh-core';
+import { findStatusFault } from '@peridotspring/mesh-core';
 
 import { ResponseCollector } from './response-collector.js';
 import { limitInterimResponses } from './interim-responses.js';
@@ -120,8 +120,7 @@
   }
 
   private handleResponse(response: IncomingMessage, request: ClientRequest): void {
-    const fault =
-      findResponseFault({ status: response.statusCode ?? 0 }) ?? this.findFramingFault(response);
+    const fault = findStatusFault(response.statusCode ?? 0) ?? this.findFramingFault(response);
     if (fault !== undefined) {
       response.on('error', () => undefined);
       request.destroy();
--- a/packages/upstreams/tests/server-client-answers.test.ts
+++ b/packages/upstreams/tests/server-client-answers.test.ts
@@ -71,6 +71,29 @@
   });
 }
 
+// Guards against a promise to the caller that its request has not run, without a statement of the server.
+for (const status of [408, 421, 429, 503]) {
+  for (const fields of [[], [signed]]) {
+    test(`a bare ${status} with ${fields.length} signatures is no refusal of a request that is not idempotent`, async () => {
+      const behaviour: Behaviour = (socket, id) =>
+        socket.write(responseText(id, [...fields, 'content-length: 0'], '', status));
+      await withServer(behaviour, async (harness) => {
+        assert.is((await harness.run('r-1', [], 'POST', false)).kind, 'failed');
+      });
+    });
+  }
+}
+
+test('a success with two signatures, an empty one, or one that belongs to its connection only is no answer', async () => {
+  for (const fields of [[signed, signed], ['x-signature:'], [signed, 'connection: x-signature']]) {
+    const behaviour: Behaviour = (socket, id) =>
+      socket.write(responseText(id, [...fields, 'content-length: 4'], 'body'));
+    await withServer(behaviour, async (harness) => {
+      assert.is((await harness.run('r-1')).kind, 'failed', fields.join());
+    });
+  }
+});
+
 test('an error while a response is read fails that request only', async () => {
   const behaviour: Behaviour = (socket, id) => {
     const load = id === 'r-1' ? 'throw' : '1';
--- a/packages/upstreams/tests/server-client-harness.ts
+++ b/packages/upstreams/tests/server-client-harness.ts
@@ -101,13 +101,14 @@
     requestId: string,
     headers: HeaderList = [],
     method = 'GET',
+    idempotent = true,
   ): Promise<ExecutionResult> {
     const executionId = this.nextExecutionId;
     this.nextExecutionId += 1;
     const execution: Execution = {
       deadline: performance.now() + 2_000,
       executionId,
-      frame: { ...startFrame(requestId), headers, method },
+      frame: { ...startFrame(requestId), headers, idempotent, method },
       instanceId: 'i-1',
     };
     return new Promise((resolve) => {
--- a/packages/upstreams/tests/server-client-notices.test.ts
+++ b/packages/upstreams/tests/server-client-notices.test.ts
@@ -10,11 +10,15 @@
     'r-2': ['x-limit: 7', 'x-not-executed: full'],
     'r-3': [],
   };
-  const behaviour: Behaviour = (socket, id) =>
-    socket.write(responseText(id, [signed, 'content-length: 0', ...(limits[id] ?? [])], ''));
+  const behaviour: Behaviour = (socket, id) => {
+    const status = id === 'r-2' ? 503 : 200;
+    const fields = [signed, 'content-length: 0', ...(limits[id] ?? [])];
+    socket.write(responseText(id, fields, '', status));
+  };
   await withServer(behaviour, async (harness) => {
     for (const [index, requestsPerSecond] of [8.9, 7, Infinity].entries()) {
-      await harness.run(`r-${index + 1}`);
+      const { kind } = await harness.run(`r-${index + 1}`);
+      assert.is(kind, index === 1 ? 'not-run' : 'answered');
       const expected = { instanceId: 'i-1', isLeaving: false, requestsPerSecond };
       assert.equal(harness.notices.at(-1), expected);
     }
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -99,7 +99,9 @@
 
 test('a server other than the expected one at the address is reported', async () => {
   const behaviour: Behaviour = (socket, id) =>
-    socket.write(responseText(id, ['x-instance: i-2', 'content-length: 0'], '', 421));
+    socket.write(
+      responseText(id, ['x-instance: i-2', 'x-not-executed: 1', 'content-length: 0'], '', 421),
+    );
   await withServer(behaviour, async (harness) => {
     assert.is((await harness.run('r-1')).kind, 'not-run');
     assert.equal(harness.unexpectedInstances, ['i-2']);
