Take a reset for the end of a body no more if its coding is identity

Cause: the check whether a connection was closed or reset was left out for every response with a Transfer-Encoding field, though only chunked marks an end by itself (RFC 9112, section 6.3).

Ruled out: the check itself (without the field the same resets failed), chunked bodies and bodies with a length.

Change: findBodyEnd tells how the end of a body is marked; other codings than chunked and identity are failures, and the keyed program refuses identity as it refuses bodies without a length.

--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -21,7 +21,7 @@
 import { ResponseCollector } from '../response-collector.js';
 import type { CollectedResponse } from '../response-collector.js';
 import { limitInterimResponses } from '../interim-responses.js';
-import { isSelfDelimiting } from '../response-framing.js';
+import { BodyEnd, findBodyEnd } from '../response-framing.js';
 import { isConnectionRefused } from './listener-check.js';
 import { ResponseMemoryLimiter } from './response-memory-limiter.js';
 import { ServerAgent } from './server-agent.js';
@@ -284,10 +284,14 @@
       reject(verdict.detail);
       return;
     }
-    let isEndKnown = isSelfDelimiting(response, frame.method);
+    const bodyEnd = findBodyEnd(response, frame.method);
+    if (bodyEnd === BodyEnd.Unsupported) {
+      reject('response has a transfer coding other than chunked');
+      return;
+    }
+    let isEndKnown = bodyEnd === BodyEnd.Framing;
     if (!isEndKnown) {
-      // The end of the connection marks the end of the body. The listener is prepended because the one of
-      // Node.js destroys the socket.
+      // The listener is prepended because the one of Node.js destroys the socket.
       const { socket } = response;
       socket.prependOnceListener('end', () => (isEndKnown = hasClosedCleanly(socket)));
     }
--- a/packages/upstreams/src/upstream-execution.ts
+++ b/packages/upstreams/src/upstream-execution.ts
@@ -8,7 +8,7 @@
 
 import { ResponseCollector } from './response-collector.js';
 import { limitInterimResponses } from './interim-responses.js';
-import { isSelfDelimiting } from './response-framing.js';
+import { BodyEnd, findBodyEnd } from './response-framing.js';
 import type { CollectedResponse, CollectionOptions } from './response-collector.js';
 import { upstreamResponseFields, upstreamRequestFields } from './header-fields.js';
 import type { UpstreamConnections } from './upstream-connections.js';
@@ -142,9 +142,9 @@
   }
 
   private findFramingFault(response: IncomingMessage): string | undefined {
-    return isSelfDelimiting(response, this.command.head.method)
+    return findBodyEnd(response, this.command.head.method) === BodyEnd.Framing
       ? undefined
-      : 'response has neither Content-Length nor Transfer-Encoding, so truncation is undetectable';
+      : 'response has neither Content-Length nor chunked encoding, so truncation is undetectable';
   }
 
   private reportCollected(response: IncomingMessage, collected: CollectedResponse): void {
--- a/packages/upstreams/tests/server-client-framing.test.ts
+++ b/packages/upstreams/tests/server-client-framing.test.ts
@@ -104,4 +104,77 @@
   });
 }
 
+const identity = 'transfer-encoding: identity';
+
+/** Ends of a connection in the middle or at the end of a body that only the end of the connection marks. */
+const connectionEnds: readonly (readonly [
+  string,
+  (socket: Socket, text: string) => void,
+  string,
+])[] = [
+  ['closed', (socket, text) => socket.end(text), 'answered'],
+  [
+    'reset together with the last bytes',
+    (socket, text) => {
+      socket.write(text);
+      socket.resetAndDestroy();
+    },
+    'failed',
+  ],
+  [
+    'reset after the last bytes',
+    (socket, text) => {
+      socket.write(text, () => socket.resetAndDestroy());
+    },
+    'failed',
+  ],
+  [
+    'reset later',
+    (socket, text) => {
+      socket.write(text);
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    },
+    'failed',
+  ],
+];
+
+// Guards against a reset that counts as the end of a body: its caller got half of the body as a success.
+for (const [name, end, expected] of connectionEnds) {
+  for (const field of [identity, 'transfer-encoding: Identity', 'x-framing: none']) {
+    test(`a response with ${field} whose connection is ${name} is ${expected}`, async () => {
+      for (let attempt = 0; attempt < 20; attempt += 1) {
+        const behaviour: Behaviour = (socket, id) => {
+          end(socket, responseText(id, [signed, field, 'connection: close'], 'x'.repeat(attempt)));
+        };
+        await withServer(behaviour, async (harness) => {
+          assert.is((await harness.run('r-1')).kind, expected, `attempt ${attempt}`);
+        });
+      }
+    });
+  }
+}
+
+test('a chunked response may name the coding identity before it', async () => {
+  const behaviour: Behaviour = (socket, id) =>
+    socket.write(
+      responseText(id, [signed, 'transfer-encoding: identity, chunked'], '4\r\nbody\r\n0\r\n\r\n'),
+    );
+  await withServer(behaviour, async (harness) => {
+    const result = await harness.run('r-1');
+    assert.is(result.kind === 'answered' && Buffer.from(result.body).toString(), 'body');
+  });
+});
+
+for (const coding of ['gzip', 'gzip, chunked', 'chunked, gzip', 'chunked, identity', 'chunkedx']) {
+  test(`a response with the transfer coding ${coding} is no answer`, async () => {
+    const behaviour: Behaviour = (socket, id) =>
+      socket.end(
+        responseText(id, [signed, `transfer-encoding: ${coding}`], '4\r\nbody\r\n0\r\n\r\n'),
+      );
+    await withServer(behaviour, async (harness) => {
+      assert.is((await harness.run('r-1')).kind, 'failed');
+    });
+  });
+}
+
 test.run();
--- a/packages/upstreams/tests/upstream-faults.test.ts
+++ b/packages/upstreams/tests/upstream-faults.test.ts
@@ -84,6 +84,11 @@
     respondWith('HTTP/1.1 100 Continue\r\n\r\n'.repeat(1_000), 'keep'),
     'failed',
   ],
+  [
+    'delimits an identity coding only by closing the connection',
+    respondWith(`${ok}Transfer-Encoding: identity\r\n\r\nhalf an ans`, 'end'),
+    'failed',
+  ],
   ['omits the last chunk', respondWith(`${chunked}4\r\nhalf\r\n`, 'end'), 'failed'],
   [
     'sends less than its Content-Length',
