--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -33,6 +33,7 @@
   public readonly agent = new Agent({ keepAlive: true });
   public readonly containedErrors: string[] = [];
   public requestError: Error | undefined;
+  public limits = limits;
   public isConfigured = true;
   public outcome: EntryOutcome | undefined = {
     body: Buffer.from('body'),
@@ -59,7 +60,7 @@
     },
     onErrorContained: (requestId) => this.containedErrors.push(requestId),
     onRequestsDiscarded: () => undefined,
-    routing: () => (this.isConfigured ? { limits, table } : undefined),
+    routing: () => (this.isConfigured ? { limits: this.limits, table } : undefined),
     onPipelineWait: () => undefined,
   });
 
@@ -272,4 +273,30 @@
   });
 });
 
+// Guards against bodies in short chunks, of which each one took some hundred bytes of memory.
+test('a body in many short chunks takes the memory that its length shows', async () => {
+  await withServer(async (testServer) => {
+    const chunks = 400_000;
+    testServer.limits = { ...limits, bodyBytes: chunks };
+    const socket = connect({ host: '127.0.0.1', port: testServer.port });
+    socket.write(
+      'POST /a/b HTTP/1.1\r\nhost: shop.example\r\nx-request-id: r1\r\nx-deadline: 10000\r\ntransfer-encoding: chunked\r\n\r\n',
+    );
+    const before = process.memoryUsage().external + process.memoryUsage().heapUsed;
+    socket.write('1\r\nx\r\n'.repeat(chunks));
+    const answered = new Promise((resolve) => socket.once('data', resolve));
+    let peak = before;
+    const sampler = setInterval(() => {
+      const { external, heapUsed } = process.memoryUsage();
+      peak = Math.max(peak, external + heapUsed);
+    }, 2);
+    socket.write('0\r\n\r\n');
+    await answered;
+    clearInterval(sampler);
+    socket.destroy();
+    assert.is(testServer.delivered[0]?.body?.length, chunks);
+    assert.ok(peak - before < 48_000_000, `${peak - before} bytes`);
+  });
+});
+
 test.run();
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -199,6 +199,8 @@
 
 const chunk = `4000\r\n${'x'.repeat(16_384)}\r\n`;
 const bytes = 'x'.repeat(16_384);
+const shortChunks = '1\r\nx\r\n'.repeat(2_000);
+const interimResponses = 'HTTP/1.1 100 Continue\r\n\r\n'.repeat(500);
 
 /** Name, start of the endless response for a request identifier, and the part that is repeated. */
 const endlessCases: readonly (readonly [string, (id: string) => string, string])[] = [
@@ -206,6 +208,12 @@
   ['a header line', () => 'HTTP/1.1 200 Any\r\nx-more: ', bytes],
   ['data that is not HTTP', () => '', bytes],
   ['a chunked body', (id) => responseText(id, [signed, 'transfer-encoding: chunked'], ''), chunk],
+  [
+    'a body in chunks of one byte',
+    (id) => responseText(id, [signed, 'transfer-encoding: chunked'], ''),
+    shortChunks,
+  ],
+  ['interim responses', () => '', interimResponses],
   ['a body delimited by the end of the connection', (id) => responseText(id, [signed], ''), bytes],
   [
     'a body with a huge Content-Length',
