Let a gate forget the content of a request with its end

A gate kept each finished call for 5 s after its deadline, with the body of its request. Only the reply may be needed again, when an entry sends its frame once more.

Ruled out: any reader of a finished call's content (find returns the reply; crashes and completions are recorded before the end).

Change: the registry drops body and header fields when a call finishes.

Evidence: "a finished call keeps its reply, but not the content of its request" fails without the line.

--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -13,7 +13,8 @@
   readonly from: string;
   /** Incarnation of the entry's process that sent the request. */
   readonly boot: number;
-  readonly frame: StartFrame;
+  /** Without the content of the request once the call has finished. */
+  frame: StartFrame;
   readonly arrivedAt: number;
   readonly deadline: number;
   readonly targetAt: number;
@@ -99,6 +100,8 @@
   public finish(call: GateCall, reply: ReplyFrame | undefined, now: number): void {
     call.state = 'finished';
     call.finishedAt = now;
+    // Only the reply may be needed again; bodies of requests can be as large as the caller's limit.
+    call.frame = { ...call.frame, body: undefined, headers: [] };
     call.reply = reply;
     call.replyBytes = bytesOf(reply);
     this.retainedBytes += call.replyBytes;
--- /dev/null
+++ b/packages/mesh-core/tests/gate/gate-call-registry.test.ts
@@ -0,0 +1,42 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { GateCallRegistry } from '../../src/gate/gate-call-registry.js';
+import { createLoad, createStartFrame } from '../fixtures.js';
+
+// Guards against bodies of requests that a gate kept for seconds after their end, until they filled its memory.
+test('a finished call keeps its reply, but not the content of its request', () => {
+  const registry = new GateCallRegistry(10_000);
+  const frame = createStartFrame({ body: Buffer.alloc(1_000), callId: 3, headers: [['a', 'b']] });
+  const call = registry.open('entry', 1, frame, 0);
+  assert.is(call.frame.body?.length, 1_000);
+  const reply = { callId: 3, detail: 'x', kind: 'failed', load: createLoad() } as const;
+  registry.finish(call, reply, 10);
+  const found = registry.find('entry', 1, 3);
+  assert.ok(found);
+  assert.equal(found.reply, reply);
+  assert.is(found.frame.body, undefined);
+  assert.equal(found.frame.headers, []);
+  assert.is(found.frame.requestId, frame.requestId);
+});
+
+test('replies that were removed after their retention no longer count towards the limit', () => {
+  const registry = new GateCallRegistry(10_000);
+  const answer = (callId: number, now: number): void => {
+    const frame = createStartFrame({ callId, remainingMilliseconds: 100 });
+    const call = registry.open('entry', 1, frame, now);
+    const body = Buffer.alloc(6_000);
+    const load = createLoad();
+    registry.finish(call, { body, callId, headers: [], kind: 'answered', load, status: 200 }, now);
+  };
+  answer(1, 0);
+  registry.removeExpired(10_000);
+  answer(2, 10_000);
+  assert.is(registry.find('entry', 1, 1), undefined);
+  assert.is(registry.find('entry', 1, 2)?.reply?.kind, 'answered');
+  answer(3, 10_001);
+  const kinds = [2, 3].map((callId) => registry.find('entry', 1, callId)?.reply?.kind);
+  assert.equal(kinds.sort(), ['answered', 'failed']);
+});
+
+test.run();
