Keep a caller's connection after an answer of the node itself

A request without a body whose answer was ready at once (404, or 503 of a node that stops or has no configuration) got "Connection: close", and pipelined requests behind it were discarded and had to be sent again.

Cause: the writer closes a connection whose request has an unread body and took a message that the parser has not ended for one; in the turn that reads its head, no message has ended.

Change: only a message that announces a body can have an unread one.

--- a/packages/callers/src/routes/caller-connection.ts
+++ b/packages/callers/src/routes/caller-connection.ts
@@ -165,7 +165,7 @@
     });
     // The rest of an unread body would be parsed as the next request.
     const isLast = next.isLast && this.parseErrorStatus === undefined;
-    const closesConnection = isLast || !request.message.complete;
+    const closesConnection = isLast || hasUnreadBody(request.message);
     containError(
       () => {
         writeResponse(request.response, next.response, closesConnection);
@@ -209,6 +209,11 @@
   }
 }
 
+/** A message without a body may not be complete either, if its request is answered in the turn that read its head. */
+function hasUnreadBody(message: IncomingMessage): boolean {
+  return announcesBody(message) && !message.complete;
+}
+
 function writeResponse(
   response: ServerResponse,
   { body, fields, status }: ResponseContent,
--- a/packages/callers/tests/pipelined-requests.test.ts
+++ b/packages/callers/tests/pipelined-requests.test.ts
@@ -456,4 +456,20 @@
   });
 });
 
+// Regression: a request without a body counted as unread in the turn that read its head, so that each answer of the node
+// itself closed the connection, with the requests behind it.
+test('requests without a route are answered on one connection, also between others', async () => {
+  await withServer(async (testServer, caller) => {
+    caller.write(get('r1', '/none'), get('r2'), get('r3', '/none'), get('r4'));
+    await waitUntil(() => testServer.delivered.length === 2, 'two requests passed on');
+    for (const id of ['r2', 'r4']) testServer.answer(id);
+    await waitUntil(() => caller.responses.length === 4, 'four responses');
+    assert.equal(
+      caller.responses.map(({ status }) => status),
+      [404, 200, 404, 200],
+    );
+    assert.not(caller.responses.some(({ announcesClose }) => announcesClose));
+  });
+});
+
 test.run();
