Restart the nodes that earlier tests ended before a home's limit of keys is tested

Cause: an order of tests. One kills provenance-1, the next stops issuance-2, which ends when its held request of 30 s does. The test of the limit passed only while issuance-2 was still stopping; beside load it begins later, and a home without a majority of witnesses has no lease and must refuse.

Ruled out: a slow fill (ten rounds of 100 keys take 1.5 s alone and 4 s beside load), a lease that is lost for good.

Change: the test restarts both nodes and waits until keyed requests are answered. No bound changed.

--- a/packages/daemon/tests/reasons.process.test.ts
+++ b/packages/daemon/tests/reasons.process.test.ts
@@ -337,7 +337,13 @@
 });
 
 // At its limit of key records a home refuses new keys rather than forget keys of the last minutes.
-test('a refusal because a home has reached its limit of keys is counted', async ({ entry }) => {
+test('a refusal because a home has reached its limit of keys is counted', async ({
+  entry,
+  fleet,
+}) => {
+  // Earlier tests have ended the other two nodes, and a home without a majority of witnesses has no lease.
+  for (const name of ['provenance-1', 'issuance-2']) await fleet.restartServer(name);
+  await waitForHomes(entry);
   await repeatUntilCounted(entry, RefusalReason.KeyStoreFull, () =>
     Promise.all(Array.from({ length: 100 }, () => sendKeyedRequest(entry, newKey()))),
   );
