Give the reading of responses and the health check files of their own

The names of header fields and what is read from them are in server-response-reader.ts, the health check is in server-health-check.ts.

--- a/packages/upstreams/src/mesh/index.ts
+++ b/packages/upstreams/src/mesh/index.ts
@@ -3,4 +3,6 @@
 export { ReportServer } from './report-server.js';
 export type { ReportServerOptions, ServerMessage, ServerMessageCodec } from './report-server.js';
 export { ServerClient } from './server-client.js';
-export type { HealthCheckResult, ServerClientOptions, ServerHeaderCodec } from './server-client.js';
+export type { ServerClientOptions } from './server-client.js';
+export type { HealthCheckResult } from './server-health-check.js';
+export type { ServerHeaderCodec } from './server-response-reader.js';
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -12,64 +12,24 @@
 import type {
   Execution,
   ExecutionResult,
-  HeaderList,
-  ResponseHead,
   ServerLoad,
   ServerNotice,
 } from '@peridotspring/mesh-core';
 
 import { ResponseCollector } from '../response-collector.js';
-import type { CollectedResponse } from '../response-collector.js';
 import { limitInterimResponses } from '../interim-responses.js';
 import { BodyEnd, findBodyEnd } from '../response-framing.js';
 import { isConnectionRefused } from './listener-check.js';
 import { ResponseMemoryLimiter } from './response-memory-limiter.js';
 import { ServerAgent } from './server-agent.js';
-
-/** Limit for a whole health check, including the response body. */
-const healthTimeoutMilliseconds = 1_000;
-/** A health check uses the status and header fields only; a larger body fails the check. */
-const maximumHealthBodyBytes = 16_384;
+import { checkHealth } from './server-health-check.js';
+import type { HealthCheckResult } from './server-health-check.js';
+import { ServerResponseReader } from './server-response-reader.js';
+import type { ServerHeaderCodec } from './server-response-reader.js';
 
 /** Status of a server that is not the one named in the request. */
 const unexpectedInstanceStatus = 421;
 
-/** Names (in lower case) and encoding of the header fields between the gate and its server. */
-export interface ServerHeaderCodec {
-  readonly requestId: string;
-  readonly deadline: string;
-  readonly expectedInstance: string;
-  readonly callerService: string;
-  /** Present on every answer that the server itself produced. */
-  readonly signature: string;
-  /** Present on responses to requests that the server did not execute. */
-  readonly notExecuted: string;
-  readonly instanceId: string;
-  readonly load: string;
-  /** How long the server stays cold; on responses to health checks. */
-  readonly coldRemaining: string;
-  /** Requests per second that the server takes from all nodes together; on all responses of a server in need. */
-  readonly requestLimit: string;
-  /** On all responses of a server that leaves. */
-  readonly leaving: string;
-  parseLoad(value: string): ServerLoad | undefined;
-  /** In milliseconds; undefined if the value is invalid. */
-  parseColdTime(value: string): number | undefined;
-  /** In requests per second; undefined if the value is invalid. */
-  parseRequestLimit(value: string): number | undefined;
-  /** Whether the value states that the server leaves. */
-  parseLeaving(value: string): boolean;
-}
-
-/** The result of a health check: which server responded, and whether it accepts requests. */
-export interface HealthCheckResult {
-  readonly instanceId: string | undefined;
-  readonly isReady: boolean;
-  readonly load: ServerLoad | undefined;
-  /** Time for which the server stays cold, 0 if it is not cold; undefined if the response does not show it. */
-  readonly coldMilliseconds: number | undefined;
-}
-
 export interface ServerClientOptions {
   readonly host: string;
   readonly port: number;
@@ -93,11 +53,13 @@
   private readonly activeRequests = new Map<number, ClientRequest>();
   /** Requests that this node aborted; their connections were not lost. */
   private readonly abortedRequests = new WeakSet<ClientRequest>();
+  private readonly reader: ServerResponseReader;
   private readonly strippedFields: ReadonlySet<string>;
   private readonly responseMemory: ResponseMemoryLimiter;
 
   public constructor(private readonly options: ServerClientOptions) {
     this.agent = new ServerAgent(options.clock);
+    this.reader = new ServerResponseReader(options.codec);
     this.responseMemory = new ResponseMemoryLimiter(options.responseMemoryBytes);
     this.strippedFields = new Set([options.codec.load, options.codec.instanceId]);
   }
@@ -150,50 +112,9 @@
 
   /** Sends one health check; resolves to `undefined` if it fails or times out. */
   public async health(path: string): Promise<HealthCheckResult | undefined> {
-    const { codec, host, port } = this.options;
-    return new Promise((resolve) => {
-      const collectionOptions = {
-        limitBytes: maximumHealthBodyBytes,
-        overflowAction: 'close',
-      } as const;
-      const request = httpRequest({ agent: this.agent, host, path, port }, (response) => {
-        const onCollected = ({ kind }: CollectedResponse): void => {
-          if (kind !== 'whole') {
-            resolve(undefined);
-            return;
-          }
-          containError(
-            () => {
-              resolve({
-                coldMilliseconds: this.readColdTime(response),
-                instanceId: firstHeaderValue(response, codec.instanceId),
-                isReady: response.statusCode === 200,
-                load: this.readLoad(response),
-              });
-            },
-            (error) => {
-              this.options.onErrorContained(undefined, error);
-              resolve(undefined);
-            },
-          );
-        };
-        new ResponseCollector(response, collectionOptions, onCollected, () => {
-          clearTimeout(timer);
-        }).start();
-      });
-      limitInterimResponses(request);
-      // A total timeout rather than an idle timeout: the server may send bytes rarely but endlessly.
-      const timer = setTimeout(() => {
-        resolve(undefined);
-        request.destroy();
-      }, healthTimeoutMilliseconds);
-      // The response resolves the promise; without one, 'close' does, which also follows an 'error'.
-      request.on('error', () => undefined);
-      request.on('close', () => {
-        clearTimeout(timer);
-        resolve(undefined);
-      });
-      request.end();
+    const { host, port } = this.options;
+    return checkHealth({ agent: this.agent, host, path, port }, this.reader, (error) => {
+      this.options.onErrorContained(undefined, error);
     });
   }
 
@@ -267,19 +188,18 @@
   ): void {
     const { frame } = execution;
     const { statusCode: status = 0 } = response;
-    const { codec } = this.options;
     const reject = (detail: string): void => {
       response.on('error', () => undefined);
       request.destroy();
       settle({ detail, kind: 'failed' });
     };
-    if (firstHeaderValue(response, codec.requestId) !== frame.requestId) {
+    if (this.reader.requestId(response) !== frame.requestId) {
       this.agent.disableReuse();
       reject('response carries the identifier of another request');
       return;
     }
     const headers = endToEndHeaders(response.rawHeaders, this.strippedFields);
-    const verdict = judgeResponse(this.readHead(response, headers), frame.idempotent);
+    const verdict = judgeResponse(this.reader.head(response, headers), frame.idempotent);
     if (verdict.kind === 'invalid') {
       reject(verdict.detail);
       return;
@@ -337,10 +257,10 @@
     let result: ExecutionResult = { detail: 'response could not be read', kind: 'failed' };
     containError(
       () => {
-        const load = this.readLoad(response);
+        const load = this.reader.load(response);
         if (load !== undefined) this.options.onLoadReport(load);
         if (response.statusCode !== unexpectedInstanceStatus)
-          this.options.onNotice(this.readNotice(response, instanceId));
+          this.options.onNotice(this.reader.notice(response, instanceId));
         result = toResult();
       },
       (error) => {
@@ -353,45 +273,12 @@
   private toNotRunResult(response: IncomingMessage): ExecutionResult {
     const status = response.statusCode ?? 0;
     if (status === unexpectedInstanceStatus) {
-      const instanceId = firstHeaderValue(response, this.options.codec.instanceId);
+      const instanceId = this.reader.instanceId(response);
       if (instanceId !== undefined) this.options.onUnexpectedInstance(instanceId);
     }
     const detail = `server rejected the request with status ${status} before executing it`;
     return { detail, kind: 'not-run', reason: DeclineReason.ServerRefused };
   }
-
-  private readHead(response: IncomingMessage, headers: HeaderList): ResponseHead {
-    const { notExecuted, signature } = this.options.codec;
-    const signatures = headers.filter(([name]) => name === signature);
-    return {
-      isEncoded: response.headers['content-encoding'] !== undefined,
-      isSigned: signatures.length === 1 && signatures[0]?.[1] !== '',
-      statesNotExecuted: firstHeaderValue(response, notExecuted) !== undefined,
-      status: response.statusCode ?? 0,
-    };
-  }
-
-  /** A healthy server that is not cold may send no value. A rejected check without one shows nothing. */
-  private readColdTime(response: IncomingMessage): number | undefined {
-    const { codec } = this.options;
-    const value = firstHeaderValue(response, codec.coldRemaining);
-    if (value !== undefined) return codec.parseColdTime(value);
-    return response.statusCode === 200 ? 0 : undefined;
-  }
-
-  private readNotice(response: IncomingMessage, instanceId: string): ServerNotice {
-    const { codec } = this.options;
-    const limit = firstHeaderValue(response, codec.requestLimit);
-    const requestsPerSecond = limit === undefined ? Infinity : codec.parseRequestLimit(limit);
-    const leaving = firstHeaderValue(response, codec.leaving);
-    const isLeaving = leaving !== undefined && codec.parseLeaving(leaving);
-    return { instanceId, isLeaving, requestsPerSecond };
-  }
-
-  private readLoad(response: IncomingMessage): ServerLoad | undefined {
-    const value = firstHeaderValue(response, this.options.codec.load);
-    return value === undefined ? undefined : this.options.codec.parseLoad(value);
-  }
 }
 
 /**
@@ -401,8 +288,3 @@
 function hasClosedCleanly(socket: Socket): boolean {
   return socket.remoteAddress !== undefined;
 }
-
-function firstHeaderValue(response: IncomingMessage, name: string): string | undefined {
-  const value = response.headers[name];
-  return Array.isArray(value) ? value[0] : value;
-}
