Accept no answer from a server that a frame between nodes can't carry

With more than 520 MB of memory a gate accepted answers of over 65 MiB, whose frame the entry rejects by closing the connection between the two nodes; the gate's retained reply then ended the next connection too.

Ruled out: the deployments at hand (350 MB or less give 44 MB).

Change: the limit on answers is at most 64 MiB, which the frame's limit is derived from.

Evidence: mesh-connections.test decodes an answer of 64 MiB with 4,000 header fields. The wiring's limit itself has no test of its own, and a node with more than 520 MB was not run.

--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -1,7 +1,7 @@
 import { RouteServer } from '@peridotspring/callers';
 import { SeededRandomSource } from '@peridotspring/core';
 import type { MeshNode } from '@peridotspring/mesh-core';
-import { MeshConnections } from '@peridotspring/nodes';
+import { maximumMeshBodyBytes, MeshConnections } from '@peridotspring/nodes';
 import { HttpStoreTransport, StoreSession } from '@peridotspring/platform/key-values';
 import { ReadinessServer, ReportServer, ServerClient } from '@peridotspring/upstreams/mesh';
 
@@ -294,7 +294,7 @@
   events: EventRecorder,
 ): ServerClient {
   return new ServerClient({
-    responseMemoryBytes: settings.answerMemoryBytes,
+    responseMemoryBytes: Math.min(settings.answerMemoryBytes, maximumMeshBodyBytes),
     clock,
     codec: adapter.serverHeaders,
     onResult: (executionId, result) => {
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -60,8 +60,10 @@
 
 export type MeshWireFrame = MeshHelloFrame | PingFrame | PongFrame | MeshFrame;
 
-/** Largest encoded frame in bytes: a body of the largest configurable size and its header fields. */
-const maximumFrameBytes = 68_157_440;
+/** Largest body that a frame can carry, in bytes. An answer with a longer one would end the connection between the nodes. */
+export const maximumMeshBodyBytes = 67_108_864;
+/** Largest encoded frame in bytes: a body and its header fields. */
+const maximumFrameBytes = maximumMeshBodyBytes + 1_048_576;
 /** Limit until the hello, which holds one node and a few servers, has identified the sender. */
 const maximumHelloBytes = 65_536;
 /**
--- a/packages/nodes/tests/mesh-connections.test.ts
+++ b/packages/nodes/tests/mesh-connections.test.ts
@@ -9,6 +9,7 @@
 
 import {
   encodeMeshFrame,
+  maximumMeshBodyBytes,
   MeshFrameDecoder,
   meshProtocolVersion,
 } from '../src/mesh/mesh-frame-codec.js';
@@ -31,6 +32,18 @@
   }
 });
 
+// Guards against an answer that a gate accepts from its server and that ends the connection to the entry.
+test('an answer with the longest body and head that a gate accepts is decoded by the entry', () => {
+  const body = Buffer.alloc(maximumMeshBodyBytes);
+  const headers = Array.from({ length: 4_000 }, () => ['a', ''] as const);
+  const load = createLoad();
+  const frame = { body, callId: 7, headers, kind: 'answered', load, status: 200 } as const;
+  const decoder = new MeshFrameDecoder();
+  decoder.allowLargeFrames();
+  const [decoded] = decoder.push(encodeMeshFrame(frame));
+  assert.is(decoded?.kind, 'frame');
+});
+
 /** Frames with parts that only another version or a faulty node sends. */
 const malformedFrames: readonly (readonly [string, object])[] = [
   ['a field without a value', { headers: [['x-a']] }],
