--- a/packages/upstreams/src/response-collector.ts
+++ b/packages/upstreams/src/response-collector.ts
@@ -11,7 +11,7 @@
  * Number of chunks of a body, beyond one for each `bytesPerChunk` of it, after which the body counts as too long. Each
  * chunk takes processor time, however short it is, and an endless body of short chunks would take all of it.
  */
-const maximumShortChunks = 65_536;
+const maximumShortChunks = 16_384;
 const bytesPerChunk = 64;
 
 /** The result of collecting the body of a response. */
