Contain errors while the head of a response is read

The reading of bodies and notices was contained, that of the head was not, so an error there would still have ended the process.

Change: the listener for responses contains errors, closes the connection and fails the request; the three places that drop a response share one function.

Evidence: "an error while the head of a response is read" of server-client-answers.test fails without the containment (the test file ends with the injected error).

--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -164,11 +164,20 @@
     request.on('response', (response) => {
       // The parser finishes the bytes that it has, also those behind the ones for which the request was destroyed.
       if (request.destroyed) {
-        response.on('error', () => undefined);
+        rejectResponse(request, response);
         return;
       }
       received = response;
-      this.handleResponse(request, response, execution, settle);
+      containError(
+        () => {
+          this.handleResponse(request, response, execution, settle);
+        },
+        (error) => {
+          this.options.onErrorContained(execution.frame.requestId, error);
+          rejectResponse(request, response);
+          settle({ detail: 'response could not be read', kind: 'failed' });
+        },
+      );
     });
     request.on('close', () => {
       if (received === undefined)
@@ -189,8 +198,7 @@
     const { frame } = execution;
     const { statusCode: status = 0 } = response;
     const reject = (detail: string): void => {
-      response.on('error', () => undefined);
-      request.destroy();
+      rejectResponse(request, response);
       settle({ detail, kind: 'failed' });
     };
     if (this.reader.requestId(response) !== frame.requestId) {
@@ -281,6 +289,12 @@
   }
 }
 
+/** Closes the connection of a response that is no answer; what it still delivers is ignored. */
+function rejectResponse(request: ClientRequest, response: IncomingMessage): void {
+  response.on('error', () => undefined);
+  request.destroy();
+}
+
 /**
  * Whether a connection that has ended was closed with FIN. Node.js reports a reset that arrives together with
  * data as an ordinary end, but the kernel then no longer has a peer address for the socket.
--- a/packages/upstreams/tests/server-client-answers.test.ts
+++ b/packages/upstreams/tests/server-client-answers.test.ts
@@ -1,7 +1,13 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { responseText, signed, withHealthServer, withServer } from './server-client-harness.js';
+import {
+  injected,
+  responseText,
+  signed,
+  withHealthServer,
+  withServer,
+} from './server-client-harness.js';
 import type { Behaviour } from './server-client-harness.js';
 
 // Which responses count as the server's own answer, as bytes on a socket.
@@ -94,6 +100,18 @@
   }
 });
 
+test('an error while the head of a response is read fails that request and closes its connection', async () => {
+  const behaviour: Behaviour = (socket, id) => socket.write(rawResponse(id, '200'));
+  await withServer(behaviour, async (harness, server) => {
+    injected.headError = true;
+    assert.is((await harness.run('r-1')).kind, 'failed');
+    injected.headError = false;
+    assert.is(harness.containedErrors.length, 1);
+    assert.is((await harness.run('r-2')).kind, 'answered');
+    assert.is(server.connections, 2);
+  });
+});
+
 test('an error while a response is read fails that request only', async () => {
   const behaviour: Behaviour = (socket, id) => {
     const load = id === 'r-1' ? 'throw' : '1';
--- a/packages/upstreams/tests/server-client-harness.ts
+++ b/packages/upstreams/tests/server-client-harness.ts
@@ -13,6 +13,9 @@
 import { ServerClient } from '../src/mesh/index.js';
 import type { ServerHeaderCodec } from '../src/mesh/index.js';
 
+/** While set, reading the head of a response throws. */
+export const injected = { headError: false };
+
 const codec: ServerHeaderCodec = {
   callerService: 'x-caller-service',
   coldRemaining: 'x-cold-remaining',
@@ -35,7 +38,10 @@
     return { running: Number(value), slots: 4, slowdown: 1, waiting: 0 };
   },
   requestId: 'x-request-id',
-  signature: 'x-signature',
+  get signature() {
+    if (injected.headError) throw new Error('injected');
+    return 'x-signature';
+  },
 };
 
 /** Small, so that tests reach the limit quickly. */
