Forget retained answers by age, without a search for the largest

The limit on retained replies searched all calls of a gate for the largest answer, once for each answer beyond the limit. Above it the gate's work grew with the square of its answers.

Change: answers over a 64th of the limit and the others are kept in the order of their ends; the oldest long ones are forgotten first, then the oldest others, each in constant time.

--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -45,13 +45,18 @@
 /** Estimated memory of a reply and of each of its header fields, beyond their bytes. */
 const replyOverheadBytes = 512;
 const headerFieldOverheadBytes = 128;
+/** Answers that take more than this share of the limit are forgotten before the others. */
+const longAnswerShare = 1 / 64;
 
 /**
  * The calls of a gate: those in progress, and finished ones whose reply may have to be sent again. The memory of
- * retained replies is limited: beyond it, the largest are replaced by one that says that the answer is gone.
+ * retained replies is limited: beyond it, answers are replaced by a reply that says that the answer is gone.
  */
 export class GateCallRegistry {
   private retainedBytes = 0;
+  /** Calls whose answer is retained, the one that finished first first. */
+  private readonly longAnswers = new Set<GateCall>();
+  private readonly shortAnswers = new Set<GateCall>();
   private readonly byKey = new Map<string, GateCall>();
   private readonly unfinishedByExecutionId = new Map<number, GateCall>();
   private nextExecutionId = 1;
@@ -102,9 +107,7 @@
     call.finishedAt = now;
     // Only the reply may be needed again; bodies of requests can be as large as the caller's limit.
     call.frame = { ...call.frame, body: undefined, headers: [] };
-    call.reply = reply;
-    call.replyBytes = bytesOf(reply);
-    this.retainedBytes += call.replyBytes;
+    this.retain(call, reply);
     this.unfinishedByExecutionId.delete(call.executionId);
     this.enforceRetentionLimit();
   }
@@ -121,34 +124,45 @@
 
   /** Removes finished calls whose retention period has passed. */
   public removeExpired(now: number): void {
-    for (const { deadline, finishedAt, key, replyBytes, state } of this.byKey.values()) {
-      const retainedUntil = Math.max(finishedAt, deadline) + replyRetentionMilliseconds;
-      if (state !== 'finished' || now <= retainedUntil) continue;
-      this.byKey.delete(key);
-      this.retainedBytes -= replyBytes;
+    for (const call of this.byKey.values()) {
+      const retainedUntil = Math.max(call.finishedAt, call.deadline) + replyRetentionMilliseconds;
+      if (call.state !== 'finished' || now <= retainedUntil) continue;
+      this.byKey.delete(call.key);
+      this.release(call);
     }
   }
 
+  /** Forgets the oldest of the long answers, then the oldest of the others, until the rest is within the limit. */
   private enforceRetentionLimit(): void {
-    while (this.retainedBytes > this.maximumRetainedBytes) {
-      const largest = this.findLargestAnswer();
-      if (largest?.reply?.kind !== 'answered') return;
-      const { callId, load } = largest.reply;
-      this.retainedBytes -= largest.replyBytes;
-      // The request has run, so the entry must not be told that it was declined.
-      largest.reply = { callId, detail: 'answer is no longer retained', kind: 'failed', load };
-      largest.replyBytes = bytesOf(largest.reply);
-      this.retainedBytes += largest.replyBytes;
+    for (const calls of [this.longAnswers, this.shortAnswers]) {
+      for (const call of calls) {
+        if (this.retainedBytes <= this.maximumRetainedBytes) return;
+        this.forgetAnswer(call);
+      }
     }
   }
 
-  private findLargestAnswer(): GateCall | undefined {
-    let largest: GateCall | undefined;
-    for (const call of this.byKey.values()) {
-      if (call.reply?.kind === 'answered' && call.replyBytes > (largest?.replyBytes ?? 0))
-        largest = call;
-    }
-    return largest;
+  private retain(call: GateCall, reply: ReplyFrame | undefined): void {
+    call.reply = reply;
+    call.replyBytes = bytesOf(reply);
+    this.retainedBytes += call.replyBytes;
+    if (reply?.kind !== 'answered') return;
+    const isLong = call.replyBytes > this.maximumRetainedBytes * longAnswerShare;
+    (isLong ? this.longAnswers : this.shortAnswers).add(call);
+  }
+
+  private release(call: GateCall): void {
+    this.retainedBytes -= call.replyBytes;
+    this.longAnswers.delete(call);
+    this.shortAnswers.delete(call);
+  }
+
+  private forgetAnswer(call: GateCall): void {
+    if (call.reply === undefined) return;
+    const { callId, load } = call.reply;
+    this.release(call);
+    // The request has run, so the entry must not be told that it was declined.
+    this.retain(call, { callId, detail: 'answer is no longer retained', kind: 'failed', load });
   }
 
   /**
--- a/packages/mesh-core/tests/gate/gate-call-registry.test.ts
+++ b/packages/mesh-core/tests/gate/gate-call-registry.test.ts
@@ -39,4 +39,17 @@
   assert.equal(kinds.sort(), ['answered', 'failed']);
 });
 
+test('long answers are forgotten before short ones, and of each the oldest first', () => {
+  const registry = new GateCallRegistry(100_000);
+  const lengths = [2_000, 500, 60_000, 500, 50_000, 500];
+  for (const [callId, length] of lengths.entries()) {
+    const call = registry.open('entry', 1, createStartFrame({ callId }), 0);
+    const body = Buffer.alloc(length);
+    const load = createLoad();
+    registry.finish(call, { body, callId, headers: [], kind: 'answered', load, status: 200 }, 0);
+  }
+  const kinds = lengths.map((_, callId) => registry.find('entry', 1, callId)?.reply?.kind);
+  assert.equal(kinds, ['failed', 'answered', 'failed', 'answered', 'answered', 'answered']);
+});
+
 test.run();
