--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -135,8 +135,8 @@
     bindHost: host,
     bindPort: port,
     codec: adapter.serverMessages,
-    onErrorContained: ({ message }) => {
-      events.record(MeshEvent.ErrorContained, { detail: message, place: 'server-message' });
+    onErrorContained: (error) => {
+      recordContainedError(events, 'server-message', 'none', error);
     },
     onMessage: (message) => driver.onServerMessage(message),
   });
@@ -186,6 +186,15 @@
   });
 }
 
+function recordContainedError(
+  events: EventRecorder,
+  place: string,
+  request: string,
+  { message }: Error,
+): void {
+  events.record(MeshEvent.ErrorContained, { detail: message, place, request });
+}
+
 function createSettingsWatcher(
   { readSettings, settings }: MeshWiringOptions,
   driver: MeshNodeDriver,
@@ -235,8 +244,8 @@
       driver.onCallerDisconnected(requestNumber);
     },
     headerNames: adapter.callerHeaders,
-    onErrorContained: (request, { message }) => {
-      events.record(MeshEvent.ErrorContained, { detail: message, place: 'caller', request });
+    onErrorContained: (requestId, error) => {
+      recordContainedError(events, 'caller', requestId, error);
     },
     onRequestsDiscarded: (requests) => {
       events.record(MeshEvent.RequestsNotPassedOn, { requests });
@@ -301,9 +310,8 @@
       driver.onExecutionConcluded(executionId, result);
     },
     host: settings.serverAddress.host,
-    onErrorContained: (requestId, { message }) => {
-      const request = requestId ?? 'health-check';
-      events.record(MeshEvent.ErrorContained, { detail: message, place: 'server', request });
+    onErrorContained: (requestId, error) => {
+      recordContainedError(events, 'server', requestId ?? 'health-check', error);
     },
     onLoadReport: (load) => {
       driver.onServerLoad(load);
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -54,7 +54,7 @@
  */
 export class GateCallRegistry {
   private retainedBytes = 0;
-  /** Calls whose answer is retained, the one that finished first first. */
+  /** Calls whose answer is retained, in the order in which they finished. */
   private readonly longAnswers = new Set<GateCall>();
   private readonly shortAnswers = new Set<GateCall>();
   private readonly byKey = new Map<string, GateCall>();
--- a/packages/upstreams/src/mesh/report-server.ts
+++ b/packages/upstreams/src/mesh/report-server.ts
@@ -38,9 +38,10 @@
     this.server = createServer(requestTimeouts, (request, response) => {
       // A request that was aborted midway gets no response; the server sends it again.
       this.handleRequest(request, response).catch((error: unknown) => {
+        const containedError = toContainableError(error);
+        const isAborted = request.destroyed && !request.complete;
         response.destroy();
-        if (!request.destroyed || request.complete)
-          options.onErrorContained(toContainableError(error));
+        if (!isAborted) options.onErrorContained(containedError);
       });
     });
   }
