--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -5,6 +5,8 @@
 
 import { toContainableError } from '@peridotspring/core';
 import {
+  authorizeRequest,
+  DenialCause,
   endToEndHeaders,
   stoppingRetryAfterMilliseconds,
   toOutgoingHeaders,
@@ -15,6 +17,8 @@
   EntryRequest,
   Route,
   RouteTable,
+  Tenant,
+  TenantDirectory,
 } from '@peridotspring/mesh-core';
 
 import { announcesBody, collectBody } from '../request-body.js';
@@ -26,7 +30,7 @@
  * known.
  */
 const maximumHeaderBytes = 65_536;
-/** Retry-After of a node without a configuration; it reads one within about a second of its start. */
+/** Retry-After of a node without a configuration, or with one that may be outdated; it reads one within about a second. */
 const unconfiguredRetryAfterMilliseconds = 300;
 const millisecondsPerSecond = 1_000;
 /** Error code of the HTTP parser when the caller closed its side in the middle of a request. */
@@ -36,6 +40,8 @@
 export interface CallerHeaderNames {
   readonly requestId: string;
   readonly deadline: string;
+  /** Carries the API key of a tenant; not forwarded if the configuration declares tenants. */
+  readonly authorization: string;
   /** Headers that callers may not set; they are removed from requests. */
   readonly reserved: ReadonlySet<string>;
 }
@@ -44,6 +50,9 @@
 export interface RoutingConfiguration {
   readonly table: RouteTable;
   readonly limits: CallerLimits;
+  readonly tenants: TenantDirectory | undefined;
+  /** Whether the store has shown recently that no newer configuration exists. */
+  readonly isConfirmed: boolean;
 }
 
 /** A request that this server answered itself, for logs and metrics. */
@@ -77,11 +86,14 @@
   private readonly connections = new Map<Duplex, CallerConnection>();
   /** The connection of each request that was started and has no answer, by request number. */
   private readonly pendingRequests = new Map<number, CallerConnection>();
+  private readonly reservedNamesWithCredentials: ReadonlySet<string>;
   private nextRequestNumber = 1;
   private isStopping = false;
   private isRefusing = false;
 
   public constructor(private readonly options: RouteServerOptions) {
+    const { authorization, reserved } = options.headerNames;
+    this.reservedNamesWithCredentials = new Set([...reserved, authorization]);
     this.server = createServer({ maxHeaderSize: maximumHeaderBytes, noDelay: true });
     this.server.requestTimeout = 0;
     this.server.on('connection', (socket: Socket) => {
@@ -212,6 +224,12 @@
       this.answerLocally(parsed, 404, 'no route has this host and path');
       return;
     }
+    const credentials = message.headersDistinct[this.options.headerNames.authorization] ?? [];
+    const authorization = authorizeRequest(route, credentials, routing);
+    if (authorization.kind === 'denied') {
+      this.deny(parsed, authorization.cause);
+      return;
+    }
     const body = await this.readBodyBeforeDeadline(parsed, route, routing.limits);
     if (!this.pendingRequests.has(requestNumber)) return;
     if (body === 'late') {
@@ -227,28 +245,53 @@
       message.destroy();
       return;
     }
-    this.deliver(parsed, route, body);
+    this.deliver(parsed, route, authorization.tenant, body);
   }
 
   private deliver(
     { message, headerReadAt, requestId, requestNumber }: ParsedRequest,
     route: Route,
+    tenant: Tenant | undefined,
     body: Uint8Array | undefined,
   ): void {
-    const { headerNames } = this.options;
     this.options.onRequest({
       body,
       callerDeadline: headerReadAt + this.timeoutMillisecondsOf(message, route),
-      headers: endToEndHeaders(message.rawHeaders, headerNames.reserved),
+      headers: endToEndHeaders(message.rawHeaders, this.reservedNames()),
       method: message.method ?? 'GET',
       path: message.url ?? '/',
       receivedAt: headerReadAt,
       requestId,
       requestNumber,
       route,
+      tenant,
     });
   }
 
+  /** Without tenants, the credentials of callers are meant for the servers. */
+  private reservedNames(): ReadonlySet<string> {
+    const { headerNames } = this.options;
+    return this.options.routing()?.tenants === undefined
+      ? headerNames.reserved
+      : this.reservedNamesWithCredentials;
+  }
+
+  private deny(parsed: ParsedRequest, cause: DenialCause): void {
+    switch (cause) {
+      case DenialCause.InvalidCredentials:
+      case DenialCause.UnknownKey:
+        this.answerLocally(parsed, 401, cause, { 'www-authenticate': 'Bearer' });
+        return;
+      case DenialCause.Unconfirmed:
+        this.answerLocally(
+          parsed,
+          503,
+          cause,
+          retryAfterHeader(unconfiguredRetryAfterMilliseconds),
+        );
+    }
+  }
+
   /** The request may have been passed on before the error, so the answer must not say that it did not run. */
   private handleRequestError({ requestId, requestNumber }: ParsedRequest, error: Error): void {
     this.options.onErrorContained(requestId, error);
--- a/packages/callers/tests/pipelined-requests.test.ts
+++ b/packages/callers/tests/pipelined-requests.test.ts
@@ -106,12 +106,17 @@
     clock: () => this.now,
     onRequest: (request) => this.delivered.push(request),
     onCallerGone: (requestNumber) => this.goneRequests.push(requestNumber),
-    headerNames: { deadline: 'x-deadline', requestId: 'x-request-id', reserved: new Set() },
+    headerNames: {
+      authorization: 'authorization',
+      deadline: 'x-deadline',
+      requestId: 'x-request-id',
+      reserved: new Set(),
+    },
     onErrorContained: () => undefined,
     onRequestsDiscarded: (count) => {
       this.discardedCount += count;
     },
-    routing: () => ({ limits, table }),
+    routing: () => ({ isConfirmed: true, limits, table, tenants: undefined }),
     onPipelineWait: (wait) => this.pipelineWaits.push(wait),
   });
 
--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { connect } from 'node:net';
 
-import { RouteTable } from '@peridotspring/mesh-core';
+import { RouteTable, TenantDirectory } from '@peridotspring/mesh-core';
 import type { EntryOutcome, EntryRequest } from '@peridotspring/mesh-core';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -11,7 +11,13 @@
 import { callerLimits, lookupRoute } from './shared/lookup-route.js';
 
 const limits = callerLimits(2_000);
-const table = new RouteTable({ limits, routes: [lookupRoute], services: new Map(), version: 1 });
+const publicRoute = { ...lookupRoute, isPublic: true, name: 'public', pathPrefix: '/public/' };
+const table = new RouteTable({
+  limits,
+  routes: [lookupRoute, publicRoute],
+  services: new Map(),
+  version: 1,
+});
 
 interface TestResponse {
   readonly status: number;
@@ -35,6 +41,8 @@
   public requestError: Error | undefined;
   public limits = limits;
   public isConfigured = true;
+  public isConfirmed = true;
+  public tenants: TenantDirectory | undefined;
   public outcome: EntryOutcome | undefined = {
     body: Buffer.from('body'),
     headers: [['x-a', '1']],
@@ -54,13 +62,17 @@
     },
     onCallerGone: (requestNumber) => this.goneRequests.push(requestNumber),
     headerNames: {
+      authorization: 'authorization',
       deadline: 'x-deadline',
       requestId: 'x-request-id',
-      reserved: new Set(['x-caller', 'x-deadline', 'x-request-id']),
+      reserved: new Set(['x-caller', 'x-deadline', 'x-request-id', 'x-tenant']),
     },
     onErrorContained: (requestId) => this.containedErrors.push(requestId),
     onRequestsDiscarded: () => undefined,
-    routing: () => (this.isConfigured ? { limits: this.limits, table } : undefined),
+    routing: () =>
+      this.isConfigured
+        ? { isConfirmed: this.isConfirmed, limits: this.limits, table, tenants: this.tenants }
+        : undefined,
     onPipelineWait: () => undefined,
   });
 
@@ -299,4 +311,67 @@
   });
 });
 
+const tenant = {
+  allotment: { burst: 0, requestsPerSecond: Infinity },
+  apiKeys: ['key-1'],
+  name: 'acme',
+} as const;
+const tenants = new TenantDirectory([tenant], String);
+
+// A key that reaches a server could be used by it, and a tenant named by the caller could be that of another one.
+test('a request with a key is passed on with its tenant and without the key', async () => {
+  await withServer(async (testServer) => {
+    testServer.tenants = tenants;
+    const headers = { authorization: 'Bearer key-1', 'x-tenant': 'other' };
+    const response = await testServer.call({ headers });
+    assert.is(response.status, 200);
+    const [request] = testServer.delivered;
+    assert.is(request?.tenant, tenant);
+    const names = request?.headers.map(([name]) => name) ?? [];
+    assert.not(names.includes('authorization'));
+    assert.not(names.includes('x-tenant'));
+  });
+});
+
+test('a request with an unknown key is answered 401 and not passed on', async () => {
+  await withServer(async (testServer) => {
+    testServer.tenants = tenants;
+    const response = await testServer.call({ headers: { authorization: 'Bearer key-2' } });
+    assert.is(response.status, 401);
+    assert.is(response.headers['www-authenticate'], 'Bearer');
+    assert.is((await testServer.call()).status, 401);
+    assert.equal(testServer.delivered, []);
+  });
+});
+
+test('an unknown key gets 503 with a time to return while a newer configuration may hold it', async () => {
+  await withServer(async (testServer) => {
+    testServer.tenants = tenants;
+    testServer.isConfirmed = false;
+    const response = await testServer.call({ headers: { authorization: 'Bearer key-2' } });
+    assert.is(response.status, 503);
+    assert.ok(Number(response.headers['retry-after']) > 0);
+  });
+});
+
+test('a public route is served without a key, and a key sent with it goes no further', async () => {
+  await withServer(async (testServer) => {
+    testServer.tenants = tenants;
+    const headers = { authorization: 'Bearer key-2' };
+    assert.is((await testServer.call({ headers, path: '/public/1' })).status, 200);
+    const [request] = testServer.delivered;
+    assert.is(request?.tenant, undefined);
+    assert.not(request?.headers.some(([name]) => name === 'authorization'));
+  });
+});
+
+// Without tenants, callers authenticate to the servers themselves.
+test('credentials are passed on if the configuration declares no tenants', async () => {
+  await withServer(async (testServer) => {
+    await testServer.call({ headers: { authorization: 'Basic abc' } });
+    const names = testServer.delivered[0]?.headers.map(([name]) => name) ?? [];
+    assert.ok(names.includes('authorization'));
+  });
+});
+
 test.run();
--- a/packages/callers/tests/shared/lookup-route.ts
+++ b/packages/callers/tests/shared/lookup-route.ts
@@ -3,6 +3,7 @@
 export const lookupRoute: Route = {
   host: 'shop.example',
   idempotent: true,
+  isPublic: false,
   maximumAttempts: 1,
   name: 'lookup',
   pathPrefix: '/a/',
--- a/packages/daemon/src/mesh/configuration-synchronizer.ts
+++ b/packages/daemon/src/mesh/configuration-synchronizer.ts
@@ -106,6 +106,12 @@
     return this.freshness.ageMilliseconds(now);
   }
 
+  /** Whether a newer version would have reached this node, if there were one. */
+  public get isConfirmed(): boolean {
+    const { clock, propagationMilliseconds } = this.options;
+    return this.unconfirmedMilliseconds(clock()) <= propagationMilliseconds;
+  }
+
   /** The operators' configuration was read from the store or received from a peer; `source` names which. */
   public onContentReceived(content: Uint8Array, source: string): void {
     const { onChange, clock, decode, log, ports } = this.options;
@@ -122,6 +128,11 @@
       this.logRejection(result, version, source);
       return;
     }
+    const { tenants } = configuration;
+    if (decoded.unknownTypes.length > 0)
+      log(MeshEvent.ConfigurationTypesUnknown, { types: decoded.unknownTypes.join(), version });
+    if (tenants !== undefined && tenants.ambiguousKeyCount > 0)
+      log(MeshEvent.ConfigurationKeysAmbiguous, { keys: tenants.ambiguousKeyCount, version });
     this.changedAt = clock();
     log(MeshEvent.ConfigurationInForce, { routes: routes.length, source, version });
     onChange(configuration);
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -265,7 +265,9 @@
 
   public get routing(): RoutingConfiguration | undefined {
     const inForce = this.configuration.inForce;
-    return inForce && { limits: inForce.configuration.limits, table: inForce.table };
+    if (inForce === undefined) return undefined;
+    const { limits, tenants } = inForce.configuration;
+    return { isConfirmed: this.configuration.isConfirmed, limits, table: inForce.table, tenants };
   }
 
   /** Whether the readiness check passes, so that callers may send requests to this node. */
--- a/packages/daemon/src/mesh/platform-adapter.ts
+++ b/packages/daemon/src/mesh/platform-adapter.ts
@@ -5,7 +5,12 @@
 
 /** A decoded configuration, or the reason why it is invalid. */
 export type DecodedConfiguration =
-  | { readonly kind: 'configuration'; readonly configuration: RouteConfiguration }
+  | {
+      readonly kind: 'configuration';
+      readonly configuration: RouteConfiguration;
+      /** Types of resources that this version does not know and ignores. */
+      readonly unknownTypes: readonly string[];
+    }
   | { readonly kind: 'invalid'; readonly field: string; readonly message: string };
 
 /** Header names, encodings and paths of everything that a node exchanges with its platform. */
--- a/packages/daemon/tests/configuration-synchronizer.test.ts
+++ b/packages/daemon/tests/configuration-synchronizer.test.ts
@@ -22,7 +22,11 @@
       if (Number.isNaN(version)) {
         return { field: 'version', kind: 'invalid', message: 'not a number' };
       }
-      return { configuration: createConfiguration({ version }), kind: 'configuration' };
+      return {
+        configuration: createConfiguration({ version }),
+        kind: 'configuration',
+        unknownTypes: [],
+      };
     },
     log: (event, fields) => this.logLines.push(`${event} ${JSON.stringify(fields)}`),
     ports: () => ({
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -431,6 +431,7 @@
           this.requestTimeoutMilliseconds,
         ),
         kind: 'configuration',
+        unknownTypes: [],
       }),
       defer: (action) => {
         this.queue.after(0, action);
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -1,5 +1,6 @@
 import type { HeaderList, RequestFrame } from '../messages/mesh-frames.js';
 import type { Route } from '../routes/route-configuration.js';
+import type { Tenant } from '../tenants/tenant.js';
 
 /** A caller's request, with its complete body. */
 export interface EntryRequest {
@@ -11,6 +12,8 @@
   readonly headers: HeaderList;
   readonly body: Uint8Array | undefined;
   readonly route: Route;
+  /** The tenant on whose behalf the request is made; undefined for an anonymous one. */
+  readonly tenant?: Tenant | undefined;
   /** Monotonic time at which the request was received. */
   readonly receivedAt: number;
   /** Monotonic time at which the caller stops waiting; infinite if the caller stated no limit. */
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -445,7 +445,7 @@
 
   private createStartFrame(attempt: Attempt, now: number): StartFrame {
     const { callId, isOptional: optional, isRetry: repeat, state } = attempt;
-    const { body, headers, method, path, requestId, route } = state.request;
+    const { body, headers, method, path, requestId, route, tenant } = state.request;
     return {
       body,
       callId,
@@ -457,13 +457,14 @@
       nested: state.isNested,
       optional,
       path,
-      priority: route.priority,
+      priority: tenant?.priority ?? route.priority,
       remainingMilliseconds: state.deadline - now,
       repeat,
       requestId,
       routeName: route.name,
       service: state.service,
       targetMilliseconds: state.targetDeadline - now,
+      ...(tenant !== undefined && { tenant: tenant.name }),
     };
   }
 
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -91,6 +91,11 @@
   ServiceColdStart,
   WeightedService,
 } from './routes/route-configuration.js';
+export { parseBearerKey } from './tenants/bearer-credentials.js';
+export { authorizeRequest, DenialCause } from './tenants/request-authorizer.js';
+export type { Authorization, AuthorizationContext } from './tenants/request-authorizer.js';
+export type { Allotment, Tenant } from './tenants/tenant.js';
+export { TenantDirectory } from './tenants/tenant-directory.js';
 export { RouteTable } from './routes/route-table.js';
 export { TrafficSplit } from './routes/traffic-split.js';
 export { endToEndHeaders, headerValue, toOutgoingHeaders } from './messages/header-list.js';
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -68,6 +68,8 @@
   readonly routeName: string;
   readonly requestId: string;
   readonly callerService: string;
+  /** Name of the tenant on whose behalf the request is made, which is passed to the server. */
+  readonly tenant?: string | undefined;
   readonly method: string;
   readonly path: string;
   readonly headers: HeaderList;
--- a/packages/mesh-core/src/routes/route-configuration.ts
+++ b/packages/mesh-core/src/routes/route-configuration.ts
@@ -1,3 +1,5 @@
+import type { TenantDirectory } from '../tenants/tenant-directory.js';
+
 /** A service that receives a share of a route's requests. */
 export interface WeightedService {
   readonly service: string;
@@ -13,6 +15,8 @@
   readonly pathPrefix: string;
   /** Whether a request may run more than once. */
   readonly idempotent: boolean;
+  /** Whether requests need no API key although the configuration declares tenants. */
+  readonly isPublic: boolean;
   /** Maximum time that a caller waits for an answer. */
   readonly timeoutMilliseconds: number;
   /** Target latency; an answer that takes longer is worth less to the caller. */
@@ -56,4 +60,6 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, RoutedService>;
   readonly limits: CallerLimits;
+  /** Undefined if the configuration declares no tenants; then requests need no API key. */
+  readonly tenants?: TenantDirectory | undefined;
 }
--- a/packages/mesh-core/tests/fixtures.ts
+++ b/packages/mesh-core/tests/fixtures.ts
@@ -12,6 +12,7 @@
   return {
     host: 'a.example',
     idempotent: true,
+    isPublic: false,
     maximumAttempts: 2,
     name: 'lookup',
     pathPrefix: '/',
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -133,6 +133,7 @@
     fields[codec.deadline] = String(Math.max(1, Math.floor(deadline - clock())));
     fields[codec.expectedInstance] = instanceId;
     fields[codec.callerService] = frame.callerService;
+    if (frame.tenant !== undefined) fields[codec.tenant] = frame.tenant;
     if (frame.body !== undefined) fields['content-length'] = String(frame.body.length);
     return fields;
   }
--- a/packages/upstreams/src/mesh/server-response-reader.ts
+++ b/packages/upstreams/src/mesh/server-response-reader.ts
@@ -8,6 +8,8 @@
   readonly deadline: string;
   readonly expectedInstance: string;
   readonly callerService: string;
+  /** Name of the tenant on whose behalf a request is made. */
+  readonly tenant: string;
   /** Present on every answer that the server itself produced. */
   readonly signature: string;
   /** Present on responses to requests that the server did not execute. */
--- a/packages/upstreams/tests/server-client-harness.ts
+++ b/packages/upstreams/tests/server-client-harness.ts
@@ -42,6 +42,7 @@
     if (injected.headError) throw new Error('injected');
     return 'x-signature';
   },
+  tenant: 'x-tenant',
 };
 
 /** Small, so that tests reach the limit quickly. */
