Take nothing from responses whose status is not one of HTTP

Cause: on other systems a server in trouble sent an answer with the status 000, which the client got as an answer. Two other readers still used such responses: a health check took the server's load and cold time from one, and the store's transport took the store's era, which makes everything read before count as outdated. A status report without a start time, which other writers send, could replace the server that states its start.

Change: both readers ask `findStatusFault`, as answers do. Once a report has stated a server's start, reports without one are ignored; servers of older deployments, which never state it, are taken as before.

--- a/packages/mesh-core/src/gate/server-incarnation-tracker.ts
+++ b/packages/mesh-core/src/gate/server-incarnation-tracker.ts
@@ -28,6 +28,8 @@
  */
 export class ServerIncarnationTracker {
   private current: Incarnation | undefined;
+  /** Whether a report has stated the start of a server; then those without one come from another writer. */
+  private hasStatedStart = false;
   /** Start times of incarnations that left or were replaced, by instance identifier. */
   private readonly endedStarts = new Map<string, number | undefined>();
 
@@ -59,6 +61,12 @@
   }
 
   public onReport(report: ServerReport): ReportEffect {
+    if (report.startedAt === undefined && this.hasStatedStart) return ReportEffect.Ignored;
+    this.hasStatedStart ||= report.startedAt !== undefined;
+    return this.apply(report);
+  }
+
+  private apply(report: ServerReport): ReportEffect {
     if (this.hasEnded(report)) return ReportEffect.Ignored;
     const { current } = this;
     if (current === undefined || !isSameIncarnation(current, report))
@@ -77,7 +85,7 @@
   /** Handles a successful health check: a server is running under this identifier. */
   public onHealthCheckPassed(instanceId: string, slots: number): ReportEffect {
     if (this.current?.instanceId === instanceId) return ReportEffect.Unchanged;
-    return this.onReport({
+    return this.apply({
       coldMilliseconds: 0,
       draining: false,
       instanceId,
--- a/packages/mesh-core/tests/gate/server-incarnation-tracker.test.ts
+++ b/packages/mesh-core/tests/gate/server-incarnation-tracker.test.ts
@@ -57,6 +57,15 @@
     ],
     'ready',
   ],
+  [
+    'a report without a start time is from another writer once one has had it',
+    [
+      [{ startedAt: 1_000 }, 'started'],
+      [{ instanceId: 'i-9', startedAt: undefined }, 'ignored'],
+      [{ draining: true, sequence: 9, startedAt: undefined }, 'ignored'],
+    ],
+    'ready',
+  ],
   [
     'a server whose first report says that it is draining does not become ready',
     [[{ draining: true }, 'draining']],
--- a/packages/platform/src/key-values/http-store-transport.ts
+++ b/packages/platform/src/key-values/http-store-transport.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { ByteAccumulator } from '@peridotspring/core';
+import { findStatusFault } from '@peridotspring/mesh-core';
 
 import type {
   StoreResponse,
@@ -78,6 +79,12 @@
         fail(error.message);
       });
       request.on('response', (response) => {
+        const statusFault = findStatusFault(response.statusCode ?? 0);
+        if (statusFault !== undefined) {
+          response.on('error', () => undefined);
+          fail(statusFault);
+          return;
+        }
         const bytes = new ByteAccumulator(maximumResponseBytes);
         response.on('data', (chunk: Buffer) => {
           bytes.append(chunk);
--- a/packages/upstreams/src/mesh/server-health-check.ts
+++ b/packages/upstreams/src/mesh/server-health-check.ts
@@ -2,6 +2,7 @@
 import type { Agent, IncomingMessage } from 'node:http';
 
 import { containError } from '@peridotspring/core';
+import { findStatusFault } from '@peridotspring/mesh-core';
 import type { ServerLoad } from '@peridotspring/mesh-core';
 
 import { limitInterimResponses } from '../interim-responses.js';
@@ -41,7 +42,8 @@
         response,
         collectionOptions,
         ({ kind }) => {
-          if (kind !== 'whole') resolve(undefined);
+          const { statusCode = 0 } = response;
+          if (kind !== 'whole' || findStatusFault(statusCode) !== undefined) resolve(undefined);
           else resolve(readResult(response, reader, onErrorContained));
         },
         () => {
--- a/packages/upstreams/tests/server-client.test.ts
+++ b/packages/upstreams/tests/server-client.test.ts
@@ -274,6 +274,20 @@
   });
 }
 
+// A response whose status is not one of HTTP comes from a server in trouble, and so does the load that it states.
+for (const status of ['000', '001', '600']) {
+  test(`a health check answered with the status ${status} states nothing about the server`, async () => {
+    const behaviour: Behaviour = (socket) => {
+      socket.end(
+        `HTTP/1.1 ${status} Any\r\nx-load: 3\r\nx-instance: i\r\ncontent-length: 0\r\n\r\n`,
+      );
+    };
+    await withHealthServer(behaviour, async ({ client }) => {
+      assert.is(await client.health('/health'), undefined);
+    });
+  });
+}
+
 test('a health check whose response arrives one byte at a time times out', async () => {
   const behaviour: Behaviour = (socket) => {
     socket.write(responseText('h', ['content-length: 9999'], ''));
