--- a/packages/daemon/tests/at-most-once.process.test.ts
+++ b/packages/daemon/tests/at-most-once.process.test.ts
@@ -138,7 +138,8 @@
     const key = await newKeyOfHome(entry, name);
     const unusedKey = await newKeyOfHome(entry, name);
     await sleep(voidAttemptMilliseconds);
-    assert.is((await sendKeyedRequest(entry, key)).outcome, 'answered');
+    const firstResult = await sendKeyedRequest(entry, key);
+    assert.is(firstResult.outcome, 'answered', summaryOf(firstResult));
     home.node.kill('SIGSTOP');
     await sleep(pauseMilliseconds);
     const entries = [fleet.server('provenance-4'), fleet.server('provenance-5')];
