Bound how long API keys hold after their removal

Cause: with enforce_revocation, a node that is cut off, frozen or restarted goes on serving removed keys, since nothing limits how long its configuration may be acted on.

Change: a node acts on keys only while it holds a proof of what the store held, from an exact read or an ended watch of its own or from a peer that it asked. The proof's age counts on a clock that includes suspensions. Entries check it at the head of a request and at each dispatch, gates before a request starts.

--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -53,6 +53,8 @@
   readonly tenants: TenantDirectory | undefined;
   /** Whether the store has shown recently that no newer configuration exists. */
   readonly isConfirmed: boolean;
+  /** Whether the keys of the configuration in force may be acted on: their removal would have become known. */
+  readonly isKeyProven: boolean;
 }
 
 /** A request that this server answered itself, for logs and metrics. */
@@ -282,6 +284,7 @@
       case DenialCause.UnknownKey:
         this.answerLocally(parsed, 401, cause, { 'www-authenticate': 'Bearer' });
         return;
+      case DenialCause.KeyUnproven:
       case DenialCause.Unconfirmed:
         this.answerLocally(
           parsed,
--- a/packages/callers/tests/pipelined-requests.test.ts
+++ b/packages/callers/tests/pipelined-requests.test.ts
@@ -116,7 +116,7 @@
     onRequestsDiscarded: (count) => {
       this.discardedCount += count;
     },
-    routing: () => ({ isConfirmed: true, limits, table, tenants: undefined }),
+    routing: () => ({ isConfirmed: true, isKeyProven: true, limits, table, tenants: undefined }),
     onPipelineWait: (wait) => this.pipelineWaits.push(wait),
   });
 
--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -42,6 +42,7 @@
   public limits = limits;
   public isConfigured = true;
   public isConfirmed = true;
+  public isKeyProven = true;
   public tenants: TenantDirectory | undefined;
   public outcome: EntryOutcome | undefined = {
     body: Buffer.from('body'),
@@ -71,7 +72,13 @@
     onRequestsDiscarded: () => undefined,
     routing: () =>
       this.isConfigured
-        ? { isConfirmed: this.isConfirmed, limits: this.limits, table, tenants: this.tenants }
+        ? {
+            isConfirmed: this.isConfirmed,
+            isKeyProven: this.isKeyProven,
+            limits: this.limits,
+            table,
+            tenants: this.tenants,
+          }
         : undefined,
     onPipelineWait: () => undefined,
   });
--- a/packages/daemon/src/mesh/configuration-synchronizer.ts
+++ b/packages/daemon/src/mesh/configuration-synchronizer.ts
@@ -14,9 +14,13 @@
 } from '@peridotspring/mesh-core';
 import type { MeshHelloFrame, MeshConnections } from '@peridotspring/nodes';
 
+import type { KnownVersions } from './key-proof-synchronizer.js';
 import { MeshEvent } from './mesh-event.js';
 import type { DecodedConfiguration } from './platform-adapter.js';
 
+/** Names the store as the source of a configuration. */
+export const storeSource = 'store';
+
 type LogFields = Readonly<Record<string, string | number | boolean>>;
 
 /** Connections to peers and the store, through which the synchronizer acts. */
@@ -26,6 +30,8 @@
     watchConfiguration(isWatching: boolean): void;
     /** Reads the configuration once, although this node does not watch it. */
     refreshConfiguration(): void;
+    /** Reads the configuration up to date, whether this node watches it or not. */
+    proveConfiguration(): void;
     /** A peer has observed this era of the store. */
     observeEra(era: number): void;
   };
@@ -57,6 +63,8 @@
   private newestEra: number | undefined;
   /** The version that was last rejected, so that repeated reads of it are logged once. */
   private lastRejectedVersion: number | undefined;
+  /** The version that was last read from the store; undefined if it is invalid. */
+  private versionInStore: number | undefined;
 
   public constructor(private readonly options: ConfigurationSynchronizerOptions) {
     this.pull = new ConfigurationPullScheduler(options.self.name);
@@ -77,6 +85,11 @@
     return this.holder.version;
   }
 
+  public get knownVersions(): KnownVersions {
+    const newest = Math.max(this.version, this.pull.newestAnnouncedVersion);
+    return { inForce: this.version, inStore: this.versionInStore, newest };
+  }
+
   public get reachesStore(): boolean {
     return this.storeWatchElection.isStoreReachable;
   }
@@ -116,6 +129,8 @@
   public onContentReceived(content: Uint8Array, source: string): void {
     const { onChange, clock, decode, log, ports } = this.options;
     const decoded = decode(content);
+    if (source === storeSource)
+      this.versionInStore = decoded.kind === 'invalid' ? undefined : decoded.configuration.version;
     if (decoded.kind === 'invalid') {
       const { field, message } = decoded;
       log(MeshEvent.ConfigurationInvalid, { detail: message, field, source });
@@ -139,12 +154,20 @@
     ports().connections.broadcast({ kind: 'version', version });
   }
 
-  /** The store has shown that it holds no newer configuration than those that were read from it. */
-  public onStoreConfirmed(): void {
+  /**
+   * The store has shown that it holds no newer configuration than those that were read from it.
+   * @param isProven whether peers may ask this node for a proof of that.
+   */
+  public onStoreConfirmed(isProven: boolean): void {
     this.freshness.onConfirmed(this.options.clock());
     const { version } = this;
     if (version === 0) return;
-    this.options.ports().connections.broadcast({ isConfirmed: true, kind: 'version', version });
+    this.options.ports().connections.broadcast({
+      isConfirmed: true,
+      kind: 'version',
+      version,
+      ...(isProven && { isProven }),
+    });
   }
 
   /** The store's era was read for the first time, or the era shows that the store was restored from a backup. */
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -13,6 +13,8 @@
   ErrorContained: 'error-contained',
   EvacuationsChanged: 'evacuations-changed',
   HealthChecked: 'server-health-checked',
+  KeyProofExpired: 'key-proof-expired',
+  KeyProofRegained: 'key-proof-regained',
   LinesSuppressed: 'log-lines-suppressed',
   NodeConnected: 'node-connected',
   NodeDisconnected: 'node-disconnected',
--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -9,6 +9,7 @@
   readonly gate_running: number;
   readonly gate_waiting: number;
   readonly evacuated_zones: number;
+  readonly key_proof_age_seconds: number;
   readonly nodes_connected: number;
   readonly nodes_gone: number;
   readonly nodes_known: number;
@@ -39,6 +40,8 @@
   gate_running: 'Requests that the server is running.',
   gate_waiting: 'Requests in the queue of the gate.',
   evacuated_zones: 'Availability zones that the operator has evacuated.',
+  key_proof_age_seconds:
+    'Age of the proof that removed API keys would be known; 0 if no bound is set.',
   nodes_connected: 'Peers that this node is connected to.',
   nodes_gone: 'Peers that were connected and are not connected now.',
   nodes_known: "Peers in this node's directory.",
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -1,10 +1,10 @@
-import type { RouteServer, RoutingConfiguration } from '@peridotspring/callers';
+import type { RoutingConfiguration } from '@peridotspring/callers';
 import { containError } from '@peridotspring/core';
-import type { RandomSource } from '@peridotspring/core';
 import {
   PlacementPolicy,
   EndedServers,
   isSameZone,
+  LeaseClock,
   LoadAnnouncer,
   RetryBudget,
   RequestForwarder,
@@ -16,7 +16,6 @@
 } from '@peridotspring/mesh-core';
 import type {
   ColdStartTolerance,
-  EndedServer,
   EntryRequest,
   EvacuationRead,
   Execution,
@@ -31,21 +30,19 @@
   ServerNotice,
   WatchTurn,
 } from '@peridotspring/mesh-core';
-import type { MeshHelloPayload, MeshHelloFrame, MeshConnections } from '@peridotspring/nodes';
-import type { HealthCheckResult, ServerMessage } from '@peridotspring/upstreams/mesh';
+import type { MeshHelloPayload, MeshHelloFrame } from '@peridotspring/nodes';
+import type { ServerMessage } from '@peridotspring/upstreams/mesh';
 
-import { ConfigurationSynchronizer } from './configuration-synchronizer.js';
-import type { ConfigurationPorts } from './configuration-synchronizer.js';
+import { ConfigurationSynchronizer, storeSource } from './configuration-synchronizer.js';
 import { DirectorySynchronizer } from './directory-synchronizer.js';
-import type { DirectoryStore } from './directory-synchronizer.js';
+import { isEndedServer } from './ended-server.js';
 import { EvacuationSynchronizer } from './evacuation-synchronizer.js';
-import type { EventRecorder } from './event-recorder.js';
+import { KeyProofSynchronizer } from './key-proof-synchronizer.js';
 import { MeshEvent } from './mesh-event.js';
 import type { MeshSettings } from './mesh-settings.js';
+import type { MeshNodeOptions } from './mesh-node-options.js';
 import type { MeshGaugeValues, MeshServiceGaugeValues } from './mesh-gauges.js';
 import { latestPlausibleBoot, readMeshNode } from './mesh-directory-entry.js';
-import type { DecodedConfiguration } from './platform-adapter.js';
-import type { QuarantineStore } from './quarantine-synchronizer.js';
 import { QuarantineSynchronizer } from './quarantine-synchronizer.js';
 import { ServerHealthChecks } from './server-health-checks.js';
 import { ServerMessageBuffer } from './server-message-buffer.js';
@@ -75,45 +72,14 @@
 
 type LogFields = Readonly<Record<string, string | number | boolean>>;
 
-/** Interfaces through which the node acts on callers, other nodes, the server beside it and the store. */
-export interface MeshNodePorts {
-  readonly callers: Pick<RouteServer, 'configure' | 'inProgress' | 'refuse' | 'respond' | 'stop'>;
-  readonly connections: Pick<MeshConnections, 'broadcast' | 'dial' | 'send' | 'tick' | 'whenRead'>;
-  readonly server: {
-    run(execution: Execution): void;
-    abort(executionId: number): void;
-    health(path: string): Promise<HealthCheckResult | undefined>;
-    isRefusingConnections(): Promise<boolean>;
-  };
-  readonly store: ConfigurationPorts['store'] & DirectoryStore & QuarantineStore;
-  /** Called when the process may exit. `isPermanent` is true if the server has left too, so its entry is removed. */
-  readonly onStopped: (isPermanent: boolean) => void;
-}
-
-export interface MeshNodeOptions {
-  readonly settings: MeshSettings;
-  readonly self: MeshNode;
-  readonly random: RandomSource;
-  readonly clock: () => number;
-  /** Time of day in Unix milliseconds. */
-  readonly wallClock: () => number;
-  /** Start of the process, on the clock. */
-  readonly processStartedAt: number;
-  readonly events: EventRecorder;
-  readonly ports: () => MeshNodePorts;
-  /** Runs the action once after the delay; the returned function cancels it. */
-  readonly schedule: (action: () => void, milliseconds: number) => () => void;
-  /** Runs the action after the current call stack has unwound, before any timer. */
-  readonly defer: (action: () => void) => void;
-  readonly decodeConfiguration: (content: Uint8Array) => DecodedConfiguration;
-}
-
 /** Connects the decision logic of a node (gate, forwarder, directory, configuration) to its ports. */
 export class MeshNodeDriver {
   public readonly directory: NodeDirectory;
   private readonly directorySynchronizer: DirectorySynchronizer;
   private readonly configuration: ConfigurationSynchronizer;
   private readonly evacuations: EvacuationSynchronizer;
+  private readonly keyProofs: KeyProofSynchronizer;
+  private readonly leaseClock: LeaseClock;
   private readonly quarantines: QuarantineSynchronizer;
   private readonly gateTable = new GateTable();
   private readonly trafficSplit: TrafficSplit;
@@ -163,6 +129,20 @@
       ports: options.ports,
       self,
     });
+    this.leaseClock = new LeaseClock({ steadyClock: clock, timeOfDay: options.wallClock });
+    this.keyProofs = new KeyProofSynchronizer({
+      connections: () => options.ports().connections,
+      isWatching: () => this.configuration.isWatching,
+      leaseClock: () => this.leaseNow(),
+      log,
+      reachesStore: () => this.configuration.reachesStore,
+      readStore: () => {
+        options.ports().store.proveConfiguration();
+      },
+      revocationMilliseconds: settings.revocationMilliseconds,
+      self,
+      versions: () => this.configuration.knownVersions,
+    });
     this.evacuations = new EvacuationSynchronizer({
       configurationVersion: () => this.configuration.version,
       connections: () => options.ports().connections,
@@ -190,6 +170,7 @@
     this.trafficSplit = new TrafficSplit(random);
     this.retryBudget = new RetryBudget(settings.repeats);
     this.gate = new ServerGate({
+      leaseClock: () => this.leaseNow(),
       log: ({ event, fields }) => {
         this.log(event, fields);
       },
@@ -237,6 +218,7 @@
     this.forwarder = new RequestForwarder({
       retryBudget: this.retryBudget,
       callerService: self.service,
+      keyValidMilliseconds: () => this.keyProofs.validMilliseconds,
       log: ({ event, fields }) => {
         this.log(event, fields);
       },
@@ -267,7 +249,9 @@
     const inForce = this.configuration.inForce;
     if (inForce === undefined) return undefined;
     const { limits, tenants } = inForce.configuration;
-    return { isConfirmed: this.configuration.isConfirmed, limits, table: inForce.table, tenants };
+    const isKeyProven = tenants === undefined || this.keyProofs.validMilliseconds > 0;
+    const { isConfirmed } = this.configuration;
+    return { isConfirmed, isKeyProven, limits, table: inForce.table, tenants };
   }
 
   /** Whether the readiness check passes, so that callers may send requests to this node. */
@@ -286,6 +270,7 @@
       configuration_unconfirmed_seconds:
         this.configuration.unconfirmedMilliseconds(now) / millisecondsPerSecond,
       configuration_version: this.configuration.version,
+      key_proof_age_seconds: this.keyProofs.ageMilliseconds / millisecondsPerSecond,
       evacuated_zones: this.evacuations.names.length,
       gate_concurrency_limit: load.limit,
       gate_running: load.running,
@@ -348,6 +333,7 @@
   public applySettings(settings: MeshSettings): void {
     this.retryBudget.configure(settings.repeats);
     this.gate.setProbesPerSecond(settings.probesPerSecond);
+    this.keyProofs.configure(settings.revocationMilliseconds);
     this.coldStartTolerance = settings.coldStartTolerance;
     this.configureColdStart();
     this.quarantines.setReleased(settings.releasedRequests, this.options.clock());
@@ -397,12 +383,25 @@
   }
 
   public onConfigurationRead(content: Uint8Array): void {
-    this.configuration.onContentReceived(content, 'store');
+    this.configuration.onContentReceived(content, storeSource);
   }
 
-  /** The store has shown that it holds nothing newer of what operators write. */
-  public onConfigurationConfirmed(): void {
-    this.configuration.onStoreConfirmed();
+  /** Time on the `LeaseClock`. */
+  public leaseNow(): number {
+    return this.leaseClock.now();
+  }
+
+  /** Whether a call to the store would renew the proof that this node holds. */
+  public get isProofRenewalUseful(): boolean {
+    return this.keyProofs.isRenewalUseful;
+  }
+
+  /**
+   * The store has shown that it holds nothing newer of what operators write.
+   * @param sentAt time on the `LeaseClock` before the call was sent; undefined if the result may be older than that.
+   */
+  public onConfigurationConfirmed(sentAt?: number): void {
+    this.configuration.onStoreConfirmed(sentAt !== undefined && this.keyProofs.onStoreRead(sentAt));
   }
 
   /** Evacuations of zones were read from the store. */
@@ -445,6 +444,7 @@
     this.forwarder.onConnectionRestored(node.name, node.boot, now);
     const { connections } = this.options.ports();
     this.configuration.onConnected(hello);
+    this.keyProofs.onConnected(node);
     // A peer that does not reach the store learns of other nodes this way. Only a few nodes need to send it the list.
     const sendsMembers = this.configuration.isWatching || isSameZone(node, this.options.self);
     if (sendsMembers && knownNodes * 2 < this.directory.nodeCount - 1) {
@@ -458,6 +458,7 @@
     this.directory.onDisconnected(name, now);
     this.gateTable.onDisconnected(name);
     this.configuration.onDisconnected(name);
+    this.keyProofs.onDisconnected(name);
     this.forwarder.onConnectionLost(name, now);
   }
 
@@ -549,6 +550,7 @@
       case 'version':
         this.configuration.onPeerVersion(from, frame.version);
         if (frame.isConfirmed === true) this.configuration.onPeerConfirmed(frame.version);
+        if (frame.isProven === true) this.keyProofs.onAnnounced(from.name);
         this.configuration.onPeerEra(frame.storeEra);
         this.evacuations.onPeerSnapshot(frame.evacuations, from.name, now);
         this.quarantines.onPeerRecords(frame.crashRecords, now);
@@ -556,6 +558,12 @@
       case 'store-reach':
         this.configuration.onPeerStoreReachability(from.name, frame.reachesStore);
         return;
+      case 'proof-request':
+        this.keyProofs.onRequested(from.name, frame.number);
+        return;
+      case 'proof':
+        this.keyProofs.onAnswer(from.name, frame);
+        return;
       case 'pull':
         this.configuration.onPullRequested(from.name);
         return;
@@ -745,6 +753,7 @@
     this.retryBudget.setNodeCount(this.directory.nodeCount);
     this.configuration.tick(now);
     this.evacuations.tick(now);
+    this.keyProofs.tick();
     this.quarantines.tick(now);
     this.releaseServerMessages(now);
     this.healthChecks.tick(now);
@@ -765,11 +774,3 @@
     this.options.events.record(event, fields);
   }
 }
-
-/** Validates a server incarnation that a peer sent. */
-function isEndedServer(value: unknown): value is EndedServer {
-  if (typeof value !== 'object' || value === null || !('instanceId' in value)) return false;
-  const startedAt = 'startedAt' in value ? value.startedAt : undefined;
-  const isValidStart = startedAt === undefined || Number.isSafeInteger(startedAt);
-  return isValidStart && typeof value.instanceId === 'string' && value.instanceId !== '';
-}
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -32,6 +32,11 @@
   };
   /** Time within which a change of the configuration must be in force on each node. */
   readonly configurationPropagationMilliseconds: number;
+  /**
+   * Time after which no request with a removed API key may run on any node, even if the node is cut off; undefined if that
+   * is not enforced.
+   */
+  readonly revocationMilliseconds?: number | undefined;
   readonly coldStartTolerance: ColdStartTolerance;
   /** Interval at which the server reports its state. */
   readonly reportIntervalMilliseconds: number;
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -1,5 +1,6 @@
 import { RouteServer } from '@peridotspring/callers';
 import { SeededRandomSource } from '@peridotspring/core';
+import { DenialCause } from '@peridotspring/mesh-core';
 import type { MeshNode } from '@peridotspring/mesh-core';
 import { maximumMeshBodyBytes, MeshConnections } from '@peridotspring/nodes';
 import { HttpStoreTransport, StoreSession } from '@peridotspring/platform/key-values';
@@ -18,7 +19,7 @@
 import { MeshEvent } from './mesh-event.js';
 import { registerMeshGauges } from './mesh-gauges.js';
 import { MeshNodeDriver } from './mesh-node.js';
-import type { MeshNodePorts } from './mesh-node.js';
+import type { MeshNodePorts } from './mesh-node-options.js';
 import type { MeshSettings, SettingsResult } from './mesh-settings.js';
 import type { PlatformAdapter } from './platform-adapter.js';
 import { SettingsWatcher } from './settings-watcher.js';
@@ -104,6 +105,9 @@
           isSameEntry(readDirectoryEntry(stored), node);
         void store.session.removeEntry(node.name, isExpected);
       },
+      proveConfiguration: () => {
+        store.session.proveConfiguration();
+      },
       refreshConfiguration: () => {
         void store.session.refreshConfiguration();
       },
@@ -233,6 +237,7 @@
   return new RouteServer({
     onAnsweredLocally: ({ detail, requestId, status }) => {
       events.record(MeshEvent.RequestAnsweredLocally, { detail, request: requestId, status });
+      if (detail === DenialCause.KeyUnproven) events.count('requests_key_unproven');
     },
     bindHost: settings.callerAddress.host,
     bindPort: settings.callerAddress.port,
@@ -366,9 +371,11 @@
     onConfigurationRead: (content) => {
       driver.onConfigurationRead(content);
     },
-    onConfigurationConfirmed: () => {
-      driver.onConfigurationConfirmed();
+    onConfigurationConfirmed: (sentAt) => {
+      driver.onConfigurationConfirmed(sentAt);
     },
+    proofClock: () => driver.leaseNow(),
+    isProofDue: () => driver.isProofRenewalUseful,
     propagationMilliseconds: settings.configurationPropagationMilliseconds,
     wallClock: () => Date.now(),
     watchTurn: () => driver.watchTurn,
--- a/packages/daemon/tests/configuration-synchronizer.test.ts
+++ b/packages/daemon/tests/configuration-synchronizer.test.ts
@@ -40,6 +40,7 @@
         },
       },
       store: {
+        proveConfiguration: () => undefined,
         refreshConfiguration: () => (this.refreshes += 1),
         observeEra: (era) => this.observedEras.push(era),
         watchConfiguration: (isWatching) => this.watchChanges.push(isWatching),
@@ -162,7 +163,7 @@
   for (let now = 6_000; now <= 7_200; now += 50) bench.tick(now);
   assert.is(bench.refreshes, 1);
   assert.match(bench.logLines.join('\n'), /configuration-unconfirmed/);
-  bench.synchronizer.onStoreConfirmed();
+  bench.synchronizer.onStoreConfirmed(false);
   assert.is(bench.synchronizer.unconfirmedMilliseconds(7_200), 0);
   assert.equal(bench.sentFrames, ['all version', 'all version']);
 });
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -7,7 +7,7 @@
 import { EventRecorder } from '../../src/mesh/event-recorder.js';
 import { MeshEvent } from '../../src/mesh/mesh-event.js';
 import { MeshNodeDriver } from '../../src/mesh/mesh-node.js';
-import type { MeshNodePorts } from '../../src/mesh/mesh-node.js';
+import type { MeshNodePorts } from '../../src/mesh/mesh-node-options.js';
 import type { MeshSettings } from '../../src/mesh/mesh-settings.js';
 import { ConfigurationBound, configurationBoundMilliseconds } from './configuration-bound.js';
 import { EventQueue } from './event-queue.js';
@@ -352,13 +352,16 @@
   }
 
   private readUpToDate(machine: Machine): void {
+    const reader = machine.node;
+    const sentAt = reader?.driver.leaseNow();
     this.queue.after(readMilliseconds, () => {
       const { node } = machine;
-      if (node === undefined || !machine.canReadStore || machine.hasLostStore) return;
+      if (node === undefined || node !== reader || !machine.canReadStore || machine.hasLostStore)
+        return;
       this.reportEra(machine, node);
       node.driver.onConfigurationRead(Buffer.from(String(this.store.version)));
       node.driver.onEvacuationsRead(this.store.evacuations, this.store.era);
-      node.driver.onConfigurationConfirmed();
+      node.driver.onConfigurationConfirmed(sentAt);
     });
   }
 
@@ -505,6 +508,9 @@
         removeEntry: (ended) => {
           this.store.removeNode(ended);
         },
+        proveConfiguration: () => {
+          this.readUpToDate(machine);
+        },
         refreshConfiguration: () => {
           this.readUpToDate(machine);
         },
--- a/packages/mesh-core/src/configuration/configuration-pull-scheduler.ts
+++ b/packages/mesh-core/src/configuration/configuration-pull-scheduler.ts
@@ -35,6 +35,11 @@
     this.pullDueAt = Math.min(this.pullDueAt, now + storeHeadStartMilliseconds);
   }
 
+  /** The newest version that a node has announced; 0 before the first one. */
+  public get newestAnnouncedVersion(): number {
+    return this.newestVersion;
+  }
+
   public removeNode(node: string): void {
     this.sources.delete(node);
   }
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -25,6 +25,8 @@
   /** No server of the service has the capacity to run the request before its deadline. */
   Overloaded: 'overloaded',
   NoServer: 'no-server',
+  /** The caller's key may have been removed longer ago than is allowed. */
+  KeyUnproven: 'key-unproven',
   /** The request has crashed several servers and is not sent to any further one. */
   Quarantined: 'quarantined',
   /** This node stops before the request might end. */
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -7,7 +7,6 @@
 import type {
   AnsweredFrame,
   DeclinedFrame,
-  GateLoad,
   ReplyFrame,
   StartFrame,
 } from '../messages/mesh-frames.js';
@@ -18,12 +17,19 @@
 } from '../placement/placement-policy.js';
 import type { GateView, GateTable } from '../placement/gate-table.js';
 import type { RequestScreening, RequestSuspicion } from '../quarantine/request-quarantine.js';
+import {
+  lastDeclineFields,
+  minimumRemainingMilliseconds,
+  occupancyFields,
+  refusalCauseOf,
+} from './conclusion-fields.js';
 import { EntryEventName, RefusalCause, UnknownCause } from './entry-contract.js';
 import type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry-contract.js';
 import { isHedgeDue } from './hedge-rule.js';
 import { RequestState } from './request-state.js';
 import type { Attempt } from './request-state.js';
 import { RouteSizes } from './route-sizes.js';
+import { tenantFields } from './tenant-fields.js';
 import { StopAdmission, stoppingRetryAfterMilliseconds } from './stop-admission.js';
 import type { StopSchedule } from './stop-admission.js';
 import { CallerTimeLimits } from './caller-time-limits.js';
@@ -37,8 +43,6 @@
  * more gates than this have declined.
  */
 const maximumDeclines = 4;
-/** A request with less time left before its deadline is not sent to another gate. */
-const minimumRemainingMilliseconds = 15;
 /** Time after which an idempotent request whose gate is disconnected is also sent to another gate. */
 const lostConnectionTimeoutMilliseconds = 100;
 const minimumRetryAfterMilliseconds = 50;
@@ -51,6 +55,8 @@
   readonly quarantine: RequestScreening;
   readonly retryBudget: RetryBudget;
   readonly random: RandomSource;
+  /** Time for which the keys of callers may still be acted on; infinite without a limit. */
+  readonly keyValidMilliseconds: () => number;
   readonly callerService: string;
   readonly log: (event: EntryEvent) => void;
 }
@@ -299,6 +305,7 @@
 
   private findRetryDenial(state: RequestState, now: number): string | undefined {
     if (this.isQuarantined(state, now)) return 'quarantined';
+    if (this.isKeyUnproven(state)) return RefusalCause.KeyUnproven;
     if (state.usedNodes.size >= state.request.route.maximumAttempts) return 'attempts';
     if (state.deadline - now < minimumRemainingMilliseconds) return 'deadline';
     return state.expectedMillisecondsByDecliningNode.size > maximumDeclines
@@ -321,7 +328,7 @@
    */
   private tryNextGate(state: RequestState, now: number): void {
     while (state.finalDeclineCount < maximumDeclines) {
-      if (this.isQuarantined(state, now)) break;
+      if (this.isQuarantined(state, now) || this.isKeyUnproven(state)) break;
       if (state.deadline - now < minimumRemainingMilliseconds) break;
       const choice = this.chooseGate(state, now);
       const busy = this.cheapestBusyGate(state, now);
@@ -464,7 +471,7 @@
       routeName: route.name,
       service: state.service,
       targetMilliseconds: state.targetDeadline - now,
-      ...(tenant !== undefined && { tenant: tenant.name }),
+      ...tenantFields(tenant, this.options.keyValidMilliseconds),
     };
   }
 
@@ -503,6 +510,11 @@
     return state.isQuarantinedByGate || this.suspicionOf(state, now).quarantinedUntil !== undefined;
   }
 
+  /** Whether the key of the caller may have been removed longer ago than is allowed. */
+  private isKeyUnproven({ request }: RequestState): boolean {
+    return request.tenant !== undefined && this.options.keyValidMilliseconds() <= 0;
+  }
+
   private refuse(state: RequestState, now: number): void {
     const quarantinedUntil = this.suspicionOf(state, now).quarantinedUntil;
     if (quarantinedUntil !== undefined || state.isQuarantinedByGate) {
@@ -516,7 +528,8 @@
       Math.max(minimumRetryAfterMilliseconds, state.shortestExpectedMilliseconds / 2),
     );
     const retryAfterMilliseconds = baseMilliseconds * (1 + this.options.random.next());
-    this.refuseUntil(state, refusalCauseOf(state, now), now + retryAfterMilliseconds, now);
+    const cause = this.isKeyUnproven(state) ? RefusalCause.KeyUnproven : refusalCauseOf(state, now);
+    this.refuseUntil(state, cause, now + retryAfterMilliseconds, now);
   }
 
   private refuseAsStopping(state: RequestState, now: number): void {
@@ -582,20 +595,3 @@
     this.options.log({ event, fields: { request: state.request.requestId, ...fields } });
   }
 }
-
-/** Log fields for the occupancy of a gate. */
-function occupancyFields({ limit, running, waiting }: GateLoad): EntryEvent['fields'] {
-  return { limit, running, waiting };
-}
-
-/** Log fields for the last decline. Under load, the final event may be the only one logged for a request. */
-function lastDeclineFields({ lastDecline }: RequestState): EntryEvent['fields'] {
-  if (lastDecline === undefined) return {};
-  const { frame, node } = lastDecline;
-  return { lastDecline: frame.reason, lastGate: node, ...occupancyFields(frame.load) };
-}
-
-function refusalCauseOf(state: RequestState, now: number): RefusalCause {
-  if (state.deadline - now < minimumRemainingMilliseconds) return RefusalCause.DeadlineTooShort;
-  return state.isOverloaded ? RefusalCause.Overloaded : RefusalCause.NoServer;
-}
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -1,4 +1,5 @@
 import type { ReplyFrame, StartFrame } from '../messages/mesh-frames.js';
+import type { WaitingRequest } from './admission-queue.js';
 
 /**
  * Time for which a finished call is retained after its end or its deadline, whichever is later. Until then
@@ -18,6 +19,8 @@
   readonly arrivedAt: number;
   readonly deadline: number;
   readonly targetAt: number;
+  /** Time on the `LeaseClock` until which the key of the request may be acted on; infinite without a limit. */
+  keyValidUntil: number;
   /** `lost`: the connection to the server closed, and it is being checked whether the server crashed. */
   state: 'waiting' | 'running' | 'aborted' | 'lost' | 'finished';
   startedAt: number;
@@ -84,6 +87,7 @@
       from,
       isTrial: false,
       key: callKey(from, boot, frame.callId),
+      keyValidUntil: Infinity,
       reply: undefined,
       replyBytes: 0,
       runningAtStart: 0,
@@ -190,3 +194,9 @@
 function callKey(from: string, boot: number, callId: number): string {
   return `${from}/${boot}/${callId}`;
 }
+
+/** The call as it waits for a slot from now on. */
+export function toWaitingRequest(call: GateCall, now: number): WaitingRequest {
+  const { deadline, executionId, frame, targetAt } = call;
+  return { deadline, enqueuedAt: now, executionId, frame, targetAt };
+}
--- a/packages/mesh-core/src/gate/gate-replies.ts
+++ b/packages/mesh-core/src/gate/gate-replies.ts
@@ -1,3 +1,4 @@
+import { DeclineReason } from '../messages/mesh-frames.js';
 import type { GateLoad, ReplyFrame } from '../messages/mesh-frames.js';
 import type { ExecutionResult } from './gate-contract.js';
 
@@ -14,3 +15,9 @@
       return { callId, expectedMilliseconds: 0, kind: 'declined', load, reason: result.reason };
   }
 }
+
+/** Whether there was no valid response, as from a server that has ended or restarted. */
+export function hasNoResponse(result: ExecutionResult): boolean {
+  if (result.kind === 'not-run') return result.reason === DeclineReason.ServerUnreachable;
+  return result.kind === 'failed';
+}
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -13,7 +13,7 @@
 import { ColdAssumptionCause, ColdStartGuard } from './cold-start-guard.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
 import { ConcurrencyLimit } from './concurrency-limit.js';
-import { GateCallRegistry } from './gate-call-registry.js';
+import { GateCallRegistry, toWaitingRequest } from './gate-call-registry.js';
 import type { GateCall } from './gate-call-registry.js';
 import { GateEventName } from './gate-contract.js';
 import type {
@@ -27,7 +27,8 @@
   ServerReport,
 } from './gate-contract.js';
 import { GateLog } from './gate-log.js';
-import { toReplyFrame } from './gate-replies.js';
+import { KeyLeases } from './key-lease.js';
+import { hasNoResponse, toReplyFrame } from './gate-replies.js';
 import { ProbeRateLimiter } from './probe-rate-limiter.js';
 import { RecentFailures } from './recent-failures.js';
 import { RequestRateLimit } from './request-rate-limit.js';
@@ -97,6 +98,8 @@
   readonly reportIntervalMilliseconds: number;
   /** Start of this process on the monotonic clock. */
   readonly processStartedAt: number;
+  /** Clock of a `LeaseClock`, for how long the keys of requests hold. */
+  readonly leaseClock: () => number;
   readonly log: (event: GateEvent) => void;
 }
 
@@ -122,6 +125,7 @@
   /** Whether the current server has responded to a request of this process. */
   private hasServerResponded = false;
   private readonly gateLog: GateLog;
+  private readonly keyLeases: KeyLeases;
   private isEvacuated = false;
   private running = 0;
   private nestedRunning = 0;
@@ -136,6 +140,7 @@
   public constructor(private readonly options: ServerGateOptions) {
     this.calls = new GateCallRegistry(options.retainedReplyBytes);
     this.gateLog = new GateLog(options.log);
+    this.keyLeases = new KeyLeases(options.leaseClock);
     this.probes = new ProbeRateLimiter(options.probesPerSecond);
     this.coldStartGuard = new ColdStartGuard({
       onAssumed: (cause) => {
@@ -232,6 +237,7 @@
       return;
     }
     const call = this.calls.open(from, boot, frame, now);
+    this.keyLeases.begin(call, frame);
     const reason = this.immediateDeclineReason(call, now);
     if (reason !== undefined) {
       this.decline(call, reason, 0, now);
@@ -515,6 +521,7 @@
       case ServerState.Ready:
     }
     if (frame.service !== this.options.service) return DeclineReason.WrongService;
+    if (!this.keyLeases.mayStart(call)) return DeclineReason.KeyUnproven;
     if (this.screening.isQuarantined(frame, now)) return DeclineReason.Quarantined;
     if (frame.remainingMilliseconds >= this.estimator.minimumMilliseconds(frame.routeName))
       return undefined;
@@ -676,6 +683,8 @@
       if (call === undefined) continue;
       if (this.isTooLate(call, now)) {
         this.decline(call, DeclineReason.DeadlineTooShort, 0, now);
+      } else if (!this.keyLeases.mayStart(call)) {
+        this.decline(call, DeclineReason.KeyUnproven, 0, now);
       } else this.run(call, now);
     }
   }
@@ -810,14 +819,3 @@
     }
   }
 }
-
-/** Whether there was no valid response, as from a server that has ended or restarted. */
-function hasNoResponse(result: ExecutionResult): boolean {
-  if (result.kind === 'not-run') return result.reason === DeclineReason.ServerUnreachable;
-  return result.kind === 'failed';
-}
-
-function toWaitingRequest(call: GateCall, now: number): WaitingRequest {
-  const { deadline, executionId, frame, targetAt } = call;
-  return { deadline, enqueuedAt: now, executionId, frame, targetAt };
-}
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -60,6 +60,8 @@
   MeshFrame,
   MeshNode,
   EndedNodeServer,
+  ProofFrame,
+  ProofRequestFrame,
   ReplyFrame,
   RequestFrame,
   StartFrame,
@@ -92,6 +94,11 @@
   WeightedService,
 } from './routes/route-configuration.js';
 export { parseBearerKey } from './tenants/bearer-credentials.js';
+export { ConfigurationProof } from './tenants/configuration-proof.js';
+export type { ProvenVersion } from './tenants/configuration-proof.js';
+export { LeaseClock } from './tenants/lease-clock.js';
+export { ProofExchange } from './tenants/proof-exchange.js';
+export type { ProofAnswer, ProofAsk } from './tenants/proof-exchange.js';
 export { authorizeRequest, DenialCause } from './tenants/request-authorizer.js';
 export type { Authorization, AuthorizationContext } from './tenants/request-authorizer.js';
 export type { Allotment, Tenant } from './tenants/tenant.js';
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -54,6 +54,8 @@
   ServerRefused: 'server-refused',
   ServerUnreachable: 'server-unreachable',
   WrongService: 'wrong-service',
+  /** The key of the request may have been removed longer ago than is allowed. */
+  KeyUnproven: 'key-unproven',
   /** The operator has evacuated the gate's availability zone. */
   ZoneEvacuated: 'zone-evacuated',
 } as const;
@@ -70,6 +72,8 @@
   readonly callerService: string;
   /** Name of the tenant on whose behalf the request is made, which is passed to the server. */
   readonly tenant?: string | undefined;
+  /** Time for which the tenant's key may still be acted on; the request must have started by then. */
+  readonly keyValidMilliseconds?: number | undefined;
   readonly method: string;
   readonly path: string;
   readonly headers: HeaderList;
@@ -197,6 +201,8 @@
   readonly version: number;
   /** Whether the store has just shown the sender that this version is the newest. */
   readonly isConfirmed?: boolean | undefined;
+  /** Whether the sender has just got a proof of this from the store, for which the receiver may ask. */
+  readonly isProven?: boolean | undefined;
   /** The newest store era that the sender has observed, for nodes that do not query the store themselves. */
   readonly storeEra?: number | undefined;
   /** The evacuated zones, if they have changed. */
@@ -216,6 +222,20 @@
   readonly kind: 'pull';
 }
 
+/** Asks for the receiver's proof of which version of the configuration is the newest. */
+export interface ProofRequestFrame {
+  readonly kind: 'proof-request';
+  readonly number: number;
+}
+
+/** Answers a request for a proof, if the sender holds a valid one. */
+export interface ProofFrame {
+  readonly kind: 'proof';
+  readonly number: number;
+  readonly version: number;
+  readonly ageMilliseconds: number;
+}
+
 /** Announces other nodes to the receiver. */
 export interface MembersFrame {
   readonly kind: 'members';
@@ -237,6 +257,8 @@
   | VersionFrame
   | StoreReachFrame
   | PullFrame
+  | ProofRequestFrame
+  | ProofFrame
   | MembersFrame
   | LeavingFrame;
 export type MeshFrame = RequestFrame | ReplyFrame | ControlFrame;
--- a/packages/mesh-core/src/tenants/request-authorizer.ts
+++ b/packages/mesh-core/src/tenants/request-authorizer.ts
@@ -8,6 +8,8 @@
   UnknownKey: 'unknown-key',
   /** No key, several keys, or a scheme other than `Bearer`. */
   InvalidCredentials: 'invalid-credentials',
+  /** The configuration in force holds the key, but a newer one may have removed it longer ago than is allowed. */
+  KeyUnproven: 'key-unproven',
   /** No tenant that this node knows holds the key, but a newer configuration may. */
   Unconfirmed: 'configuration-unconfirmed',
 } as const;
@@ -24,6 +26,8 @@
   readonly tenants: TenantDirectory | undefined;
   /** Whether the store has shown, within the time in which changes take effect, that no newer version exists. */
   readonly isConfirmed: boolean;
+  /** Whether the keys of the configuration in force may be acted on: their removal would have become known. */
+  readonly isKeyProven: boolean;
 }
 
 /**
@@ -33,12 +37,16 @@
 export function authorizeRequest(
   route: Pick<Route, 'isPublic'>,
   authorizationFields: readonly string[],
-  { isConfirmed, tenants }: AuthorizationContext,
+  { isConfirmed, isKeyProven, tenants }: AuthorizationContext,
 ): Authorization {
   if (tenants === undefined || route.isPublic) return { kind: 'granted', tenant: undefined };
   const apiKey = parseBearerKey(authorizationFields);
   if (apiKey === undefined) return { cause: DenialCause.InvalidCredentials, kind: 'denied' };
   const tenant = tenants.findByKey(apiKey);
-  if (tenant !== undefined) return { kind: 'granted', tenant };
+  if (tenant !== undefined) {
+    return isKeyProven
+      ? { kind: 'granted', tenant }
+      : { cause: DenialCause.KeyUnproven, kind: 'denied' };
+  }
   return { cause: isConfirmed ? DenialCause.UnknownKey : DenialCause.Unconfirmed, kind: 'denied' };
 }
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -37,6 +37,8 @@
     digest: (content) => content.toString(),
     onQuarantineChanged: () => undefined,
   });
+  /** Time for which the keys of callers may be acted on. */
+  public keyValidMilliseconds = Infinity;
   public readonly forwarder: RequestForwarder;
 
   public constructor(names: readonly string[] = ['a', 'b', 'c'], retrySlack = 100) {
@@ -45,6 +47,7 @@
     this.forwarder = new RequestForwarder({
       retryBudget: new RetryBudget({ ratio: 0, slack: retrySlack, windowMilliseconds: 10_000 }),
       callerService: 'web',
+      keyValidMilliseconds: () => this.keyValidMilliseconds,
       log: (event) => this.events.push(event),
       placementPolicy: new PlacementPolicy({
         availabilityZone: 'zone-a',
--- a/packages/mesh-core/tests/gate/gate-harness.ts
+++ b/packages/mesh-core/tests/gate/gate-harness.ts
@@ -21,6 +21,8 @@
   public readonly replyBoots: number[] = [];
   public readonly running: Execution[] = [];
   public readonly aborted: number[] = [];
+  /** Time on the `LeaseClock`. */
+  public leaseNow = 0;
   public probes = 0;
   public listenerChecks = 0;
   public stateChanges = 0;
@@ -34,6 +36,7 @@
 
   public constructor(slots = 2, log: (event: GateEvent) => void = () => undefined, sequence = 1) {
     this.gate = new ServerGate({
+      leaseClock: () => this.leaseNow,
       log,
       port: {
         abort: (executionId) => this.aborted.push(executionId),
--- a/packages/mesh-core/tests/tenants/request-authorizer.test.ts
+++ b/packages/mesh-core/tests/tenants/request-authorizer.test.ts
@@ -24,10 +24,11 @@
 
 function authorize(
   fields: readonly string[],
-  { hasTenants = true, isConfirmed = true, isPublic = false } = {},
+  { hasTenants = true, isConfirmed = true, isKeyProven = true, isPublic = false } = {},
 ): string {
   const authorization: Authorization = authorizeRequest(createRoute({ isPublic }), fields, {
     isConfirmed,
+    isKeyProven,
     tenants: hasTenants ? tenants : undefined,
   });
   return authorization.kind === 'granted'
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -104,6 +104,9 @@
   'expectedMilliseconds',
   'detail',
   'waitMilliseconds',
+  'number',
+  'ageMilliseconds',
+  'keyValidMilliseconds',
 ] as const;
 
 const encoder = new Encoder({
@@ -138,6 +141,8 @@
   members: { members: 'array' },
   ping: {},
   pong: {},
+  proof: { ageMilliseconds: 'number', number: 'number', version: 'number' },
+  'proof-request': { number: 'number' },
   pull: {},
   start: {
     ...callFields,
--- a/packages/platform/src/key-values/operator-reader.ts
+++ b/packages/platform/src/key-values/operator-reader.ts
@@ -13,6 +13,9 @@
 /** Delay after a watch that returned changes, so that a burst of changes costs few calls. */
 const watchPauseMilliseconds = 150;
 
+/** Hold of a watch that only shows whether there are changes. */
+const provingHoldMilliseconds = 1;
+
 /** Consistency that the next read requires. */
 const ReadConsistency = {
   /** The result may be seconds old. */
@@ -35,8 +38,14 @@
   readonly wallClock: () => number;
   /** The place of this node among those that watch. */
   readonly watchTurn: () => WatchTurn;
-  /** Called after each response that shows everything that operators have written. */
-  readonly onUpToDate: () => void;
+  /**
+   * Called after each response that shows everything that operators have written. `sentAt` is the time on `proofClock`
+   * before the call was sent; undefined if the response may come from a copy of the store that has been replaced.
+   */
+  readonly onUpToDate: (sentAt: number | undefined) => void;
+  readonly proofClock: () => number;
+  /** Whether the next watch should be answered at once, to prove what the store holds. */
+  readonly isProofDue: () => boolean;
 }
 
 /**
@@ -98,7 +107,8 @@
   }
 
   public async run(): Promise<void> {
-    const { delays } = this.options;
+    const { delays, isProofDue, proofClock } = this.options;
+    let isProving = false;
     let revision: number | undefined;
     let hasRead = false;
     let failures = 0;
@@ -120,8 +130,13 @@
         consistency = ReadConsistency.UpToDate;
       }
       const wasWatch = revision !== undefined;
+      // Never twice in a row, in case the response is not accepted as a proof.
+      isProving = wasWatch && !isProving && isProofDue();
+      const sentAt = proofClock();
       const outcome =
-        revision === undefined ? await this.readOnce(consistency) : await this.watchOnce(revision);
+        revision === undefined
+          ? await this.readOnce(consistency)
+          : await this.watchOnce(revision, isProving);
       if (outcome.kind !== 'ok') {
         const wasInterrupted = wasWatch && this.watchAbort.signal.aborted;
         failures = wasInterrupted ? 0 : failures + 1;
@@ -135,12 +150,18 @@
       const { items, removedKeys } = outcome.value;
       revision = outcome.value.revision;
       this.deliver(outcome.value, !wasWatch);
-      if (wasWatch || consistency !== ReadConsistency.StaleAllowed) this.options.onUpToDate();
+      if (wasWatch || consistency !== ReadConsistency.StaleAllowed)
+        this.confirm(sentAt);
       const hasChanges = items.length + removedKeys.length > 0;
       if (wasWatch && hasChanges) await delays.sleep(watchPauseMilliseconds);
     }
   }
 
+  /** A response that revealed a restored store may continue from a revision of the earlier copy, so it proves nothing. */
+  private confirm(sentAt: number): void {
+    this.options.onUpToDate(this.isRevisionOutdated ? undefined : sentAt);
+  }
+
   private deliver({ items, removedKeys, revision }: ItemPage, isComplete: boolean): void {
     const { codec, onConfigurationRead, onEvacuationsRead } = this.options;
     const itemByKey = new Map<string, StoredItem>();
@@ -182,14 +203,15 @@
   }
 
   /** After a failed watch, the next one has to start from a new read. */
-  private async watchOnce(revision: number): Promise<StoreClientOutcome<ItemPage>> {
+  private async watchOnce(
+    revision: number,
+    isProving: boolean,
+  ): Promise<StoreClientOutcome<ItemPage>> {
     const { codec, propagationMilliseconds, storeClient, wallClock, watchTurn } = this.options;
     this.watchAbort = new AbortController();
-    const holdMilliseconds = watchHoldMilliseconds(
-      watchTurn(),
-      propagationMilliseconds,
-      wallClock(),
-    );
+    const holdMilliseconds = isProving
+      ? provingHoldMilliseconds
+      : watchHoldMilliseconds(watchTurn(), propagationMilliseconds, wallClock());
     const call = {
       ...codec.watch(codec.operatorPrefix, revision, holdMilliseconds),
       responseTimeoutMilliseconds: propagationMilliseconds * watchTimeoutShare,
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -58,8 +58,15 @@
   readonly wallClock: () => number;
   /** The place of this node among those that watch the configuration. */
   readonly watchTurn: () => WatchTurn;
-  /** The store has shown that it holds nothing newer from operators than what was read. */
-  readonly onConfigurationConfirmed: () => void;
+  /**
+   * The store has shown that it holds nothing newer from operators than what was read.
+   * `sentAt` is the time on `proofClock` before the call was sent; undefined if the result may be older than that.
+   */
+  readonly onConfigurationConfirmed: (sentAt: number | undefined) => void;
+  /** Clock for the times of calls that prove what the store holds. */
+  readonly proofClock: () => number;
+  /** Whether a watch is preceded by one that the store answers at once, to prove what it holds. */
+  readonly isProofDue: () => boolean;
   readonly onConfigurationRead: (content: Uint8Array) => void;
   /** `era` is the current era of the store, undefined if it reports none. */
   readonly onEvacuationsRead: (read: EvacuationRead, era: number | undefined) => void;
@@ -134,7 +141,9 @@
       codec,
       delays: this.delays,
       onConfigurationRead,
+      isProofDue: options.isProofDue,
       onUpToDate: options.onConfigurationConfirmed,
+      proofClock: options.proofClock,
       propagationMilliseconds,
       wallClock: options.wallClock,
       watchTurn: options.watchTurn,
@@ -174,6 +183,12 @@
     if ((await this.check()) || (await this.check())) this.operatorReader.requestRead();
   }
 
+  /** Reads what operators wrote once, up to date; a pending watch starts anew after it. */
+  public proveConfiguration(): void {
+    if (this.isWatching) this.operatorReader.restartWatch();
+    else this.operatorReader.requestRead();
+  }
+
   /** Another node reported this era. It takes effect only when a response of the store itself confirms it. */
   public handleReportedEra(era: number): void {
     const known = this.storeClient.currentEra ?? -Infinity;
@@ -284,7 +299,7 @@
     const wasFollowing = this.operatorReader.isFollowing();
     const outcome = await this.listOwnEntry(true, propagationMilliseconds * checkTimeoutShare);
     if (outcome.kind !== 'ok' || this.isClosed) return false;
-    if (wasFollowing && this.operatorReader.isFollowing()) onConfigurationConfirmed();
+    if (wasFollowing && this.operatorReader.isFollowing()) onConfigurationConfirmed(undefined);
     await this.checkEntry(outcome.value.items);
     return true;
   }
--- a/packages/platform/tests/store-session.test.ts
+++ b/packages/platform/tests/store-session.test.ts
@@ -176,6 +176,8 @@
     wallClock: Date.now,
     watchTurn: () => ({ count: 1, index: 0 }),
     propagationMilliseconds: 2_000,
+    isProofDue: () => false,
+    proofClock: () => 0,
     onConfigurationConfirmed: () => recorded.confirmations.push(store.revision),
     onReachabilityChange: (isReachable) => recorded.reachability.push(isReachable),
     transport: store,
