--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -361,6 +361,17 @@
   });
 });
 
+test('a known key gets 503 with a time to return while its removal would not be known', async () => {
+  await withServer(async (testServer) => {
+    testServer.tenants = tenants;
+    testServer.isKeyProven = false;
+    const response = await testServer.call({ headers: { authorization: 'Bearer key-1' } });
+    assert.is(response.status, 503);
+    assert.ok(Number(response.headers['retry-after']) > 0);
+    assert.equal(testServer.delivered, []);
+  });
+});
+
 test('a public route is served without a key, and a key sent with it goes no further', async () => {
   await withServer(async (testServer) => {
     testServer.tenants = tenants;
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -75,11 +75,11 @@
 /** Connects the decision logic of a node (gate, forwarder, directory, configuration) to its ports. */
 export class MeshNodeDriver {
   public readonly directory: NodeDirectory;
+  public readonly leaseClock: LeaseClock;
   private readonly directorySynchronizer: DirectorySynchronizer;
   private readonly configuration: ConfigurationSynchronizer;
   private readonly evacuations: EvacuationSynchronizer;
   private readonly keyProofs: KeyProofSynchronizer;
-  private readonly leaseClock: LeaseClock;
   private readonly quarantines: QuarantineSynchronizer;
   private readonly gateTable = new GateTable();
   private readonly trafficSplit: TrafficSplit;
@@ -133,7 +133,7 @@
     this.keyProofs = new KeyProofSynchronizer({
       connections: () => options.ports().connections,
       isWatching: () => this.configuration.isWatching,
-      leaseClock: () => this.leaseNow(),
+      leaseClock: () => this.leaseClock.now(),
       log,
       reachesStore: () => this.configuration.reachesStore,
       readStore: () => {
@@ -170,7 +170,7 @@
     this.trafficSplit = new TrafficSplit(random);
     this.retryBudget = new RetryBudget(settings.repeats);
     this.gate = new ServerGate({
-      leaseClock: () => this.leaseNow(),
+      leaseClock: () => this.leaseClock.now(),
       log: ({ event, fields }) => {
         this.log(event, fields);
       },
@@ -386,11 +386,6 @@
     this.configuration.onContentReceived(content, storeSource);
   }
 
-  /** Time on the `LeaseClock`. */
-  public leaseNow(): number {
-    return this.leaseClock.now();
-  }
-
   /** Whether a call to the store would renew the proof that this node holds. */
   public get isProofRenewalUseful(): boolean {
     return this.keyProofs.isRenewalUseful;
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -374,7 +374,7 @@
     onConfigurationConfirmed: (sentAt) => {
       driver.onConfigurationConfirmed(sentAt);
     },
-    proofClock: () => driver.leaseNow(),
+    proofClock: () => driver.leaseClock.now(),
     isProofDue: () => driver.isProofRenewalUseful,
     propagationMilliseconds: settings.configurationPropagationMilliseconds,
     wallClock: () => Date.now(),
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -353,7 +353,7 @@
 
   private readUpToDate(machine: Machine): void {
     const reader = machine.node;
-    const sentAt = reader?.driver.leaseNow();
+    const sentAt = reader?.driver.leaseClock.now();
     this.queue.after(readMilliseconds, () => {
       const { node } = machine;
       if (node === undefined || node !== reader || !machine.canReadStore || machine.hasLostStore)
--- a/packages/mesh-core/src/tenants/proof-exchange.ts
+++ b/packages/mesh-core/src/tenants/proof-exchange.ts
@@ -9,7 +9,7 @@
   /** Nodes ask the one that announced a proof within this time, so that it does not get all questions at once. */
   announcementSpread: 0.06,
   /** From this age on, a node asks peers without an announcement. */
-  ask: 0.3,
+  ask: 0.4,
   askInterval: 0.1,
   askIntervalWithoutProof: 0.03,
   /** Time after which a node without a proof that no peer helps asks less often. */
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 
 import {
+  DeclineReason,
   PlacementPolicy,
   RequestQuarantine,
   RetryBudget,
@@ -492,4 +493,47 @@
   assert.is(fixture.outcomes.length, 1);
 });
 
+const tenant = {
+  allotment: { burst: 0, requestsPerSecond: Infinity },
+  apiKeys: [],
+  name: 'acme',
+};
+
+test('a request with a key is refused as not run once keys may no longer be acted on, others are sent', () => {
+  const fixture = new EntryFixture();
+  fixture.keyValidMilliseconds = -1;
+  fixture.begin({}, { tenant });
+  assert.is(fixture.startFrames.length, 0);
+  const [outcome] = fixture.outcomes;
+  assert.is(outcome?.kind === 'refused' && outcome.cause, 'key-unproven');
+  fixture.begin({}, { requestNumber: 2 });
+  assert.is(fixture.startFrames.length, 1);
+  assert.not('keyValidMilliseconds' in (fixture.startFrames[0]?.frame ?? {}));
+});
+
+test('a request that may have run is not sent again once its key may no longer be acted on, and not refused', () => {
+  const fixture = new EntryFixture();
+  fixture.keyValidMilliseconds = 500;
+  fixture.begin({ idempotent: true }, { tenant });
+  assert.is(fixture.startFrames[0]?.frame.keyValidMilliseconds, 500);
+  fixture.keyValidMilliseconds = 0;
+  fixture.reply(0, 10, { detail: 'reset', kind: 'failed' });
+  assert.is(fixture.startFrames.length, 1);
+  assert.is(fixture.outcomes[0]?.kind, 'unknown');
+});
+
+// The gate may have received the first frame; a second one must not make it start the request later.
+test('a frame that is sent again says that the key may no longer be acted on', () => {
+  const fixture = new EntryFixture(['a']);
+  fixture.keyValidMilliseconds = 500;
+  fixture.begin({}, { tenant });
+  fixture.forwarder.onConnectionLost('a', 10);
+  fixture.keyValidMilliseconds = -700;
+  fixture.forwarder.onConnectionRestored('a', fixture.gates.get('a')?.node.boot ?? 0, 20);
+  assert.is(fixture.startFrames[1]?.frame.keyValidMilliseconds, 0);
+  fixture.decline(1, 30, DeclineReason.KeyUnproven);
+  const [outcome] = fixture.outcomes;
+  assert.is(outcome?.kind === 'refused' && outcome.cause, 'key-unproven');
+});
+
 test.run();
--- a/packages/mesh-core/tests/tenants/request-authorizer.test.ts
+++ b/packages/mesh-core/tests/tenants/request-authorizer.test.ts
@@ -62,6 +62,14 @@
   assert.is(authorize(['Bearer acme-1'], { isConfirmed: false }), 'acme');
 });
 
+test('a known key is denied while its removal would not have become known', () => {
+  const options = { isKeyProven: false };
+  assert.is(authorize(['Bearer acme-1'], options), DenialCause.KeyUnproven);
+  assert.is(authorize(['Bearer nobody'], options), DenialCause.UnknownKey);
+  assert.is(authorize([], { ...options, isPublic: true }), 'anonymous');
+  assert.is(authorize([], { ...options, hasTenants: false }), 'anonymous');
+});
+
 test('a public route and a configuration without tenants need no key', () => {
   assert.is(authorize([], { isPublic: true }), 'anonymous');
   assert.is(authorize(['Bearer acme-1'], { isPublic: true }), 'anonymous');
--- a/packages/platform/tests/store-session.test.ts
+++ b/packages/platform/tests/store-session.test.ts
@@ -22,6 +22,8 @@
   /** The stored entry of the node; `undefined` if it is missing. */
   public entry: string | undefined;
   public outageResponse: FakeResponse | undefined;
+  /** Whether the node would use a proof of what the store holds. */
+  public isProofDue = false;
   /** Number of further watches answered with `compacted`: the store no longer has the changes since their revision. */
   public compactedWatches = 0;
   private readonly pendingWatches = new Set<() => void>();
@@ -70,6 +72,8 @@
       case 'list-configuration':
       case 'list-configuration-old':
         return { kind: 'ok', value: this.page([this.configurationItem()]) };
+      case 'watch-at-once':
+        return { kind: 'ok', value: this.page([]) };
       case 'watch':
         if (this.compactedWatches > 0) {
           this.compactedWatches -= 1;
@@ -127,7 +131,8 @@
   parseEra: Number,
   parseEvacuationKey: () => undefined,
   remove: () => call('remove'),
-  watch: () => call('watch'),
+  watch: (_prefix, _revision, holdMilliseconds) =>
+    call(holdMilliseconds > 1 ? 'watch' : 'watch-at-once'),
   write: () => call('write'),
 };
 
@@ -139,6 +144,8 @@
   readonly eras: string[];
   /** Revision of the store at each confirmation. */
   readonly confirmations: number[];
+  /** The call that each proof counts from. */
+  readonly proofs: string[];
   directoryReads: number;
 }
 
@@ -152,6 +159,7 @@
     confirmations: [],
     eras: [],
     entryKeys: [],
+    proofs: [],
     records: [],
     reachability: [],
     directoryReads: 0,
@@ -176,9 +184,13 @@
     wallClock: Date.now,
     watchTurn: () => ({ count: 1, index: 0 }),
     propagationMilliseconds: 2_000,
-    isProofDue: () => false,
-    proofClock: () => 0,
-    onConfigurationConfirmed: () => recorded.confirmations.push(store.revision),
+    isProofDue: () => store.isProofDue,
+    // The time of a call is the number of calls before it.
+    proofClock: () => store.calls.length,
+    onConfigurationConfirmed: (sentAt) => {
+      recorded.confirmations.push(store.revision);
+      if (sentAt !== undefined) recorded.proofs.push(store.calls[sentAt] ?? '');
+    },
     onReachabilityChange: (isReachable) => recorded.reachability.push(isReachable),
     transport: store,
   });
@@ -442,4 +454,40 @@
   }, false);
 });
 
+test('a watch that is answered at once proves what the store holds, if a proof is due, before each long one', async () => {
+  const store = new FakeStore();
+  store.isProofDue = true;
+  await withSession(
+    async (_store, { proofs }) => {
+      await waitUntil(() => store.countCalls('watch') === 1);
+      store.changeConfiguration('second');
+      await waitUntil(() => store.countCalls('watch') === 2);
+      assert.equal(proofs, ['watch-at-once', 'watch', 'watch-at-once']);
+    },
+    true,
+    store,
+  );
+});
+
+test('a check with a read that may be old, while a watch is pending, proves nothing', async () => {
+  await withSession(async (store, { confirmations, proofs }) => {
+    await waitUntil(() => confirmations.length > 0);
+    assert.equal(proofs, []);
+    assert.is(store.countCalls('watch-at-once'), 0);
+  });
+});
+
+for (const isWatching of [true, false]) {
+  test(`a node that ${isWatching ? 'watches' : 'does not watch'} proves what the store holds on request`, async () => {
+    await withSession(async (store, { configurations, proofs }, session) => {
+      await waitUntil(() => configurations.length > 0);
+      await waitUntil(() => !isWatching || store.countCalls('watch') === 1);
+      session.proveConfiguration();
+      await waitUntil(() => proofs.length > 0);
+      assert.match(proofs[0] ?? '', /^list-configuration/);
+      assert.is(store.countCalls('list-configuration'), 1);
+    }, isWatching);
+  });
+}
+
 test.run();
