--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -42,6 +42,7 @@
   public limits = limits;
   public isConfigured = true;
   public isConfirmed = true;
+  public isKeyProven = true;
   public tenants: TenantDirectory | undefined;
   public outcome: EntryOutcome | undefined = {
     body: Buffer.from('body'),
@@ -71,7 +72,13 @@
     onRequestsDiscarded: () => undefined,
     routing: () =>
       this.isConfigured
-        ? { isConfirmed: this.isConfirmed, limits: this.limits, table, tenants: this.tenants }
+        ? {
+            isConfirmed: this.isConfirmed,
+            isKeyProven: this.isKeyProven,
+            limits: this.limits,
+            table,
+            tenants: this.tenants,
+          }
         : undefined,
     onPipelineWait: () => undefined,
   });
@@ -354,6 +361,17 @@
   });
 });
 
+test('a known key gets 503 with a time to return while its removal would not be known', async () => {
+  await withServer(async (testServer) => {
+    testServer.tenants = tenants;
+    testServer.isKeyProven = false;
+    const response = await testServer.call({ headers: { authorization: 'Bearer key-1' } });
+    assert.is(response.status, 503);
+    assert.ok(Number(response.headers['retry-after']) > 0);
+    assert.equal(testServer.delivered, []);
+  });
+});
+
 test('a public route is served without a key, and a key sent with it goes no further', async () => {
   await withServer(async (testServer) => {
     testServer.tenants = tenants;
