--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -8,6 +8,7 @@
   authorizeRequest,
   DenialCause,
   endToEndHeaders,
+  RefusalCause,
   stoppingRetryAfterMilliseconds,
   toOutgoingHeaders,
 } from '@peridotspring/mesh-core';
@@ -145,7 +146,8 @@
       }
       case 'refused': {
         const fields = retryAfterHeader(outcome.retryAfterMilliseconds);
-        this.write(requestNumber, { body: textBody(outcome.cause), fields, status: 503 });
+        const status = outcome.cause === RefusalCause.AllotmentUsed ? 429 : 503;
+        this.write(requestNumber, { body: textBody(outcome.cause), fields, status });
         return;
       }
       case 'unknown': {
--- /dev/null
+++ b/packages/daemon/src/mesh/allotment-synchronizer.ts
@@ -0,0 +1,206 @@
+import type { RandomSource } from '@peridotspring/core';
+import {
+  AllotmentAdmission,
+  brokerGroupCount,
+  brokerQualificationMilliseconds,
+  RefusalCause,
+} from '@peridotspring/mesh-core';
+import type {
+  AllotmentAskFrame,
+  AllotmentGrantFrame,
+  AllotmentTolerance,
+  EntryOutcome,
+  EntryRequest,
+  MeshNode,
+  NodeDirectory,
+  TenantDirectory,
+} from '@peridotspring/mesh-core';
+import type { MeshConnections } from '@peridotspring/nodes';
+
+import { isAllotmentAsk, isAllotmentGrant } from './allotment-frame-checks.js';
+import { MeshEvent } from './mesh-event.js';
+
+/** Interval at which waiting requests are looked at again. */
+const heldTickMilliseconds = 10;
+/** Refused requests are reported in one line per tenant and interval. */
+const reportIntervalMilliseconds = 5_000;
+/** The metrics name the tenants with the most refused and permitted requests; more series would burden the scrape. */
+const maximumReportedTenants = 50;
+
+/** Use of the allotments at this node, by tenant. */
+export interface AllotmentGauges {
+  readonly permitted: ReadonlyMap<string, number>;
+  readonly refused: ReadonlyMap<string, number>;
+}
+
+export interface AllotmentSynchronizerOptions {
+  readonly self: MeshNode;
+  readonly tolerance: AllotmentTolerance;
+  readonly random: RandomSource;
+  /** Monotonic time that includes suspensions of the process. */
+  readonly now: () => number;
+  readonly connections: () => Pick<MeshConnections, 'send'>;
+  readonly directory: () => Pick<NodeDirectory, 'brokersOf' | 'setBrokerGroups'>;
+  /** Number of nodes that may be using a share; undefined while it is not known. */
+  readonly nodeCount: () => number | undefined;
+  readonly isStopping: () => boolean;
+  readonly callers: () => {
+    respond(request: EntryRequest, outcome: EntryOutcome): void;
+  };
+  /** Runs the action once after the delay; the returned function cancels it. */
+  readonly schedule: (action: () => void, milliseconds: number) => () => void;
+  readonly log: (event: string, fields: Readonly<Record<string, string | number>>) => void;
+}
+
+interface ConnectedPeer {
+  readonly since: number;
+  isSuspected: boolean;
+}
+
+/** Exchanges shares of the tenants' allotments with other nodes, and holds callers' requests to them. */
+export class AllotmentSynchronizer {
+  private readonly admission: AllotmentAdmission;
+  private readonly peers = new Map<string, ConnectedPeer>();
+  private configuredTenants: TenantDirectory | undefined;
+  private cancelHeldTick: (() => void) | undefined;
+  private reportedAt = -Infinity;
+  private readonly reportedRefusals = new Map<string, number>();
+
+  public constructor(private readonly options: AllotmentSynchronizerOptions) {
+    const { connections, directory, isStopping, nodeCount, now, random, self, tolerance } = options;
+    this.admission = new AllotmentAdmission({
+      candidates: (group, time) =>
+        directory()
+          .brokersOf(group)
+          .filter((name) => this.isQualified(name, time)),
+      isLeaving: isStopping,
+      shareCount: () => nodeCount() ?? 0,
+      random,
+      self,
+      send: (node, frame) => connections().send(node, frame),
+      startedAt: now(),
+      tolerance,
+    });
+  }
+
+  public get heldCount(): number {
+    return this.admission.heldCount;
+  }
+
+  /** Sum of the shares that other nodes and this one have lent to this node. */
+  public get lentShare(): number {
+    return this.admission.lentShare;
+  }
+
+  public get gauges(): AllotmentGauges {
+    const usages = [...this.admission.usage()]
+      .filter(({ permitted, refused }) => permitted + refused > 0)
+      .sort((first, second) => second.refused - first.refused || second.permitted - first.permitted)
+      .slice(0, maximumReportedTenants);
+    return {
+      permitted: new Map(usages.map(({ permitted, tenant }) => [tenant, permitted])),
+      refused: new Map(usages.map(({ refused, tenant }) => [tenant, refused])),
+    };
+  }
+
+  public close(): void {
+    this.cancelHeldTick?.();
+  }
+
+  /** Applies the tenants of the configuration in force. */
+  public configure(tenants: TenantDirectory | undefined): void {
+    if (tenants === this.configuredTenants) return;
+    this.configuredTenants = tenants;
+    this.admission.configure(tenants?.tenants ?? [], this.options.now());
+    this.options.directory().setBrokerGroups(this.admission.isActive ? brokerGroupCount : 0);
+  }
+
+  /** Forwards the request if its tenant's allotment permits it; otherwise answers it. */
+  public admit(request: EntryRequest, forward: () => void): void {
+    const { requestNumber, tenant } = request;
+    if (tenant === undefined || !this.admission.isActive) {
+      forward();
+      return;
+    }
+    const refuse = (retryAfterMilliseconds: number): void => {
+      const cause = RefusalCause.AllotmentUsed;
+      this.options.callers().respond(request, { cause, kind: 'refused', retryAfterMilliseconds });
+    };
+    this.admission.admit(
+      tenant.name,
+      { permit: forward, refuse, requestNumber },
+      this.options.now(),
+    );
+    this.scheduleHeldTick();
+  }
+
+  /** A permitted request has its outcome. One that did not run no longer counts. */
+  public onOutcome({ tenant }: EntryRequest, { kind }: EntryOutcome): void {
+    if (tenant === undefined || kind !== 'refused') return;
+    this.admission.giveBack(tenant.name, this.options.now());
+  }
+
+  /** Returns true if the request was waiting here, so that it has not been forwarded. */
+  public cancel(requestNumber: number): boolean {
+    return this.admission.heldCount > 0 && this.admission.cancel(requestNumber);
+  }
+
+  public onConnected({ name }: MeshNode): void {
+    this.peers.set(name, { isSuspected: false, since: this.options.now() });
+    this.admission.onConnectionChanged(name);
+  }
+
+  public onDisconnected(name: string): void {
+    this.peers.delete(name);
+    this.admission.onConnectionChanged(name);
+  }
+
+  /** The connection to the node may have gone silent, or has been confirmed again. */
+  public setSuspected(name: string, isSuspected: boolean): void {
+    const peer = this.peers.get(name);
+    if (peer !== undefined) peer.isSuspected = isSuspected;
+    if (isSuspected) this.admission.onConnectionChanged(name);
+  }
+
+  /** Handles a frame of a peer; invalid ones are ignored. */
+  public onFrame(from: MeshNode, frame: AllotmentAskFrame | AllotmentGrantFrame): void {
+    const now = this.options.now();
+    if (isAllotmentAsk(frame)) this.admission.onAsk(from.name, from.boot, frame, now);
+    else if (isAllotmentGrant(frame)) this.admission.onGrant(from.name, frame, now);
+  }
+
+  public tick(): void {
+    if (!this.admission.isActive) return;
+    const now = this.options.now();
+    this.admission.tick(now);
+    this.reportRefusals(now);
+  }
+
+  private isQualified(name: string, now: number): boolean {
+    if (name === this.options.self.name) return true;
+    const peer = this.peers.get(name);
+    if (peer === undefined || peer.isSuspected) return false;
+    return now - peer.since >= brokerQualificationMilliseconds;
+  }
+
+  private scheduleHeldTick(): void {
+    if (this.admission.heldCount === 0 || this.cancelHeldTick !== undefined) return;
+    this.cancelHeldTick = this.options.schedule(() => {
+      this.cancelHeldTick = undefined;
+      this.admission.tick(this.options.now());
+      this.scheduleHeldTick();
+    }, heldTickMilliseconds);
+  }
+
+  private reportRefusals(now: number): void {
+    if (now - this.reportedAt < reportIntervalMilliseconds) return;
+    this.reportedAt = now;
+    for (const { permitted, refused, tenant } of this.admission.usage()) {
+      const reported = this.reportedRefusals.get(tenant) ?? 0;
+      if (refused === reported) continue;
+      this.reportedRefusals.set(tenant, refused);
+      const requests = refused - reported;
+      this.options.log(MeshEvent.AllotmentUsed, { permitted, refused: requests, tenant });
+    }
+  }
+}
--- a/packages/daemon/src/mesh/directory-synchronizer.ts
+++ b/packages/daemon/src/mesh/directory-synchronizer.ts
@@ -46,6 +46,11 @@
     );
   }
 
+  /** Number of nodes, including unreachable ones of the last minute; undefined before the directory was read. */
+  public get nodeCount(): number | undefined {
+    return this.isDirectoryRead ? this.directory.nodeCount : undefined;
+  }
+
   public observe(node: MeshNode, now: number): void {
     if (this.directory.onNodeAnnounced(node, now)) this.unreportedNodes += 1;
   }
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -1,5 +1,6 @@
 /** Names of the log events of a node that routes by host and path. `mesh-core` defines the names of its own events. */
 export const MeshEvent = {
+  AllotmentUsed: 'allotment-used',
   ConfigurationDiffers: 'configuration-differs',
   ConfigurationInForce: 'configuration-in-force',
   ConfigurationInvalid: 'configuration-invalid',
--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -1,7 +1,11 @@
 import type { Metrics } from '@peridotspring/operators/metrics';
 
+import type { AllotmentGauges } from './allotment-synchronizer.js';
+
 /** Gauge values of a routing node; each property is the name of a gauge. */
 export interface MeshGaugeValues {
+  readonly allotment_requests_waiting: number;
+  readonly allotment_share_lent: number;
   readonly configuration_age_seconds: number;
   readonly configuration_unconfirmed_seconds: number;
   readonly configuration_version: number;
@@ -31,6 +35,10 @@
 }
 
 const gaugeHelpTexts: Readonly<Record<keyof MeshGaugeValues, string>> = {
+  allotment_requests_waiting:
+    'Requests that wait for an answer about the allotment of their tenant.',
+  allotment_share_lent:
+    'Shares of the allotments of tenants that nodes have lent to this one, which grants requests from them; at most 1 for each group of tenants.',
   configuration_age_seconds: 'Time since the configuration came into force on this node.',
   configuration_unconfirmed_seconds:
     'Time since the store or a peer last confirmed that the configuration in force is the newest.',
@@ -64,12 +72,13 @@
 export interface MeshGaugeSources {
   readonly gaugeValues: () => MeshGaugeValues;
   readonly serviceGaugeValues: () => MeshServiceGaugeValues;
+  readonly allotmentGauges: () => AllotmentGauges;
 }
 
 /** Registers the gauges of a routing node; their values are read at each scrape. */
 export function registerMeshGauges(
   metrics: Pick<Metrics, 'addGauge' | 'addLabelledGauge'>,
-  { gaugeValues, serviceGaugeValues }: MeshGaugeSources,
+  { allotmentGauges, gaugeValues, serviceGaugeValues }: MeshGaugeSources,
 ): void {
   for (const [name, help] of Object.entries(gaugeHelpTexts)) {
     metrics.addGauge({ help, name, read: () => gaugeValues()[name as keyof MeshGaugeValues] });
@@ -79,4 +88,16 @@
       serviceGaugeValues()[name as keyof MeshServiceGaugeValues];
     metrics.addLabelledGauge({ help, label: 'service', name, read });
   }
+  metrics.addLabelledGauge({
+    help: 'Requests of a tenant within its allotment at this node since the tenant got a limit.',
+    label: 'tenant',
+    name: 'allotment_requests_permitted',
+    read: () => allotmentGauges().permitted,
+  });
+  metrics.addLabelledGauge({
+    help: 'Requests of a tenant that this node refused with 429 since the tenant got a limit.',
+    label: 'tenant',
+    name: 'allotment_requests_refused',
+    read: () => allotmentGauges().refused,
+  });
 }
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -16,7 +16,6 @@
 } from '@peridotspring/mesh-core';
 import type {
   ColdStartTolerance,
-  EndedServer,
   EntryRequest,
   EvacuationRead,
   Execution,
@@ -34,11 +33,13 @@
 import type { MeshHelloPayload, MeshHelloFrame, MeshConnections } from '@peridotspring/nodes';
 import type { HealthCheckResult, ServerMessage } from '@peridotspring/upstreams/mesh';
 
+import { AllotmentSynchronizer } from './allotment-synchronizer.js';
 import { ConfigurationSynchronizer } from './configuration-synchronizer.js';
 import type { ConfigurationPorts } from './configuration-synchronizer.js';
 import { DirectorySynchronizer } from './directory-synchronizer.js';
 import type { DirectoryStore } from './directory-synchronizer.js';
 import { EvacuationSynchronizer } from './evacuation-synchronizer.js';
+import { waitForAcknowledgement } from './end-acknowledgement.js';
 import type { EventRecorder } from './event-recorder.js';
 import { MeshEvent } from './mesh-event.js';
 import type { MeshSettings } from './mesh-settings.js';
@@ -47,15 +48,12 @@
 import type { DecodedConfiguration } from './platform-adapter.js';
 import type { QuarantineStore } from './quarantine-synchronizer.js';
 import { QuarantineSynchronizer } from './quarantine-synchronizer.js';
+import { endedServersOf, isEndedServer } from './reported-ended-servers.js';
 import { ServerHealthChecks } from './server-health-checks.js';
 import { ServerMessageBuffer } from './server-message-buffer.js';
 import { GracefulShutdown } from './graceful-shutdown.js';
+import { idleTickIntervalMilliseconds, millisecondsUntilNextTick } from './tick-interval.js';
 
-/** Interval between ticks while requests are queued at the gate. */
-const queuedTickIntervalMilliseconds = 10;
-/** Interval between ticks while requests are in progress; hedged requests and load reports are sent on ticks. */
-const busyTickIntervalMilliseconds = 20;
-const idleTickIntervalMilliseconds = 50;
 /** Minimum interval between checks for due load reports. The reports to each single node are limited further. */
 const announcementIntervalMilliseconds = 10;
 /**
@@ -64,11 +62,6 @@
  * incarnation of this node.
  */
 const peerHelloTimeoutMilliseconds = 500;
-/**
- * The end of a server is confirmed to the server once peers have acknowledged it, which takes a round trip. Peers
- * that don't answer delay the confirmation by at most this time; the platform allows one second for it.
- */
-const endAcknowledgementTimeoutMilliseconds = 200;
 /** A node that cannot connect to its peers reports that it is ready after this time. */
 const isolatedReadinessDelayMilliseconds = 2_000;
 const millisecondsPerSecond = 1_000;
@@ -110,6 +103,7 @@
 
 /** Connects the decision logic of a node (gate, forwarder, directory, configuration) to its ports. */
 export class MeshNodeDriver {
+  public readonly allotments: AllotmentSynchronizer;
   public readonly directory: NodeDirectory;
   private readonly directorySynchronizer: DirectorySynchronizer;
   private readonly configuration: ConfigurationSynchronizer;
@@ -184,6 +178,19 @@
       store: () => options.ports().store,
       wallClock: options.wallClock,
     });
+    this.allotments = new AllotmentSynchronizer({
+      connections: () => options.ports().connections,
+      directory: () => this.directory,
+      isStopping: () => this.shutdown !== undefined,
+      log,
+      nodeCount: () => this.directorySynchronizer.nodeCount,
+      now: clock,
+      random,
+      callers: () => options.ports().callers,
+      schedule: options.schedule,
+      self,
+      tolerance: settings.allotments,
+    });
     // What is listed at the start has taken effect before.
     this.quarantines.setReleased(settings.releasedRequests, this.startedAt);
     const { quarantine } = this.quarantines;
@@ -243,6 +250,7 @@
       placementPolicy: new PlacementPolicy({ ...self, random }),
       port: {
         respond: (request, outcome) => {
+          this.allotments.onOutcome(request, outcome);
           options.ports().callers.respond(request, outcome);
         },
         send: (node, frame) => this.send(node, frame),
@@ -260,6 +268,7 @@
 
   public close(): void {
     this.isClosed = true;
+    this.allotments.close();
     this.cancelTick?.();
   }
 
@@ -282,6 +291,8 @@
     const now = this.options.clock();
     const load = this.gate.load(now);
     return {
+      allotment_share_lent: this.allotments.lentShare,
+      allotment_requests_waiting: this.allotments.heldCount,
       configuration_age_seconds: this.configuration.ageMilliseconds(now) / millisecondsPerSecond,
       configuration_unconfirmed_seconds:
         this.configuration.unconfirmedMilliseconds(now) / millisecondsPerSecond,
@@ -354,6 +365,12 @@
   }
 
   public onCallerRequest(request: EntryRequest): void {
+    this.allotments.admit(request, () => {
+      this.forward(request);
+    });
+  }
+
+  private forward(request: EntryRequest): void {
     const now = this.options.clock();
     const service = this.trafficSplit.chooseService(request.route);
     const parent = this.gate.findParent(request.requestId);
@@ -362,6 +379,7 @@
   }
 
   public onCallerDisconnected(requestNumber: number): void {
+    if (this.allotments.cancel(requestNumber)) return;
     this.forwarder.onCallerDisconnected(requestNumber, this.options.clock());
   }
 
@@ -440,7 +458,9 @@
     this.evacuations.onPeerSnapshot(hello.evacuations, node.name, now);
     this.quarantines.onPeerRecords(hello.crashRecords, now);
     this.directory.onConnected(node, now);
-    this.recordEndedServers(hello, now);
+    this.allotments.onConnected(node);
+    for (const server of endedServersOf(this.options.self.name, hello.endedServers))
+      this.gate.onServerEndReported(server, now);
     this.gateTable.onConnected(node, load, now);
     this.forwarder.onConnectionRestored(node.name, node.boot, now);
     const { connections } = this.options.ports();
@@ -453,6 +473,7 @@
   }
 
   public onDisconnected({ name }: MeshNode, detail: string): void {
+    this.allotments.onDisconnected(name);
     const now = this.options.clock();
     this.log(MeshEvent.NodeDisconnected, { detail, peer: name });
     this.directory.onDisconnected(name, now);
@@ -463,12 +484,14 @@
 
   /** The connection to a node may have gone silent; another one is being opened in its place. */
   public onConnectionSuspected({ name }: MeshNode): void {
+    this.allotments.setSuspected(name, true);
     this.log(MeshEvent.ConnectionSuspected, { peer: name });
     this.gateTable.setSuspected(name, true);
     this.forwarder.onConnectionLost(name, this.options.clock());
   }
 
   public onConnectionConfirmed({ name }: MeshNode): void {
+    this.allotments.setSuspected(name, false);
     this.gateTable.setSuspected(name, false);
     this.forwarder.onConnectionConfirmed(name);
   }
@@ -535,6 +558,10 @@
       case 'failed':
         this.forwarder.onReply(from.name, frame, now);
         return;
+      case 'allotment-ask':
+      case 'allotment-grant':
+        this.allotments.onFrame(from, frame);
+        return;
       case 'load':
         if (isEndedServer(frame.endedServer)) {
           this.endedServers.record(from.name, frame.endedServer, now);
@@ -587,7 +614,9 @@
     return true;
   }
 
-  private onConfigurationChanged({ limits, routes, version }: RouteConfiguration): void {
+  private onConfigurationChanged(configuration: RouteConfiguration): void {
+    const { limits, routes, tenants, version } = configuration;
+    this.allotments.configure(tenants);
     const routeNames = new Set(routes.map(({ name }) => name));
     this.trafficSplit.retain(routeNames);
     this.forwarder.onConfigurationChange(routeNames, version);
@@ -662,17 +691,7 @@
     const { connections } = this.options.ports();
     connections.broadcast({ endedServer, kind: 'load', load });
     if (endedServer !== undefined)
-      this.endAcknowledged = this.waitForAcknowledgement(connections.whenRead());
-  }
-
-  private async waitForAcknowledgement(acknowledged: Promise<void>): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const cancel = this.options.schedule(resolve, endAcknowledgementTimeoutMilliseconds);
-      void acknowledged.then(() => {
-        cancel();
-        resolve();
-      });
-    });
+      this.endAcknowledged = waitForAcknowledgement(connections.whenRead(), this.options.schedule);
   }
 
   private handleServerMessage(message: ServerMessage): void {
@@ -689,15 +708,6 @@
     }
   }
 
-  /** Records which incarnations of the server have ended according to an earlier incarnation of this node. */
-  private recordEndedServers({ endedServers }: MeshHelloFrame, now: number): void {
-    if (!Array.isArray(endedServers)) return;
-    for (const server of endedServers as readonly unknown[]) {
-      if (!isEndedServer(server) || !('node' in server)) continue;
-      if (server.node === this.options.self.name) this.gate.onServerEndReported(server, now);
-    }
-  }
-
   /** Delivers the buffered messages of the server once enough peers have connected, or after a time-out. */
   private releaseServerMessages(now: number): void {
     if (this.serverMessages.isReleased) return;
@@ -722,17 +732,13 @@
       onStopped(this.gate.hasServerLeft);
       return;
     }
-    this.cancelTick = this.options.schedule(() => {
-      this.tick();
-    }, this.millisecondsUntilNextTick(now));
-  }
-
-  /** Each tick wakes the process, so the interval is only as short as the pending work requires. */
-  private millisecondsUntilNextTick(now: number): number {
-    if (this.gate.waiting > 0) return queuedTickIntervalMilliseconds;
-    if (this.inProgress === 0) return idleTickIntervalMilliseconds;
-    const untilDeadline = Math.ceil(this.forwarder.nextDeadline - now);
-    return Math.min(busyTickIntervalMilliseconds, Math.max(1, untilDeadline));
+    const { forwarder, gate, inProgress } = this;
+    this.cancelTick = this.options.schedule(
+      () => {
+        this.tick();
+      },
+      millisecondsUntilNextTick(inProgress, gate.waiting, forwarder.nextDeadline - now),
+    );
   }
 
   /** Work whose cost grows with the number of nodes, and which tolerates the interval of idle ticks. */
@@ -746,6 +752,7 @@
     this.configuration.tick(now);
     this.evacuations.tick(now);
     this.quarantines.tick(now);
+    this.allotments.tick();
     this.releaseServerMessages(now);
     this.healthChecks.tick(now);
   }
@@ -765,11 +772,3 @@
     this.options.events.record(event, fields);
   }
 }
-
-/** Validates a server incarnation that a peer sent. */
-function isEndedServer(value: unknown): value is EndedServer {
-  if (typeof value !== 'object' || value === null || !('instanceId' in value)) return false;
-  const startedAt = 'startedAt' in value ? value.startedAt : undefined;
-  const isValidStart = startedAt === undefined || Number.isSafeInteger(startedAt);
-  return isValidStart && typeof value.instanceId === 'string' && value.instanceId !== '';
-}
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -1,4 +1,4 @@
-import type { ColdStartTolerance } from '@peridotspring/mesh-core';
+import type { AllotmentTolerance, ColdStartTolerance } from '@peridotspring/mesh-core';
 
 import type { LogLevel } from '../logging/format-line.js';
 
@@ -32,6 +32,8 @@
   };
   /** Time within which a change of the configuration must be in force on each node. */
   readonly configurationPropagationMilliseconds: number;
+  /** What tenants may exceed their allotments by. Read at the start only. */
+  readonly allotments: AllotmentTolerance;
   readonly coldStartTolerance: ColdStartTolerance;
   /** Interval at which the server reports its state. */
   readonly reportIntervalMilliseconds: number;
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -127,6 +127,7 @@
     },
   };
   registerMeshGauges(metrics, {
+    allotmentGauges: () => driver.allotments.gauges,
     gaugeValues: () => driver.gaugeValues,
     serviceGaugeValues: () => driver.serviceGaugeValues,
   });
--- a/packages/daemon/tests/operators/metrics-page.test.ts
+++ b/packages/daemon/tests/operators/metrics-page.test.ts
@@ -5,6 +5,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import type { AllotmentGauges } from '../../src/mesh/allotment-synchronizer.js';
 import { registerMeshGauges } from '../../src/mesh/mesh-gauges.js';
 import type { MeshGaugeValues, MeshServiceGaugeValues } from '../../src/mesh/mesh-gauges.js';
 import { registerGauges } from '../../src/operators/gauges.js';
@@ -44,6 +45,7 @@
   // Only the names are collected. The gauges are never read, so they need no sources.
   registerGauges(metrics, {} as GaugeSources);
   registerMeshGauges(metrics, {
+    allotmentGauges: () => ({}) as AllotmentGauges,
     gaugeValues: () => ({}) as MeshGaugeValues,
     serviceGaugeValues: () => ({}) as MeshServiceGaugeValues,
   });
--- a/packages/daemon/tests/settings-watcher.test.ts
+++ b/packages/daemon/tests/settings-watcher.test.ts
@@ -9,6 +9,7 @@
   answerMemoryBytes: 1_048_576,
   availabilityZone: 'a',
   callerAddress: address,
+  allotments: { overage: 0.1, slack: 20, windowMilliseconds: 5_000 },
   coldStartTolerance: { ratio: 1.5, slack: 8 },
   configurationPropagationMilliseconds: 2_000,
   graceMilliseconds: 6_000,
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -618,6 +618,7 @@
     answerMemoryBytes: 1_048_576,
     availabilityZone,
     callerAddress: address,
+    allotments: { overage: 0.1, slack: 4, windowMilliseconds: 5_000 },
     coldStartTolerance: { ratio: 1, slack: 0 },
     configurationPropagationMilliseconds: configurationBoundMilliseconds,
     graceMilliseconds,
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -21,6 +21,8 @@
 }
 
 export const RefusalCause = {
+  /** The request is beyond the allotment of its tenant. */
+  AllotmentUsed: 'allotment-used',
   DeadlineTooShort: 'deadline-too-short',
   /** No server of the service has the capacity to run the request before its deadline. */
   Overloaded: 'overloaded',
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -1,5 +1,16 @@
 export { findAnswerFault, findStatusFault, judgeResponse } from './answers/response-rules.js';
 export type { ResponseHead, ResponseVerdict } from './answers/response-rules.js';
+export { AllotmentAdmission } from './allotments/allotment-admission.js';
+export type {
+  AllotmentAdmissionOptions,
+  AllotmentUsage,
+} from './allotments/allotment-admission.js';
+export { toAllotmentBounds } from './allotments/allotment-bounds.js';
+export type { AllotmentTolerance } from './allotments/allotment-bounds.js';
+export {
+  brokerGroupCount,
+  brokerQualificationMilliseconds,
+} from './allotments/allotment-timing.js';
 export { RetryBudget } from './budget/retry-budget.js';
 export type { RetryBudgetOptions } from './budget/retry-budget.js';
 export { ConfigurationFreshness } from './configuration/configuration-freshness.js';
@@ -34,10 +45,12 @@
 export type { ServerGateOptions } from './gate/server-gate.js';
 export { ReportEffect, ServerIncarnationTracker } from './gate/server-incarnation-tracker.js';
 export { ConnectionAction, ConnectionMonitor } from './membership/connection-monitor.js';
+export { rankBrokers } from './membership/broker-ranking.js';
 export { EndedServers } from './membership/ended-servers.js';
 export { NodeDirectory } from './membership/node-directory.js';
 export { maximumFullMeshNodes, PeerSelection } from './membership/peer-selection.js';
 export { zoneRank } from './membership/zone-rank.js';
+export type { AllotmentAskFrame, AllotmentGrantFrame } from './messages/allotment-frames.js';
 export { DeclineReason, ServerState } from './messages/mesh-frames.js';
 export type {
   AnsweredFrame,
--- a/packages/mesh-core/src/membership/node-directory.ts
+++ b/packages/mesh-core/src/membership/node-directory.ts
@@ -1,4 +1,5 @@
 import type { MeshNode } from '../messages/mesh-frames.js';
+import { rankBrokers } from './broker-ranking.js';
 import { maximumFullMeshNodes, PeerSelection } from './peer-selection.js';
 
 /** Time after which an unreachable node that no source announces any more is forgotten. */
@@ -44,6 +45,9 @@
   private readonly selection: PeerSelection;
   /** The selected peers; undefined if they have to be selected again after a change. */
   private selectedNodes: ReadonlySet<string> | undefined;
+  private brokerGroups = 0;
+  /** The candidates for the broker of each group; undefined if they have to be ranked again after a change. */
+  private brokerCandidates: readonly (readonly string[])[] | undefined;
 
   public constructor(private readonly self: MeshNode) {
     this.selection = new PeerSelection(self);
@@ -76,6 +80,19 @@
     return [...this.knownNodes.values()].map(({ node }) => node);
   }
 
+  /** Number of groups that need a broker, to which this node connects; 0 if nothing is brokered. */
+  public setBrokerGroups(count: number): void {
+    if (this.brokerGroups === count) return;
+    this.brokerGroups = count;
+    this.invalidateSelection();
+  }
+
+  /** Candidates for the broker of the group, the preferred one first. This node may be among them. */
+  public brokersOf(group: number): readonly string[] {
+    this.brokerCandidates ??= this.rankBrokerCandidates();
+    return this.brokerCandidates[group] ?? [];
+  }
+
   /** Records that the store or another node announced a node. Returns true if this incarnation of it is new. */
   public onNodeAnnounced(node: MeshNode, now: number): boolean {
     if (node.name === this.self.name) return false;
@@ -91,7 +108,7 @@
         hasBeenConnected: false,
       });
       this.selection.add(node);
-      this.selectedNodes = undefined;
+      this.invalidateSelection();
       return true;
     }
     known.lastAnnouncedAt = now;
@@ -112,7 +129,7 @@
     known.hasBeenConnected = true;
     known.failedDialCount = 0;
     known.lastAnnouncedAt = now;
-    this.selectedNodes = undefined;
+    this.invalidateSelection();
   }
 
   public onDisconnected(name: string, now: number): void {
@@ -128,7 +145,7 @@
   public onDialFailed(name: string, now: number): void {
     const known = this.knownNodes.get(name);
     if (known === undefined) return;
-    if (known.failedDialCount === 0) this.selectedNodes = undefined;
+    if (known.failedDialCount === 0) this.invalidateSelection();
     known.failedDialCount += 1;
     const backoffMilliseconds = minimumRedialMilliseconds * 2 ** Math.min(known.failedDialCount, 5);
     const isRecent = now - known.lastAnnouncedAt < recentlyAnnouncedMilliseconds;
@@ -170,17 +187,35 @@
   }
 
   private currentSelection(): ReadonlySet<string> {
-    this.selectedNodes ??= this.selection.select((name) => {
-      const known = this.knownNodes.get(name);
-      return known !== undefined && (known.isConnected || known.failedDialCount === 0);
-    });
-    return this.selectedNodes;
+    if (this.selectedNodes !== undefined) return this.selectedNodes;
+    const selected = new Set(this.selection.select((name) => this.isReachable(name)));
+    for (let group = 0; group < this.brokerGroups; group += 1)
+      for (const name of this.brokersOf(group)) if (name !== this.self.name) selected.add(name);
+    this.selectedNodes = selected;
+    return selected;
+  }
+
+  private rankBrokerCandidates(): readonly (readonly string[])[] {
+    const nodes = this.nodes();
+    return Array.from({ length: this.brokerGroups }, (_, group) =>
+      rankBrokers(group, this.self, nodes, (name) => this.isReachable(name)),
+    );
+  }
+
+  private isReachable(name: string): boolean {
+    const known = this.knownNodes.get(name);
+    return known !== undefined && (known.isConnected || known.failedDialCount === 0);
+  }
+
+  private invalidateSelection(): void {
+    this.selectedNodes = undefined;
+    this.brokerCandidates = undefined;
   }
 
   private forget({ failedDialCount, node }: KnownNode): void {
     this.knownNodes.delete(node.name);
     this.selection.remove(node.name);
-    this.selectedNodes = undefined;
+    this.invalidateSelection();
     if (failedDialCount > 0) this.forgottenNodes.push(node);
   }
 }
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -1,3 +1,5 @@
+import type { AllotmentAskFrame, AllotmentGrantFrame } from './allotment-frames.js';
+
 /** Header fields in the order received; names in lower case. */
 export type HeaderList = readonly (readonly [name: string, value: string])[];
 
@@ -232,6 +234,8 @@
 /** Frames from a gate to an entry. */
 export type ReplyFrame = DeclinedFrame | AnsweredFrame | FailedFrame;
 export type ControlFrame =
+  | AllotmentAskFrame
+  | AllotmentGrantFrame
   | LoadFrame
   | ConfigurationFrame
   | VersionFrame
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -7,5 +7,5 @@
 export { protocolVersion } from './wire-frames.js';
 export { MeshConnections } from './mesh/mesh-connections.js';
 export type { MeshConnectionsEvents, MeshConnectionsOptions } from './mesh/mesh-connections.js';
-export { maximumMeshBodyBytes } from './mesh/mesh-frame-codec.js';
+export { encodeMeshFrame, maximumMeshBodyBytes } from './mesh/mesh-frame-codec.js';
 export type { MeshHelloPayload, MeshHelloFrame } from './mesh/mesh-frame-codec.js';
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -104,6 +104,15 @@
   'expectedMilliseconds',
   'detail',
   'waitMilliseconds',
+  'group',
+  'number',
+  'shareCount',
+  'stamp',
+  'isReturning',
+  'needs',
+  'isReturned',
+  'isLeaving',
+  'grants',
 ] as const;
 
 const encoder = new Encoder({
@@ -120,6 +129,21 @@
 
 /** Required fields of each frame kind and their types. */
 const frameShapes: Readonly<Record<MeshWireFrame['kind'], Readonly<Record<string, FieldType>>>> = {
+  'allotment-ask': {
+    group: 'number',
+    isReturning: 'boolean',
+    needs: 'array',
+    number: 'number',
+    shareCount: 'number',
+  },
+  'allotment-grant': {
+    grants: 'array',
+    group: 'number',
+    isLeaving: 'boolean',
+    isReturned: 'boolean',
+    number: 'number',
+    stamp: 'number',
+  },
   answered: { ...callFieldsWithLoad, body: 'bytes', headers: 'headers', status: 'number' },
   cancel: callFields,
   configuration: { content: 'bytes', version: 'number' },
