--- a/packages/mesh-core/src/allotments/broker-exchange.ts
+++ b/packages/mesh-core/src/allotments/broker-exchange.ts
@@ -164,14 +164,10 @@
       stamp,
     } as const;
     const isSent = send(broker, frame, now);
-    if (!isSent && this.isPending(number)) this.pending = undefined;
+    if (!isSent) this.pending = undefined;
     return isSent;
   }
 
-  private isPending(number: number): boolean {
-    return this.pending?.number === number;
-  }
-
   private collectNeeds(now: number): readonly AllotmentNeed[] {
     const needs: AllotmentNeed[] = [];
     for (const account of this.accounts.values()) {
