--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -1,4 +1,4 @@
-import type { ColdStartTolerance } from '@peridotspring/mesh-core';
+import type { AllotmentTolerance, ColdStartTolerance } from '@peridotspring/mesh-core';
 
 import type { LogLevel } from '../logging/format-line.js';
 
@@ -37,6 +37,8 @@
    * is not enforced.
    */
   readonly revocationMilliseconds?: number | undefined;
+  /** What tenants may exceed their allotments by. Read at the start only. */
+  readonly allotments: AllotmentTolerance;
   readonly coldStartTolerance: ColdStartTolerance;
   /** Interval at which the server reports its state. */
   readonly reportIntervalMilliseconds: number;
--- a/packages/mesh-core/src/tenants/lease-clock.ts
+++ b/packages/mesh-core/src/tenants/lease-clock.ts
@@ -34,6 +34,12 @@
     this.reference = options.timeOfDay() - this.observedAt;
   }
 
+  /** Time for which the machine may have been suspended, in total. */
+  public readSuspendedMilliseconds(): number {
+    this.now();
+    return this.suspendedMilliseconds;
+  }
+
   /** Returns the time in milliseconds since an arbitrary moment. */
   public now(): number {
     const { after, before, timeOfDay } = this.read();
