--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -157,6 +157,7 @@
 const outcomes: readonly (readonly [EntryOutcome, number, string | undefined])[] = [
   [{ cause: 'overloaded', kind: 'refused', retryAfterMilliseconds: 250 }, 503, '0.250'],
   [{ cause: 'no-server', kind: 'refused', retryAfterMilliseconds: 1_000 }, 503, '1.000'],
+  [{ cause: 'allotment-used', kind: 'refused', retryAfterMilliseconds: 400 }, 429, '0.400'],
   [{ cause: 'timeout', kind: 'unknown' }, 504, undefined],
   [{ cause: 'attempt-failed', kind: 'unknown' }, 502, undefined],
 ];
