Learn the expected service time of a route at each gate

Cause: a gate tells one mean over all routes of its server.

Gates now tell the time of the request's own route with each reply. Entries average it by route and service, and keep one factor for each gate. Hedges, the cost of a gate and the wait that counts as unusual use it; the wait for a slot still uses the mean over all routes.

Ruled out: a factor below 1 for servers that seem fast.

--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -30,8 +30,6 @@
 
 /** Number of attempts in which the gate may decline as busy; after them, the best gate must accept the request. */
 const maximumOptionalAttempts = 2;
-/** Estimated additional delay at a gate that turns out to be busy or slowed down. */
-const estimatedBusyDelayMilliseconds = 80;
 /**
  * Number of gates that may finally decline, or be unreachable, before the request is refused. No retry is made once
  * more gates than this have declined.
@@ -111,15 +109,19 @@
   public onConfigurationChange(routeNames: ReadonlySet<string>, version: number): void {
     this.configurationVersion = version;
     this.routeSizes.retain(routeNames);
+    this.options.placementPolicy.retainRoutes(routeNames);
     this.stopAdmission.retain(routeNames);
     this.callerTimeLimits.retain(routeNames);
   }
 
   /** Handles the reply of a gate to an attempt. */
   public onReply(nodeName: string, frame: ReplyFrame, now: number): void {
-    this.options.gates.onLoadReported(nodeName, frame.load, now);
+    const { gates, placementPolicy } = this.options;
+    const view = gates.onLoadReported(nodeName, frame.load, now);
     const attempt = this.attempts.get(frame.callId);
     if (attempt?.nodeName !== nodeName) return;
+    if (view !== undefined)
+      placementPolicy.recordReply(view, attempt.state.request.route.name, now);
     this.endAttempt(attempt);
     switch (frame.kind) {
       case 'answered': {
@@ -221,8 +223,10 @@
     if (lostFor > lostConnectionTimeoutMilliseconds) return true;
     const view = this.options.gates.get(attempt.nodeName);
     if (view === undefined) return false;
-    const millisecondsToTarget = attempt.state.targetDeadline - now;
-    return isHedgeDue(view, now - attempt.sentAt, millisecondsToTarget, now);
+    const { request, targetDeadline } = attempt.state;
+    const { placementPolicy } = this.options;
+    const expected = placementPolicy.longestServiceMilliseconds(view, request.route.name, now);
+    return isHedgeDue(view, expected, now - attempt.sentAt, targetDeadline - now, now);
   }
 
   private onAnswered(attempt: Attempt, frame: AnsweredFrame, now: number): void {
@@ -328,8 +332,9 @@
       if (choice !== undefined && choice.cost < (busy?.cost ?? Infinity)) {
         const alternativeCost = Math.min(choice.nextBestCost, busy?.cost ?? Infinity);
         const hasOptionalAttemptsLeft = state.optionalAttemptCount < maximumOptionalAttempts;
-        const isOptional =
-          hasOptionalAttemptsLeft && alternativeCost < this.costIfBusy(choice.view, state, now);
+        const context = this.placementContextOf(state, now);
+        const costIfBusy = this.options.placementPolicy.costIfBusy(choice.view, context);
+        const isOptional = hasOptionalAttemptsLeft && alternativeCost < costIfBusy;
         if (this.dispatch(state, choice.view, isOptional, false, now)) return;
         state.recordUnreachable(choice.view.node.name);
         continue;
@@ -362,16 +367,6 @@
     return cheapest;
   }
 
-  /** Expected cost of a gate that turns out to be busy. */
-  private costIfBusy(view: GateView, state: RequestState, now: number): number {
-    const expectedMilliseconds = view.load.serviceMilliseconds + estimatedBusyDelayMilliseconds;
-    return this.options.placementPolicy.costOf(
-      view,
-      expectedMilliseconds,
-      this.placementContextOf(state, now),
-    );
-  }
-
   private chooseGate(state: RequestState, now: number): GateChoice | undefined {
     const { placementPolicy, gates } = this.options;
     return placementPolicy.choose(
@@ -385,6 +380,7 @@
       excludedNodes: state.excludedNodes,
       kilobytes: this.routeSizes.meanKilobytes(state.request.route.name),
       now,
+      routeName: state.request.route.name,
       targetMilliseconds: state.targetDeadline - now,
     };
   }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -207,20 +207,19 @@
     return this.probes.allowedPerSecond;
   }
 
-  public load(now: number): GateLoad {
+  public load(now: number, repliedRouteName?: string): GateLoad {
+    const limit = this.concurrencyLimit.limit(this.serverTracker.slots);
+    const routeMilliseconds = this.estimator.reportedServiceMilliseconds(repliedRouteName);
     return {
       failureShare: this.failures.share(now),
-      limit: this.concurrencyLimit.limit(this.serverTracker.slots),
+      limit,
       running: this.running,
       serviceMilliseconds: this.estimator.meanServiceMilliseconds,
       slowdown: this.speed.state(now) === SpeedState.Slow ? this.speed.currentSlowdown : 1,
       state: this.state,
-      waitMilliseconds: this.waitAtPosition(
-        this.queue.size + 1,
-        this.concurrencyLimit.limit(this.serverTracker.slots),
-        now,
-      ),
+      waitMilliseconds: this.waitAtPosition(this.queue.size + 1, limit, now),
       waiting: this.queue.size,
+      ...(routeMilliseconds !== undefined && { routeMilliseconds }),
     };
   }
 
@@ -275,7 +274,8 @@
     if (!wasAborted && hasNoResponse(result))
       this.coldStartGuard.assumeCold(ColdAssumptionCause.NoResponse, now);
     this.gateLog.requestFinished(call, this.limitFor(call.frame), result, now);
-    const reply = wasAborted ? undefined : toReplyFrame(call.frame.callId, result, this.load(now));
+    const load = this.load(now, call.frame.routeName);
+    const reply = wasAborted ? undefined : toReplyFrame(call.frame.callId, result, load);
     if (result.kind === 'answered') {
       this.crashDetector.onResponse();
       if (result.status < 500) this.options.quarantine.recordCompletion(call.frame, now);
@@ -758,7 +758,7 @@
       callId: call.frame.callId,
       expectedMilliseconds: expected,
       kind: 'declined',
-      load: this.load(now),
+      load: this.load(now, call.frame.routeName),
       reason,
     };
     this.finish(call, frame, now);
--- a/packages/mesh-core/src/gate/service-time-estimator.ts
+++ b/packages/mesh-core/src/gate/service-time-estimator.ts
@@ -27,6 +27,12 @@
     return this.times.expectedMilliseconds(routeName) * this.speed.baselineSlowdown;
   }
 
+  /** As above, rounded to whole milliseconds for reports; undefined before the first response of the route. */
+  public reportedServiceMilliseconds(routeName = ''): number | undefined {
+    const measured = this.times.measuredMilliseconds(routeName);
+    return measured === undefined ? undefined : Math.ceil(measured * this.speed.baselineSlowdown);
+  }
+
   /** Mean service time over all routes at the current speed. */
   public get meanServiceMilliseconds(): number {
     return this.times.meanMilliseconds * this.speed.baselineSlowdown;
--- a/packages/mesh-core/src/gate/service-times.ts
+++ b/packages/mesh-core/src/gate/service-times.ts
@@ -25,6 +25,11 @@
     return this.byRoute.get(routeName)?.value ?? this.assumedMilliseconds(routeName);
   }
 
+  /** As above, but undefined before the first response of the route. */
+  public measuredMilliseconds(routeName: string): number | undefined {
+    return this.byRoute.get(routeName)?.value;
+  }
+
   public add(routeName: string, milliseconds: number): void {
     this.overall.add(milliseconds);
     const createAverage = (): ExponentialMovingAverage =>
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -76,6 +76,7 @@
 export { isSameZone } from './shared/same-zone.js';
 export type { Location } from './shared/same-zone.js';
 export { PlacementPolicy } from './placement/placement-policy.js';
+export { RouteServiceTimes } from './placement/route-service-times.js';
 export type {
   GateChoice,
   PlacementContext,
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -37,6 +37,11 @@
   readonly slowdown: number;
   /** Recent mean service time of a request at the server. */
   readonly serviceMilliseconds: number;
+  /**
+   * Recent mean service time of the route of the request that the load is the reply to. Undefined in a report that
+   * replies to no request, before the first response of the route, and from nodes of an older version.
+   */
+  readonly routeMilliseconds?: number | undefined;
   /** Recent share of requests that failed at the server, from 0 to 1. */
   readonly failureShare: number;
 }
--- a/packages/mesh-core/src/placement/gate-table.ts
+++ b/packages/mesh-core/src/placement/gate-table.ts
@@ -44,12 +44,14 @@
     this.views.delete(name);
   }
 
-  public onLoadReported(name: string, load: GateLoad, now: number): void {
+  /** Records the load of a gate and returns its view; undefined if the gate is not known. */
+  public onLoadReported(name: string, load: GateLoad, now: number): GateView | undefined {
     const view = this.views.get(name);
-    if (view === undefined) return;
+    if (view === undefined) return undefined;
     view.load = load;
     view.loadReceivedAt = now;
     view.unreportedRequests = 0;
+    return view;
   }
 
   public onRequestSent(name: string): void {
--- a/packages/mesh-core/src/placement/placement-policy.ts
+++ b/packages/mesh-core/src/placement/placement-policy.ts
@@ -2,6 +2,7 @@
 
 import { isSameZone } from '../shared/same-zone.js';
 import type { GateView } from './gate-table.js';
+import { RouteServiceTimes } from './route-service-times.js';
 
 /** Network round trip to a gate in another availability zone of the region. */
 const otherZoneRoundTripMilliseconds = 4;
@@ -25,13 +26,18 @@
 const fullGateCost = 0.02;
 /** Gates whose costs differ by less than this count as equal, and one of them is chosen at random. */
 const tieCostDifference = 0.003;
+/** Estimated additional delay at a gate that turns out to be busy or slowed down. */
+const estimatedBusyDelayMilliseconds = 80;
 /** Probability that the wait for a busy or slowed-down server takes `slowdownSpanMilliseconds` longer than expected. */
 const additionalSpanProbability = 0.25;
 /** Length of the spans in which neighbouring workloads slow a server down; older slowdown reports are ignored. */
 const slowdownSpanMilliseconds = 150;
 /** An expected time above this multiple of the service time is taken to include a wait. */
 const waitingFactor = 1.25;
-/** A server is slow if it takes this many times as long as its peers. Different mixes of requests cause smaller differences. */
+/**
+ * Before the time of a route is known, a server counts as slow if it takes this many times as long as its peers.
+ * Different mixes of requests cause smaller differences.
+ */
 const slowServerFactor = 1.6;
 
 export interface PlacementPolicyOptions {
@@ -43,6 +49,7 @@
 /** What the choice depends on, apart from the gates. */
 export interface PlacementContext {
   readonly now: number;
+  readonly routeName: string;
   readonly excludedNodes: ReadonlySet<string>;
   /** Mean size of a request and its answer on this route. */
   readonly kilobytes: number;
@@ -64,15 +71,43 @@
  * the own zone is therefore preferred to a gate in another zone if it leaves enough time.
  */
 export class PlacementPolicy {
+  private readonly routeTimes = new RouteServiceTimes();
+
   public constructor(private readonly options: PlacementPolicyOptions) {}
 
+  /** Records what a gate told with its latest load, which came with a reply to a request of the route. */
+  public recordReply(view: GateView, routeName: string, now: number): void {
+    this.routeTimes.recordReply(view, routeName, now);
+  }
+
+  /** Removes the routes that the configuration no longer declares. */
+  public retainRoutes(routeNames: ReadonlySet<string>): void {
+    this.routeTimes.retainRoutes(routeNames);
+  }
+
+  /** Expected time of a request of the route at the server of a gate, without any wait. */
+  public expectedServiceMilliseconds(view: GateView, routeName: string, now: number): number {
+    const expected = this.routeTimes.expectedMilliseconds(view, routeName, now);
+    return expected ?? view.load.serviceMilliseconds;
+  }
+
+  /** As above, but with every difference by which the server takes longer than its peers. */
+  public longestServiceMilliseconds(view: GateView, routeName: string, now: number): number {
+    const longest = this.routeTimes.longestMilliseconds(view, routeName, now);
+    return longest ?? view.load.serviceMilliseconds;
+  }
+
   public choose(candidates: Iterable<GateView>, context: PlacementContext): GateChoice | undefined {
     const views = [...candidates].filter(({ node }) => !context.excludedNodes.has(node.name));
     const medianMilliseconds = medianServiceMilliseconds(views);
     let best: GateChoice | undefined;
     let ties = 0;
     for (const view of views) {
-      const answerMilliseconds = expectedAnswerMilliseconds(view, medianMilliseconds, context.now);
+      const { now, routeName } = context;
+      const meanMilliseconds = comparedServiceMilliseconds(view, medianMilliseconds);
+      const routeMilliseconds = this.routeTimes.expectedMilliseconds(view, routeName, now);
+      const answerMilliseconds =
+        (routeMilliseconds ?? meanMilliseconds) + expectedDelay(view, meanMilliseconds, now);
       const cost = this.costOf(view, answerMilliseconds, context);
       const costDifference = cost - (best?.cost ?? Infinity);
       if (costDifference < -tieCostDifference) {
@@ -94,9 +129,16 @@
     return best;
   }
 
+  /** Expected cost of a gate that turns out to be busy. */
+  public costIfBusy(view: GateView, context: PlacementContext): number {
+    const { now, routeName } = context;
+    const expected = this.expectedServiceMilliseconds(view, routeName, now);
+    return this.costOf(view, expected + estimatedBusyDelayMilliseconds, context);
+  }
+
   /** Cost of having a gate run the request if its answer is expected after `answerMilliseconds`. */
   public costOf(view: GateView, answerMilliseconds: number, context: PlacementContext): number {
-    const { kilobytes, targetMilliseconds } = context;
+    const { kilobytes, now, routeName, targetMilliseconds } = context;
     const { load, node, unreportedRequests } = view;
     const isInOwnZone = isSameZone(node, this.options);
     const roundTripMilliseconds =
@@ -111,8 +153,8 @@
       (load.running + load.waiting + unreportedRequests) / Math.max(1, load.limit),
     );
     const positiveTargetMilliseconds = Math.max(1, targetMilliseconds);
-    const isWaiting =
-      load.slowdown > 1 || answerMilliseconds > load.serviceMilliseconds * waitingFactor;
+    const serviceMilliseconds = this.expectedServiceMilliseconds(view, routeName, now);
+    const isWaiting = load.slowdown > 1 || answerMilliseconds > serviceMilliseconds * waitingFactor;
     const longerWaitProbability = isWaiting ? additionalSpanProbability : 0;
     return (
       (1 - longerWaitProbability) * latenessRisk(totalMilliseconds / positiveTargetMilliseconds) +
@@ -134,21 +176,26 @@
   return Math.min(1, Math.max(0, linearRisk)) ** 2;
 }
 
-/** Expected time until an answer, without the network round trip. */
-function expectedAnswerMilliseconds(
+/** Expected time for which a request waits, in the queue and for the end of a slowdown. The requests ahead may be of any route. */
+function expectedDelay(
   { load, loadReceivedAt, unreportedRequests }: GateView,
-  medianMilliseconds: number,
+  meanMilliseconds: number,
   now: number,
 ): number {
   const limit = Math.max(1, load.limit);
-  const ownMilliseconds = load.serviceMilliseconds;
-  const serviceMilliseconds =
-    ownMilliseconds > medianMilliseconds * slowServerFactor ? ownMilliseconds : medianMilliseconds;
   const requestsBeyondLimit = load.running + load.waiting + unreportedRequests + 1 - limit;
   const unreportedWait =
-    (Math.min(unreportedRequests, Math.max(0, requestsBeyondLimit)) * serviceMilliseconds) / limit;
+    (Math.min(unreportedRequests, Math.max(0, requestsBeyondLimit)) * meanMilliseconds) / limit;
   const totalWait = load.waitMilliseconds + unreportedWait;
-  return serviceMilliseconds + totalWait + slowdownDelay(load.slowdown, now - loadReceivedAt);
+  return totalWait + slowdownDelay(load.slowdown, now - loadReceivedAt);
+}
+
+/** Service time over all routes of a gate; that of its peers unless the server is notably slower. */
+function comparedServiceMilliseconds({ load }: GateView, medianMilliseconds: number): number {
+  const { serviceMilliseconds } = load;
+  return serviceMilliseconds > medianMilliseconds * slowServerFactor
+    ? serviceMilliseconds
+    : medianMilliseconds;
 }
 
 /** Expected delay, in milliseconds, of a request in the remainder of a slowdown span that was reported earlier. */
--- a/packages/mesh-core/tests/entry/hedge-rule.test.ts
+++ b/packages/mesh-core/tests/entry/hedge-rule.test.ts
@@ -36,7 +36,10 @@
       node: createNode('a'),
       unreportedRequests: 0,
     };
-    assert.is(isHedgeDue(view, elapsed, timeToTarget, reportAge), isDue);
+    assert.is(
+      isHedgeDue(view, view.load.serviceMilliseconds, elapsed, timeToTarget, reportAge),
+      isDue,
+    );
   });
 }
 
--- a/packages/mesh-core/tests/placement/placement-policy.test.ts
+++ b/packages/mesh-core/tests/placement/placement-policy.test.ts
@@ -106,6 +106,7 @@
       excludedNodes: new Set(),
       kilobytes,
       now: 0,
+      routeName: 'lookup',
       targetMilliseconds: 400,
     });
     assert.is(choice?.view.node.name, expected);
@@ -122,6 +123,7 @@
       excludedNodes: new Set(),
       kilobytes: 1,
       now: 0,
+      routeName: 'lookup',
       targetMilliseconds: 400,
     });
     const name = choice?.view.node.name ?? '';
@@ -141,6 +143,7 @@
       excludedNodes: new Set<string>(),
       kilobytes: 1,
       now: 0,
+      routeName: 'lookup',
       targetMilliseconds: 400,
     };
     chosen.add(policy.choose(table.readyGates('shop'), context)?.view.node.name);
@@ -155,7 +158,13 @@
   table.onConnected(createNode('c', { service: 'cart' }), createLoad(), 0);
   table.onDisconnected('b');
   const policy = new PlacementPolicy({ ...ownLocation, random: new SeededRandomSource(1) });
-  const context = { excludedNodes: new Set(['a']), kilobytes: 1, now: 0, targetMilliseconds: 400 };
+  const context = {
+    excludedNodes: new Set(['a']),
+    kilobytes: 1,
+    now: 0,
+    routeName: 'lookup',
+    targetMilliseconds: 400,
+  };
   assert.is(policy.choose(table.readyGates('shop'), context), undefined);
 });
 
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -104,6 +104,7 @@
   'expectedMilliseconds',
   'detail',
   'waitMilliseconds',
+  'routeMilliseconds',
 ] as const;
 
 const encoder = new Encoder({
@@ -261,7 +262,11 @@
 function isGateLoad(value: unknown): boolean {
   if (typeof value !== 'object' || value === null) return false;
   const load = value as Readonly<Record<string, unknown>>;
+  // Nodes of an older version do not send `routeMilliseconds`.
+  const { routeMilliseconds = 0 } = load;
   return (
-    typeof load.state === 'string' && loadNumbers.every((name) => typeof load[name] === 'number')
+    typeof load.state === 'string' &&
+    typeof routeMilliseconds === 'number' &&
+    loadNumbers.every((name) => typeof load[name] === 'number')
   );
 }
