Send long frames in parts at the rate of the machine's link

The gates concerned also send answers of 90 KB, which keep a link of 10 Mbit/s busy for 72 ms, and everything written after them waits, whichever node it is for. Declines arrived up to 330 ms late, and hedges were spent on answers that were ready.

Ruled out: unknown speed at the start (96 % or more of the starts of each route had a report of at most 25 ms), waits in the gate's queue (median 3 ms for late enumerator queries).

LinkPacer reads the link's rate from limits.link_mbps, which was not used. Frames that take more than 5 ms are written in parts, connections in turn, with some 15 ms of them at the link at most; short frames are written at once. The gauge connections_waiting_for_link tells how many connections wait.

--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -63,17 +63,24 @@
 
 export interface MeshGaugeSources {
   readonly gaugeValues: () => MeshGaugeValues;
+  /** Number of connections with frames that wait for the machine's link. */
+  readonly waitingForLink: () => number;
   readonly serviceGaugeValues: () => MeshServiceGaugeValues;
 }
 
 /** Registers the gauges of a routing node; their values are read at each scrape. */
 export function registerMeshGauges(
   metrics: Pick<Metrics, 'addGauge' | 'addLabelledGauge'>,
-  { gaugeValues, serviceGaugeValues }: MeshGaugeSources,
+  { gaugeValues, serviceGaugeValues, waitingForLink }: MeshGaugeSources,
 ): void {
   for (const [name, help] of Object.entries(gaugeHelpTexts)) {
     metrics.addGauge({ help, name, read: () => gaugeValues()[name as keyof MeshGaugeValues] });
   }
+  metrics.addGauge({
+    help: "Connections to peers with frames that wait for the machine's link.",
+    name: 'connections_waiting_for_link',
+    read: waitingForLink,
+  });
   for (const [name, help] of Object.entries(serviceGaugeHelpTexts)) {
     const read = (): ReadonlyMap<string, number> =>
       serviceGaugeValues()[name as keyof MeshServiceGaugeValues];
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -39,6 +39,8 @@
   readonly probesPerSecond: number;
   /** Maximum total size of the server's answers that are being read. */
   readonly answerMemoryBytes: number;
+  /** Rate of the machine's link; undefined if the platform does not state it. */
+  readonly linkMegabitsPerSecond?: number | undefined;
   /** Time between the stop signal and the forced termination of the process. */
   readonly graceMilliseconds: number;
   readonly logLevel: LogLevel;
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -129,6 +129,7 @@
   registerMeshGauges(metrics, {
     gaugeValues: () => driver.gaugeValues,
     serviceGaugeValues: () => driver.serviceGaugeValues,
+    waitingForLink: () => connections.waitingForLink,
   });
   const { host, port } = settings.reportAddress;
   const reports = new ReportServer({
@@ -292,6 +293,7 @@
       },
     },
     helloPayload: () => driver.helloPayload,
+    linkMegabitsPerSecond: settings.linkMegabitsPerSecond,
     self,
   });
 }
--- a/packages/daemon/tests/operators/metrics-page.test.ts
+++ b/packages/daemon/tests/operators/metrics-page.test.ts
@@ -46,6 +46,7 @@
   registerMeshGauges(metrics, {
     gaugeValues: () => ({}) as MeshGaugeValues,
     serviceGaugeValues: () => ({}) as MeshServiceGaugeValues,
+    waitingForLink: () => 0,
   });
   return [...own.map(([, name]) => name ?? ''), ...gauges];
 }
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -7,5 +7,7 @@
 export { protocolVersion } from './wire-frames.js';
 export { MeshConnections } from './mesh/mesh-connections.js';
 export type { MeshConnectionsEvents, MeshConnectionsOptions } from './mesh/mesh-connections.js';
+export { LinkPacer } from './mesh/link-pacer.js';
+export type { LinkPacerOptions, PacedStream } from './mesh/link-pacer.js';
 export { maximumMeshBodyBytes } from './mesh/mesh-frame-codec.js';
 export type { MeshHelloPayload, MeshHelloFrame } from './mesh/mesh-frame-codec.js';
--- a/packages/nodes/src/mesh/mesh-connection.ts
+++ b/packages/nodes/src/mesh/mesh-connection.ts
@@ -6,6 +6,7 @@
 import { CorkedWriter } from '../corked-writer.js';
 import { encodeMeshFrame, MeshFrameDecoder, meshProtocolVersion } from './mesh-frame-codec.js';
 import type { MeshHelloFrame, MeshWireFrame } from './mesh-frame-codec.js';
+import type { LinkPacer, PacedStream } from './link-pacer.js';
 
 /** Time limit for the hello of the other side; the slowest path between regions needs well under this. */
 const helloTimeoutMilliseconds = 1_500;
@@ -32,6 +33,8 @@
   /** Callbacks for the pings that have not been answered, in the order in which they were sent. */
   private readonly pongCallbacks: (() => void)[] = [];
   private readonly writer: CorkedWriter;
+  /** Undefined if the rate of the machine's link is not known. */
+  private readonly pacedStream: PacedStream | undefined;
 
   public constructor(
     private readonly socket: Socket,
@@ -41,8 +44,12 @@
     public readonly replacedId: string | undefined,
     private readonly clock: () => number,
     private readonly events: MeshConnectionEvents,
+    linkPacer?: LinkPacer,
   ) {
     this.writer = new CorkedWriter(socket);
+    this.pacedStream = linkPacer?.createStream((bytes) => {
+      this.writer.write(bytes);
+    });
     this.openedAt = clock();
     this.monitor = new ConnectionMonitor(this.openedAt);
     socket.setNoDelay(true);
@@ -68,7 +75,7 @@
     this.monitor.onSent(bytes.length);
     if (frame.kind === 'start') this.monitor.onRequestSent(this.clock());
     else if (frame.kind === 'cancel') this.monitor.onRequestCancelled();
-    this.writer.write(bytes);
+    (this.pacedStream ?? this.writer).write(bytes);
   }
 
   /** Sends a ping at the next tick. */
@@ -108,6 +115,7 @@
   public close(detail: string, code?: string): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.pacedStream?.close();
     this.socket.destroy();
     this.events.onClosed(this, detail, code);
     for (const callback of this.pongCallbacks.splice(0)) callback();
@@ -117,6 +125,7 @@
   public end(): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.pacedStream?.flush();
     this.socket.end();
   }
 
--- a/packages/nodes/src/mesh/mesh-connections.ts
+++ b/packages/nodes/src/mesh/mesh-connections.ts
@@ -5,7 +5,9 @@
 
 import { meshProtocolVersion } from './mesh-frame-codec.js';
 import type { MeshHelloPayload, MeshHelloFrame } from './mesh-frame-codec.js';
+import { LinkPacer } from './link-pacer.js';
 import { MeshConnection } from './mesh-connection.js';
+import type { MeshConnectionEvents } from './mesh-connection.js';
 
 /** Error code of a refused connection: no process listens at the address. */
 const connectionRefusedCode = 'ECONNREFUSED';
@@ -32,6 +34,8 @@
   readonly bindHost: string;
   readonly bindPort: number;
   readonly clock: () => number;
+  /** Rate of the machine's link, in megabits per second; undefined if it is not known. */
+  readonly linkMegabitsPerSecond?: number | undefined;
   /** Current values for the hello frame of a new connection. */
   readonly helloPayload: () => MeshHelloPayload;
   readonly events: MeshConnectionsEvents;
@@ -44,12 +48,14 @@
   private readonly handshaking = new Set<MeshConnection>();
   /** Identifiers of connections that this node closed, of which the other node may not know, by its name. */
   private readonly closedIds = new Map<string, string>();
+  private readonly linkPacer: LinkPacer | undefined;
   private dialCount = 0;
   private lastTickAt = Infinity;
   private hasStalled = false;
   private fullCheckDueAt = -Infinity;
 
   public constructor(private readonly options: MeshConnectionsOptions) {
+    this.linkPacer = createLinkPacer(options);
     this.server = createServer((socket) => {
       this.open(socket, undefined);
     });
@@ -114,6 +120,11 @@
     for (const connection of [...this.connections.values()]) connection.tick(now, this.hasStalled);
   }
 
+  /** Number of connections with frames that wait for the machine's link. */
+  public get waitingForLink(): number {
+    return this.linkPacer?.waitingConnections ?? 0;
+  }
+
   /** Stops listening, flushes written frames and closes all connections. */
   public close(): void {
     this.server.close();
@@ -125,7 +136,7 @@
   private open(socket: Socket, dialedNode: MeshNode | undefined): void {
     const { clock, events, helloPayload, self } = this.options;
     const replacedId = dialedNode && this.idToReplace(dialedNode.name);
-    const connection = new MeshConnection(socket, dialedNode, replacedId, clock, {
+    const connectionEvents: MeshConnectionEvents = {
       onClosed: (closed, detail, code) => {
         this.handleClosed(closed, detail, code);
       },
@@ -141,7 +152,15 @@
       onSuspected: (suspected) => {
         this.handleSuspected(suspected);
       },
-    });
+    };
+    const connection = new MeshConnection(
+      socket,
+      dialedNode,
+      replacedId,
+      clock,
+      connectionEvents,
+      this.linkPacer,
+    );
     if (dialedNode !== undefined) {
       this.dialCount += 1;
       connection.id = `${self.name}/${self.boot}/${this.dialCount}`;
@@ -249,3 +268,17 @@
     this.options.events.onDialFailed(node, detail, isRefused);
   }
 }
+
+function createLinkPacer({
+  clock,
+  linkMegabitsPerSecond: megabitsPerSecond,
+}: MeshConnectionsOptions): LinkPacer | undefined {
+  if (megabitsPerSecond === undefined) return undefined;
+  return new LinkPacer({
+    clock,
+    megabitsPerSecond,
+    schedule: (callback, milliseconds) => {
+      setTimeout(callback, milliseconds).unref();
+    },
+  });
+}
