--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -74,6 +74,8 @@
 
 export interface MeshGaugeSources {
   readonly gaugeValues: () => MeshGaugeValues;
+  /** Number of connections with frames that wait for the machine's link. */
+  readonly waitingForLink: () => number;
   readonly serviceGaugeValues: () => MeshServiceGaugeValues;
   readonly allotmentGauges: () => AllotmentGauges;
 }
@@ -81,11 +83,16 @@
 /** Registers the gauges of a routing node; their values are read at each scrape. */
 export function registerMeshGauges(
   metrics: Pick<Metrics, 'addGauge' | 'addLabelledGauge'>,
-  { allotmentGauges, gaugeValues, serviceGaugeValues }: MeshGaugeSources,
+  { allotmentGauges, gaugeValues, serviceGaugeValues, waitingForLink }: MeshGaugeSources,
 ): void {
   for (const [name, help] of Object.entries(gaugeHelpTexts)) {
     metrics.addGauge({ help, name, read: () => gaugeValues()[name as keyof MeshGaugeValues] });
   }
+  metrics.addGauge({
+    help: "Connections to peers with frames that wait for the machine's link.",
+    name: 'connections_waiting_for_link',
+    read: waitingForLink,
+  });
   for (const [name, help] of Object.entries(serviceGaugeHelpTexts)) {
     const read = (): ReadonlyMap<string, number> =>
       serviceGaugeValues()[name as keyof MeshServiceGaugeValues];
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -134,6 +134,7 @@
     allotmentGauges: () => driver.allotments.gauges,
     gaugeValues: () => driver.gaugeValues,
     serviceGaugeValues: () => driver.serviceGaugeValues,
+    waitingForLink: () => connections.waitingForLink,
   });
   const { host, port } = settings.reportAddress;
   const reports = new ReportServer({
@@ -298,6 +299,7 @@
       },
     },
     helloPayload: () => driver.helloPayload,
+    linkMegabitsPerSecond: settings.linkMegabitsPerSecond,
     self,
   });
 }
--- a/packages/daemon/tests/operators/metrics-page.test.ts
+++ b/packages/daemon/tests/operators/metrics-page.test.ts
@@ -48,6 +48,7 @@
     allotmentGauges: () => ({}) as AllotmentGauges,
     gaugeValues: () => ({}) as MeshGaugeValues,
     serviceGaugeValues: () => ({}) as MeshServiceGaugeValues,
+    waitingForLink: () => 0,
   });
   return [...own.map(([, name]) => name ?? ''), ...gauges];
 }
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -8,4 +8,7 @@
 export { MeshConnections } from './mesh/mesh-connections.js';
 export type { MeshConnectionsEvents, MeshConnectionsOptions } from './mesh/mesh-connections.js';
 export { encodeMeshFrame, maximumMeshBodyBytes } from './mesh/mesh-frame-codec.js';
+export { LinkPacer } from './mesh/link-pacer.js';
+export type { LinkPacerOptions, PacedStream } from './mesh/link-pacer.js';
+export { maximumMeshBodyBytes } from './mesh/mesh-frame-codec.js';
 export type { MeshHelloPayload, MeshHelloFrame } from './mesh/mesh-frame-codec.js';
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -115,6 +115,7 @@
   'isReturned',
   'isLeaving',
   'grants',
+  'routeMilliseconds',
 ] as const;
 
 const encoder = new Encoder({
@@ -289,7 +290,11 @@
 function isGateLoad(value: unknown): boolean {
   if (typeof value !== 'object' || value === null) return false;
   const load = value as Readonly<Record<string, unknown>>;
+  // Nodes of an older version do not send `routeMilliseconds`.
+  const { routeMilliseconds = 0 } = load;
   return (
-    typeof load.state === 'string' && loadNumbers.every((name) => typeof load[name] === 'number')
+    typeof load.state === 'string' &&
+    typeof routeMilliseconds === 'number' &&
+    loadNumbers.every((name) => typeof load[name] === 'number')
   );
 }
