--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -10,5 +10,4 @@
 export { encodeMeshFrame, maximumMeshBodyBytes } from './mesh/mesh-frame-codec.js';
 export { LinkPacer } from './mesh/link-pacer.js';
 export type { LinkPacerOptions, PacedStream } from './mesh/link-pacer.js';
-export { maximumMeshBodyBytes } from './mesh/mesh-frame-codec.js';
 export type { MeshHelloPayload, MeshHelloFrame } from './mesh/mesh-frame-codec.js';
