Count the bodies and answers that a process holds, and refuse what has no room

Cause: no place that holds bytes of others knew of the other places. A process held every body that callers had begun, every answer that they didn't read and every frame that other nodes didn't read, and a body several times: as chunks, joined, in an encoded frame and in a copy with the length in front.

A body with a length takes its memory at its head; others take it as they grow. Without room a body is refused with 503, which is true: it has not been passed on. Nothing waits. To make room, what has made no progress for a second is ended, the largest product of size and time first. A frame between nodes with a body over 16 KiB leaves as its fields and the body, which is not copied and comes last; a receiver without room reads it without the body: the gate declines such a request unless it knows it already, and an answer becomes a failed attempt. The encoding of frames is the same map as before, so older nodes read it.

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -201,7 +201,11 @@
       announcedBytes > maximumBytes
         ? ({ kind: 'too-large' } as const)
         : await collectBody(openRequest.request, bufferedBytes, maximumBytes);
-    if (!this.openRequests.has(openRequest.requestNumber) || collected.kind === 'cut') {
+    if (
+      !this.openRequests.has(openRequest.requestNumber) ||
+      collected.kind === 'cut' ||
+      collected.kind === 'no-memory'
+    ) {
       openRequest.request.destroy();
       return;
     }
--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -8,7 +8,27 @@
   | { readonly kind: 'whole'; readonly bytes: Uint8Array }
   /** The body is longer than the buffer limit; the stream yields all of it, from its first byte. */
   | { readonly kind: 'longer'; readonly stream: Readable }
-  | { readonly kind: 'cut' };
+  | { readonly kind: 'cut' }
+  /** There was no memory for the body, or it was taken back in favour of others. What was read is discarded. */
+  | { readonly kind: 'no-memory' };
+
+/** The memory of one body while it is read. */
+export interface BodyMemory {
+  /** Whether there is memory for a body of the length. To be called before that much is held. */
+  tryHold(byteCount: number): boolean;
+  /** To be called for each chunk. */
+  onRead(byteCount: number): void;
+  /** Aborted when the memory has been taken back. */
+  readonly signal: AbortSignal;
+}
+
+const unlimitedMemory: BodyMemory = {
+  onRead: () => undefined,
+  signal: new AbortController().signal,
+  tryHold: () => true,
+};
+/** Shorter bodies mostly come in one chunk, which needs no buffer of its own. */
+const reservedBodyBytes = 65_536;
 
 /** Whether the request's headers announce a body. */
 export function announcesBody(request: IncomingMessage): boolean {
@@ -25,10 +45,19 @@
 function collectBodyOfKnownLength(
   request: IncomingMessage,
   length: number,
+  memory: BodyMemory,
 ): Promise<CollectedBody> {
+  if (!memory.tryHold(length)) return Promise.resolve({ kind: 'no-memory' });
   return new Promise((resolve) => {
     const bytes = new ByteAccumulator(length);
+    if (length > reservedBodyBytes) bytes.reserve(length);
+    memory.signal.addEventListener('abort', () => {
+      bytes.clear();
+      resolve({ kind: 'no-memory' });
+    });
     request.on('data', (chunk: Buffer) => {
+      if (memory.signal.aborted) return;
+      memory.onRead(chunk.length);
       bytes.append(chunk);
       // For a short body, the parser has reached its end before the stream emits its only chunk.
       if (request.complete && request.readableLength === 0) {
@@ -54,20 +83,31 @@
   request: IncomingMessage,
   bufferLimitBytes: number,
   maximumBytes: number,
+  memory = unlimitedMemory,
 ): Promise<CollectedBody> {
   const contentLength = request.headers['content-length'];
   if (contentLength !== undefined && Number(contentLength) <= bufferLimitBytes)
-    return collectBodyOfKnownLength(request, Number(contentLength));
+    return collectBodyOfKnownLength(request, Number(contentLength), memory);
   // The iterator must not destroy the request when it is abandoned early: that would close the connection
   // before the caller can read a response.
   const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
   const bytes = new ByteAccumulator(bufferLimitBytes);
+  const noMemory: CollectedBody = { kind: 'no-memory' };
+  memory.signal.addEventListener('abort', () => {
+    bytes.clear();
+  });
   try {
     for (;;) {
       const next = await iterator.next();
+      if (memory.signal.aborted) return noMemory;
       if (next.done === true) {
         return request.complete ? { bytes: bytes.take(), kind: 'whole' } : { kind: 'cut' };
       }
+      if (!memory.tryHold(bytes.heldBytesAfter(next.value.length))) {
+        bytes.clear();
+        return noMemory;
+      }
+      memory.onRead(next.value.length);
       bytes.append(next.value);
       if (bytes.length > bufferLimitBytes) {
         return {
--- a/packages/callers/src/routes/caller-connection.ts
+++ b/packages/callers/src/routes/caller-connection.ts
@@ -2,6 +2,8 @@
 import type { Socket } from 'node:net';
 
 import { containError } from '@peridotspring/core';
+import { MemoryPlace } from '@peridotspring/mesh-core';
+import type { MemoryAccount, MemoryHold } from '@peridotspring/mesh-core';
 
 import { announcesBody } from '../request-body.js';
 import { lingerOnClose } from './lingering-close.js';
@@ -51,6 +53,8 @@
 interface OpenRequest extends ParsedRequest {
   startedAt: number;
   respondedAt: number;
+  /** Memory of the answer until the caller has read it. */
+  answerHold: MemoryHold | undefined;
 }
 
 /** The connection of a caller. Owns its socket and writes the responses in the order of the requests. */
@@ -64,6 +68,7 @@
   public constructor(
     private readonly socket: Socket,
     private readonly clock: () => number,
+    private readonly memory: MemoryAccount,
     private readonly events: CallerConnectionEvents,
   ) {
     lingerOnClose(socket);
@@ -90,6 +95,7 @@
     }
     this.openRequests.set(requestNumber, {
       ...request,
+      answerHold: undefined,
       respondedAt: Infinity,
       startedAt: Infinity,
     });
@@ -104,6 +110,11 @@
     if (request === undefined) return;
     if (!this.pipeline.setResponse(requestNumber, response, response.body.length)) return;
     request.respondedAt = this.clock();
+    if (!this.holdAnswer(request, response.body)) {
+      // The request may have run, so nothing is said about it.
+      this.socket.destroy();
+      return;
+    }
     this.advance();
   }
 
@@ -132,6 +143,17 @@
     this.advance();
   }
 
+  /** Returns whether there is memory for the answer. */
+  private holdAnswer(request: OpenRequest, buffer: Uint8Array): boolean {
+    if (buffer.length === 0) return true;
+    const place = MemoryPlace.CallerAnswer;
+    const end = (): void => {
+      this.socket.destroy();
+    };
+    request.answerHold = this.memory.tryShare({ buffer, end, place }, request.respondedAt);
+    return request.answerHold !== undefined;
+  }
+
   private advance(): void {
     if (this.isAdvancing) return;
     this.isAdvancing = true;
@@ -159,6 +181,7 @@
     if (request === undefined) return false;
     this.reportWait(request);
     request.response.once('finish', () => {
+      request.answerHold?.release();
       this.openRequests.delete(next.requestNumber);
       this.pipeline.completeWrite();
       this.advance();
@@ -204,6 +227,7 @@
     for (const requestNumber of this.pipeline.unansweredRequests) {
       if (this.openRequests.has(requestNumber)) this.events.onCallerGone(requestNumber);
     }
+    for (const { answerHold } of this.openRequests.values()) answerHold?.release();
     this.openRequests.clear();
     this.pipeline.stopAccepting();
   }
--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -15,13 +15,14 @@
   CallerLimits,
   EntryOutcome,
   EntryRequest,
+  MemoryAccount,
   Route,
   RouteTable,
   Tenant,
   TenantDirectory,
 } from '@peridotspring/mesh-core';
 
-import { announcesBody, collectBody } from '../request-body.js';
+import { BodyReader } from './body-reader.js';
 import { CallerConnection } from './caller-connection.js';
 import type { PipelineWait, ResponseContent, ParsedRequest } from './caller-connection.js';
 
@@ -32,6 +33,8 @@
 const maximumHeaderBytes = 65_536;
 /** Retry-After of a node without a configuration, or with one that may be outdated; it reads one within about a second. */
 const unconfiguredRetryAfterMilliseconds = 300;
+/** Retry-After of a request whose body has no memory: what stalls is ended after a second. */
+const noMemoryRetryAfterMilliseconds = 1_000;
 const millisecondsPerSecond = 1_000;
 /** Error code of the HTTP parser when the caller closed its side in the middle of a request. */
 const unexpectedEndCode = 'HPE_INVALID_EOF_STATE';
@@ -67,6 +70,8 @@
   readonly bindPort: number;
   readonly headerNames: CallerHeaderNames;
   readonly clock: () => number;
+  /** Counts the bodies of requests, and the answers until callers have read them. */
+  readonly memory: MemoryAccount;
   readonly routing: () => RoutingConfiguration | undefined;
   readonly onRequest: (request: EntryRequest) => void;
   readonly onCallerGone: (requestNumber: number) => void;
@@ -87,12 +92,14 @@
   /** The connection of each request that was started and has no answer, by request number. */
   private readonly pendingRequests = new Map<number, CallerConnection>();
   private readonly reservedNamesWithCredentials: ReadonlySet<string>;
+  private readonly bodies: BodyReader;
   private nextRequestNumber = 1;
   private isStopping = false;
   private isRefusing = false;
 
   public constructor(private readonly options: RouteServerOptions) {
     const { authorization, reserved } = options.headerNames;
+    this.bodies = new BodyReader(options.memory, options.clock);
     this.reservedNamesWithCredentials = new Set([...reserved, authorization]);
     this.server = createServer({ maxHeaderSize: maximumHeaderBytes, noDelay: true });
     this.server.requestTimeout = 0;
@@ -179,9 +186,9 @@
   }
 
   private handleConnection(socket: Socket): void {
-    const { clock, onCallerGone, onErrorContained, onRequestsDiscarded, onPipelineWait } =
+    const { clock, memory, onCallerGone, onErrorContained, onRequestsDiscarded, onPipelineWait } =
       this.options;
-    const connection: CallerConnection = new CallerConnection(socket, clock, {
+    const connection: CallerConnection = new CallerConnection(socket, clock, memory, {
       onRequestStart: (request) => {
         this.pendingRequests.set(request.requestNumber, connection);
         this.startRequest(request).catch((error: unknown) => {
@@ -189,6 +196,7 @@
         });
       },
       onCallerGone: (requestNumber) => {
+        this.bodies.release(requestNumber);
         if (this.pendingRequests.delete(requestNumber)) onCallerGone(requestNumber);
       },
       onRequestsDiscarded,
@@ -230,22 +238,35 @@
       this.deny(parsed, authorization.cause);
       return;
     }
-    const body = await this.readBodyBeforeDeadline(parsed, route, routing.limits);
-    if (!this.pendingRequests.has(requestNumber)) return;
-    if (body === 'late') {
-      this.answerLocally(parsed, 408, 'the body did not come in time');
+    const endsAt = parsed.headerReadAt + this.timeoutMillisecondsOf(message, route);
+    const body = await this.bodies.read(message, requestNumber, endsAt, routing.limits);
+    if (!this.pendingRequests.has(requestNumber)) {
+      this.bodies.release(requestNumber);
       return;
     }
-    if (body === 'too-large') {
-      this.answerLocally(parsed, 413, 'the body is longer than the limit');
-      return;
-    }
-    if (body === 'cut') {
-      this.pendingRequests.delete(requestNumber);
-      message.destroy();
-      return;
+    switch (body.kind) {
+      case 'none':
+        this.deliver(parsed, route, authorization.tenant, undefined);
+        return;
+      case 'whole':
+        this.deliver(parsed, route, authorization.tenant, body.bytes);
+        return;
+      case 'late':
+        this.answerLocally(parsed, 408, 'the body did not come in time');
+        return;
+      case 'too-large':
+        this.answerLocally(parsed, 413, 'the body is longer than the limit');
+        return;
+      case 'no-memory': {
+        const fields = retryAfterHeader(noMemoryRetryAfterMilliseconds);
+        this.answerLocally(parsed, 503, 'no memory for the body', fields);
+        return;
+      }
+      case 'cut':
+        this.bodies.release(requestNumber);
+        this.pendingRequests.delete(requestNumber);
+        message.destroy();
     }
-    this.deliver(parsed, route, authorization.tenant, body);
   }
 
   private deliver(
@@ -306,40 +327,6 @@
       : route.timeoutMilliseconds;
   }
 
-  /** Reads a body until the caller's deadline, since a body may trickle in a byte at a time without end. */
-  private async readBodyBeforeDeadline(
-    { message, headerReadAt }: ParsedRequest,
-    route: Route,
-    limits: CallerLimits,
-  ): Promise<Uint8Array | undefined | 'too-large' | 'cut' | 'late'> {
-    if (!announcesBody(message)) return undefined;
-    const remainingMilliseconds =
-      headerReadAt + this.timeoutMillisecondsOf(message, route) - this.options.clock();
-    let timer: NodeJS.Timeout | undefined;
-    const late = new Promise<'late'>((resolve) => {
-      timer = setTimeout(resolve, remainingMilliseconds, 'late');
-    });
-    const body = await Promise.race([this.readBody(message, limits), late]);
-    clearTimeout(timer);
-    return body;
-  }
-
-  private async readBody(
-    request: IncomingMessage,
-    { bodyBytes }: CallerLimits,
-  ): Promise<Uint8Array | 'too-large' | 'cut'> {
-    if (Number(request.headers['content-length'] ?? 0) > bodyBytes) return 'too-large';
-    const collected = await collectBody(request, bodyBytes, bodyBytes);
-    switch (collected.kind) {
-      case 'whole':
-        return collected.bytes;
-      case 'longer':
-        return 'too-large';
-      case 'cut':
-        return 'cut';
-    }
-  }
-
   private answerLocally(
     { requestId, requestNumber }: ParsedRequest,
     status: number,
@@ -354,6 +341,7 @@
     const connection = this.pendingRequests.get(requestNumber);
     if (connection === undefined) return;
     this.pendingRequests.delete(requestNumber);
+    this.bodies.release(requestNumber);
     connection.respond(requestNumber, response);
   }
 }
--- a/packages/callers/tests/pipelined-requests.test.ts
+++ b/packages/callers/tests/pipelined-requests.test.ts
@@ -3,6 +3,7 @@
 
 import { RouteTable } from '@peridotspring/mesh-core';
 import type { EntryOutcome, EntryRequest } from '@peridotspring/mesh-core';
+import { createMemoryAccount } from '@peridotspring/mesh-core/fixtures';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -104,6 +105,7 @@
     bindHost: '127.0.0.1',
     bindPort: 0,
     clock: () => this.now,
+    memory: createMemoryAccount(),
     onRequest: (request) => this.delivered.push(request),
     onCallerGone: (requestNumber) => this.goneRequests.push(requestNumber),
     headerNames: {
--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -4,6 +4,7 @@
 
 import { RouteTable, TenantDirectory } from '@peridotspring/mesh-core';
 import type { EntryOutcome, EntryRequest } from '@peridotspring/mesh-core';
+import { createMemoryAccount } from '@peridotspring/mesh-core/fixtures';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -55,6 +56,7 @@
     bindHost: '127.0.0.1',
     bindPort: 0,
     clock: () => 1_000,
+    memory: createMemoryAccount(),
     onRequest: (request) => {
       if (this.requestError !== undefined) throw this.requestError;
       this.delivered.push(request);
--- a/packages/core/src/shared/byte-accumulator.ts
+++ b/packages/core/src/shared/byte-accumulator.ts
@@ -21,13 +21,25 @@
     return this.buffer.length;
   }
 
+  /** Memory that is held after `byteCount` more bytes. */
+  public heldBytesAfter(byteCount: number): number {
+    const length = this.usedBytes + byteCount;
+    return length <= this.buffer.length ? this.buffer.length : this.capacityFor(length);
+  }
+
+  /** Allocates the whole buffer at once, for a message of known length. */
+  public reserve(byteCount: number): void {
+    if (byteCount > this.buffer.length) this.resize(byteCount);
+  }
+
   public append(chunk: Uint8Array): void {
     const length = this.usedBytes + chunk.length;
-    if (this.usedBytes === 0 && chunk instanceof Buffer && isSoleView(chunk)) {
+    const isReserved = this.buffer.length > chunk.length;
+    if (this.usedBytes === 0 && !isReserved && chunk instanceof Buffer && isSoleView(chunk)) {
       // Most messages consist of one chunk, which needs no copy.
       this.buffer = chunk;
     } else {
-      if (length > this.buffer.length) this.grow(length);
+      if (length > this.buffer.length) this.resize(this.capacityFor(length));
       this.buffer.set(chunk, this.usedBytes);
     }
     this.usedBytes = length;
@@ -47,12 +59,15 @@
     this.usedBytes = 0;
   }
 
-  private grow(neededBytes: number): void {
+  private capacityFor(neededBytes: number): number {
     const doubledBytes = Math.min(2 * this.buffer.length, this.limitBytes);
-    const capacity = Math.max(neededBytes, doubledBytes, minimumCapacityBytes);
-    const grown = Buffer.allocUnsafeSlow(capacity);
-    grown.set(this.buffer.subarray(0, this.usedBytes));
-    this.buffer = grown;
+    return Math.max(neededBytes, doubledBytes, minimumCapacityBytes);
+  }
+
+  private resize(capacity: number): void {
+    const resized = Buffer.allocUnsafeSlow(capacity);
+    resized.set(this.buffer.subarray(0, this.usedBytes));
+    this.buffer = resized;
   }
 }
 
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -46,6 +46,8 @@
   [GateEventName.RequestDeclined]: ['reason'],
   [GateEventName.RequestFinished]: ['outcome'],
   [MeshEvent.ErrorContained]: ['place'],
+  [MeshEvent.MemoryExhausted]: ['place'],
+  [MeshEvent.MemoryReclaimed]: ['place'],
   [MeshEvent.RequestAnsweredLocally]: ['status'],
   [MeshEvent.StoreCalled]: ['call', 'outcome'],
 };
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -14,6 +14,8 @@
   EvacuationsChanged: 'evacuations-changed',
   HealthChecked: 'server-health-checked',
   LinesSuppressed: 'log-lines-suppressed',
+  MemoryExhausted: 'memory-exhausted',
+  MemoryReclaimed: 'memory-reclaimed',
   NodeConnected: 'node-connected',
   NodeDisconnected: 'node-disconnected',
   NodeFailed: 'node-failed',
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -21,6 +21,7 @@
   EvacuationRead,
   Execution,
   ExecutionResult,
+  MemoryAccount,
   MeshFrame,
   MeshNode,
   NodeDirectory,
@@ -92,6 +93,7 @@
 
 export interface MeshNodeOptions {
   readonly settings: MeshSettings;
+  readonly memory: MemoryAccount;
   readonly self: MeshNode;
   readonly random: RandomSource;
   readonly clock: () => number;
@@ -220,7 +222,7 @@
       processStartedAt: options.processStartedAt,
       quarantine,
       reportIntervalMilliseconds: settings.reportIntervalMilliseconds,
-      retainedReplyBytes: settings.answerMemoryBytes,
+      callMemory: { account: options.memory, retainedBytes: settings.answerMemoryBytes },
       service: self.service,
     });
     this.healthChecks = new ServerHealthChecks({
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -1,5 +1,6 @@
 import { RouteServer } from '@peridotspring/callers';
 import { SeededRandomSource } from '@peridotspring/core';
+import { MemoryAccount } from '@peridotspring/mesh-core';
 import type { MeshNode } from '@peridotspring/mesh-core';
 import { maximumMeshBodyBytes, MeshConnections } from '@peridotspring/nodes';
 import { HttpStoreTransport, StoreSession } from '@peridotspring/platform/key-values';
@@ -17,6 +18,7 @@
 } from './mesh-directory-entry.js';
 import { MeshEvent } from './mesh-event.js';
 import { registerMeshGauges } from './mesh-gauges.js';
+import { registerMemoryGauges } from './memory-gauges.js';
 import { MeshNodeDriver } from './mesh-node.js';
 import type { MeshNodePorts } from './mesh-node.js';
 import type { MeshSettings, SettingsResult } from './mesh-settings.js';
@@ -56,6 +58,7 @@
   const clock = (): number => performance.now();
   const metrics = new Metrics();
   const events = createEventRecorder(settings, metrics, clock);
+  const memory = createMemoryAccount(settings, events);
   const self = createSelf(settings, Date.now());
   const random = new SeededRandomSource((self.boot ^ process.pid) >>> 0);
   const driver = new MeshNodeDriver({
@@ -65,6 +68,7 @@
       process.nextTick(action);
     },
     events,
+    memory,
     ports: () => ports,
     // The clock of the process starts at 0 with it.
     processStartedAt: 0,
@@ -79,8 +83,8 @@
     settings,
     wallClock: () => Date.now(),
   });
-  const callers = createCallers(options, driver, clock, events);
-  const connections = createConnections(settings, self, driver, clock);
+  const callers = createCallers(options, driver, { clock, events, memory });
+  const connections = createConnections(settings, self, driver, { clock, memory });
   const server = createServerClient(options, driver, clock, events);
   const store = createStore(options, self, driver, {
     clock,
@@ -126,6 +130,7 @@
       void Promise.race([Promise.all(closing), delay(shutdownTimeoutMilliseconds)]).then(onStopped);
     },
   };
+  registerMemoryGauges(metrics, memory);
   registerMeshGauges(metrics, {
     gaugeValues: () => driver.gaugeValues,
     serviceGaugeValues: () => driver.serviceGaugeValues,
@@ -186,6 +191,27 @@
   });
 }
 
+interface NodeDependencies {
+  readonly clock: () => number;
+  readonly events: EventRecorder;
+  readonly memory: MemoryAccount;
+}
+
+function createMemoryAccount(
+  { heldMemoryBytes }: MeshSettings,
+  events: EventRecorder,
+): MemoryAccount {
+  return new MemoryAccount({
+    limitBytes: heldMemoryBytes,
+    onEnded: (place, bytes) => {
+      events.record(MeshEvent.MemoryReclaimed, { bytes, place });
+    },
+    onRefused: (place, bytes) => {
+      events.record(MeshEvent.MemoryExhausted, { bytes, place });
+    },
+  });
+}
+
 function recordContainedError(
   events: EventRecorder,
   place: string,
@@ -227,8 +253,7 @@
 function createCallers(
   { adapter, settings }: MeshWiringOptions,
   driver: MeshNodeDriver,
-  clock: () => number,
-  events: EventRecorder,
+  { clock, events, memory }: NodeDependencies,
 ): RouteServer {
   return new RouteServer({
     onAnsweredLocally: ({ detail, requestId, status }) => {
@@ -237,6 +262,7 @@
     bindHost: settings.callerAddress.host,
     bindPort: settings.callerAddress.port,
     clock,
+    memory,
     onRequest: (request) => {
       driver.onCallerRequest(request);
     },
@@ -265,7 +291,7 @@
   settings: MeshSettings,
   self: MeshNode,
   driver: MeshNodeDriver,
-  clock: () => number,
+  { clock, memory }: Pick<NodeDependencies, 'clock' | 'memory'>,
 ): MeshConnections {
   return new MeshConnections({
     bindHost: settings.peerAddress.host,
@@ -292,6 +318,7 @@
       },
     },
     helloPayload: () => driver.helloPayload,
+    memory,
     self,
   });
 }
--- a/packages/daemon/tests/operators/metrics-page.test.ts
+++ b/packages/daemon/tests/operators/metrics-page.test.ts
@@ -5,6 +5,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { registerMemoryGauges } from '../../src/mesh/memory-gauges.js';
 import { registerMeshGauges } from '../../src/mesh/mesh-gauges.js';
 import type { MeshGaugeValues, MeshServiceGaugeValues } from '../../src/mesh/mesh-gauges.js';
 import { registerGauges } from '../../src/operators/gauges.js';
@@ -43,6 +44,7 @@
   metrics.addLabelledGauge = ({ name }) => gauges.push(name);
   // Only the names are collected. The gauges are never read, so they need no sources.
   registerGauges(metrics, {} as GaugeSources);
+  registerMemoryGauges(metrics, { heldByPlace: new Map() });
   registerMeshGauges(metrics, {
     gaugeValues: () => ({}) as MeshGaugeValues,
     serviceGaugeValues: () => ({}) as MeshServiceGaugeValues,
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -1,7 +1,11 @@
 import { pickRandom } from '@peridotspring/core';
 import type { SeededRandomSource } from '@peridotspring/core';
 import type { EntryOutcome, MeshNode, Route, RouteConfiguration } from '@peridotspring/mesh-core';
-import { createConfiguration, createRoute } from '@peridotspring/mesh-core/fixtures';
+import {
+  createConfiguration,
+  createMemoryAccount,
+  createRoute,
+} from '@peridotspring/mesh-core/fixtures';
 import { Metrics } from '@peridotspring/operators/metrics';
 
 import { EventRecorder } from '../../src/mesh/event-recorder.js';
@@ -433,6 +437,7 @@
         kind: 'configuration',
         unknownTypes: [],
       }),
+      memory: createMemoryAccount(),
       defer: (action) => {
         this.queue.after(0, action);
       },
@@ -616,6 +621,7 @@
   const address = { host: name, port: 1 };
   return {
     answerMemoryBytes: 1_048_576,
+    heldMemoryBytes: 67_108_864,
     availabilityZone,
     callerAddress: address,
     coldStartTolerance: { ratio: 1, slack: 0 },
--- a/packages/measure/src/silent-connections.ts
+++ b/packages/measure/src/silent-connections.ts
@@ -2,7 +2,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { MeshNode } from '@peridotspring/mesh-core';
-import { createLoad, createNode, createStartFrame } from '@peridotspring/mesh-core/fixtures';
+import {
+  createLoad,
+  createMemoryAccount,
+  createNode,
+  createStartFrame,
+} from '@peridotspring/mesh-core/fixtures';
 import { MeshConnections } from '@peridotspring/nodes';
 import type { MeshConnectionsEvents } from '@peridotspring/nodes';
 import { findFreePorts, SilencingForwarder } from '@peridotspring/stand-ins';
@@ -43,6 +48,7 @@
       load: createLoad(),
       reachesStore: true,
     }),
+    memory: createMemoryAccount(),
     self,
   });
 }
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -1,3 +1,6 @@
+import type { MemoryAccount } from '../memory/memory-account.js';
+import type { MemoryHold } from '../memory/memory-hold.js';
+import { MemoryPlace } from '../memory/memory-place.js';
 import type { ReplyFrame, StartFrame } from '../messages/mesh-frames.js';
 
 /**
@@ -38,10 +41,19 @@
   slowdownAgeAtStart: number;
   finishedAt: number;
   reply: ReplyFrame | undefined;
+  /** Memory of the request's body, or of the body of the retained reply. */
+  bodyHold: MemoryHold | undefined;
   /** Estimated memory of the reply. */
   replyBytes: number;
 }
 
+/** Limits on the memory of calls. */
+export interface CallMemory {
+  readonly account: MemoryAccount;
+  /** Limit on retained replies. */
+  readonly retainedBytes: number;
+}
+
 /** Estimated memory of a reply and of each of its header fields, beyond their bytes. */
 const replyOverheadBytes = 512;
 const headerFieldOverheadBytes = 128;
@@ -61,7 +73,7 @@
   private readonly unfinishedByExecutionId = new Map<number, GateCall>();
   private nextExecutionId = 1;
 
-  public constructor(private readonly maximumRetainedBytes: number) {}
+  public constructor(private readonly memory: CallMemory) {}
 
   /** The call that an entry's frame refers to, in progress or finished and still retained. */
   public find(from: string, boot: number, callId: number): GateCall | undefined {
@@ -76,6 +88,7 @@
   public open(from: string, boot: number, frame: StartFrame, now: number): GateCall {
     const call: GateCall = {
       arrivedAt: now,
+      bodyHold: this.holdBody(frame.body, MemoryPlace.PeerInput, now),
       boot,
       deadline: now + frame.remainingMilliseconds,
       executionId: this.nextExecutionId,
@@ -107,7 +120,9 @@
     call.finishedAt = now;
     // Only the reply may be needed again; bodies of requests can be as large as the caller's limit.
     call.frame = { ...call.frame, body: undefined, headers: [] };
+    call.bodyHold?.release();
     this.retain(call, reply);
+    this.holdAnswer(call, now);
     this.unfinishedByExecutionId.delete(call.executionId);
     this.enforceRetentionLimit();
   }
@@ -136,22 +151,44 @@
   private enforceRetentionLimit(): void {
     for (const calls of [this.longAnswers, this.shortAnswers]) {
       for (const call of calls) {
-        if (this.retainedBytes <= this.maximumRetainedBytes) return;
+        if (this.retainedBytes <= this.memory.retainedBytes) return;
         this.forgetAnswer(call);
       }
     }
   }
 
+  private holdBody(
+    buffer: Uint8Array | undefined,
+    place: MemoryPlace,
+    now: number,
+  ): MemoryHold | undefined {
+    if (buffer === undefined || buffer.length === 0) return undefined;
+    return this.memory.account.share({ buffer, place }, now);
+  }
+
+  /** Counts a retained answer. It is the first to go when others need its memory. */
+  private holdAnswer(call: GateCall, now: number): void {
+    const { reply } = call;
+    if (reply?.kind !== 'answered' || reply.body.length === 0) return;
+    const place = MemoryPlace.RetainedAnswer;
+    const end = (): void => {
+      this.forgetAnswer(call);
+    };
+    call.bodyHold = this.memory.account.tryShare({ buffer: reply.body, end, place }, now);
+    if (call.bodyHold === undefined) this.forgetAnswer(call);
+  }
+
   private retain(call: GateCall, reply: ReplyFrame | undefined): void {
     call.reply = reply;
     call.replyBytes = bytesOf(reply);
     this.retainedBytes += call.replyBytes;
     if (reply?.kind !== 'answered') return;
-    const isLong = call.replyBytes > this.maximumRetainedBytes * longAnswerShare;
+    const isLong = call.replyBytes > this.memory.retainedBytes * longAnswerShare;
     (isLong ? this.longAnswers : this.shortAnswers).add(call);
   }
 
   private release(call: GateCall): void {
+    call.bodyHold?.release();
     this.retainedBytes -= call.replyBytes;
     this.longAnswers.delete(call);
     this.shortAnswers.delete(call);
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -14,7 +14,7 @@
 import type { ColdStartLimit } from './cold-start-limit.js';
 import { ConcurrencyLimit } from './concurrency-limit.js';
 import { GateCallRegistry } from './gate-call-registry.js';
-import type { GateCall } from './gate-call-registry.js';
+import type { CallMemory, GateCall } from './gate-call-registry.js';
 import { GateEventName } from './gate-contract.js';
 import type {
   Execution,
@@ -89,8 +89,8 @@
   readonly service: string;
   readonly port: GatePort;
   readonly quarantine: Pick<RequestQuarantine, 'recordCompletion' | 'suspicionOf'>;
-  /** Limit on the memory of replies that are retained in case an entry asks for them again. */
-  readonly retainedReplyBytes: number;
+  /** Memory of requests, and of replies that are retained in case an entry asks for them again. */
+  readonly callMemory: CallMemory;
   /** Maximum rate at which the gate probes the server's speed. */
   readonly probesPerSecond: number;
   /** Interval at which the server reports its state. */
@@ -134,7 +134,7 @@
   private lastActivityAt = 0;
 
   public constructor(private readonly options: ServerGateOptions) {
-    this.calls = new GateCallRegistry(options.retainedReplyBytes);
+    this.calls = new GateCallRegistry(options.callMemory);
     this.gateLog = new GateLog(options.log);
     this.probes = new ProbeRateLimiter(options.probesPerSecond);
     this.coldStartGuard = new ColdStartGuard({
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -36,6 +36,10 @@
 export { ConnectionAction, ConnectionMonitor } from './membership/connection-monitor.js';
 export { EndedServers } from './membership/ended-servers.js';
 export { NodeDirectory } from './membership/node-directory.js';
+export { MemoryAccount } from './memory/memory-account.js';
+export type { MemoryAccountOptions } from './memory/memory-account.js';
+export type { MemoryHold } from './memory/memory-hold.js';
+export { MemoryPlace } from './memory/memory-place.js';
 export { maximumFullMeshNodes, PeerSelection } from './membership/peer-selection.js';
 export { zoneRank } from './membership/zone-rank.js';
 export { DeclineReason, ServerState } from './messages/mesh-frames.js';
--- /dev/null
+++ b/packages/mesh-core/src/memory/memory-place.ts
@@ -0,0 +1,14 @@
+/** Where a process holds bytes that come from others. */
+export const MemoryPlace = {
+  /** Bodies of callers' requests, from their first byte until the request is answered. */
+  CallerBody: 'caller-body',
+  /** Answers that callers have not read yet. */
+  CallerAnswer: 'caller-answer',
+  /** Long frames of other nodes that are being read, and bodies of requests at the gate. */
+  PeerInput: 'peer-input',
+  /** Bodies in frames that other nodes have not read yet. */
+  PeerOutput: 'peer-output',
+  /** Answers of the server that the gate keeps in case an entry asks for them again. */
+  RetainedAnswer: 'retained-answer',
+} as const;
+export type MemoryPlace = (typeof MemoryPlace)[keyof typeof MemoryPlace];
--- a/packages/mesh-core/tests/fixtures.ts
+++ b/packages/mesh-core/tests/fixtures.ts
@@ -1,3 +1,4 @@
+import { MemoryAccount } from '../src/index.js';
 import type {
   EntryRequest,
   GateLoad,
@@ -8,6 +9,11 @@
   StartFrame,
 } from '../src/index.js';
 
+/** An account that has room for what most tests hold. */
+export function createMemoryAccount(limitBytes = 268_435_456): MemoryAccount {
+  return new MemoryAccount({ limitBytes, onEnded: () => undefined, onRefused: () => undefined });
+}
+
 export function createRoute(changes: Partial<Route> = {}): Route {
   return {
     host: 'a.example',
--- a/packages/mesh-core/tests/gate/gate-call-registry.test.ts
+++ b/packages/mesh-core/tests/gate/gate-call-registry.test.ts
@@ -2,11 +2,11 @@
 import * as assert from 'uvu/assert';
 
 import { GateCallRegistry } from '../../src/gate/gate-call-registry.js';
-import { createLoad, createStartFrame } from '../fixtures.js';
+import { createLoad, createMemoryAccount, createStartFrame } from '../fixtures.js';
 
 // Guards against bodies of requests that a gate kept for seconds after their end, until they filled its memory.
 test('a finished call keeps its reply, but not the content of its request', () => {
-  const registry = new GateCallRegistry(10_000);
+  const registry = new GateCallRegistry({ account: createMemoryAccount(), retainedBytes: 10_000 });
   const frame = createStartFrame({ body: Buffer.alloc(1_000), callId: 3, headers: [['a', 'b']] });
   const call = registry.open('entry', 1, frame, 0);
   assert.is(call.frame.body?.length, 1_000);
@@ -21,7 +21,7 @@
 });
 
 test('replies that were removed after their retention no longer count towards the limit', () => {
-  const registry = new GateCallRegistry(10_000);
+  const registry = new GateCallRegistry({ account: createMemoryAccount(), retainedBytes: 10_000 });
   const answer = (callId: number, now: number): void => {
     const frame = createStartFrame({ callId, remainingMilliseconds: 100 });
     const call = registry.open('entry', 1, frame, now);
@@ -40,7 +40,7 @@
 });
 
 test('long answers are forgotten before short ones, and of each the oldest first', () => {
-  const registry = new GateCallRegistry(100_000);
+  const registry = new GateCallRegistry({ account: createMemoryAccount(), retainedBytes: 100_000 });
   const lengths = [2_000, 500, 60_000, 500, 50_000, 500];
   for (const [callId, length] of lengths.entries()) {
     const call = registry.open('entry', 1, createStartFrame({ callId }), 0);
--- a/packages/mesh-core/tests/gate/gate-harness.ts
+++ b/packages/mesh-core/tests/gate/gate-harness.ts
@@ -7,7 +7,7 @@
   ReplyFrame,
   StartFrame,
 } from '../../src/index.js';
-import { createServerReport, createStartFrame } from '../fixtures.js';
+import { createMemoryAccount, createServerReport, createStartFrame } from '../fixtures.js';
 
 /** Small, so that tests reach the limit. */
 export const retainedReplyBytes = 10_000;
@@ -48,7 +48,7 @@
         run: (execution) => this.running.push(execution),
       },
       probesPerSecond: 30,
-      retainedReplyBytes,
+      callMemory: { account: createMemoryAccount(), retainedBytes: retainedReplyBytes },
       quarantine: this.quarantine,
       processStartedAt: Number.NEGATIVE_INFINITY,
       reportIntervalMilliseconds: 1_500,
--- a/packages/nodes/src/corked-writer.ts
+++ b/packages/nodes/src/corked-writer.ts
@@ -6,7 +6,8 @@
 
   public constructor(private readonly socket: Socket) {}
 
-  public write(bytes: Uint8Array): void {
+  /** `onFlushed` is called when the kernel has taken the bytes, or the socket was closed before. */
+  public write(bytes: Uint8Array, onFlushed?: () => void): void {
     const { socket } = this;
     if (!this.isCorked) {
       this.isCorked = true;
@@ -16,6 +17,6 @@
         socket.uncork();
       });
     }
-    socket.write(bytes);
+    socket.write(bytes, onFlushed);
   }
 }
--- a/packages/nodes/src/length-prefixed.ts
+++ b/packages/nodes/src/length-prefixed.ts
@@ -1,5 +1,9 @@
+import { LongFrameBuffer } from './long-frame-buffer.js';
+
 /** Size of the length field in front of each frame. */
-const lengthPrefixBytes = 4;
+export const lengthPrefixBytes = 4;
+/** Longer frames are read into a buffer of their own, if there is memory for it. */
+const longFrameBytes = 65_536;
 
 export const FrameFault = {
   BadEncoding: 'bad-encoding',
@@ -20,14 +24,26 @@
   return framed;
 }
 
+/** Memory and decoding of long frames. */
+export interface LongFrames<Frame> {
+  /** Whether there is memory for a frame of the length. */
+  readonly tryBegin: (length: number) => boolean;
+  /** The frame has been read, or the decoder was closed before its end. */
+  readonly end: () => void;
+  /** Decodes a frame of which only the first bytes were kept; undefined if they are not enough. */
+  readonly decodeStart: (bytes: Buffer, length: number) => DecodeResult<Frame> | undefined;
+}
+
 /** Splits a byte stream into frames. After a fault the rest of the stream can't be decoded. */
 export class LengthPrefixedDecoder<Frame> {
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
+  private longFrame: LongFrameBuffer | undefined;
 
   public constructor(
     private maximumBytes: number,
     private readonly decode: (bytes: Buffer) => DecodeResult<Frame>,
+    private readonly longFrames?: LongFrames<Frame>,
   ) {}
 
   /** Sets the size limit for frames decoded from now on. */
@@ -37,13 +53,13 @@
 
   /** Adds the next bytes of the stream and returns the frames that are complete. */
   public push(chunk: Buffer): DecodeResult<Frame>[] {
-    this.chunks.push(chunk);
-    this.bufferedBytes += chunk.length;
     const decoded: DecodeResult<Frame>[] = [];
+    this.addChunk(chunk, decoded);
     for (;;) {
       const next = this.takeNext();
       if (next === undefined) {
-        return decoded;
+        if (!this.beginLongFrame(decoded)) return decoded;
+        continue;
       }
       decoded.push(next);
       if (next.kind === 'fault') {
@@ -52,6 +68,46 @@
     }
   }
 
+  /** Gives back the memory of a frame that is being read. */
+  public close(): void {
+    if (this.longFrame !== undefined) this.longFrames?.end();
+    this.longFrame = undefined;
+  }
+
+  private addChunk(chunk: Buffer, decoded: DecodeResult<Frame>[]): void {
+    const rest = this.longFrame === undefined ? chunk : this.addToLongFrame(chunk, decoded);
+    if (rest.length === 0) return;
+    this.chunks.push(rest);
+    this.bufferedBytes += rest.length;
+  }
+
+  /** Reads on in the long frame, and returns the bytes beyond it. */
+  private addToLongFrame(chunk: Buffer, decoded: DecodeResult<Frame>[]): Buffer {
+    const { longFrame } = this;
+    if (longFrame === undefined) return chunk;
+    const rest = longFrame.append(chunk);
+    if (!longFrame.isComplete) return rest;
+    this.close();
+    const { bytes, isWhole, length } = longFrame;
+    const frame = isWhole ? this.decode(bytes) : this.longFrames?.decodeStart(bytes, length);
+    if (frame !== undefined) decoded.push(frame);
+    return rest;
+  }
+
+  /** If the stream has come to a long frame, moves what there is of it to a buffer of its own. Returns whether it has. */
+  private beginLongFrame(decoded: DecodeResult<Frame>[]): boolean {
+    if (this.longFrames === undefined || this.longFrame !== undefined) return false;
+    if (this.bufferedBytes < lengthPrefixBytes) return false;
+    const length = this.peekLength();
+    if (length <= longFrameBytes) return false;
+    const buffered = this.joinChunks().subarray(lengthPrefixBytes);
+    this.chunks = [];
+    this.bufferedBytes = 0;
+    this.longFrame = new LongFrameBuffer(length, this.longFrames.tryBegin(length));
+    this.addChunk(buffered, decoded);
+    return true;
+  }
+
   private takeNext(): DecodeResult<Frame> | undefined {
     if (this.bufferedBytes < lengthPrefixBytes) {
       return undefined;
--- a/packages/nodes/src/mesh/mesh-connection.ts
+++ b/packages/nodes/src/mesh/mesh-connection.ts
@@ -1,14 +1,22 @@
 import type { Socket } from 'node:net';
 
-import { ConnectionAction, ConnectionMonitor } from '@peridotspring/mesh-core';
-import type { MeshFrame, MeshNode } from '@peridotspring/mesh-core';
+import { ConnectionAction, ConnectionMonitor, MemoryPlace } from '@peridotspring/mesh-core';
+import type { MemoryAccount, MemoryHold, MeshFrame, MeshNode } from '@peridotspring/mesh-core';
 
 import { CorkedWriter } from '../corked-writer.js';
-import { encodeMeshFrame, MeshFrameDecoder, meshProtocolVersion } from './mesh-frame-codec.js';
+import {
+  encodeMeshFrame,
+  encodeMeshFrameInParts,
+  MeshFrameDecoder,
+  meshProtocolVersion,
+} from './mesh-frame-codec.js';
 import type { MeshHelloFrame, MeshWireFrame } from './mesh-frame-codec.js';
 
 /** Time limit for the hello of the other side; the slowest path between regions needs well under this. */
 const helloTimeoutMilliseconds = 1_500;
+/** Longer bodies are written without copying them into a frame. */
+const longBodyBytes = 16_384;
+
 export interface MeshConnectionEvents {
   readonly onHello: (connection: MeshConnection, hello: MeshHelloFrame) => void;
   readonly onFrame: (connection: MeshConnection, frame: MeshFrame) => void;
@@ -26,7 +34,9 @@
   /** Identifies the connection on both sides: the dialing node, its incarnation and its count of dials. */
   public id: string | undefined;
   private readonly monitor: ConnectionMonitor;
-  private readonly decoder = new MeshFrameDecoder();
+  private readonly decoder: MeshFrameDecoder;
+  /** Memory of the long frame that is being read. */
+  private inputHold: MemoryHold | undefined;
   private readonly openedAt: number;
   private isClosed = false;
   /** Callbacks for the pings that have not been answered, in the order in which they were sent. */
@@ -40,9 +50,17 @@
     /** Identifier of the connection to the dialed node that this one is opened in place of. */
     public readonly replacedId: string | undefined,
     private readonly clock: () => number,
+    private readonly memory: MemoryAccount,
     private readonly events: MeshConnectionEvents,
   ) {
     this.writer = new CorkedWriter(socket);
+    this.decoder = new MeshFrameDecoder({
+      end: () => this.inputHold?.release(),
+      tryBegin: (length) => {
+        this.inputHold = memory.open({ place: MemoryPlace.PeerInput }, clock());
+        return this.inputHold.tryResize(length, clock());
+      },
+    });
     this.openedAt = clock();
     this.monitor = new ConnectionMonitor(this.openedAt);
     socket.setNoDelay(true);
@@ -64,11 +82,11 @@
 
   public send(frame: MeshWireFrame): void {
     if (this.isClosed) return;
-    const bytes = encodeMeshFrame(frame);
-    this.monitor.onSent(bytes.length);
+    const body = longBodyOf(frame);
+    if (body === undefined) this.write(encodeMeshFrame(frame));
+    else if (!this.trySendInParts(frame, body)) return;
     if (frame.kind === 'start') this.monitor.onRequestSent(this.clock());
     else if (frame.kind === 'cancel') this.monitor.onRequestCancelled();
-    this.writer.write(bytes);
   }
 
   /** Sends a ping at the next tick. */
@@ -108,6 +126,7 @@
   public close(detail: string, code?: string): void {
     if (this.isClosed) return;
     this.isClosed = true;
+    this.decoder.close();
     this.socket.destroy();
     this.events.onClosed(this, detail, code);
     for (const callback of this.pongCallbacks.splice(0)) callback();
@@ -120,6 +139,34 @@
     this.socket.end();
   }
 
+  private write(bytes: Uint8Array, onFlushed?: () => void): void {
+    this.monitor.onSent(bytes.length);
+    this.writer.write(bytes, onFlushed);
+  }
+
+  /** Writes a frame with a long body, which counts until the other side has read it. Returns false if it was replaced. */
+  private trySendInParts(frame: MeshWireFrame, body: Uint8Array): boolean {
+    const end = (): void => {
+      this.close('the other side reads too slowly');
+    };
+    const options = { buffer: body, end, place: MemoryPlace.PeerOutput };
+    const now = this.clock();
+    // The entry holds the body of a request already; an answer may find no room.
+    const hold =
+      frame.kind === 'answered'
+        ? this.memory.tryShare(options, now)
+        : this.memory.share(options, now);
+    if (hold === undefined && frame.kind === 'answered') {
+      const { callId, load } = frame;
+      this.send({ callId, detail: 'no memory for the answer', kind: 'failed', load });
+      return false;
+    }
+    const [head] = encodeMeshFrameInParts(frame, body);
+    this.write(head);
+    this.write(body, () => hold?.release());
+    return true;
+  }
+
   private ping(onPong: () => void): void {
     this.pongCallbacks.push(onPong);
     this.monitor.onCheckSent(this.clock());
@@ -173,6 +220,12 @@
   }
 }
 
+/** The body of a request or an answer, if it is long. */
+function longBodyOf(frame: MeshWireFrame): Uint8Array | undefined {
+  if (frame.kind !== 'start' && frame.kind !== 'answered') return undefined;
+  return frame.body !== undefined && frame.body.length > longBodyBytes ? frame.body : undefined;
+}
+
 function isReply({ kind }: MeshFrame): boolean {
   return kind === 'answered' || kind === 'declined' || kind === 'failed';
 }
--- a/packages/nodes/src/mesh/mesh-connections.ts
+++ b/packages/nodes/src/mesh/mesh-connections.ts
@@ -1,7 +1,7 @@
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 
-import type { MeshFrame, MeshNode } from '@peridotspring/mesh-core';
+import type { MemoryAccount, MeshFrame, MeshNode } from '@peridotspring/mesh-core';
 
 import { meshProtocolVersion } from './mesh-frame-codec.js';
 import type { MeshHelloPayload, MeshHelloFrame } from './mesh-frame-codec.js';
@@ -32,6 +32,8 @@
   readonly bindHost: string;
   readonly bindPort: number;
   readonly clock: () => number;
+  /** Counts long frames until they have been read on either side. */
+  readonly memory: MemoryAccount;
   /** Current values for the hello frame of a new connection. */
   readonly helloPayload: () => MeshHelloPayload;
   readonly events: MeshConnectionsEvents;
@@ -123,9 +125,9 @@
   }
 
   private open(socket: Socket, dialedNode: MeshNode | undefined): void {
-    const { clock, events, helloPayload, self } = this.options;
+    const { clock, events, helloPayload, memory, self } = this.options;
     const replacedId = dialedNode && this.idToReplace(dialedNode.name);
-    const connection = new MeshConnection(socket, dialedNode, replacedId, clock, {
+    const connection = new MeshConnection(socket, dialedNode, replacedId, clock, memory, {
       onClosed: (closed, detail, code) => {
         this.handleClosed(closed, detail, code);
       },
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -12,8 +12,13 @@
   EndedNodeServer,
 } from '@peridotspring/mesh-core';
 
-import { FrameFault, LengthPrefixedDecoder, addLengthPrefix } from '../length-prefixed.js';
-import type { DecodeResult } from '../length-prefixed.js';
+import {
+  FrameFault,
+  LengthPrefixedDecoder,
+  addLengthPrefix,
+  lengthPrefixBytes,
+} from '../length-prefixed.js';
+import type { DecodeResult, LongFrames } from '../length-prefixed.js';
 
 /** Increment when frames change in a way that older nodes can't decode. */
 export const meshProtocolVersion = 2;
@@ -166,6 +171,62 @@
   );
 }
 
+/** Type and length of a byte string of any length in CBOR (RFC 8949, section 3.1). */
+const byteStringType = 0x5a;
+const byteStringHeadBytes = 5;
+const emptyBody = new Uint8Array(0);
+const emptyByteString = Buffer.from([0x40]);
+
+/**
+ * Encodes a frame in two parts, so that its body is not copied. The body is the last field, so that a receiver without memory
+ * for it can read the others.
+ */
+export function encodeMeshFrameInParts(
+  frame: MeshWireFrame,
+  body: Uint8Array,
+): readonly [Buffer, Uint8Array] {
+  const fields = Object.entries(frame).filter(([name]) => name !== 'body');
+  const encoded = encoder.encode({ ...Object.fromEntries(fields), body: emptyBody });
+  const headBytes = encoded.length - emptyByteString.length;
+  const head = Buffer.allocUnsafe(lengthPrefixBytes + headBytes + byteStringHeadBytes);
+  head.writeUInt32BE(headBytes + byteStringHeadBytes + body.length, 0);
+  head.set(encoded.subarray(0, headBytes), lengthPrefixBytes);
+  head[lengthPrefixBytes + headBytes] = byteStringType;
+  head.writeUInt32BE(body.length, lengthPrefixBytes + headBytes + 1);
+  return [head, body];
+}
+
+/** Decodes a frame of which only the first bytes were kept, if its body is the last field and begins in them. */
+function decodeFrameStart(bytes: Buffer, length: number): DecodeResult<MeshWireFrame> | undefined {
+  for (
+    let end = bytes.indexOf(byteStringType);
+    end >= 0;
+    end = bytes.indexOf(byteStringType, end + 1)
+  ) {
+    const bodyStart = end + byteStringHeadBytes;
+    if (bodyStart > bytes.length) return undefined;
+    if (bytes.readUInt32BE(end + 1) !== length - bodyStart) continue;
+    const decoded = decodeMeshFrame(Buffer.concat([bytes.subarray(0, end), emptyByteString]));
+    if (decoded.kind === 'frame') return { ...decoded, frame: withoutMemory(decoded.frame) };
+  }
+  return undefined;
+}
+
+/** What the receiver without memory for a body makes of the frame. */
+function withoutMemory(frame: MeshWireFrame): MeshWireFrame {
+  switch (frame.kind) {
+    case 'start':
+      // Without time left, the gate declines the request, unless it is one that it knows already.
+      return { ...frame, body: undefined, remainingMilliseconds: -1 };
+    case 'answered': {
+      const { callId, load } = frame;
+      return { callId, detail: 'no memory for the answer', kind: 'failed', load };
+    }
+    default:
+      return frame;
+  }
+}
+
 /** Compressed configurations by content, so that a configuration sent to many nodes is compressed once. */
 const compressedContents = new WeakMap<Uint8Array, Uint8Array>();
 /** The fastest level: a node may have only a quarter of a core, and routes are alike enough to compress well. */
@@ -189,8 +250,12 @@
 
 /** Splits the byte stream of a connection between nodes into frames. */
 export class MeshFrameDecoder extends LengthPrefixedDecoder<MeshWireFrame> {
-  public constructor() {
-    super(maximumHelloBytes, decodeMeshFrame);
+  public constructor(memory?: Pick<LongFrames<MeshWireFrame>, 'end' | 'tryBegin'>) {
+    super(
+      maximumHelloBytes,
+      decodeMeshFrame,
+      memory && { ...memory, decodeStart: decodeFrameStart },
+    );
   }
 
   /** Raises the size limit once the other side has identified itself, since frames with bodies may follow. */
--- a/packages/nodes/tests/shared/mesh-test-node.ts
+++ b/packages/nodes/tests/shared/mesh-test-node.ts
@@ -1,5 +1,5 @@
 import type { MeshFrame, MeshNode } from '@peridotspring/mesh-core';
-import { createLoad } from '@peridotspring/mesh-core/fixtures';
+import { createLoad, createMemoryAccount } from '@peridotspring/mesh-core/fixtures';
 
 import { MeshConnections } from '../../src/index.js';
 
@@ -30,6 +30,7 @@
         onFrame: (_from, frame) => this.frames.push(frame),
         onSuspected: ({ name }) => this.events.push(`suspected ${name}`),
       },
+      memory: createMemoryAccount(),
       helloPayload: () => ({
         configurationVersion: 3,
         knownNodes: 1,
