--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -17,6 +17,8 @@
   KeyProofExpired: 'key-proof-expired',
   KeyProofRegained: 'key-proof-regained',
   LinesSuppressed: 'log-lines-suppressed',
+  MemoryExhausted: 'memory-exhausted',
+  MemoryReclaimed: 'memory-reclaimed',
   NodeConnected: 'node-connected',
   NodeDisconnected: 'node-disconnected',
   NodeFailed: 'node-failed',
--- a/packages/daemon/src/mesh/mesh-node-options.ts
+++ b/packages/daemon/src/mesh/mesh-node-options.ts
@@ -1,6 +1,6 @@
 import type { RouteServer } from '@peridotspring/callers';
 import type { RandomSource } from '@peridotspring/core';
-import type { Execution, MeshNode } from '@peridotspring/mesh-core';
+import type { Execution, MemoryAccount, MeshNode } from '@peridotspring/mesh-core';
 import type { MeshConnections } from '@peridotspring/nodes';
 import type { HealthCheckResult } from '@peridotspring/upstreams/mesh';
 
@@ -28,6 +28,7 @@
 
 export interface MeshNodeOptions {
   readonly settings: MeshSettings;
+  readonly memory: MemoryAccount;
   readonly self: MeshNode;
   readonly random: RandomSource;
   readonly clock: () => number;
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -20,6 +20,7 @@
   EvacuationRead,
   Execution,
   ExecutionResult,
+  MemoryAccount,
   MeshFrame,
   MeshNode,
   NodeDirectory,
@@ -209,7 +210,7 @@
       processStartedAt: options.processStartedAt,
       quarantine,
       reportIntervalMilliseconds: settings.reportIntervalMilliseconds,
-      retainedReplyBytes: settings.answerMemoryBytes,
+      callMemory: { account: options.memory, retainedBytes: settings.answerMemoryBytes },
       service: self.service,
     });
     this.healthChecks = new ServerHealthChecks({
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -48,6 +48,8 @@
   readonly answerMemoryBytes: number;
   /** Rate of the machine's link; undefined if the platform does not state it. */
   readonly linkMegabitsPerSecond?: number | undefined;
+  /** Maximum size of all bodies and answers that the process holds, from callers and other nodes. */
+  readonly heldMemoryBytes: number;
   /** Time between the stop signal and the forced termination of the process. */
   readonly graceMilliseconds: number;
   readonly logLevel: LogLevel;
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -1,7 +1,11 @@
 import { pickRandom } from '@peridotspring/core';
 import type { SeededRandomSource } from '@peridotspring/core';
 import type { EntryOutcome, MeshNode, Route, RouteConfiguration } from '@peridotspring/mesh-core';
-import { createConfiguration, createRoute } from '@peridotspring/mesh-core/fixtures';
+import {
+  createConfiguration,
+  createMemoryAccount,
+  createRoute,
+} from '@peridotspring/mesh-core/fixtures';
 import { Metrics } from '@peridotspring/operators/metrics';
 
 import { EventRecorder } from '../../src/mesh/event-recorder.js';
@@ -436,6 +440,7 @@
         kind: 'configuration',
         unknownTypes: [],
       }),
+      memory: createMemoryAccount(),
       defer: (action) => {
         this.queue.after(0, action);
       },
@@ -622,6 +627,7 @@
   const address = { host: name, port: 1 };
   return {
     answerMemoryBytes: 1_048_576,
+    heldMemoryBytes: 67_108_864,
     availabilityZone,
     callerAddress: address,
     allotments: { overage: 0.1, slack: 4, windowMilliseconds: 5_000 },
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -48,6 +48,10 @@
 export { rankBrokers } from './membership/broker-ranking.js';
 export { EndedServers } from './membership/ended-servers.js';
 export { NodeDirectory } from './membership/node-directory.js';
+export { MemoryAccount } from './memory/memory-account.js';
+export type { MemoryAccountOptions } from './memory/memory-account.js';
+export type { MemoryHold } from './memory/memory-hold.js';
+export { MemoryPlace } from './memory/memory-place.js';
 export { maximumFullMeshNodes, PeerSelection } from './membership/peer-selection.js';
 export { zoneRank } from './membership/zone-rank.js';
 export type { AllotmentAskFrame, AllotmentGrantFrame } from './messages/allotment-frames.js';
--- a/packages/nodes/src/mesh/link-pacer.ts
+++ b/packages/nodes/src/mesh/link-pacer.ts
@@ -17,13 +17,21 @@
   readonly schedule: (callback: () => void, milliseconds: number) => void;
 }
 
+/** Writes bytes to a socket; `onFlushed` is called once the system has taken them, or the connection has ended. */
+type WriteBytes = (bytes: Uint8Array, onFlushed?: () => void) => void;
+
+interface PendingBytes {
+  readonly bytes: Uint8Array;
+  readonly onFlushed: (() => void) | undefined;
+}
+
 /** The frames of one connection that wait for the link. */
 export class PacedStream {
-  private pending: Uint8Array[] = [];
+  private pending: PendingBytes[] = [];
 
   public constructor(
     private readonly pacer: LinkPacer,
-    private readonly writeNow: (bytes: Uint8Array) => void,
+    private readonly writeNow: WriteBytes,
   ) {}
 
   public get isEmpty(): boolean {
@@ -31,35 +39,41 @@
   }
 
   /** Writes a short frame at once, unless earlier ones wait; a long one in parts. */
-  public write(bytes: Uint8Array): void {
+  public write(bytes: Uint8Array, onFlushed?: () => void): void {
     if (this.isEmpty && bytes.length <= this.pacer.partBytes) {
       this.pacer.recordWritten(bytes.length);
-      this.writeNow(bytes);
+      this.writeNow(bytes, onFlushed);
       return;
     }
-    this.pending.push(bytes);
+    this.pending.push({ bytes, onFlushed });
     this.pacer.enqueue(this);
   }
 
   /** Writes the next part of the waiting frames and returns its length. */
   public writePart(maximumBytes: number): number {
-    const [frame, ...others] = this.pending;
-    if (frame === undefined) return 0;
-    const part = frame.subarray(0, maximumBytes);
-    const rest = frame.subarray(part.length);
-    this.pending = rest.length === 0 ? others : [rest, ...others];
-    this.writeNow(part);
+    const [first, ...others] = this.pending;
+    if (first === undefined) return 0;
+    const { bytes, onFlushed } = first;
+    const part = bytes.subarray(0, maximumBytes);
+    const rest = bytes.subarray(part.length);
+    if (rest.length === 0) {
+      this.pending = others;
+      this.writeNow(part, onFlushed);
+    } else {
+      this.pending = [{ bytes: rest, onFlushed }, ...others];
+      this.writeNow(part);
+    }
     return part.length;
   }
 
   /** Writes all waiting frames at once, as before the connection ends. */
   public flush(): void {
-    for (const frame of this.pending.splice(0)) this.writeNow(frame);
+    for (const { bytes, onFlushed } of this.pending.splice(0)) this.writeNow(bytes, onFlushed);
   }
 
   /** Drops the waiting frames. */
   public close(): void {
-    this.pending = [];
+    for (const { onFlushed } of this.pending.splice(0)) onFlushed?.();
   }
 }
 
@@ -88,7 +102,7 @@
     );
   }
 
-  public createStream(writeNow: (bytes: Uint8Array) => void): PacedStream {
+  public createStream(writeNow: WriteBytes): PacedStream {
     return new PacedStream(this, writeNow);
   }
 
--- a/packages/nodes/src/mesh/mesh-connections.ts
+++ b/packages/nodes/src/mesh/mesh-connections.ts
@@ -1,7 +1,7 @@
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 
-import type { MeshFrame, MeshNode } from '@peridotspring/mesh-core';
+import type { MemoryAccount, MeshFrame, MeshNode } from '@peridotspring/mesh-core';
 
 import { meshProtocolVersion } from './mesh-frame-codec.js';
 import type { MeshHelloPayload, MeshHelloFrame } from './mesh-frame-codec.js';
@@ -36,6 +36,8 @@
   readonly clock: () => number;
   /** Rate of the machine's link, in megabits per second; undefined if it is not known. */
   readonly linkMegabitsPerSecond?: number | undefined;
+  /** Counts long frames until they have been read on either side. */
+  readonly memory: MemoryAccount;
   /** Current values for the hello frame of a new connection. */
   readonly helloPayload: () => MeshHelloPayload;
   readonly events: MeshConnectionsEvents;
@@ -134,7 +136,7 @@
   }
 
   private open(socket: Socket, dialedNode: MeshNode | undefined): void {
-    const { clock, events, helloPayload, self } = this.options;
+    const { clock, events, helloPayload, memory, self } = this.options;
     const replacedId = dialedNode && this.idToReplace(dialedNode.name);
     const connectionEvents: MeshConnectionEvents = {
       onClosed: (closed, detail, code) => {
@@ -158,6 +160,7 @@
       dialedNode,
       replacedId,
       clock,
+      memory,
       connectionEvents,
       this.linkPacer,
     );
