Number the questions for proofs across restarts, and specify how long keys hold

Cause: a node that restarted numbered its questions from 1 again. The peer's answer to a question of the earlier process, given before the new question was sent, counted for it and made the proof too young.

Change: numbers start at the start time of the process. key-revocation.pml covers reads, watches, older copies, questions, suspensions and a restart, with seven variants that fail.

--- a/packages/daemon/src/mesh/key-proof-synchronizer.ts
+++ b/packages/daemon/src/mesh/key-proof-synchronizer.ts
@@ -50,7 +50,10 @@
       return;
     }
     const proof = new ConfigurationProof(revocationMilliseconds);
-    const exchange = new ProofExchange(this.options.self.name, proof);
+    const { leaseClock, self } = this.options;
+    // Far fewer questions than one a millisecond are sent, so no number repeats, also after a restart.
+    const firstNumber = self.boot + Math.round(leaseClock() - this.startedAt);
+    const exchange = new ProofExchange(self.name, firstNumber, proof);
     this.held = { exchange, proof };
     this.wasValid = false;
     for (const peer of this.peers.values()) this.addToExchange(peer);
--- a/packages/mesh-core/src/tenants/proof-exchange.ts
+++ b/packages/mesh-core/src/tenants/proof-exchange.ts
@@ -61,14 +61,18 @@
     { readonly node: string; readonly askedAt: number }
   >();
   private readonly spread: number;
-  private nextNumber = 1;
   private lastAskedAt = -Infinity;
   private lastReadAt = -Infinity;
   private announced: { readonly node: string; readonly askAt: number } | undefined;
   private withoutProofSince: number | undefined;
 
+  /**
+   * @param nextNumber number of the first question. Numbers must not repeat those of an earlier process of the node, since
+   * the answer to one of its questions may still arrive.
+   */
   public constructor(
     private readonly ownName: string,
+    private nextNumber: number,
     private readonly proof: ConfigurationProof,
   ) {
     this.spread = (hashString(ownName) % 1_000) / 1_000;
--- a/packages/mesh-core/tests/tenants/proof-exchange.test.ts
+++ b/packages/mesh-core/tests/tenants/proof-exchange.test.ts
@@ -11,8 +11,9 @@
   public readonly proof = new ConfigurationProof(5_000);
   public readonly exchange: ProofExchange;
 
-  public constructor(name = 'self', sameZone = 3, otherZone = 9) {
-    this.exchange = new ProofExchange(name, this.proof);
+  public constructor(name = 'self', firstNumber = 1) {
+    const [sameZone, otherZone] = [3, 9];
+    this.exchange = new ProofExchange(name, firstNumber, this.proof);
     for (let index = 0; index < sameZone + otherZone; index += 1)
       this.exchange.addNode(`peer-${index}`, index < sameZone, 0);
   }
@@ -59,6 +60,15 @@
   assert.not(bench.proof.isValid(1_100));
 });
 
+// A peer may answer the question of an earlier process of this node after the next process has connected.
+test('an answer to a question of an earlier process of the node is no answer to one of this process', () => {
+  const [earlier, restarted] = [new ExchangeBench('self', 5_000), new ExchangeBench('self', 6_000)];
+  const [ask] = earlier.asksBetween(0, 50);
+  restarted.asksBetween(1_000, 1_050);
+  const answer = { ageMilliseconds: 0, number: ask?.number ?? 0, version };
+  assert.not(restarted.exchange.onAnswer(ask?.node ?? '', answer, version));
+});
+
 test('a node without a proof asks several peers in turn, and less often after a while', () => {
   const bench = new ExchangeBench();
   const asks = bench.asksBetween(0, 1_000);
--- a/scripts/check-specifications.mjs
+++ b/scripts/check-specifications.mjs
@@ -123,6 +123,22 @@
     macros: [],
     variant,
   })),
+  { model: 'key-revocation', name: 'reads, watches and older copies', macros: ['NO_PEERS'] },
+  {
+    model: 'key-revocation',
+    name: 'questions to peers, a restart',
+    macros: ['NO_RETURNS', 'END=4'],
+  },
+  ...['TIME_OF_ANSWER', 'STALE_READ', 'ERA_IGNORED', 'STEADY_CLOCK'].map((variant) => ({
+    model: 'key-revocation',
+    macros: ['NO_PEERS'],
+    variant,
+  })),
+  ...['TIME_OF_ARRIVAL', 'ANY_VERSION', 'NUMBERS_REUSED'].map((variant) => ({
+    model: 'key-revocation',
+    macros: ['NO_RETURNS', 'END=4'],
+    variant,
+  })),
   { model: 'request-quarantine', name: 'two cuts, four restarts', macros: [] },
   ...['NO_GREETING', 'NO_RELAY', 'NO_STORE', 'COUNT_REPORTS'].map((variant) => ({
     model: 'request-quarantine',
