Play removed keys in the virtual mesh

Each version of the configuration replaces the key; callers also use removed ones. A run that starts later than the bound after the removal is a violation.

--- a/packages/daemon/tests/virtual-mesh/main.ts
+++ b/packages/daemon/tests/virtual-mesh/main.ts
@@ -1,6 +1,6 @@
 import { simulateMesh } from './simulate-mesh.js';
 
-/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store] [1: cold servers] [1: cuts of all watchers] [1: limited servers] [1: a request that crashes servers] [1: silent connections]. */
+/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store] [1: cold servers] [1: cuts of all watchers] [1: limited servers] [1: a request that crashes servers] [1: silent connections] [1: removed keys]. */
 const [
   first = 1,
   count = 1_000,
@@ -12,6 +12,7 @@
   limits = 0,
   deadly = 0,
   silent = 0,
+  keys = 0,
 ] = process.argv.slice(2).map(Number);
 let failed = 0;
 let requests = 0;
@@ -21,6 +22,7 @@
     cutsWatchers: cuts > 0,
     limitsServers: limits > 0,
     machines,
+    replacesKeys: keys > 0,
     restoresStore: restores > 0,
     sendsDeadlyRequest: deadly > 0,
     silencesConnections: silent > 0,
--- a/packages/daemon/tests/virtual-mesh/mesh-violations.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-violations.ts
@@ -1,6 +1,11 @@
 import { RefusalCause } from '@peridotspring/mesh-core';
 
-import { coldStart, evacuationBoundMilliseconds, retryBudget } from './virtual-mesh.js';
+import {
+  coldStart,
+  evacuationBoundMilliseconds,
+  retryBudget,
+  revocationMilliseconds,
+} from './virtual-mesh.js';
 import type { VirtualMesh, VirtualRequest } from './virtual-mesh.js';
 import type { Run } from './virtual-server.js';
 
@@ -133,7 +138,7 @@
   request: VirtualRequest,
   runs: readonly Run[],
 ): readonly string[] {
-  const { isAbandoned, isIdempotent, outcomes, requestId, sentAt } = request;
+  const { isAbandoned, isIdempotent, keyVersion, outcomes, requestId, sentAt } = request;
   const found: string[] = [];
   if (outcomes.length > 1) found.push('more than one outcome');
   if (outcomes.length === 0 && !isAbandoned && mesh.isEntryAlive(request)) found.push('no outcome');
@@ -142,6 +147,9 @@
     if (late > deadlineToleranceMilliseconds)
       found.push(`${Math.round(late)} ms after its deadline`);
   }
+  const removedAt = keyVersion === undefined ? undefined : mesh.writtenAt.get(keyVersion + 1);
+  const startedLate = runs.some(({ at }) => at > (removedAt ?? Infinity) + revocationMilliseconds);
+  if (startedLate) found.push('started although its key had been removed');
   if (!isIdempotent && runs.length > 1) found.push(`not idempotent, but ran ${runs.length} times`);
   const [outcome] = outcomes;
   if (outcome?.kind === 'refused' && runs.length > 0) found.push('refused although it ran');
--- a/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
@@ -29,6 +29,8 @@
   readonly sendsDeadlyRequest?: boolean;
   /** Whether connections between nodes go silent, in one direction or in both, or are suspected wrongly. */
   readonly silencesConnections?: boolean;
+  /** Whether each version of the configuration removes the key of the version before, and that is enforced. */
+  readonly replacesKeys?: boolean;
   /** Whether servers are cold after their start, and zones are evacuated. */
   readonly startsCold?: boolean;
 }
@@ -47,6 +49,7 @@
     cutsWatchers = false,
     limitsServers = false,
     machines = fullyConnectedFleetSize,
+    replacesKeys = false,
     restoresStore = false,
     sendsDeadlyRequest = false,
     silencesConnections = false,
@@ -55,7 +58,14 @@
   }: SimulationOptions = {},
 ): Promise<SimulationResult> {
   const random = new SeededRandomSource(seed);
-  const mesh = new VirtualMesh(machines, random, zones, startsCold);
+  const mesh = new VirtualMesh(
+    machines,
+    random,
+    zones,
+    startsCold,
+    timeoutMilliseconds,
+    replacesKeys,
+  );
   const injectedFaults: string[] = [];
   const possibleFaults = selectFaults({
     cutsWatchers,
@@ -97,6 +107,7 @@
     mesh.configure();
   });
   await queue.runUntil(end + recoveryPhaseMilliseconds);
+  mesh.usesRemovedKeys = false;
   const recoveredRequests: (VirtualRequest | undefined)[] = [];
   for (let count = 0; count < recoveredRequestCount; count += 1) {
     queue.after(20 * count, () => {
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -1,6 +1,12 @@
 import { pickRandom } from '@peridotspring/core';
 import type { SeededRandomSource } from '@peridotspring/core';
-import type { EntryOutcome, MeshNode, Route, RouteConfiguration } from '@peridotspring/mesh-core';
+import type {
+  EntryOutcome,
+  MeshNode,
+  Route,
+  RouteConfiguration,
+  Tenant,
+} from '@peridotspring/mesh-core';
 import { createConfiguration, createRoute } from '@peridotspring/mesh-core/fixtures';
 import { Metrics } from '@peridotspring/operators/metrics';
 
@@ -21,6 +27,13 @@
 export const timeoutMilliseconds = 1_000;
 export const targetMilliseconds = 300;
 const slots = 4;
+/** Time after which no request with a removed key may start, if that is enforced. */
+export const revocationMilliseconds = 2_500;
+const keyHolder: Tenant = {
+  allotment: { burst: 0, requestsPerSecond: Infinity },
+  apiKeys: [],
+  name: 'acme',
+};
 /** What a cold server bears in any second, if servers start cold. */
 export const coldStart = { durationMilliseconds: 1_500, maximumRequests: 6 } as const;
 const maximumStartDelayMilliseconds = 30;
@@ -46,6 +59,8 @@
   /** Whether it crashes each server that runs it. */
   readonly isDeadly: boolean;
   readonly sentAt: number;
+  /** The newest version of the configuration that holds the key of the request; undefined without a key. */
+  readonly keyVersion: number | undefined;
   readonly entry: LinkedNode;
   readonly outcomes: EntryOutcome[];
   concludedAt: number;
@@ -86,6 +101,10 @@
   public readonly machines: Machine[] = [];
   public readonly requests: VirtualRequest[] = [];
   public version = 0;
+  /** Whether callers use removed keys too. */
+  public usesRemovedKeys = true;
+  /** When each version was written. */
+  public readonly writtenAt = new Map<number, number>();
   private readonly store = new VirtualStore(() => this.queue.now);
   private lastBoot = 0;
   private readonly lastVersions = new Map<LinkedNode, number>();
@@ -110,6 +129,8 @@
     private readonly zones = 2,
     private readonly startsCold = false,
     public readonly requestTimeoutMilliseconds = timeoutMilliseconds,
+    /** Whether each version of the configuration replaces the key of requests. */
+    private readonly replacesKeys = false,
   ) {
     this.links = new VirtualLinks(this.queue, (name) => this.findMachine(name)?.node);
     for (let index = 0; index < size; index += 1) this.addMachine(index);
@@ -122,6 +143,7 @@
   /** Writes the next configuration version; nodes that watch the store read it after a delay. */
   public configure(): void {
     this.version += 1;
+    this.writtenAt.set(this.version, this.queue.now);
     this.configurationBound.onVersionWritten(this.version);
     this.writeConfiguration();
   }
@@ -152,10 +174,20 @@
     this.queue.after(maximumOperatorReactionMilliseconds * this.random.next(), () => {
       this.store.writeEvacuations(this.evacuatedZones);
       this.writeConfiguration();
+      this.restartBoundOfLostRemovals(restoredAt, millisecondsAgo);
       this.restartBoundsOfLostEvacuations(restoredAt, millisecondsAgo);
     });
   }
 
+  /** The same for a version that the store lost before all nodes had to know which keys it removes. */
+  private restartBoundOfLostRemovals(restoredAt: number, millisecondsAgo: number): void {
+    for (const [version, at] of this.writtenAt) {
+      const isLost = at > restoredAt - millisecondsAgo && at <= restoredAt;
+      if (isLost && at + revocationMilliseconds > restoredAt)
+        this.writtenAt.set(version, this.queue.now);
+    }
+  }
+
   /** Nodes that had not yet had to know of an evacuation when the store lost it can learn of it only when it is written again. */
   private restartBoundsOfLostEvacuations(restoredAt: number, millisecondsAgo: number): void {
     for (const evacuation of this.evacuations) {
@@ -276,12 +308,15 @@
     this.recordVersion(node);
     const now = this.queue.now;
     const requestNumber = this.requests.length + 1;
+    const keyVersion = this.replacesKeys ? this.chooseKeyVersion() : undefined;
+    if (keyVersion !== undefined && !mayUseKey(node, keyVersion)) return undefined;
     const request: VirtualRequest = {
       concludedAt: Infinity,
       entry: node,
       isAbandoned: false,
       isDeadly: pathSuffix === deadlyPathSuffix,
       isIdempotent,
+      keyVersion,
       outcomes: [],
       requestId: `r${requestNumber}x`,
       sentAt: now,
@@ -297,12 +332,20 @@
       requestId: request.requestId,
       requestNumber,
       route,
+      ...(keyVersion !== undefined && { tenant: keyHolder }),
     });
     if (pathSuffix === undefined && this.random.next() < 0.02)
       this.abandonLater(node, request, requestNumber);
     return request;
   }
 
+  /** Callers use the newest key or one that was removed; some have none. */
+  private chooseKeyVersion(): number | undefined {
+    if (!this.usesRemovedKeys) return this.version;
+    const age = Math.floor(4 * this.random.next());
+    return age === 3 ? undefined : Math.max(1, this.version - age);
+  }
+
   /** The settings file of a machine lists requests to be released, as an operator writes them. */
   public releaseRequests(machine: Machine, fingerprints: readonly string[]): void {
     const { node } = machine;
@@ -342,6 +385,8 @@
         machine.isStoreReportedLost = false;
         node?.driver.onStoreReachabilityChanged(true);
       }
+      if (isWatchingConfiguration && node?.driver.isProofRenewalUseful === true)
+        this.readUpToDate(machine);
       const isNewest = node?.driver.gaugeValues.configuration_version === this.store.version;
       if (isNewest && isWatchingConfiguration && canReadStore && !hasLostStore)
         node.driver.onConfigurationConfirmed();
@@ -453,7 +498,10 @@
       random: this.random,
       schedule: (action, milliseconds) => this.queue.after(milliseconds, action),
       self,
-      settings: createSettings(self),
+      settings: {
+        ...createSettings(self),
+        ...(this.replacesKeys && { revocationMilliseconds }),
+      },
       wallClock: clock,
     });
     const node: LinkedNode = { driver, self };
@@ -571,6 +619,12 @@
   }
 }
 
+/** What the server for callers decides: whether the configuration in force holds the key, and keys may be acted on. */
+function mayUseKey({ driver }: LinkedNode, keyVersion: number): boolean {
+  const { configuration_version: version } = driver.gaugeValues;
+  return driver.routing?.isKeyProven === true && version <= keyVersion;
+}
+
 /** Execution identifiers are unique only within one incarnation of a node, so the boot number is added to them. */
 const executionsPerBoot = 1_000_000;
 
--- a/scripts/check-specifications.mjs
+++ b/scripts/check-specifications.mjs
@@ -127,7 +127,7 @@
   {
     model: 'key-revocation',
     name: 'questions to peers, a restart',
-    macros: ['NO_RETURNS', 'END=4'],
+    macros: ['NO_RETURNS'],
   },
   ...['TIME_OF_ANSWER', 'STALE_READ', 'ERA_IGNORED', 'STEADY_CLOCK'].map((variant) => ({
     model: 'key-revocation',
@@ -136,7 +136,7 @@
   })),
   ...['TIME_OF_ARRIVAL', 'ANY_VERSION', 'NUMBERS_REUSED'].map((variant) => ({
     model: 'key-revocation',
-    macros: ['NO_RETURNS', 'END=4'],
+    macros: ['NO_RETURNS'],
     variant,
   })),
   { model: 'request-quarantine', name: 'two cuts, four restarts', macros: [] },
--- a/specification/key-revocation.pml
+++ b/specification/key-revocation.pml
@@ -6,8 +6,8 @@
  * while only real time goes on; the node that asks restarts once, and starts with an old read of version 1. The store
  * comes back once from an older copy, begins a new era and gives revisions out again.
  *
- * To bound the search, it is checked in two parts: NO_PEERS without the node that asks, and NO_RETURNS without watches
- * and older copies.
+ * To bound the search, it is checked in two parts: NO_PEERS without the node that asks, and NO_RETURNS without older
+ * copies, where a read takes no time.
  *
  * Variants without a mechanism, each of which must fail:
  *   TIME_OF_ANSWER   a proof counts from the store's answer instead of from before the call
@@ -90,10 +90,7 @@
   :: atomic { !isRestored && !isRemoved -> isRestored = true; era++; revision = 1 }
 #endif
   :: atomic { call == sent ->
-       call = served;
-#ifndef NO_RETURNS
-       answerEra = era; answerRevision = revision;
-#endif
+       call = served; answerEra = era; answerRevision = revision;
        if
        :: isWatch -> showsRemoval = isRemoved && removedRevision > watchRevision
        :: !isWatch -> showsRemoval = isRemoved
@@ -118,11 +115,17 @@
 active proctype Reader() {
   byte ask;
   do
+#ifdef NO_RETURNS
+  :: atomic { !isSuspended[0] ->
+       if
+       :: isRemoved -> inForce[0] = 2
+       :: else -> skip
+       fi;
+       prove(0, lease[0]) }
+#else
   :: atomic { !isSuspended[0] && call == idle -> call = sent; callSentAt = lease[0]; isWatch = false }
-#ifndef NO_RETURNS
   :: atomic { !isSuspended[0] && call == idle && watchRevision > 0 ->
        call = sent; callSentAt = lease[0]; isWatch = true }
-#endif
   :: atomic { call != idle -> endCall() }
   :: atomic { !isSuspended[0] && call == served ->
        if
@@ -146,6 +149,7 @@
        ;
 #endif
        endCall() }
+#endif
   :: atomic { !isSuspended[0] && isProven(0) ->
        select(ask : 0 .. ASKS - 1);
        if
