Make the cost of traffic between zones a setting of the operator

otherZoneCostPerKilobyte came from prices, which callers have no part in. They have no reason of their own against these bytes beyond the round trip, which is counted, and the machine's link, which binds as much within a zone. The operator now states by how much the risk of a late answer must fall for each kilobyte (other_zone_cost_per_kilobyte, default 0.03 as before), so placement is unchanged where it isn't set.

--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -240,7 +240,7 @@
       log: ({ event, fields }) => {
         this.log(event, fields);
       },
-      placementPolicy: new PlacementPolicy({ ...self, random }),
+      placementPolicy: new PlacementPolicy({ ...self, ...settings.placement, random }),
       port: {
         respond: (request, outcome) => {
           options.ports().callers.respond(request, outcome);
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -1,4 +1,4 @@
-import type { ColdStartTolerance } from '@peridotspring/mesh-core';
+import type { ColdStartTolerance, PlacementPolicyOptions } from '@peridotspring/mesh-core';
 
 import type { LogLevel } from '../logging/format-line.js';
 
@@ -41,6 +41,8 @@
   readonly answerMemoryBytes: number;
   /** Rate of the machine's link; undefined if the platform does not state it. */
   readonly linkMegabitsPerSecond?: number | undefined;
+  /** What the operator sets for the choice of gates; defaults apply to what is not set. */
+  readonly placement?: Pick<PlacementPolicyOptions, 'otherZoneCostPerKilobyte'> | undefined;
   /** Time between the stop signal and the forced termination of the process. */
   readonly graceMilliseconds: number;
   readonly logLevel: LogLevel;
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -75,7 +75,7 @@
 export type { Digest, RequestIdentity } from './quarantine/request-fingerprint.js';
 export { isSameZone } from './shared/same-zone.js';
 export type { Location } from './shared/same-zone.js';
-export { PlacementPolicy } from './placement/placement-policy.js';
+export { defaultOtherZoneCostPerKilobyte, PlacementPolicy } from './placement/placement-policy.js';
 export { RouteServiceTimes } from './placement/route-service-times.js';
 export type {
   GateChoice,
--- a/packages/mesh-core/src/placement/placement-policy.ts
+++ b/packages/mesh-core/src/placement/placement-policy.ts
@@ -8,11 +8,8 @@
 const otherZoneRoundTripMilliseconds = 4;
 /** Network round trip to a gate in another region. */
 const otherRegionRoundTripMilliseconds = 80;
-/**
- * Cost of a kilobyte sent between zones, which is billed. The unit is the amount by which an answer in time is
- * worth more than a late one: 0.027 of 0.9, from the prices and the values of requests of the registries.
- */
-const otherZoneCostPerKilobyte = 0.03;
+/** Default of `otherZoneCostPerKilobyte`: an answer of 10 KB leaves its zone if its risk of being late falls by 0.3. */
+export const defaultOtherZoneCostPerKilobyte = 0.03;
 /** Up to this share of the target latency, an expected answer has no risk of being late. */
 const safeTargetShare = 0.45;
 /**
@@ -44,6 +41,11 @@
   readonly availabilityZone: string;
   readonly region: string;
   readonly random: RandomSource;
+  /**
+   * By how much the risk that an answer is late, from 0 to 1, must fall for each kilobyte that is sent between zones. The
+   * operator sets it, as only they know what this traffic costs them.
+   */
+  readonly otherZoneCostPerKilobyte?: number | undefined;
 }
 
 /** What the choice depends on, apart from the gates. */
@@ -72,8 +74,12 @@
  */
 export class PlacementPolicy {
   private readonly routeTimes = new RouteServiceTimes();
+  private readonly otherZoneCostPerKilobyte: number;
 
-  public constructor(private readonly options: PlacementPolicyOptions) {}
+  public constructor(private readonly options: PlacementPolicyOptions) {
+    this.otherZoneCostPerKilobyte =
+      options.otherZoneCostPerKilobyte ?? defaultOtherZoneCostPerKilobyte;
+  }
 
   /** Records what a gate told with its latest load, which came with a reply to a request of the route. */
   public recordReply(view: GateView, routeName: string, now: number): void {
@@ -163,7 +169,7 @@
       (totalMilliseconds / millisecondsPerSecond) * costPerSecondOfWaiting +
       fullGateCost * usedShare ** 2 +
       load.failureShare +
-      (isInOwnZone ? 0 : kilobytes * otherZoneCostPerKilobyte)
+      (isInOwnZone ? 0 : kilobytes * this.otherZoneCostPerKilobyte)
     );
   }
 }
--- a/packages/mesh-core/tests/placement/placement-policy.test.ts
+++ b/packages/mesh-core/tests/placement/placement-policy.test.ts
@@ -113,6 +113,22 @@
   });
 }
 
+test('a large answer leaves its zone for a short wait if the operator sets no cost for it', () => {
+  const table = new GateTable();
+  table.onConnected(createNode('a', otherZone), createLoad(), 0);
+  table.onConnected(createNode('b'), createLoad({ running: 4, waitMilliseconds: 25 }), 0);
+  const random = new SeededRandomSource(1);
+  const policy = new PlacementPolicy({ ...ownLocation, otherZoneCostPerKilobyte: 0, random });
+  const choice = policy.choose(table.readyGates('shop'), {
+    excludedNodes: new Set(),
+    kilobytes: 12,
+    now: 0,
+    routeName: 'lookup',
+    targetMilliseconds: 400,
+  });
+  assert.is(choice?.view.node.name, 'a');
+});
+
 test('requests sent since the last load report count, so that a burst is spread over the gates', () => {
   const table = new GateTable();
   for (const name of ['a', 'b', 'c']) table.onConnected(createNode(name), createLoad(), 0);
