--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -231,7 +231,7 @@
       log: ({ event, fields }) => {
         this.log(event, fields);
       },
-      placementPolicy: new PlacementPolicy({ ...self, random }),
+      placementPolicy: new PlacementPolicy({ ...self, ...settings.placement, random }),
       port: {
         respond: (request, outcome) => {
           this.allotments.onOutcome(request, outcome);
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -1,4 +1,8 @@
-import type { AllotmentTolerance, ColdStartTolerance } from '@peridotspring/mesh-core';
+import type {
+  AllotmentTolerance,
+  ColdStartTolerance,
+  PlacementPolicyOptions,
+} from '@peridotspring/mesh-core';
 
 import type { LogLevel } from '../logging/format-line.js';
 
@@ -50,6 +54,8 @@
   readonly linkMegabitsPerSecond?: number | undefined;
   /** Maximum size of all bodies and answers that the process holds, from callers and other nodes. */
   readonly heldMemoryBytes: number;
+  /** What the operator sets for the choice of gates; defaults apply to what is not set. */
+  readonly placement?: Pick<PlacementPolicyOptions, 'otherZoneCostPerKilobyte'> | undefined;
   /** Time between the stop signal and the forced termination of the process. */
   readonly graceMilliseconds: number;
   readonly logLevel: LogLevel;
