Limit the connections of callers, and collect the garbage of large bodies in time

Cause: callers could take all descriptors of a process, also those that other nodes, the store and the server need. And the runtime frees the buffers of large bodies late: beside 75 MiB of bodies and answers that are held, 64 to 100 MiB wait for a collection (60 answers for an entry that hangs took 264 MiB, with an account of 75 MiB).

A further one takes the place of the connection that has been without a whole head longest. Answers of known length are read into one buffer in place of one that doubles.

--- a/packages/callers/src/routes/caller-connection.ts
+++ b/packages/callers/src/routes/caller-connection.ts
@@ -64,6 +64,7 @@
   /** Response status after a parse error, which closes the connection. */
   private parseErrorStatus: number | undefined;
   private isAdvancing = false;
+  private lastActiveAt: number;
 
   public constructor(
     private readonly socket: Socket,
@@ -71,6 +72,7 @@
     private readonly memory: MemoryAccount,
     private readonly events: CallerConnectionEvents,
   ) {
+    this.lastActiveAt = clock();
     lingerOnClose(socket);
     socket.once('close', () => {
       this.handleClosed();
@@ -84,6 +86,21 @@
     return count;
   }
 
+  /** Whether no request has been read that is not answered; the head of one may have begun. */
+  public get isIdle(): boolean {
+    return this.openRequests.size === 0;
+  }
+
+  /** Time of the last response, or of the start. */
+  public get idleSince(): number {
+    return this.lastActiveAt;
+  }
+
+  /** Closes the connection at once. */
+  public destroy(): void {
+    this.socket.destroy();
+  }
+
   public handleRequest(request: ParsedRequest): void {
     const { message, requestNumber } = request;
     // If a message without a body were consumed only after its response, that would resume a paused socket.
@@ -182,6 +199,7 @@
     this.reportWait(request);
     request.response.once('finish', () => {
       request.answerHold?.release();
+      this.lastActiveAt = this.clock();
       this.openRequests.delete(next.requestNumber);
       this.pipeline.completeWrite();
       this.advance();
--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -24,6 +24,7 @@
 
 import { BodyReader } from './body-reader.js';
 import { CallerConnection } from './caller-connection.js';
+import { findConnectionToClose } from './connection-limit.js';
 import type { PipelineWait, ResponseContent, ParsedRequest } from './caller-connection.js';
 
 /**
@@ -72,6 +73,10 @@
   readonly clock: () => number;
   /** Counts the bodies of requests, and the answers until callers have read them. */
   readonly memory: MemoryAccount;
+  /** Maximum number of connections; beyond it, the one that has been without a request longest is closed. */
+  readonly maximumConnections: number;
+  /** A connection was closed because there were too many. */
+  readonly onConnectionClosed: () => void;
   readonly routing: () => RoutingConfiguration | undefined;
   readonly onRequest: (request: EntryRequest) => void;
   readonly onCallerGone: (requestNumber: number) => void;
@@ -186,6 +191,11 @@
   }
 
   private handleConnection(socket: Socket): void {
+    if (!this.makeRoomForConnection()) {
+      // Nothing has been read, so the caller knows that nothing has run.
+      socket.destroy();
+      return;
+    }
     const { clock, memory, onCallerGone, onErrorContained, onRequestsDiscarded, onPipelineWait } =
       this.options;
     const connection: CallerConnection = new CallerConnection(socket, clock, memory, {
@@ -210,6 +220,14 @@
     if (this.isStopping) connection.stopAccepting();
   }
 
+  private makeRoomForConnection(): boolean {
+    if (this.connections.size < this.options.maximumConnections) return true;
+    this.options.onConnectionClosed();
+    const closed = findConnectionToClose(this.connections.values());
+    closed?.destroy();
+    return closed !== undefined;
+  }
+
   private async startRequest(parsed: ParsedRequest): Promise<void> {
     const { message, requestNumber } = parsed;
     if (this.isRefusing) {
--- a/packages/callers/tests/pipelined-requests.test.ts
+++ b/packages/callers/tests/pipelined-requests.test.ts
@@ -105,7 +105,9 @@
     bindHost: '127.0.0.1',
     bindPort: 0,
     clock: () => this.now,
+    maximumConnections: 1_000,
     memory: createMemoryAccount(),
+    onConnectionClosed: () => undefined,
     onRequest: (request) => this.delivered.push(request),
     onCallerGone: (requestNumber) => this.goneRequests.push(requestNumber),
     headerNames: {
--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -56,7 +56,9 @@
     bindHost: '127.0.0.1',
     bindPort: 0,
     clock: () => 1_000,
+    maximumConnections: 1_000,
     memory: createMemoryAccount(),
+    onConnectionClosed: () => undefined,
     onRequest: (request) => {
       if (this.requestError !== undefined) throw this.requestError;
       this.delivered.push(request);
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -8,6 +8,7 @@
   ConfigurationTypesUnknown: 'configuration-types-unknown',
   ConfigurationUnconfirmed: 'configuration-unconfirmed',
   ConfigurationWatch: 'configuration-watch',
+  ConnectionsExhausted: 'connections-exhausted',
   ConnectionSuspected: 'connection-suspected',
   DialFailed: 'dial-failed',
   ErrorContained: 'error-contained',
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -39,6 +39,10 @@
   readonly probesPerSecond: number;
   /** Maximum total size of the server's answers that are being read. */
   readonly answerMemoryBytes: number;
+  /** Memory of the machine; the platform ends a process that takes more. */
+  readonly machineMemoryBytes: number;
+  /** Maximum number of connections of callers. */
+  readonly callerConnections: number;
   /** Maximum size of all bodies and answers that the process holds, from callers and other nodes. */
   readonly heldMemoryBytes: number;
   /** Time between the stop signal and the forced termination of the process. */
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -1,6 +1,6 @@
 import { RouteServer } from '@peridotspring/callers';
 import { SeededRandomSource } from '@peridotspring/core';
-import { MemoryAccount } from '@peridotspring/mesh-core';
+import { CollectionSchedule, MemoryAccount } from '@peridotspring/mesh-core';
 import type { MeshNode } from '@peridotspring/mesh-core';
 import { maximumMeshBodyBytes, MeshConnections } from '@peridotspring/nodes';
 import { HttpStoreTransport, StoreSession } from '@peridotspring/platform/key-values';
@@ -10,6 +10,7 @@
 
 import { Logger } from '../logging/logger.js';
 import { EventRecorder } from './event-recorder.js';
+import { GarbageCollector } from './garbage-collector.js';
 import {
   decodeDirectoryEntry,
   encodeDirectoryEntry,
@@ -58,7 +59,7 @@
   const clock = (): number => performance.now();
   const metrics = new Metrics();
   const events = createEventRecorder(settings, metrics, clock);
-  const memory = createMemoryAccount(settings, events);
+  const memory = createMemoryAccount(settings, clock, events);
   const self = createSelf(settings, Date.now());
   const random = new SeededRandomSource((self.boot ^ process.pid) >>> 0);
   const driver = new MeshNodeDriver({
@@ -198,14 +199,27 @@
 }
 
 function createMemoryAccount(
-  { heldMemoryBytes }: MeshSettings,
+  { heldMemoryBytes, machineMemoryBytes }: MeshSettings,
+  clock: () => number,
   events: EventRecorder,
 ): MemoryAccount {
+  const collector = new GarbageCollector();
+  const schedule = new CollectionSchedule({
+    limitBytes: machineMemoryBytes,
+    residentBytes: () => process.memoryUsage.rss(),
+  });
   return new MemoryAccount({
     limitBytes: heldMemoryBytes,
     onEnded: (place, bytes) => {
       events.record(MeshEvent.MemoryReclaimed, { bytes, place });
     },
+    onReleased: (bytes) => {
+      if (!schedule.onReleased(bytes, clock())) return;
+      // What is released in this turn of the event loop is garbage only after it.
+      setImmediate(() => {
+        collector.collect();
+      });
+    },
     onRefused: (place, bytes) => {
       events.record(MeshEvent.MemoryExhausted, { bytes, place });
     },
@@ -262,7 +276,11 @@
     bindHost: settings.callerAddress.host,
     bindPort: settings.callerAddress.port,
     clock,
+    maximumConnections: settings.callerConnections,
     memory,
+    onConnectionClosed: () => {
+      events.record(MeshEvent.ConnectionsExhausted, { limit: settings.callerConnections });
+    },
     onRequest: (request) => {
       driver.onCallerRequest(request);
     },
--- a/packages/daemon/tests/settings-watcher.test.ts
+++ b/packages/daemon/tests/settings-watcher.test.ts
@@ -7,7 +7,9 @@
 const address = { host: '10.0.0.1', port: 1 };
 const settings: MeshSettings = {
   answerMemoryBytes: 1_048_576,
+  callerConnections: 1_000,
   heldMemoryBytes: 67_108_864,
+  machineMemoryBytes: 268_435_456,
   availabilityZone: 'a',
   callerAddress: address,
   coldStartTolerance: { ratio: 1.5, slack: 8 },
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -621,7 +621,9 @@
   const address = { host: name, port: 1 };
   return {
     answerMemoryBytes: 1_048_576,
+    callerConnections: 1_000,
     heldMemoryBytes: 67_108_864,
+    machineMemoryBytes: 268_435_456,
     availabilityZone,
     callerAddress: address,
     coldStartTolerance: { ratio: 1, slack: 0 },
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -36,6 +36,7 @@
 export { ConnectionAction, ConnectionMonitor } from './membership/connection-monitor.js';
 export { EndedServers } from './membership/ended-servers.js';
 export { NodeDirectory } from './membership/node-directory.js';
+export { CollectionSchedule } from './memory/collection-schedule.js';
 export { MemoryAccount } from './memory/memory-account.js';
 export type { MemoryAccountOptions } from './memory/memory-account.js';
 export type { MemoryHold } from './memory/memory-hold.js';
--- a/packages/mesh-core/src/memory/memory-account.ts
+++ b/packages/mesh-core/src/memory/memory-account.ts
@@ -15,6 +15,8 @@
   readonly limitBytes: number;
   /** A hold was ended in favour of others. */
   readonly onEnded: (place: MemoryPlace, bytes: number) => void;
+  /** Bytes are held no more, and wait for the collection of garbage. */
+  readonly onReleased: (bytes: number) => void;
   /** There was no room for bytes at a place. */
   readonly onRefused: (place: MemoryPlace, bytes: number) => void;
 }
@@ -144,5 +146,6 @@
   private add(place: MemoryPlace, bytes: number): void {
     this.totalBytes += bytes;
     this.bytesByPlace.set(place, (this.bytesByPlace.get(place) ?? 0) + bytes);
+    if (bytes < 0) this.options.onReleased(-bytes);
   }
 }
--- a/packages/mesh-core/tests/fixtures.ts
+++ b/packages/mesh-core/tests/fixtures.ts
@@ -11,7 +11,12 @@
 
 /** An account that has room for what most tests hold. */
 export function createMemoryAccount(limitBytes = 268_435_456): MemoryAccount {
-  return new MemoryAccount({ limitBytes, onEnded: () => undefined, onRefused: () => undefined });
+  return new MemoryAccount({
+    limitBytes,
+    onEnded: () => undefined,
+    onRefused: () => undefined,
+    onReleased: () => undefined,
+  });
 }
 
 export function createRoute(changes: Partial<Route> = {}): Route {
--- a/packages/mesh-core/tests/memory/memory-account.test.ts
+++ b/packages/mesh-core/tests/memory/memory-account.test.ts
@@ -42,6 +42,7 @@
     limitBytes: 100,
     onEnded: (_place, bytes) => ended.push(bytes),
     onRefused: () => undefined,
+    onReleased: () => undefined,
   });
   openEndable(account, 20, 0);
   openEndable(account, 50, 0);
--- a/packages/upstreams/src/response-collector.ts
+++ b/packages/upstreams/src/response-collector.ts
@@ -14,6 +14,9 @@
 const maximumShortChunks = 16_384;
 const bytesPerChunk = 64;
 
+/** Longer bodies of known length get a buffer of their own at once. */
+const reservedBodyBytes = 65_536;
+
 /** The result of collecting the body of a response. */
 export type CollectedResponse =
   | { readonly kind: 'whole'; readonly body: Uint8Array }
@@ -70,7 +73,10 @@
       this.onEnded(isComplete);
     });
     const declaredLength = Number(this.response.headers['content-length'] ?? 0);
-    if (declaredLength > this.options.limitBytes && !this.hasNoBody()) this.handleOverflow();
+    if (this.hasNoBody()) return;
+    if (declaredLength > this.options.limitBytes) this.handleOverflow();
+    // Growing by doubling would leave as much garbage as the body takes.
+    else if (declaredLength > reservedBodyBytes) this.bytes.reserve(declaredLength);
   }
 
   /** Memory that the buffer takes; 0 once the result has been handed over. */
