Give up the content of a request when it is concluded

Cause: the state of a concluded request stays in the queue of deadlines until its own deadline has passed, with the request's body. With a caller's time limit of 20 s, 400 bodies of 1 MiB on four connections, all answered within 6 s, were 431 MiB in the entry while its account showed 0 bytes held. Ruled out: garbage (a collection freed none of it), and the bodies of requests that wait behind others on a connection (a route server alone held 8 of 100 MiB).

Change: concluding a request drops its body and header fields.

--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -558,7 +558,7 @@
   }
 
   private remove(state: RequestState): void {
-    state.isConcluded = true;
+    state.conclude();
     for (const attempt of [...state.attempts.values()]) {
       this.endAttempt(attempt);
       this.options.port.send(attempt.nodeName, { callId: attempt.callId, kind: 'cancel' });
--- a/packages/mesh-core/src/entry/request-state.ts
+++ b/packages/mesh-core/src/entry/request-state.ts
@@ -49,14 +49,14 @@
   public isQuarantinedByGate = false;
   /** Whether a server received the request and reported that it did not run it. */
   public hasServerRefusal = false;
-  public isConcluded = false;
   /** The reason for which the last retry was denied; the same reason is logged only once in a row. */
   public lastRetryDenialReason: string | undefined;
   /** Monotonic time at which the target latency has passed; a later answer is worth less to the caller. */
   public readonly targetDeadline: number;
+  private hasConcluded = false;
 
   public constructor(
-    public readonly request: EntryRequest,
+    public request: EntryRequest,
     public readonly service: string,
     /** Monotonic time by which the caller must have an answer or an error. */
     public deadline: number,
@@ -70,6 +70,16 @@
     this.targetDeadline = receivedAt + route.targetLatencyMilliseconds - spentBeforeMilliseconds;
   }
 
+  public get isConcluded(): boolean {
+    return this.hasConcluded;
+  }
+
+  /** The state stays in the queue of deadlines until its own has passed, so it gives up the content of the request. */
+  public conclude(): void {
+    this.hasConcluded = true;
+    this.request = { ...this.request, body: undefined, headers: [] };
+  }
+
   /** Gates that have declined or may have run the request; they are used again only if no other gate is left. */
   public get excludedNodes(): ReadonlySet<string> {
     return new Set([...this.expectedMillisecondsByDecliningNode.keys(), ...this.usedNodes]);
