--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -52,6 +52,10 @@
   readonly answerMemoryBytes: number;
   /** Rate of the machine's link; undefined if the platform does not state it. */
   readonly linkMegabitsPerSecond?: number | undefined;
+  /** Memory of the machine; the platform ends a process that takes more. */
+  readonly machineMemoryBytes: number;
+  /** Maximum number of connections of callers. */
+  readonly callerConnections: number;
   /** Maximum size of all bodies and answers that the process holds, from callers and other nodes. */
   readonly heldMemoryBytes: number;
   /** What the operator sets for the choice of gates; defaults apply to what is not set. */
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -681,7 +681,9 @@
   const address = { host: name, port: 1 };
   return {
     answerMemoryBytes: 1_048_576,
+    callerConnections: 1_000,
     heldMemoryBytes: 67_108_864,
+    machineMemoryBytes: 268_435_456,
     availabilityZone,
     callerAddress: address,
     allotments: { overage: 0.1, slack: 4, windowMilliseconds: 5_000 },
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -48,6 +48,7 @@
 export { rankBrokers } from './membership/broker-ranking.js';
 export { EndedServers } from './membership/ended-servers.js';
 export { NodeDirectory } from './membership/node-directory.js';
+export { CollectionSchedule } from './memory/collection-schedule.js';
 export { MemoryAccount } from './memory/memory-account.js';
 export type { MemoryAccountOptions } from './memory/memory-account.js';
 export type { MemoryHold } from './memory/memory-hold.js';
