--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -20,7 +20,6 @@
   EvacuationRead,
   Execution,
   ExecutionResult,
-  MemoryAccount,
   MeshFrame,
   MeshNode,
   NodeDirectory,
