--- a/packages/daemon/src/mesh/allotment-synchronizer.ts
+++ b/packages/daemon/src/mesh/allotment-synchronizer.ts
@@ -1,10 +1,5 @@
 import type { RandomSource } from '@peridotspring/core';
-import {
-  AllotmentAdmission,
-  brokerGroupCount,
-  brokerQualificationMilliseconds,
-  RefusalCause,
-} from '@peridotspring/mesh-core';
+import { AllotmentAdmission, brokerGroupCount, RefusalCause } from '@peridotspring/mesh-core';
 import type {
   AllotmentAskFrame,
   AllotmentGrantFrame,
@@ -52,15 +47,9 @@
   readonly log: (event: string, fields: Readonly<Record<string, string | number>>) => void;
 }
 
-interface ConnectedPeer {
-  readonly since: number;
-  isSuspected: boolean;
-}
-
 /** Exchanges shares of the tenants' allotments with other nodes, and holds callers' requests to them. */
 export class AllotmentSynchronizer {
   private readonly admission: AllotmentAdmission;
-  private readonly peers = new Map<string, ConnectedPeer>();
   private configuredTenants: TenantDirectory | undefined;
   private cancelHeldTick: (() => void) | undefined;
   private reportedAt = -Infinity;
@@ -69,10 +58,7 @@
   public constructor(private readonly options: AllotmentSynchronizerOptions) {
     const { connections, directory, isStopping, nodeCount, now, random, self, tolerance } = options;
     this.admission = new AllotmentAdmission({
-      candidates: (group, time) =>
-        directory()
-          .brokersOf(group)
-          .filter((name) => this.isQualified(name, time)),
+      brokersOf: (group) => directory().brokersOf(group),
       isLeaving: isStopping,
       shareCount: () => nodeCount() ?? 0,
       random,
@@ -145,21 +131,18 @@
     return this.admission.heldCount > 0 && this.admission.cancel(requestNumber);
   }
 
-  public onConnected({ name }: MeshNode): void {
-    this.peers.set(name, { isSuspected: false, since: this.options.now() });
-    this.admission.onConnectionChanged(name);
+  public onConnected({ boot, name }: MeshNode): void {
+    this.admission.onConnected(name, boot, this.options.now());
   }
 
   public onDisconnected(name: string): void {
-    this.peers.delete(name);
-    this.admission.onConnectionChanged(name);
+    this.admission.onConnectionLost(name, this.options.now());
   }
 
   /** The connection to the node may have gone silent, or has been confirmed again. */
   public setSuspected(name: string, isSuspected: boolean): void {
-    const peer = this.peers.get(name);
-    if (peer !== undefined) peer.isSuspected = isSuspected;
-    if (isSuspected) this.admission.onConnectionChanged(name);
+    if (isSuspected) this.admission.onConnectionLost(name, this.options.now());
+    else this.admission.onConnectionConfirmed(name);
   }
 
   /** Handles a frame of a peer; invalid ones are ignored. */
@@ -181,13 +164,6 @@
     this.reportRefusals(now);
   }
 
-  private isQualified(name: string, now: number): boolean {
-    if (name === this.options.self.name) return true;
-    const peer = this.peers.get(name);
-    if (peer === undefined || peer.isSuspected) return false;
-    return now - peer.since >= brokerQualificationMilliseconds;
-  }
-
   private scheduleHeldTick(): void {
     if (this.admission.heldCount === 0 || this.cancelHeldTick !== undefined) return;
     this.cancelHeldTick = this.options.schedule(() => {
--- a/packages/mesh-core/src/allotments/allotment-admission.ts
+++ b/packages/mesh-core/src/allotments/allotment-admission.ts
@@ -12,6 +12,7 @@
   ownershipDelayMilliseconds,
 } from './allotment-timing.js';
 import { brokerGroupOf } from './broker-choice.js';
+import { BrokerQualification } from './broker-qualification.js';
 import { BrokerExchange } from './broker-exchange.js';
 import { HeldRequests } from './held-requests.js';
 import type { HeldRequest } from './held-requests.js';
@@ -27,8 +28,8 @@
   readonly tolerance: AllotmentTolerance;
   /** Number of nodes that may own a share of each allotment; 0 if it is not known. */
   readonly shareCount: () => number;
-  /** Nodes that may be the broker of the group, this one or connected ones, the preferred one first. */
-  readonly candidates: (group: number, now: number) => readonly string[];
+  /** Candidates for the broker of the group, the preferred one first; this node may be among them. */
+  readonly brokersOf: (group: number) => readonly string[];
   /** Whether this process stops, so that it should not be chosen as broker. */
   readonly isLeaving: () => boolean;
   readonly random: RandomSource;
@@ -64,6 +65,7 @@
 export class AllotmentAdmission {
   private readonly groups: readonly BrokerGroup[];
   private readonly held = new HeldRequests();
+  private readonly qualification = new BrokerQualification();
   private tenants = new Map<string, LimitedTenant>();
 
   public constructor(private readonly options: AllotmentAdmissionOptions) {
@@ -157,10 +159,25 @@
     for (const [name] of frame.grants) this.settleHeld(name, now);
   }
 
-  public onConnectionChanged(node: string): void {
+  public onConnected(node: string, boot: number, now: number): void {
+    const isRestarted = this.qualification.onConnected(node, boot, now);
+    for (const { exchange } of this.groups) {
+      exchange.onConnectionChanged(node);
+      if (isRestarted) exchange.onRestarted(node);
+    }
+  }
+
+  /** The connection to the node was lost, or may have gone silent. */
+  public onConnectionLost(node: string, now: number): void {
+    this.qualification.onLost(node, now);
     for (const { exchange } of this.groups) exchange.onConnectionChanged(node);
   }
 
+  /** A connection that may have gone silent answers. */
+  public onConnectionConfirmed(node: string): void {
+    this.qualification.onConfirmed(node);
+  }
+
   /** The clock may have missed time, so that nothing that was lent or granted is certain any more. */
   public onClockUncertain(now: number): void {
     for (const { exchange, pool } of this.groups) {
@@ -234,9 +251,12 @@
   }
 
   private createExchange(group: number): BrokerExchange {
-    const { candidates, shareCount, self, send, startedAt } = this.options;
+    const { brokersOf, shareCount, self, send, startedAt } = this.options;
     return new BrokerExchange({
-      candidates: (now) => candidates(group, now),
+      candidates: (now) =>
+        brokersOf(group).filter(
+          (name) => name === self.name || this.qualification.isQualified(name, now),
+        ),
       group,
       shareCount,
       ownedFrom: startedAt + ownershipDelayMilliseconds,
--- a/packages/mesh-core/src/allotments/broker-exchange.ts
+++ b/packages/mesh-core/src/allotments/broker-exchange.ts
@@ -53,7 +53,6 @@
   private nextNumber = 1;
   private askedAt = -Infinity;
   private returnAskedAt = -Infinity;
-  private chosenAt = -Infinity;
 
   public constructor(private readonly options: BrokerExchangeOptions) {
     this.lender = new ShareLender(options.ownedFrom);
@@ -78,6 +77,10 @@
   /** The connection to a node was lost or made again; what was under way to it may be lost. */
   public onConnectionChanged(node: string): void {
     if (this.pending?.broker === node) this.pending = undefined;
+  }
+
+  /** The node's process is a new one, which knows nothing of the loans and grants of the one before. */
+  public onRestarted(node: string): void {
     if (this.broker === node) this.changeBroker(undefined);
   }
 
@@ -177,12 +180,8 @@
     return needs;
   }
 
-  /** Chooses again from time to time only, since the choice compares all connected nodes. */
   private currentBroker(now: number): string {
     const { candidates, self } = this.options;
-    if (this.broker !== undefined && now - this.chosenAt < idleExchangeMilliseconds)
-      return this.broker;
-    this.chosenAt = now;
     for (const [name, until] of this.excludedUntil)
       if (now >= until) this.excludedUntil.delete(name);
     const chosen = candidates(now).find((name) => !this.excludedUntil.has(name)) ?? self;
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -7,10 +7,7 @@
 } from './allotments/allotment-admission.js';
 export { toAllotmentBounds } from './allotments/allotment-bounds.js';
 export type { AllotmentTolerance } from './allotments/allotment-bounds.js';
-export {
-  brokerGroupCount,
-  brokerQualificationMilliseconds,
-} from './allotments/allotment-timing.js';
+export { brokerGroupCount } from './allotments/allotment-timing.js';
 export { RetryBudget } from './budget/retry-budget.js';
 export type { RetryBudgetOptions } from './budget/retry-budget.js';
 export { ConfigurationFreshness } from './configuration/configuration-freshness.js';
--- a/packages/mesh-core/tests/allotments/allotment-admission.test.ts
+++ b/packages/mesh-core/tests/allotments/allotment-admission.test.ts
@@ -4,6 +4,7 @@
 
 import { AllotmentAdmission } from '../../src/allotments/allotment-admission.js';
 import {
+  brokerQualificationMilliseconds,
   brokerTimeoutMilliseconds,
   grantMilliseconds,
   holdMilliseconds,
@@ -34,7 +35,7 @@
   public now = 0;
   private requestNumber = 0;
   public readonly admission = new AllotmentAdmission({
-    candidates: () => [this.broker, 'other'],
+    brokersOf: () => [this.broker, 'other'],
     isLeaving: () => false,
     random: new SeededRandomSource(1),
     self: { boot: 1, name: 'self' },
@@ -49,6 +50,9 @@
 
   public constructor(tenant: Tenant = tenantWith(10)) {
     this.admission.configure([tenant], 0);
+    // Long enough ago for them to be chosen.
+    for (const node of ['broker', 'other', 'preferred'])
+      this.admission.onConnected(node, 1, -brokerQualificationMilliseconds);
   }
 
   public request(): void {
@@ -208,6 +212,21 @@
   }
 });
 
+// All nodes that were reset would otherwise have only their own parts for seconds.
+test('a broker whose connection was reset is used again at once, a restarted one is not', () => {
+  const harness = new Harness();
+  harness.admission.onConnectionLost('broker', harness.now);
+  harness.admission.onConnected('broker', 1, harness.now + 50);
+  harness.now += 60;
+  harness.request();
+  assert.is(harness.sent.at(-1)?.node, 'broker');
+  harness.admission.onConnectionLost('broker', harness.now);
+  harness.admission.onConnected('broker', 2, harness.now + 50);
+  harness.now += 60;
+  harness.request();
+  assert.is(harness.sent.at(-1)?.node, 'other');
+});
+
 test('a node without connections grants from its own share', () => {
   const harness = new Harness();
   harness.broker = 'self';
--- a/packages/virtual-time/src/allotment-fleet.ts
+++ b/packages/virtual-time/src/allotment-fleet.ts
@@ -192,8 +192,10 @@
     this.connections.set(key, connection);
     this.queue.after(reconnectMilliseconds, () => {
       if (this.connections.get(key) !== connection) return;
-      machine.process?.onConnected(other.name);
-      other.process?.onConnected(machine.name);
+      const { process } = machine;
+      if (process === undefined || other.process === undefined) return;
+      process.onConnected(nodeOf(other, other.process.boot));
+      other.process.onConnected(nodeOf(machine, process.boot));
     });
   }
 
--- a/packages/virtual-time/src/allotment-node.ts
+++ b/packages/virtual-time/src/allotment-node.ts
@@ -1,10 +1,5 @@
 import type { RandomSource } from '@peridotspring/core';
-import {
-  AllotmentAdmission,
-  brokerGroupCount,
-  brokerQualificationMilliseconds,
-  rankBrokers,
-} from '@peridotspring/mesh-core';
+import { AllotmentAdmission, brokerGroupCount, rankBrokers } from '@peridotspring/mesh-core';
 import type {
   AllotmentAskFrame,
   AllotmentGrantFrame,
@@ -33,19 +28,19 @@
 /** One process of a node: the decisions on allotments with the clock and the connections of that process. */
 export class AllotmentNode {
   public readonly admission: AllotmentAdmission;
-  private readonly connectedSince = new Map<string, number>();
+  private readonly connected = new Set<string>();
   private otherNodes: readonly MeshNode[] = [];
   private ranking: readonly (readonly string[])[] | undefined;
 
   public constructor(private readonly options: AllotmentNodeOptions) {
-    const { fleetSize, random, self, send, tenants, tolerance } = options;
+    const { fleetSize, isDelegating, random, self, send, tenants, tolerance } = options;
     this.admission = new AllotmentAdmission({
-      candidates: (group, now) => this.candidates(group, now),
+      brokersOf: (group) => (isDelegating ? (this.brokers[group] ?? []) : []),
       isLeaving: () => false,
       shareCount: () => fleetSize ?? this.otherNodes.length + 1,
       random,
       self,
-      send: (node, frame) => this.connectedSince.has(node) && send(node, frame),
+      send: (node, frame) => this.connected.has(node) && send(node, frame),
       startedAt: this.now,
       tolerance,
     });
@@ -66,16 +61,16 @@
     this.ranking = undefined;
   }
 
-  public onConnected(name: string): void {
-    this.connectedSince.set(name, this.now);
+  public onConnected({ boot, name }: MeshNode): void {
+    this.connected.add(name);
     this.ranking = undefined;
-    this.admission.onConnectionChanged(name);
+    this.admission.onConnected(name, boot, this.now);
   }
 
   public onDisconnected(name: string): void {
-    if (!this.connectedSince.delete(name)) return;
+    if (!this.connected.delete(name)) return;
     this.ranking = undefined;
-    this.admission.onConnectionChanged(name);
+    this.admission.onConnectionLost(name, this.now);
   }
 
   public onFrame(from: MeshNode, frame: AllotmentFrame): void {
@@ -87,18 +82,8 @@
   public get brokers(): readonly (readonly string[])[] {
     const { self } = this.options;
     this.ranking ??= Array.from({ length: brokerGroupCount }, (_, group) =>
-      rankBrokers(group, self, this.otherNodes, (name) => this.connectedSince.has(name)),
+      rankBrokers(group, self, this.otherNodes, (name) => this.connected.has(name)),
     );
     return this.ranking;
   }
-
-  private candidates(group: number, now: number): readonly string[] {
-    if (!this.options.isDelegating) return [];
-    const isQualified = (name: string): boolean => {
-      if (name === this.options.self.name) return true;
-      const since = this.connectedSince.get(name);
-      return since !== undefined && now - since >= brokerQualificationMilliseconds;
-    };
-    return (this.brokers[group] ?? []).filter(isQualified);
-  }
 }
--- a/packages/virtual-time/src/allotment-tables.ts
+++ b/packages/virtual-time/src/allotment-tables.ts
@@ -73,29 +73,40 @@
   .option('--seed <number>', 'first seed', '1')
   .option('--faults <count>', 'number of seeds with faults', '0')
   .option('--only <label>', 'only the fleet of this size')
-  .action((options: { seed: string; faults: string; only?: string }) => {
-    const first = Number(options.seed);
-    if (Number(options.faults) > 0) {
-      let largest = 0;
-      let largestSeed = first;
-      for (let seed = first; seed < first + Number(options.faults); seed += 1) {
-        const used = playFaults(seed);
-        if (used > 1) console.log(`seed ${seed}: ${percent(used)} of the bound`);
-        if (used <= largest) continue;
-        largest = used;
-        largestSeed = seed;
+  .option('--load <factor>', 'only this load, relative to the rates')
+  .option('--delegated', 'only delegated shares')
+  .action(
+    (options: {
+      seed: string;
+      faults: string;
+      only?: string;
+      load?: string;
+      delegated?: boolean;
+    }) => {
+      const first = Number(options.seed);
+      if (Number(options.faults) > 0) {
+        let largest = 0;
+        let largestSeed = first;
+        for (let seed = first; seed < first + Number(options.faults); seed += 1) {
+          const used = playFaults(seed);
+          if (used > 1) console.log(`seed ${seed}: ${percent(used)} of the bound`);
+          if (used <= largest) continue;
+          largest = used;
+          largestSeed = seed;
+        }
+        console.log(`largest window: ${percent(largest)} of the bound, seed ${largestSeed}`);
+        return;
       }
-      console.log(`largest window: ${percent(largest)} of the bound, seed ${largestSeed}`);
-      return;
-    }
-    console.log(
-      '| nodes | shares | load | refused of owed, steady | 2 s after a move | largest window of the bound | bytes/s sent by a node | messages/s |',
-    );
-    console.log('| --- | --- | --- | --- | --- | --- | --- | --- |');
-    for (const size of sizes) {
-      if (options.only !== undefined && !size.label.startsWith(options.only)) continue;
-      for (const isDelegating of [false, true])
-        for (const factor of [0.625, 0.95]) measure(size, isDelegating, factor, first);
-    }
-  });
+      console.log(
+        '| nodes | shares | load | refused of owed, steady | 2 s after a move | largest window of the bound | bytes/s sent by a node | messages/s |',
+      );
+      console.log('| --- | --- | --- | --- | --- | --- | --- | --- |');
+      for (const size of sizes) {
+        if (options.only !== undefined && !size.label.startsWith(options.only)) continue;
+        const loads = options.load === undefined ? [0.625, 0.95] : [Number(options.load)];
+        for (const isDelegating of options.delegated === true ? [true] : [false, true])
+          for (const factor of loads) measure(size, isDelegating, factor, first);
+      }
+    },
+  );
 program.parse();
