Isolate and suspend nodes in the virtual mesh while keys are removed

Change: two faults cut a node off from the store and from all others for 3 to 4 s, with its steady clock stopped in one of them, while the configuration changes.

--- a/packages/daemon/tests/virtual-mesh.test.ts
+++ b/packages/daemon/tests/virtual-mesh.test.ts
@@ -122,4 +122,23 @@
   });
 }
 
+// Without an enforced bound, seeds 10 to 12 fail; if suspensions did not count, seeds 1 and 16 would.
+for (const [seed, machines, restoresStore] of [
+  [1, 5, false],
+  [10, 5, false],
+  [11, 5, false],
+  [12, 5, false],
+  [16, 5, false],
+  [1, 8, true],
+  [2, 8, true],
+] as const) {
+  const name = `${machines} nodes${restoresStore ? ' and restores of the store' : ''}`;
+  test(`seed ${seed} with ${name}: no request with a removed key starts after the bound`, async () => {
+    const options = { machines, replacesKeys: true, restoresStore };
+    const { answered, requests, violations } = await simulateMesh(seed, options);
+    assert.equal(violations, []);
+    assert.ok(answered > requests / 2, `${answered} of ${requests} requests were answered`);
+  });
+}
+
 test.run();
--- a/packages/daemon/tests/virtual-mesh/mesh-faults.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-faults.ts
@@ -3,6 +3,9 @@
 import { SilentDirection } from './virtual-links.js';
 import type { VirtualMesh } from './virtual-mesh.js';
 
+/** An isolation has to end before the mesh must have recovered. */
+const latestIsolationMilliseconds = 5_000;
+
 /** A fault and its name. */
 export type NamedFault = readonly [name: string, inject: InjectFault];
 type InjectFault = (mesh: VirtualMesh, random: SeededRandomSource) => void;
@@ -177,6 +180,18 @@
   ],
 ];
 
+/** Additional faults if keys are removed. */
+const removedKeyFaults: readonly NamedFault[] = [false, true].map((isSuspended): NamedFault => [
+  `isolate a node${isSuspended ? ', suspended,' : ''} and change the configuration`,
+  (mesh, random) => {
+    if (mesh.queue.now > latestIsolationMilliseconds) return;
+    mesh.isolate(mesh.pickMachine(), 3_000 + 1_000 * random.next(), isSuspended);
+    mesh.queue.after(500 * random.next(), () => {
+      mesh.configure();
+    });
+  },
+]);
+
 /** The limit has to end before the mesh must have recovered. */
 const latestLimitMilliseconds = 5_000;
 
@@ -234,6 +249,7 @@
   readonly cutsWatchers: boolean;
   readonly isLargeFleet: boolean;
   readonly limitsServers: boolean;
+  readonly replacesKeys: boolean;
   readonly restoresStore: boolean;
   readonly sendsDeadlyRequest: boolean;
   readonly silencesConnections: boolean;
@@ -245,6 +261,7 @@
   cutsWatchers,
   isLargeFleet,
   limitsServers,
+  replacesKeys,
   restoresStore,
   sendsDeadlyRequest,
   silencesConnections,
@@ -254,6 +271,7 @@
     ...faults,
     ...(cutsWatchers ? [...watcherFaults, ...watcherFaults] : []),
     ...(limitsServers ? [...limitedServerFaults, ...limitedServerFaults] : []),
+    ...(replacesKeys ? removedKeyFaults : []),
     ...(sendsDeadlyRequest ? deadlyRequestFaults : []),
     ...(silencesConnections ? silentConnectionFaults : []),
     ...(isLargeFleet ? largeFleetFaults : []),
--- a/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
@@ -71,6 +71,7 @@
     cutsWatchers,
     isLargeFleet: machines > fullyConnectedFleetSize,
     limitsServers,
+    replacesKeys,
     restoresStore,
     sendsDeadlyRequest,
     silencesConnections,
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -74,6 +74,10 @@
   /** The current incarnation of the node; undefined while it is down. */
   node: LinkedNode | undefined;
   canReadStore: boolean;
+  /** Time for which the machine has been suspended: its steady clock stood still. */
+  suspendedMilliseconds: number;
+  /** Since when it is suspended; undefined while it runs. */
+  suspendedAt: number | undefined;
   /** Whether the node was told that it cannot reach the store; it checks for its return. */
   isStoreReportedLost: boolean;
   isWatchingConfiguration: boolean;
@@ -164,6 +168,26 @@
     }
   }
 
+  /**
+   * Cuts a machine off from the store and from all others for some time. If no request is in progress at its node, it may
+   * be suspended as well.
+   */
+  public isolate(machine: Machine, milliseconds: number, isSuspended: boolean): void {
+    const { name, node } = machine;
+    if (machine.suspendedAt !== undefined) return;
+    for (const other of this.machines) this.links.blockConnection(name, other.name);
+    machine.canReadStore = false;
+    if (isSuspended && node !== undefined && this.unansweredRequestsOf(node).length === 0)
+      machine.suspendedAt = this.queue.now;
+    this.configurationBound.onFault(name, this.queue.now + milliseconds);
+    this.queue.after(milliseconds, () => {
+      if (machine.suspendedAt !== undefined) machine.suspendedMilliseconds += milliseconds;
+      machine.suspendedAt = undefined;
+      machine.canReadStore = true;
+      this.links.unblockConnections();
+    });
+  }
+
   /** Restores the store from a backup. The operator notices later and writes again what the store lost. */
   public restoreStore(millisecondsAgo: number): void {
     this.store.restore(millisecondsAgo);
@@ -305,8 +329,10 @@
     const isIdempotent = pathSuffix !== undefined || this.random.next() < 0.5;
     const route = node?.driver.routing?.table.match('shop', isIdempotent ? '/safe/' : '/unsafe/');
     if (node === undefined || route === undefined) return undefined;
+    if (machine.suspendedAt !== undefined) return undefined;
     this.recordVersion(node);
     const now = this.queue.now;
+    const receivedAt = now - machine.suspendedMilliseconds;
     const requestNumber = this.requests.length + 1;
     const keyVersion = this.replacesKeys ? this.chooseKeyVersion() : undefined;
     if (keyVersion !== undefined && !mayUseKey(node, keyVersion)) return undefined;
@@ -324,11 +350,11 @@
     this.requests.push(request);
     node.driver.onCallerRequest({
       body: undefined,
-      callerDeadline: now + this.requestTimeoutMilliseconds,
+      callerDeadline: receivedAt + this.requestTimeoutMilliseconds,
       headers: [],
       method: isIdempotent ? 'GET' : 'POST',
       path: `${route.pathPrefix}${pathSuffix ?? requestNumber}`,
-      receivedAt: now,
+      receivedAt,
       requestId: request.requestId,
       requestNumber,
       route,
@@ -437,6 +463,8 @@
       name,
       node: undefined,
       canReadStore: true,
+      suspendedAt: undefined,
+      suspendedMilliseconds: 0,
       isStoreReportedLost: false,
       hasLostStore: false,
       isWatchingConfiguration: false,
@@ -469,7 +497,9 @@
   }
 
   private createNode(machine: Machine, self: MeshNode): LinkedNode {
-    const clock = (): number => this.queue.now;
+    const timeOfDay = (): number => this.queue.now;
+    const clock = (): number =>
+      (machine.suspendedAt ?? this.queue.now) - machine.suspendedMilliseconds;
     const driver: MeshNodeDriver = new MeshNodeDriver({
       clock,
       decodeConfiguration: (content) => ({
@@ -487,7 +517,7 @@
       events: new EventRecorder({
         clock,
         metrics: new Metrics(),
-        wallClock: clock,
+        wallClock: timeOfDay,
         write: (event, { fingerprint }) => {
           if (event === MeshEvent.RequestQuarantined)
             this.quarantinedFingerprints.add(String(fingerprint));
@@ -502,7 +532,7 @@
         ...createSettings(self),
         ...(this.replacesKeys && { revocationMilliseconds }),
       },
-      wallClock: clock,
+      wallClock: timeOfDay,
     });
     const node: LinkedNode = { driver, self };
     const ports = this.createPorts(machine, node);
