--- a/packages/platform/src/key-values/operator-reader.ts
+++ b/packages/platform/src/key-values/operator-reader.ts
@@ -150,8 +150,7 @@
       const { items, removedKeys } = outcome.value;
       revision = outcome.value.revision;
       this.deliver(outcome.value, !wasWatch);
-      if (wasWatch || consistency !== ReadConsistency.StaleAllowed)
-        this.confirm(sentAt);
+      if (wasWatch || consistency !== ReadConsistency.StaleAllowed) this.confirm(sentAt);
       const hasChanges = items.length + removedKeys.length > 0;
       if (wasWatch && hasChanges) await delays.sleep(watchPauseMilliseconds);
     }
