Keep half of the earned retries from hedges of nested calls

A nested call that is late has the time of its whole request left; a request of a caller that is late has missed its target.

Hedges of nested calls leave half of the retries that repeatable requests of callers have earned. Where callers' requests can't be repeated, nothing changes. The total stays as it was.

A test of the forwarder shows that a short route is hedged by its own time.

--- a/packages/mesh-core/src/budget/retry-budget.ts
+++ b/packages/mesh-core/src/budget/retry-budget.ts
@@ -2,6 +2,11 @@
  * Share of the allowance that nodes use. The rest is a margin for requests that are counted differently.
  */
 const usableShare = 0.7;
+/**
+ * Share of the retries earned by repeatable requests of callers that hedges of nested calls leave to those requests. A nested
+ * call has the time of its whole request left, while a request of a caller that is late has missed its target.
+ */
+const shareKeptFromNestedHedges = 0.5;
 const bucketsPerWindow = 10;
 
 export interface RetryBudgetOptions {
@@ -22,6 +27,8 @@
 interface Window {
   /** Requests and retries per bucket; a bucket is a tenth of the window. */
   readonly requests: number[];
+  /** Those of the requests that may be sent to a second server. */
+  readonly repeatableRequests: number[];
   readonly retries: number[];
   currentBucket: number;
 }
@@ -47,16 +54,19 @@
     this.nodeCount = Math.max(1, nodeCount);
   }
 
-  public recordRequest(service: string, now: number): void {
+  public recordRequest(service: string, isRepeatable: boolean, now: number): void {
     const window = this.windowOf(service, now);
-    window.requests[window.currentBucket % bucketsPerWindow] =
-      (window.requests[window.currentBucket % bucketsPerWindow] ?? 0) + 1;
+    const bucket = window.currentBucket % bucketsPerWindow;
+    window.requests[bucket] = (window.requests[bucket] ?? 0) + 1;
+    if (isRepeatable)
+      window.repeatableRequests[bucket] = (window.repeatableRequests[bucket] ?? 0) + 1;
   }
 
   /** Takes one retry from the budget; false if none is left. */
-  public tryTake(service: string, now: number): boolean {
+  public tryTake(service: string, now: number, isNestedHedge = false): boolean {
     const window = this.windowOf(service, now);
-    if (sum(window.retries) + 1 > this.allowance(window)) return false;
+    const kept = isNestedHedge ? this.keptFromNestedHedges(window) : 0;
+    if (sum(window.retries) + 1 > this.allowance(window) - kept) return false;
     this.recordRetry(window);
     return true;
   }
@@ -88,6 +98,10 @@
     return usableShare * (ratio * sum(requests) + slack / this.nodeCount);
   }
 
+  private keptFromNestedHedges({ repeatableRequests }: Window): number {
+    return shareKeptFromNestedHedges * usableShare * this.options.ratio * sum(repeatableRequests);
+  }
+
   private recordRetry({ retries, currentBucket }: Window): void {
     retries[currentBucket % bucketsPerWindow] =
       (retries[currentBucket % bucketsPerWindow] ?? 0) + 1;
@@ -97,16 +111,23 @@
     const bucket = Math.floor((now * bucketsPerWindow) / this.options.windowMilliseconds);
     let window = this.windows.get(service);
     if (window === undefined) {
-      window = { retries: zeros(), requests: zeros(), currentBucket: bucket };
+      window = {
+        currentBucket: bucket,
+        repeatableRequests: zeros(),
+        requests: zeros(),
+        retries: zeros(),
+      };
       this.windows.set(service, window);
     }
     const skipped = Math.min(bucketsPerWindow, bucket - window.currentBucket);
     for (let step = 1; step <= skipped; step += 1) {
       window.requests[(window.currentBucket + step) % bucketsPerWindow] = 0;
+      window.repeatableRequests[(window.currentBucket + step) % bucketsPerWindow] = 0;
       window.retries[(window.currentBucket + step) % bucketsPerWindow] = 0;
     }
     if (skipped === bucketsPerWindow) {
       window.requests.fill(0);
+      window.repeatableRequests.fill(0);
       window.retries.fill(0);
     }
     window.currentBucket = Math.max(window.currentBucket, bucket);
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -90,7 +90,7 @@
     this.requests.set(request.requestNumber, state);
     this.deadlines.push(deadline, state);
     // The retry budget is relative to the requests of callers, so nested calls of servers do not add to it.
-    if (!isNested) this.options.retryBudget.recordRequest(service, now);
+    if (!isNested) this.options.retryBudget.recordRequest(service, request.route.idempotent, now);
     if (this.stopAdmission.mayOutlastProcess(request, now)) this.refuseAsStopping(state, now);
     else this.tryNextGate(state, now);
   }
@@ -292,10 +292,11 @@
     const denial = this.findRetryDenial(state, now);
     const choice = denial === undefined ? this.chooseGate(state, now) : undefined;
     if (choice === undefined) return this.denyRetry(state, cause, denial ?? 'no-gate');
-    if (!retryBudget.tryTake(state.service, now)) return this.denyRetry(state, cause, 'budget');
+    const isHedge = state.attempts.size > 0;
+    if (!retryBudget.tryTake(state.service, now, isHedge && state.isNested))
+      return this.denyRetry(state, cause, 'budget');
     const gate = choice.view.node.name;
     this.log(EntryEventName.RequestRepeated, state, { gate, reason: cause });
-    const isHedge = state.attempts.size > 0;
     if (this.dispatch(state, choice.view, isHedge, true, now)) return true;
     retryBudget.refund(state.service, now);
     return this.denyRetry(state, cause, 'not-connected');
--- a/packages/mesh-core/tests/budget/retry-budget.test.ts
+++ b/packages/mesh-core/tests/budget/retry-budget.test.ts
@@ -27,6 +27,21 @@
   assert.not(budget.tryTake('shop', 0));
 });
 
+// Regression: hedges of nested calls, four times as many as the requests of callers, used up the retries of a service.
+test('hedges of nested calls leave half of what repeatable requests of callers have earned', () => {
+  for (const [isRepeatable, expected] of [
+    [true, 7],
+    [false, 14],
+  ] as const) {
+    const budget = new RetryBudget({ ...options, slack: 0 });
+    for (let count = 0; count < 100; count += 1) budget.recordRequest('shop', isRepeatable, 0);
+    const take = (): boolean => budget.tryTake('shop', 0, true);
+    assert.is(Array.from({ length: 20 }, take).filter(Boolean).length, expected);
+    for (let count = expected; count < 14; count += 1) assert.ok(budget.tryTake('shop', 0));
+    assert.not(budget.tryTake('shop', 0));
+  }
+});
+
 test('keeps a separate budget for each service', () => {
   const budget = new RetryBudget({ ...options, slack: 2 });
   assert.ok(budget.tryTake('shop', 0));
@@ -46,7 +61,7 @@
       const rate = Math.sin(now / 4_000) > 0 ? 0.9 : 0.05;
       for (const budget of budgets) {
         if (random.next() < rate * 0.1) {
-          budget.recordRequest('shop', now);
+          budget.recordRequest('shop', random.next() < 0.5, now);
           requests.push(now);
         }
         if (random.next() < 0.2 && budget.tryTake('shop', now)) retries.push(now);
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -250,6 +250,23 @@
   assert.equal(fixture.cancelledNodes, [fixture.startFrames[0]?.node]);
 });
 
+// Regression: a short nested call was hedged only after 1.7 times the mean of a server that also runs long requests.
+test('a request of a short route is hedged by the time of its route, not by the mean of its server', () => {
+  for (const [routeMilliseconds, expectedStarts] of [
+    [40, 3],
+    [undefined, 2],
+  ] as const) {
+    const fixture = new EntryFixture();
+    fixture.begin();
+    const load = createLoad({ routeMilliseconds, serviceMilliseconds: 100 });
+    const content = { body: new Uint8Array(), headers: [], status: 200 };
+    fixture.reply(0, 40, { ...content, kind: 'answered', load });
+    fixture.begin({}, { receivedAt: 0, requestId: 'r2', requestNumber: 2 });
+    fixture.forwarder.tick(80);
+    assert.is(fixture.startFrames.length, expectedStarts);
+  }
+});
+
 test('a non-idempotent request is never hedged', () => {
   const fixture = new EntryFixture();
   fixture.begin({ idempotent: false });
