Count the answers of the server too, and keep no released buffer

Cause: answers that were being read from the server had a limit of their own beside the account, and what was given up of them never led to a collection of garbage. A released hold still referred to its buffer, so a gate kept each forgotten answer until the deadline of its request and 5 s more: the gate took 251 MiB while its account held 31.

Change: responses take from the account while they are read. A released hold gives up its buffer. Several requests and answers of more than 1 MiB together have six tenths of the account.

--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -86,7 +86,7 @@
   });
   const callers = createCallers(options, driver, { clock, events, memory });
   const connections = createConnections(settings, self, driver, { clock, memory });
-  const server = createServerClient(options, driver, clock, events);
+  const server = createServerClient(options, driver, { clock, events, memory });
   const store = createStore(options, self, driver, {
     clock,
     events,
@@ -344,10 +344,10 @@
 function createServerClient(
   { adapter, settings }: MeshWiringOptions,
   driver: MeshNodeDriver,
-  clock: () => number,
-  events: EventRecorder,
+  { clock, events, memory }: NodeDependencies,
 ): ServerClient {
   return new ServerClient({
+    memory,
     responseMemoryBytes: Math.min(settings.answerMemoryBytes, maximumMeshBodyBytes),
     clock,
     codec: adapter.serverHeaders,
--- a/packages/mesh-core/src/memory/memory-account.ts
+++ b/packages/mesh-core/src/memory/memory-account.ts
@@ -6,6 +6,11 @@
 const ordinaryBytes = 1_048_576;
 /** Share of the account that only ordinary requests and answers may use. */
 const ordinaryShare = 0.1;
+/**
+ * Share of the account for several large requests and answers together. Their buffers wait for the collection of garbage when
+ * they are released, which those of a single large request don't.
+ */
+const severalLargeShare = 0.6;
 /** What has made no progress for this long may be ended in favour of others; callers on a working link make some sooner. */
 const stallMilliseconds = 1_000;
 /** Interval between two searches for something to end, if the first was in vain: each looks at all holds. */
@@ -116,14 +121,21 @@
 
   /** Whether `added` bytes have room for a request of `size` bytes in all, after others have been ended if necessary. */
   private hasRoom(added: number, size: number, now: number): boolean {
-    const { limitBytes } = this.options;
-    const limit = size <= ordinaryBytes ? limitBytes : limitBytes * (1 - ordinaryShare);
+    const limit = this.limitFor(size, this.totalBytes + added - size);
     if (this.totalBytes + added <= limit) return true;
     if (size > limit) return false;
     this.endStalled(limit - added, now);
     return this.totalBytes + added <= limit;
   }
 
+  /** Limit on the account for a request of a size, beside what others hold. */
+  private limitFor(size: number, othersBytes: number): number {
+    const { limitBytes } = this.options;
+    if (size <= ordinaryBytes) return limitBytes;
+    const isAlone = othersBytes <= limitBytes * ordinaryShare;
+    return limitBytes * (isAlone ? 1 - ordinaryShare : severalLargeShare);
+  }
+
   /** Ends stalled holds until the account holds at most `targetBytes`. */
   private endStalled(targetBytes: number, now: number): void {
     if (now < this.nextSearchAt) return;
--- a/packages/mesh-core/src/memory/memory-hold.ts
+++ b/packages/mesh-core/src/memory/memory-hold.ts
@@ -20,7 +20,7 @@
 
   public constructor(
     private readonly owner: HoldOwner,
-    public readonly options: MemoryHoldOptions,
+    public options: MemoryHoldOptions,
     public bytes: number,
     /** Time at which the other side last sent or read something. */
     public progressedAt: number,
@@ -35,5 +35,7 @@
     if (this.isReleased) return;
     this.isReleased = true;
     this.owner.release(this);
+    // Whoever keeps the hold for longer must not keep the buffer.
+    this.options = { place: this.options.place };
   }
 }
--- a/packages/mesh-core/src/memory/memory-place.ts
+++ b/packages/mesh-core/src/memory/memory-place.ts
@@ -8,6 +8,8 @@
   PeerInput: 'peer-input',
   /** Bodies in frames that other nodes have not read yet. */
   PeerOutput: 'peer-output',
+  /** Answers of the server that are being read. */
+  ServerAnswer: 'server-answer',
   /** Answers of the server that the gate keeps in case an entry asks for them again. */
   RetainedAnswer: 'retained-answer',
 } as const;
--- a/packages/mesh-core/tests/memory/memory-account.test.ts
+++ b/packages/mesh-core/tests/memory/memory-account.test.ts
@@ -35,6 +35,18 @@
   assert.not.ok(account.open({ place }, 0).tryResize(1, 0));
 });
 
+// Guards against a crowd that takes the room of a single body of the largest size, and leaves as much again as garbage.
+test('several large bodies together have less room than a single one', () => {
+  const account = createMemoryAccount(50 * mebibyte);
+  const first = account.open({ place }, 0);
+  const second = account.open({ place }, 0);
+  assert.ok(first.tryResize(20 * mebibyte, 0));
+  assert.not.ok(second.tryResize(20 * mebibyte, 0));
+  assert.ok(second.tryResize(10 * mebibyte, 0));
+  second.release();
+  assert.ok(first.tryResize(45 * mebibyte, 0));
+});
+
 // Guards against stalled bodies that keep the memory of an account until their time limits.
 test('the largest of the stalled holds is ended for others, and no hold that makes progress', () => {
   const ended: number[] = [];
@@ -68,6 +80,7 @@
   assert.is(account.tryShare({ buffer: new Uint8Array(60), place }, 0), undefined);
   second?.release();
   assert.is(account.heldBytes, 0);
+  assert.is(second?.options.buffer, undefined, 'a released hold does not keep the buffer');
 });
 
 // Guards against bytes that are given back twice or never, which would let the account drift.
@@ -102,9 +115,10 @@
         } else if (kind === 'share') {
           const shared = account.tryShare({ buffer, place: MemoryPlace.PeerOutput }, now);
           if (shared !== undefined) holds.push(shared);
-        } else if (kind === 'move') holds.push(account.share({ buffer, place }, now));
+        } else if (kind === 'move')
+          holds.push(account.share({ buffer, place: MemoryPlace.PeerInput }, now));
         else if (kind === 'release') hold?.release();
-        else if (hold?.options.buffer === undefined) hold?.tryResize(bytes, now);
+        else if (hold?.options.place === place) hold.tryResize(bytes, now);
         assert.ok(account.heldBytes >= 0);
         for (const held of account.heldByPlace.values()) assert.ok(held >= 0);
       }
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -7,11 +7,13 @@
   DeclineReason,
   endToEndHeaders,
   judgeResponse,
+  MemoryPlace,
   toOutgoingHeaders,
 } from '@peridotspring/mesh-core';
 import type {
   Execution,
   ExecutionResult,
+  MemoryAccount,
   ServerLoad,
   ServerNotice,
 } from '@peridotspring/mesh-core';
@@ -35,6 +37,8 @@
   readonly port: number;
   /** Limit on the total size of all responses that are being read, and thereby on each one. */
   readonly responseMemoryBytes: number;
+  /** Counts responses while they are being read, beside their own limit. */
+  readonly memory: MemoryAccount;
   readonly codec: ServerHeaderCodec;
   readonly clock: () => number;
   readonly onResult: (executionId: number, result: ExecutionResult) => void;
@@ -228,11 +232,19 @@
       limitBytes: this.options.responseMemoryBytes,
       overflowAction: 'close',
     } as const;
+    const { clock, memory } = this.options;
+    const hold = memory.open({ place: MemoryPlace.ServerAnswer }, clock());
+    const takeMemory = (): void => {
+      const { bufferedBytes } = collector;
+      // Once the response has been collected or given up, there is nothing to hold.
+      if (bufferedBytes > 0 && !hold.tryResize(bufferedBytes, clock())) collector.abort();
+    };
     const collector: ResponseCollector = new ResponseCollector(
       response,
       collectionOptions,
       (collected) => {
         this.responseMemory.untrack(collector);
+        hold.release();
         if (collected.kind === 'whole' && isEndKnown)
           settle(
             this.readResult(response, execution, () =>
@@ -251,10 +263,12 @@
       },
       () => {
         this.responseMemory.enforceLimit();
+        takeMemory();
       },
     );
     this.responseMemory.track(collector);
     collector.start();
+    takeMemory();
   }
 
   /** Reads what accompanies a response. If it can't be read, the request failed; it may have run. */
--- a/packages/upstreams/tests/server-client-harness.ts
+++ b/packages/upstreams/tests/server-client-harness.ts
@@ -9,6 +9,7 @@
   ServerNotice,
   StartFrame,
 } from '@peridotspring/mesh-core';
+import { createMemoryAccount } from '@peridotspring/mesh-core/fixtures';
 
 import { ServerClient } from '../src/mesh/index.js';
 import type { ServerHeaderCodec } from '../src/mesh/index.js';
@@ -91,6 +92,7 @@
 
   public constructor(port: number) {
     this.client = new ServerClient({
+      memory: createMemoryAccount(),
       responseMemoryBytes,
       clock: () => performance.now(),
       codec,
