Decide in one module what waits, starts and returns when there is too little room

Cause: gates took the mean work of all routes for each request, so a short request seemed unable to meet its target behind long ones and the other way round; long requests of low priority took the slots on which nested calls wait; refused callers were told the length of one queue and came back into the same overload.

Change: packages/mesh-core/src/admission. The gate orders and admits by the work of the route, with the remaining time of the running requests; late requests start with the least work first; the last slot is kept free for more urgent requests that could not wait for its end. The entry tells a refused caller to stay away for a multiple of the time that the overload has lasted.

--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -1,6 +1,13 @@
 import { pickRandom } from '@peridotspring/core';
 import type { SeededRandomSource } from '@peridotspring/core';
-import type { EntryOutcome, MeshNode, Route, RouteConfiguration } from '@peridotspring/mesh-core';
+import type {
+  EntryOutcome,
+  MeshNode,
+  Route,
+  RouteConfiguration,
+  RoutedService,
+  StartFrame,
+} from '@peridotspring/mesh-core';
 import { createConfiguration, createRoute } from '@peridotspring/mesh-core/fixtures';
 import { Metrics } from '@peridotspring/operators/metrics';
 
@@ -9,11 +16,13 @@
 import { MeshNodeDriver } from '../../src/mesh/mesh-node.js';
 import type { MeshNodePorts } from '../../src/mesh/mesh-node.js';
 import type { MeshSettings } from '../../src/mesh/mesh-settings.js';
+import { createRouteOfKind } from './request-kinds.js';
+import type { RequestKind } from './request-kinds.js';
 import { ConfigurationBound, configurationBoundMilliseconds } from './configuration-bound.js';
 import { EventQueue } from './event-queue.js';
 import { VirtualLinks } from './virtual-links.js';
 import type { LinkedNode } from './virtual-links.js';
-import { deadlyPathSuffix, VirtualServer } from './virtual-server.js';
+import { deadlyPathSuffix, meanWorkMilliseconds, VirtualServer } from './virtual-server.js';
 import { VirtualStore } from './virtual-store.js';
 
 /** Small, so that the faults of a simulation exhaust the budget. */
@@ -50,10 +59,20 @@
   readonly outcomes: EntryOutcome[];
   concludedAt: number;
   isAbandoned: boolean;
+  readonly onConcluded?: ((outcome: EntryOutcome) => void) | undefined;
+}
+
+/** A request of a kind, as a caller or a run of a server sends it. */
+export interface RequestOfKind {
+  readonly kind: RequestKind;
+  readonly callerDeadline: number;
+  readonly requestId: string;
+  readonly onConcluded: (outcome: EntryOutcome) => void;
 }
 
 interface Machine {
   readonly name: string;
+  readonly service: string;
   readonly availabilityZone: string;
   readonly server: VirtualServer;
   /** The current incarnation of the node; undefined while it is down. */
@@ -110,6 +129,7 @@
     private readonly zones = 2,
     private readonly startsCold = false,
     public readonly requestTimeoutMilliseconds = timeoutMilliseconds,
+    private readonly kinds: readonly RequestKind[] = [],
   ) {
     this.links = new VirtualLinks(this.queue, (name) => this.findMachine(name)?.node);
     for (let index = 0; index < size; index += 1) this.addMachine(index);
@@ -216,14 +236,14 @@
   public start(machine: Machine): void {
     if (machine.node !== undefined) return;
     this.lastBoot += 1;
-    const { availabilityZone, name } = machine;
+    const { availabilityZone, name, service } = machine;
     const self: MeshNode = {
       address: `${name}:1`,
       availabilityZone,
       boot: this.lastBoot,
       name,
       region: 'region',
-      service: 'shop',
+      service,
     };
     const node = this.createNode(machine, self);
     machine.node = node;
@@ -303,6 +323,62 @@
     return request;
   }
 
+  /** Sends a request of a kind to a machine's node; false if the node does not accept requests. */
+  public sendRequestOfKind({ name }: Machine, request: RequestOfKind): boolean {
+    const { callerDeadline, kind, onConcluded, requestId } = request;
+    const node = this.findMachine(name)?.node;
+    const route = node?.driver.routing?.table.match('shop', `/${kind.name}/`);
+    if (node === undefined || route === undefined) return false;
+    const { now } = this.queue;
+    const requestNumber = this.requests.length + 1;
+    this.requests.push({
+      concludedAt: Infinity,
+      entry: node,
+      isAbandoned: false,
+      isDeadly: false,
+      isIdempotent: true,
+      onConcluded,
+      outcomes: [],
+      requestId,
+      sentAt: now,
+    });
+    node.driver.onCallerRequest({
+      body: undefined,
+      callerDeadline,
+      headers: [],
+      method: 'GET',
+      path: route.pathPrefix,
+      receivedAt: now,
+      requestId,
+      requestNumber,
+      route,
+    });
+    return true;
+  }
+
+  /** Makes the call that a run needs, at the node beside its server. */
+  private makeCall(
+    machine: Machine,
+    frame: StartFrame,
+    onEnded: (isAnswered: boolean) => void,
+  ): void {
+    const caller = this.kinds.find(({ name }) => name === frame.routeName);
+    const kind = this.kinds.find(({ name }) => name === caller?.calls);
+    if (kind === undefined) {
+      onEnded(true);
+      return;
+    }
+    const isSent = this.sendRequestOfKind(machine, {
+      callerDeadline: this.queue.now + kind.timeoutMilliseconds,
+      kind,
+      onConcluded: ({ kind: outcome }) => {
+        onEnded(outcome === 'answered');
+      },
+      requestId: `${frame.requestId}.1`,
+    });
+    if (!isSent) onEnded(false);
+  }
+
   /** The settings file of a machine lists requests to be released, as an operator writes them. */
   public releaseRequests(machine: Machine, fingerprints: readonly string[]): void {
     const { node } = machine;
@@ -383,7 +459,9 @@
 
   private addMachine(index: number): void {
     const name = `node-${index}`;
+    const services = [...new Set(this.kinds.map(({ service }) => service))];
     const machine: Machine = {
+      service: services[Math.floor(index / this.zones) % services.length] ?? 'shop',
       availabilityZone: `zone-${index % this.zones}`,
       era: undefined,
       name,
@@ -405,6 +483,9 @@
         onNotice: (notice) => {
           machine.node?.driver.onServerNotice(notice);
         },
+        makeCall: (frame, onEnded) => {
+          this.makeCall(machine, frame, onEnded);
+        },
         coldMilliseconds: this.startsCold ? coldStart.durationMilliseconds : 0,
         name,
         queue: this.queue,
@@ -417,6 +498,12 @@
         },
       }),
     };
+    machine.server.workFactorByRoute = new Map(
+      this.kinds.map(({ name: kind, workMilliseconds }) => [
+        kind,
+        workMilliseconds / meanWorkMilliseconds,
+      ]),
+    );
     this.machines.push(machine);
   }
 
@@ -429,6 +516,7 @@
           Number(Buffer.from(content).toString()),
           this.startsCold,
           this.requestTimeoutMilliseconds,
+          this.kinds,
         ),
         kind: 'configuration',
         unknownTypes: [],
@@ -471,6 +559,7 @@
           if (request === undefined) throw new Error('outcome for an unknown request');
           request.outcomes.push(outcome);
           request.concludedAt = this.queue.now;
+          request.onConcluded?.(outcome);
         },
         stop: () => undefined,
       },
@@ -580,6 +669,7 @@
   version: number,
   startsCold: boolean,
   requestTimeoutMilliseconds: number,
+  kinds: readonly RequestKind[],
 ): RouteConfiguration {
   const routeOf = (name: string, idempotent: boolean): Route =>
     createRoute({
@@ -590,24 +680,22 @@
       targetLatencyMilliseconds: targetMilliseconds,
       timeoutMilliseconds: requestTimeoutMilliseconds,
     });
+  const routes = kinds.map(createRouteOfKind);
+  const serviceOf = (name: string): RoutedService => ({
+    connectionLimit: 100,
+    healthPath: '/health',
+    name,
+    ...(startsCold && {
+      coldStart: {
+        durationMilliseconds: coldStart.durationMilliseconds,
+        requestsPerSecond: coldStart.maximumRequests,
+      },
+    }),
+  });
+  const services = new Set(['shop', ...kinds.map(({ service }) => service)]);
   return createConfiguration({
-    routes: [routeOf('safe', true), routeOf('unsafe', false)],
-    services: new Map([
-      [
-        'shop',
-        {
-          connectionLimit: 100,
-          healthPath: '/health',
-          name: 'shop',
-          ...(startsCold && {
-            coldStart: {
-              durationMilliseconds: coldStart.durationMilliseconds,
-              requestsPerSecond: coldStart.maximumRequests,
-            },
-          }),
-        },
-      ],
-    ]),
+    routes: routes.length > 0 ? routes : [routeOf('safe', true), routeOf('unsafe', false)],
+    services: new Map([...services].map((name) => [name, serviceOf(name)])),
     version,
   });
 }
--- a/packages/daemon/tests/virtual-mesh/virtual-server.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-server.ts
@@ -4,6 +4,7 @@
   ExecutionResult,
   ServerLoad,
   ServerNotice,
+  StartFrame,
 } from '@peridotspring/mesh-core';
 import type { RandomSource } from '@peridotspring/core';
 import type { HealthCheckResult, ServerMessage } from '@peridotspring/upstreams/mesh';
@@ -42,6 +43,8 @@
   /** Called with what the server states about itself in each answer. */
   readonly onNotice: (notice: ServerNotice) => void;
   readonly onConcluded: (executionId: number, result: ExecutionResult) => void;
+  /** Makes the call that a run of the route needs before its own work; calls back at once if it needs none. */
+  readonly makeCall: (frame: StartFrame, onEnded: (isAnswered: boolean) => void) => void;
 }
 
 /** Share of the slots above which some servers slow down. */
@@ -74,6 +77,8 @@
   public slowdown = 1;
   /** Duration of all work relative to the usual one of this simulation. */
   public workFactor = 1;
+  /** As above for single routes, instead of the common factor. */
+  public workFactorByRoute: ReadonlyMap<string, number> = new Map();
   /** Slowdown of a request that starts while more than four fifths of the slots are in use. */
   public crowdedFactor = 1;
   /** Slowdown of a request that starts while the server is cold. */
@@ -178,10 +183,17 @@
       this.running += 1;
       const spread = longestWorkMilliseconds - shortestWorkMilliseconds;
       const usualWork = shortestWorkMilliseconds + spread * random.next() ** 2;
-      const work = usualWork * this.workFactor * this.currentSlowdown;
+      const workFactor = this.workFactorByRoute.get(frame.routeName) ?? this.workFactor;
+      const work = usualWork * workFactor * this.currentSlowdown;
       const isDeadly = frame.path.endsWith(deadlyPathSuffix);
       if (isDeadly) this.deadlyStarts.push(queue.now);
-      const cancel = queue.after(work, () => {
+      let isCancelled = false;
+      let cancelWork = (): void => undefined;
+      const cancel = (): void => {
+        isCancelled = true;
+        cancelWork();
+      };
+      const onWorkDone = (isCallAnswered: boolean): void => {
         this.cancelByExecution.delete(executionId);
         if (isDeadly && incarnation === this.incarnation) {
           this.crash(crashedMilliseconds);
@@ -200,8 +212,9 @@
         const body = Buffer.from(frame.requestId);
         this.options.onLoad(this.load);
         this.options.onNotice(this.createNotice());
-        onConcluded(executionId, { body, headers: [], kind: 'answered', status: 200 });
-      });
+        const status = isCallAnswered ? 200 : 500;
+        onConcluded(executionId, { body, headers: [], kind: 'answered', status });
+      };
       this.lostByExecution.set(executionId, () => {
         cancel();
         onConcluded(executionId, { ...lostConnection, detail: 'the server crashed' });
@@ -211,6 +224,12 @@
         this.lostByExecution.delete(executionId);
         if (incarnation === this.incarnation) this.running -= 1;
       });
+      this.options.makeCall(frame, (isAnswered) => {
+        if (isCancelled) return;
+        cancelWork = queue.after(work, () => {
+          onWorkDone(isAnswered);
+        });
+      });
     });
   }
 
--- /dev/null
+++ b/packages/mesh-core/src/admission/admission-order.ts
@@ -0,0 +1,118 @@
+import { AdmissionQueue } from './admission-queue.js';
+import type { WaitingRequest } from './admission-queue.js';
+import { expectedWait, reserveFactor } from './server-room.js';
+import type { ServerRoom } from './server-room.js';
+import { SlotReserve } from './slot-reserve.js';
+import type { OrderContext } from './start-order.js';
+
+/**
+ * Requests that will miss their target wait only while the queue is shorter than this share of the slots.
+ * They are meant to use slots that would otherwise be idle; in a longer queue, requests that can meet their
+ * target would precede them until their deadline.
+ */
+const lateQueueShare = 0.5;
+
+/** The service times that the order weighs, in milliseconds. */
+export interface ServiceTimeSource {
+  expectedServiceMilliseconds(routeName: string): number;
+  minimumNestedMilliseconds(routeName: string): number;
+}
+
+/**
+ * Decides which requests wait for a slot of a server and in which order they start, by their priority, target, deadline
+ * and expected work. What is declined should be what costs callers least.
+ */
+export class AdmissionOrder {
+  public readonly queue = new AdmissionQueue();
+  private readonly reserve = new SlotReserve();
+
+  public constructor(private readonly times: ServiceTimeSource) {}
+
+  /** The request that should start next; those that may not start now are passed over. */
+  public next(
+    now: number,
+    isNestedFirst: boolean,
+    mayStart: (request: WaitingRequest) => boolean,
+  ): WaitingRequest | undefined {
+    return this.queue.next(this.contextOf(now, isNestedFirst), mayStart);
+  }
+
+  public recordArrival(request: WaitingRequest, now: number): void {
+    this.reserve.recordArrival(request, now);
+  }
+
+  /** Whether all waiting requests would start after the given one. */
+  public isFirst(request: WaitingRequest, now: number): boolean {
+    return this.queue.ahead(request, this.contextOf(now)).length === 0;
+  }
+
+  /** Whether there is a slot for the request, apart from one that is kept for more urgent requests. */
+  public hasSlot(request: WaitingRequest, room: ServerRoom, now: number): boolean {
+    if (room.running >= room.limit) return false;
+    if (room.running + 1 < room.limit) return true;
+    return this.reserve.mayTakeLastSlot(request, {
+      ...room,
+      now,
+      workOf: this.contextOf(now).workOf,
+    });
+  }
+
+  /** Expected time until an answer to a request that is in the queue or would join it. */
+  public expectedAnswer(request: WaitingRequest, room: ServerRoom, now: number): number {
+    return this.waitOf(request, room, now) + this.workOf(request);
+  }
+
+  /** Expected time until a request starts that all waiting ones precede. */
+  public waitOfLast(room: ServerRoom): number {
+    return expectedWait(
+      [...this.queue.values()].map((request) => this.workOf(request)),
+      room,
+    );
+  }
+
+  /**
+   * Whether a waiting request can no longer meet its target while the queue is long. Requests that can would precede it
+   * until its deadline, so it is declined while there is time for a refusal or for another server.
+   */
+  public isOvertaken(request: WaitingRequest, limit: number, now: number): boolean {
+    if (request.frame.nested || this.queue.size <= lateQueueLimit(limit)) return false;
+    return now + this.workOf(request) > request.targetAt;
+  }
+
+  /**
+   * Whether a request may wait: if it is expected to meet its target, or if it will miss the target but is
+   * certain to finish before its deadline. In a lasting overload all others are declined at once, since
+   * queueing them would make every request miss its target.
+   */
+  public mayWait(request: WaitingRequest, room: ServerRoom, now: number): boolean {
+    const { deadline, frame, targetAt } = request;
+    const wait = this.waitOf(request, room, now);
+    if (frame.nested)
+      return now + wait + this.times.minimumNestedMilliseconds(frame.routeName) <= deadline;
+    const reservedUntil = now + wait + this.workOf(request) * reserveFactor;
+    if (reservedUntil <= targetAt) return true;
+    return this.queue.size < lateQueueLimit(room.limit) && reservedUntil <= deadline;
+  }
+
+  private waitOf(request: WaitingRequest, room: ServerRoom, now: number): number {
+    const ahead = this.queue.ahead(request, this.contextOf(now));
+    return expectedWait(
+      ahead.map((other) => this.workOf(other)),
+      room,
+    );
+  }
+
+  private workOf({ frame }: WaitingRequest): number {
+    return this.times.expectedServiceMilliseconds(frame.routeName);
+  }
+
+  private contextOf(now: number, isNestedFirst = true): OrderContext {
+    const workOf = (routeName: string): number => this.times.expectedServiceMilliseconds(routeName);
+    return { isNestedFirst, now, workOf };
+  }
+}
+
+/** Length of the queue below which requests that will miss their target may wait. */
+function lateQueueLimit(limit: number): number {
+  return Math.max(1, limit * lateQueueShare);
+}
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -1,13 +1,13 @@
 import { assertInvariant, MinimumHeap } from '@peridotspring/core';
 import type { RandomSource } from '@peridotspring/core';
 
+import { ReturnTimes } from '../admission/return-times.js';
 import { findAnswerFault } from '../answers/response-rules.js';
 import type { RetryBudget } from '../budget/retry-budget.js';
 import { DeclineReason } from '../messages/mesh-frames.js';
 import type {
   AnsweredFrame,
   DeclinedFrame,
-  GateLoad,
   ReplyFrame,
   StartFrame,
 } from '../messages/mesh-frames.js';
@@ -20,6 +20,7 @@
 import type { RequestScreening, RequestSuspicion } from '../quarantine/request-quarantine.js';
 import { EntryEventName, RefusalCause, UnknownCause } from './entry-contract.js';
 import type { EntryEvent, EntryOutcome, EntryPort, EntryRequest } from './entry-contract.js';
+import { EntryLog, occupancyFields } from './entry-log.js';
 import { isHedgeDue } from './hedge-rule.js';
 import { RequestState } from './request-state.js';
 import type { Attempt } from './request-state.js';
@@ -41,8 +42,8 @@
 const minimumRemainingMilliseconds = 15;
 /** Time after which an idempotent request whose gate is disconnected is also sent to another gate. */
 const lostConnectionTimeoutMilliseconds = 100;
-const minimumRetryAfterMilliseconds = 50;
-const maximumRetryAfterMilliseconds = 1_000;
+/** Time after which a quarantined request may return if its gate did not tell how long it is quarantined. */
+const unknownQuarantineMilliseconds = 1_000;
 
 export interface RequestForwarderOptions {
   readonly port: EntryPort;
@@ -70,7 +71,13 @@
   private nextCallId = 1;
   private configurationVersion = 0;
 
-  public constructor(private readonly options: RequestForwarderOptions) {}
+  private readonly log: EntryLog;
+  private readonly returnTimes: ReturnTimes;
+
+  public constructor(private readonly options: RequestForwarderOptions) {
+    this.log = new EntryLog(options.log);
+    this.returnTimes = new ReturnTimes(options.random);
+  }
 
   public get inProgressCount(): number {
     return this.requests.size;
@@ -150,7 +157,7 @@
   public onCallerDisconnected(requestNumber: number, now: number): void {
     const state = this.requests.get(requestNumber);
     if (state === undefined) return;
-    this.log(EntryEventName.RequestAbandoned, state, {
+    this.log.write(EntryEventName.RequestAbandoned, state, {
       attempts: state.attempts.size,
       milliseconds: Math.round(now - state.request.receivedAt),
     });
@@ -162,7 +169,7 @@
     for (const attempt of this.attempts.values()) {
       if (attempt.nodeName !== nodeName || attempt.connectionLostAt !== undefined) continue;
       attempt.connectionLostAt = now;
-      this.logAttempt(EntryEventName.AttemptUnconfirmed, attempt, now);
+      this.log.attempt(EntryEventName.AttemptUnconfirmed, attempt, now);
     }
   }
 
@@ -183,7 +190,7 @@
       if (attempt.nodeName !== nodeName) continue;
       if (attempt.boot === boot) {
         attempt.connectionLostAt = undefined;
-        this.logAttempt(EntryEventName.AttemptSentAgain, attempt, now);
+        this.log.attempt(EntryEventName.AttemptSentAgain, attempt, now);
         this.options.port.send(nodeName, this.createStartFrame(attempt, now));
       } else this.onGateEnded(attempt, now);
     }
@@ -202,6 +209,7 @@
   }
 
   public tick(now: number): void {
+    this.returnTimes.tick(now);
     for (;;) {
       const dueRequest = this.deadlines.popDue(now);
       if (dueRequest === undefined) break;
@@ -245,7 +253,7 @@
     state.hasServerRefusal ||= isServerRefusal;
     if (attempt.isRetry && !isServerRefusal) this.options.retryBudget.refund(state.service, now);
     state.recordDecline(attempt.nodeName, frame);
-    this.log(EntryEventName.RequestMoved, state, {
+    this.log.write(EntryEventName.RequestMoved, state, {
       expected: Math.round(frame.expectedMilliseconds),
       gate: attempt.nodeName,
       reason: frame.reason,
@@ -263,13 +271,13 @@
 
   private onFailed(attempt: Attempt, detail: string, now: number): void {
     const { state } = attempt;
-    this.log(EntryEventName.AttemptFailed, state, { detail, gate: attempt.nodeName });
+    this.log.write(EntryEventName.AttemptFailed, state, { detail, gate: attempt.nodeName });
     this.retryOrGiveUp(state, now);
   }
 
   private onGateEnded(attempt: Attempt, now: number): void {
     this.endAttempt(attempt);
-    this.log(EntryEventName.AttemptFailed, attempt.state, {
+    this.log.write(EntryEventName.AttemptFailed, attempt.state, {
       detail: "the gate's process ended",
       gate: attempt.nodeName,
     });
@@ -290,7 +298,7 @@
     if (choice === undefined) return this.denyRetry(state, cause, denial ?? 'no-gate');
     if (!retryBudget.tryTake(state.service, now)) return this.denyRetry(state, cause, 'budget');
     const gate = choice.view.node.name;
-    this.log(EntryEventName.RequestRepeated, state, { gate, reason: cause });
+    this.log.write(EntryEventName.RequestRepeated, state, { gate, reason: cause });
     const isHedge = state.attempts.size > 0;
     if (this.dispatch(state, choice.view, isHedge, true, now)) return true;
     retryBudget.refund(state.service, now);
@@ -310,7 +318,7 @@
   private denyRetry(state: RequestState, cause: string, reason: string): false {
     if (state.lastRetryDenialReason === reason) return false;
     state.lastRetryDenialReason = reason;
-    this.log(EntryEventName.RequestNotRepeated, state, { cause, reason });
+    this.log.write(EntryEventName.RequestNotRepeated, state, { cause, reason });
     return false;
   }
 
@@ -414,35 +422,13 @@
     this.attempts.set(attempt.callId, attempt);
     this.options.gates.onRequestSent(node.name);
     const isSent = this.options.port.send(node.name, this.createStartFrame(attempt, now));
-    this.logPlacement(state, view, isOptional, isSent, now);
+    this.log.placement(state, view, isOptional, isSent, now);
     if (isSent) return true;
     this.endAttempt(attempt);
     state.usedNodes.delete(node.name);
     return false;
   }
 
-  /** Logs the load that this node knew of a gate when it sent the request. */
-  private logPlacement(
-    state: RequestState,
-    { load, loadReceivedAt, node }: GateView,
-    isOptional: boolean,
-    isSent: boolean,
-    now: number,
-  ): void {
-    this.log(EntryEventName.RequestPlaced, state, {
-      at: Math.round(now - state.request.receivedAt),
-      failures: Math.round(load.failureShare * 100) / 100,
-      gate: node.name,
-      loadAge: Math.round(now - loadReceivedAt),
-      optional: isOptional,
-      running: load.running,
-      sent: isSent,
-      slowdown: load.slowdown,
-      wait: Math.round(load.waitMilliseconds),
-      waiting: load.waiting,
-    });
-  }
-
   private createStartFrame(attempt: Attempt, now: number): StartFrame {
     const { callId, isOptional: optional, isRetry: repeat, state } = attempt;
     const { body, headers, method, path, requestId, route, tenant } = state.request;
@@ -506,16 +492,15 @@
   private refuse(state: RequestState, now: number): void {
     const quarantinedUntil = this.suspicionOf(state, now).quarantinedUntil;
     if (quarantinedUntil !== undefined || state.isQuarantinedByGate) {
-      const until = quarantinedUntil ?? now + maximumRetryAfterMilliseconds;
+      const until = quarantinedUntil ?? now + unknownQuarantineMilliseconds;
       this.refuseUntil(state, RefusalCause.Quarantined, until, now);
       return;
     }
-    // The random part spreads out the retries of callers that were refused at the same time.
-    const baseMilliseconds = Math.min(
-      maximumRetryAfterMilliseconds,
-      Math.max(minimumRetryAfterMilliseconds, state.shortestExpectedMilliseconds / 2),
+    const retryAfterMilliseconds = this.returnTimes.afterRefusal(
+      state.service,
+      state.shortestExpectedMilliseconds,
+      now,
     );
-    const retryAfterMilliseconds = baseMilliseconds * (1 + this.options.random.next());
     this.refuseUntil(state, refusalCauseOf(state, now), now + retryAfterMilliseconds, now);
   }
 
@@ -535,24 +520,7 @@
     nodeName: string | undefined,
     now: number,
   ): void {
-    const { receivedAt, route } = state.request;
-    this.log(EntryEventName.RequestConcluded, state, {
-      configuration: state.configurationVersion,
-      // Declines as busy are not counted separately; the count of attempts that permit them is used instead.
-      declined: state.finalDeclineCount + state.optionalAttemptCount,
-      gate: nodeName ?? 'none',
-      late: now > state.targetDeadline,
-      milliseconds: Math.round(now - receivedAt),
-      nested: state.isNested,
-      outcome: outcome.kind,
-      route: route.name,
-      service: state.service,
-      ...(state.spentBeforeMilliseconds > 0 && {
-        spentBefore: Math.round(state.spentBeforeMilliseconds),
-      }),
-      ...(outcome.kind === 'answered' ? { status: outcome.status } : { cause: outcome.cause }),
-      ...(outcome.kind !== 'answered' && lastDeclineFields(state)),
-    });
+    this.log.conclusion(state, outcome, nodeName, now);
     this.remove(state);
     this.options.port.respond(state.request, outcome);
   }
@@ -570,29 +538,6 @@
     this.attempts.delete(attempt.callId);
     attempt.state.attempts.delete(attempt.callId);
   }
-
-  private logAttempt(event: EntryEvent['event'], attempt: Attempt, now: number): void {
-    this.log(event, attempt.state, {
-      gate: attempt.nodeName,
-      milliseconds: Math.round(now - attempt.sentAt),
-    });
-  }
-
-  private log(event: EntryEvent['event'], state: RequestState, fields: EntryEvent['fields']): void {
-    this.options.log({ event, fields: { request: state.request.requestId, ...fields } });
-  }
-}
-
-/** Log fields for the occupancy of a gate. */
-function occupancyFields({ limit, running, waiting }: GateLoad): EntryEvent['fields'] {
-  return { limit, running, waiting };
-}
-
-/** Log fields for the last decline. Under load, the final event may be the only one logged for a request. */
-function lastDeclineFields({ lastDecline }: RequestState): EntryEvent['fields'] {
-  if (lastDecline === undefined) return {};
-  const { frame, node } = lastDecline;
-  return { lastDecline: frame.reason, lastGate: node, ...occupancyFields(frame.load) };
 }
 
 function refusalCauseOf(state: RequestState, now: number): RefusalCause {
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -1,3 +1,7 @@
+import { AdmissionOrder } from '../admission/admission-order.js';
+import type { WaitingRequest } from '../admission/admission-queue.js';
+import { remainingWork } from '../admission/server-room.js';
+import type { ServerRoom } from '../admission/server-room.js';
 import { DeclineReason, ServerState } from '../messages/mesh-frames.js';
 import type {
   CancelFrame,
@@ -8,8 +12,6 @@
 } from '../messages/mesh-frames.js';
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js';
 import type { Route } from '../routes/route-configuration.js';
-import { AdmissionQueue } from './admission-queue.js';
-import type { WaitingRequest } from './admission-queue.js';
 import { ColdAssumptionCause, ColdStartGuard } from './cold-start-guard.js';
 import type { ColdStartLimit } from './cold-start-limit.js';
 import { ConcurrencyLimit } from './concurrency-limit.js';
@@ -39,18 +41,6 @@
 import { StartIntervalEstimator } from './start-interval-estimator.js';
 import { shortestUsefulMilliseconds, ServiceTimeEstimator } from './service-time-estimator.js';
 
-/**
- * A request waits only if at least this many times its expected service time remain between its expected start and its
- * target, or its deadline if it will miss the target. Service times vary, and a queue with requests that just meet their
- * targets on average makes half of them late.
- */
-const reserveFactor = 2.2;
-/**
- * Requests that will miss their target wait only while the queue is shorter than this share of the slots.
- * They are meant to use slots that would otherwise be idle; in a longer queue, requests that can meet their
- * target would precede them until their deadline.
- */
-const lateQueueShare = 0.5;
 /** Expected remaining duration of a slowdown in progress. */
 const slowdownRemainderMilliseconds = 75;
 /**
@@ -107,10 +97,11 @@
  */
 export class ServerGate {
   private readonly serverTracker = new ServerIncarnationTracker();
-  private readonly queue = new AdmissionQueue();
   private readonly concurrencyLimit = new ConcurrencyLimit();
   private readonly speed = new ServerSpeedTracker();
   private readonly estimator = new ServiceTimeEstimator(this.speed, this.concurrencyLimit);
+  private readonly order = new AdmissionOrder(this.estimator);
+  private readonly queue = this.order.queue;
   private readonly probes: ProbeRateLimiter;
   private readonly failures = new RecentFailures();
   private readonly startIntervalEstimator = new StartIntervalEstimator();
@@ -215,10 +206,8 @@
       serviceMilliseconds: this.estimator.meanServiceMilliseconds,
       slowdown: this.speed.state(now) === SpeedState.Slow ? this.speed.currentSlowdown : 1,
       state: this.state,
-      waitMilliseconds: this.waitAtPosition(
-        this.queue.size + 1,
-        this.concurrencyLimit.limit(this.serverTracker.slots),
-        now,
+      waitMilliseconds: this.order.waitOfLast(
+        this.roomWithin(this.concurrencyLimit.limit(this.serverTracker.slots), now),
       ),
       waiting: this.queue.size,
     };
@@ -429,10 +418,8 @@
       if (call === undefined) continue;
       if (this.isTooLate(call, now)) {
         this.declineQueued(waiting, DeclineReason.DeadlineTooShort, 0, now);
-      } else if (this.isOvertaken(call, now)) {
-        const expected =
-          this.expectedWait(waiting, now) +
-          this.estimator.expectedServiceMilliseconds(call.frame.routeName);
+      } else if (this.order.isOvertaken(waiting, this.limitFor(call.frame), now)) {
+        const expected = this.order.expectedAnswer(waiting, this.roomFor(call.frame, now), now);
         this.declineQueued(waiting, DeclineReason.QueueFull, expected, now);
       }
     }
@@ -555,20 +542,21 @@
 
   private admit(call: GateCall, now: number): void {
     const waiting = toWaitingRequest(call, now);
+    this.order.recordArrival(waiting, now);
     const isFree =
-      this.queue.size === 0 &&
-      this.running < this.limitFor(call.frame) &&
+      this.order.isFirst(waiting, now) &&
+      this.order.hasSlot(waiting, this.roomFor(call.frame, now), now) &&
       this.waitForStart(1, now) === 0 &&
       this.mayStart(call.frame, now);
     if (!isFree) {
-      const wait = this.expectedWait(waiting, now);
-      const finish = wait + this.estimator.expectedServiceMilliseconds(call.frame.routeName);
+      const room = this.roomFor(call.frame, now);
+      const expected = this.order.expectedAnswer(waiting, room, now);
       if (call.frame.optional) {
-        this.decline(call, DeclineReason.Busy, finish, now);
+        this.decline(call, DeclineReason.Busy, expected, now);
         return;
       }
-      if (!this.mayWait(call, wait, now)) {
-        this.decline(call, DeclineReason.QueueFull, finish, now);
+      if (!this.order.mayWait(waiting, room, now)) {
+        this.decline(call, DeclineReason.QueueFull, expected, now);
         return;
       }
     }
@@ -576,35 +564,6 @@
     this.startQueued(now);
   }
 
-  /**
-   * Whether a request may wait: if it is expected to meet its target, or if it will miss the target but is
-   * certain to finish before its deadline. In a lasting overload all others are declined at once, since
-   * queueing them would make every request miss its target.
-   */
-  private mayWait({ deadline, frame, targetAt }: GateCall, wait: number, now: number): boolean {
-    const serviceTime = this.estimator.expectedServiceMilliseconds(frame.routeName);
-    if (frame.nested) {
-      return now + wait + this.estimator.minimumNestedMilliseconds(frame.routeName) <= deadline;
-    }
-    const reservedUntil = now + wait + serviceTime * reserveFactor;
-    if (reservedUntil <= targetAt) return true;
-    return this.queue.size < this.lateQueueLimit(frame) && reservedUntil <= deadline;
-  }
-
-  /**
-   * Whether a request can no longer meet its target while the queue is long. Requests that can would precede it
-   * until its deadline, so it is declined while there is time for a refusal or for another server.
-   */
-  private isOvertaken({ frame, targetAt }: GateCall, now: number): boolean {
-    if (frame.nested || this.queue.size <= this.lateQueueLimit(frame)) return false;
-    return now + this.estimator.expectedServiceMilliseconds(frame.routeName) > targetAt;
-  }
-
-  /** Length of the queue below which requests that will miss their target may wait. */
-  private lateQueueLimit(frame: StartFrame): number {
-    return Math.max(1, this.limitFor(frame) * lateQueueShare);
-  }
-
   private limitFor(frame: StartFrame): number {
     const { slots } = this.serverTracker;
     const limit = frame.nested
@@ -621,29 +580,29 @@
     );
   }
 
-  /** Expected time until the request would start if it waited in the queue. */
-  private expectedWait(request: WaitingRequest, now: number): number {
-    const ahead = this.queue.countAhead(request, now, this.estimator.meanServiceMilliseconds);
-    return this.waitAtPosition(ahead + 1, this.limitFor(request.frame), now);
-  }
-
-  /** Expected time until the request at a position of the queue, counted from 1, starts. */
-  private waitAtPosition(position: number, limit: number, now: number): number {
-    return Math.max(
-      this.waitForSlot(position, limit, now),
-      this.coldStartGuard.expectedWaitForStart(position, now),
-      this.requestRate.waitForStart(position, now),
-    );
+  private roomFor(frame: StartFrame, now: number): ServerRoom {
+    return this.roomWithin(this.limitFor(frame), now);
   }
 
-  /** Expected time until the request at a position of the queue, counted from 1, gets a slot. */
-  private waitForSlot(position: number, limit: number, now: number): number {
-    if (this.running + position <= limit) return 0;
-    const excess = Math.max(0, this.running - limit);
-    const byService = ((position + excess) * this.estimator.meanServiceMilliseconds) / limit;
-    const interval =
-      this.queue.size === 0 ? undefined : this.startIntervalEstimator.intervalMilliseconds(now);
-    return interval === undefined ? byService : Math.max(byService, position * interval);
+  private roomWithin(limit: number, now: number): ServerRoom {
+    const remaining: number[] = [];
+    for (const { frame, startedAt } of this.calls.runningCalls()) {
+      const expected = this.estimator.expectedServiceMilliseconds(frame.routeName);
+      remaining.push(remainingWork(expected, now - startedAt));
+    }
+    return {
+      limit,
+      nestedLimit: this.concurrencyLimit.nestedLimit(this.serverTracker.slots),
+      running: this.running,
+      remainingWork: remaining,
+      startIntervalMilliseconds:
+        this.queue.size === 0 ? undefined : this.startIntervalEstimator.intervalMilliseconds(now),
+      waitForStart: (position) =>
+        Math.max(
+          this.coldStartGuard.expectedWaitForStart(position, now),
+          this.requestRate.waitForStart(position, now),
+        ),
+    };
   }
 
   /**
@@ -658,13 +617,11 @@
   private startQueued(now: number): void {
     if (this.state !== ServerState.Ready) return;
     while (this.queue.size > 0 && this.waitForStart(1, now) === 0) {
-      const next = this.queue.next(
-        now,
-        this.estimator.meanServiceMilliseconds,
-        this.isNestedFirst,
-        ({ frame }) => this.mayStart(frame, now),
+      const next = this.order.next(now, this.isNestedFirst, ({ frame }) =>
+        this.mayStart(frame, now),
       );
-      if (next === undefined || this.running >= this.limitFor(next.frame)) return;
+      if (next === undefined) return;
+      if (!this.order.hasSlot(next, this.roomFor(next.frame, now), now)) return;
       const speed = this.currentSpeed(now);
       if (speed === SpeedState.Slow && next.frame.optional) {
         this.declineQueuedOptional(now);
--- /dev/null
+++ b/packages/mesh-core/tests/admission/server-room.test.ts
@@ -0,0 +1,32 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { expectedWait, remainingWork } from '../../src/admission/server-room.js';
+
+const room = {
+  limit: 2,
+  nestedLimit: 2,
+  remainingWork: [300, 40],
+  running: 2,
+  startIntervalMilliseconds: undefined,
+  waitForStart: () => 0,
+};
+
+// The mean work of all routes was assumed for each request, so that short requests seemed to wait for long ones.
+test('waits for the slots that become free first, and for the work ahead', () => {
+  assert.is(expectedWait([], room), 40);
+  assert.is(expectedWait([20], room), 60);
+  assert.is(expectedWait([500], room), 300);
+  assert.is(expectedWait([], { ...room, running: 1 }), 0);
+});
+
+test('does not use slots beyond a limit that has fallen', () => {
+  assert.is(expectedWait([], { ...room, limit: 1 }), 300);
+});
+
+test('expects a request to go on for some time that has run for longer than expected', () => {
+  assert.is(remainingWork(100, 30), 70);
+  assert.is(remainingWork(100, 500), 25);
+});
+
+test.run();
