Use the work of a route only where it differs much, and waits as before

Estimates of two equal routes vary by more than a third, the remaining time of running requests made waits look shorter than they are, and late requests must not lose the last slot, which may otherwise stay idle.

Change: a route's own work counts if it differs from the mean of all by a factor of three; waits start from the mean work; the last slot is kept for more urgent kinds only; a request passes waiting ones only where those wait for the kept slot.

--- a/packages/mesh-core/src/admission/admission-order.ts
+++ b/packages/mesh-core/src/admission/admission-order.ts
@@ -12,10 +12,14 @@
  */
 const lateQueueShare = 0.5;
 
+/** The work of a route counts as different from the mean of all routes if it differs by at least this factor. */
+const distinctFactor = 3;
+
 /** The service times that the order weighs, in milliseconds. */
 export interface ServiceTimeSource {
   expectedServiceMilliseconds(routeName: string): number;
   minimumNestedMilliseconds(routeName: string): number;
+  readonly meanServiceMilliseconds: number;
 }
 
 /**
@@ -59,7 +63,8 @@
 
   /** Expected time until an answer to a request that is in the queue or would join it. */
   public expectedAnswer(request: WaitingRequest, room: ServerRoom, now: number): number {
-    return this.waitOf(request, room, now) + this.workOf(request);
+    const work = this.times.expectedServiceMilliseconds(request.frame.routeName);
+    return this.waitOf(request, room, now) + work;
   }
 
   /** Expected time until a request starts that all waiting ones precede. */
@@ -76,7 +81,8 @@
    */
   public isOvertaken(request: WaitingRequest, limit: number, now: number): boolean {
     if (request.frame.nested || this.queue.size <= lateQueueLimit(limit)) return false;
-    return now + this.workOf(request) > request.targetAt;
+    const work = this.times.expectedServiceMilliseconds(request.frame.routeName);
+    return now + work > request.targetAt;
   }
 
   /**
@@ -89,7 +95,8 @@
     const wait = this.waitOf(request, room, now);
     if (frame.nested)
       return now + wait + this.times.minimumNestedMilliseconds(frame.routeName) <= deadline;
-    const reservedUntil = now + wait + this.workOf(request) * reserveFactor;
+    const work = this.times.expectedServiceMilliseconds(frame.routeName);
+    const reservedUntil = now + wait + work * reserveFactor;
     if (reservedUntil <= targetAt) return true;
     return this.queue.size < lateQueueLimit(room.limit) && reservedUntil <= deadline;
   }
@@ -103,12 +110,19 @@
   }
 
   private workOf({ frame }: WaitingRequest): number {
-    return this.times.expectedServiceMilliseconds(frame.routeName);
+    return this.workOfRoute(frame.routeName);
+  }
+
+  /** The estimate of a single route varies, so the mean of all routes is used unless the route differs much. */
+  private workOfRoute(routeName: string): number {
+    const own = this.times.expectedServiceMilliseconds(routeName);
+    const mean = this.times.meanServiceMilliseconds;
+    const isDifferent = own > mean * distinctFactor || own * distinctFactor < mean;
+    return isDifferent ? own : mean;
   }
 
   private contextOf(now: number, isNestedFirst = true): OrderContext {
-    const workOf = (routeName: string): number => this.times.expectedServiceMilliseconds(routeName);
-    return { isNestedFirst, now, workOf };
+    return { isNestedFirst, now, workOf: (routeName) => this.workOfRoute(routeName) };
   }
 }
 
--- a/packages/mesh-core/src/admission/server-room.ts
+++ b/packages/mesh-core/src/admission/server-room.ts
@@ -12,6 +12,8 @@
   readonly nestedLimit: number;
   /** Number of slots in use, those of aborted requests included. */
   readonly running: number;
+  /** Mean expected work over all routes, in milliseconds. */
+  readonly meanWork: number;
   /** Expected remaining time of each running request, in milliseconds. */
   readonly remainingWork: readonly number[];
   /** Mean interval at which waiting requests have started lately; undefined if too few have. */
@@ -35,31 +37,12 @@
 }
 
 function waitForSlot(workAhead: readonly number[], room: ServerRoom): number {
-  const { limit, running, startIntervalMilliseconds } = room;
+  const { limit, meanWork, running, startIntervalMilliseconds } = room;
   const position = workAhead.length + 1;
   if (running + position <= limit) return 0;
-  const byWork = earliestFreeAfter(workAhead, room);
-  return startIntervalMilliseconds === undefined
-    ? byWork
-    : Math.max(byWork, position * startIntervalMilliseconds);
-}
-
-/** Assigns the waiting work to the slot that becomes free first, and returns when the next one is free. */
-function earliestFreeAfter(workAhead: readonly number[], { limit, ...room }: ServerRoom): number {
-  const ends = [...room.remainingWork].sort((first, second) => first - second);
   // Slots beyond the limit, which has fallen, are not used again when they become free.
-  const freeTimes = ends.slice(Math.max(0, ends.length - limit));
-  while (freeTimes.length < limit) freeTimes.push(0);
-  for (const work of workAhead) {
-    const earliest = earliestSlot(freeTimes);
-    freeTimes[earliest] = (freeTimes[earliest] ?? 0) + work;
-  }
-  return freeTimes[earliestSlot(freeTimes)] ?? 0;
-}
-
-function earliestSlot(freeTimes: readonly number[]): number {
-  let earliest = 0;
-  for (const [slot, time] of freeTimes.entries())
-    if (time < (freeTimes[earliest] ?? Infinity)) earliest = slot;
-  return earliest;
+  const excess = Math.max(0, running - limit);
+  let work = meanWork * (1 + excess);
+  for (const ahead of workAhead) work += ahead;
+  return Math.max(work / limit, position * (startIntervalMilliseconds ?? 0));
 }
--- a/packages/mesh-core/src/admission/slot-reserve.ts
+++ b/packages/mesh-core/src/admission/slot-reserve.ts
@@ -65,11 +65,10 @@
     if (request.frame.nested || limit <= 1) return true;
     const work = workOf(request.frame.routeName);
     const release = Math.min(...remainingWork, work) * reserveFactor;
-    const isLate = request.targetAt < now + work;
     for (const kind of this.kinds.values()) {
       if (now - kind.previousArrivedAt > recentMilliseconds) continue;
       const isMoreUrgent = kind.isNested || kind.priority < request.frame.priority;
-      if (!isMoreUrgent && !isLate) continue;
+      if (!isMoreUrgent) continue;
       // Nested calls have slots of their own if their limit is higher.
       if (kind.isNested && context.nestedLimit > limit) continue;
       const kindWork = workOf(kind.routeName);
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -544,7 +544,7 @@
     const waiting = toWaitingRequest(call, now);
     this.order.recordArrival(waiting, now);
     const isFree =
-      this.order.isFirst(waiting, now) &&
+      this.isNextToStart(waiting, now) &&
       this.order.hasSlot(waiting, this.roomFor(call.frame, now), now) &&
       this.waitForStart(1, now) === 0 &&
       this.mayStart(call.frame, now);
@@ -564,6 +564,16 @@
     this.startQueued(now);
   }
 
+  /** Whether a request may start ahead of the waiting ones: if those only wait since a slot is kept free. */
+  private isNextToStart(waiting: WaitingRequest, now: number): boolean {
+    const first = this.order.next(now, this.isNestedFirst, () => true);
+    if (first === undefined) return true;
+    return (
+      !this.order.hasSlot(first, this.roomFor(first.frame, now), now) &&
+      this.order.isFirst(waiting, now)
+    );
+  }
+
   private limitFor(frame: StartFrame): number {
     const { slots } = this.serverTracker;
     const limit = frame.nested
@@ -594,6 +604,7 @@
       limit,
       nestedLimit: this.concurrencyLimit.nestedLimit(this.serverTracker.slots),
       running: this.running,
+      meanWork: this.estimator.meanServiceMilliseconds,
       remainingWork: remaining,
       startIntervalMilliseconds:
         this.queue.size === 0 ? undefined : this.startIntervalEstimator.intervalMilliseconds(now),
