--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -2,7 +2,7 @@
 import type { MemoryHold } from '../memory/memory-hold.js';
 import { MemoryPlace } from '../memory/memory-place.js';
 import type { ReplyFrame, StartFrame } from '../messages/mesh-frames.js';
-import type { WaitingRequest } from './admission-queue.js';
+import type { WaitingRequest } from '../admission/admission-queue.js';
 
 /**
  * Time for which a finished call is retained after its end or its deadline, whichever is later. Until then
