--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -53,12 +53,6 @@
 
 /** Minimum interval between checks for due load reports. The reports to each single node are limited further. */
 const announcementIntervalMilliseconds = 10;
-/**
- * Messages of the server are buffered until half of the connections are up, but at most for this long after the
- * start. Peers report, when they connect, which incarnations of the server have ended according to an earlier
- * incarnation of this node.
- */
-const peerHelloTimeoutMilliseconds = 500;
 /** A node that cannot connect to its peers reports that it is ready after this time. */
 const isolatedReadinessDelayMilliseconds = 2_000;
 const millisecondsPerSecond = 1_000;
@@ -712,15 +706,6 @@
     }
   }
 
-  /** Delivers the buffered messages of the server once enough peers have connected, or after a time-out. */
-  private releaseServerMessages(now: number): void {
-    if (this.serverMessages.isReleased) return;
-    const hasEnoughPeerHellos =
-      this.directory.connectedCount > 0 && this.directorySynchronizer.isMostlyConnected;
-    if (hasEnoughPeerHellos || now - this.startedAt >= peerHelloTimeoutMilliseconds)
-      this.serverMessages.release();
-  }
-
   private tick(): void {
     if (this.isClosed) return;
     const now = this.options.clock();
@@ -758,7 +743,9 @@
     this.keyProofs.tick();
     this.quarantines.tick(now);
     this.allotments.tick();
-    this.releaseServerMessages(now);
+    const hasPeerHellos =
+      this.directory.connectedCount > 0 && this.directorySynchronizer.isMostlyConnected;
+    this.serverMessages.releaseIfDue(hasPeerHellos, now - this.startedAt);
     this.healthChecks.tick(now);
   }
 
--- a/packages/daemon/src/mesh/server-message-buffer.ts
+++ b/packages/daemon/src/mesh/server-message-buffer.ts
@@ -1,5 +1,12 @@
 import type { ServerMessage } from '@peridotspring/upstreams/mesh';
 
+/**
+ * Messages of the server are buffered until half of the connections are up, but at most for this long after the
+ * start. Peers report, when they connect, which incarnations of the server have ended according to an earlier
+ * incarnation of this node.
+ */
+const peerHelloTimeoutMilliseconds = 500;
+
 /**
  * Buffers messages of the server beside a node until peers have reported which incarnations of the server have ended
  * according to an earlier incarnation of the node.
@@ -38,6 +45,15 @@
     }
   }
 
+  /**
+   * Releases the messages once enough peers have connected, or after a time-out.
+   * @param hasPeerHellos whether at least one peer, and most of them, are connected.
+   */
+  public releaseIfDue(hasPeerHellos: boolean, millisecondsSinceStart: number): void {
+    if (this.isReleased) return;
+    if (hasPeerHellos || millisecondsSinceStart >= peerHelloTimeoutMilliseconds) this.release();
+  }
+
   /** Delivers the buffered messages, and later ones immediately. */
   public release(): void {
     const messages = this.buffered ?? [];
