Tell callers to return soon where no server could be asked

Cause: the time told to refused callers grows with the time that refusals have lasted, also where the service had no server or the entry had no proof of keys. A server that comes back is then left without callers for up to 7.5 s.

--- a/packages/mesh-core/src/admission/return-times.ts
+++ b/packages/mesh-core/src/admission/return-times.ts
@@ -1,6 +1,8 @@
 import type { RandomSource } from '@peridotspring/core';
 
 const minimumMilliseconds = 50;
+/** Time told where no server could be asked: it may be back at any moment, however long it has been away. */
+const unavailableMilliseconds = 1_000;
 /** Longest time that a caller is told: beyond it, what is known of the load says nothing. */
 const maximumMilliseconds = 5_000;
 /** An overload is over once no request to the service has been refused for this long. */
@@ -39,7 +41,12 @@
       maximumMilliseconds,
       Math.max(minimumMilliseconds, known / 2, lasted * lastedFactor),
     );
-    return base * (1 + randomShare * this.random.next());
+    return this.spread(base);
+  }
+
+  /** Returns after how many milliseconds a caller should return that was refused for another reason than lack of room. */
+  public afterUnavailability(): number {
+    return this.spread(unavailableMilliseconds);
   }
 
   /** Removes the services that have not refused a request for long. */
@@ -48,6 +55,10 @@
       if (now - lastRefusalAt > overloadGapMilliseconds) this.overloads.delete(service);
   }
 
+  private spread(milliseconds: number): number {
+    return milliseconds * (1 + randomShare * this.random.next());
+  }
+
   /** Returns since when requests to the service have been refused. */
   private recordRefusal(service: string, now: number): number {
     const overload = this.overloads.get(service);
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -501,11 +501,10 @@
       this.refuseUntil(state, RefusalCause.Quarantined, until, now);
       return;
     }
-    const retryAfterMilliseconds = this.returnTimes.afterRefusal(
-      state.service,
-      state.shortestExpectedMilliseconds,
-      now,
-    );
+    const { isOverloaded, service, shortestExpectedMilliseconds } = state;
+    const retryAfterMilliseconds = isOverloaded
+      ? this.returnTimes.afterRefusal(service, shortestExpectedMilliseconds, now)
+      : this.returnTimes.afterUnavailability();
     const cause = this.isKeyUnproven(state) ? RefusalCause.KeyUnproven : refusalCauseOf(state, now);
     this.refuseUntil(state, cause, now + retryAfterMilliseconds, now);
   }
--- a/packages/mesh-core/tests/entry/request-forwarder.test.ts
+++ b/packages/mesh-core/tests/entry/request-forwarder.test.ts
@@ -553,4 +553,20 @@
   assert.is(outcome?.kind === 'refused' && outcome.cause, 'key-unproven');
 });
 
+// A server that has been away may be back at any moment, unlike an overload that has lasted.
+test('a caller that no server could take is told to return soon, however long that has lasted', () => {
+  const fixture = new EntryFixture([]);
+  for (let number = 1; number <= 6; number += 1) {
+    const receivedAt = number * 1_000;
+    const callerDeadline = receivedAt + 1_000;
+    const entry = createEntryRequest({ callerDeadline, receivedAt, requestNumber: number });
+    fixture.forwarder.forward(entry, 'shop', false, receivedAt);
+  }
+  assert.is(fixture.outcomes.length, 6);
+  for (const outcome of fixture.outcomes) {
+    assert.ok(outcome.kind === 'refused' && outcome.cause === 'no-server');
+    assert.ok(outcome.retryAfterMilliseconds <= 1_500);
+  }
+});
+
 test.run();
