--- a/packages/daemon/src/mesh/garbage-collector.ts
+++ b/packages/daemon/src/mesh/garbage-collector.ts
@@ -1,6 +1,3 @@
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
-
 /** Collects the garbage of the process at once. The function of the runtime is fetched on the first call. */
 export class GarbageCollector {
   private collectNow: (() => void) | undefined;
@@ -11,7 +8,10 @@
   }
 }
 
+/** Most processes never need these modules, which would make each start longer. */
 function exposeCollection(): () => void {
+  const { setFlagsFromString } = process.getBuiltinModule('node:v8');
+  const { runInNewContext } = process.getBuiltinModule('node:vm');
   setFlagsFromString('--expose-gc');
   const exposed = runInNewContext('gc') as () => void;
   setFlagsFromString('--no-expose-gc');
--- a/packages/mesh-core/src/entry/entry-log.ts
+++ b/packages/mesh-core/src/entry/entry-log.ts
@@ -67,10 +67,10 @@
         spentBefore: Math.round(state.spentBeforeMilliseconds),
       }),
       ...(outcome.kind === 'answered' ? { status: outcome.status } : { cause: outcome.cause }),
+      ...(outcome.kind !== 'answered' && lastDeclineFields(state)),
       ...(outcome.kind === 'refused' && {
         retryAfter: Math.round(outcome.retryAfterMilliseconds),
       }),
-      ...(outcome.kind !== 'answered' && lastDeclineFields(state)),
     });
   }
 }
