Remove a caller's key according to the configuration that authorized its request

Cause, found by reading the diff: a body is read between the check of the key and the choice of the header fields that are removed, and the choice asked for the configuration again. One without tenants that came into force meanwhile would have passed the key to a server.

--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -256,6 +256,7 @@
     }
     const credentials = message.headersDistinct[this.options.headerNames.authorization] ?? [];
     const authorization = authorizeRequest(route, credentials, routing);
+    const reservedNames = this.reservedNamesOf(routing);
     if (authorization.kind === 'denied') {
       this.deny(parsed, authorization.cause);
       return;
@@ -268,10 +269,10 @@
     }
     switch (body.kind) {
       case 'none':
-        this.deliver(parsed, route, authorization.tenant, undefined);
+        this.deliver(parsed, route, authorization.tenant, undefined, reservedNames);
         return;
       case 'whole':
-        this.deliver(parsed, route, authorization.tenant, body.bytes);
+        this.deliver(parsed, route, authorization.tenant, body.bytes, reservedNames);
         return;
       case 'late':
         this.answerLocally(parsed, 408, 'the body did not come in time');
@@ -296,11 +297,12 @@
     route: Route,
     tenant: Tenant | undefined,
     body: Uint8Array | undefined,
+    reservedNames: ReadonlySet<string>,
   ): void {
     this.options.onRequest({
       body,
       callerDeadline: headerReadAt + this.timeoutMillisecondsOf(message, route),
-      headers: endToEndHeaders(message.rawHeaders, this.reservedNames()),
+      headers: endToEndHeaders(message.rawHeaders, reservedNames),
       method: message.method ?? 'GET',
       path: message.url ?? '/',
       receivedAt: headerReadAt,
@@ -312,10 +314,9 @@
   }
 
   /** Without tenants, the credentials of callers are meant for the servers. */
-  private reservedNames(): ReadonlySet<string> {
-    const { headerNames } = this.options;
-    return this.options.routing()?.tenants === undefined
-      ? headerNames.reserved
+  private reservedNamesOf({ tenants }: RoutingConfiguration): ReadonlySet<string> {
+    return tenants === undefined
+      ? this.options.headerNames.reserved
       : this.reservedNamesWithCredentials;
   }
 
--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -397,4 +397,16 @@
   });
 });
 
+// The configuration may change while a body is read; the key must not reach a server because of that.
+test('a key is removed according to the configuration that authorized the request', async () => {
+  await withServer(async (testServer) => {
+    const versions = [tenants, undefined];
+    Object.defineProperty(testServer, 'tenants', { get: () => versions.shift() });
+    await testServer.call({ body: 'x', headers: { authorization: 'Bearer key-1' } });
+    const names = testServer.delivered[0]?.headers.map(([name]) => name) ?? [];
+    assert.ok(names.length > 0);
+    assert.not(names.includes('authorization'));
+  });
+});
+
 test.run();
