--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -2,8 +2,8 @@
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-import { pause } from '../stand-ins-2/deployment.mjs';
-import { runCase } from '../stand-ins-2/run-case.mjs';
+import { pause } from '../deployment-2.mjs';
+import { runCase } from '../run-case-2.mjs';
 
 const drainMilliseconds = 2_000;
 const stabilityWindowMilliseconds = 3_000;
--- a/review/stand-ins-2/deployment.mjs
+++ b/review/deployment-2.mjs
@@ -7,10 +7,10 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-import { ApplicationServer } from './application-server.mjs';
-import { PlatformStore } from './platform-store.mjs';
+import { ApplicationServer } from './application-server-2.mjs';
+import { PlatformStore } from './platform-store-2.mjs';
 
-export const repository = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+export const repository = join(dirname(fileURLToPath(import.meta.url)), '..');
 const zones = ['hall-a', 'hall-b', 'hall-c'];
 const region = 'region';
 
--- a/review/stand-ins-2/run-case.mjs
+++ b/review/run-case-2.mjs
@@ -1,7 +1,7 @@
 // Runs one case: it starts the deployment, judges what was seen, and ends with 1 if the rule was broken, 0 if it held, 2 otherwise.
 import { join } from 'node:path';
 
-import { Deployment } from './deployment.mjs';
+import { Deployment } from './deployment-2.mjs';
 
 const timeLimitMilliseconds = 110_000;
 
