Read and write header fields in time that grows with their number

Cause: toOutgoingHeaders copied all values of a name for each further one, so 4,000 fields of one name took time by the square of their number; the route server built an object with an array for each field to find the credentials. Change: values are appended, and headerValues looks through the raw fields.

--- a/packages/mesh-core/src/messages/header-list.ts
+++ b/packages/mesh-core/src/messages/header-list.ts
@@ -26,6 +26,17 @@
     : fields.filter(([name]) => !connectionOptions.has(name));
 }
 
+/** Returns all values of a header field; `rawHeaders` has alternating names and values, and `name` must be in lower case. */
+export function headerValues(rawHeaders: readonly string[], name: string): string[] {
+  const values: string[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const field = rawHeaders[index] ?? '';
+    if (field.length === name.length && field.toLowerCase() === name)
+      values.push(rawHeaders[index + 1] ?? '');
+  }
+  return values;
+}
+
 /** Returns the first value of a header field; `name` must be in lower case. */
 export function headerValue(fields: HeaderList, name: string): string | undefined {
   return fields.find(([field]) => field === name)?.[1];
@@ -40,7 +51,8 @@
   for (const [name, value] of fields) {
     const existing = outgoing[name];
     if (existing === undefined) outgoing[name] = value;
-    else outgoing[name] = typeof existing === 'string' ? [existing, value] : [...existing, value];
+    else if (typeof existing === 'string') outgoing[name] = [existing, value];
+    else existing.push(value);
   }
   return outgoing;
 }
--- a/packages/mesh-core/tests/messages/header-list.test.ts
+++ b/packages/mesh-core/tests/messages/header-list.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { endToEndHeaders, toOutgoingHeaders } from '../../src/index.js';
+import { endToEndHeaders, headerValues, toOutgoingHeaders } from '../../src/index.js';
 
 /** Title, header fields as received, and the fields that are forwarded. */
 const cases: readonly (readonly [
@@ -70,4 +70,19 @@
   ]);
 });
 
+test('all values of a field are found, in whatever case its name was sent', () => {
+  const rawHeaders = [
+    'Host',
+    'a',
+    'Authorization',
+    '1',
+    'AUTHORIZATION',
+    '2',
+    'x-authorization',
+    '3',
+  ];
+  assert.equal(headerValues(rawHeaders, 'authorization'), ['1', '2']);
+  assert.equal(headerValues(rawHeaders, 'other'), []);
+});
+
 test.run();
