Join the chunks of an incomplete frame between nodes, and count what waits for the link

Cause: a frame that comes a byte at a time was kept in one buffer object for each byte, some hundred bytes of memory each. Change: more than 64 chunks are joined.

--- a/packages/nodes/src/length-prefixed.ts
+++ b/packages/nodes/src/length-prefixed.ts
@@ -2,6 +2,8 @@
 
 /** Size of the length field in front of each frame. */
 export const lengthPrefixBytes = 4;
+/** Incomplete frames are kept in this many chunks at most. */
+const maximumChunks = 64;
 /** Longer frames are read into a buffer of their own, if there is memory for it. */
 const longFrameBytes = 65_536;
 
@@ -37,7 +39,8 @@
 /** Splits a byte stream into frames. After a fault the rest of the stream can't be decoded. */
 export class LengthPrefixedDecoder<Frame> {
   private chunks: Buffer[] = [];
-  private bufferedBytes = 0;
+  /** Bytes of frames that are not complete. */
+  public bufferedBytes = 0;
   private longFrame: LongFrameBuffer | undefined;
 
   public constructor(
@@ -79,6 +82,8 @@
     if (rest.length === 0) return;
     this.chunks.push(rest);
     this.bufferedBytes += rest.length;
+    // A list of short chunks takes many times the memory that their length shows.
+    if (this.chunks.length > maximumChunks) this.joinChunks();
   }
 
   /** Reads on in the long frame, and returns the bytes beyond it. */
--- a/packages/nodes/src/mesh/link-pacer.ts
+++ b/packages/nodes/src/mesh/link-pacer.ts
@@ -28,6 +28,7 @@
 /** The frames of one connection that wait for the link. */
 export class PacedStream {
   private pending: PendingBytes[] = [];
+  private pendingBytes = 0;
 
   public constructor(
     private readonly pacer: LinkPacer,
@@ -38,6 +39,11 @@
     return this.pending.length === 0;
   }
 
+  /** Bytes that wait for the link. */
+  public get queuedBytes(): number {
+    return this.pendingBytes;
+  }
+
   /** Writes a short frame at once, unless earlier ones wait; a long one in parts. */
   public write(bytes: Uint8Array, onFlushed?: () => void): void {
     if (this.isEmpty && bytes.length <= this.pacer.partBytes) {
@@ -46,6 +52,7 @@
       return;
     }
     this.pending.push({ bytes, onFlushed });
+    this.pendingBytes += bytes.length;
     this.pacer.enqueue(this);
   }
 
@@ -56,6 +63,7 @@
     const { bytes, onFlushed } = first;
     const part = bytes.subarray(0, maximumBytes);
     const rest = bytes.subarray(part.length);
+    this.pendingBytes -= part.length;
     if (rest.length === 0) {
       this.pending = others;
       this.writeNow(part, onFlushed);
@@ -68,11 +76,13 @@
 
   /** Writes all waiting frames at once, as before the connection ends. */
   public flush(): void {
+    this.pendingBytes = 0;
     for (const { bytes, onFlushed } of this.pending.splice(0)) this.writeNow(bytes, onFlushed);
   }
 
   /** Drops the waiting frames. */
   public close(): void {
+    this.pendingBytes = 0;
     for (const { onFlushed } of this.pending.splice(0)) onFlushed?.();
   }
 }
