HTTP server that counts what clients send before it is parsed

Cause: the HTTP server of Node.js parses all of a read of 64 KiB before any code of ours runs: thousands of requests, fields or chunks of a byte, each with objects of its own, and it skips empty lines without end. docs/design/clients.md lists what it holds and its defaults. Change: the package http-server puts a ClientStream between the socket and the parser. It takes memory for connections, unparsed input and heads first, gives the parser at most 64 lines and no further than an empty line, bounds input that brings neither a request nor a body, and the time of heads, of idle connections and of unread answers. Input beyond a millisecond of processor time waits for its turn, all of it together within three tenths of a core. maxHeadersCount is 0, so no field is dropped. The decisions are in mesh-core/src/clients, without I/O. Garbage is collected by shares of the machine's memory, since a small machine filled up between checks of 16 MiB.

--- /dev/null
+++ b/packages/http-server/src/guarded-http-server.ts
@@ -0,0 +1,119 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer as createListener } from 'node:net';
+import type { Server as Listener } from 'node:net';
+import type { Duplex } from 'node:stream';
+
+import { ClientFault } from '@peridotspring/mesh-core';
+
+import { ClientStream } from './client-stream.js';
+import type { ClientHandlers, ClientStreamOptions } from './client-stream.js';
+
+/** The parser's own limit on heads is fixed when the server is created, so a configured limit must lie below it. */
+const maximumHeaderBytes = 1_048_576;
+/** A socket that is paused reads once more and keeps what it has read, but not a list of short chunks. */
+const socketBufferBytes = 1;
+/** Interval of the checks on the time that clients take. */
+const checkMilliseconds = 1_000;
+
+/** The connection of a client whose request has been parsed. */
+export interface ReceivedRequest {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly stream: ClientStream;
+}
+
+export interface GuardedHttpServerOptions extends ClientStreamOptions {
+  readonly bindHost: string;
+  readonly bindPort: number;
+  /** Returns who decides about a new connection; undefined if it is to be closed. */
+  readonly accept: (stream: ClientStream) => ClientHandlers | undefined;
+  /** Must call `beginRequest` of the stream. */
+  readonly onRequest: (request: ReceivedRequest) => void;
+  /** The parser rejected what a client sent, or the client has closed its side. */
+  readonly onParserError: (stream: ClientStream, error: NodeJS.ErrnoException) => void;
+}
+
+/** The HTTP server of Node.js, whose parser gets what clients send through a `ClientStream` each. */
+export class GuardedHttpServer {
+  private readonly http: Server;
+  private readonly listener: Listener;
+  private readonly streams = new Map<Duplex, ClientStream>();
+  private timer: NodeJS.Timeout | undefined;
+
+  public constructor(private readonly options: GuardedHttpServerOptions) {
+    this.http = createServer({
+      // The streams check the time that a client takes; those of Node.js see neither empty lines nor what is not parsed yet.
+      headersTimeout: 0,
+      insecureHTTPParser: false,
+      keepAliveTimeout: options.limits().idleTimeoutMilliseconds,
+      maxHeaderSize: maximumHeaderBytes,
+      requestTimeout: 0,
+    });
+    // By default, fields after the thousandth are dropped without an error, also those that tell of a body.
+    this.http.maxHeadersCount = 0;
+    this.http.on('request', (message, response) => {
+      const stream = this.streams.get(message.socket);
+      if (stream !== undefined) options.onRequest({ message, response, stream });
+    });
+    this.http.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      const stream = this.streams.get(socket);
+      if (stream !== undefined) options.onParserError(stream, error);
+    });
+    const socketOptions = { allowHalfOpen: true, highWaterMark: socketBufferBytes, noDelay: true };
+    this.listener = createListener(socketOptions, (socket) => {
+      this.accept(new ClientStream(socket, options));
+    });
+  }
+
+  /** Starts listening and resolves to the port. */
+  public async listen(): Promise<number> {
+    const { bindHost, bindPort } = this.options;
+    await new Promise<void>((resolve, reject) => {
+      this.listener.once('error', reject);
+      this.listener.listen(bindPort, bindHost, resolve);
+    });
+    this.timer = setInterval(() => {
+      this.checkProgress();
+    }, checkMilliseconds);
+    this.timer.unref();
+    const address = this.listener.address();
+    return typeof address === 'object' && address !== null ? address.port : bindPort;
+  }
+
+  /** Applies a changed idle time; the other limits are read when they are needed. */
+  public configure(): void {
+    this.http.keepAliveTimeout = this.options.limits().idleTimeoutMilliseconds;
+  }
+
+  /** Stops listening and closes all connections. */
+  public async close(): Promise<void> {
+    clearInterval(this.timer);
+    const closed = new Promise<void>((resolve) => {
+      this.listener.close(() => {
+        resolve();
+      });
+    });
+    for (const stream of this.streams.values()) stream.destroy();
+    await closed;
+  }
+
+  private accept(stream: ClientStream): void {
+    const handlers = this.options.accept(stream);
+    if (handlers === undefined || !stream.begin(handlers)) {
+      // Nothing has been read, so the client knows that nothing has run.
+      handlers?.onFault(ClientFault.NoMemory, false);
+      stream.destroy();
+      return;
+    }
+    this.streams.set(stream, stream);
+    stream.once('close', () => {
+      this.streams.delete(stream);
+    });
+    this.http.emit('connection', stream);
+  }
+
+  private checkProgress(): void {
+    for (const stream of this.streams.values()) stream.checkProgress();
+  }
+}
--- /dev/null
+++ b/packages/http-server/src/sequential-server.ts
@@ -0,0 +1,150 @@
+import { ClientFault, MemoryPlace } from '@peridotspring/mesh-core';
+import type { MemoryAccount } from '@peridotspring/mesh-core';
+
+import type { ClientHandlers, ClientLimits, ClientStream } from './client-stream.js';
+import type { DeferredInput } from './deferred-input.js';
+import { faultOfParserError, isDisconnect, writeFaultResponse } from './fault-response.js';
+import { GuardedHttpServer } from './guarded-http-server.js';
+import type { ReceivedRequest } from './guarded-http-server.js';
+import { SequentialRequest } from './sequential-request.js';
+
+/** A client that has not read on for this long gives way to others. */
+const unreadMilliseconds = 1_000;
+
+export interface SequentialServerOptions {
+  readonly bindHost: string;
+  readonly bindPort: number;
+  readonly clock: () => number;
+  readonly deferredInput: DeferredInput;
+  readonly limits: ClientLimits;
+  readonly maximumConnections: number;
+  readonly memory: MemoryAccount;
+  readonly onFault: (fault: ClientFault) => void;
+  readonly onRequest: (request: SequentialRequest) => void;
+  /** Time within which the body of a request has to come. */
+  readonly requestTimeoutMilliseconds: number;
+}
+
+interface Client {
+  /** The request in progress. */
+  request: SequentialRequest | undefined;
+  isRefused: boolean;
+  idleSince: number;
+}
+
+/**
+ * HTTP server for a few clients. A connection has one request in progress; the next one is parsed when the response has been
+ * passed on. A connection beyond the limit takes the place of the one that has been without a request longest.
+ */
+export class SequentialServer {
+  private readonly server: GuardedHttpServer;
+  private readonly clients = new Map<ClientStream, Client>();
+
+  public constructor(private readonly options: SequentialServerOptions) {
+    const { bindHost, bindPort, clock, deferredInput, limits, memory } = options;
+    this.server = new GuardedHttpServer({
+      accept: (stream) => this.accept(stream),
+      bindHost,
+      bindPort,
+      clock,
+      deferredInput,
+      limits: () => limits,
+      memory,
+      onParserError: (stream, error) => {
+        if (isDisconnect(stream, error)) stream.destroy();
+        else this.refuse(stream, faultOfParserError(error), true);
+      },
+      onRequest: (request) => {
+        this.handleRequest(request);
+      },
+      place: MemoryPlace.OperatorRequest,
+    });
+  }
+
+  public async listen(): Promise<number> {
+    return this.server.listen();
+  }
+
+  public async close(): Promise<void> {
+    await this.server.close();
+  }
+
+  private accept(stream: ClientStream): ClientHandlers | undefined {
+    if (this.clients.size >= this.options.maximumConnections && !this.closeIdleClient()) {
+      this.options.onFault(ClientFault.TooManyConnections);
+      return undefined;
+    }
+    const client: Client = {
+      idleSince: performance.now(),
+      isRefused: false,
+      request: undefined,
+    };
+    this.clients.set(stream, client);
+    stream.once('close', () => {
+      this.clients.delete(stream);
+    });
+    return {
+      mayParse: (isInBody) => !client.isRefused && (isInBody || client.request === undefined),
+      onFault: (fault, hasRequestBegun) => {
+        this.refuse(stream, fault, hasRequestBegun);
+      },
+    };
+  }
+
+  /** Returns whether there was one without a request, or one that does not read its response. */
+  private closeIdleClient(): boolean {
+    let longestIdle: ClientStream | undefined;
+    let idleSince = Infinity;
+    const now = performance.now();
+    for (const [stream, { idleSince: clientIdleSince, request }] of this.clients) {
+      const isUnread = now - stream.unreadSince >= unreadMilliseconds;
+      if (request !== undefined && !isUnread) continue;
+      const since = Math.min(clientIdleSince, stream.unreadSince);
+      if (since >= idleSince) continue;
+      longestIdle = stream;
+      idleSince = since;
+    }
+    if (longestIdle === undefined) return false;
+    this.options.onFault(ClientFault.TooManyConnections);
+    this.clients.delete(longestIdle);
+    longestIdle.destroy();
+    return true;
+  }
+
+  private refuse(stream: ClientStream, fault: ClientFault, hasRequestBegun: boolean): void {
+    const client = this.clients.get(stream);
+    if (client === undefined || client.isRefused) return;
+    client.isRefused = true;
+    this.options.onFault(fault);
+    if (client.request === undefined) writeFaultResponse(stream, fault, hasRequestBegun);
+    else client.request.fail(fault);
+  }
+
+  private handleRequest({ message, response, stream }: ReceivedRequest): void {
+    const { clock, onRequest, requestTimeoutMilliseconds } = this.options;
+    const hold = stream.beginRequest(message, () => {
+      this.refuse(stream, ClientFault.NoMemory, true);
+    });
+    const client = this.clients.get(stream);
+    if (client === undefined) return;
+    const request = new SequentialRequest(message, response, stream, hold, clock);
+    client.request = request;
+    client.idleSince = Infinity;
+    const timer = setTimeout(() => {
+      if (!message.complete) this.refuse(stream, ClientFault.RequestLate, true);
+    }, requestTimeoutMilliseconds);
+    response.once('close', () => {
+      clearTimeout(timer);
+      hold.release();
+      this.endRequest(stream, client);
+    });
+    onRequest(request);
+  }
+
+  private endRequest(stream: ClientStream, client: Client): void {
+    client.request = undefined;
+    client.idleSince = performance.now();
+    stream.onIdle();
+    stream.parse();
+  }
+}
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -10,6 +10,22 @@
 export { brokerGroupCount } from './allotments/allotment-timing.js';
 export { RetryBudget } from './budget/retry-budget.js';
 export type { RetryBudgetOptions } from './budget/retry-budget.js';
+export { ClientFault, statusOfClientFault } from './clients/client-fault.js';
+export {
+  connectionProcessing,
+  deferredProcessing,
+  parsingCost,
+  processingCost,
+} from './clients/input-cost.js';
+export {
+  connectionBytes,
+  headMemory,
+  peerConnectionBytes,
+  requestBytes,
+} from './clients/message-memory.js';
+export { ProcessingAllowance } from './clients/processing-allowance.js';
+export type { ProcessingAllowanceOptions } from './clients/processing-allowance.js';
+export { UnproductiveInput } from './clients/unproductive-input.js';
 export { ConfigurationFreshness } from './configuration/configuration-freshness.js';
 export { ConfigurationHolder, OfferResult } from './configuration/configuration-holder.js';
 export type { ConfigurationInForce } from './configuration/configuration-holder.js';
@@ -121,4 +137,9 @@
 export { TenantDirectory } from './tenants/tenant-directory.js';
 export { RouteTable } from './routes/route-table.js';
 export { TrafficSplit } from './routes/traffic-split.js';
-export { endToEndHeaders, headerValue, toOutgoingHeaders } from './messages/header-list.js';
+export {
+  endToEndHeaders,
+  headerValue,
+  headerValues,
+  toOutgoingHeaders,
+} from './messages/header-list.js';
--- a/packages/mesh-core/src/memory/collection-schedule.ts
+++ b/packages/mesh-core/src/memory/collection-schedule.ts
@@ -1,5 +1,5 @@
-/** Released bytes between two looks at the memory of the process: a quarter of what the runtime lets pile up by itself. */
-const releasedBytesPerCheck = 16_777_216;
+/** Share of the machine's memory that is released between two looks at the memory of the process. */
+const releasedShare = 1 / 16;
 /** Share of the machine's memory from which on released buffers are worth a collection; calm processes stay below. */
 const fullShare = 0.5;
 /** Share from which on garbage is collected without regard to the time that it takes. */
@@ -27,7 +27,7 @@
   /** Returns whether to collect garbage now, after bytes were released. */
   public onReleased(bytes: number, now: number): boolean {
     this.releasedBytes += bytes;
-    if (this.releasedBytes < releasedBytesPerCheck) return false;
+    if (this.releasedBytes < releasedShare * this.options.limitBytes) return false;
     this.releasedBytes = 0;
     const share = this.options.residentBytes() / this.options.limitBytes;
     const isRecent = now - this.lastCollectionAt < minimumIntervalMilliseconds;
--- a/packages/mesh-core/src/memory/memory-account.ts
+++ b/packages/mesh-core/src/memory/memory-account.ts
@@ -11,6 +11,8 @@
  * they are released, which those of a single large request don't.
  */
 const severalLargeShare = 0.6;
+/** Share of the account from which on memory is short. */
+const shortShare = 0.5;
 /** What has made no progress for this long may be ended in favour of others; callers on a working link make some sooner. */
 const stallMilliseconds = 1_000;
 /** Interval between two searches for something to end, if the first was in vain: each looks at all holds. */
@@ -51,6 +53,11 @@
     return this.totalBytes;
   }
 
+  /** Whether so much is held that only what is needed for others to be served should be added. */
+  public get isShort(): boolean {
+    return this.totalBytes > shortShare * this.options.limitBytes;
+  }
+
   /** Bytes that are held now, by place. */
   public get heldByPlace(): ReadonlyMap<MemoryPlace, number> {
     return this.bytesByPlace;
@@ -92,11 +99,16 @@
       this.options.onRefused(place, bytes);
       return false;
     }
-    this.add(place, added);
-    hold.bytes = bytes;
+    this.resize(hold, bytes);
     return true;
   }
 
+  /** Changes the size of a hold whether or not there is room. To be called by the hold. */
+  public resize(hold: MemoryHold, bytes: number): void {
+    this.add(hold.options.place, bytes - hold.bytes);
+    hold.bytes = bytes;
+  }
+
   /** Gives back what a hold has taken. To be called by the hold, once. */
   public release(hold: MemoryHold): void {
     const { buffer, place } = hold.options;
--- a/packages/mesh-core/src/memory/memory-hold.ts
+++ b/packages/mesh-core/src/memory/memory-hold.ts
@@ -3,6 +3,7 @@
 /** What a hold needs of its account. */
 export interface HoldOwner {
   tryResize(hold: MemoryHold, bytes: number, now: number): boolean;
+  resize(hold: MemoryHold, bytes: number): void;
   release(hold: MemoryHold): void;
 }
 
@@ -31,6 +32,11 @@
     return !this.isReleased && this.owner.tryResize(this, bytes, now);
   }
 
+  /** Changes the size of the hold whether or not there is room, for what can't be refused. */
+  public resize(bytes: number): void {
+    if (!this.isReleased) this.owner.resize(this, bytes);
+  }
+
   public release(): void {
     if (this.isReleased) return;
     this.isReleased = true;
--- a/packages/mesh-core/src/memory/memory-place.ts
+++ b/packages/mesh-core/src/memory/memory-place.ts
@@ -1,5 +1,13 @@
 /** Where a process holds bytes that come from others. */
 export const MemoryPlace = {
+  /** Connections of callers, with what they have sent and is not parsed, and the heads of requests until they are answered. */
+  CallerRequest: 'caller-request',
+  /** Connections of other nodes, with short frames that are incomplete or that they have not read. */
+  PeerConnection: 'peer-connection',
+  /** Calls of a gate: the heads of requests in progress, and the records of finished ones. */
+  GateCall: 'gate-call',
+  /** Connections to the ports for readiness, metrics and reports, with their requests and responses. */
+  OperatorRequest: 'operator-request',
   /** Bodies of callers' requests, from their first byte until the request is answered. */
   CallerBody: 'caller-body',
   /** Answers that callers have not read yet. */
