--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -8,6 +8,8 @@
   | { readonly kind: 'whole'; readonly bytes: Uint8Array }
   /** The body is longer than the buffer limit; the stream yields all of it, from its first byte. */
   | { readonly kind: 'longer'; readonly stream: Readable }
+  /** The body is longer than the limit, and is not streamed. */
+  | { readonly kind: 'too-large' }
   | { readonly kind: 'cut' }
   /** There was no memory for the body, or it was taken back in favour of others. What was read is discarded. */
   | { readonly kind: 'no-memory' };
@@ -39,38 +41,50 @@
 }
 
 /**
- * Reads a body with a known length within the buffer limit. Listeners take about half the time of the
- * iterator below, and are enough here since no part of the body has to be left for a stream.
+ * Reads a body that is not streamed if it is longer than the limit. Listeners take about half the time of the iterator below, and
+ * less than that for short chunks. `length` is 0 if it is not known.
  */
-function collectBodyOfKnownLength(
+function collectWithinLimit(
   request: IncomingMessage,
   length: number,
+  limitBytes: number,
   memory: BodyMemory,
 ): Promise<CollectedBody> {
-  if (!memory.tryHold(length)) return Promise.resolve({ kind: 'no-memory' });
+  if (length > 0 && !memory.tryHold(length)) return Promise.resolve({ kind: 'no-memory' });
   return new Promise((resolve) => {
-    const bytes = new ByteAccumulator(length);
+    const bytes = new ByteAccumulator(length === 0 ? limitBytes : length);
     if (length > reservedBodyBytes) bytes.reserve(length);
-    memory.signal.addEventListener('abort', () => {
+    let isEnded = false;
+    const end = (body: CollectedBody): void => {
+      isEnded = true;
+      resolve(body);
+    };
+    const giveUp = (kind: 'no-memory' | 'too-large'): void => {
       bytes.clear();
-      resolve({ kind: 'no-memory' });
+      end({ kind });
+    };
+    memory.signal.addEventListener('abort', () => {
+      if (!isEnded) giveUp('no-memory');
     });
     request.on('data', (chunk: Buffer) => {
-      if (memory.signal.aborted) return;
+      if (isEnded) return;
       memory.onRead(chunk.length);
-      bytes.append(chunk);
+      if (bytes.length + chunk.length > limitBytes) giveUp('too-large');
+      else if (length === 0 && !memory.tryHold(bytes.heldBytesAfter(chunk.length)))
+        giveUp('no-memory');
+      else bytes.append(chunk);
       // For a short body, the parser has reached its end before the stream emits its only chunk.
-      if (request.complete && request.readableLength === 0) {
-        resolve({ bytes: bytes.take(), kind: 'whole' });
-      }
+      if (length > 0 && request.complete && request.readableLength === 0)
+        end({ bytes: bytes.take(), kind: 'whole' });
     });
     request.on('end', () => {
-      resolve(request.complete ? { bytes: bytes.take(), kind: 'whole' } : { kind: 'cut' });
+      if (!isEnded)
+        end(request.complete ? { bytes: bytes.take(), kind: 'whole' } : { kind: 'cut' });
     });
     // An error of the request is always followed by 'close'.
     request.on('error', () => undefined);
     request.on('close', () => {
-      resolve({ kind: 'cut' });
+      if (!isEnded) end({ kind: 'cut' });
     });
   });
 }
@@ -85,9 +99,10 @@
   maximumBytes: number,
   memory = unlimitedMemory,
 ): Promise<CollectedBody> {
-  const contentLength = request.headers['content-length'];
-  if (contentLength !== undefined && Number(contentLength) <= bufferLimitBytes)
-    return collectBodyOfKnownLength(request, Number(contentLength), memory);
+  const length = Number(request.headers['content-length'] ?? 0);
+  const isShort = length > 0 && length <= bufferLimitBytes;
+  if (isShort || bufferLimitBytes === maximumBytes)
+    return collectWithinLimit(request, length, bufferLimitBytes, memory);
   // The iterator must not destroy the request when it is abandoned early: that would close the connection
   // before the caller can read a response.
   const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
--- a/packages/callers/src/routes/caller-connection.ts
+++ b/packages/callers/src/routes/caller-connection.ts
@@ -1,12 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 
 import { containError } from '@peridotspring/core';
-import { MemoryPlace } from '@peridotspring/mesh-core';
-import type { MemoryAccount, MemoryHold } from '@peridotspring/mesh-core';
+import { faultFields, writeFaultResponse } from '@peridotspring/http-server';
+import type { ClientHandlers, ClientStream } from '@peridotspring/http-server';
+import { headMemory, MemoryPlace, statusOfClientFault } from '@peridotspring/mesh-core';
+import type { ClientFault, MemoryAccount, MemoryHold } from '@peridotspring/mesh-core';
 
 import { announcesBody } from '../request-body.js';
-import { lingerOnClose } from './lingering-close.js';
 import { RequestPipeline } from './request-pipeline.js';
 
 /** Shorter waits are caused by the event loop and are not reported. */
@@ -21,6 +21,8 @@
   readonly response: ServerResponse;
   /** Monotonic time at which the request's head had been read. */
   readonly headerReadAt: number;
+  /** Memory of the request beside its body. */
+  readonly hold: MemoryHold;
 }
 
 export interface ResponseContent {
@@ -48,6 +50,8 @@
   readonly onResponseInvalid: (requestId: string, error: Error) => void;
   /** Requests were read but will never be started, since the connection closes first. */
   readonly onRequestsDiscarded: (count: number) => void;
+  /** Nothing more is read on the connection, which closes after the requests in progress. */
+  readonly onClientFault: (fault: ClientFault) => void;
 }
 
 interface OpenRequest extends ParsedRequest {
@@ -57,24 +61,30 @@
   answerHold: MemoryHold | undefined;
 }
 
-/** The connection of a caller. Owns its socket and writes the responses in the order of the requests. */
-export class CallerConnection {
+interface ClientFailure {
+  readonly fault: ClientFault;
+  /** Whether a response tells of the fault, behind those to the requests in progress. */
+  readonly hasResponse: boolean;
+}
+
+/** The connection of a caller. Owns its stream and writes the responses in the order of the requests. */
+export class CallerConnection implements ClientHandlers {
   private readonly pipeline = new RequestPipeline<ResponseContent>();
   private readonly openRequests = new Map<number, OpenRequest>();
-  /** Response status after a parse error, which closes the connection. */
-  private parseErrorStatus: number | undefined;
+  /** Why nothing more is read, and the connection closes after the requests in progress. */
+  private failure: ClientFailure | undefined;
   private isAdvancing = false;
   private lastActiveAt: number;
 
   public constructor(
-    private readonly socket: Socket,
+    private readonly stream: ClientStream,
     private readonly clock: () => number,
     private readonly memory: MemoryAccount,
+    private readonly protocolMemory: MemoryAccount,
     private readonly events: CallerConnectionEvents,
   ) {
     this.lastActiveAt = clock();
-    lingerOnClose(socket);
-    socket.once('close', () => {
+    stream.once('close', () => {
       this.handleClosed();
     });
   }
@@ -98,16 +108,43 @@
 
   /** Closes the connection at once. */
   public destroy(): void {
-    this.socket.destroy();
+    this.stream.destroy();
   }
 
+  /** A request that waits is read no further, nor is any behind it. While memory is short, requests come one at a time. */
+  public readonly mayParse = (isInBody: boolean): boolean => {
+    if (this.pipeline.hasWaiting || this.failure !== undefined) return false;
+    return isInBody || this.isIdle || !this.protocolMemory.isShort;
+  };
+
+  /**
+   * The caller sent what is not a request, or not a complete one in time, or more than there is memory for. A request whose body
+   * is incomplete because of that gets the status of the fault.
+   */
+  public readonly onFault = (fault: ClientFault, hasRequestBegun: boolean): void => {
+    if (this.failure !== undefined) return;
+    const status = statusOfClientFault(fault);
+    this.failure = { fault, hasResponse: hasRequestBegun && status !== undefined };
+    this.events.onClientFault(fault);
+    this.stopAccepting();
+    this.stream.discardInput();
+    const incomplete = [...this.openRequests.values()].find(({ message }) => !message.complete);
+    if (incomplete !== undefined && status !== undefined)
+      this.respond(incomplete.requestNumber, {
+        body: Buffer.alloc(0),
+        fields: faultFields(fault),
+        status,
+      });
+    this.advance();
+  };
+
   public handleRequest(request: ParsedRequest): void {
-    const { message, requestNumber } = request;
-    // If a message without a body were consumed only after its response, that would resume a paused socket.
+    const { hold, message, requestNumber } = request;
     if (!announcesBody(message)) message.resume();
     if (!this.pipeline.add(requestNumber)) {
+      hold.release();
       this.events.onRequestsDiscarded(1);
-      this.pauseReadingIfNeeded();
+      this.stream.discardInput();
       return;
     }
     this.openRequests.set(requestNumber, {
@@ -116,9 +153,7 @@
       respondedAt: Infinity,
       startedAt: Infinity,
     });
-    if (this.pipeline.exceedsWaitingLimit) this.stopAccepting();
     this.advance();
-    if (this.pipeline.hasWaiting) this.pauseReadingIfNeeded();
   }
 
   /** Responds to a request that was started; the response is written after those of earlier requests. */
@@ -127,9 +162,9 @@
     if (request === undefined) return;
     if (!this.pipeline.setResponse(requestNumber, response, response.body.length)) return;
     request.respondedAt = this.clock();
-    if (!this.holdAnswer(request, response.body)) {
+    if (!this.holdAnswer(request, response)) {
       // The request may have run, so nothing is said about it.
-      this.socket.destroy();
+      this.stream.destroy();
       return;
     }
     this.advance();
@@ -137,35 +172,23 @@
 
   /** Closes the connection after the requests already started; the last response announces the close. */
   public stopAccepting(): void {
-    for (const [requestNumber, { startedAt }] of this.openRequests) {
-      if (startedAt === Infinity) this.openRequests.delete(requestNumber);
+    for (const [requestNumber, { hold, startedAt }] of this.openRequests) {
+      if (startedAt !== Infinity) continue;
+      hold.release();
+      this.openRequests.delete(requestNumber);
     }
     const discardedCount = this.pipeline.stopAccepting();
     if (discardedCount > 0) this.events.onRequestsDiscarded(discardedCount);
   }
 
-  /**
-   * The caller sent bytes that are not a request, or no complete request in time. A request whose body is
-   * incomplete because of that gets the status.
-   */
-  public handleParseError(status: number): void {
-    if (this.parseErrorStatus !== undefined) return;
-    this.parseErrorStatus = status;
-    this.stopAccepting();
-    this.pauseReadingIfNeeded();
-    const incomplete = [...this.openRequests.values()].find(({ message }) => !message.complete);
-    if (incomplete !== undefined) {
-      this.respond(incomplete.requestNumber, { body: Buffer.alloc(0), fields: {}, status });
-    }
-    this.advance();
-  }
-
   /** Returns whether there is memory for the answer. */
-  private holdAnswer(request: OpenRequest, buffer: Uint8Array): boolean {
+  private holdAnswer(request: OpenRequest, { body: buffer, fields }: ResponseContent): boolean {
+    const { hold, respondedAt } = request;
+    if (!hold.tryResize(hold.bytes + fieldsMemory(fields), respondedAt)) return false;
     if (buffer.length === 0) return true;
     const place = MemoryPlace.CallerAnswer;
     const end = (): void => {
-      this.socket.destroy();
+      this.stream.destroy();
     };
     request.answerHold = this.memory.tryShare({ buffer, end, place }, request.respondedAt);
     return request.answerHold !== undefined;
@@ -176,14 +199,17 @@
     this.isAdvancing = true;
     while (this.startNextRequest() || this.writeNextResponse());
     this.isAdvancing = false;
-    if (this.parseErrorStatus !== undefined && this.pipeline.isEmpty)
-      this.writeParseErrorResponse(this.parseErrorStatus);
+    if (this.failure === undefined) {
+      this.stream.parse();
+      return;
+    }
+    const { fault, hasResponse } = this.failure;
+    if (this.pipeline.isEmpty) writeFaultResponse(this.stream, fault, hasResponse);
   }
 
   private startNextRequest(): boolean {
     const requestNumber = this.pipeline.startNext();
     if (requestNumber === undefined) return false;
-    if (!this.pipeline.hasWaiting) this.socket.resume();
     const request = this.openRequests.get(requestNumber);
     if (request === undefined) return true;
     request.startedAt = this.clock();
@@ -198,15 +224,17 @@
     if (request === undefined) return false;
     this.reportWait(request);
     request.response.once('finish', () => {
-      request.answerHold?.release();
+      releaseHolds(request);
       this.lastActiveAt = this.clock();
       this.openRequests.delete(next.requestNumber);
       this.pipeline.completeWrite();
+      if (this.isIdle) this.stream.onIdle();
       this.advance();
     });
     // The rest of an unread body would be parsed as the next request.
-    const isLast = next.isLast && this.parseErrorStatus === undefined;
+    const isLast = next.isLast && this.failure?.hasResponse !== true;
     const closesConnection = isLast || hasUnreadBody(request.message);
+    if (closesConnection) this.stream.discardInput();
     containError(
       () => {
         writeResponse(request.response, next.response, closesConnection);
@@ -226,31 +254,34 @@
     this.events.onPipelineWait({ beforeStartMilliseconds, requestId, withAnswerMilliseconds });
   }
 
-  /** Deferred, since reading a message's body resumes the socket later in this turn of the event loop. */
-  private pauseReadingIfNeeded(): void {
-    process.nextTick(() => {
-      if (this.pipeline.hasWaiting || this.parseErrorStatus !== undefined) this.socket.pause();
-    });
-  }
-
-  private writeParseErrorResponse(status: number): void {
-    const { socket } = this;
-    // The last response has already ended the connection, and the lingering close is in progress.
-    if (!socket.writable) return;
-    socket.write(`HTTP/1.1 ${status} Unreadable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-    socket.destroySoon();
-  }
-
   private handleClosed(): void {
     for (const requestNumber of this.pipeline.unansweredRequests) {
       if (this.openRequests.has(requestNumber)) this.events.onCallerGone(requestNumber);
     }
-    for (const { answerHold } of this.openRequests.values()) answerHold?.release();
+    for (const request of this.openRequests.values()) releaseHolds(request);
     this.openRequests.clear();
     this.pipeline.stopAccepting();
   }
 }
 
+function releaseHolds({ answerHold, hold }: OpenRequest): void {
+  answerHold?.release();
+  hold.release();
+}
+
+/** Memory of the header fields of a response. */
+function fieldsMemory(fields: ResponseContent['fields']): number {
+  let byteCount = 0;
+  let count = 0;
+  for (const [name, value] of Object.entries(fields)) {
+    for (const text of typeof value === 'string' ? [value] : value) {
+      byteCount += name.length + text.length;
+      count += 1;
+    }
+  }
+  return headMemory(byteCount, count);
+}
+
 /** A message without a body may not be complete either, if its request is answered in the turn that read its head. */
 function hasUnreadBody(message: IncomingMessage): boolean {
   return announcesBody(message) && !message.complete;
--- a/packages/callers/src/routes/request-pipeline.ts
+++ b/packages/callers/src/routes/request-pipeline.ts
@@ -2,13 +2,6 @@
 const maximumStartedRequests = 8;
 /** No request of a connection is started while its unwritten responses exceed this. */
 const maximumPendingResponseBytes = 1_048_576;
-/**
- * Limit on requests of one connection that were read but not started. Reading pauses as soon as one request
- * waits, so all of these come from bytes read before that. A connection that exceeds the limit is closed after
- * the requests already started.
- */
-const maximumWaitingRequests = 2_000;
-
 interface StartedRequest<Content> {
   readonly requestNumber: number;
   response: Content | undefined;
@@ -59,11 +52,6 @@
     return true;
   }
 
-  /** Whether the number of waiting requests exceeds its limit. */
-  public get exceedsWaitingLimit(): boolean {
-    return this.waiting.length > maximumWaitingRequests;
-  }
-
   /** Starts the next waiting request if the limits on concurrency and unwritten responses allow it. */
   public startNext(): number | undefined {
     if (this.started.length >= maximumStartedRequests) return undefined;
--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -1,13 +1,20 @@
-import { createServer } from 'node:http';
-import type { IncomingMessage, Server } from 'node:http';
-import type { Socket } from 'node:net';
-import type { Duplex } from 'node:stream';
+import type { IncomingMessage } from 'node:http';
 
 import { toContainableError } from '@peridotspring/core';
+import { faultOfParserError, GuardedHttpServer, isDisconnect } from '@peridotspring/http-server';
+import type {
+  ClientLimits,
+  ClientStream,
+  DeferredInput,
+  ReceivedRequest,
+} from '@peridotspring/http-server';
 import {
   authorizeRequest,
+  ClientFault,
   DenialCause,
   endToEndHeaders,
+  headerValues,
+  MemoryPlace,
   RefusalCause,
   stoppingRetryAfterMilliseconds,
   toOutgoingHeaders,
@@ -23,23 +30,25 @@
   TenantDirectory,
 } from '@peridotspring/mesh-core';
 
-import { BodyReader } from './body-reader.js';
+import { announcesLongBody, BodyReader } from './body-reader.js';
 import { CallerConnection } from './caller-connection.js';
 import { findConnectionToClose } from './connection-limit.js';
 import type { PipelineWait, ResponseContent, ParsedRequest } from './caller-connection.js';
 
-/**
- * Largest request head in bytes. Node.js sets this when the server is created, before the configured limit is
- * known.
- */
-const maximumHeaderBytes = 65_536;
+/** Limits while there is no configuration. */
+const unconfiguredLimits: ClientLimits = {
+  headerBytes: 16_384,
+  headerTimeoutMilliseconds: 10_000,
+  idleTimeoutMilliseconds: 5_000,
+};
+/** The network may hold up a part of a head that was sent in time. */
+const headerTimeoutMarginMilliseconds = 1_000;
 /** Retry-After of a node without a configuration, or with one that may be outdated; it reads one within about a second. */
 const unconfiguredRetryAfterMilliseconds = 300;
 /** Retry-After of a request whose body has no memory: what stalls is ended after a second. */
 const noMemoryRetryAfterMilliseconds = 1_000;
+const bodyTooLongDetail = 'the body is longer than the limit';
 const millisecondsPerSecond = 1_000;
-/** Error code of the HTTP parser when the caller closed its side in the middle of a request. */
-const unexpectedEndCode = 'HPE_INVALID_EOF_STATE';
 
 /** Header names that the server uses, in lower case. */
 export interface CallerHeaderNames {
@@ -72,14 +81,18 @@
 export interface RouteServerOptions {
   readonly bindHost: string;
   readonly bindPort: number;
+  /** Processes the input of connections that take more than their share of processor time. */
+  readonly deferredInput: DeferredInput;
   readonly headerNames: CallerHeaderNames;
   readonly clock: () => number;
   /** Counts the bodies of requests, and the answers until callers have read them. */
   readonly memory: MemoryAccount;
+  /** Counts connections, the heads of requests, and what is kept for each request beside its body. */
+  readonly protocolMemory: MemoryAccount;
   /** Maximum number of connections; beyond it, the one that has been without a request longest is closed. */
   readonly maximumConnections: number;
-  /** A connection was closed because there were too many. */
-  readonly onConnectionClosed: () => void;
+  /** Nothing more is read on a connection, which closes after the requests in progress. */
+  readonly onClientFault: (fault: ClientFault) => void;
   readonly routing: () => RoutingConfiguration | undefined;
   readonly onRequest: (request: EntryRequest) => void;
   readonly onCallerGone: (requestNumber: number) => void;
@@ -95,12 +108,13 @@
 
 /** The HTTP server for callers of routes. Owns their connections. */
 export class RouteServer {
-  private readonly server: Server;
-  private readonly connections = new Map<Duplex, CallerConnection>();
+  private readonly server: GuardedHttpServer;
+  private readonly connections = new Map<ClientStream, CallerConnection>();
   /** The connection of each request that was started and has no answer, by request number. */
   private readonly pendingRequests = new Map<number, CallerConnection>();
   private readonly reservedNamesWithCredentials: ReadonlySet<string>;
   private readonly bodies: BodyReader;
+  private limits = unconfiguredLimits;
   private nextRequestNumber = 1;
   private isStopping = false;
   private isRefusing = false;
@@ -109,24 +123,24 @@
     const { authorization, reserved } = options.headerNames;
     this.bodies = new BodyReader(options.memory, options.clock);
     this.reservedNamesWithCredentials = new Set([...reserved, authorization]);
-    this.server = createServer({ maxHeaderSize: maximumHeaderBytes, noDelay: true });
-    this.server.requestTimeout = 0;
-    this.server.on('connection', (socket: Socket) => {
-      this.handleConnection(socket);
-    });
-    this.server.on('request', (message, response) => {
-      const requestNumber = this.nextRequestNumber;
-      this.nextRequestNumber += 1;
-      const requestId = firstValue(message.headers[options.headerNames.requestId]) ?? '';
-      const headerReadAt = options.clock();
-      const request = { message, headerReadAt, requestId, requestNumber, response };
-      this.connections.get(message.socket)?.handleRequest(request);
-    });
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      const connection = this.connections.get(socket);
-      const hasDisconnected = !socket.writable || error.code === unexpectedEndCode;
-      if (connection === undefined || hasDisconnected) socket.destroy();
-      else connection.handleParseError(statusOfParseError(error));
+    const { bindHost, bindPort, clock, deferredInput, protocolMemory } = options;
+    this.server = new GuardedHttpServer({
+      accept: (stream) => this.accept(stream),
+      bindHost,
+      bindPort,
+      clock,
+      deferredInput,
+      limits: () => this.limits,
+      memory: protocolMemory,
+      onParserError: (stream, error) => {
+        const connection = this.connections.get(stream);
+        if (connection === undefined || isDisconnect(stream, error)) stream.destroy();
+        else connection.onFault(faultOfParserError(error), true);
+      },
+      onRequest: (request) => {
+        this.handleRequest(request);
+      },
+      place: MemoryPlace.CallerRequest,
     });
   }
 
@@ -137,18 +151,17 @@
   }
 
   public async listen(): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.options.bindPort, this.options.bindHost, resolve);
-    });
-    const address = this.server.address();
-    return typeof address === 'object' && address !== null ? address.port : 0;
+    return this.server.listen();
   }
 
   /** Applies the limits of a newly activated configuration. */
   public configure(limits: CallerLimits): void {
-    this.server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
-    this.server.headersTimeout = limits.headerTimeoutMilliseconds + millisecondsPerSecond;
+    this.limits = {
+      headerBytes: limits.headerBytes,
+      headerTimeoutMilliseconds: limits.headerTimeoutMilliseconds + headerTimeoutMarginMilliseconds,
+      idleTimeoutMilliseconds: limits.idleTimeoutMilliseconds,
+    };
+    this.server.configure();
   }
 
   public respond({ requestNumber }: EntryRequest, outcome: EntryOutcome): void {
@@ -183,50 +196,68 @@
   }
 
   public async close(): Promise<void> {
-    const closed = new Promise<void>((resolve) => {
-      this.server.close(() => {
-        resolve();
-      });
-    });
-    this.server.closeAllConnections();
-    // Connections in their lingering close are no longer in the server's own list.
-    for (const socket of this.connections.keys()) socket.destroy();
-    await closed;
+    await this.server.close();
   }
 
-  private handleConnection(socket: Socket): void {
-    if (!this.makeRoomForConnection()) {
-      // Nothing has been read, so the caller knows that nothing has run.
-      socket.destroy();
-      return;
-    }
-    const { clock, memory, onCallerGone, onErrorContained, onRequestsDiscarded, onPipelineWait } =
-      this.options;
-    const connection: CallerConnection = new CallerConnection(socket, clock, memory, {
-      onRequestStart: (request) => {
-        this.pendingRequests.set(request.requestNumber, connection);
-        this.startRequest(request).catch((error: unknown) => {
-          this.handleRequestError(request, toContainableError(error));
-        });
-      },
-      onCallerGone: (requestNumber) => {
-        this.bodies.release(requestNumber);
-        if (this.pendingRequests.delete(requestNumber)) onCallerGone(requestNumber);
-      },
-      onRequestsDiscarded,
-      onResponseInvalid: onErrorContained,
+  private accept(stream: ClientStream): CallerConnection | undefined {
+    // Nothing has been read, so the caller knows that nothing has run.
+    if (!this.makeRoomForConnection()) return undefined;
+    const {
+      clock,
+      memory,
+      onCallerGone,
+      onClientFault,
+      onErrorContained,
       onPipelineWait,
-    });
-    this.connections.set(socket, connection);
-    socket.once('close', () => {
-      this.connections.delete(socket);
+      onRequestsDiscarded,
+      protocolMemory,
+    } = this.options;
+    const connection: CallerConnection = new CallerConnection(
+      stream,
+      clock,
+      memory,
+      protocolMemory,
+      {
+        onRequestStart: (request) => {
+          this.pendingRequests.set(request.requestNumber, connection);
+          this.startRequest(request).catch((error: unknown) => {
+            this.handleRequestError(request, toContainableError(error));
+          });
+        },
+        onCallerGone: (requestNumber) => {
+          this.bodies.release(requestNumber);
+          if (this.pendingRequests.delete(requestNumber)) onCallerGone(requestNumber);
+        },
+        onClientFault,
+        onRequestsDiscarded,
+        onResponseInvalid: onErrorContained,
+        onPipelineWait,
+      },
+    );
+    this.connections.set(stream, connection);
+    stream.once('close', () => {
+      this.connections.delete(stream);
     });
     if (this.isStopping) connection.stopAccepting();
+    return connection;
+  }
+
+  private handleRequest({ message, response, stream }: ReceivedRequest): void {
+    const { clock, headerNames } = this.options;
+    const requestNumber = this.nextRequestNumber;
+    this.nextRequestNumber += 1;
+    const hold = stream.beginRequest(message, () => {
+      this.bodies.end(requestNumber);
+    });
+    const requestId = firstValue(message.headers[headerNames.requestId]) ?? '';
+    const headerReadAt = clock();
+    const request = { headerReadAt, hold, message, requestId, requestNumber, response };
+    this.connections.get(stream)?.handleRequest(request);
   }
 
   private makeRoomForConnection(): boolean {
     if (this.connections.size < this.options.maximumConnections) return true;
-    this.options.onConnectionClosed();
+    this.options.onClientFault(ClientFault.TooManyConnections);
     const closed = findConnectionToClose(this.connections.values());
     closed?.destroy();
     return closed !== undefined;
@@ -254,15 +285,24 @@
       this.answerLocally(parsed, 404, 'no route has this host and path');
       return;
     }
-    const credentials = message.headersDistinct[this.options.headerNames.authorization] ?? [];
+    const credentials = headerValues(message.rawHeaders, this.options.headerNames.authorization);
     const authorization = authorizeRequest(route, credentials, routing);
     const reservedNames = this.reservedNamesOf(routing);
     if (authorization.kind === 'denied') {
       this.deny(parsed, authorization.cause);
       return;
     }
-    const endsAt = parsed.headerReadAt + this.timeoutMillisecondsOf(message, route);
-    const body = await this.bodies.read(message, requestNumber, endsAt, routing.limits);
+    if (announcesLongBody(message, routing.limits)) {
+      // The body has not been read yet, so the connection closes instead of reading it.
+      this.answerLocally(parsed, 413, bodyTooLongDetail);
+      return;
+    }
+    const readMilliseconds = Math.min(
+      this.timeoutMillisecondsOf(message, route),
+      route.timeoutMilliseconds,
+    );
+    const endsAt = parsed.headerReadAt + readMilliseconds;
+    const body = await this.bodies.read(parsed, endsAt, routing.limits);
     if (!this.pendingRequests.has(requestNumber)) {
       this.bodies.release(requestNumber);
       return;
@@ -278,7 +318,7 @@
         this.answerLocally(parsed, 408, 'the body did not come in time');
         return;
       case 'too-large':
-        this.answerLocally(parsed, 413, 'the body is longer than the limit');
+        this.answerLocally(parsed, 413, bodyTooLongDetail);
         return;
       case 'no-memory': {
         const fields = retryAfterHeader(noMemoryRetryAfterMilliseconds);
@@ -370,18 +410,6 @@
   }
 }
 
-/** The response status for bytes that could not be parsed as a request. */
-function statusOfParseError({ code }: NodeJS.ErrnoException): number {
-  switch (code) {
-    case 'HPE_HEADER_OVERFLOW':
-      return 431;
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
-      return 408;
-    default:
-      return 400;
-  }
-}
-
 function retryAfterHeader(milliseconds: number): Record<string, string> {
   return { 'retry-after': (milliseconds / millisecondsPerSecond).toFixed(3) };
 }
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -15,8 +15,10 @@
   steps: 120,
   /** Requests that a gate declined, for example for lack of room or time; the reason `busy` counts as routine. */
   declines: 50,
+  /** Connections of clients that were refused further requests, or closed. */
+  clients: 20,
   /** Changes in the node's view of servers, peers, the store and the configuration. */
-  notable: 80,
+  notable: 60,
   /** Requests that went well; lines beyond the budget are only counted. */
   routine: 100,
 } as const;
@@ -45,6 +47,7 @@
   [EntryEventName.RequestRepeated]: ['reason'],
   [GateEventName.RequestDeclined]: ['reason'],
   [GateEventName.RequestFinished]: ['outcome'],
+  [MeshEvent.ClientFaulty]: ['fault', 'port'],
   [MeshEvent.ErrorContained]: ['place'],
   [MeshEvent.MemoryExhausted]: ['place'],
   [MeshEvent.MemoryReclaimed]: ['place'],
@@ -85,6 +88,7 @@
   private readonly conclusionBudget = new LineBudget(linesPerSecond.conclusions);
   private readonly stepBudget = new LineBudget(linesPerSecond.steps);
   private readonly declineBudget = new LineBudget(linesPerSecond.declines);
+  private readonly clientBudget = new LineBudget(linesPerSecond.clients);
   private readonly notableBudget = new LineBudget(linesPerSecond.notable);
   private readonly routineBudget = new LineBudget(linesPerSecond.routine);
   private readonly bufferedLines = new Map<string, BufferedLine[]>();
@@ -124,6 +128,7 @@
     if (sampledEvents.has(event) || event === MeshEvent.RequestWaitedBehind)
       return this.routineBudget;
     if (event === MeshEvent.RequestAnsweredLocally) return this.conclusionBudget;
+    if (event === MeshEvent.ClientFaulty) return this.clientBudget;
     if (event !== GateEventName.RequestDeclined) return this.notableBudget;
     return reason === DeclineReason.Busy ? this.routineBudget : this.declineBudget;
   }
@@ -184,6 +189,7 @@
     if (now - this.reportedAt < suppressionReportIntervalMilliseconds) return;
     this.reportedAt = now;
     const suppressed = {
+      clients: this.clientBudget.takeSuppressed(),
       conclusions: this.conclusionBudget.takeSuppressed(),
       declines: this.declineBudget.takeSuppressed(),
       notable: this.notableBudget.takeSuppressed(),
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -1,6 +1,7 @@
 /** Names of the log events of a node that routes by host and path. `mesh-core` defines the names of its own events. */
 export const MeshEvent = {
   AllotmentUsed: 'allotment-used',
+  ClientFaulty: 'client-faulty',
   ConfigurationDiffers: 'configuration-differs',
   ConfigurationInForce: 'configuration-in-force',
   ConfigurationInvalid: 'configuration-invalid',
--- a/packages/daemon/src/mesh/mesh-node-options.ts
+++ b/packages/daemon/src/mesh/mesh-node-options.ts
@@ -29,6 +29,8 @@
 export interface MeshNodeOptions {
   readonly settings: MeshSettings;
   readonly memory: MemoryAccount;
+  /** Counts what is kept for each request beside its body. */
+  readonly protocolMemory: MemoryAccount;
   readonly self: MeshNode;
   readonly random: RandomSource;
   readonly clock: () => number;
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -203,7 +203,11 @@
       processStartedAt: options.processStartedAt,
       quarantine,
       reportIntervalMilliseconds: settings.reportIntervalMilliseconds,
-      callMemory: { account: options.memory, retainedBytes: settings.answerMemoryBytes },
+      callMemory: {
+        account: options.memory,
+        protocol: options.protocolMemory,
+        retainedBytes: settings.answerMemoryBytes,
+      },
       service: self.service,
     });
     this.healthChecks = new ServerHealthChecks({
--- a/packages/daemon/src/mesh/mesh-settings.ts
+++ b/packages/daemon/src/mesh/mesh-settings.ts
@@ -58,6 +58,12 @@
   readonly callerConnections: number;
   /** Maximum size of all bodies and answers that the process holds, from callers and other nodes. */
   readonly heldMemoryBytes: number;
+  /** Maximum memory of connections, heads of requests, and records of requests. */
+  readonly protocolMemoryBytes: number;
+  /** Maximum memory of connections to other nodes, beside long frames. */
+  readonly peerMemoryBytes: number;
+  /** Maximum number of connections at the port for other nodes whose other side has not named itself. */
+  readonly unnamedPeerConnections: number;
   /** What the operator sets for the choice of gates; defaults apply to what is not set. */
   readonly placement?: Pick<PlacementPolicyOptions, 'otherZoneCostPerKilobyte'> | undefined;
   /** Time between the stop signal and the forced termination of the process. */
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -1,6 +1,12 @@
 import { RouteServer } from '@peridotspring/callers';
 import { SeededRandomSource } from '@peridotspring/core';
-import { CollectionSchedule, DenialCause, MemoryAccount } from '@peridotspring/mesh-core';
+import { DeferredInput } from '@peridotspring/http-server';
+import {
+  ClientFault,
+  CollectionSchedule,
+  DenialCause,
+  MemoryAccount,
+} from '@peridotspring/mesh-core';
 import type { MeshNode } from '@peridotspring/mesh-core';
 import { maximumMeshBodyBytes, MeshConnections } from '@peridotspring/nodes';
 import { HttpStoreTransport, StoreSession } from '@peridotspring/platform/key-values';
@@ -34,6 +40,8 @@
 const directoryPrefix = `${commonPrefix}nodes/`;
 /** Prefix of the keys under which nodes store the requests that are quarantined. */
 const quarantinePrefix = `${commonPrefix}quarantine/`;
+/** Memory for connections and requests at the ports for readiness, metrics and reports. */
+const operatorMemoryBytes = 4_194_304;
 /** Calls to the store that take longer are logged; they usually take a few milliseconds. */
 const slowStoreCallMilliseconds = 500;
 /** Time-out at shutdown for closing the caller server and removing the node's directory entry. */
@@ -59,7 +67,12 @@
   const clock = (): number => performance.now();
   const metrics = new Metrics();
   const events = createEventRecorder(settings, metrics, clock);
-  const memory = createMemoryAccount(settings, clock, events);
+  const createAccount = createMemoryAccounts(settings, clock, events);
+  const memory = createAccount(settings.heldMemoryBytes);
+  const protocolMemory = createAccount(settings.protocolMemoryBytes);
+  // Crowds of callers must not cut the node off from other nodes and from the platform.
+  const peerMemory = createAccount(settings.peerMemoryBytes);
+  const operatorMemory = createAccount(operatorMemoryBytes);
   const self = createSelf(settings, Date.now());
   const random = new SeededRandomSource((self.boot ^ process.pid) >>> 0);
   const driver = new MeshNodeDriver({
@@ -71,6 +84,7 @@
     events,
     memory,
     ports: () => ports,
+    protocolMemory,
     // The clock of the process starts at 0 with it.
     processStartedAt: 0,
     random,
@@ -84,9 +98,11 @@
     settings,
     wallClock: () => Date.now(),
   });
-  const callers = createCallers(options, driver, { clock, events, memory });
-  const connections = createConnections(settings, self, driver, { clock, memory });
-  const server = createServerClient(options, driver, { clock, events, memory });
+  const deferredInput = new DeferredInput();
+  const dependencies = { clock, events, memory, protocolMemory };
+  const callers = createCallers(options, driver, deferredInput, dependencies);
+  const connections = createConnections(settings, self, driver, peerMemory, dependencies);
+  const server = createServerClient(options, driver, dependencies);
   const store = createStore(options, self, driver, {
     clock,
     events,
@@ -134,7 +150,7 @@
       void Promise.race([Promise.all(closing), delay(shutdownTimeoutMilliseconds)]).then(onStopped);
     },
   };
-  registerMemoryGauges(metrics, memory);
+  registerMemoryGauges(metrics, [memory, protocolMemory, peerMemory, operatorMemory]);
   registerMeshGauges(metrics, {
     allotmentGauges: () => driver.allotments.gauges,
     gaugeValues: () => driver.gaugeValues,
@@ -145,16 +161,28 @@
   const reports = new ReportServer({
     bindHost: host,
     bindPort: port,
+    clock,
     codec: adapter.serverMessages,
+    deferredInput,
+    memory: operatorMemory,
+    onClientFault: (fault) => {
+      events.record(MeshEvent.ClientFaulty, { fault, port: 'reports' });
+    },
     onErrorContained: (error) => {
       recordContainedError(events, 'server-message', 'none', error);
     },
     onMessage: (message) => driver.onServerMessage(message),
   });
-  const readiness = new ReadinessServer(
-    settings.readinessAddress.host,
-    settings.readinessAddress.port,
-    [
+  const readiness = new ReadinessServer({
+    bindHost: settings.readinessAddress.host,
+    bindPort: settings.readinessAddress.port,
+    clock,
+    deferredInput,
+    memory: operatorMemory,
+    onClientFault: (fault) => {
+      events.record(MeshEvent.ClientFaulty, { fault, port: 'readiness' });
+    },
+    pages: [
       {
         path: adapter.readinessPath,
         render: () =>
@@ -162,7 +190,7 @@
       },
       { path: metricsPath, render: async () => ({ status: 200, text: await metrics.text() }) },
     ],
-  );
+  });
   store.session.start();
   await Promise.all([connections.listen(), callers.listen(), reports.listen(), readiness.listen()]);
   driver.start();
@@ -201,34 +229,37 @@
   readonly clock: () => number;
   readonly events: EventRecorder;
   readonly memory: MemoryAccount;
+  readonly protocolMemory: MemoryAccount;
 }
 
-function createMemoryAccount(
-  { heldMemoryBytes, machineMemoryBytes }: MeshSettings,
+/** Returns a function that creates an account with a limit; the accounts share one schedule for the collection of garbage. */
+function createMemoryAccounts(
+  { machineMemoryBytes }: MeshSettings,
   clock: () => number,
   events: EventRecorder,
-): MemoryAccount {
+): (limitBytes: number) => MemoryAccount {
   const collector = new GarbageCollector();
   const schedule = new CollectionSchedule({
     limitBytes: machineMemoryBytes,
     residentBytes: () => process.memoryUsage.rss(),
   });
-  return new MemoryAccount({
-    limitBytes: heldMemoryBytes,
-    onEnded: (place, bytes) => {
-      events.record(MeshEvent.MemoryReclaimed, { bytes, place });
-    },
-    onReleased: (bytes) => {
-      if (!schedule.onReleased(bytes, clock())) return;
-      // What is released in this turn of the event loop is garbage only after it.
-      setImmediate(() => {
-        collector.collect();
-      });
-    },
-    onRefused: (place, bytes) => {
-      events.record(MeshEvent.MemoryExhausted, { bytes, place });
-    },
-  });
+  return (limitBytes) =>
+    new MemoryAccount({
+      limitBytes,
+      onEnded: (place, bytes) => {
+        events.record(MeshEvent.MemoryReclaimed, { bytes, place });
+      },
+      onReleased: (bytes) => {
+        if (!schedule.onReleased(bytes, clock())) return;
+        // What is released in this turn of the event loop is garbage only after it.
+        setImmediate(() => {
+          collector.collect();
+        });
+      },
+      onRefused: (place, bytes) => {
+        events.record(MeshEvent.MemoryExhausted, { bytes, place });
+      },
+    });
 }
 
 function recordContainedError(
@@ -272,9 +303,11 @@
 function createCallers(
   { adapter, settings }: MeshWiringOptions,
   driver: MeshNodeDriver,
-  { clock, events, memory }: NodeDependencies,
+  deferredInput: DeferredInput,
+  { clock, events, memory, protocolMemory }: NodeDependencies,
 ): RouteServer {
   return new RouteServer({
+    deferredInput,
     onAnsweredLocally: ({ detail, requestId, status }) => {
       events.record(MeshEvent.RequestAnsweredLocally, { detail, request: requestId, status });
       if (detail === DenialCause.KeyUnproven) events.count('requests_key_unproven');
@@ -284,8 +317,11 @@
     clock,
     maximumConnections: settings.callerConnections,
     memory,
-    onConnectionClosed: () => {
-      events.record(MeshEvent.ConnectionsExhausted, { limit: settings.callerConnections });
+    protocolMemory,
+    onClientFault: (fault) => {
+      if (fault === ClientFault.TooManyConnections)
+        events.record(MeshEvent.ConnectionsExhausted, { limit: settings.callerConnections });
+      events.record(MeshEvent.ClientFaulty, { fault, port: 'callers' });
     },
     onRequest: (request) => {
       driver.onCallerRequest(request);
@@ -315,7 +351,8 @@
   settings: MeshSettings,
   self: MeshNode,
   driver: MeshNodeDriver,
-  { clock, memory }: Pick<NodeDependencies, 'clock' | 'memory'>,
+  peerMemory: MemoryAccount,
+  { clock, memory }: NodeDependencies,
 ): MeshConnections {
   return new MeshConnections({
     bindHost: settings.peerAddress.host,
@@ -343,7 +380,9 @@
     },
     helloPayload: () => driver.helloPayload,
     linkMegabitsPerSecond: settings.linkMegabitsPerSecond,
+    maximumUnnamedConnections: settings.unnamedPeerConnections,
     memory,
+    protocolMemory: peerMemory,
     self,
   });
 }
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -600,6 +600,7 @@
         unknownTypes: [],
       }),
       memory: createMemoryAccount(),
+      protocolMemory: createMemoryAccount(),
       defer: (action) => {
         this.queue.after(0, action);
       },
@@ -797,6 +798,9 @@
     answerMemoryBytes: 1_048_576,
     callerConnections: 1_000,
     heldMemoryBytes: 67_108_864,
+    protocolMemoryBytes: 33_554_432,
+    peerMemoryBytes: 16_777_216,
+    unnamedPeerConnections: 500,
     machineMemoryBytes: 268_435_456,
     availabilityZone,
     callerAddress: address,
--- a/packages/measure/src/silent-connections.ts
+++ b/packages/measure/src/silent-connections.ts
@@ -48,7 +48,9 @@
       load: createLoad(),
       reachesStore: true,
     }),
+    maximumUnnamedConnections: 500,
     memory: createMemoryAccount(),
+    protocolMemory: createMemoryAccount(),
     self,
   });
 }
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -1,3 +1,4 @@
+import { headMemory } from '../clients/message-memory.js';
 import type { MemoryAccount } from '../memory/memory-account.js';
 import type { MemoryHold } from '../memory/memory-hold.js';
 import { MemoryPlace } from '../memory/memory-place.js';
@@ -44,6 +45,10 @@
   slowdownAgeAtStart: number;
   finishedAt: number;
   reply: ReplyFrame | undefined;
+  /** Memory of the call beside the bodies of its request and its reply. */
+  readonly hold: MemoryHold;
+  /** Whether there was memory for the call when it arrived. */
+  readonly hasMemory: boolean;
   /** Memory of the request's body, or of the body of the retained reply. */
   bodyHold: MemoryHold | undefined;
   /** Estimated memory of the reply. */
@@ -52,11 +57,16 @@
 
 /** Limits on the memory of calls. */
 export interface CallMemory {
+  /** Counts bodies and answers. */
   readonly account: MemoryAccount;
+  /** Counts what is kept for each call beside them. */
+  readonly protocol: MemoryAccount;
   /** Limit on retained replies. */
   readonly retainedBytes: number;
 }
 
+/** Memory of a call without its header fields, which are given up when it finishes. */
+const callBytes = 1_024;
 /** Estimated memory of a reply and of each of its header fields, beyond their bytes. */
 const replyOverheadBytes = 512;
 const headerFieldOverheadBytes = 128;
@@ -89,7 +99,11 @@
   }
 
   public open(from: string, boot: number, frame: StartFrame, now: number): GateCall {
+    const { protocol } = this.memory;
+    const hold = protocol.open({ place: MemoryPlace.GateCall }, now);
     const call: GateCall = {
+      hasMemory: !protocol.isShort && hold.tryResize(callBytes + headMemoryOf(frame), now),
+      hold,
       arrivedAt: now,
       bodyHold: this.holdBody(frame.body, MemoryPlace.PeerInput, now),
       boot,
@@ -125,6 +139,7 @@
     // Only the reply may be needed again; bodies of requests can be as large as the caller's limit.
     call.frame = { ...call.frame, body: undefined, headers: [] };
     call.bodyHold?.release();
+    call.hold.resize(callBytes);
     this.retain(call, reply);
     this.holdAnswer(call, now);
     this.unfinishedByExecutionId.delete(call.executionId);
@@ -144,13 +159,17 @@
   /** Removes finished calls whose retention period has passed. */
   public removeExpired(now: number): void {
     for (const call of this.byKey.values()) {
-      const retainedUntil = Math.max(call.finishedAt, call.deadline) + replyRetentionMilliseconds;
-      if (call.state !== 'finished' || now <= retainedUntil) continue;
-      this.byKey.delete(call.key);
-      this.release(call);
+      if (call.state === 'finished' && now > retainedUntil(call)) this.forget(call);
     }
   }
 
+  /** Removes a finished call. */
+  public forget(call: GateCall): void {
+    this.byKey.delete(call.key);
+    call.hold.release();
+    this.release(call);
+  }
+
   /** Forgets the oldest of the long answers, then the oldest of the others, until the rest is within the limit. */
   private enforceRetentionLimit(): void {
     for (const calls of [this.longAnswers, this.shortAnswers]) {
@@ -219,6 +238,12 @@
   }
 }
 
+/** A declined call has not run, so that its frame could be taken for a new one; until its deadline, there may be very many. */
+function retainedUntil({ deadline, finishedAt, reply }: GateCall): number {
+  const endedAt = reply?.kind === 'declined' ? finishedAt : Math.max(finishedAt, deadline);
+  return endedAt + replyRetentionMilliseconds;
+}
+
 function bytesOf(reply: ReplyFrame | undefined): number {
   if (reply === undefined) return 0;
   if (reply.kind !== 'answered') return replyOverheadBytes;
@@ -228,6 +253,12 @@
   return bytes;
 }
 
+function headMemoryOf({ headers }: StartFrame): number {
+  let byteCount = 0;
+  for (const [name, value] of headers) byteCount += name.length + value.length;
+  return headMemory(byteCount, headers.length);
+}
+
 function callKey(from: string, boot: number, callId: number): string {
   return `${from}/${boot}/${callId}`;
 }
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -228,9 +228,13 @@
     }
     const call = this.calls.open(from, boot, frame, now);
     this.keyLeases.begin(call, frame);
-    const reason = this.immediateDeclineReason(call, now);
+    const reason = call.hasMemory
+      ? this.immediateDeclineReason(call, now)
+      : DeclineReason.QueueFull;
     if (reason !== undefined) {
       this.decline(call, reason, 0, now);
+      // Even the record of such a call has no room.
+      if (!call.hasMemory) this.calls.forget(call);
       return;
     }
     this.admit(call, now);
--- a/packages/nodes/src/mesh/mesh-connection.ts
+++ b/packages/nodes/src/mesh/mesh-connection.ts
@@ -1,6 +1,11 @@
 import type { Socket } from 'node:net';
 
-import { ConnectionAction, ConnectionMonitor, MemoryPlace } from '@peridotspring/mesh-core';
+import {
+  peerConnectionBytes,
+  ConnectionAction,
+  ConnectionMonitor,
+  MemoryPlace,
+} from '@peridotspring/mesh-core';
 import type { MemoryAccount, MemoryHold, MeshFrame, MeshNode } from '@peridotspring/mesh-core';
 
 import { CorkedWriter } from '../corked-writer.js';
@@ -38,6 +43,10 @@
   private readonly decoder: MeshFrameDecoder;
   /** Memory of the long frame that is being read. */
   private inputHold: MemoryHold | undefined;
+  /** Memory of the connection, of an incomplete short frame, and of short frames that the other side has not read. */
+  private readonly hold: MemoryHold;
+  /** Bytes of long bodies that are queued, which have holds of their own. */
+  private longBytesQueued = 0;
   private readonly openedAt: number;
   private isClosed = false;
   /** Callbacks for the pings that have not been answered, in the order in which they were sent. */
@@ -54,6 +63,7 @@
     public readonly replacedId: string | undefined,
     private readonly clock: () => number,
     private readonly memory: MemoryAccount,
+    protocolMemory: MemoryAccount,
     private readonly events: MeshConnectionEvents,
     linkPacer?: LinkPacer,
   ) {
@@ -69,6 +79,11 @@
       },
     });
     this.openedAt = clock();
+    const end = (): void => {
+      this.close('no memory for what the other side sends or leaves unread');
+    };
+    this.hold = protocolMemory.open({ end, place: MemoryPlace.PeerConnection }, this.openedAt);
+    this.hold.resize(peerConnectionBytes);
     this.monitor = new ConnectionMonitor(this.openedAt);
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => {
@@ -110,6 +125,7 @@
       if (now - this.openedAt > helloTimeoutMilliseconds) this.close('no hello received in time');
       return;
     }
+    this.updateHold();
     const action = this.monitor.nextAction(now, hasStalled);
     switch (action) {
       case ConnectionAction.None:
@@ -135,6 +151,7 @@
     this.isClosed = true;
     this.pacedStream?.close();
     this.decoder.close();
+    this.hold.release();
     this.socket.destroy();
     this.events.onClosed(this, detail, code);
     for (const callback of this.pongCallbacks.splice(0)) callback();
@@ -151,6 +168,23 @@
   private write(bytes: Uint8Array, onFlushed?: () => void): void {
     this.monitor.onSent(bytes.length);
     (this.pacedStream ?? this.writer).write(bytes, onFlushed);
+    this.updateHold();
+  }
+
+  /** Counts what is queued or incomplete. Nodes that have named themselves are refused no frame, but may be closed for others. */
+  private updateHold(): void {
+    const { hold, peer, socket } = this;
+    const queuedBytes = socket.writableLength + (this.pacedStream?.queuedBytes ?? 0);
+    const shortBytes = Math.max(0, queuedBytes - this.longBytesQueued) + this.decoder.bufferedBytes;
+    const bytes = peerConnectionBytes + shortBytes;
+    if (bytes === hold.bytes) return;
+    if (peer === undefined && this.dialedNode === undefined) {
+      if (!hold.tryResize(bytes, this.clock())) this.close('no memory for a frame before hello');
+      return;
+    }
+    const isStalled = bytes > hold.bytes && Number.isFinite(hold.progressedAt);
+    if (!isStalled) hold.progressedAt = shortBytes === 0 ? Infinity : this.clock();
+    hold.resize(bytes);
   }
 
   /** Writes a frame with a long body, which counts until the other side has read it. Returns false if it was replaced. */
@@ -171,8 +205,12 @@
       return false;
     }
     const [head] = encodeMeshFrameInParts(frame, body);
+    this.longBytesQueued += body.length;
     this.write(head);
-    this.write(body, () => hold?.release());
+    this.write(body, () => {
+      this.longBytesQueued -= body.length;
+      hold?.release();
+    });
     return true;
   }
 
@@ -192,6 +230,7 @@
       }
       this.handleFrame(decoded.frame);
     }
+    this.updateHold();
   }
 
   private handlePong(): void {
@@ -209,6 +248,7 @@
           return;
         }
         this.peer = frame.node;
+        this.hold.progressedAt = Infinity;
         this.decoder.allowLargeFrames();
         this.events.onHello(this, frame);
         return;
--- a/packages/nodes/src/mesh/mesh-connections.ts
+++ b/packages/nodes/src/mesh/mesh-connections.ts
@@ -36,8 +36,12 @@
   readonly clock: () => number;
   /** Rate of the machine's link, in megabits per second; undefined if it is not known. */
   readonly linkMegabitsPerSecond?: number | undefined;
+  /** Maximum number of connections that others opened without having named themselves; beyond it, the oldest is closed. */
+  readonly maximumUnnamedConnections: number;
   /** Counts long frames until they have been read on either side. */
   readonly memory: MemoryAccount;
+  /** Counts connections, and short frames until they have been read on either side. */
+  readonly protocolMemory: MemoryAccount;
   /** Current values for the hello frame of a new connection. */
   readonly helloPayload: () => MeshHelloPayload;
   readonly events: MeshConnectionsEvents;
@@ -59,6 +63,7 @@
   public constructor(private readonly options: MeshConnectionsOptions) {
     this.linkPacer = createLinkPacer(options);
     this.server = createServer((socket) => {
+      this.closeOldestUnnamed();
       this.open(socket, undefined);
     });
   }
@@ -136,7 +141,7 @@
   }
 
   private open(socket: Socket, dialedNode: MeshNode | undefined): void {
-    const { clock, events, helloPayload, memory, self } = this.options;
+    const { clock, events, helloPayload, memory, protocolMemory, self } = this.options;
     const replacedId = dialedNode && this.idToReplace(dialedNode.name);
     const connectionEvents: MeshConnectionEvents = {
       onClosed: (closed, detail, code) => {
@@ -161,6 +166,7 @@
       replacedId,
       clock,
       memory,
+      protocolMemory,
       connectionEvents,
       this.linkPacer,
     );
@@ -178,6 +184,18 @@
     });
   }
 
+  private closeOldestUnnamed(): void {
+    let oldest: MeshConnection | undefined;
+    let count = 0;
+    for (const connection of this.handshaking) {
+      if (connection.dialedNode !== undefined) continue;
+      oldest ??= connection;
+      count += 1;
+    }
+    if (count >= this.options.maximumUnnamedConnections)
+      oldest?.close('too many connections without a hello');
+  }
+
   /** Identifier of the last connection to the node, which the node may take for one that works. */
   private idToReplace(name: string): string | undefined {
     return this.connections.get(name)?.id ?? this.closedIds.get(name);
--- a/packages/nodes/tests/shared/mesh-test-node.ts
+++ b/packages/nodes/tests/shared/mesh-test-node.ts
@@ -30,7 +30,9 @@
         onFrame: (_from, frame) => this.frames.push(frame),
         onSuspected: ({ name }) => this.events.push(`suspected ${name}`),
       },
+      maximumUnnamedConnections: 500,
       memory: createMemoryAccount(),
+      protocolMemory: createMemoryAccount(),
       helloPayload: () => ({
         configurationVersion: 3,
         knownNodes: 1,
--- a/packages/upstreams/src/mesh/readiness-server.ts
+++ b/packages/upstreams/src/mesh/readiness-server.ts
@@ -1,8 +1,8 @@
-import { once } from 'node:events';
-import { createServer } from 'node:http';
-import type { Server } from 'node:http';
+import { SequentialServer } from '@peridotspring/http-server';
+import type { DeferredInput, SequentialRequest } from '@peridotspring/http-server';
+import type { ClientFault, MemoryAccount } from '@peridotspring/mesh-core';
 
-import { requestTimeouts } from './request-timeouts.js';
+import { localPortLimits } from './local-port-limits.js';
 
 /** The response for a page. */
 export interface PageContent {
@@ -17,37 +17,50 @@
   readonly render: () => PageContent | Promise<PageContent>;
 }
 
+export interface ReadinessServerOptions {
+  readonly bindHost: string;
+  readonly bindPort: number;
+  readonly clock: () => number;
+  readonly deferredInput: DeferredInput;
+  readonly memory: MemoryAccount;
+  /** The connection of a client was refused further requests, or closed. */
+  readonly onClientFault: (fault: ClientFault) => void;
+  readonly pages: readonly TextPage[];
+}
+
+const contentType = { 'content-type': 'text/plain; version=0.0.4' } as const;
 const notFound: PageContent = { status: 404, text: 'not found\n' };
 
 /** Serves the pages that the platform polls to monitor this process, such as its readiness. */
 export class ReadinessServer {
-  private readonly server: Server;
-
-  public constructor(
-    private readonly bindHost: string,
-    private readonly bindPort: number,
-    pages: readonly TextPage[],
-  ) {
-    this.server = createServer(requestTimeouts, (request, response) => {
-      const path = (request.url ?? '/').split('?')[0];
-      const page = pages.find((candidate) => candidate.path === path);
-      request.resume();
-      void Promise.resolve(page?.render() ?? notFound).then(({ status, text }) => {
-        response.writeHead(status, { 'content-type': 'text/plain; version=0.0.4' });
-        response.end(text);
-      });
+  private readonly server: SequentialServer;
+
+  public constructor(private readonly options: ReadinessServerOptions) {
+    this.server = new SequentialServer({
+      ...localPortLimits,
+      ...options,
+      onFault: options.onClientFault,
+      onRequest: (request) => {
+        void this.respond(request);
+      },
     });
   }
 
   public async listen(): Promise<void> {
-    this.server.listen(this.bindPort, this.bindHost);
-    await once(this.server, 'listening');
+    await this.server.listen();
   }
 
   public async close(): Promise<void> {
-    await new Promise((resolve) => {
-      this.server.close(resolve);
-      this.server.closeAllConnections();
-    });
+    await this.server.close();
+  }
+
+  private async respond(request: SequentialRequest): Promise<void> {
+    const path = (request.message.url ?? '/').split('?')[0];
+    const page = this.options.pages.find((candidate) => candidate.path === path);
+    request.message.resume();
+    const startedAt = performance.now();
+    const { status, text } = (await page?.render()) ?? notFound;
+    request.spendProcessing(performance.now() - startedAt);
+    request.respond(status, contentType, text);
   }
 }
--- a/packages/upstreams/src/mesh/report-server.ts
+++ b/packages/upstreams/src/mesh/report-server.ts
@@ -1,11 +1,10 @@
-import { once } from 'node:events';
-import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-
 import { toContainableError } from '@peridotspring/core';
-import type { ServerReport } from '@peridotspring/mesh-core';
+import { SequentialServer } from '@peridotspring/http-server';
+import type { DeferredInput, SequentialRequest } from '@peridotspring/http-server';
+import { ClientFault } from '@peridotspring/mesh-core';
+import type { MemoryAccount, ServerReport } from '@peridotspring/mesh-core';
 
-import { requestTimeouts } from './request-timeouts.js';
+import { localPortLimits } from './local-port-limits.js';
 
 const maximumBodyBytes = 16_384;
 
@@ -23,7 +22,12 @@
 export interface ReportServerOptions {
   readonly bindHost: string;
   readonly bindPort: number;
+  readonly clock: () => number;
   readonly codec: ServerMessageCodec;
+  readonly deferredInput: DeferredInput;
+  readonly memory: MemoryAccount;
+  /** The connection of a client was refused further requests, or closed. */
+  readonly onClientFault: (fault: ClientFault) => void;
   /** Awaited before the response is sent, so that the response confirms that the message was processed. */
   readonly onMessage: (message: ServerMessage) => Promise<void>;
   /** An error ended one message, which was not confirmed; the server sends it again. */
@@ -32,58 +36,63 @@
 
 /** HTTP server on which the server beside the node reports its state and leaves. */
 export class ReportServer {
-  private readonly server: Server;
+  private readonly server: SequentialServer;
 
   public constructor(private readonly options: ReportServerOptions) {
-    this.server = createServer(requestTimeouts, (request, response) => {
-      // A request that was aborted midway gets no response; the server sends it again.
-      this.handleRequest(request, response).catch((error: unknown) => {
-        const containedError = toContainableError(error);
-        const isAborted = request.destroyed && !request.complete;
-        response.destroy();
-        if (!isAborted) options.onErrorContained(containedError);
-      });
+    this.server = new SequentialServer({
+      ...localPortLimits,
+      ...options,
+      onFault: options.onClientFault,
+      onRequest: (request) => {
+        this.handleRequest(request).catch((error: unknown) => {
+          const containedError = toContainableError(error);
+          request.close();
+          options.onErrorContained(containedError);
+        });
+      },
     });
   }
 
   public async listen(): Promise<void> {
-    this.server.listen(this.options.bindPort, this.options.bindHost);
-    await once(this.server, 'listening');
+    await this.server.listen();
   }
 
   public async close(): Promise<void> {
-    await new Promise((resolve) => {
-      this.server.close(resolve);
-      this.server.closeAllConnections();
-    });
+    await this.server.close();
   }
 
-  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { socket } = request;
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of request) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > maximumBodyBytes) break;
-      chunks.push(chunk as Buffer);
+  private async handleRequest(request: SequentialRequest): Promise<void> {
+    const { method = '', url = '/' } = request.message;
+    const body = await request.readBody(maximumBodyBytes);
+    switch (body.kind) {
+      case 'cut':
+        // The server sends a message again that got no response.
+        request.close();
+        return;
+      case 'no-memory':
+        request.fail(ClientFault.NoMemory);
+        return;
+      case 'too-long':
+        await this.deliver(request, {
+          kind: 'invalid',
+          message: `request body exceeds the limit of ${maximumBodyBytes} bytes`,
+          status: 413,
+        });
+        return;
+      case 'whole':
+        await this.deliver(
+          request,
+          this.options.codec.parse(method, url, body.bytes.toString('utf8')),
+        );
     }
-    const message: ServerMessage =
-      bytes > maximumBodyBytes
-        ? {
-            kind: 'invalid',
-            message: `request body exceeds the limit of ${maximumBodyBytes} bytes`,
-            status: 413,
-          }
-        : this.options.codec.parse(
-            request.method ?? '',
-            request.url ?? '/',
-            Buffer.concat(chunks).toString('utf8'),
-          );
+  }
+
+  private async deliver(request: SequentialRequest, message: ServerMessage): Promise<void> {
     await this.options.onMessage(message);
-    const isInvalid = message.kind === 'invalid';
-    response.writeHead(isInvalid ? message.status : 200, { 'content-type': 'application/json' });
-    // The rest of an oversized body may be endless, so the connection is closed.
-    if (bytes > maximumBodyBytes) response.once('finish', () => socket.destroy());
-    response.end(isInvalid ? JSON.stringify({ error: message.message }) : '{}');
+    const [status, text] =
+      message.kind === 'invalid'
+        ? [message.status, JSON.stringify({ error: message.message })]
+        : [200, '{}'];
+    request.respond(status, { 'content-type': 'application/json' }, text);
   }
 }
--- a/packages/upstreams/tests/report-server.test.ts
+++ b/packages/upstreams/tests/report-server.test.ts
@@ -1,5 +1,7 @@
 import { connect } from 'node:net';
 
+import { DeferredInput } from '@peridotspring/http-server';
+import { createMemoryAccount } from '@peridotspring/mesh-core/fixtures';
 import { findFreePorts } from '@peridotspring/stand-ins';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -17,7 +19,11 @@
   const reportServer = new ReportServer({
     bindHost: '127.0.0.1',
     bindPort: port,
+    clock: () => performance.now(),
+    deferredInput: new DeferredInput(),
     codec: { parse: (_method, path) => ({ instanceId: path, kind: 'leave' }) },
+    memory: createMemoryAccount(),
+    onClientFault: () => undefined,
     onErrorContained: (error) => containedErrors.push(error.message),
     onMessage,
   });
