Pass on answers although there is no memory for their fields

Cause: an answer whose header fields had no room in the account ended its connection, and the crowd had filled the account. Test: route-server.test, 27 of 28 before (socket hang up), 28 of 28 after.

--- a/packages/callers/src/routes/caller-connection.ts
+++ b/packages/callers/src/routes/caller-connection.ts
@@ -183,8 +183,9 @@
 
   /** Returns whether there is memory for the answer. */
   private holdAnswer(request: OpenRequest, { body: buffer, fields }: ResponseContent): boolean {
-    const { hold, respondedAt } = request;
-    if (!hold.tryResize(hold.bytes + fieldsMemory(fields), respondedAt)) return false;
+    const { hold } = request;
+    // The request may have run, so that its answer is worth more than the memory of its fields.
+    hold.resize(hold.bytes + fieldsMemory(fields));
     if (buffer.length === 0) return true;
     const place = MemoryPlace.CallerAnswer;
     const end = (): void => {
--- a/packages/callers/tests/route-server.test.ts
+++ b/packages/callers/tests/route-server.test.ts
@@ -3,7 +3,7 @@
 import { connect } from 'node:net';
 
 import { DeferredInput } from '@peridotspring/http-server';
-import { RouteTable, TenantDirectory } from '@peridotspring/mesh-core';
+import { MemoryPlace, RouteTable, TenantDirectory } from '@peridotspring/mesh-core';
 import type { EntryOutcome, EntryRequest } from '@peridotspring/mesh-core';
 import { createMemoryAccount } from '@peridotspring/mesh-core/fixtures';
 import { test } from 'uvu';
@@ -60,6 +60,7 @@
     status: 200,
   };
   public port = 0;
+  public readonly protocolMemory = createMemoryAccount();
   public readonly server = new RouteServer({
     onAnsweredLocally: () => undefined,
     bindHost: '127.0.0.1',
@@ -68,7 +69,7 @@
     maximumConnections: 1_000,
     deferredInput: new DeferredInput(),
     memory: createMemoryAccount(),
-    protocolMemory: createMemoryAccount(),
+    protocolMemory: this.protocolMemory,
     onClientFault: () => undefined,
     onRequest: (request) => {
       if (this.requestError !== undefined) throw this.requestError;
@@ -419,4 +420,27 @@
   });
 });
 
+// Guards against requests that have run and whose callers learn nothing, since others have taken the memory.
+test('an answer is passed on although there is no memory for its fields', async () => {
+  await withServer(async (testServer) => {
+    testServer.outcome = undefined;
+    const answer = testServer.call();
+    while (testServer.delivered.length === 0)
+      await new Promise((resolve) => setTimeout(resolve, 2));
+    testServer.protocolMemory
+      .open({ place: MemoryPlace.CallerRequest }, 1_000)
+      .resize(1_000_000_000);
+    const [request] = testServer.delivered;
+    assert.ok(request);
+    const headers: [string, string][] = [['x-a', '1']];
+    testServer.server.respond(request, {
+      body: Buffer.from('body'),
+      headers,
+      kind: 'answered',
+      status: 200,
+    });
+    assert.is((await answer).status, 200);
+  });
+});
+
 test.run();
