--- a/packages/http-server/src/client-stream.ts
+++ b/packages/http-server/src/client-stream.ts
@@ -327,14 +327,14 @@
     this.keepRest(chunk);
   }
 
-  /** Discarding takes processor time too, so a client that sends without end is not waited for. */
+  /** Discarding takes processor time too. What is left unread resets the connection, but only after the time to linger. */
   private discard({ length }: Buffer): void {
     const { deferredInput } = this.options;
     const cost = processingCost.read + parsingCost(length, 0);
     this.allowance.spend(cost, performance.now());
     if (!this.allowance.isUsedUp(performance.now())) return;
     if (deferredInput.isFree) deferredInput.spend(cost);
-    else this.destroy();
+    else this.socket.pause();
   }
 
   /** A short rest must not keep all of the bytes in memory that were read with it. */
