Read all header fields of a server's response

Cause: Node.js drops response fields after the thousandth by default. Change: maxHeadersCount is 0 for requests to the server; the head's limit of 16 KiB stays.

--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -95,6 +95,8 @@
       });
       return;
     }
+    // By default, fields after the thousandth are dropped without an error.
+    request.maxHeadersCount = 0;
     limitInterimResponses(request, () => this.abortedRequests.add(request));
     this.activeRequests.set(executionId, request);
     this.attachListeners(request, execution);
--- a/packages/upstreams/tests/server-client-framing.test.ts
+++ b/packages/upstreams/tests/server-client-framing.test.ts
@@ -177,4 +177,17 @@
   });
 }
 
+// Guards against responses that lose the fields after the thousandth and are passed on as whole ones.
+test('a response has all of its header fields, however many they are', async () => {
+  const fields = Array.from({ length: 1_200 }, (_, index) => `x${index}: 1`);
+  const behaviour: Behaviour = (socket, id) =>
+    socket.write(responseText(id, [...fields, signed, 'content-length: 4'], 'body'));
+  await withServer(behaviour, async (harness) => {
+    const result = await harness.run('r-1');
+    assert.is(result.kind, 'answered');
+    const count = result.kind === 'answered' ? result.headers.length : 0;
+    assert.ok(count >= fields.length + 1, `${count} fields`);
+  });
+});
+
 test.run();
