Gate: decline calls for lack of memory by what calls hold, not by what callers do

Cause: the gate declined calls while more than half of the account was held by anyone. What callers stall with is ended only when its room is needed, so it stayed, and all three gates declined everything until the crowd's time limits. Change: calls may take half of the account, whoever holds the rest; stalled holds are ended for them. Test: gate-call-registry.test, 4 of 5 before, 5 of 5 after.

--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -67,6 +67,8 @@
 
 /** Memory of a call without its header fields, which are given up when it finishes. */
 const callBytes = 1_024;
+/** Share of the account that the calls of the gate may take; the rest is for callers. */
+const maximumCallShare = 0.5;
 /** Estimated memory of a reply and of each of its header fields, beyond their bytes. */
 const replyOverheadBytes = 512;
 const headerFieldOverheadBytes = 128;
@@ -102,7 +104,9 @@
     const { protocol } = this.memory;
     const hold = protocol.open({ place: MemoryPlace.GateCall }, now);
     const call: GateCall = {
-      hasMemory: !protocol.isShort && hold.tryResize(callBytes + headMemoryOf(frame), now),
+      hasMemory:
+        protocol.shareOf(MemoryPlace.GateCall) < maximumCallShare &&
+        hold.tryResize(callBytes + headMemoryOf(frame), now),
       hold,
       arrivedAt: now,
       bodyHold: this.holdBody(frame.body, MemoryPlace.PeerInput, now),
--- a/packages/mesh-core/src/memory/memory-account.ts
+++ b/packages/mesh-core/src/memory/memory-account.ts
@@ -58,6 +58,11 @@
     return this.totalBytes > shortShare * this.options.limitBytes;
   }
 
+  /** Share of the account that a place holds. */
+  public shareOf(place: MemoryPlace): number {
+    return (this.bytesByPlace.get(place) ?? 0) / this.options.limitBytes;
+  }
+
   /** Bytes that are held now, by place. */
   public get heldByPlace(): ReadonlyMap<MemoryPlace, number> {
     return this.bytesByPlace;
--- a/packages/mesh-core/tests/gate/gate-call-registry.test.ts
+++ b/packages/mesh-core/tests/gate/gate-call-registry.test.ts
@@ -1,6 +1,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { MemoryPlace } from '../../src/index.js';
+import type { MemoryHold } from '../../src/index.js';
 import { GateCallRegistry } from '../../src/gate/gate-call-registry.js';
 import { createLoad, createMemoryAccount, createStartFrame } from '../fixtures.js';
 
@@ -96,4 +98,27 @@
   assert.is(protocol.heldBytes, 0);
 });
 
+// Guards against a crowd of callers at whose entry the gate declines all requests, although they only stall.
+test('a call has memory while callers that stall hold nearly all of it', () => {
+  const protocol = createMemoryAccount(100_000);
+  const registry = new GateCallRegistry({
+    account: createMemoryAccount(),
+    protocol,
+    retainedBytes: 10_000,
+  });
+  for (let count = 0; count < 9; count += 1) {
+    const hold: MemoryHold = protocol.open(
+      {
+        end: () => {
+          hold.release();
+        },
+        place: MemoryPlace.CallerRequest,
+      },
+      0,
+    );
+    assert.ok(hold.tryResize(11_000, 0));
+  }
+  assert.ok(registry.open('entry', 1, createStartFrame({ callId: 1 }), 2_000).hasMemory);
+});
+
 test.run();
