--- a/packages/mesh-core/src/clients/unproductive-input.ts
+++ b/packages/mesh-core/src/clients/unproductive-input.ts
@@ -10,10 +10,6 @@
 export class UnproductiveInput {
   private byteCount = 0;
 
-  public get isEmpty(): boolean {
-    return this.byteCount === 0;
-  }
-
   public add(byteCount: number): void {
     this.byteCount += byteCount;
   }
--- a/packages/mesh-core/src/gate/gate-call-registry.ts
+++ b/packages/mesh-core/src/gate/gate-call-registry.ts
@@ -148,6 +148,8 @@
     this.holdAnswer(call, now);
     this.unfinishedByExecutionId.delete(call.executionId);
     this.enforceRetentionLimit();
+    // Even the record of such a call has no room.
+    if (!call.hasMemory) this.forget(call);
   }
 
   /** Calls that the server is running; aborted ones are not included. */
@@ -167,8 +169,7 @@
     }
   }
 
-  /** Removes a finished call. */
-  public forget(call: GateCall): void {
+  private forget(call: GateCall): void {
     this.byKey.delete(call.key);
     call.hold.release();
     this.release(call);
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -228,13 +228,9 @@
     }
     const call = this.calls.open(from, boot, frame, now);
     this.keyLeases.begin(call, frame);
-    const reason = call.hasMemory
-      ? this.immediateDeclineReason(call, now)
-      : DeclineReason.QueueFull;
+    const reason = this.immediateDeclineReason(call, now);
     if (reason !== undefined) {
       this.decline(call, reason, 0, now);
-      // Even the record of such a call has no room.
-      if (!call.hasMemory) this.calls.forget(call);
       return;
     }
     this.admit(call, now);
@@ -501,6 +497,7 @@
   }
 
   private immediateDeclineReason(call: GateCall, now: number): DeclineReason | undefined {
+    if (!call.hasMemory) return DeclineReason.QueueFull;
     const { frame } = call;
     const mayOutlastProcess = call.deadline > (this.stopSchedule?.exitsAt ?? Infinity);
     if (this.isClosed || mayOutlastProcess) return DeclineReason.Draining;
