Handle what the parser rejects in the guarded server, once for all ports

Found by reading the diff: the route server and the sequential server each told a client that has gone from bytes that are no request, in the same words. Neither decides anything there, so the guarded server does it now, and ends the input of the stream as with any fault.

--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { toContainableError } from '@peridotspring/core';
-import { faultOfParserError, GuardedHttpServer, isDisconnect } from '@peridotspring/http-server';
+import { GuardedHttpServer } from '@peridotspring/http-server';
 import type {
   ClientLimits,
   ClientStream,
@@ -132,11 +132,6 @@
       deferredInput,
       limits: () => this.limits,
       memory: protocolMemory,
-      onParserError: (stream, error) => {
-        const connection = this.connections.get(stream);
-        if (connection === undefined || isDisconnect(stream, error)) stream.destroy();
-        else connection.onFault(faultOfParserError(error), true);
-      },
       onRequest: (request) => {
         this.handleRequest(request);
       },
--- a/packages/http-server/src/client-stream.ts
+++ b/packages/http-server/src/client-stream.ts
@@ -213,6 +213,11 @@
     this.socket.resume();
   }
 
+  /** Parses nothing more: the parser does not take what the client sends for a request. */
+  public reject(fault: ClientFault): void {
+    this.endInput(fault, true);
+  }
+
   /** Checks the time that the client takes for a head or to read an answer. */
   public checkProgress(): void {
     const now = performance.now();
@@ -422,8 +427,11 @@
   }
 
   private handleFault(fault: ClientFault): void {
+    this.endInput(fault, this.isHeadOpen || this.isInBody);
+  }
+
+  private endInput(fault: ClientFault, hasRequestBegun: boolean): void {
     if (this.isDiscarding || this.destroyed) return;
-    const hasRequestBegun = this.isHeadOpen || this.isInBody;
     this.discardInput();
     this.handlers.onFault(fault, hasRequestBegun);
   }
--- a/packages/http-server/src/guarded-http-server.ts
+++ b/packages/http-server/src/guarded-http-server.ts
@@ -8,6 +8,7 @@
 
 import { ClientStream } from './client-stream.js';
 import type { ClientHandlers, ClientStreamOptions } from './client-stream.js';
+import { faultOfParserError, isDisconnect } from './fault-response.js';
 
 /** The parser's own limit on heads is fixed when the server is created, so a configured limit must lie below it. */
 const maximumHeaderBytes = 1_048_576;
@@ -30,8 +31,6 @@
   readonly accept: (stream: ClientStream) => ClientHandlers | undefined;
   /** Must call `beginRequest` of the stream. */
   readonly onRequest: (request: ReceivedRequest) => void;
-  /** The parser rejected what a client sent, or the client has closed its side. */
-  readonly onParserError: (stream: ClientStream, error: NodeJS.ErrnoException) => void;
 }
 
 /** The HTTP server of Node.js, whose parser gets what clients send through a `ClientStream` each. */
@@ -58,7 +57,9 @@
     });
     this.http.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       const stream = this.streams.get(socket);
-      if (stream !== undefined) options.onParserError(stream, error);
+      if (stream === undefined) return;
+      if (isDisconnect(stream, error)) stream.destroy();
+      else stream.reject(faultOfParserError(error));
     });
     const socketOptions = { allowHalfOpen: true, highWaterMark: socketBufferBytes, noDelay: true };
     this.listener = createListener(socketOptions, (socket) => {
--- a/packages/http-server/src/sequential-server.ts
+++ b/packages/http-server/src/sequential-server.ts
@@ -3,7 +3,7 @@
 
 import type { ClientHandlers, ClientLimits, ClientStream } from './client-stream.js';
 import type { DeferredInput } from './deferred-input.js';
-import { faultOfParserError, isDisconnect, writeFaultResponse } from './fault-response.js';
+import { writeFaultResponse } from './fault-response.js';
 import { GuardedHttpServer } from './guarded-http-server.js';
 import type { ReceivedRequest } from './guarded-http-server.js';
 import { SequentialRequest } from './sequential-request.js';
@@ -50,10 +50,6 @@
       deferredInput,
       limits: () => limits,
       memory,
-      onParserError: (stream, error) => {
-        if (isDisconnect(stream, error)) stream.destroy();
-        else this.refuse(stream, faultOfParserError(error), true);
-      },
       onRequest: (request) => {
         this.handleRequest(request);
       },
--- a/packages/http-server/tests/guarded-http-server.test.ts
+++ b/packages/http-server/tests/guarded-http-server.test.ts
@@ -8,12 +8,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import {
-  DeferredInput,
-  faultOfParserError,
-  GuardedHttpServer,
-  isDisconnect,
-} from '../src/index.js';
+import { DeferredInput, GuardedHttpServer } from '../src/index.js';
 import type { ClientLimits } from '../src/index.js';
 
 const limits: ClientLimits = {
@@ -60,10 +55,6 @@
     deferredInput: new DeferredInput(),
     limits: () => limits,
     memory,
-    onParserError: (stream, error) => {
-      if (!isDisconnect(stream, error)) faults.push(faultOfParserError(error));
-      stream.destroy();
-    },
     onRequest: ({ message, response, stream }) => {
       const hold = stream.beginRequest(message, () => undefined);
       busy.add(stream);
