--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -1,7 +1,7 @@
 import { DeclineReason, EntryEventName, GateEventName } from '@peridotspring/mesh-core';
 import type { Metrics } from '@peridotspring/operators/metrics';
 
-import { LineBudget } from './line-budget.js';
+import { LineBudget } from '../logging/line-budget.js';
 import { MeshEvent } from './mesh-event.js';
 
 /**
