Leave places in a gate's queue to callers that are not behind themselves

What callers saw: beside 450 connections with 100 requests behind each other, ordinary requests were refused for up to 14 s although the server answered 60 a second. Cause: when a request is answered, the next one behind it on the same connection is started in the same turn and takes the place that became free. Eleven connections with eight requests each held 88 of the 90 places (`requests_in_progress 88` at the entry beside the gate). Change: the entry marks a request that its caller sent before it had the answer to the one in front of it, and such requests leave a tenth of the queue for late requests free, one place at least. Frames of other requests are unchanged; older nodes ignore the mark.

--- a/packages/callers/src/routes/caller-connection.ts
+++ b/packages/callers/src/routes/caller-connection.ts
@@ -23,6 +23,8 @@
   readonly headerReadAt: number;
   /** Memory of the request beside its body. */
   readonly hold: MemoryHold;
+  /** Whether the caller sent it before it had the answer to the request in front of it. */
+  readonly isPipelined: boolean;
 }
 
 export interface ResponseContent {
@@ -74,6 +76,8 @@
   /** Why nothing more is read, and the connection closes after the requests in progress. */
   private failure: ClientFailure | undefined;
   private isAdvancing = false;
+  /** Whether the caller had sent more when its last request was answered. */
+  private hasSentMore = false;
   private lastActiveAt: number;
 
   public constructor(
@@ -138,7 +142,7 @@
     this.advance();
   };
 
-  public handleRequest(request: ParsedRequest): void {
+  public handleRequest(request: Omit<ParsedRequest, 'isPipelined'>): void {
     const { hold, message, requestNumber } = request;
     if (!announcesBody(message)) message.resume();
     if (!this.pipeline.add(requestNumber)) {
@@ -149,6 +153,7 @@
     }
     this.openRequests.set(requestNumber, {
       ...request,
+      isPipelined: !this.isIdle || this.hasSentMore,
       answerHold: undefined,
       respondedAt: Infinity,
       startedAt: Infinity,
@@ -229,7 +234,7 @@
       this.lastActiveAt = this.clock();
       this.openRequests.delete(next.requestNumber);
       this.pipeline.completeWrite();
-      if (this.isIdle) this.stream.onIdle();
+      if (this.isIdle) this.handleIdle();
       this.advance();
     });
     // The rest of an unread body would be parsed as the next request.
@@ -248,6 +253,11 @@
     return true;
   }
 
+  private handleIdle(): void {
+    this.hasSentMore = this.stream.hasInput;
+    this.stream.onIdle();
+  }
+
   private reportWait({ respondedAt, headerReadAt, requestId, startedAt }: OpenRequest): void {
     const beforeStartMilliseconds = startedAt - headerReadAt;
     const withAnswerMilliseconds = this.clock() - respondedAt;
--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -328,7 +328,7 @@
   }
 
   private deliver(
-    { message, headerReadAt, requestId, requestNumber }: ParsedRequest,
+    { message, headerReadAt, isPipelined, requestId, requestNumber }: ParsedRequest,
     route: Route,
     tenant: Tenant | undefined,
     body: Uint8Array | undefined,
@@ -338,6 +338,7 @@
       body,
       callerDeadline: headerReadAt + this.timeoutMillisecondsOf(message, route),
       headers: endToEndHeaders(message.rawHeaders, reservedNames),
+      isPipelined,
       method: message.method ?? 'GET',
       path: message.url ?? '/',
       receivedAt: headerReadAt,
--- a/packages/callers/tests/pipelined-requests.test.ts
+++ b/packages/callers/tests/pipelined-requests.test.ts
@@ -200,6 +200,21 @@
   });
 }
 
+test('requests that were sent before the answer to the one in front of them are marked', async () => {
+  await withServer(async (testServer, caller) => {
+    caller.write(...Array.from({ length: 12 }, (_, index) => get(`r${index}`)));
+    for (let index = 0; index < 12; index += 1) {
+      await waitUntil(() => testServer.delivered.length > index, 'the next one passed on');
+      testServer.answer(`r${index}`);
+    }
+    await waitUntil(() => caller.responses.length === 12, 'all responses');
+    caller.write(get('alone'));
+    await waitUntil(() => testServer.delivered.length === 13, 'the last one passed on');
+    const isPipelined = testServer.delivered.map((request) => request.isPipelined);
+    assert.equal(isPipelined, [false, ...Array.from({ length: 11 }, () => true), false]);
+  });
+});
+
 test('a request with a body can be pipelined between two without', async () => {
   await withServer(async (testServer, caller) => {
     caller.write(get('r1'), post('r2', 'some bytes'), get('r3'));
--- a/packages/http-server/src/client-stream.ts
+++ b/packages/http-server/src/client-stream.ts
@@ -131,6 +131,11 @@
     return this.writer.blockedSince;
   }
 
+  /** Whether the client has sent more than the requests whose heads have been read. */
+  public get hasInput(): boolean {
+    return this.input.length > 0 || this.isHeadOpen;
+  }
+
   /** Counts processor time that a request takes beside its parsing. */
   public spendProcessing(milliseconds: number): void {
     this.allowance.spend(microsecondsPerMillisecond * milliseconds, performance.now());
--- a/packages/mesh-core/src/admission/admission-order.ts
+++ b/packages/mesh-core/src/admission/admission-order.ts
@@ -1,3 +1,4 @@
+import type { StartFrame } from '../messages/mesh-frames.js';
 import { AdmissionQueue } from './admission-queue.js';
 import type { WaitingRequest } from './admission-queue.js';
 import { expectedWait, reserveFactor } from './server-room.js';
@@ -12,6 +13,12 @@
  */
 const lateQueueShare = 0.5;
 
+/**
+ * Share of this queue, and at least one place, that requests sent behind others leave free. The next request on a connection
+ * takes the place of the one that was answered before any other caller can, so a few connections would hold all places.
+ */
+const unpipelinedShare = 0.1;
+
 /** The work of a route counts as different from the mean of all routes if it differs by at least this factor. */
 const distinctFactor = 3;
 
@@ -98,7 +105,7 @@
     const work = this.times.expectedServiceMilliseconds(frame.routeName);
     const reservedUntil = now + wait + work * reserveFactor;
     if (reservedUntil <= targetAt) return true;
-    return this.queue.size < lateQueueLimit(room.limit) && reservedUntil <= deadline;
+    return this.queue.size < waitingLimit(frame, room.limit) && reservedUntil <= deadline;
   }
 
   private waitOf(request: WaitingRequest, room: ServerRoom, now: number): number {
@@ -126,6 +133,12 @@
   }
 }
 
+/** Length of the queue below which the request may wait if it will miss its target. */
+function waitingLimit({ pipelined }: StartFrame, limit: number): number {
+  const places = lateQueueLimit(limit);
+  return pipelined === true ? Math.max(1, places - Math.max(1, places * unpipelinedShare)) : places;
+}
+
 /** Length of the queue below which requests that will miss their target may wait. */
 function lateQueueLimit(limit: number): number {
   return Math.max(1, limit * lateQueueShare);
--- a/packages/mesh-core/src/entry/entry-contract.ts
+++ b/packages/mesh-core/src/entry/entry-contract.ts
@@ -14,6 +14,8 @@
   readonly route: Route;
   /** The tenant on whose behalf the request is made; undefined for an anonymous one. */
   readonly tenant?: Tenant | undefined;
+  /** Whether the caller sent the request behind another one, before it had an answer to that. */
+  readonly isPipelined?: boolean | undefined;
   /** Monotonic time at which the request was received. */
   readonly receivedAt: number;
   /** Monotonic time at which the caller stops waiting; infinite if the caller stated no limit. */
--- a/packages/mesh-core/src/entry/request-forwarder.ts
+++ b/packages/mesh-core/src/entry/request-forwarder.ts
@@ -431,7 +431,7 @@
 
   private createStartFrame(attempt: Attempt, now: number): StartFrame {
     const { callId, isOptional: optional, isRetry: repeat, state } = attempt;
-    const { body, headers, method, path, requestId, route, tenant } = state.request;
+    const { body, headers, isPipelined, method, path, requestId, route, tenant } = state.request;
     return {
       body,
       callId,
@@ -450,6 +450,7 @@
       routeName: route.name,
       service: state.service,
       targetMilliseconds: state.targetDeadline - now,
+      ...(isPipelined === true && { pipelined: true }),
       ...tenantFields(tenant, this.options.keyValidMilliseconds),
     };
   }
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -89,6 +89,8 @@
   readonly priority: number;
   /** Whether the caller is a server that occupies one of its own slots while it waits for the answer. */
   readonly nested: boolean;
+  /** Set if the caller sent the request behind another one, before it had an answer to that. */
+  readonly pipelined?: boolean | undefined;
   /** Whether the request has been sent to a server before. */
   readonly repeat: boolean;
   /** Whether the gate may decline because another gate may be sooner. */
--- a/packages/mesh-core/tests/gate/server-gate.test.ts
+++ b/packages/mesh-core/tests/gate/server-gate.test.ts
@@ -49,6 +49,22 @@
   assert.is(harness.running.length, 1);
 });
 
+test('declines the frame of a declined call again, since the entry may have sent the request elsewhere', () => {
+  const harness = new GateHarness(1);
+  harness.start();
+  const frame = { callId: 7, idempotent: false, targetMilliseconds: -100 };
+  harness.start({ targetMilliseconds: -100 });
+  harness.start(frame);
+  assert.is(harness.outcomeOf(7), 'queue-full');
+  for (const index of [0, 1]) harness.finish(index, 100);
+  harness.start(frame, 200);
+  assert.equal(
+    harness.replies.filter(({ callId }) => callId === 7).map(({ kind }) => kind),
+    ['declined', 'declined'],
+  );
+  assert.is(harness.running.length, 2);
+});
+
 test('treats the same call number from another incarnation of the entry as another request', () => {
   const harness = new GateHarness();
   harness.gate.start('entry', 1, createStartFrame({ callId: 7 }), 0);
@@ -267,6 +283,24 @@
 
 // Late requests used to fill the queue until as many waited as ran, so that requests arriving after them in time
 // for their target had to wait.
+// Regression: the next requests of a few connections took each place that became free, so that no other caller got one.
+test('late requests that were sent behind others leave a place in the queue, unless it has only one', () => {
+  for (const [slots, expectedWaiting] of [
+    [2, 1],
+    [4, 1],
+    [8, 3],
+    [60, 27],
+  ] as const) {
+    const harness = new GateHarness(slots);
+    const late = { remainingMilliseconds: 30_000, targetMilliseconds: -100 };
+    for (let count = 0; count < 2 * slots; count += 1) harness.start({ ...late, pipelined: true });
+    assert.is(harness.running.length, slots);
+    assert.is(harness.gate.waiting, expectedWaiting);
+    harness.start(late);
+    assert.is(harness.gate.waiting, slots === 2 ? 1 : expectedWaiting + 1);
+  }
+});
+
 test('queues a late request only while fewer than half as many requests wait as run', () => {
   for (const [waiting, expected] of [
     [1, undefined],
--- a/packages/nodes/src/mesh/mesh-frame-codec.ts
+++ b/packages/nodes/src/mesh/mesh-frame-codec.ts
@@ -121,6 +121,7 @@
   'isLeaving',
   'grants',
   'routeMilliseconds',
+  'pipelined',
 ] as const;
 
 const encoder = new Encoder({
