--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -26,7 +26,7 @@
   callers: ['core', 'mesh-core', 'http-server'],
   upstreams: ['core', 'mesh-core', 'http-server'],
   platform: ['core', 'mesh-core'],
-  operators: ['core', 'language'],
+  operators: ['core', 'language', 'mesh-core', 'http-server'],
   daemon: [
     'core',
     'mesh-core',
--- a/packages/callers/src/caller-server-options.ts
+++ b/packages/callers/src/caller-server-options.ts
@@ -1,3 +1,5 @@
+import type { DeferredInput } from '@peridotspring/http-server';
+import type { ClientFault, MemoryAccount } from '@peridotspring/mesh-core';
 import type {
   CallerDisconnectedMessage,
   CallerRequestMessage,
@@ -18,6 +20,8 @@
   /** Longest body of a non-idempotent request. */
   readonly keyedBodyBytes: number;
   readonly headersTimeoutMilliseconds: number;
+  /** Time without a request, or in which a caller does not read on. */
+  readonly idleTimeoutMilliseconds: number;
   readonly requestTimeoutMilliseconds: number;
 }
 
@@ -44,6 +48,11 @@
   readonly configuration: () => Configuration;
   readonly isStopping: () => boolean;
   readonly clock: () => number;
+  readonly deferredInput: DeferredInput;
+  /** Memory for connections, heads, buffered bodies and answers that are not read yet. */
+  readonly memory: MemoryAccount;
+  /** The connection of a caller was refused further requests, or closed. */
+  readonly onClientFault: (fault: ClientFault) => void;
   readonly deliver: (message: CallerRequestMessage | CallerDisconnectedMessage) => void;
   readonly onFinished: (request: FinishedRequest) => void;
 }
--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -1,6 +1,4 @@
-import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
 
 import { checkRequest, HeaderName, RefusalReason, UnknownReason } from '@peridotspring/core';
@@ -13,13 +11,20 @@
   UnknownOutcome,
 } from '@peridotspring/core';
 
+import { GuardedHttpServer, writeFaultResponse } from '@peridotspring/http-server';
+import type { ClientStream, ReceivedRequest } from '@peridotspring/http-server';
+import { ClientFault, MemoryPlace, statusOfClientFault } from '@peridotspring/mesh-core';
+
 import { bodyLimitsOf } from './body-limits.js';
 import { responseHeaders, singleHeader } from './caller-headers.js';
 import type { CallerServerOptions } from './caller-server-options.js';
-import { badRequestResponse, createParseErrorResponse } from './parse-error-response.js';
+import { KeyedConnection } from './keyed-connection.js';
+import type { ConnectionRequest } from './keyed-connection.js';
+import { createParseErrorResponse } from './parse-error-response.js';
 import { outcomeOfRejection, writeOutcome } from './outcome-response.js';
 import { announcesBody, collectBody } from './request-body.js';
 import { createRequestMessage } from './request-message.js';
+import { findConnectionToClose } from './routes/connection-limit.js';
 
 interface OpenRequest {
   readonly requestNumber: number;
@@ -27,6 +32,12 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly startedAt: number;
+  readonly connection: KeyedConnection;
+  readonly tracked: ConnectionRequest;
+  /** Set once its head has been accepted. */
+  checked?: AcceptedRequest;
+  /** Whether the core has it, or the first part of it. */
+  isPassedOn: boolean;
   service: string;
   tenant: string;
   body: Readable | undefined;
@@ -36,39 +47,41 @@
 
 const stoppingRetryAfterMilliseconds = 1_000;
 const busyRetryAfterMilliseconds = 200;
+/** What stalls gives its memory up after a second. */
+const noMemoryRetryAfterMilliseconds = 1_000;
+const noMemoryDetail = 'this node has no memory for the request';
+const badRequestStatus = 400;
 const maximumTenantLength = 64;
 
 /** The HTTP server for callers. Owns their connections and the streamed bodies. */
 export class CallerServer {
-  private readonly server: Server;
+  private readonly server: GuardedHttpServer;
+  private readonly connections = new Map<ClientStream, KeyedConnection>();
   private readonly openRequests = new Map<number, OpenRequest>();
   private nextRequestNumber = 1;
 
   public constructor(private readonly options: CallerServerOptions) {
     const { limits } = options;
-    this.server = createServer({
-      headersTimeout: limits.headersTimeoutMilliseconds,
-      maxHeaderSize: limits.headerBytes,
-      noDelay: true,
-      requestTimeout: limits.requestTimeoutMilliseconds,
-    });
-    this.server.maxConnections = limits.connections;
-    this.server.on('request', (request, response) => {
-      this.handleRequest(request, response);
-    });
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-      this.handleClientError(error, socket);
+    const { headerBytes, headersTimeoutMilliseconds, idleTimeoutMilliseconds } = limits;
+    this.server = new GuardedHttpServer({
+      ...options,
+      accept: (stream) => this.accept(stream),
+      limits: () => ({
+        headerBytes,
+        headerTimeoutMilliseconds: headersTimeoutMilliseconds,
+        idleTimeoutMilliseconds,
+      }),
+      onRequest: (received) => {
+        this.handleRequest(received);
+      },
+      parserHeaderBytes: headerBytes,
+      place: MemoryPlace.CallerRequest,
     });
   }
 
   /** Starts accepting connections; resolves to the port. */
   public async listen(): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.options.bindPort, this.options.bindHost, resolve);
-    });
-    const address = this.server.address();
-    return typeof address === 'object' && address !== null ? address.port : 0;
+    return this.server.listen();
   }
 
   public get inProgress(): number {
@@ -96,8 +109,8 @@
       this.finishWithOutcome(openRequest, outcome, undefined);
       return;
     }
-    const { response } = openRequest;
-    this.disableKeepAliveForUnreadBody(openRequest);
+    const { connection, response, tracked } = openRequest;
+    connection.announceClose(tracked);
     const headers = responseHeaders(command.headers ?? {});
     headers[HeaderName.RequestId] = openRequest.requestId;
     headers[HeaderName.Outcome] = outcome.kind;
@@ -110,6 +123,10 @@
       return;
     }
     const body = command.body ?? new Uint8Array();
+    if (!tracked.hold.tryResize(tracked.hold.bytes + body.length, this.options.clock())) {
+      this.cutAnswer(openRequest);
+      return;
+    }
     if (openRequest.request.method !== 'HEAD' && outcome.status !== 204 && outcome.status !== 304) {
       headers['content-length'] = String(body.length);
     }
@@ -120,25 +137,44 @@
 
   /** Stops accepting connections and closes idle ones; requests in progress continue. */
   public stopAccepting(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.server.stopListening();
+    for (const connection of this.connections.values()) connection.stop();
   }
 
   public async close(): Promise<void> {
-    const closed = new Promise<void>((resolve) => {
-      this.server.close(() => {
-        resolve();
-      });
+    await this.server.close();
+  }
+
+  private accept(stream: ClientStream): KeyedConnection | undefined {
+    const { clock, limits, memory, onClientFault } = this.options;
+    if (this.connections.size >= limits.connections) {
+      onClientFault(ClientFault.TooManyConnections);
+      const closed = findConnectionToClose(this.connections.values());
+      if (closed === undefined) return undefined;
+      closed.destroy();
+    }
+    const connection = new KeyedConnection(stream, memory, clock, {
+      onClientFault,
+      onFaultyClose: (fault, hasRequestBegun) => {
+        this.closeFaulty(stream, fault, hasRequestBegun);
+      },
+    });
+    this.connections.set(stream, connection);
+    stream.once('close', () => {
+      this.connections.delete(stream);
     });
-    this.server.closeAllConnections();
-    await closed;
+    return connection;
   }
 
-  private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+  private handleRequest({ message: request, response, stream }: ReceivedRequest): void {
+    const connection = this.connections.get(stream);
+    if (connection === undefined) return;
     const requestNumber = this.nextRequestNumber;
     this.nextRequestNumber += 1;
     const openRequest: OpenRequest = {
       body: undefined,
+      connection,
+      isPassedOn: false,
       isStreaming: false,
       request,
       requestId: `${this.options.requestIdPrefix}-${requestNumber.toString(36)}`,
@@ -147,6 +183,9 @@
       service: 'unknown',
       startedAt: this.options.clock(),
       tenant: this.tenantOf(request),
+      tracked: connection.begin(request, response, (fault) => {
+        this.endIncomplete(openRequest, fault);
+      }),
     };
     this.openRequests.set(requestNumber, openRequest);
     response.once('close', () => {
@@ -171,8 +210,9 @@
     if (this.rejectIfBusy(openRequest, checked)) {
       return;
     }
+    openRequest.checked = checked;
     if (!announcesBody(request)) {
-      this.options.deliver(createRequestMessage(openRequest, checked, new Uint8Array()));
+      this.passOn(openRequest, checked, new Uint8Array());
       return;
     }
     void this.readBody(openRequest, checked);
@@ -196,34 +236,99 @@
       this.options.limits,
       this.options.configuration(),
     );
-    const announcedBytes = Number(openRequest.request.headers['content-length'] ?? 0);
+    const { connection, request, requestNumber, response, tracked } = openRequest;
+    const announcedBytes = Number(request.headers['content-length'] ?? 0);
+    const timer = setTimeout(() => {
+      if (!request.complete) connection.onFault(ClientFault.RequestLate, true);
+    }, this.options.limits.requestTimeoutMilliseconds);
+    response.once('close', () => {
+      clearTimeout(timer);
+    });
     const collected =
       announcedBytes > maximumBytes
         ? ({ kind: 'too-large' } as const)
-        : await collectBody(openRequest.request, bufferedBytes, maximumBytes);
-    if (
-      !this.openRequests.has(openRequest.requestNumber) ||
-      collected.kind === 'cut' ||
-      collected.kind === 'no-memory'
-    ) {
-      openRequest.request.destroy();
+        : await collectBody(request, bufferedBytes, maximumBytes, connection.bodyMemoryOf(tracked));
+    if (!this.openRequests.has(requestNumber) || response.headersSent) return;
+    switch (collected.kind) {
+      case 'cut':
+        request.destroy();
+        return;
+      case 'no-memory':
+        this.endIncomplete(openRequest, ClientFault.NoMemory);
+        return;
+      case 'whole':
+        this.passOn(openRequest, checked, collected.bytes);
+        return;
+      case 'longer':
+        if (bufferedBytes === maximumBytes) break;
+        openRequest.body = collected.stream;
+        this.passOn(openRequest, checked, undefined);
+        return;
+      case 'too-large':
+    }
+    const reason = RefusalReason.BodyTooLarge;
+    this.rejectRequest(
+      openRequest,
+      { detail: tooLargeDetail, kind: 'rejected', reason },
+      undefined,
+    );
+  }
+
+  /** From now on, the request may run. */
+  private passOn(
+    openRequest: OpenRequest,
+    checked: AcceptedRequest,
+    body: Uint8Array | undefined,
+  ): void {
+    openRequest.isPassedOn = true;
+    this.options.deliver(createRequestMessage(openRequest, checked, body));
+  }
+
+  /** Answers a request that will not be read to its end, unless a part of it has been passed on. */
+  private endIncomplete(openRequest: OpenRequest, fault: ClientFault): void {
+    const { checked, connection, isPassedOn, response } = openRequest;
+    if (response.writableEnded) return;
+    if (isPassedOn) {
+      connection.destroy();
       return;
     }
-    if (collected.kind === 'whole') {
-      this.options.deliver(createRequestMessage(openRequest, checked, collected.bytes));
+    if (fault === ClientFault.NoMemory) {
+      const reason = RefusalReason.EntryBusy;
+      const requestClass = checked?.requestClass;
+      const rejected = { detail: noMemoryDetail, kind: 'rejected', reason, requestClass } as const;
+      this.rejectRequest(openRequest, rejected, noMemoryRetryAfterMilliseconds);
       return;
     }
-    if (bufferedBytes === maximumBytes || collected.kind === 'too-large') {
-      const reason = RefusalReason.BodyTooLarge;
-      this.rejectRequest(
-        openRequest,
-        { detail: tooLargeDetail, kind: 'rejected', reason },
-        undefined,
-      );
+    response.shouldKeepAlive = false;
+    response.writeHead(statusOfClientFault(fault) ?? badRequestStatus, { 'content-length': 0 });
+    response.end();
+  }
+
+  /** Closes a connection without a request in progress. Nothing of what its caller has begun to send was passed on. */
+  private closeFaulty(stream: ClientStream, fault: ClientFault, hasRequestBegun: boolean): void {
+    const errorResponse = createParseErrorResponse(fault, this.options.limits.headerBytes);
+    if (errorResponse === undefined || !hasRequestBegun || !stream.writable) {
+      writeFaultResponse(stream, fault, hasRequestBegun);
       return;
     }
-    openRequest.body = collected.stream;
-    this.options.deliver(createRequestMessage(openRequest, checked, undefined));
+    stream.write(errorResponse.response);
+    stream.destroySoon();
+    this.options.onFinished({
+      milliseconds: 0,
+      outcome: errorResponse.outcome,
+      refusedDetail: errorResponse.detail,
+      requestId: undefined,
+      service: 'unknown',
+      tenant: this.options.defaultTenant,
+    });
+  }
+
+  /** There is no memory for the answer of a request that has run. */
+  private cutAnswer(openRequest: OpenRequest): void {
+    const reason = UnknownReason.AnswerCut;
+    const outcome = { attemptStarted: true, kind: 'outcome-unknown', reason } as const;
+    this.reportFinished(openRequest, outcome, undefined);
+    openRequest.connection.destroy();
   }
 
   private tenantOf(request: IncomingMessage): string {
@@ -248,18 +353,11 @@
     outcome: RefusedOutcome | UnknownOutcome,
     detail: string | undefined,
   ): void {
-    this.disableKeepAliveForUnreadBody(openRequest);
+    openRequest.connection.announceClose(openRequest.tracked);
     writeOutcome(openRequest.response, openRequest.requestId, outcome, detail);
     this.reportFinished(openRequest, outcome, detail);
   }
 
-  /** An unread body would block the connection for the next request, so the connection is closed. */
-  private disableKeepAliveForUnreadBody(openRequest: OpenRequest): void {
-    if (!openRequest.request.complete) {
-      openRequest.response.shouldKeepAlive = false;
-    }
-  }
-
   private reportFinished(
     openRequest: OpenRequest,
     outcome: CallOutcome,
@@ -285,25 +383,4 @@
       this.options.deliver({ kind: 'caller-gone', requestNumber: openRequest.requestNumber });
     }
   }
-
-  private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable) {
-      socket.destroy();
-      return;
-    }
-    const errorResponse = createParseErrorResponse(error.code, this.options.limits.headerBytes);
-    if (errorResponse === undefined) {
-      socket.end(badRequestResponse);
-      return;
-    }
-    socket.end(errorResponse.response);
-    this.options.onFinished({
-      milliseconds: 0,
-      outcome: errorResponse.outcome,
-      refusedDetail: errorResponse.detail,
-      requestId: undefined,
-      service: 'unknown',
-      tenant: this.options.defaultTenant,
-    });
-  }
 }
--- a/packages/callers/src/parse-error-response.ts
+++ b/packages/callers/src/parse-error-response.ts
@@ -1,12 +1,6 @@
 import { HeaderName, RefusalReason } from '@peridotspring/core';
 import type { RefusedOutcome } from '@peridotspring/core';
-
-/** Error codes of the HTTP parser for requests with conflicting body lengths. */
-const lengthErrorCodes: ReadonlySet<string> = new Set([
-  'HPE_INVALID_CONTENT_LENGTH',
-  'HPE_INVALID_TRANSFER_ENCODING',
-  'HPE_UNEXPECTED_CONTENT_LENGTH',
-]);
+import { ClientFault } from '@peridotspring/mesh-core';
 
 /** The outcome of a request that Node.js could not parse, and the raw response to it. */
 export interface ParseErrorResponse {
@@ -15,16 +9,12 @@
   readonly response: string;
 }
 
-/** The raw response to bytes that are not an HTTP request. */
-export const badRequestResponse =
-  'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
-
-/** Describes why a request could not be parsed; undefined when the bytes are not HTTP. */
+/** Describes why a request could not be parsed; undefined when the response does not tell an outcome. */
 export function createParseErrorResponse(
-  errorCode: string | undefined,
+  fault: ClientFault,
   headerBytes: number,
 ): ParseErrorResponse | undefined {
-  if (errorCode === 'HPE_HEADER_OVERFLOW') {
+  if (fault === ClientFault.HeadTooLong) {
     const detail = `the request head must be at most ${headerBytes} bytes`;
     return createResponse(
       RefusalReason.HeadersTooLarge,
@@ -32,7 +22,7 @@
       '431 Request Header Fields Too Large',
     );
   }
-  if (errorCode !== undefined && lengthErrorCodes.has(errorCode)) {
+  if (fault === ClientFault.ConflictingLengths) {
     const detail = 'Content-Length and Transfer-Encoding must describe one length';
     return createResponse(RefusalReason.ConflictingLengths, detail, '400 Bad Request');
   }
--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -127,7 +127,7 @@
       if (bytes.length > bufferLimitBytes) {
         return {
           kind: 'longer',
-          stream: Readable.from(streamBody(request, bytes.take(), iterator, maximumBytes)),
+          stream: Readable.from(streamBody(request, bytes.take(), iterator, maximumBytes, memory)),
         };
       }
     }
@@ -141,6 +141,7 @@
   start: Uint8Array,
   iterator: AsyncIterator<Buffer>,
   maximumBytes: number,
+  memory: BodyMemory,
 ): AsyncGenerator<Uint8Array> {
   let byteCount = start.length;
   yield start;
@@ -149,6 +150,7 @@
     if (next.done === true) {
       break;
     }
+    memory.onRead(next.value.length);
     byteCount += next.value.length;
     if (byteCount > maximumBytes) {
       throw new Error('request body exceeds the limit');
--- a/packages/callers/src/routes/connection-limit.ts
+++ b/packages/callers/src/routes/connection-limit.ts
@@ -1,10 +1,15 @@
-import type { CallerConnection } from './caller-connection.js';
+/** What is known of a connection when a further one exceeds the limit. */
+export interface LimitedConnection {
+  /** Whether no request is in progress; the head of one may have begun. */
+  readonly isIdle: boolean;
+  readonly idleSince: number;
+}
 
 /** Chooses the connection to close when a further one exceeds the limit: the one that has been without a request longest. */
-export function findConnectionToClose(
-  connections: Iterable<CallerConnection>,
-): CallerConnection | undefined {
-  let longestIdle: CallerConnection | undefined;
+export function findConnectionToClose<Connection extends LimitedConnection>(
+  connections: Iterable<Connection>,
+): Connection | undefined {
+  let longestIdle: Connection | undefined;
   for (const connection of connections) {
     if (!connection.isIdle) continue;
     if (longestIdle === undefined || connection.idleSince < longestIdle.idleSince)
--- a/packages/callers/tests/caller-server.test.ts
+++ b/packages/callers/tests/caller-server.test.ts
@@ -363,6 +363,82 @@
   await waiting;
 });
 
+/** Requests with a body for which there is no memory, and the outcome: an earlier request with the key may have run. */
+const requestsWithoutMemory: readonly (readonly [string, string, string])[] = [
+  [
+    'an idempotent request',
+    rawRequest('PUT', '/provenance/a', { 'content-length': '80000' }),
+    'refused-not-run',
+  ],
+  [
+    'a keyed request',
+    rawRequest('POST', '/provenance/issue', { ...key, 'content-length': '80000' }),
+    'outcome-unknown',
+  ],
+];
+
+for (const [name, request, outcome] of requestsWithoutMemory) {
+  test(`${name} without memory for its body is refused and never reaches the core`, async () => {
+    const memoryBytes = 60_000;
+    const limits = { bufferedBodyBytes: 100_000, keyedBodyBytes: 100_000 };
+    const server = new TestServer(limits, memoryBytes);
+    await server.start();
+    const answer = await exchange(server.port, request);
+    await server.callers.close();
+    assert.match(answer, /^HTTP\/1.1 503 /);
+    assert.match(answer, `peridotspring-outcome: ${outcome}`);
+    assert.match(answer, 'peridotspring-reason: entry-busy');
+    assert.match(answer, 'peridotspring-attempt: not-started');
+    assert.equal(server.requests, []);
+  });
+}
+
+/** Parts of a body of 5,000 bytes that stop short, and what the caller receives. */
+const shortBodies: readonly (readonly [string, number, RegExp])[] = [
+  ['before any of it is passed on, gets a 408', 500, /^HTTP\/1.1 408 /],
+  ['after a part of it was passed on, gets no response', 2_000, /^$/],
+];
+
+for (const [name, byteCount, expected] of shortBodies) {
+  test(`a body that stops short ${name}`, async () => {
+    const server = new TestServer({ requestTimeoutMilliseconds: 100 });
+    await server.start();
+    server.onRequest = ({ requestNumber }) => {
+      server.callers
+        .requestBodyStream(requestNumber)
+        ?.on('error', () => undefined)
+        .resume();
+    };
+    const head = rawRequest('PUT', '/provenance/a', { 'content-length': '5000' });
+    const answer = await exchange(server.port, head + 'x'.repeat(byteCount));
+    await server.callers.close();
+    assert.match(answer, expected);
+    assert.equal(server.faults, ['request-late']);
+  });
+}
+
+test('a stop answers the requests in progress, announces the close and closes idle connections', async () => {
+  const server = new TestServer();
+  await server.start();
+  const idle = exchange(server.port, '');
+  const head = rawRequest('GET', '/provenance/a').replace('connection: close\r\n', '');
+  const waiting = exchange(server.port, head);
+  while (server.requests.length === 0) await new Promise((resolve) => setTimeout(resolve, 2));
+  server.callers.stopAccepting();
+  assert.is(await idle, '');
+  const [request] = server.requests;
+  server.callers.reply({
+    body: Buffer.from('done'),
+    headers: {},
+    kind: 'reply-to-caller',
+    outcome: { kind: 'answered', status: 200 },
+    requestNumber: request?.requestNumber ?? 0,
+    streamedBody: false,
+  });
+  assert.match(await waiting, /connection: close[^]*done$/i);
+  await server.callers.close();
+});
+
 test('a caller that disconnects is reported, so that its work can be cancelled', async () => {
   const server = new TestServer();
   await server.start();
--- a/packages/callers/tests/shared/test-server.ts
+++ b/packages/callers/tests/shared/test-server.ts
@@ -6,6 +6,9 @@
 } from '@peridotspring/core';
 import { emptyConfiguration, serviceDefaults } from '@peridotspring/core';
 
+import { createLoopbackOptions } from '@peridotspring/http-server/fixtures';
+import type { ClientFault } from '@peridotspring/mesh-core';
+
 import { CallerServer } from '../../src/index.js';
 import type { CallerLimits, FinishedRequest } from '../../src/index.js';
 
@@ -14,6 +17,7 @@
   connections: 100,
   headerBytes: 4_096,
   headersTimeoutMilliseconds: 10_000,
+  idleTimeoutMilliseconds: 10_000,
   bufferedBodyBytes: 1_024,
   keyedBodyBytes: 2_048,
   requestTimeoutMilliseconds: 10_000,
@@ -50,17 +54,17 @@
 export class TestServer {
   public readonly delivered: (CallerRequestMessage | CallerDisconnectedMessage)[] = [];
   public readonly finished: FinishedRequest[] = [];
+  public readonly faults: ClientFault[] = [];
   public isStopping = false;
   public port = 0;
   public readonly callers: CallerServer;
   /** Called for each request; tests set it to answer the request. */
   public onRequest: (request: CallerRequestMessage) => void = () => undefined;
 
-  public constructor(limits: Partial<CallerLimits> = {}) {
+  public constructor(limits: Partial<CallerLimits> = {}, memoryBytes?: number) {
     this.callers = new CallerServer({
-      bindHost: '127.0.0.1',
-      bindPort: 0,
-      clock: () => performance.now(),
+      ...createLoopbackOptions(memoryBytes),
+      onClientFault: (fault) => this.faults.push(fault),
       configuration: () => testConfiguration,
       defaultTenant: 'default',
       deliver: (message) => {
--- a/packages/ctl/tests/operator-port.test.ts
+++ b/packages/ctl/tests/operator-port.test.ts
@@ -1,4 +1,5 @@
 import { emptyConfiguration, type Configuration } from '@peridotspring/core';
+import { createLoopbackOptions } from '@peridotspring/http-server/fixtures';
 import { parseStatement } from '@peridotspring/language';
 import { Metrics, OperatorServer, type OperatorBackend } from '@peridotspring/operators';
 import { suite } from 'uvu';
@@ -49,6 +50,7 @@
 };
 
 const server = new OperatorServer({
+  ...createLoopbackOptions(),
   backend,
   metrics: new Metrics(),
   parser: { parse: (text) => Promise.resolve(parseStatement(text)) },
@@ -58,7 +60,7 @@
 
 const port = suite('peridotctl and the operator port');
 port.before(async () => {
-  address = `127.0.0.1:${await server.listen('127.0.0.1', 0)}`;
+  address = `127.0.0.1:${await server.listen()}`;
 });
 port.after(() => server.close());
 
--- a/packages/daemon/src/logging/log-event.ts
+++ b/packages/daemon/src/logging/log-event.ts
@@ -4,6 +4,7 @@
  */
 export const LogEvent = {
   AddressInUse: 'address-in-use',
+  ClientFaulty: 'client-faulty',
   ConfigurationInForce: 'configuration-in-force',
   InvariantBroken: 'invariant-broken',
   NodeStarted: 'node-started',
--- a/packages/daemon/src/settings/setting-definitions.ts
+++ b/packages/daemon/src/settings/setting-definitions.ts
@@ -98,12 +98,18 @@
   }),
   callerConnections: wholeNumber('connections', 1, 65_535, {
     default: '1000',
-    documentation: 'Connections of callers at once; further ones are closed at once.',
+    documentation:
+      'Connections of callers at once; a further one takes the place of the one that has been idle longest, or is closed if none is idle.',
   }),
   callerRequests: wholeNumber('requests', 1, 100_000, {
     default: '1000',
     documentation: 'Requests of callers in progress at once; further ones are refused.',
   }),
+  callerMemoryBytes: wholeNumber('bytes', 8_388_608, 68_719_476_736, {
+    default: '134217728',
+    documentation:
+      'Memory for connections, heads, buffered bodies and unread answers of callers. Requests beyond it are answered entry-busy, and connections closed.',
+  }),
   defaultTenant: nameText({
     default: 'default',
     documentation: 'Tenant of a request without the header Peridotspring-Tenant.',
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,5 +1,8 @@
 import { CallerServer } from '@peridotspring/callers';
 import type { FinishedRequest } from '@peridotspring/callers';
+import { DeferredInput } from '@peridotspring/http-server';
+import { MemoryAccount } from '@peridotspring/mesh-core';
+import type { ClientFault } from '@peridotspring/mesh-core';
 import type {
   CallerDisconnectedMessage,
   CallerRequestMessage,
@@ -32,6 +35,8 @@
 import { createIdentity, formatHostAndPort, requestIdPrefix } from './node-identity.js';
 import { Logger } from './logging/logger.js';
 import { LogEvent } from './logging/log-event.js';
+import { registerMemoryGauges } from './mesh/memory-gauges.js';
+import { ClientFaultRecorder } from './operators/client-fault-recorder.js';
 import { registerGauges } from './operators/gauges.js';
 import { CoreChangePort } from './operators/core-change-port.js';
 import { CoreNodeView } from './operators/core-node-view.js';
@@ -44,6 +49,9 @@
 const keyedBodyBytes = 1_048_576;
 const headersTimeoutMilliseconds = 10_000;
 const requestTimeoutMilliseconds = 120_000;
+const idleTimeoutMilliseconds = 10_000;
+/** Memory for connections, requests and answers at the ports for operators and announcements. */
+const operatorMemoryBytes = 33_554_432;
 
 /** Handle of a started node. */
 export interface RunningNode {
@@ -87,7 +95,36 @@
   const upstream = new UpstreamClient((message) => {
     networkParts.driver.deliver(message);
   });
+  const clientFaults = new ClientFaultRecorder({
+    log,
+    metrics: operatorParts.metrics,
+    wallClock: () => clock().wall,
+  });
+  const createAccount = (limitBytes: number): MemoryAccount =>
+    new MemoryAccount({
+      limitBytes,
+      onEnded: (place) => {
+        clientFaults.onMemoryReclaimed(place);
+      },
+      onRefused: (place) => {
+        clientFaults.onMemoryExhausted(place);
+      },
+      onReleased: () => undefined,
+    });
+  const callerMemory = createAccount(settings.callerMemoryBytes);
+  const operatorMemory = createAccount(operatorMemoryBytes);
+  const deferredInput = new DeferredInput();
+  /** What the HTTP servers for other clients than callers have in common. */
+  const serverOptions = (port: string): ServerOptions => ({
+    clock: () => performance.now(),
+    deferredInput,
+    memory: operatorMemory,
+    onClientFault: (fault) => {
+      clientFaults.onFault(port, fault);
+    },
+  });
   const networkParts = createNetworkParts({
+    callerOptions: { ...serverOptions('callers'), memory: callerMemory },
     clock,
     core,
     identity,
@@ -98,11 +135,19 @@
     store,
     upstream,
   });
-  const announcements = new AnnouncementServer((message) => {
-    onAnnouncement(message, upstream, networkParts.driver, log);
+  const announcements = new AnnouncementServer({
+    ...serverOptions('announcements'),
+    bindHost: settings.upstreamBindAddress.host,
+    bindPort: settings.upstreamBindAddress.port,
+    onMessage: (message) => {
+      onAnnouncement(message, upstream, networkParts.driver, log);
+    },
   });
   const parser = new WorkerParser();
   const operators = new OperatorServer({
+    ...serverOptions('operators'),
+    bindHost: settings.operatorBindAddress.host,
+    bindPort: settings.operatorBindAddress.port,
     backend: operatorParts.backend,
     metrics: operatorParts.metrics,
     parser,
@@ -114,10 +159,11 @@
     store,
     view: operatorParts.view,
   });
+  registerMemoryGauges(operatorParts.metrics, [callerMemory, operatorMemory]);
   await networkParts.connections.listen();
   const callerPort = await networkParts.callers.listen();
-  await announcements.listen(settings.upstreamBindAddress.port, settings.upstreamBindAddress.host);
-  await operators.listen(settings.operatorBindAddress.host, settings.operatorBindAddress.port);
+  await announcements.listen();
+  await operators.listen();
   networkParts.driver.start();
   log.info(LogEvent.NodeStarted, {
     callers: formatHostAndPort(settings.callerAdvertisedAddress),
@@ -131,6 +177,7 @@
       operatorParts.changes.close();
       operatorParts.gatherer.close();
       parser.close();
+      deferredInput.close();
       upstream.close();
       store.close();
       await Promise.all([
@@ -223,7 +270,16 @@
   readonly driver: NodeDriver;
 }
 
+/** What an HTTP server needs to count what its clients send. */
+interface ServerOptions {
+  readonly clock: () => number;
+  readonly deferredInput: DeferredInput;
+  readonly memory: MemoryAccount;
+  readonly onClientFault: (fault: ClientFault) => void;
+}
+
 interface NetworkPartOptions {
+  readonly callerOptions: ServerOptions;
   readonly clock: () => ClockReading;
   readonly core: NodeCore;
   readonly identity: NodeIdentity;
@@ -236,12 +292,13 @@
 }
 
 function createNetworkParts(options: NetworkPartOptions): NetworkParts {
-  const { clock, core, identity, operatorParts, settings, store, upstream } = options;
+  const { callerOptions, clock, core, identity, operatorParts, settings, store, upstream } =
+    options;
   const connections = createConnections(options, () => driver);
   const callers = new CallerServer({
+    ...callerOptions,
     bindHost: settings.callerBindAddress.host,
     bindPort: settings.callerBindAddress.port,
-    clock: () => performance.now(),
     configuration: () => core.subsystems.configuration.inForce,
     defaultTenant: settings.defaultTenant,
     deliver: (message: CallerDisconnectedMessage | CallerRequestMessage) => {
@@ -259,6 +316,7 @@
       connections: settings.callerConnections,
       headerBytes: settings.callerHeaderBytes,
       headersTimeoutMilliseconds,
+      idleTimeoutMilliseconds,
       bufferedBodyBytes: heldBodyBytes,
       keyedBodyBytes,
       requests: settings.callerRequests,
--- a/packages/http-server/src/fault-response.ts
+++ b/packages/http-server/src/fault-response.ts
@@ -7,6 +7,11 @@
 /** Error code of the HTTP parser when the client closed its side in the middle of a request. */
 const unexpectedEndCode = 'HPE_INVALID_EOF_STATE';
 const headOverflowCode = 'HPE_HEADER_OVERFLOW';
+const lengthErrorCodes: ReadonlySet<string | undefined> = new Set([
+  'HPE_INVALID_CONTENT_LENGTH',
+  'HPE_INVALID_TRANSFER_ENCODING',
+  'HPE_UNEXPECTED_CONTENT_LENGTH',
+]);
 /** Memory may be available again after this time: what makes no progress for a second gives it up. */
 const retryAfterFields = { 'retry-after': '1' } as const;
 
@@ -21,7 +26,8 @@
 }
 
 export function faultOfParserError({ code }: NodeJS.ErrnoException): ClientFault {
-  return code === headOverflowCode ? ClientFault.HeadTooLong : ClientFault.Malformed;
+  if (code === headOverflowCode) return ClientFault.HeadTooLong;
+  return lengthErrorCodes.has(code) ? ClientFault.ConflictingLengths : ClientFault.Malformed;
 }
 
 /**
--- a/packages/http-server/src/guarded-http-server.ts
+++ b/packages/http-server/src/guarded-http-server.ts
@@ -10,8 +10,8 @@
 import type { ClientHandlers, ClientStreamOptions } from './client-stream.js';
 import { faultOfParserError, isDisconnect } from './fault-response.js';
 
-/** The parser's own limit on heads is fixed when the server is created, so a configured limit must lie below it. */
-const maximumHeaderBytes = 1_048_576;
+/** The parser's own limit on heads by default. It is fixed when the server is created, so a limit that may change lies below it. */
+const defaultParserHeaderBytes = 1_048_576;
 /** A socket that is paused reads once more and keeps what it has read, but not a list of short chunks. */
 const socketBufferBytes = 1;
 /** Interval of the checks on the time that clients take. */
@@ -27,6 +27,8 @@
 export interface GuardedHttpServerOptions extends ClientStreamOptions {
   readonly bindHost: string;
   readonly bindPort: number;
+  /** The parser's own limit on names and values of a head, for servers whose limit never changes. */
+  readonly parserHeaderBytes?: number;
   /** Returns who decides about a new connection; undefined if it is to be closed. */
   readonly accept: (stream: ClientStream) => ClientHandlers | undefined;
   /** Must call `beginRequest` of the stream. */
@@ -46,7 +48,7 @@
       headersTimeout: 0,
       insecureHTTPParser: false,
       keepAliveTimeout: options.limits().idleTimeoutMilliseconds,
-      maxHeaderSize: maximumHeaderBytes,
+      maxHeaderSize: options.parserHeaderBytes ?? defaultParserHeaderBytes,
       requestTimeout: 0,
     });
     // By default, fields after the thousandth are dropped without an error, also those that tell of a body.
@@ -87,6 +89,11 @@
     this.http.keepAliveTimeout = this.options.limits().idleTimeoutMilliseconds;
   }
 
+  /** Accepts no further connections. */
+  public stopListening(): void {
+    this.listener.close();
+  }
+
   /** Stops listening and closes all connections. */
   public async close(): Promise<void> {
     clearInterval(this.timer);
--- a/packages/http-server/src/sequential-server.ts
+++ b/packages/http-server/src/sequential-server.ts
@@ -19,6 +19,7 @@
   readonly limits: ClientLimits;
   readonly maximumConnections: number;
   readonly memory: MemoryAccount;
+  readonly parserHeaderBytes?: number;
   readonly onFault: (fault: ClientFault) => void;
   readonly onRequest: (request: SequentialRequest) => void;
   /** Time within which the body of a request has to come. */
@@ -41,15 +42,10 @@
   private readonly clients = new Map<ClientStream, Client>();
 
   public constructor(private readonly options: SequentialServerOptions) {
-    const { bindHost, bindPort, clock, deferredInput, limits, memory } = options;
     this.server = new GuardedHttpServer({
+      ...options,
       accept: (stream) => this.accept(stream),
-      bindHost,
-      bindPort,
-      clock,
-      deferredInput,
-      limits: () => limits,
-      memory,
+      limits: () => options.limits,
       onRequest: (request) => {
         this.handleRequest(request);
       },
--- a/packages/mesh-core/src/clients/client-fault.ts
+++ b/packages/mesh-core/src/clients/client-fault.ts
@@ -4,6 +4,8 @@
   AnswerNotRead: 'answer-not-read',
   /** The framing of a chunked body takes far more bytes than the body. */
   BodyMostlyFraming: 'body-mostly-framing',
+  /** `Content-Length` and `Transfer-Encoding` do not state one length of the body. */
+  ConflictingLengths: 'conflicting-lengths',
   /** A whole head did not come within its time. */
   HeadLate: 'head-late',
   /** More bytes than a head may have did not contain a head. */
@@ -35,6 +37,7 @@
     case ClientFault.NoMemory:
       return 503;
     case ClientFault.BodyMostlyFraming:
+    case ClientFault.ConflictingLengths:
     case ClientFault.Malformed:
       return 400;
     case ClientFault.AnswerNotRead:
--- a/packages/operators/src/server/operator-server.ts
+++ b/packages/operators/src/server/operator-server.ts
@@ -1,5 +1,9 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { OutgoingHttpHeaders } from 'node:http';
+
+import { SequentialServer } from '@peridotspring/http-server';
+import type { DeferredInput, SequentialRequest } from '@peridotspring/http-server';
+import { ClientFault } from '@peridotspring/mesh-core';
+import type { MemoryAccount } from '@peridotspring/mesh-core';
 
 import type { Metrics } from '../observation/metrics.js';
 import type { OperatorBackend } from '../operator-backend.js';
@@ -7,7 +11,7 @@
 import { QueryRunner } from '../query-runner.js';
 import { renderTable } from '../render-table.js';
 import type { QueryResult } from '../results.js';
-import { OutputFormat, parseQueryBody, readBody } from './query-body.js';
+import { OutputFormat, parseQueryBody } from './query-body.js';
 import { SecretVerifier, type AcceptedSecrets } from './secret-verifier.js';
 
 /** Limits of the operator port. */
@@ -17,8 +21,10 @@
   readonly connections: number;
   /** Queries that run concurrently; further ones get a 503 response. */
   readonly concurrentQueries: number;
-  /** Time within which a client has to send its whole request. */
+  /** Time within which a client has to send the head of a request, and then its body. */
   readonly requestTimeoutMilliseconds: number;
+  /** Time without a request, or in which a client does not read on. */
+  readonly idleTimeoutMilliseconds: number;
 }
 
 export const defaultOperatorServerLimits: OperatorServerLimits = {
@@ -27,10 +33,18 @@
   concurrentQueries: 16,
   connections: 64,
   headerBytes: 16_384,
+  idleTimeoutMilliseconds: 5_000,
   requestTimeoutMilliseconds: 10_000,
 };
 
 export interface OperatorServerOptions {
+  readonly bindHost: string;
+  readonly bindPort: number;
+  readonly clock: () => number;
+  readonly deferredInput: DeferredInput;
+  readonly memory: MemoryAccount;
+  /** The connection of a client was refused further requests, or closed. */
+  readonly onClientFault: (fault: ClientFault) => void;
   readonly backend: OperatorBackend;
   readonly parser: StatementParser;
   readonly metrics: Metrics;
@@ -60,7 +74,7 @@
 
 /** HTTP server for operators: `POST /query`, `GET /metrics`, `GET /health` and `GET /ready`. */
 export class OperatorServer {
-  private readonly server: Server;
+  private readonly server: SequentialServer;
   private readonly runner: QueryRunner;
   private readonly secretVerifier: SecretVerifier;
   private readonly limits: OperatorServerLimits;
@@ -70,148 +84,146 @@
     this.limits = { ...defaultOperatorServerLimits, ...options.limits };
     this.runner = new QueryRunner(options.backend, options.parser);
     this.secretVerifier = new SecretVerifier(options.secrets);
-    this.server = createServer(
-      {
-        connectionsCheckingInterval: 1_000,
-        headersTimeout: this.limits.requestTimeoutMilliseconds,
-        maxHeaderSize: this.limits.headerBytes,
-        requestTimeout: this.limits.requestTimeoutMilliseconds,
+    const { connections, headerBytes, idleTimeoutMilliseconds, requestTimeoutMilliseconds } =
+      this.limits;
+    this.server = new SequentialServer({
+      ...options,
+      limits: {
+        headerBytes,
+        headerTimeoutMilliseconds: requestTimeoutMilliseconds,
+        idleTimeoutMilliseconds,
       },
-      (request, response) => {
-        void this.handleRequest(request, response);
+      maximumConnections: connections,
+      onFault: options.onClientFault,
+      onRequest: (request) => {
+        void this.handleRequest(request);
       },
-    );
-    this.server.maxConnections = this.limits.connections;
+      parserHeaderBytes: headerBytes,
+      requestTimeoutMilliseconds,
+    });
   }
 
   /** Starts listening. Resolves with the port, which the system chooses if the given port is 0. */
-  public listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.off('error', reject);
-        resolve((this.server.address() as AddressInfo).port);
-      });
-    });
+  public async listen(): Promise<number> {
+    return this.server.listen();
   }
 
   /** Stops listening and closes all connections. */
-  public close(): Promise<void> {
-    return new Promise((resolve) => {
-      this.server.close(() => {
-        resolve();
-      });
-      this.server.closeAllConnections();
-    });
+  public async close(): Promise<void> {
+    await this.server.close();
   }
 
-  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async handleRequest(request: SequentialRequest): Promise<void> {
     try {
-      await this.routeRequest(request, response);
+      await this.routeRequest(request);
     } catch (error) {
-      // Also reached when a client disconnects while it sends its body.
-      const message = error instanceof Error ? error.message : 'unknown error';
-      this.sendFailure(response, 500, message);
+      sendFailure(request, 500, error instanceof Error ? error.message : 'unknown error');
     }
   }
 
-  private async routeRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const path = (request.url ?? '').split('?')[0] ?? '';
-    const route = `${request.method ?? ''} ${path}`;
+  private async routeRequest(request: SequentialRequest): Promise<void> {
+    const { headers, method = '', url = '' } = request.message;
+    const route = `${method} ${url.split('?')[0] ?? ''}`;
     // Health and readiness need no secret: the supervisor of the process polls them, and they reveal no
     // names.
     if (route === 'GET /health') {
-      this.sendResponse(response, 200, jsonContentType, JSON.stringify({ alive: true }));
+      sendJson(request, 200, { alive: true });
       return;
     }
     if (route === 'GET /ready') {
       const readiness = this.options.backend.readiness();
-      this.sendResponse(
-        response,
-        readiness.ready ? 200 : 503,
-        jsonContentType,
-        JSON.stringify(readiness),
-      );
+      sendJson(request, readiness.ready ? 200 : 503, readiness);
       return;
     }
-    if (!this.secretVerifier.accepts(request.headers.authorization)) {
-      response.setHeader('WWW-Authenticate', 'Bearer');
-      this.sendFailure(response, 401, 'the bearer secret is missing or invalid');
+    if (!this.secretVerifier.accepts(headers.authorization)) {
+      const fields = { 'WWW-Authenticate': 'Bearer' };
+      sendFailure(request, 401, 'the bearer secret is missing or invalid', fields);
       return;
     }
     if (route === 'GET /metrics') {
       const { metrics } = this.options;
-      this.sendResponse(response, 200, metrics.contentType, await metrics.text());
+      send(request, 200, { 'Content-Type': metrics.contentType }, await metrics.text());
       return;
     }
     if (route === 'POST /query') {
-      await this.handleQuery(request, response);
+      await this.handleQuery(request);
       return;
     }
-    this.sendFailure(
-      response,
+    sendFailure(
+      request,
       404,
       'not found; the port serves POST /query, GET /metrics, GET /health and GET /ready',
     );
   }
 
-  private async handleQuery(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async handleQuery(request: SequentialRequest): Promise<void> {
     if (this.runningQueries >= this.limits.concurrentQueries) {
-      response.setHeader('Retry-After', '1');
-      this.sendFailure(
-        response,
-        503,
-        `${this.runningQueries} queries are already running; try again later`,
-      );
+      const message = `${this.runningQueries} queries are already running; try again later`;
+      sendFailure(request, 503, message, { 'Retry-After': '1' });
       return;
     }
     this.runningQueries += 1;
     try {
-      await this.runQuery(request, response);
+      await this.runQuery(request);
     } finally {
       this.runningQueries -= 1;
     }
   }
 
-  private async runQuery(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readBody(request, this.limits.bodyBytes);
-    if (body === undefined) {
-      response.setHeader('Connection', 'close');
-      this.sendFailure(response, 413, `the body is longer than ${this.limits.bodyBytes} bytes`);
-      return;
+  private async runQuery(request: SequentialRequest): Promise<void> {
+    const { bodyBytes } = this.limits;
+    const body = await request.readBody(bodyBytes);
+    switch (body.kind) {
+      case 'cut':
+        request.close();
+        return;
+      case 'no-memory':
+        request.fail(ClientFault.NoMemory);
+        return;
+      case 'too-long':
+        sendFailure(request, 413, `the body is longer than ${bodyBytes} bytes`);
+        return;
+      case 'whole':
+        await this.answerQuery(request, body.bytes.toString('utf8'));
     }
+  }
+
+  private async answerQuery(request: SequentialRequest, body: string): Promise<void> {
     const query = parseQueryBody(body);
     if (typeof query === 'string') {
-      this.sendFailure(response, 400, query);
+      sendFailure(request, 400, query);
       return;
     }
     const result = await this.runner.run(query);
     const table =
       query.output === OutputFormat.Table ? { table: renderTable(result, query.text) } : {};
-    this.sendResponse(
-      response,
-      statusOf(result),
-      jsonContentType,
-      JSON.stringify({ ...result, ...table }),
-    );
+    sendJson(request, statusOf(result), { ...result, ...table });
   }
+}
 
-  private sendFailure(response: ServerResponse, status: number, message: string): void {
-    this.sendResponse(
-      response,
-      status,
-      jsonContentType,
-      JSON.stringify({ kind: 'failed', message }),
-    );
-  }
+function sendFailure(
+  request: SequentialRequest,
+  status: number,
+  message: string,
+  fields: OutgoingHttpHeaders = {},
+): void {
+  sendJson(request, status, { kind: 'failed', message }, fields);
+}
 
-  private sendResponse(response: ServerResponse, status: number, type: string, body: string): void {
-    if (response.headersSent || response.destroyed) return;
-    response.writeHead(status, {
-      'Cache-Control': 'no-store',
-      'Content-Length': Buffer.byteLength(body),
-      'Content-Type': type,
-    });
-    response.end(body);
-  }
+function sendJson(
+  request: SequentialRequest,
+  status: number,
+  content: unknown,
+  fields: OutgoingHttpHeaders = {},
+): void {
+  send(request, status, { ...fields, 'Content-Type': jsonContentType }, JSON.stringify(content));
+}
+
+function send(
+  request: SequentialRequest,
+  status: number,
+  fields: OutgoingHttpHeaders,
+  text: string,
+): void {
+  request.respond(status, { ...fields, 'Cache-Control': 'no-store' }, text);
 }
--- a/packages/operators/src/server/query-body.ts
+++ b/packages/operators/src/server/query-body.ts
@@ -1,5 +1,3 @@
-import type { IncomingMessage } from 'node:http';
-
 import type { Query } from '../query-runner.js';
 
 /** Format in which a result is returned. */
@@ -11,21 +9,6 @@
   readonly output: OutputFormat;
 }
 
-/** Reads a body; undefined if it is longer than `maximumBytes`. */
-export async function readBody(
-  request: IncomingMessage,
-  maximumBytes: number,
-): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > maximumBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
-
 const changeIdPattern = /^[A-Za-z0-9_.:-]{1,64}$/;
 
 /** Parses the body of a query. Returns an error message if the body is invalid. */
--- a/packages/operators/tests/operator-server.test.ts
+++ b/packages/operators/tests/operator-server.test.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 
+import { createLoopbackOptions } from '@peridotspring/http-server/fixtures';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
@@ -8,6 +9,7 @@
 
 const node = createNode();
 const server = new OperatorServer({
+  ...createLoopbackOptions(),
   backend: node.backend,
   limits: { bodyBytes: 1_000, connections: 4, headerBytes: 2_000, requestTimeoutMilliseconds: 500 },
   metrics: new Metrics(),
@@ -18,7 +20,7 @@
 
 const portSuite = suite('operator port');
 portSuite.before(async () => {
-  base = `http://127.0.0.1:${await server.listen('127.0.0.1', 0)}`;
+  base = `http://127.0.0.1:${await server.listen()}`;
 });
 portSuite.after(() => server.close());
 
@@ -111,12 +113,13 @@
   const { backend } = createNode();
   backend.localRows = () => Promise.reject(new Error('an error in the node'));
   const failingServer = new OperatorServer({
+    ...createLoopbackOptions(),
     backend,
     metrics: new Metrics(),
     parser: directParser,
     secrets: { current: 'new-secret' },
   });
-  const failingBase = `http://127.0.0.1:${await failingServer.listen('127.0.0.1', 0)}`;
+  const failingBase = `http://127.0.0.1:${await failingServer.listen()}`;
   const response = await fetch(`${failingBase}/query`, {
     body: '{"text":"show services"}',
     headers: { authorization: 'Bearer new-secret' },
--- a/packages/upstreams/src/announcement-server.ts
+++ b/packages/upstreams/src/announcement-server.ts
@@ -1,22 +1,22 @@
-import { once } from 'node:events';
-import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-
 import type {
   UpstreamAnnouncedMessage,
   UpstreamDrainMessage,
   UpstreamLeftMessage,
 } from '@peridotspring/core';
+import { SequentialServer } from '@peridotspring/http-server';
+import type { DeferredInput, SequentialRequest } from '@peridotspring/http-server';
+import { ClientFault } from '@peridotspring/mesh-core';
+import type { MemoryAccount } from '@peridotspring/mesh-core';
 
 import { parseAnnouncement } from './announcement-schema.js';
 import type { FieldError } from './announcement-schema.js';
+import { localPortLimits } from './mesh/local-port-limits.js';
 
 /** A message that the upstream sent to the node through the announcement port. */
 export type AnnouncementMessage =
   UpstreamAnnouncedMessage | UpstreamDrainMessage | UpstreamLeftMessage;
 
 const maximumBodyBytes = 16_384;
-const requestTimeoutMilliseconds = 5_000;
 const announcementPaths: readonly string[] = ['/announce', '/drain', '/restore', '/leave'];
 
 interface AnnouncementResponse {
@@ -30,67 +30,73 @@
   return { errors: [{ field: 'body', message }], status };
 }
 
-/** Resolves to `undefined` if the body is longer than `maximumBodyBytes`. */
-async function readBody(request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of request) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > maximumBodyBytes) return undefined;
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString('utf8');
+export interface AnnouncementServerOptions {
+  readonly bindHost: string;
+  readonly bindPort: number;
+  readonly clock: () => number;
+  readonly deferredInput: DeferredInput;
+  readonly memory: MemoryAccount;
+  /** The connection of a client was refused further requests, or closed. */
+  readonly onClientFault: (fault: ClientFault) => void;
+  readonly onMessage: (message: AnnouncementMessage) => void;
 }
 
 /** HTTP server for the upstream beside the node: it announces itself, drains, restores and leaves here. */
 export class AnnouncementServer {
-  private readonly server: Server;
-
-  public constructor(private readonly onMessage: (message: AnnouncementMessage) => void) {
-    this.server = createServer((request, response) => {
-      // A request that was aborted midway gets no response; the upstream sends it again.
-      this.handleRequest(request, response).catch(() => response.destroy());
+  private readonly server: SequentialServer;
+
+  public constructor(private readonly options: AnnouncementServerOptions) {
+    this.server = new SequentialServer({
+      ...localPortLimits,
+      ...options,
+      onFault: options.onClientFault,
+      onRequest: (request) => {
+        this.handleRequest(request).catch(() => {
+          request.close();
+        });
+      },
     });
-    this.server.requestTimeout = requestTimeoutMilliseconds;
   }
 
   /** Starts listening and resolves to the port in use; port 0 selects any free port. */
-  public async listen(port: number, host: string): Promise<number> {
-    this.server.listen(port, host);
-    await once(this.server, 'listening');
-    const address = this.server.address();
-    return typeof address === 'object' && address !== null ? address.port : port;
+  public async listen(): Promise<number> {
+    return this.server.listen();
   }
 
   public async close(): Promise<void> {
-    await new Promise((resolve) => {
-      this.server.close(resolve);
-      this.server.closeAllConnections();
-    });
+    await this.server.close();
   }
 
-  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { status, errors } = await this.processRequest(request);
-    if (status === 405) response.setHeader('allow', 'POST');
-    if (status === 413) response.setHeader('connection', 'close');
-    response.writeHead(status, { 'content-type': 'application/json' });
-    response.end(`${JSON.stringify(errors.length === 0 ? { accepted: true } : { errors })}\n`);
-  }
-
-  private async processRequest(request: IncomingMessage): Promise<AnnouncementResponse> {
-    const path = request.url ?? '/';
+  private async handleRequest(request: SequentialRequest): Promise<void> {
+    const { method, url: path = '/' } = request.message;
     if (!announcementPaths.includes(path)) {
       const message = `unknown path; expected one of ${announcementPaths.join(', ')}`;
-      return { errors: [{ field: 'path', message }], status: 404 };
+      respond(request, { errors: [{ field: 'path', message }], status: 404 });
+      return;
     }
-    if (request.method !== 'POST') {
-      return { errors: [{ field: 'method', message: 'expected POST' }], status: 405 };
+    if (method !== 'POST') {
+      respond(request, { errors: [{ field: 'method', message: 'expected POST' }], status: 405 });
+      return;
     }
-    const text = await readBody(request);
-    if (text === undefined) {
-      return bodyErrorResponse(413, `expected at most ${maximumBodyBytes} bytes`);
+    const body = await request.readBody(maximumBodyBytes);
+    switch (body.kind) {
+      case 'cut':
+        // A request that was aborted midway gets no response; the upstream sends it again.
+        request.close();
+        return;
+      case 'no-memory':
+        request.fail(ClientFault.NoMemory);
+        return;
+      case 'too-long':
+        respond(request, bodyErrorResponse(413, `expected at most ${maximumBodyBytes} bytes`));
+        return;
+      case 'whole': {
+        const text = body.bytes.toString('utf8');
+        const response =
+          path === '/announce' ? this.handleAnnouncement(text) : this.handleStateChange(path);
+        respond(request, response);
+      }
     }
-    return path === '/announce' ? this.handleAnnouncement(text) : this.handleStateChange(path);
   }
 
   private handleAnnouncement(text: string): AnnouncementResponse {
@@ -102,13 +108,25 @@
     }
     const parsed = parseAnnouncement(content);
     if (parsed.kind === 'invalid') return { errors: parsed.errors, status: 400 };
-    this.onMessage({ announcement: parsed.announcement, kind: 'upstream-announced' });
+    this.options.onMessage({ announcement: parsed.announcement, kind: 'upstream-announced' });
     return acceptedResponse;
   }
 
   private handleStateChange(path: string): AnnouncementResponse {
-    if (path === '/leave') this.onMessage({ kind: 'upstream-left' });
-    else this.onMessage({ draining: path === '/drain', kind: 'upstream-drain' });
+    if (path === '/leave') this.options.onMessage({ kind: 'upstream-left' });
+    else this.options.onMessage({ draining: path === '/drain', kind: 'upstream-drain' });
     return acceptedResponse;
   }
 }
+
+function respond(request: SequentialRequest, { errors, status }: AnnouncementResponse): void {
+  const fields = {
+    'content-type': 'application/json',
+    ...(status === 405 && { allow: 'POST' }),
+  };
+  request.respond(
+    status,
+    fields,
+    `${JSON.stringify(errors.length === 0 ? { accepted: true } : { errors })}\n`,
+  );
+}
--- a/packages/upstreams/tests/announcement-server.test.ts
+++ b/packages/upstreams/tests/announcement-server.test.ts
@@ -1,3 +1,4 @@
+import { createLoopbackOptions } from '@peridotspring/http-server/fixtures';
 import { NodeLink } from '@peridotspring/stand-ins';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -11,8 +12,11 @@
   runTest: (address: string, messages: AnnouncementMessage[]) => Promise<void>,
 ): Promise<void> {
   const messages: AnnouncementMessage[] = [];
-  const server = new AnnouncementServer((message) => messages.push(message));
-  const port = await server.listen(0, '127.0.0.1');
+  const server = new AnnouncementServer({
+    ...createLoopbackOptions(),
+    onMessage: (message) => messages.push(message),
+  });
+  const port = await server.listen();
   try {
     await runTest(`127.0.0.1:${port}`, messages);
   } finally {
--- a/packages/upstreams/tests/report-server.test.ts
+++ b/packages/upstreams/tests/report-server.test.ts
@@ -1,7 +1,6 @@
 import { connect } from 'node:net';
 
-import { DeferredInput } from '@peridotspring/http-server';
-import { createMemoryAccount } from '@peridotspring/mesh-core/fixtures';
+import { createLoopbackOptions } from '@peridotspring/http-server/fixtures';
 import { findFreePorts } from '@peridotspring/stand-ins';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -17,13 +16,9 @@
 ): Promise<void> {
   const [port = 0] = await findFreePorts(1);
   const reportServer = new ReportServer({
-    bindHost: '127.0.0.1',
+    ...createLoopbackOptions(),
     bindPort: port,
-    clock: () => performance.now(),
-    deferredInput: new DeferredInput(),
     codec: { parse: (_method, path) => ({ instanceId: path, kind: 'leave' }) },
-    memory: createMemoryAccount(),
-    onClientFault: () => undefined,
     onErrorContained: (error) => containedErrors.push(error.message),
     onMessage,
   });
