One choice of the connection that gives way, for all HTTP servers

Found by reading the diff: the servers for callers and the sequential server each searched for the connection that has been idle longest. The search is in http-server now, next to what uses it; what differs is what counts as idle: at the ports for operators a client that has not read its response for a second gives way too, at those for callers it does not.

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -11,7 +11,11 @@
   UnknownOutcome,
 } from '@peridotspring/core';
 
-import { GuardedHttpServer, writeFaultResponse } from '@peridotspring/http-server';
+import {
+  findConnectionToClose,
+  GuardedHttpServer,
+  writeFaultResponse,
+} from '@peridotspring/http-server';
 import type { ClientStream, ReceivedRequest } from '@peridotspring/http-server';
 import { ClientFault, MemoryPlace, statusOfClientFault } from '@peridotspring/mesh-core';
 
@@ -24,7 +28,6 @@
 import { outcomeOfRejection, writeOutcome } from './outcome-response.js';
 import { announcesBody, collectBody } from './request-body.js';
 import { createRequestMessage } from './request-message.js';
-import { findConnectionToClose } from './routes/connection-limit.js';
 
 interface OpenRequest {
   readonly requestNumber: number;
--- a/packages/callers/src/keyed-connection.ts
+++ b/packages/callers/src/keyed-connection.ts
@@ -1,10 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { ClientHandlers, ClientStream } from '@peridotspring/http-server';
+import type { ClientHandlers, ClientStream, LimitedConnection } from '@peridotspring/http-server';
 import { ClientFault } from '@peridotspring/mesh-core';
 import type { MemoryAccount, MemoryHold } from '@peridotspring/mesh-core';
 
-import type { LimitedConnection } from './routes/connection-limit.js';
 import type { BodyMemory } from './request-body.js';
 
 /** Concurrent requests of one connection; what is behind them is not parsed. */
--- a/packages/callers/src/routes/caller-connection.ts
+++ b/packages/callers/src/routes/caller-connection.ts
@@ -2,7 +2,7 @@
 
 import { containError } from '@peridotspring/core';
 import { faultFields, writeFaultResponse } from '@peridotspring/http-server';
-import type { ClientHandlers, ClientStream } from '@peridotspring/http-server';
+import type { ClientHandlers, ClientStream, LimitedConnection } from '@peridotspring/http-server';
 import { headMemory, MemoryPlace, statusOfClientFault } from '@peridotspring/mesh-core';
 import type { ClientFault, MemoryAccount, MemoryHold } from '@peridotspring/mesh-core';
 
@@ -70,7 +70,7 @@
 }
 
 /** The connection of a caller. Owns its stream and writes the responses in the order of the requests. */
-export class CallerConnection implements ClientHandlers {
+export class CallerConnection implements ClientHandlers, LimitedConnection {
   private readonly pipeline = new RequestPipeline<ResponseContent>();
   private readonly openRequests = new Map<number, OpenRequest>();
   /** Why nothing more is read, and the connection closes after the requests in progress. */
--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { toContainableError } from '@peridotspring/core';
-import { GuardedHttpServer } from '@peridotspring/http-server';
+import { findConnectionToClose, GuardedHttpServer } from '@peridotspring/http-server';
 import type {
   ClientLimits,
   ClientStream,
@@ -32,7 +32,6 @@
 
 import { announcesLongBody, BodyReader } from './body-reader.js';
 import { CallerConnection } from './caller-connection.js';
-import { findConnectionToClose } from './connection-limit.js';
 import type { PipelineWait, ResponseContent, ParsedRequest } from './caller-connection.js';
 
 /** Limits while there is no configuration. */
--- a/packages/callers/src/routes/connection-limit.ts
+++ b/packages/http-server/src/connection-limit.ts
@@ -1,6 +1,6 @@
 /** What is known of a connection when a further one exceeds the limit. */
 export interface LimitedConnection {
-  /** Whether no request is in progress; the head of one may have begun. */
+  /** Whether it may give way: no request is in progress, but the head of one may have begun. */
   readonly isIdle: boolean;
   readonly idleSince: number;
 }
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -1,4 +1,6 @@
 export type { ClientHandlers, ClientLimits, ClientStream } from './client-stream.js';
+export { findConnectionToClose } from './connection-limit.js';
+export type { LimitedConnection } from './connection-limit.js';
 export { DeferredInput } from './deferred-input.js';
 export { faultFields, writeFaultResponse } from './fault-response.js';
 export { GuardedHttpServer } from './guarded-http-server.js';
--- a/packages/http-server/src/sequential-server.ts
+++ b/packages/http-server/src/sequential-server.ts
@@ -2,6 +2,8 @@
 import type { MemoryAccount } from '@peridotspring/mesh-core';
 
 import type { ClientHandlers, ClientLimits, ClientStream } from './client-stream.js';
+import { findConnectionToClose } from './connection-limit.js';
+import type { LimitedConnection } from './connection-limit.js';
 import type { DeferredInput } from './deferred-input.js';
 import { writeFaultResponse } from './fault-response.js';
 import { GuardedHttpServer } from './guarded-http-server.js';
@@ -26,11 +28,28 @@
   readonly requestTimeoutMilliseconds: number;
 }
 
-interface Client {
+/** The connection of a client, which gives way while it has no request, or does not read its response. */
+class SequentialClient implements LimitedConnection {
   /** The request in progress. */
-  request: SequentialRequest | undefined;
-  isRefused: boolean;
-  idleSince: number;
+  public request: SequentialRequest | undefined;
+  public isRefused = false;
+  private requestEndedAt = performance.now();
+
+  public constructor(public readonly stream: ClientStream) {}
+
+  public get isIdle(): boolean {
+    const isUnread = performance.now() - this.stream.unreadSince >= unreadMilliseconds;
+    return this.request === undefined || isUnread;
+  }
+
+  public get idleSince(): number {
+    return this.request === undefined ? this.requestEndedAt : this.stream.unreadSince;
+  }
+
+  public endRequest(): void {
+    this.request = undefined;
+    this.requestEndedAt = performance.now();
+  }
 }
 
 /**
@@ -39,7 +58,7 @@
  */
 export class SequentialServer {
   private readonly server: GuardedHttpServer;
-  private readonly clients = new Map<ClientStream, Client>();
+  private readonly clients = new Map<ClientStream, SequentialClient>();
 
   public constructor(private readonly options: SequentialServerOptions) {
     this.server = new GuardedHttpServer({
@@ -66,11 +85,7 @@
       this.options.onFault(ClientFault.TooManyConnections);
       return undefined;
     }
-    const client: Client = {
-      idleSince: performance.now(),
-      isRefused: false,
-      request: undefined,
-    };
+    const client = new SequentialClient(stream);
     this.clients.set(stream, client);
     stream.once('close', () => {
       this.clients.delete(stream);
@@ -85,21 +100,11 @@
 
   /** Returns whether there was one without a request, or one that does not read its response. */
   private closeIdleClient(): boolean {
-    let longestIdle: ClientStream | undefined;
-    let idleSince = Infinity;
-    const now = performance.now();
-    for (const [stream, { idleSince: clientIdleSince, request }] of this.clients) {
-      const isUnread = now - stream.unreadSince >= unreadMilliseconds;
-      if (request !== undefined && !isUnread) continue;
-      const since = Math.min(clientIdleSince, stream.unreadSince);
-      if (since >= idleSince) continue;
-      longestIdle = stream;
-      idleSince = since;
-    }
-    if (longestIdle === undefined) return false;
+    const closed = findConnectionToClose(this.clients.values());
+    if (closed === undefined) return false;
     this.options.onFault(ClientFault.TooManyConnections);
-    this.clients.delete(longestIdle);
-    longestIdle.destroy();
+    this.clients.delete(closed.stream);
+    closed.stream.destroy();
     return true;
   }
 
@@ -121,22 +126,16 @@
     if (client === undefined) return;
     const request = new SequentialRequest(message, response, stream, hold, clock);
     client.request = request;
-    client.idleSince = Infinity;
     const timer = setTimeout(() => {
       if (!message.complete) this.refuse(stream, ClientFault.RequestLate, true);
     }, requestTimeoutMilliseconds);
     response.once('close', () => {
       clearTimeout(timer);
       hold.release();
-      this.endRequest(stream, client);
+      client.endRequest();
+      stream.onIdle();
+      stream.parse();
     });
     onRequest(request);
   }
-
-  private endRequest(stream: ClientStream, client: Client): void {
-    client.request = undefined;
-    client.idleSince = performance.now();
-    stream.onIdle();
-    stream.parse();
-  }
 }
