--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -1,13 +1,8 @@
 import { RouteServer } from '@peridotspring/callers';
 import { SeededRandomSource } from '@peridotspring/core';
 import { DeferredInput } from '@peridotspring/http-server';
-import {
-  ClientFault,
-  CollectionSchedule,
-  DenialCause,
-  MemoryAccount,
-} from '@peridotspring/mesh-core';
-import type { MeshNode } from '@peridotspring/mesh-core';
+import { ClientFault, DenialCause } from '@peridotspring/mesh-core';
+import type { MemoryAccount, MeshNode } from '@peridotspring/mesh-core';
 import { maximumMeshBodyBytes, MeshConnections } from '@peridotspring/nodes';
 import { HttpStoreTransport, StoreSession } from '@peridotspring/platform/key-values';
 import { ReadinessServer, ReportServer, ServerClient } from '@peridotspring/upstreams/mesh';
@@ -16,7 +11,6 @@
 
 import { Logger } from '../logging/logger.js';
 import { EventRecorder } from './event-recorder.js';
-import { GarbageCollector } from './garbage-collector.js';
 import {
   decodeDirectoryEntry,
   encodeDirectoryEntry,
@@ -25,6 +19,7 @@
 } from './mesh-directory-entry.js';
 import { MeshEvent } from './mesh-event.js';
 import { registerMeshGauges } from './mesh-gauges.js';
+import { createMemoryAccounts } from './memory-accounts.js';
 import { registerMemoryGauges } from './memory-gauges.js';
 import { MeshNodeDriver } from './mesh-node.js';
 import type { MeshNodePorts } from './mesh-node-options.js';
@@ -232,36 +227,6 @@
   readonly protocolMemory: MemoryAccount;
 }
 
-/** Returns a function that creates an account with a limit; the accounts share one schedule for the collection of garbage. */
-function createMemoryAccounts(
-  { machineMemoryBytes }: MeshSettings,
-  clock: () => number,
-  events: EventRecorder,
-): (limitBytes: number) => MemoryAccount {
-  const collector = new GarbageCollector();
-  const schedule = new CollectionSchedule({
-    limitBytes: machineMemoryBytes,
-    residentBytes: () => process.memoryUsage.rss(),
-  });
-  return (limitBytes) =>
-    new MemoryAccount({
-      limitBytes,
-      onEnded: (place, bytes) => {
-        events.record(MeshEvent.MemoryReclaimed, { bytes, place });
-      },
-      onReleased: (bytes) => {
-        if (!schedule.onReleased(bytes, clock())) return;
-        // What is released in this turn of the event loop is garbage only after it.
-        setImmediate(() => {
-          collector.collect();
-        });
-      },
-      onRefused: (place, bytes) => {
-        events.record(MeshEvent.MemoryExhausted, { bytes, place });
-      },
-    });
-}
-
 function recordContainedError(
   events: EventRecorder,
   place: string,
