--- a/packages/daemon/src/operators/client-fault-recorder.ts
+++ b/packages/daemon/src/operators/client-fault-recorder.ts
@@ -22,7 +22,7 @@
 
   /** The connection of a client at a port was refused further requests, or closed. */
   public onFault(port: string, fault: ClientFault): void {
-    this.count('client-faulty', { fault, port });
+    this.count('client_faulty', { fault, port });
     if (!this.budget.tryTake(this.options.wallClock())) return;
     const suppressed = this.budget.takeSuppressed();
     this.options.log.info(LogEvent.ClientFaulty, { fault, port, suppressed });
@@ -30,12 +30,12 @@
 
   /** There was no memory for bytes at a place. */
   public onMemoryExhausted(place: MemoryPlace): void {
-    this.count('memory-exhausted', { place });
+    this.count('memory_exhausted', { place });
   }
 
   /** What made no progress was ended in favour of others. */
   public onMemoryReclaimed(place: MemoryPlace): void {
-    this.count('memory-reclaimed', { place });
+    this.count('memory_reclaimed', { place });
   }
 
   private count(counter: string, labels: Readonly<Record<string, string>>): void {
