Keyed program: bound what a connection may hold before the other node has proved itself

What callers saw: a keyed node on a machine of 160 MB took 358 MiB from 300 connections to its port for nodes, each with a frame of 1 MiB that stopped a byte short; 800 silent connections took 834 descriptors; and connections that sent a byte or a heartbeat at a time were never closed.

Cause: the limit on frames was that of proved nodes (1.25 MiB) from the first byte on, the time for the handshake began again with each byte, and the number of connections in it had no limit. Each such connection that ended wrote a line.

Change: frames before the proof have at most 8 KiB, the time counts from the opening, and of 512 connections without a proof the oldest gives way. A proof raises the limit as it is decoded, since calls may follow it in the same chunk; with a wrong proof the connection closes before it reads on.

It works because no more than 512 times 8 KiB can be held by whoever doesn't have the secret.

--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -125,6 +125,7 @@
   });
   const networkParts = createNetworkParts({
     callerOptions: { ...serverOptions('callers'), memory: callerMemory },
+    clientFaults,
     clock,
     core,
     identity,
@@ -280,6 +281,7 @@
 
 interface NetworkPartOptions {
   readonly callerOptions: ServerOptions;
+  readonly clientFaults: ClientFaultRecorder;
   readonly clock: () => ClockReading;
   readonly core: NodeCore;
   readonly identity: NodeIdentity;
@@ -354,7 +356,7 @@
 }
 
 function createConnections(
-  { identity, log, operatorParts, settings }: NetworkPartOptions,
+  { clientFaults, identity, log, operatorParts, settings }: NetworkPartOptions,
   driver: () => NodeDriver,
 ): NodeConnections {
   return new NodeConnections({
@@ -374,14 +376,7 @@
         driver().onPeerLost(server);
       },
       onConnectionRejected: (reason, detail) => {
-        log.info(LogEvent.PeerRejected, { detail, reason });
-        const labels = { reason };
-        operatorParts.metrics.count({
-          by: 1,
-          counter: 'peer_connections_rejected',
-          kind: 'count',
-          labels,
-        });
+        clientFaults.onPeerRejected(reason, detail);
       },
       onUnsent: (server, frames) => {
         driver().onFramesNotSent(server, frames);
--- a/packages/nodes/src/frame-codec.ts
+++ b/packages/nodes/src/frame-codec.ts
@@ -10,6 +10,8 @@
 
 /** Largest encoded frame in bytes: a keyed request with a body of 1 MiB and its header fields. */
 export const maximumFrameBytes = 1_310_720;
+/** Largest hello or proof in bytes. */
+export const maximumHandshakeFrameBytes = 8_192;
 
 // Records would make a frame depend on earlier frames, so that a new decoder could not decode it.
 const encoderOptions = { tagUint8Array: false, useRecords: false };
@@ -28,7 +30,13 @@
 /** Splits the byte stream of a connection between nodes into frames. */
 export class FrameDecoder extends LengthPrefixedDecoder<WireFrame> {
   public constructor() {
-    super(maximumFrameBytes, decodeFrame);
+    super(maximumHandshakeFrameBytes, (bytes) => {
+      const result = decodeFrame(bytes);
+      // Calls may follow a proof in the same chunk; if the proof is wrong, the connection closes before it reads on.
+      if (result.kind === 'frame' && result.frame.kind === 'proof')
+        this.setMaximumBytes(maximumFrameBytes);
+      return result;
+    });
   }
 }
 
--- a/packages/nodes/src/node-connections.ts
+++ b/packages/nodes/src/node-connections.ts
@@ -13,6 +13,8 @@
 /** Frames queued at most for a peer whose connection is being opened. */
 const maximumQueuedFrames = 1_000;
 const tickIntervalMilliseconds = 250;
+/** Connections that others opened without having proved themselves; beyond it, the oldest is closed. */
+const maximumUnauthenticatedConnections = 512;
 
 /** Whether a frame was accepted for sending. */
 export const SendResult = {
@@ -66,6 +68,7 @@
 
   public constructor(private readonly options: NodeConnectionsOptions) {
     this.server = createServer((socket) => {
+      this.closeOldestUnauthenticated();
       this.unauthenticated.add(this.open(socket, 'accepted', undefined));
     });
     this.timer = setInterval(() => {
@@ -188,6 +191,12 @@
     return new PeerConnection({ clock, events, identity, secrets, side, socket });
   }
 
+  private closeOldestUnauthenticated(): void {
+    if (this.unauthenticated.size < maximumUnauthenticatedConnections) return;
+    const [oldest] = this.unauthenticated;
+    oldest?.close(CloseReason.TooManyConnections, 'handshake not completed before others');
+  }
+
   private handleReady(connection: PeerConnection, dialedPeer: Peer | undefined): void {
     const identity = connection.peer;
     if (identity === undefined) {
--- a/packages/nodes/src/peer-connection.ts
+++ b/packages/nodes/src/peer-connection.ts
@@ -22,6 +22,7 @@
   Silent: 'silent',
   SocketError: 'socket-error',
   TooLarge: 'too-large',
+  TooManyConnections: 'too-many-connections',
   VersionMismatch: 'version-mismatch',
 } as const;
 export type CloseReason = (typeof CloseReason)[keyof typeof CloseReason];
@@ -65,6 +66,7 @@
   private peerHello: HelloFrame | undefined;
   private isClosed = false;
   private readonly writer: CorkedWriter;
+  private readonly openedAt: number;
   private lastReceivedAt: number;
   private lastSentAt: number;
   /** When the last frame other than handshake and heartbeat frames was sent or received. */
@@ -75,6 +77,7 @@
   public constructor(private readonly options: PeerConnectionOptions) {
     const now = options.clock();
     this.writer = new CorkedWriter(options.socket);
+    this.openedAt = now;
     this.lastReceivedAt = now;
     this.lastSentAt = now;
     this.lastActivityAt = now;
@@ -113,7 +116,7 @@
   /** Sends a heartbeat when one is due; closes the connection when it is idle or the other side is silent. */
   public tick(now: number): void {
     if (this.peer === undefined) {
-      if (now - this.lastReceivedAt > handshakeTimeoutMilliseconds) {
+      if (now - this.openedAt > handshakeTimeoutMilliseconds) {
         this.close(CloseReason.Silent, 'handshake not completed in time');
       }
       return;
--- a/packages/nodes/tests/node-connections.test.ts
+++ b/packages/nodes/tests/node-connections.test.ts
@@ -110,6 +110,41 @@
   });
 }
 
+test('a frame before the proof that is longer than a hello closes its connection', async () => {
+  const node = await startNode('victim');
+  const socket = await dial(node.address);
+  const closed = once(socket, 'close');
+  socket.resume();
+  socket.write(Buffer.from([0, 1, 0, 0]));
+  await closed;
+  assert.equal(node.rejected, [CloseReason.TooLarge]);
+});
+
+test('heartbeats before the proof do not keep a connection open', async () => {
+  const node = await startNode('victim');
+  const socket = await dial(node.address);
+  socket.resume();
+  const timer = setInterval(() => socket.write(encodeWithLength({ kind: 'heartbeat' })), 100);
+  try {
+    await waitUntil(() => node.rejected.length === 1, 'the end of the connection');
+  } finally {
+    clearInterval(timer);
+  }
+  assert.equal(node.rejected, [CloseReason.Silent]);
+});
+
+test('a frame of the largest size that is sent right behind the proof arrives', async () => {
+  const first = await startNode('first');
+  const second = await startNode('second');
+  first.connections.send('second', second.address, {
+    bytes: new Uint8Array(1_048_576),
+    callId: 1,
+    direction: 'answer',
+    kind: 'body-chunk',
+  });
+  await waitUntil(() => second.frames.length === 1, 'the frame');
+});
+
 test('a node with another secret can deliver no frames, and its frames are reported as unsent', async () => {
   const node = await startNode('guarded');
   const stranger = await startNode('stranger', { current: 'guess' });
--- a/packages/stand-ins/src/fleet/process-fleet.ts
+++ b/packages/stand-ins/src/fleet/process-fleet.ts
@@ -14,6 +14,8 @@
   readonly callerPort: number;
   readonly operatorPort: number;
   readonly upstreamPort: number;
+  /** Port for other nodes. */
+  readonly peerPort: number;
   readonly node: ChildProgram;
   readonly upstream: ChildProgram;
   /** `host:port` on which the upstream itself answers requests. */
@@ -102,11 +104,10 @@
     const server = this.server(name);
     await server.node.close();
     await server.upstream.close();
-    const peer = this.peerPorts.get(name) ?? 0;
     await this.startServer(server.plan, {
       caller: server.callerPort,
       operator: server.operatorPort,
-      peer,
+      peer: server.peerPort,
       upstream: server.upstreamPort,
     });
   }
@@ -134,10 +135,7 @@
     return program;
   }
 
-  private readonly peerPorts = new Map<string, number>();
-
   private async startServer(plan: ServerPlan, ports: Ports): Promise<void> {
-    this.peerPorts.set(plan.server, ports.peer);
     const node = this.startNode(plan, ports);
     await node.ready();
     const upstream = this.start({
@@ -158,6 +156,7 @@
       control,
       node,
       operatorPort: ports.operator,
+      peerPort: ports.peer,
       plan,
       upstream,
       upstreamAddress,
