Read the diff: bodies, options and progress of the guarded servers in one place each

No check or bound was changed.

One thing differs: the memory of a body that was given up no longer counts as stalled until its request is answered, since ending it again gave nothing back.

--- a/packages/callers/src/caller-server-options.ts
+++ b/packages/callers/src/caller-server-options.ts
@@ -1,5 +1,4 @@
-import type { DeferredInput } from '@peridotspring/http-server';
-import type { ClientFault, MemoryAccount } from '@peridotspring/mesh-core';
+import type { SharedServerOptions } from '@peridotspring/http-server';
 import type {
   CallerDisconnectedMessage,
   CallerRequestMessage,
@@ -37,9 +36,8 @@
   readonly milliseconds: number;
 }
 
-export interface CallerServerOptions {
-  readonly bindHost: string;
-  readonly bindPort: number;
+/** The memory is for connections, heads, buffered bodies and answers that are not read yet. */
+export interface CallerServerOptions extends SharedServerOptions {
   /** Tenant of requests without a tenant header. */
   readonly defaultTenant: string;
   readonly limits: CallerLimits;
@@ -47,12 +45,6 @@
   readonly requestIdPrefix: string;
   readonly configuration: () => Configuration;
   readonly isStopping: () => boolean;
-  readonly clock: () => number;
-  readonly deferredInput: DeferredInput;
-  /** Memory for connections, heads, buffered bodies and answers that are not read yet. */
-  readonly memory: MemoryAccount;
-  /** The connection of a caller was refused further requests, or closed. */
-  readonly onClientFault: (fault: ClientFault) => void;
   readonly deliver: (message: CallerRequestMessage | CallerDisconnectedMessage) => void;
   readonly onFinished: (request: FinishedRequest) => void;
 }
--- a/packages/callers/src/keyed-connection.ts
+++ b/packages/callers/src/keyed-connection.ts
@@ -4,12 +4,11 @@
 import { ClientFault } from '@peridotspring/mesh-core';
 import type { MemoryAccount, MemoryHold } from '@peridotspring/mesh-core';
 
+import { BodyProgress } from './body-progress.js';
 import type { BodyMemory } from './request-body.js';
 
 /** Concurrent requests of one connection; what is behind them is not parsed. */
 const maximumStartedRequests = 8;
-/** Progress of a body is counted in such steps, so that a few bytes now and then don't keep its memory. */
-const progressStepBytes = 65_536;
 
 /** A request of a connection, with the memory of its head, its buffered body and its answer. */
 export interface ConnectionRequest {
@@ -84,19 +83,14 @@
   /** Memory of the body of a request while it is read. A body that stalls gives way to others. */
   public bodyMemoryOf({ hold, message }: ConnectionRequest): BodyMemory {
     const headBytes = hold.bytes;
-    let unreportedBytes = 0;
-    hold.progressedAt = this.clock();
+    const progress = new BodyProgress([hold], this.clock);
     message.once('end', () => {
-      hold.progressedAt = Infinity;
+      progress.end();
     });
     return {
       onRead: (byteCount) => {
-        unreportedBytes += byteCount;
-        if (unreportedBytes < progressStepBytes || hold.progressedAt === Infinity) return;
-        unreportedBytes = 0;
-        hold.progressedAt = this.clock();
+        progress.onRead(byteCount);
       },
-      signal: new AbortController().signal,
       tryHold: (byteCount) => hold.tryResize(headBytes + byteCount, this.clock()),
     };
   }
--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -20,13 +20,12 @@
   tryHold(byteCount: number): boolean;
   /** To be called for each chunk. */
   onRead(byteCount: number): void;
-  /** Aborted when the memory has been taken back. */
-  readonly signal: AbortSignal;
+  /** Aborted when the memory has been taken back. Absent if the request itself ends then. */
+  readonly signal?: AbortSignal;
 }
 
 const unlimitedMemory: BodyMemory = {
   onRead: () => undefined,
-  signal: new AbortController().signal,
   tryHold: () => true,
 };
 /** Shorter bodies mostly come in one chunk, which needs no buffer of its own. */
@@ -63,7 +62,7 @@
       bytes.clear();
       end({ kind });
     };
-    memory.signal.addEventListener('abort', () => {
+    memory.signal?.addEventListener('abort', () => {
       if (!isEnded) giveUp('no-memory');
     });
     request.on('data', (chunk: Buffer) => {
@@ -108,13 +107,13 @@
   const iterator = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
   const bytes = new ByteAccumulator(bufferLimitBytes);
   const noMemory: CollectedBody = { kind: 'no-memory' };
-  memory.signal.addEventListener('abort', () => {
+  memory.signal?.addEventListener('abort', () => {
     bytes.clear();
   });
   try {
     for (;;) {
       const next = await iterator.next();
-      if (memory.signal.aborted) return noMemory;
+      if (memory.signal?.aborted === true) return noMemory;
       if (next.done === true) {
         return request.complete ? { bytes: bytes.take(), kind: 'whole' } : { kind: 'cut' };
       }
--- a/packages/callers/src/routes/body-reader.ts
+++ b/packages/callers/src/routes/body-reader.ts
@@ -3,13 +3,11 @@
 import { MemoryPlace } from '@peridotspring/mesh-core';
 import type { CallerLimits, MemoryAccount, MemoryHold } from '@peridotspring/mesh-core';
 
+import { BodyProgress } from '../body-progress.js';
 import { announcesBody, collectBody } from '../request-body.js';
-import type { CollectedBody } from '../request-body.js';
+import type { BodyMemory, CollectedBody } from '../request-body.js';
 import type { ParsedRequest } from './caller-connection.js';
 
-/** Progress of a body is counted in such steps, so that a few bytes now and then don't keep its memory. */
-const progressStepBytes = 65_536;
-
 /** Whether the head of a request announces a body beyond the limit. */
 export function announcesLongBody(
   { headers }: IncomingMessage,
@@ -45,15 +43,22 @@
     const hold = this.openHold(abort);
     this.holds.set(requestNumber, hold);
     this.reading.set(requestNumber, abort);
-    request.hold.progressedAt = this.clock();
+    const progress = new BodyProgress([hold, request.hold], this.clock);
     let timer: NodeJS.Timeout | undefined;
     const late = new Promise<ReadBody>((resolve) => {
       timer = setTimeout(resolve, endsAt - this.clock(), { kind: 'late' });
     });
-    const body = await Promise.race([this.collect(request, bodyBytes, hold, abort.signal), late]);
+    const memory: BodyMemory = {
+      onRead: (byteCount) => {
+        progress.onRead(byteCount);
+      },
+      signal: abort.signal,
+      tryHold: (byteCount) => byteCount === hold.bytes || hold.tryResize(byteCount, this.clock()),
+    };
+    const body = await Promise.race([collectWhole(message, bodyBytes, memory), late]);
     clearTimeout(timer);
     this.reading.delete(requestNumber);
-    request.hold.progressedAt = Infinity;
+    progress.end();
     if (body.kind === 'whole') this.keep(requestNumber, hold, body.bytes);
     else abort.abort();
     return body;
@@ -77,27 +82,6 @@
     return this.memory.open({ end, place: MemoryPlace.CallerBody }, this.clock());
   }
 
-  private async collect(
-    request: ParsedRequest,
-    bodyBytes: number,
-    hold: MemoryHold,
-    signal: AbortSignal,
-  ): Promise<ReadBody> {
-    let unreportedBytes = 0;
-    const collected = await collectBody(request.message, bodyBytes, bodyBytes, {
-      onRead: (byteCount) => {
-        unreportedBytes += byteCount;
-        if (unreportedBytes < progressStepBytes) return;
-        unreportedBytes = 0;
-        hold.progressedAt = this.clock();
-        request.hold.progressedAt = hold.progressedAt;
-      },
-      signal,
-      tryHold: (byteCount) => byteCount === hold.bytes || hold.tryResize(byteCount, this.clock()),
-    });
-    return collected.kind === 'longer' ? { kind: 'too-large' } : collected;
-  }
-
   /** A whole body is passed on, so it can't be ended any more; frames to other nodes share it. */
   private keep(requestNumber: number, hold: MemoryHold, buffer: Uint8Array): void {
     hold.release();
@@ -106,3 +90,12 @@
     this.holds.set(requestNumber, this.memory.share({ buffer, place }, this.clock()));
   }
 }
+
+async function collectWhole(
+  message: IncomingMessage,
+  bodyBytes: number,
+  memory: BodyMemory,
+): Promise<ReadBody> {
+  const collected = await collectBody(message, bodyBytes, bodyBytes, memory);
+  return collected.kind === 'longer' ? { kind: 'too-large' } : collected;
+}
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -347,7 +347,7 @@
     linkMegabitsPerSecond: settings.linkMegabitsPerSecond,
     maximumUnnamedConnections: settings.unnamedPeerConnections,
     memory,
-    protocolMemory: peerMemory,
+    connectionMemory: peerMemory,
     self,
   });
 }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,8 +1,8 @@
 import { CallerServer } from '@peridotspring/callers';
 import type { FinishedRequest } from '@peridotspring/callers';
 import { DeferredInput } from '@peridotspring/http-server';
+import type { SharedServerOptions } from '@peridotspring/http-server';
 import { MemoryAccount } from '@peridotspring/mesh-core';
-import type { ClientFault } from '@peridotspring/mesh-core';
 import type {
   CallerDisconnectedMessage,
   CallerRequestMessage,
@@ -272,12 +272,7 @@
 }
 
 /** What an HTTP server needs to count what its clients send. */
-interface ServerOptions {
-  readonly clock: () => number;
-  readonly deferredInput: DeferredInput;
-  readonly memory: MemoryAccount;
-  readonly onClientFault: (fault: ClientFault) => void;
-}
+type ServerOptions = Omit<SharedServerOptions, 'bindHost' | 'bindPort'>;
 
 interface NetworkPartOptions {
   readonly callerOptions: ServerOptions;
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -7,4 +7,4 @@
 export type { GuardedHttpServerOptions, ReceivedRequest } from './guarded-http-server.js';
 export type { RequestBody, SequentialRequest } from './sequential-request.js';
 export { SequentialServer } from './sequential-server.js';
-export type { SequentialServerOptions } from './sequential-server.js';
+export type { SequentialServerOptions, SharedServerOptions } from './sequential-server.js';
--- a/packages/http-server/src/sequential-request.ts
+++ b/packages/http-server/src/sequential-request.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
-import { statusOfClientFault } from '@peridotspring/mesh-core';
-import type { ClientFault, MemoryHold } from '@peridotspring/mesh-core';
+import { ClientFault, statusOfClientFault } from '@peridotspring/mesh-core';
+import type { MemoryHold } from '@peridotspring/mesh-core';
 
 import type { ClientStream } from './client-stream.js';
 import { faultFields } from './fault-response.js';
@@ -9,10 +9,11 @@
 /** Memory of a chunk beside its bytes. */
 const chunkOverheadBytes = 256;
 
-/** The body of a request: its bytes, or why there are none. */
+/** The body of a request that is to be answered. */
 export type RequestBody =
-  | { readonly kind: 'whole'; readonly bytes: Buffer }
-  | { readonly kind: 'cut' | 'no-memory' | 'too-long' };
+  { readonly kind: 'whole'; readonly text: string } | { readonly kind: 'too-long' };
+
+type CollectedBody = RequestBody | { readonly kind: 'cut' | 'no-memory' };
 
 /** The one request in progress on a connection. */
 export class SequentialRequest {
@@ -29,30 +30,23 @@
     this.stream.spendProcessing(milliseconds);
   }
 
-  public async readBody(maximumBytes: number): Promise<RequestBody> {
-    const { clock, hold, message } = this;
-    const headBytes = hold.bytes;
-    const chunks: Buffer[] = [];
-    let byteCount = 0;
-    let heldBytes = 0;
-    return new Promise((resolve) => {
-      message.on('data', (chunk: Buffer) => {
-        byteCount += chunk.length;
-        heldBytes += chunk.length + chunkOverheadBytes;
-        if (byteCount > maximumBytes) resolve({ kind: 'too-long' });
-        else if (!hold.tryResize(headBytes + heldBytes, clock())) resolve({ kind: 'no-memory' });
-        else chunks.push(chunk);
-      });
-      message.on('end', () => {
-        resolve(
-          message.complete ? { bytes: Buffer.concat(chunks), kind: 'whole' } : { kind: 'cut' },
-        );
-      });
-      message.on('error', () => undefined);
-      message.on('close', () => {
-        resolve({ kind: 'cut' });
-      });
-    });
+  /**
+   * Reads the body. Resolves to undefined if there is nothing to answer: a request that was cut gets no response, so that its client
+   * sends it again, and one without memory has been refused.
+   */
+  public async readBody(maximumBytes: number): Promise<RequestBody | undefined> {
+    const body = await this.collectBody(maximumBytes);
+    switch (body.kind) {
+      case 'cut':
+        this.close();
+        return undefined;
+      case 'no-memory':
+        this.fail(ClientFault.NoMemory);
+        return undefined;
+      case 'too-long':
+      case 'whole':
+        return body;
+    }
   }
 
   /** Sends the response; the connection closes after it if the request has not been read to its end. */
@@ -80,6 +74,32 @@
   public close(): void {
     this.stream.destroy();
   }
+
+  private async collectBody(maximumBytes: number): Promise<CollectedBody> {
+    const { clock, hold, message } = this;
+    const headBytes = hold.bytes;
+    const chunks: Buffer[] = [];
+    let byteCount = 0;
+    let heldBytes = 0;
+    return new Promise((resolve) => {
+      message.on('data', (chunk: Buffer) => {
+        byteCount += chunk.length;
+        heldBytes += chunk.length + chunkOverheadBytes;
+        if (byteCount > maximumBytes) resolve({ kind: 'too-long' });
+        else if (!hold.tryResize(headBytes + heldBytes, clock())) resolve({ kind: 'no-memory' });
+        else chunks.push(chunk);
+      });
+      message.on('end', () => {
+        if (message.complete)
+          resolve({ kind: 'whole', text: Buffer.concat(chunks).toString('utf8') });
+        else resolve({ kind: 'cut' });
+      });
+      message.on('error', () => undefined);
+      message.on('close', () => {
+        resolve({ kind: 'cut' });
+      });
+    });
+  }
 }
 
 function hasBody({ headers }: IncomingMessage): boolean {
--- a/packages/http-server/src/sequential-server.ts
+++ b/packages/http-server/src/sequential-server.ts
@@ -13,16 +13,22 @@
 /** A client that has not read on for this long gives way to others. */
 const unreadMilliseconds = 1_000;
 
-export interface SequentialServerOptions {
+/** The address of a server, and what it shares with the other servers of the process. */
+export interface SharedServerOptions {
   readonly bindHost: string;
   readonly bindPort: number;
+  /** The clock of the memory account. */
   readonly clock: () => number;
   readonly deferredInput: DeferredInput;
+  readonly memory: MemoryAccount;
+  /** The connection of a client was refused further requests, or closed. */
+  readonly onClientFault: (fault: ClientFault) => void;
+}
+
+export interface SequentialServerOptions extends SharedServerOptions {
   readonly limits: ClientLimits;
   readonly maximumConnections: number;
-  readonly memory: MemoryAccount;
   readonly parserHeaderBytes?: number;
-  readonly onFault: (fault: ClientFault) => void;
   readonly onRequest: (request: SequentialRequest) => void;
   /** Time within which the body of a request has to come. */
   readonly requestTimeoutMilliseconds: number;
@@ -82,7 +88,7 @@
 
   private accept(stream: ClientStream): ClientHandlers | undefined {
     if (this.clients.size >= this.options.maximumConnections && !this.closeIdleClient()) {
-      this.options.onFault(ClientFault.TooManyConnections);
+      this.options.onClientFault(ClientFault.TooManyConnections);
       return undefined;
     }
     const client = new SequentialClient(stream);
@@ -102,7 +108,7 @@
   private closeIdleClient(): boolean {
     const closed = findConnectionToClose(this.clients.values());
     if (closed === undefined) return false;
-    this.options.onFault(ClientFault.TooManyConnections);
+    this.options.onClientFault(ClientFault.TooManyConnections);
     this.clients.delete(closed.stream);
     closed.stream.destroy();
     return true;
@@ -112,7 +118,7 @@
     const client = this.clients.get(stream);
     if (client === undefined || client.isRefused) return;
     client.isRefused = true;
-    this.options.onFault(fault);
+    this.options.onClientFault(fault);
     if (client.request === undefined) writeFaultResponse(stream, fault, hasRequestBegun);
     else client.request.fail(fault);
   }
--- a/packages/measure/src/silent-connections.ts
+++ b/packages/measure/src/silent-connections.ts
@@ -50,7 +50,7 @@
     }),
     maximumUnnamedConnections: 500,
     memory: createMemoryAccount(),
-    protocolMemory: createMemoryAccount(),
+    connectionMemory: createMemoryAccount(),
     self,
   });
 }
--- a/packages/nodes/src/mesh/mesh-connection.ts
+++ b/packages/nodes/src/mesh/mesh-connection.ts
@@ -63,7 +63,7 @@
     public readonly replacedId: string | undefined,
     private readonly clock: () => number,
     private readonly memory: MemoryAccount,
-    protocolMemory: MemoryAccount,
+    connectionMemory: MemoryAccount,
     private readonly events: MeshConnectionEvents,
     linkPacer?: LinkPacer,
   ) {
@@ -82,7 +82,7 @@
     const end = (): void => {
       this.close('no memory for what the other side sends or leaves unread');
     };
-    this.hold = protocolMemory.open({ end, place: MemoryPlace.PeerConnection }, this.openedAt);
+    this.hold = connectionMemory.open({ end, place: MemoryPlace.PeerConnection }, this.openedAt);
     this.hold.resize(peerConnectionBytes);
     this.monitor = new ConnectionMonitor(this.openedAt);
     socket.setNoDelay(true);
--- a/packages/nodes/src/mesh/mesh-connections.ts
+++ b/packages/nodes/src/mesh/mesh-connections.ts
@@ -41,7 +41,7 @@
   /** Counts long frames until they have been read on either side. */
   readonly memory: MemoryAccount;
   /** Counts connections, and short frames until they have been read on either side. */
-  readonly protocolMemory: MemoryAccount;
+  readonly connectionMemory: MemoryAccount;
   /** Current values for the hello frame of a new connection. */
   readonly helloPayload: () => MeshHelloPayload;
   readonly events: MeshConnectionsEvents;
@@ -141,7 +141,7 @@
   }
 
   private open(socket: Socket, dialedNode: MeshNode | undefined): void {
-    const { clock, events, helloPayload, memory, protocolMemory, self } = this.options;
+    const { clock, events, helloPayload, memory, connectionMemory, self } = this.options;
     const replacedId = dialedNode && this.idToReplace(dialedNode.name);
     const connectionEvents: MeshConnectionEvents = {
       onClosed: (closed, detail, code) => {
@@ -166,7 +166,7 @@
       replacedId,
       clock,
       memory,
-      protocolMemory,
+      connectionMemory,
       connectionEvents,
       this.linkPacer,
     );
--- a/packages/nodes/tests/shared/mesh-test-node.ts
+++ b/packages/nodes/tests/shared/mesh-test-node.ts
@@ -32,7 +32,7 @@
       },
       maximumUnnamedConnections: 500,
       memory: createMemoryAccount(),
-      protocolMemory: createMemoryAccount(),
+      connectionMemory: createMemoryAccount(),
       helloPayload: () => ({
         configurationVersion: 3,
         knownNodes: 1,
--- a/packages/operators/src/server/operator-server.ts
+++ b/packages/operators/src/server/operator-server.ts
@@ -1,9 +1,7 @@
 import type { OutgoingHttpHeaders } from 'node:http';
 
 import { SequentialServer } from '@peridotspring/http-server';
-import type { DeferredInput, SequentialRequest } from '@peridotspring/http-server';
-import { ClientFault } from '@peridotspring/mesh-core';
-import type { MemoryAccount } from '@peridotspring/mesh-core';
+import type { SequentialRequest, SharedServerOptions } from '@peridotspring/http-server';
 
 import type { Metrics } from '../observation/metrics.js';
 import type { OperatorBackend } from '../operator-backend.js';
@@ -37,14 +35,7 @@
   requestTimeoutMilliseconds: 10_000,
 };
 
-export interface OperatorServerOptions {
-  readonly bindHost: string;
-  readonly bindPort: number;
-  readonly clock: () => number;
-  readonly deferredInput: DeferredInput;
-  readonly memory: MemoryAccount;
-  /** The connection of a client was refused further requests, or closed. */
-  readonly onClientFault: (fault: ClientFault) => void;
+export interface OperatorServerOptions extends SharedServerOptions {
   readonly backend: OperatorBackend;
   readonly parser: StatementParser;
   readonly metrics: Metrics;
@@ -94,7 +85,6 @@
         idleTimeoutMilliseconds,
       },
       maximumConnections: connections,
-      onFault: options.onClientFault,
       onRequest: (request) => {
         void this.handleRequest(request);
       },
@@ -173,19 +163,9 @@
   private async runQuery(request: SequentialRequest): Promise<void> {
     const { bodyBytes } = this.limits;
     const body = await request.readBody(bodyBytes);
-    switch (body.kind) {
-      case 'cut':
-        request.close();
-        return;
-      case 'no-memory':
-        request.fail(ClientFault.NoMemory);
-        return;
-      case 'too-long':
-        sendFailure(request, 413, `the body is longer than ${bodyBytes} bytes`);
-        return;
-      case 'whole':
-        await this.answerQuery(request, body.bytes.toString('utf8'));
-    }
+    if (body?.kind === 'too-long')
+      sendFailure(request, 413, `the body is longer than ${bodyBytes} bytes`);
+    else if (body !== undefined) await this.answerQuery(request, body.text);
   }
 
   private async answerQuery(request: SequentialRequest, body: string): Promise<void> {
--- a/packages/upstreams/src/announcement-server.ts
+++ b/packages/upstreams/src/announcement-server.ts
@@ -4,9 +4,7 @@
   UpstreamLeftMessage,
 } from '@peridotspring/core';
 import { SequentialServer } from '@peridotspring/http-server';
-import type { DeferredInput, SequentialRequest } from '@peridotspring/http-server';
-import { ClientFault } from '@peridotspring/mesh-core';
-import type { MemoryAccount } from '@peridotspring/mesh-core';
+import type { SequentialRequest, SharedServerOptions } from '@peridotspring/http-server';
 
 import { parseAnnouncement } from './announcement-schema.js';
 import type { FieldError } from './announcement-schema.js';
@@ -30,14 +28,7 @@
   return { errors: [{ field: 'body', message }], status };
 }
 
-export interface AnnouncementServerOptions {
-  readonly bindHost: string;
-  readonly bindPort: number;
-  readonly clock: () => number;
-  readonly deferredInput: DeferredInput;
-  readonly memory: MemoryAccount;
-  /** The connection of a client was refused further requests, or closed. */
-  readonly onClientFault: (fault: ClientFault) => void;
+export interface AnnouncementServerOptions extends SharedServerOptions {
   readonly onMessage: (message: AnnouncementMessage) => void;
 }
 
@@ -49,7 +40,6 @@
     this.server = new SequentialServer({
       ...localPortLimits,
       ...options,
-      onFault: options.onClientFault,
       onRequest: (request) => {
         this.handleRequest(request).catch(() => {
           request.close();
@@ -79,24 +69,14 @@
       return;
     }
     const body = await request.readBody(maximumBodyBytes);
-    switch (body.kind) {
-      case 'cut':
-        // A request that was aborted midway gets no response; the upstream sends it again.
-        request.close();
-        return;
-      case 'no-memory':
-        request.fail(ClientFault.NoMemory);
-        return;
-      case 'too-long':
-        respond(request, bodyErrorResponse(413, `expected at most ${maximumBodyBytes} bytes`));
-        return;
-      case 'whole': {
-        const text = body.bytes.toString('utf8');
-        const response =
-          path === '/announce' ? this.handleAnnouncement(text) : this.handleStateChange(path);
-        respond(request, response);
-      }
+    if (body === undefined) return;
+    if (body.kind === 'too-long') {
+      respond(request, bodyErrorResponse(413, `expected at most ${maximumBodyBytes} bytes`));
+      return;
     }
+    const response =
+      path === '/announce' ? this.handleAnnouncement(body.text) : this.handleStateChange(path);
+    respond(request, response);
   }
 
   private handleAnnouncement(text: string): AnnouncementResponse {
--- a/packages/upstreams/src/mesh/readiness-server.ts
+++ b/packages/upstreams/src/mesh/readiness-server.ts
@@ -1,6 +1,5 @@
 import { SequentialServer } from '@peridotspring/http-server';
-import type { DeferredInput, SequentialRequest } from '@peridotspring/http-server';
-import type { ClientFault, MemoryAccount } from '@peridotspring/mesh-core';
+import type { SequentialRequest, SharedServerOptions } from '@peridotspring/http-server';
 
 import { localPortLimits } from './local-port-limits.js';
 
@@ -17,14 +16,7 @@
   readonly render: () => PageContent | Promise<PageContent>;
 }
 
-export interface ReadinessServerOptions {
-  readonly bindHost: string;
-  readonly bindPort: number;
-  readonly clock: () => number;
-  readonly deferredInput: DeferredInput;
-  readonly memory: MemoryAccount;
-  /** The connection of a client was refused further requests, or closed. */
-  readonly onClientFault: (fault: ClientFault) => void;
+export interface ReadinessServerOptions extends SharedServerOptions {
   readonly pages: readonly TextPage[];
 }
 
@@ -39,7 +31,6 @@
     this.server = new SequentialServer({
       ...localPortLimits,
       ...options,
-      onFault: options.onClientFault,
       onRequest: (request) => {
         void this.respond(request);
       },
--- a/packages/upstreams/src/mesh/report-server.ts
+++ b/packages/upstreams/src/mesh/report-server.ts
@@ -1,8 +1,7 @@
 import { toContainableError } from '@peridotspring/core';
 import { SequentialServer } from '@peridotspring/http-server';
-import type { DeferredInput, SequentialRequest } from '@peridotspring/http-server';
-import { ClientFault } from '@peridotspring/mesh-core';
-import type { MemoryAccount, ServerReport } from '@peridotspring/mesh-core';
+import type { SequentialRequest, SharedServerOptions } from '@peridotspring/http-server';
+import type { ServerReport } from '@peridotspring/mesh-core';
 
 import { localPortLimits } from './local-port-limits.js';
 
@@ -19,15 +18,8 @@
   parse(method: string, path: string, body: string): ServerMessage;
 }
 
-export interface ReportServerOptions {
-  readonly bindHost: string;
-  readonly bindPort: number;
-  readonly clock: () => number;
+export interface ReportServerOptions extends SharedServerOptions {
   readonly codec: ServerMessageCodec;
-  readonly deferredInput: DeferredInput;
-  readonly memory: MemoryAccount;
-  /** The connection of a client was refused further requests, or closed. */
-  readonly onClientFault: (fault: ClientFault) => void;
   /** Awaited before the response is sent, so that the response confirms that the message was processed. */
   readonly onMessage: (message: ServerMessage) => Promise<void>;
   /** An error ended one message, which was not confirmed; the server sends it again. */
@@ -42,7 +34,6 @@
     this.server = new SequentialServer({
       ...localPortLimits,
       ...options,
-      onFault: options.onClientFault,
       onRequest: (request) => {
         this.handleRequest(request).catch((error: unknown) => {
           const containedError = toContainableError(error);
@@ -64,27 +55,16 @@
   private async handleRequest(request: SequentialRequest): Promise<void> {
     const { method = '', url = '/' } = request.message;
     const body = await request.readBody(maximumBodyBytes);
-    switch (body.kind) {
-      case 'cut':
-        // The server sends a message again that got no response.
-        request.close();
-        return;
-      case 'no-memory':
-        request.fail(ClientFault.NoMemory);
-        return;
-      case 'too-long':
-        await this.deliver(request, {
-          kind: 'invalid',
-          message: `request body exceeds the limit of ${maximumBodyBytes} bytes`,
-          status: 413,
-        });
-        return;
-      case 'whole':
-        await this.deliver(
-          request,
-          this.options.codec.parse(method, url, body.bytes.toString('utf8')),
-        );
+    if (body === undefined) return;
+    if (body.kind === 'whole') {
+      await this.deliver(request, this.options.codec.parse(method, url, body.text));
+      return;
     }
+    await this.deliver(request, {
+      kind: 'invalid',
+      message: `request body exceeds the limit of ${maximumBodyBytes} bytes`,
+      status: 413,
+    });
   }
 
   private async deliver(request: SequentialRequest, message: ServerMessage): Promise<void> {
