--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -111,6 +111,13 @@
 } as const;
 export type GateEventName = (typeof GateEventName)[keyof typeof GateEventName];
 
+/** What shows the gate that a server is there. */
+export const ServerEvidence = {
+  HealthCheck: 'health-check',
+  Report: 'report',
+} as const;
+export type ServerEvidence = (typeof ServerEvidence)[keyof typeof ServerEvidence];
+
 /** A log event of the gate. */
 export interface GateEvent {
   readonly event: GateEventName;
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -18,7 +18,7 @@
 import type { Decline } from './declined-calls.js';
 import { GateCallRegistry, toWaitingRequest } from './gate-call-registry.js';
 import type { CallMemory, GateCall } from './gate-call-registry.js';
-import { GateEventName } from './gate-contract.js';
+import { GateEventName, ServerEvidence } from './gate-contract.js';
 import type {
   Execution,
   ExecutionResult,
@@ -341,8 +341,10 @@
   public onServerNotice(notice: ServerNotice, now: number): void {
     const { instanceId, isLeaving, requestsPerSecond } = notice;
     if (instanceId !== this.serverTracker.instanceId) return;
-    if (isLeaving)
-      this.applyEffect(this.serverTracker.onLeavingStated(instanceId), instanceId, now);
+    if (isLeaving) {
+      const effect = this.serverTracker.onLeavingStated(instanceId);
+      this.applyEffect(effect, instanceId, ServerEvidence.Report, now);
+    }
     const isFirstResponse = !this.hasServerResponded;
     this.hasServerResponded = true;
     const isRateChanged =
@@ -368,12 +370,13 @@
       this.coldStartGuard.onReport(report, effect === ReportEffect.Started, now);
       this.concurrencyLimit.setCold(this.isCold(now));
     }
-    this.applyEffect(effect, report.instanceId, now);
+    this.applyEffect(effect, report.instanceId, ServerEvidence.Report, now);
   }
 
   /** Handles a successful health check; `instanceId` is the server that answered it. */
   public onHealthCheckPassed(instanceId: string, slots: number, now: number): void {
-    this.applyEffect(this.serverTracker.onHealthCheckPassed(instanceId, slots), instanceId, now);
+    const effect = this.serverTracker.onHealthCheckPassed(instanceId, slots);
+    this.applyEffect(effect, instanceId, ServerEvidence.HealthCheck, now);
   }
 
   /** Handles the announcement of a server that it leaves. Once this returns, no further request is sent to it. */
@@ -778,7 +781,12 @@
     if (reply !== undefined) this.options.port.reply(call.from, call.boot, reply);
   }
 
-  private applyEffect(effect: ReportEffect, instanceId: string, now: number): void {
+  private applyEffect(
+    effect: ReportEffect,
+    instanceId: string,
+    evidence: ServerEvidence,
+    now: number,
+  ): void {
     const { log, port } = this.options;
     switch (effect) {
       case ReportEffect.Unchanged:
@@ -790,7 +798,7 @@
         this.setRequestRate(Infinity, now);
         log({
           event: GateEventName.ServerReady,
-          fields: { instance: instanceId, slots: this.serverTracker.slots },
+          fields: { evidence, instance: instanceId, slots: this.serverTracker.slots },
         });
         port.onStateChanged();
         return;
