--- /dev/null
+++ b/packages/daemon/src/mesh/departure-synchronizer.ts
@@ -0,0 +1,213 @@
+import {
+  DepartureLedger,
+  GateEventName,
+  IncarnationStatus,
+  ServerEvidence,
+  ServerNotUsedReason,
+} from '@peridotspring/mesh-core';
+import type { EndedServer, ServerGate, ServerReport } from '@peridotspring/mesh-core';
+
+import type { DepartureRead } from '@peridotspring/platform/key-values';
+
+import { MeshEvent } from './mesh-event.js';
+import {
+  decodeStoredDeparture,
+  departureGroup,
+  departureName,
+  encodeStoredDeparture,
+} from './stored-departure.js';
+
+/** A health check is evidence of a server for this long. */
+const healthCheckMilliseconds = 1_000;
+/** A read of the store usually takes milliseconds. After this time, the server is asked to prove that it is running. */
+const usualReadMilliseconds = 500;
+/** Maximum number of instances that wait for a read at the same time. */
+const maximumWaitingInstances = 16;
+/** Maximum number of departures whose records are not written again. */
+const maximumRecordedDepartures = 64;
+
+/** Operations on the records of departures in the store, which outlast all processes. */
+export interface DepartureStore {
+  /** Resolves to whether the store has acknowledged the record in time. */
+  writeDeparture(name: string, value: Uint8Array): Promise<boolean>;
+  /** Resolves to the records of an instance, up to date, once the store answers; to undefined if it is closed before. */
+  readDepartures(group: string): Promise<DepartureRead | undefined>;
+  /** The server has proved that it is running, so departures that the store may have lost no longer matter. */
+  coverDepartures(): void;
+}
+
+export interface DepartureSynchronizerOptions {
+  readonly nodeName: string;
+  readonly clock: () => number;
+  readonly schedule: Schedule;
+  readonly wallClock: () => number;
+  readonly gate: Pick<ServerGate, 'onHealthCheckPassed' | 'onServerEndReported' | 'onServerReport'>;
+  readonly store: () => DepartureStore;
+  readonly log: (event: string, fields: Readonly<Record<string, string>>) => void;
+}
+
+type Schedule = (action: () => void, milliseconds: number) => () => void;
+
+/** What is known of an instance while the store is read. */
+interface WaitingInstance {
+  readonly since: number;
+  /** Settles when the store has answered, conclusively or not. */
+  readonly isRead: Promise<void>;
+  report: ServerReport | undefined;
+  health: { readonly slots: number; readonly checkedAt: number } | undefined;
+}
+
+/**
+ * Makes the departure of a server binding for all later processes. It is recorded in the store before it is confirmed to the
+ * server, and what a server reports reaches the gate only after the store was read in the lifetime of this process.
+ */
+export class DepartureSynchronizer {
+  private readonly ledger = new DepartureLedger();
+  private readonly waiting = new Map<string, WaitingInstance>();
+  /** Writes in progress and done, by the name of the record. */
+  private readonly recorded = new Map<string, Promise<boolean>>();
+
+  public constructor(private readonly options: DepartureSynchronizerOptions) {}
+
+  /** Whether a server has named itself, and is not used because the store has not answered yet. */
+  public get isWaiting(): boolean {
+    return this.waiting.size > 0;
+  }
+
+  /** Starts to read the store as soon as a server names itself. */
+  public prepare(incarnation: EndedServer): void {
+    if (this.isUnverified(incarnation)) this.await(incarnation.instanceId);
+  }
+
+  /** The incarnation sent a report to an address that only this process has named. */
+  public onPresenceProven({ instanceId, startedAt }: EndedServer): void {
+    this.ledger.onPresenceProven({ instanceId, startedAt });
+    if (!this.waiting.has(instanceId)) return;
+    // The others ended before this one began.
+    this.waiting.clear();
+    this.options.store().coverDepartures();
+  }
+
+  /** Whether it stays open if an incarnation has left, until it proves that it is running. */
+  public async requiresProof(incarnation: EndedServer): Promise<boolean> {
+    const waiting = this.waiting.get(incarnation.instanceId);
+    if (waiting !== undefined && this.isUnverified(incarnation)) {
+      await new Promise<void>((resolve) => {
+        const cancel = this.options.schedule(resolve, usualReadMilliseconds);
+        void waiting.isRead.then(() => {
+          cancel();
+          resolve();
+        });
+      });
+    }
+    return this.isUnverified(incarnation);
+  }
+
+  public onReport(report: ServerReport, now: number): void {
+    const { gate } = this.options;
+    if (report.draining) {
+      gate.onServerReport(report, now);
+      return;
+    }
+    switch (this.ledger.statusOf(report)) {
+      case IncarnationStatus.Present:
+        gate.onServerReport(report, now);
+        return;
+      case IncarnationStatus.Departed:
+        this.reject(report, ServerEvidence.Report, now);
+        return;
+      case IncarnationStatus.Unverified: {
+        const waiting = this.await(report.instanceId);
+        if (waiting === undefined) return;
+        waiting.report = report;
+        if (now - waiting.since >= usualReadMilliseconds)
+          this.logNotUsed(report.instanceId, ServerEvidence.Report, ServerNotUsedReason.Unverified);
+      }
+    }
+  }
+
+  public onHealthCheckPassed(instanceId: string, slots: number, now: number): void {
+    const incarnation = { instanceId };
+    switch (this.ledger.statusOf(incarnation)) {
+      case IncarnationStatus.Present:
+        this.options.gate.onHealthCheckPassed(instanceId, slots, now);
+        return;
+      case IncarnationStatus.Departed:
+        this.reject(incarnation, ServerEvidence.HealthCheck, now);
+        return;
+      case IncarnationStatus.Unverified: {
+        const waiting = this.await(instanceId);
+        if (waiting !== undefined) waiting.health = { checkedAt: now, slots };
+      }
+    }
+  }
+
+  /** The server drains or has left. Resolves to whether this may be confirmed to it, because it binds all later processes. */
+  public async confirm(departure: EndedServer): Promise<boolean> {
+    const { log, nodeName, store, wallClock } = this.options;
+    this.ledger.onAnnounced(departure);
+    const name = departureName(departure);
+    const earlier = this.recorded.get(name);
+    if (earlier !== undefined) return earlier;
+    const value = encodeStoredDeparture(departure, nodeName, wallClock());
+    const written = store().writeDeparture(name, value);
+    this.recorded.set(name, written);
+    const [oldest] = this.recorded.keys();
+    if (this.recorded.size > maximumRecordedDepartures && oldest !== undefined)
+      this.recorded.delete(oldest);
+    const isRecorded = await written;
+    if (!isRecorded) {
+      this.recorded.delete(name);
+      log(MeshEvent.DepartureUnconfirmed, { instance: departure.instanceId });
+    }
+    return isRecorded;
+  }
+
+  /** Returns undefined if too many instances wait already. */
+  private await(instanceId: string): WaitingInstance | undefined {
+    const existing = this.waiting.get(instanceId);
+    if (existing !== undefined) return existing;
+    if (this.waiting.size >= maximumWaitingInstances) return undefined;
+    const isRead = this.read(instanceId);
+    const waiting = { health: undefined, isRead, report: undefined, since: this.options.clock() };
+    this.waiting.set(instanceId, waiting);
+    return waiting;
+  }
+
+  private isUnverified(incarnation: EndedServer): boolean {
+    return this.ledger.statusOf(incarnation) === IncarnationStatus.Unverified;
+  }
+
+  private async read(instanceId: string): Promise<void> {
+    const { clock, store } = this.options;
+    const read = await store().readDepartures(departureGroup(instanceId));
+    if (read === undefined) return;
+    const { isComplete, values } = read;
+    const departures = values.map((value) => decodeStoredDeparture(value, instanceId));
+    this.ledger.onRecordsRead(instanceId, { departures, isComplete });
+    const { health, report } = this.waiting.get(instanceId) ?? {};
+    if (this.isUnverified(report ?? { instanceId })) return;
+    this.waiting.delete(instanceId);
+    const now = clock();
+    if (report !== undefined) this.onReport(report, now);
+    else if (health !== undefined && now - health.checkedAt <= healthCheckMilliseconds)
+      this.onHealthCheckPassed(instanceId, health.slots, now);
+  }
+
+  private reject(incarnation: EndedServer, evidence: ServerEvidence, now: number): void {
+    const { instanceId, startedAt } = incarnation;
+    const reason = this.ledger.isAnnounced(incarnation)
+      ? ServerNotUsedReason.Left
+      : ServerNotUsedReason.LeftBeforeStart;
+    this.logNotUsed(instanceId, evidence, reason);
+    this.options.gate.onServerEndReported({ instanceId, startedAt }, now);
+  }
+
+  private logNotUsed(
+    instance: string,
+    evidence: ServerEvidence,
+    reason: ServerNotUsedReason,
+  ): void {
+    this.options.log(GateEventName.ServerNotUsed, { evidence, instance, reason });
+  }
+}
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -47,6 +47,7 @@
   [EntryEventName.RequestRepeated]: ['reason'],
   [GateEventName.RequestDeclined]: ['reason'],
   [GateEventName.RequestFinished]: ['outcome'],
+  [GateEventName.ServerNotUsed]: ['evidence', 'reason'],
   [MeshEvent.ClientFaulty]: ['fault', 'port'],
   [MeshEvent.ErrorContained]: ['place'],
   [MeshEvent.MemoryExhausted]: ['place'],
--- a/packages/daemon/src/mesh/mesh-directory-entry.ts
+++ b/packages/daemon/src/mesh/mesh-directory-entry.ts
@@ -9,9 +9,16 @@
 const maximumClockDifferenceMilliseconds = 86_400_000;
 const entryFields = ['name', 'service', 'availabilityZone', 'region', 'address'] as const;
 
-/** Encodes a node as the value of its entry in the store's directory. */
-export function encodeDirectoryEntry(node: MeshNode): Uint8Array {
-  return Buffer.from(JSON.stringify(node));
+/** Encodes a node as the value of its entry in the store's directory. `recordsEra` is that of a `StoreSession`. */
+export function encodeDirectoryEntry(node: MeshNode, recordsEra: number | undefined): Uint8Array {
+  return Buffer.from(JSON.stringify({ ...node, recordsEra }));
+}
+
+/** The era in an entry; undefined if the store reports none. */
+export function readRecordsEra(value: Uint8Array): number | undefined {
+  const entry = parseStoredJson(value, maximumEntryBytes);
+  if (typeof entry !== 'object' || entry === null || !('recordsEra' in entry)) return undefined;
+  return Number.isSafeInteger(entry.recordsEra) ? Number(entry.recordsEra) : undefined;
 }
 
 /**
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -12,6 +12,7 @@
   ConfigurationWatch: 'configuration-watch',
   ConnectionsExhausted: 'connections-exhausted',
   ConnectionSuspected: 'connection-suspected',
+  DepartureUnconfirmed: 'server-departure-unconfirmed',
   DialFailed: 'dial-failed',
   ErrorContained: 'error-contained',
   EvacuationsChanged: 'evacuations-changed',
--- a/packages/daemon/src/mesh/mesh-gauges.ts
+++ b/packages/daemon/src/mesh/mesh-gauges.ts
@@ -26,6 +26,7 @@
   readonly server_request_limit_per_second: number;
   readonly server_service_milliseconds: number;
   readonly server_slots: number;
+  readonly server_unverified: number;
 }
 
 /** Gauges with a value for each service; each property is the name of a gauge. */
@@ -64,6 +65,8 @@
   server_service_milliseconds: 'Recent mean duration of a request at the server.',
   server_slots:
     'Number of concurrent requests that the server reports it can run; 0 without a server.',
+  server_unverified:
+    'Whether a server is not used because the store has not answered yet whether it has left: 1 or 0.',
 };
 
 const serviceGaugeHelpTexts: Readonly<Record<keyof MeshServiceGaugeValues, string>> = {
--- a/packages/daemon/src/mesh/mesh-node-options.ts
+++ b/packages/daemon/src/mesh/mesh-node-options.ts
@@ -5,6 +5,7 @@
 import type { HealthCheckResult } from '@peridotspring/upstreams/mesh';
 
 import type { ConfigurationPorts } from './configuration-synchronizer.js';
+import type { DepartureStore } from './departure-synchronizer.js';
 import type { DirectoryStore } from './directory-synchronizer.js';
 import type { EventRecorder } from './event-recorder.js';
 import type { MeshSettings } from './mesh-settings.js';
@@ -21,7 +22,7 @@
     health(path: string): Promise<HealthCheckResult | undefined>;
     isRefusingConnections(): Promise<boolean>;
   };
-  readonly store: ConfigurationPorts['store'] & DirectoryStore & QuarantineStore;
+  readonly store: ConfigurationPorts['store'] & DepartureStore & DirectoryStore & QuarantineStore;
   /** Called when the process may exit. `isPermanent` is true if the server has left too, so its entry is removed. */
   readonly onStopped: (isPermanent: boolean) => void;
 }
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -16,6 +16,7 @@
 } from '@peridotspring/mesh-core';
 import type {
   ColdStartTolerance,
+  EndedServer,
   EntryRequest,
   EvacuationRead,
   Execution,
@@ -31,10 +32,11 @@
   WatchTurn,
 } from '@peridotspring/mesh-core';
 import type { MeshHelloPayload, MeshHelloFrame } from '@peridotspring/nodes';
-import type { ServerMessage } from '@peridotspring/upstreams/mesh';
+import type { MessageVerdict, ServerMessage } from '@peridotspring/upstreams/mesh';
 
 import { AllotmentSynchronizer } from './allotment-synchronizer.js';
 import { ConfigurationSynchronizer, storeSource } from './configuration-synchronizer.js';
+import { DepartureSynchronizer } from './departure-synchronizer.js';
 import { DirectorySynchronizer } from './directory-synchronizer.js';
 import { waitForAcknowledgement } from './end-acknowledgement.js';
 import { EvacuationSynchronizer } from './evacuation-synchronizer.js';
@@ -77,6 +79,7 @@
   private readonly healthChecks: ServerHealthChecks;
   private readonly loadAnnouncer = new LoadAnnouncer();
   private readonly endedServers = new EndedServers();
+  private readonly departures: DepartureSynchronizer;
   private readonly serverMessages: ServerMessageBuffer;
   /** Settles when peers have acknowledged that the last server is draining or has left. */
   private endAcknowledged: Promise<void> = Promise.resolve();
@@ -210,10 +213,22 @@
       },
       service: self.service,
     });
+    this.departures = new DepartureSynchronizer({
+      clock,
+      gate: this.gate,
+      log,
+      nodeName: self.name,
+      schedule: options.schedule,
+      store: () => options.ports().store,
+      wallClock: options.wallClock,
+    });
     this.healthChecks = new ServerHealthChecks({
       check: (path) => options.ports().server.health(path),
       clock,
       gate: this.gate,
+      onPassed: (instanceId, slots, now) => {
+        this.departures.onHealthCheckPassed(instanceId, slots, now);
+      },
       log,
       onProbe: () => {
         options.events.count('server_probes');
@@ -297,6 +312,7 @@
       server_probes_allowed_per_second: this.gate.probesPerSecond,
       server_service_milliseconds: load.serviceMilliseconds,
       server_slots: this.gate.slots,
+      server_unverified: this.departures.isWaiting ? 1 : 0,
     };
   }
 
@@ -391,12 +407,35 @@
   }
 
   /**
-   * Handles a report of the server. Settles when the report may be confirmed to the server. The end of a server has to
-   * hold for later incarnations of this node too, which learn of it from peers, so peers must acknowledge it first.
+   * Handles a message of the server. Resolves to what it hears of the message. A departure has to bind later incarnations of this
+   * node too, so it must be in the store before it is confirmed, and peers must have acknowledged it.
    */
-  public async onServerMessage(message: ServerMessage): Promise<void> {
+  public async onServerMessage(message: ServerMessage, isFresh: boolean): Promise<MessageVerdict> {
+    const departure = this.departureIn(message);
+    if (departure === undefined && message.kind === 'report') {
+      if (isFresh) this.departures.onPresenceProven(message.report);
+      this.departures.prepare(message.report);
+    }
     this.serverMessages.receive(message);
+    const isBinding = departure === undefined || this.departures.confirm(departure);
     await this.endAcknowledged;
+    const requiresFreshReport =
+      message.kind === 'report' && (await this.departures.requiresProof(message.report));
+    return { isBinding: await isBinding, requiresFreshReport };
+  }
+
+  /** The incarnation that drains or leaves according to a message. */
+  private departureIn(message: ServerMessage): EndedServer | undefined {
+    switch (message.kind) {
+      case 'leave':
+        return this.gate.incarnationOf(message.instanceId);
+      case 'report': {
+        const { draining, instanceId, startedAt } = message.report;
+        return draining ? { instanceId, startedAt } : undefined;
+      }
+      case 'invalid':
+        return undefined;
+    }
   }
 
   public onConfigurationRead(content: Uint8Array): void {
@@ -700,7 +739,7 @@
     const now = this.options.clock();
     switch (message.kind) {
       case 'report':
-        this.gate.onServerReport(message.report, now);
+        this.departures.onReport(message.report, now);
         return;
       case 'leave':
         this.gate.onServerLeaving(message.instanceId, now);
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -16,6 +16,7 @@
   encodeDirectoryEntry,
   isSameEntry,
   latestPlausibleBoot,
+  readRecordsEra,
 } from './mesh-directory-entry.js';
 import { MeshEvent } from './mesh-event.js';
 import { registerMeshGauges } from './mesh-gauges.js';
@@ -26,6 +27,7 @@
 import type { MeshSettings, SettingsResult } from './mesh-settings.js';
 import type { PlatformAdapter } from './platform-adapter.js';
 import { SettingsWatcher } from './settings-watcher.js';
+import { isDepartureExpired } from './stored-departure.js';
 
 /** Path of the metrics on the readiness port. */
 const metricsPath = '/metrics';
@@ -35,6 +37,8 @@
 const directoryPrefix = `${commonPrefix}nodes/`;
 /** Prefix of the keys under which nodes store the requests that are quarantined. */
 const quarantinePrefix = `${commonPrefix}quarantine/`;
+/** Prefix of the keys under which nodes store the departures of servers. */
+const departurePrefix = 'peridotspring-departures/';
 /** Memory for connections and requests at the ports for readiness, metrics and reports. */
 const operatorMemoryBytes = 4_194_304;
 /** Calls to the store that take longer are logged; they usually take a few milliseconds. */
@@ -109,6 +113,9 @@
     connections,
     server,
     store: {
+      coverDepartures: () => {
+        void store.session.coverDepartures();
+      },
       observeEra: (era) => {
         store.session.handleReportedEra(era);
       },
@@ -126,12 +133,14 @@
       refreshConfiguration: () => {
         void store.session.refreshConfiguration();
       },
+      readDepartures: (group) => store.session.readDepartures(group),
       removeQuarantine: (fingerprint) => {
         store.session.removeRecord(fingerprint);
       },
       watchConfiguration: (isWatching) => {
         store.session.setConfigurationWatching(isWatching);
       },
+      writeDeparture: (name, value) => store.session.writeDeparture(name, value),
       writeQuarantine: (fingerprint, value) => {
         store.session.writeRecord(fingerprint, value);
       },
@@ -166,7 +175,7 @@
     onErrorContained: (error) => {
       recordContainedError(events, 'server-message', 'none', error);
     },
-    onMessage: (message) => driver.onServerMessage(message),
+    onMessage: (message, isFresh) => driver.onServerMessage(message, isFresh),
   });
   const readiness = new ReadinessServer({
     bindHost: settings.readinessAddress.host,
@@ -434,11 +443,14 @@
       driver.onEvacuationsRead(read, era);
     },
     commonPrefix,
+    departurePrefix,
     directoryPrefix,
+    isDepartureExpired: (value) => isDepartureExpired(value, Date.now()),
     onDirectoryRead: () => {
       driver.onDirectoryRead();
     },
-    entry: encodeDirectoryEntry(self),
+    createEntry: (recordsEra) => encodeDirectoryEntry(self, recordsEra),
+    readRecordsEra,
     isEntryCurrent: (stored) => isSameEntry(readDirectoryEntry(stored), self),
     onEraObserved: (era, isRestored) => {
       driver.onStoreEraObserved(era, isRestored);
--- a/packages/daemon/src/mesh/server-health-checks.ts
+++ b/packages/daemon/src/mesh/server-health-checks.ts
@@ -12,8 +12,10 @@
   readonly startedAt: number;
   readonly gate: Pick<
     ServerGate,
-    'hasServer' | 'onColdTimeChecked' | 'onHealthCheckPassed' | 'onProbeFinished' | 'onServerLoad'
+    'hasServer' | 'onColdTimeChecked' | 'onProbeFinished' | 'onServerLoad'
   >;
+  /** A server that had not reported answered that it is ready. */
+  readonly onPassed: (instanceId: string, slots: number, now: number) => void;
   /** Path of the health check; undefined while none is configured. */
   readonly path: () => string | undefined;
   readonly check: (path: string) => Promise<HealthCheckResult | undefined>;
@@ -51,7 +53,7 @@
   }
 
   private async identify(healthPath: string): Promise<void> {
-    const { check, clock, gate, log } = this.options;
+    const { check, clock, log, onPassed } = this.options;
     const sentAt = clock();
     const answer = await check(healthPath);
     const now = clock();
@@ -59,7 +61,7 @@
     const { instanceId, isReady = false, load } = answer ?? {};
     log(MeshEvent.HealthChecked, { instance: instanceId ?? 'unknown', ready: isReady });
     if (answer === undefined || instanceId === undefined || !isReady || load === undefined) return;
-    gate.onHealthCheckPassed(instanceId, load.slots, now);
+    onPassed(instanceId, load.slots, now);
     this.reportState(answer, sentAt, now);
   }
 
--- /dev/null
+++ b/packages/daemon/tests/departure-synchronizer.test.ts
@@ -0,0 +1,120 @@
+import { createServerReport } from '@peridotspring/mesh-core/fixtures';
+import type { DepartureRead } from '@peridotspring/platform/key-values';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { DepartureSynchronizer } from '../src/mesh/departure-synchronizer.js';
+
+const none: DepartureRead = { isComplete: true, values: [] };
+
+/** A synchronizer with a store that answers when the test says so, and recorded output. */
+class SynchronizerFixture {
+  public readonly events: string[] = [];
+  public readonly stored = new Map<string, Uint8Array>();
+  public isWritable = true;
+  public now = 0;
+  public readonly synchronizer: DepartureSynchronizer;
+  private readonly reads: ((read: DepartureRead | undefined) => void)[] = [];
+
+  public constructor() {
+    this.synchronizer = new DepartureSynchronizer({
+      clock: () => this.now,
+      gate: {
+        onHealthCheckPassed: (instance) => this.events.push(`passed ${instance}`),
+        onServerEndReported: ({ instanceId }) => this.events.push(`ended ${instanceId}`),
+        onServerReport: ({ instanceId }) => this.events.push(`report ${instanceId}`),
+      },
+      log: (event, { instance, reason }) =>
+        this.events.push([event, instance, reason].filter(Boolean).join(' ')),
+      nodeName: 'a',
+      schedule: () => () => undefined,
+      store: () => ({
+        coverDepartures: () => this.events.push('covered'),
+        readDepartures: (group) =>
+          new Promise((resolve) => {
+            this.events.push(`read ${group}`);
+            this.reads.push(resolve);
+          }),
+        writeDeparture: (name, value) => {
+          this.events.push(`write ${name}`);
+          if (this.isWritable) this.stored.set(name, value);
+          return Promise.resolve(this.isWritable);
+        },
+      }),
+      wallClock: () => 0,
+    });
+  }
+
+  public async answerReads(read: DepartureRead): Promise<void> {
+    for (const resolve of this.reads.splice(0)) resolve(read);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
+  public takeEvents(): readonly string[] {
+    return this.events.splice(0);
+  }
+}
+
+const report = createServerReport({ instanceId: 'i-1' });
+
+test('a report reaches the gate once the store holds no departure, and the next one at once', async () => {
+  const fixture = new SynchronizerFixture();
+  fixture.synchronizer.onReport(report, 0);
+  fixture.synchronizer.onReport(report, 1);
+  assert.equal(fixture.takeEvents(), ['read i-1']);
+  assert.ok(fixture.synchronizer.isWaiting);
+  await fixture.answerReads(none);
+  fixture.synchronizer.onReport(report, 2);
+  assert.equal(fixture.takeEvents(), ['report i-1', 'report i-1']);
+  assert.not(fixture.synchronizer.isWaiting);
+});
+
+// Regression (DRAIN): a report or a health check made the next process use a server again that had left.
+test('a server whose departure an earlier process recorded is not used, whatever names it', async () => {
+  const earlier = new SynchronizerFixture();
+  assert.ok(await earlier.synchronizer.confirm({ instanceId: 'i-1', startedAt: 1_000 }));
+  const later = new SynchronizerFixture();
+  later.synchronizer.onHealthCheckPassed('i-1', 4, 0);
+  later.synchronizer.onReport(report, 0);
+  await later.answerReads({ isComplete: true, values: [...earlier.stored.values()] });
+  later.synchronizer.onHealthCheckPassed('i-1', 4, 5);
+  const rejected = ['server-not-used i-1 left-before-start', 'ended i-1'];
+  assert.equal(later.takeEvents(), ['read i-1', ...rejected, ...rejected]);
+  later.synchronizer.onReport({ ...report, startedAt: 2_000 }, 6);
+  assert.equal(later.takeEvents(), ['report i-1']);
+});
+
+test('a departure is recorded once, and confirmed only if the store has acknowledged it', async () => {
+  const fixture = new SynchronizerFixture();
+  fixture.isWritable = false;
+  assert.not(await fixture.synchronizer.confirm({ instanceId: 'i/1' }));
+  assert.equal(fixture.takeEvents(), ['write i%2F1/any', 'server-departure-unconfirmed i/1']);
+  fixture.isWritable = true;
+  for (let count = 0; count < 2; count += 1)
+    assert.ok(await fixture.synchronizer.confirm({ instanceId: 'i/1' }));
+  assert.equal(fixture.takeEvents(), ['write i%2F1/any']);
+});
+
+test('an early report, a passed health check or a second late report prove nothing while the store does not answer', () => {
+  const fixture = new SynchronizerFixture();
+  fixture.synchronizer.onReport(createServerReport({ instanceId: 'i-1', sequence: 1 }), 0);
+  fixture.synchronizer.onHealthCheckPassed('i-1', 4, 500);
+  fixture.now = 1_500;
+  fixture.synchronizer.onReport(createServerReport({ instanceId: 'i-1', sequence: 2 }), 1_500);
+  assert.equal(fixture.takeEvents(), ['read i-1', 'server-not-used i-1 unverified']);
+});
+
+test('a store that may have lost records leaves a server unused until it proves that it is running', async () => {
+  const fixture = new SynchronizerFixture();
+  fixture.synchronizer.onReport(report, 0);
+  const requiresProof = fixture.synchronizer.requiresProof(report);
+  await fixture.answerReads({ ...none, isComplete: false });
+  assert.ok(await requiresProof);
+  assert.equal(fixture.takeEvents(), ['read i-1']);
+  fixture.synchronizer.onPresenceProven(report);
+  fixture.synchronizer.onReport(report, 5);
+  assert.not(await fixture.synchronizer.requiresProof(report));
+  assert.equal(fixture.takeEvents(), ['covered', 'report i-1']);
+});
+
+test.run();
--- a/packages/daemon/tests/mesh-parts.test.ts
+++ b/packages/daemon/tests/mesh-parts.test.ts
@@ -64,7 +64,7 @@
 });
 
 test('a directory entry is decoded to the node that was encoded', () => {
-  assert.equal(decodeDirectoryEntry(encodeDirectoryEntry(node), latestBoot), node);
+  assert.equal(decodeDirectoryEntry(encodeDirectoryEntry(node, undefined), latestBoot), node);
 });
 
 /** Values that other programs may write to the directory; none is a valid entry. */
--- a/packages/daemon/tests/server-health-checks.test.ts
+++ b/packages/daemon/tests/server-health-checks.test.ts
@@ -32,10 +32,10 @@
     gate: {
       hasServer,
       onColdTimeChecked: (sentAt, cold, now) => events.push(`cold ${sentAt} ${cold} ${now}`),
-      onHealthCheckPassed: (instance, slots) => events.push(`passed ${instance} ${slots}`),
       onProbeFinished: (now) => events.push(`finished ${now}`),
       onServerLoad: () => events.push('load'),
     },
+    onPassed: (instance, slots) => events.push(`passed ${instance} ${slots}`),
     log: (event, fields) => events.push(`${event} ${JSON.stringify(fields)}`),
     onProbe: () => events.push('probe'),
     path: () => '/health',
--- a/packages/daemon/tests/virtual-mesh.test.ts
+++ b/packages/daemon/tests/virtual-mesh.test.ts
@@ -122,6 +122,32 @@
   });
 }
 
+// Regression (DRAIN): only processes knew that a server had left, and a late report or a health check brought it back into
+// use after they had ended. Servers leave and go on serving while nodes are killed in any order and the store refuses some.
+for (const [seed, machines, restoresStore] of [
+  [1, 5, false],
+  [2, 5, false],
+  [116, 5, false],
+  [3, 8, false],
+  [1, 5, true],
+  [2, 8, true],
+] as const) {
+  const name = `${machines} nodes${restoresStore ? ' and restores of the store' : ''}`;
+  test(`seed ${seed} with ${name}: a server that left is not used again, and those that did not leave are`, async () => {
+    const options = { departs: true, machines, restoresStore };
+    const { answered, requests, violations } = await simulateMesh(seed, options);
+    assert.equal(violations, []);
+    assert.ok(answered > requests / 2, `${answered} of ${requests} requests were answered`);
+  });
+}
+
+test('without the records of departures, the same simulation uses servers again that left', async () => {
+  const { violations } = await simulateMesh(2, { departs: true, forgetsDepartures: true });
+  assert.ok(
+    violations.some((violation) => violation.includes('after the end of this incarnation')),
+  );
+});
+
 // Without an enforced bound, seeds 10 to 12 fail; if suspensions did not count, seeds 1 and 16 would.
 for (const [seed, machines, restoresStore] of [
   [1, 5, false],
--- a/packages/daemon/tests/virtual-mesh/main.ts
+++ b/packages/daemon/tests/virtual-mesh/main.ts
@@ -1,6 +1,6 @@
 import { simulateMesh } from './simulate-mesh.js';
 
-/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store] [1: cold servers] [1: cuts of all watchers] [1: limited servers] [1: a request that crashes servers] [1: silent connections] [1: removed keys]. */
+/** Usage: node main.js [first seed] [number of seeds] [availability zones] [machines] [1: restores of the store] [1: cold servers] [1: cuts of all watchers] [1: limited servers] [1: a request that crashes servers] [1: silent connections] [1: removed keys] [1: departures, 2: and the store loses their records]. */
 const [
   first = 1,
   count = 1_000,
@@ -13,6 +13,7 @@
   deadly = 0,
   silent = 0,
   keys = 0,
+  departures = 0,
 ] = process.argv.slice(2).map(Number);
 let failed = 0;
 let requests = 0;
@@ -20,6 +21,8 @@
 for (let seed = first; seed < first + count; seed += 1) {
   const result = await simulateMesh(seed, {
     cutsWatchers: cuts > 0,
+    departs: departures > 0,
+    forgetsDepartures: departures > 1,
     limitsServers: limits > 0,
     machines,
     replacesKeys: keys > 0,
--- a/packages/daemon/tests/virtual-mesh/mesh-faults.ts
+++ b/packages/daemon/tests/virtual-mesh/mesh-faults.ts
@@ -121,6 +121,61 @@
   ],
 ];
 
+/** The longest time for which a server serves after it has left. */
+const longestServingMilliseconds = 4_000;
+
+/** Additional faults if servers leave without draining, and go on serving. */
+const departureFaults: readonly NamedFault[] = [
+  [
+    'a server leaves, and its node is killed',
+    (mesh, random) => {
+      const machine = mesh.pickMachine();
+      machine.server.retire(longestServingMilliseconds * random.next());
+      mesh.queue.after(300 * random.next(), () => {
+        mesh.restart(machine, 300 * random.next());
+      });
+    },
+  ],
+  [
+    'a server leaves, and all nodes are killed',
+    (mesh, random) => {
+      mesh.pickMachine().server.retire(longestServingMilliseconds * random.next());
+      mesh.queue.after(300 * random.next(), () => {
+        for (const machine of mesh.machines) mesh.restart(machine, 300 * random.next());
+      });
+    },
+  ],
+  [
+    'a server leaves, and the nodes are killed one after another',
+    (mesh, random) => {
+      mesh.pickMachine().server.retire(longestServingMilliseconds * random.next());
+      for (const machine of mesh.machines) {
+        mesh.queue.after(1_000 * random.next(), () => {
+          mesh.restart(machine, 100 * random.next());
+        });
+      }
+    },
+  ],
+  [
+    'a server leaves and its node is killed, beside a store that refuses the node for some of the time',
+    (mesh, random) => {
+      const machine = mesh.pickMachine();
+      mesh.queue.after(500 * random.next(), () => {
+        machine.server.retire(longestServingMilliseconds * random.next());
+      });
+      mesh.queue.after(500 * random.next(), () => {
+        mesh.restart(machine, 300 * random.next());
+      });
+      mesh.queue.after(500 * random.next(), () => {
+        machine.canReadStore = false;
+        mesh.queue.after(2_000 * random.next(), () => {
+          machine.canReadStore = true;
+        });
+      });
+    },
+  ],
+];
+
 /** Additional faults if the simulation includes restores of the store. */
 const storeRestoreFaults: readonly NamedFault[] = [
   [
@@ -247,6 +302,7 @@
 /** What a simulation contains that has faults of its own. */
 export interface FaultOptions {
   readonly cutsWatchers: boolean;
+  readonly departs: boolean;
   readonly isLargeFleet: boolean;
   readonly limitsServers: boolean;
   readonly replacesKeys: boolean;
@@ -259,6 +315,7 @@
 /** The faults that may be injected; those that an option adds are listed twice, so that they are more frequent. */
 export function selectFaults({
   cutsWatchers,
+  departs,
   isLargeFleet,
   limitsServers,
   replacesKeys,
@@ -269,6 +326,7 @@
 }: FaultOptions): readonly NamedFault[] {
   return [
     ...faults,
+    ...(departs ? [...departureFaults, ...departureFaults] : []),
     ...(cutsWatchers ? [...watcherFaults, ...watcherFaults] : []),
     ...(limitsServers ? [...limitedServerFaults, ...limitedServerFaults] : []),
     ...(replacesKeys ? removedKeyFaults : []),
--- a/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/simulate-mesh.ts
@@ -31,6 +31,10 @@
   readonly silencesConnections?: boolean;
   /** Whether each version of the configuration removes the key of the version before, and that is enforced. */
   readonly replacesKeys?: boolean;
+  /** Whether servers leave without draining, and go on serving while nodes are killed. */
+  readonly departs?: boolean;
+  /** Whether the store loses the records of departed servers. */
+  readonly forgetsDepartures?: boolean;
   /** Whether servers are cold after their start, and zones are evacuated. */
   readonly startsCold?: boolean;
 }
@@ -47,6 +51,8 @@
   seed: number,
   {
     cutsWatchers = false,
+    departs = false,
+    forgetsDepartures = false,
     limitsServers = false,
     machines = fullyConnectedFleetSize,
     replacesKeys = false,
@@ -66,9 +72,11 @@
     timeoutMilliseconds,
     replacesKeys,
   );
+  mesh.store.forgetsDepartures = forgetsDepartures;
   const injectedFaults: string[] = [];
   const possibleFaults = selectFaults({
     cutsWatchers,
+    departs,
     isLargeFleet: machines > fullyConnectedFleetSize,
     limitsServers,
     replacesKeys,
--- a/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-mesh.ts
@@ -14,6 +14,7 @@
   createMemoryAccount,
   createRoute,
 } from '@peridotspring/mesh-core/fixtures';
+import type { DepartureRead } from '@peridotspring/platform/key-values';
 import { Metrics } from '@peridotspring/operators/metrics';
 
 import { EventRecorder } from '../../src/mesh/event-recorder.js';
@@ -55,6 +56,9 @@
 const watcherLossDetectionMilliseconds = 1_300;
 /** Time that an up-to-date read takes. */
 const readMilliseconds = 20;
+/** Time within which a record of a departure is written, and between two attempts. */
+const departureWriteTimeoutMilliseconds = 850;
+const departureRetryMilliseconds = 200;
 /** Time within which an operator writes the configuration again that the store lost in a restore. */
 const maximumOperatorReactionMilliseconds = 1_000;
 /** Interval of lease renewals plus the time-out of a renewal. */
@@ -103,6 +107,10 @@
   hasLostStore: boolean;
   /** The newest era of the store that the node has observed. */
   era: number | undefined;
+  /** The era in the node's entry. */
+  recordsEra: number | undefined;
+  /** The departures that the node has recorded in the store. */
+  departures: Map<string, Uint8Array>;
 }
 
 /** An evacuation of a zone; `endedAt` is infinite while it lasts. */
@@ -127,7 +135,7 @@
   public usesRemovedKeys = true;
   /** When each version was written. */
   public readonly writtenAt = new Map<number, number>();
-  private readonly store = new VirtualStore(() => this.queue.now);
+  public readonly store = new VirtualStore(() => this.queue.now);
   private lastBoot = 0;
   private readonly lastVersions = new Map<LinkedNode, number>();
   public readonly configurationBound = new ConfigurationBound(this.queue, () =>
@@ -305,6 +313,8 @@
     machine.isWatchingConfiguration = false;
     machine.isStoreReportedLost = false;
     machine.era = undefined;
+    machine.departures = new Map();
+    machine.recordsEra = undefined;
     this.queue.after(maximumStartDelayMilliseconds * this.random.next(), () => {
       if (machine.node === node) node.driver.start();
     });
@@ -328,6 +338,14 @@
     this.links.onProcessEnded(node);
   }
 
+  /** Ends the process of a node without notice, and starts it again. */
+  public restart(machine: Machine, downMilliseconds: number): void {
+    this.kill(machine);
+    this.queue.after(downMilliseconds, () => {
+      this.start(machine);
+    });
+  }
+
   public stop(machine: Machine): void {
     machine.node?.driver.stop();
   }
@@ -537,6 +555,8 @@
     const machine: Machine = {
       service: services[Math.floor(index / this.zones) % services.length] ?? 'shop',
       availabilityZone: `zone-${index % this.zones}`,
+      departures: new Map(),
+      recordsEra: undefined,
       era: undefined,
       name,
       node: undefined,
@@ -567,10 +587,16 @@
         queue: this.queue,
         random: this.random,
         slots,
-        sendMessage: async (message) => {
+        sendMessage: async (message, freshBoot) => {
           const { node } = machine;
-          await node?.driver.onServerMessage(message);
-          return node !== undefined && machine.node === node;
+          const isFresh = freshBoot !== undefined && freshBoot === node?.self.boot;
+          const verdict = await node?.driver.onServerMessage(message, isFresh);
+          if (node === undefined || machine.node !== node) return { isConfirmed: false };
+          const { isBinding = false, requiresFreshReport = false } = verdict ?? {};
+          return {
+            isConfirmed: isBinding,
+            ...(requiresFreshReport && { freshBoot: node.self.boot }),
+          };
         },
       }),
     };
@@ -668,6 +694,11 @@
         },
       },
       store: {
+        coverDepartures: () => {
+          if (!machine.canReadStore || machine.hasLostStore) return;
+          machine.recordsEra = this.store.era;
+          this.store.writeRecordsEra(machine.name, this.store.era);
+        },
         observeEra: (era) => {
           if (era > (machine.era ?? 0)) this.scheduleStoreRead(machine);
         },
@@ -683,9 +714,11 @@
         refreshConfiguration: () => {
           this.readUpToDate(machine);
         },
+        readDepartures: (group) => this.readDepartures(machine, node, group),
         removeQuarantine: (fingerprint) => {
           this.store.quarantines.delete(fingerprint);
         },
+        writeDeparture: (name, value) => this.writeDeparture(machine, node, name, value),
         writeQuarantine: (fingerprint, value) => {
           this.store.quarantines.set(fingerprint, value);
         },
@@ -702,11 +735,62 @@
     };
   }
 
+  /** As the node's client of the store does: it gives up before the server stops waiting. */
+  private async writeDeparture(
+    machine: Machine,
+    node: LinkedNode,
+    name: string,
+    value: Uint8Array,
+  ): Promise<boolean> {
+    const dueAt = this.queue.now + departureWriteTimeoutMilliseconds;
+    while (this.queue.now < dueAt && machine.node === node) {
+      await this.passTime(readMilliseconds);
+      if (machine.canReadStore && !machine.hasLostStore) {
+        this.store.writeDeparture(name, value);
+        machine.departures.set(name, value);
+        return true;
+      }
+      await this.passTime(departureRetryMilliseconds);
+    }
+    return false;
+  }
+
+  /** As the node's client of the store does: it asks until the store answers. */
+  private async readDepartures(
+    machine: Machine,
+    node: LinkedNode,
+    group: string,
+  ): Promise<DepartureRead | undefined> {
+    while (machine.node === node) {
+      await this.passTime(readMilliseconds);
+      if (machine.canReadStore && !machine.hasLostStore) {
+        const { era } = this.store;
+        machine.recordsEra ??= this.store.recordsEraOf(machine.name) ?? era;
+        const isComplete = machine.recordsEra === era;
+        return { isComplete, values: this.store.readDepartures(group) };
+      }
+      await this.passTime(departureRetryMilliseconds);
+    }
+    return undefined;
+  }
+
+  private async passTime(milliseconds: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.queue.after(milliseconds, resolve);
+    });
+  }
+
   private reportEra(machine: Machine, node: LinkedNode): void {
     const { era } = this.store;
     if (machine.era === era) return;
     const isRestored = machine.era !== undefined;
     machine.era = era;
+    if (!isRestored) {
+      machine.recordsEra ??= this.store.recordsEraOf(machine.name) ?? era;
+      this.store.writeRecordsEra(machine.name, machine.recordsEra);
+    }
+    if (isRestored)
+      for (const [name, value] of machine.departures) this.store.writeDeparture(name, value);
     node.driver.onStoreEraObserved(era, isRestored);
   }
 
--- a/packages/daemon/tests/virtual-mesh/virtual-server.ts
+++ b/packages/daemon/tests/virtual-mesh/virtual-server.ts
@@ -29,6 +29,13 @@
   endedAt: number;
 }
 
+/** What a server hears from its node; not confirmed if the node is down, or ends before it responds. */
+export interface MessageResponse {
+  readonly isConfirmed: boolean;
+  /** Names the address for later reports: it is open while the process of the node lives that has this boot number. */
+  readonly freshBoot?: number;
+}
+
 export interface VirtualServerOptions {
   readonly queue: EventQueue;
   readonly random: RandomSource;
@@ -36,8 +43,11 @@
   readonly slots: number;
   /** Time for which an incarnation is cold after its start. */
   readonly coldMilliseconds: number;
-  /** Sends a message to the node beside the server; false if the node is down or ends before it confirms. */
-  readonly sendMessage: (message: ServerMessage) => Promise<boolean>;
+  /** Sends a message to the node beside the server. `freshBoot` names the address that a response told the server, if any. */
+  readonly sendMessage: (
+    message: ServerMessage,
+    freshBoot: number | undefined,
+  ) => Promise<MessageResponse>;
   /** Called with the load that accompanies each answer. */
   readonly onLoad: (load: ServerLoad) => void;
   /** Called with what the server states about itself in each answer. */
@@ -63,6 +73,8 @@
 /** Requests whose path ends with this crash the server that runs them. */
 export const deadlyPathSuffix = '/deadly';
 const crashedMilliseconds = 1_000;
+/** A server that leaves and gets no confirmation exits after this time. */
+const unconfirmedMilliseconds = 3_000;
 
 const lostConnection = { isConnectionLost: true, kind: 'failed' } as const;
 
@@ -94,6 +106,9 @@
   private incarnationStartedAt = 0;
   private sequence = 0;
   private isDraining = false;
+  private freshBoot: number | undefined;
+  /** Whether the incarnation has left; it sends no further reports. */
+  private isRetired = false;
   private running = 0;
   /** Functions that cancel running requests, by execution identifier. */
   private readonly cancelByExecution = new Map<number, () => void>();
@@ -164,6 +179,22 @@
     });
   }
 
+  /**
+   * Leaves with no notice but the message that it leaves, and goes on serving and answering health checks for some time, confirmed
+   * or not. Then it starts again.
+   */
+  public retire(servingMilliseconds: number): void {
+    const { incarnation, instanceId, options } = this;
+    if (this.isDown || this.isRetired) return;
+    this.isRetired = true;
+    void this.send({ instanceId, kind: 'leave' }).then((isConfirmed) => {
+      if (isConfirmed) this.endConfirmedAt.set(incarnation, options.queue.now);
+    });
+    options.queue.after(servingMilliseconds, () => {
+      if (incarnation === this.incarnation) this.restart(false);
+    });
+  }
+
   public run({ executionId, frame, instanceId }: Execution): void {
     const { onConcluded, queue, random } = this.options;
     queue.after(oneWayLatencyMilliseconds, () => {
@@ -291,18 +322,22 @@
     return `${this.options.name}/${this.incarnationNumber}`;
   }
 
-  private async leave(incarnation: string, keepsIdentifier: boolean): Promise<void> {
+  private async leave(
+    incarnation: string,
+    keepsIdentifier: boolean,
+    givesUpAt = this.options.queue.now + unconfirmedMilliseconds,
+  ): Promise<void> {
     if (incarnation !== this.incarnation) return;
     const { instanceId } = this;
-    const isConfirmed =
-      (await this.report()) && (await this.options.sendMessage({ instanceId, kind: 'leave' }));
+    const isConfirmed = (await this.report()) && (await this.send({ instanceId, kind: 'leave' }));
     if (incarnation !== this.incarnation) return;
-    if (isConfirmed && this.running === 0) {
+    const isPatienceOver = this.options.queue.now >= givesUpAt;
+    if ((isConfirmed || isPatienceOver) && this.running === 0) {
       this.restart(keepsIdentifier);
       return;
     }
     this.options.queue.after(50, () => {
-      void this.leave(incarnation, keepsIdentifier);
+      void this.leave(incarnation, keepsIdentifier, givesUpAt);
     });
   }
 
@@ -317,6 +352,8 @@
     this.turnCold();
     this.sequence = 0;
     this.isDraining = false;
+    this.isRetired = false;
+    this.freshBoot = undefined;
     this.running = 0;
     this.options.queue.after(10, () => {
       void this.report();
@@ -331,7 +368,7 @@
   }
 
   private async report(): Promise<boolean> {
-    if (this.isDown) return false;
+    if (this.isDown || this.isRetired) return false;
     this.sequence += 1;
     const message: ServerMessage = {
       kind: 'report',
@@ -346,11 +383,19 @@
     };
     const { queue, random, sendMessage } = this.options;
     if (random.next() < duplicatedReportShare) {
+      const { freshBoot } = this;
       // A late duplicate may reach a later incarnation of the node.
       queue.after(longestReportDelayMilliseconds * random.next(), () => {
-        void sendMessage(message);
+        void sendMessage(message, freshBoot);
       });
     }
-    return sendMessage(message);
+    return this.send(message);
+  }
+
+  private async send(message: ServerMessage): Promise<boolean> {
+    const { incarnation } = this;
+    const { freshBoot, isConfirmed } = await this.options.sendMessage(message, this.freshBoot);
+    if (freshBoot !== undefined && incarnation === this.incarnation) this.freshBoot = freshBoot;
+    return isConfirmed;
   }
 }
--- a/packages/mesh-core/src/gate/gate-contract.ts
+++ b/packages/mesh-core/src/gate/gate-contract.ts
@@ -106,11 +106,23 @@
   ServerCrashed: 'server-crashed',
   ServerDraining: 'server-draining',
   ServerLeft: 'server-left',
+  ServerNotUsed: 'server-not-used',
   ServerReady: 'server-ready',
   ServerReportIgnored: 'server-report-ignored',
 } as const;
 export type GateEventName = (typeof GateEventName)[keyof typeof GateEventName];
 
+/** Why a server that reports or answers health checks gets no requests. */
+export const ServerNotUsedReason = {
+  /** It announced to this process that it drains or leaves. */
+  Left: 'left',
+  /** Its departure was recorded in the store before this process started. */
+  LeftBeforeStart: 'left-before-start',
+  /** Whether it has left is not known: the store does not answer, or was restored from an older copy. */
+  Unverified: 'unverified',
+} as const;
+export type ServerNotUsedReason = (typeof ServerNotUsedReason)[keyof typeof ServerNotUsedReason];
+
 /** What shows the gate that a server is there. */
 export const ServerEvidence = {
   HealthCheck: 'health-check',
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -18,7 +18,7 @@
 import type { Decline } from './declined-calls.js';
 import { GateCallRegistry, toWaitingRequest } from './gate-call-registry.js';
 import type { CallMemory, GateCall } from './gate-call-registry.js';
-import { GateEventName, ServerEvidence } from './gate-contract.js';
+import { GateEventName, ServerEvidence, ServerNotUsedReason } from './gate-contract.js';
 import type {
   Execution,
   ExecutionResult,
@@ -366,7 +366,7 @@
     // Only a server that has been running for some time can have responded to an earlier process of this node.
     if (effect === ReportEffect.Started)
       this.hasServerResponded = report.sequence <= firstReportSequence;
-    if (effect !== ReportEffect.Ignored) {
+    if (effect !== ReportEffect.Ignored && effect !== ReportEffect.Ended) {
       this.coldStartGuard.onReport(report, effect === ReportEffect.Started, now);
       this.concurrencyLimit.setCold(this.isCold(now));
     }
@@ -381,12 +381,18 @@
 
   /** Handles the announcement of a server that it leaves. Once this returns, no further request is sent to it. */
   public onServerLeaving(instanceId: string, now: number): void {
-    if (!this.serverTracker.onLeaving(instanceId)) return;
+    const wasCurrent = this.serverTracker.onLeaving(instanceId);
     this.options.log({ event: GateEventName.ServerLeft, fields: { instance: instanceId } });
-    this.declineAllQueued(DeclineReason.Draining, now);
+    if (wasCurrent) this.declineAllQueued(DeclineReason.Draining, now);
+    // Also if no report of the server has reached this process, so that peers keep its departure for later processes.
     this.options.port.onStateChanged();
   }
 
+  /** The incarnation that a server means which announces its departure. */
+  public incarnationOf(instanceId: string): EndedServer {
+    return this.serverTracker.incarnationOf(instanceId);
+  }
+
   /**
    * Handles the report of another node that an earlier incarnation of this gate stopped sending requests to a
    * server because it drained or left.
@@ -794,6 +800,12 @@
       case ReportEffect.Ignored:
         log({ event: GateEventName.ServerReportIgnored, fields: { instance: instanceId } });
         return;
+      case ReportEffect.Ended:
+        log({
+          event: GateEventName.ServerNotUsed,
+          fields: { evidence, instance: instanceId, reason: ServerNotUsedReason.Left },
+        });
+        return;
       case ReportEffect.Started:
         this.setRequestRate(Infinity, now);
         log({
--- a/packages/mesh-core/src/gate/server-incarnation-tracker.ts
+++ b/packages/mesh-core/src/gate/server-incarnation-tracker.ts
@@ -4,8 +4,10 @@
 
 /** Effect of a server report. */
 export const ReportEffect = {
-  /** The report is outdated, or belongs to an incarnation that has ended. */
+  /** A later report of the incarnation preceded it, or a later incarnation began. */
   Ignored: 'ignored',
+  /** The incarnation has left. */
+  Ended: 'ended',
   Unchanged: 'unchanged',
   /** A new incarnation became the current one. */
   Started: 'started',
@@ -56,6 +58,14 @@
     return instanceId === undefined ? undefined : { instanceId, startedAt };
   }
 
+  /** The incarnation that an announcement of its end means, which states only the identifier. */
+  public incarnationOf(instanceId: string): EndedServer {
+    const { current } = this;
+    const startedAt =
+      current?.instanceId === instanceId ? current.startedAt : this.endedStarts.get(instanceId);
+    return { instanceId, startedAt };
+  }
+
   public get slots(): number {
     return this.current?.slots ?? 0;
   }
@@ -67,7 +77,7 @@
   }
 
   private apply(report: ServerReport): ReportEffect {
-    if (this.hasEnded(report)) return ReportEffect.Ignored;
+    if (this.hasEnded(report)) return ReportEffect.Ended;
     const { current } = this;
     if (current === undefined || !isSameIncarnation(current, report))
       return this.startIncarnation(report);
@@ -118,13 +128,15 @@
 
   /**
    * Handles the report that an earlier incarnation of this process confirmed the drain or end of a server.
-   * Returns whether it was the current incarnation.
+   * Returns whether it was the current incarnation, and in use.
    */
   public onEndReported({ instanceId, startedAt }: EndedServer): boolean {
-    this.recordEnded(instanceId, startedAt);
     const { current } = this;
-    if (current?.instanceId !== instanceId) return false;
-    if ((current.startedAt ?? 0) > (startedAt ?? Infinity)) return false;
+    const isCurrent =
+      current?.instanceId === instanceId && (current.startedAt ?? 0) <= (startedAt ?? Infinity);
+    if (isCurrent && current.state === ServerState.Draining) return false;
+    this.recordEnded(instanceId, startedAt);
+    if (!isCurrent) return false;
     this.current = undefined;
     return true;
   }
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -40,7 +40,9 @@
 export type { RequestForwarderOptions } from './entry/request-forwarder.js';
 export { stoppingRetryAfterMilliseconds } from './entry/stop-admission.js';
 export type { StopSchedule } from './entry/stop-admission.js';
-export { GateEventName } from './gate/gate-contract.js';
+export { DepartureLedger, IncarnationStatus } from './departures/departure-ledger.js';
+export type { DepartureRecords } from './departures/departure-ledger.js';
+export { GateEventName, ServerEvidence, ServerNotUsedReason } from './gate/gate-contract.js';
 export { toColdStartLimit } from './gate/cold-start-limit.js';
 export type { ColdStartLimit, ColdStartTolerance } from './gate/cold-start-limit.js';
 export type {
--- a/packages/mesh-core/tests/gate/server-incarnation-tracker.test.ts
+++ b/packages/mesh-core/tests/gate/server-incarnation-tracker.test.ts
@@ -25,7 +25,7 @@
     [
       [{}, 'started'],
       ['leave', true],
-      [{ sequence: 9 }, 'ignored'],
+      [{ sequence: 9 }, 'ended'],
     ],
     'absent',
   ],
@@ -34,7 +34,7 @@
     [
       [{ instanceId: 'i-1', startedAt: 1_000 }, 'started'],
       [{ instanceId: 'i-2', sequence: 1, startedAt: 2_000 }, 'started'],
-      [{ instanceId: 'i-1', sequence: 8, startedAt: 1_000 }, 'ignored'],
+      [{ instanceId: 'i-1', sequence: 8, startedAt: 1_000 }, 'ended'],
     ],
     'ready',
   ],
@@ -131,7 +131,7 @@
   tracker.onLeaving('i-1');
   assert.is(
     tracker.onReport(createServerReport({ instanceId: 'i-1', startedAt: 1_000 })),
-    ReportEffect.Ignored,
+    ReportEffect.Ended,
   );
   assert.is(
     tracker.onReport(createServerReport({ instanceId: 'i-1', startedAt: 2_000 })),
@@ -145,7 +145,7 @@
   tracker.onEndReported({ instanceId: 'i-1', startedAt: 1_000 });
   assert.is(
     tracker.onReport(createServerReport({ instanceId: 'i-1', startedAt: 2_000 })),
-    ReportEffect.Ignored,
+    ReportEffect.Ended,
   );
 });
 
--- a/packages/platform/src/key-values/index.ts
+++ b/packages/platform/src/key-values/index.ts
@@ -12,4 +12,4 @@
 } from './key-value-store.js';
 export { EraStatus, StoreEraTracker } from './store-era-tracker.js';
 export { StoreSession } from './store-session.js';
-export type { StoreSessionOptions } from './store-session.js';
+export type { DepartureRead, StoreSessionOptions } from './store-session.js';
--- a/packages/platform/src/key-values/store-client.ts
+++ b/packages/platform/src/key-values/store-client.ts
@@ -62,16 +62,20 @@
     return response;
   }
 
-  /** Reads all pages of the keys with a prefix. */
+  /** Reads all pages of the keys with a prefix. The time-out is that of each page, if it differs from that of other calls. */
   public async list(
     prefix: string,
     isStaleAllowed: boolean,
+    responseTimeoutMilliseconds?: number,
   ): Promise<StoreClientOutcome<ItemPage>> {
     const items: StoredItem[] = [];
     let after: string | undefined;
     let eraOfFirstPage: number | undefined;
     for (;;) {
-      const outcome = await this.call(this.options.codec.list(prefix, after, isStaleAllowed));
+      const page = this.options.codec.list(prefix, after, isStaleAllowed);
+      const outcome = await this.call(
+        responseTimeoutMilliseconds === undefined ? page : { ...page, responseTimeoutMilliseconds },
+      );
       if (outcome.kind !== 'ok') return outcome;
       eraOfFirstPage ??= this.eraTracker.current;
       // Pages of two different copies of the store must not be combined.
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -2,6 +2,7 @@
 
 import type { ItemPage, StoreCallCodec, StoredItem, StoreTransport } from './key-value-store.js';
 import { CancellableDelays } from './cancellable-delays.js';
+import { ConfirmedRecords } from './confirmed-records.js';
 import { OperatorReader } from './operator-reader.js';
 import { SharedRecords } from './shared-records.js';
 import { RecentRemovals } from './recent-removals.js';
@@ -47,9 +48,15 @@
   /** Key prefix of the records that nodes keep for those that start later, with a trailing slash. */
   readonly recordPrefix: string;
   readonly onRecordRead: (value: Uint8Array) => void;
+  /** Key prefix of the records of departed servers, with a trailing slash; the directory is read without them. */
+  readonly departurePrefix: string;
+  readonly isDepartureExpired: (value: Uint8Array) => boolean;
   readonly nodeName: string;
-  readonly entry: Uint8Array;
-  /** Whether a stored entry of this node is equivalent to `entry`. */
+  /** Encodes the entry of this node with an era of the store; undefined if the store reports none. */
+  readonly createEntry: (recordsEra: number | undefined) => Uint8Array;
+  /** The era in a stored entry of this node. */
+  readonly readRecordsEra: (stored: Uint8Array) => number | undefined;
+  /** Whether a stored entry of this node is the present one, apart from its era. */
   readonly isEntryCurrent: EntryPredicate;
   readonly random: () => number;
   /** Time within which a change by an operator must be in force on each node. */
@@ -78,6 +85,13 @@
   readonly onEraObserved: (era: number, isRestored: boolean) => void;
 }
 
+/** The records of an instance's departures. */
+export interface DepartureRead {
+  readonly values: readonly Uint8Array[];
+  /** False if the store may have lost others, since it was restored from an older copy. */
+  readonly isComplete: boolean;
+}
+
 /**
  * The use of the store by one node: it maintains the entry of the node in the directory, reads the other entries and
  * what operators write, and watches the latter while this is enabled.
@@ -92,12 +106,23 @@
   private readonly storeClient: StoreClient;
   private readonly operatorReader: OperatorReader;
   private readonly sharedRecords: SharedRecords;
+  private readonly departureRecords: ConfirmedRecords;
   private readonly delays: CancellableDelays;
   private readonly recentRemovals: RecentRemovals;
   /** Time of the first of the reads in a row that lacked this node's entry. */
   private entryMissingSince: number | undefined;
   /** This node's entry was missing at its start, so other nodes may have started at the same time. */
   private isFirstRegistration = false;
+  /**
+   * The era since which the store can't have lost departures that an earlier process of this node recorded. It is part of the
+   * entry, and does not change while a process runs that keeps and repeats its records.
+   */
+  private recordsEra: number | undefined;
+  private isRegistered = false;
+  private endRegistration: () => void = () => undefined;
+  private readonly registration = new Promise<void>((resolve) => {
+    this.endRegistration = resolve;
+  });
   private isClosed = false;
   private isWatching = false;
   /** The highest era that another node reported. */
@@ -136,6 +161,13 @@
       prefix: options.recordPrefix,
       storeClient: this.storeClient,
     });
+    this.departureRecords = new ConfirmedRecords({
+      clock,
+      codec,
+      delays: this.delays,
+      prefix: options.departurePrefix,
+      storeClient: this.storeClient,
+    });
     this.operatorReader = new OperatorReader({
       storeClient: this.storeClient,
       codec,
@@ -168,6 +200,29 @@
     void this.sharedRecords.remove(name);
   }
 
+  /** Resolves to whether the store has acknowledged the record within the time that a leaving server waits. */
+  public async writeDeparture(name: string, value: Uint8Array): Promise<boolean> {
+    return this.departureRecords.write(name, value);
+  }
+
+  /** Reads the departures of an instance, up to date; resolves to undefined only when the session is closed. */
+  public async readDepartures(group: string): Promise<DepartureRead | undefined> {
+    const values = await this.departureRecords.read(group);
+    if (values === undefined) return undefined;
+    // The entry was written before any departure was recorded.
+    await this.registration;
+    return { isComplete: this.recordsEra === this.storeClient.currentEra, values };
+  }
+
+  /** The server has proved that it is running, so departures that the store may have lost no longer matter. */
+  public async coverDepartures(): Promise<void> {
+    const { currentEra } = this.storeClient;
+    if (!this.isRegistered || this.recordsEra === currentEra) return;
+    this.recordsEra = currentEra;
+    for (let failures = 0; !this.isClosed && !(await this.writeEntry()); failures += 1)
+      await this.delays.backOff(failures + 1);
+  }
+
   /** Starts or stops watching the configuration, with immediate effect. */
   public setConfigurationWatching(isWatching: boolean): void {
     this.isWatching = isWatching;
@@ -225,6 +280,8 @@
     this.isClosed = true;
     this.operatorReader.close();
     this.sharedRecords.close();
+    this.departureRecords.close();
+    this.endRegistration();
     this.wakeCheck?.();
     this.delays.close();
   }
@@ -239,20 +296,35 @@
     for (let reread = 0; !this.isClosed; reread += 1) {
       await this.delays.sleep(rereads[reread] ?? directoryReadIntervalMilliseconds);
       await this.refreshDirectory();
+      await this.removeExpiredDepartures();
     }
   }
 
+  /** Only the first node that watches does this, since each removal is billed. */
+  private async removeExpiredDepartures(): Promise<void> {
+    if (this.isClosed || !this.isWatching || this.options.watchTurn().index > 0) return;
+    await this.departureRecords.removeExpired(this.options.isDepartureExpired);
+  }
+
   /** Reads the other entries first, so that requests can be served early, and writes the entry unless it is current. */
   private async register(): Promise<boolean> {
     const items = await this.readDirectory();
     if (items === undefined) return false;
+    if (!this.isRegistered) {
+      const own = this.findOwnEntry(items);
+      this.recordsEra =
+        own === undefined ? this.storeClient.currentEra : this.options.readRecordsEra(own.value);
+      this.isRegistered = true;
+      this.endRegistration();
+    }
     if (this.hasCurrentEntry(items)) return true;
     this.isFirstRegistration = true;
     return this.writeEntry();
   }
 
   private async writeEntry(): Promise<boolean> {
-    const { codec, entry, nodeName } = this.options;
+    const { codec, createEntry, nodeName } = this.options;
+    const entry = createEntry(this.recordsEra);
     const written = await this.storeClient.call(codec.write(this.entryKey(nodeName), entry));
     return written.kind === 'ok';
   }
@@ -331,6 +403,7 @@
     this.options.onEraObserved(era, true);
     this.operatorReader.handleStoreRestored();
     void this.restoreEntry();
+    this.departureRecords.handleStoreRestored();
     for (const [name, isExpected] of this.recentRemovals.recent()) {
       void this.removeEntry(name, isExpected);
     }
@@ -374,10 +447,14 @@
   }
 
   private hasCurrentEntry(items: readonly StoredItem[]): boolean {
-    const own = items.find(({ key }) => key === this.entryKey(this.options.nodeName));
+    const own = this.findOwnEntry(items);
     return own !== undefined && this.options.isEntryCurrent(own.value);
   }
 
+  private findOwnEntry(items: readonly StoredItem[]): StoredItem | undefined {
+    return items.find(({ key }) => key === this.entryKey(this.options.nodeName));
+  }
+
   private async readEntry(name: string): Promise<StoredItem | undefined> {
     const key = this.entryKey(name);
     const outcome = await this.storeClient.list(key, false);
--- a/packages/upstreams/src/mesh/index.ts
+++ b/packages/upstreams/src/mesh/index.ts
@@ -1,7 +1,12 @@
 export { ReadinessServer } from './readiness-server.js';
 export type { TextPage } from './readiness-server.js';
 export { ReportServer } from './report-server.js';
-export type { ReportServerOptions, ServerMessage, ServerMessageCodec } from './report-server.js';
+export type {
+  MessageVerdict,
+  ReportServerOptions,
+  ServerMessage,
+  ServerMessageCodec,
+} from './report-server.js';
 export { ServerClient } from './server-client.js';
 export type { ServerClientOptions } from './server-client.js';
 export type { HealthCheckResult } from './server-health-check.js';
--- a/packages/upstreams/tests/report-server.test.ts
+++ b/packages/upstreams/tests/report-server.test.ts
@@ -6,19 +6,23 @@
 import * as assert from 'uvu/assert';
 
 import { ReportServer } from '../src/mesh/index.js';
-import type { ServerMessage } from '../src/mesh/index.js';
+import type { MessageVerdict, ServerMessage } from '../src/mesh/index.js';
 
 const containedErrors: string[] = [];
+const confirmed: MessageVerdict = { isBinding: true, requiresFreshReport: false };
 
 async function withReportServer(
-  onMessage: (message: ServerMessage) => Promise<void>,
+  onMessage: (message: ServerMessage) => Promise<MessageVerdict>,
   runTest: (port: number) => Promise<void>,
 ): Promise<void> {
   const [port = 0] = await findFreePorts(1);
   const reportServer = new ReportServer({
     ...createLoopbackOptions(),
     bindPort: port,
-    codec: { parse: (_method, path) => ({ instanceId: path, kind: 'leave' }) },
+    codec: {
+      encodeConfirmation: (reportAddress) => reportAddress ?? '{}',
+      parse: (_method, path) => ({ instanceId: path, kind: 'leave' }),
+    },
     onErrorContained: (error) => containedErrors.push(error.message),
     onMessage,
   });
@@ -68,9 +72,9 @@
 for (const [name, head, part, intervalMilliseconds, limitMilliseconds] of cases) {
   test(`the connection is closed on ${name} without end, and no report is delivered`, async () => {
     const delivered: string[] = [];
-    const onMessage = async ({ kind }: ServerMessage): Promise<void> => {
+    const onMessage = async ({ kind }: ServerMessage): Promise<MessageVerdict> => {
       delivered.push(kind);
-      await Promise.resolve();
+      return Promise.resolve(confirmed);
     };
     await withReportServer(onMessage, async (port) => {
       const { milliseconds } = await sendUntilClosed(port, head, part, intervalMilliseconds);
@@ -82,9 +86,10 @@
 
 test('a message is acknowledged only after it has been processed', async () => {
   let isProcessed = false;
-  const onMessage = async (): Promise<void> => {
+  const onMessage = async (): Promise<MessageVerdict> => {
     await new Promise((resolve) => setTimeout(resolve, 80));
     isProcessed = true;
+    return confirmed;
   };
   await withReportServer(onMessage, async (port) => {
     const socket = connect({ host: '127.0.0.1', port });
@@ -95,12 +100,29 @@
   });
 });
 
+test('a departure that could not be recorded is not confirmed', async () => {
+  await withReportServer(
+    () => Promise.resolve({ isBinding: false, requiresFreshReport: false }),
+    async (port) => {
+      const socket = connect({ host: '127.0.0.1', port });
+      socket.write('DELETE /i-1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n');
+      const response = await new Promise<string>((resolve) =>
+        socket.once('data', (bytes: Buffer) => {
+          resolve(bytes.toString('latin1'));
+        }),
+      );
+      assert.match(response, /^HTTP\/1\.1 503 /);
+      socket.destroy();
+    },
+  );
+});
+
 test('an error while a message is handled closes its connection and ends nothing else', async () => {
   let count = 0;
-  const onMessage = async (): Promise<void> => {
+  const onMessage = async (): Promise<MessageVerdict> => {
     count += 1;
     if (count === 1) throw new Error('injected');
-    return Promise.resolve();
+    return Promise.resolve(confirmed);
   };
   const send = async (port: number): Promise<string> => {
     const socket = connect({ host: '127.0.0.1', port });
--- a/scripts/check-specifications.mjs
+++ b/scripts/check-specifications.mjs
@@ -66,6 +66,10 @@
     'NO_WAIT_FOR_RUNNING',
     'RESUME_AFTER_LOST_ANSWER',
   ].map((variant) => ({ model: 'planned-stop', variant, macros: [] })),
+  { model: 'departure', name: 'all mechanisms', macros: [] },
+  ...['NO_RECORD', 'CONFIRM_FIRST', 'NO_READ', 'TRUST_HEALTH', 'OLD_READ', 'SAME_ADDRESS'].map(
+    (variant) => ({ model: 'departure', variant, macros: [] }),
+  ),
   { model: 'configuration', name: 'all mechanisms', macros: [] },
   ...['NO_COMPARE', 'NO_CHANGE_ID', 'NO_MONOTONIC', 'NO_ROOT', 'CONFLICT_TOO_EARLY'].map(
     (variant) => ({ model: 'configuration', variant, macros: [] }),
