Read all header fields of answers, wherever they are read

The other clients kept the default of Node.js, which drops fields after the thousandth without an error: keyed upstreams, polls, health checks, the store and peridotctl.

Change: each sets `maxHeadersCount = 0`; the parser's limit of 16 KiB on heads stays.

--- a/packages/ctl/src/operator-client.ts
+++ b/packages/ctl/src/operator-client.ts
@@ -92,6 +92,8 @@
     const outgoing = request(requestOptions(connection, body.length), (response) => {
       collect(response, conclude, fail);
     });
+    // By default, fields after the thousandth are dropped without an error.
+    outgoing.maxHeadersCount = 0;
     outgoing.on('socket', (socket) => {
       socket.on('connect', () => (isConnected = true));
     });
--- a/packages/platform/src/gateway-client.ts
+++ b/packages/platform/src/gateway-client.ts
@@ -93,6 +93,8 @@
       { method: 'POST', agent, headers },
       onResponse,
     );
+    // By default, fields after the thousandth are dropped without an error.
+    clientRequest.maxHeadersCount = 0;
     this.openRequests.add(clientRequest);
     clientRequest.on('error', () => undefined);
     clientRequest.on('close', () => this.openRequests.delete(clientRequest));
--- a/packages/platform/src/key-values/http-store-transport.ts
+++ b/packages/platform/src/key-values/http-store-transport.ts
@@ -71,6 +71,8 @@
         request.destroy();
       };
       const request = httpRequest({ agent: this.agent, headers, host, method, path, port, signal });
+      // By default, fields after the thousandth are dropped without an error.
+      request.maxHeadersCount = 0;
       const timer = setTimeout(() => {
         fail('no response in time');
         this.closeIdleConnections();
--- a/packages/upstreams/src/mesh/server-client.ts
+++ b/packages/upstreams/src/mesh/server-client.ts
@@ -19,6 +19,7 @@
 } from '@peridotspring/mesh-core';
 
 import { ResponseCollector } from '../response-collector.js';
+import { readAllFields } from '../all-fields.js';
 import { limitInterimResponses } from '../interim-responses.js';
 import { BodyEnd, findBodyEnd } from '../response-framing.js';
 import { isConnectionRefused } from './listener-check.js';
@@ -95,8 +96,7 @@
       });
       return;
     }
-    // By default, fields after the thousandth are dropped without an error.
-    request.maxHeadersCount = 0;
+    readAllFields(request);
     limitInterimResponses(request, () => this.abortedRequests.add(request));
     this.activeRequests.set(executionId, request);
     this.attachListeners(request, execution);
--- a/packages/upstreams/src/mesh/server-health-check.ts
+++ b/packages/upstreams/src/mesh/server-health-check.ts
@@ -5,6 +5,7 @@
 import { findStatusFault } from '@peridotspring/mesh-core';
 import type { ServerLoad } from '@peridotspring/mesh-core';
 
+import { readAllFields } from '../all-fields.js';
 import { limitInterimResponses } from '../interim-responses.js';
 import { ResponseCollector } from '../response-collector.js';
 import type { ServerResponseReader } from './server-response-reader.js';
@@ -52,6 +53,7 @@
       );
       collector.start();
     });
+    readAllFields(request);
     limitInterimResponses(request);
     // A total timeout rather than an idle timeout: the server may send bytes rarely but endlessly.
     const timer = setTimeout(() => {
--- a/packages/upstreams/src/upstream-execution.ts
+++ b/packages/upstreams/src/upstream-execution.ts
@@ -7,6 +7,7 @@
 import { findStatusFault } from '@peridotspring/mesh-core';
 
 import { ResponseCollector } from './response-collector.js';
+import { readAllFields } from './all-fields.js';
 import { limitInterimResponses } from './interim-responses.js';
 import { BodyEnd, findBodyEnd } from './response-framing.js';
 import type { CollectedResponse, CollectionOptions } from './response-collector.js';
@@ -64,6 +65,7 @@
       return;
     }
     this.request = request;
+    readAllFields(request);
     limitInterimResponses(request);
     this.attachListeners(request);
     this.sendBody(request);
--- a/packages/upstreams/src/upstream-poll.ts
+++ b/packages/upstreams/src/upstream-poll.ts
@@ -2,6 +2,7 @@
 
 import { z } from 'zod';
 
+import { readAllFields } from './all-fields.js';
 import { limitInterimResponses } from './interim-responses.js';
 import type { UpstreamConnections } from './upstream-connections.js';
 
@@ -42,6 +43,7 @@
         resolve(response.complete ? { status: response.statusCode ?? 0, text } : undefined);
       });
     });
+    readAllFields(request);
     limitInterimResponses(request);
     request.on('error', () => {
       resolve(undefined);
