Keyed program: pass on all values of repeated fields

Cause: requests and answers were passed on from the form of their fields in which Node.js keeps only the first value of `Content-Type`, `Authorization`, `Location` and some others, without an error.

Change: the form with all values (`headersDistinct`) is used in both directions.

--- a/packages/callers/src/request-message.ts
+++ b/packages/callers/src/request-message.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 
-import { endToEndFields, RequestClass } from '@peridotspring/core';
+import { distinctFields, endToEndFields, RequestClass } from '@peridotspring/core';
 import type { AcceptedRequest, CallerRequestMessage } from '@peridotspring/core';
 
 export interface ReceivedRequest {
@@ -19,7 +19,7 @@
 ): CallerRequestMessage {
   const { deadlineMilliseconds, depth, key, path, requestClass, service } = checked;
   const method = request.method ?? 'GET';
-  const headers = endToEndFields(request.headers);
+  const headers = endToEndFields(distinctFields(request.headersDistinct));
   const isKeyed = requestClass === RequestClass.NonIdempotent;
   return {
     body,
--- a/packages/core/src/messages/header-fields.ts
+++ b/packages/core/src/messages/header-fields.ts
@@ -34,7 +34,7 @@
   'upgrade',
 ]);
 
-type ReceivedFields = Readonly<Record<string, string | readonly string[] | undefined>>;
+export type ReceivedFields = Readonly<Record<string, string | readonly string[] | undefined>>;
 
 const noOptions: ReadonlySet<string> = new Set();
 
@@ -59,6 +59,21 @@
   return options;
 }
 
+/**
+ * Takes single values out of the lists in which Node.js has all values of a field. Its other form drops all but the first value of
+ * some fields.
+ */
+export function distinctFields(
+  fields: Readonly<Record<string, readonly string[] | undefined>>,
+): ReceivedFields {
+  const distinct: Record<string, string | readonly string[] | undefined> = {};
+  for (const name of Object.keys(fields)) {
+    const values = fields[name];
+    distinct[name] = values?.length === 1 ? values[0] : values;
+  }
+  return distinct;
+}
+
 /**
  * Copies the fields to forward, with lower-case names. Omits hop-by-hop fields, and the system's own
  * fields so that neither side can forge them.
--- a/packages/upstreams/src/header-fields.ts
+++ b/packages/upstreams/src/header-fields.ts
@@ -1,6 +1,6 @@
-import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
+import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
 
-import { endToEndFields, HeaderName } from '@peridotspring/core';
+import { distinctFields, endToEndFields, HeaderName } from '@peridotspring/core';
 import type { HeaderFields, RequestHead } from '@peridotspring/core';
 
 const methodsWithoutBody: ReadonlySet<string> = new Set(['DELETE', 'GET', 'HEAD', 'OPTIONS']);
@@ -33,6 +33,8 @@
 }
 
 /** Header fields of an upstream response that are forwarded to the caller. */
-export function upstreamResponseFields(headers: IncomingHttpHeaders): HeaderFields {
-  return endToEndFields(headers);
+export function upstreamResponseFields({
+  headersDistinct,
+}: Pick<IncomingMessage, 'headersDistinct'>): HeaderFields {
+  return endToEndFields(distinctFields(headersDistinct));
 }
--- a/packages/upstreams/src/upstream-execution.ts
+++ b/packages/upstreams/src/upstream-execution.ts
@@ -150,7 +150,7 @@
   }
 
   private reportCollected(response: IncomingMessage, collected: CollectedResponse): void {
-    const headers = upstreamResponseFields(response.headers);
+    const headers = upstreamResponseFields(response);
     const head = { headers, kind: 'answered' as const, status: response.statusCode ?? 0 };
     switch (collected.kind) {
       case 'whole':
--- a/packages/upstreams/tests/header-fields.test.ts
+++ b/packages/upstreams/tests/header-fields.test.ts
@@ -63,12 +63,14 @@
 
 test('hop-by-hop fields and internal fields of an upstream response are not forwarded', () => {
   const fields = upstreamResponseFields({
-    connection: 'x-hop',
-    'content-length': '4',
-    'peridotspring-outcome': 'refused-not-run',
-    'set-cookie': ['a=1', 'b=2'],
-    'transfer-encoding': 'chunked',
-    'x-hop': 'a',
+    headersDistinct: {
+      connection: ['close', 'x-hop'],
+      'content-length': ['4'],
+      'peridotspring-outcome': ['refused-not-run'],
+      'set-cookie': ['a=1', 'b=2'],
+      'transfer-encoding': ['chunked'],
+      'x-hop': ['a'],
+    },
   });
   assert.equal(fields, { 'content-length': '4', 'set-cookie': ['a=1', 'b=2'] });
 });
