Refuse requests whose form can't be passed on unchanged

What callers saw: a body in `Transfer-Encoding: gzip, chunked` reached the server without the name of its coding; two identifiers were joined to one that no caller had sent (UNASKED); of two deadlines none counted; two hosts were both passed on although the route was chosen by the first; `Connection: host` removed the host; a target in absolute form could name another host; trailers were dropped. None of these got an error.

Cause: the parser accepts these forms, and nothing looked at them before the fields were read one by one. Found with a server that records the bytes it gets, behind the two ends of a routing node.

Change: one check of each head behind all ports (`findFormFault`): 501 for codings, 400 for the rest. Trailers are known after the body, and are refused there. Each is a fault of the client, logged and counted by reason (`client-faulty`).

--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -74,6 +74,11 @@
         headerTimeoutMilliseconds: headersTimeoutMilliseconds,
         idleTimeoutMilliseconds,
       }),
+      // Objects can't have a property of the name of the second field, so it would be lost on its way.
+      formRules: {
+        refusedFields: new Set(['__proto__']),
+        singleFields: new Set([HeaderName.Tenant]),
+      },
       onRequest: (received) => {
         this.handleRequest(received);
       },
@@ -259,6 +264,10 @@
       case 'no-memory':
         this.endIncomplete(openRequest, ClientFault.NoMemory);
         return;
+      case 'trailers':
+        this.options.onClientFault(ClientFault.Trailers);
+        this.endIncomplete(openRequest, ClientFault.Trailers);
+        return;
       case 'whole':
         this.passOn(openRequest, checked, collected.bytes);
         return;
--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -11,6 +11,8 @@
   /** The body is longer than the limit, and is not streamed. */
   | { readonly kind: 'too-large' }
   | { readonly kind: 'cut' }
+  /** Fields follow the body, which are not passed on. */
+  | { readonly kind: 'trailers' }
   /** There was no memory for the body, or it was taken back in favour of others. What was read is discarded. */
   | { readonly kind: 'no-memory' };
 
@@ -72,13 +74,14 @@
       else if (length === 0 && !memory.tryHold(bytes.heldBytesAfter(chunk.length)))
         giveUp('no-memory');
       else bytes.append(chunk);
-      // For a short body, the parser has reached its end before the stream emits its only chunk.
+      // For a short body of known length, the parser has reached its end before the stream emits its only chunk.
       if (length > 0 && request.complete && request.readableLength === 0)
         end({ bytes: bytes.take(), kind: 'whole' });
     });
     request.on('end', () => {
-      if (!isEnded)
-        end(request.complete ? { bytes: bytes.take(), kind: 'whole' } : { kind: 'cut' });
+      if (isEnded) return;
+      if (hasTrailers(request)) end({ kind: 'trailers' });
+      else end(request.complete ? { bytes: bytes.take(), kind: 'whole' } : { kind: 'cut' });
     });
     // An error of the request is always followed by 'close'.
     request.on('error', () => undefined);
@@ -115,6 +118,7 @@
       const next = await iterator.next();
       if (memory.signal?.aborted === true) return noMemory;
       if (next.done === true) {
+        if (hasTrailers(request)) return { kind: 'trailers' };
         return request.complete ? { bytes: bytes.take(), kind: 'whole' } : { kind: 'cut' };
       }
       if (!memory.tryHold(bytes.heldBytesAfter(next.value.length))) {
@@ -156,7 +160,14 @@
     }
     yield next.value;
   }
+  if (hasTrailers(request)) {
+    throw new Error('fields follow the request body');
+  }
   if (!request.complete) {
     throw new Error('request body truncated by the caller');
   }
 }
+
+function hasTrailers({ rawTrailers }: IncomingMessage): boolean {
+  return rawTrailers.length > 0;
+}
--- a/packages/callers/src/routes/route-server.ts
+++ b/packages/callers/src/routes/route-server.ts
@@ -129,6 +129,9 @@
       bindPort,
       clock,
       deferredInput,
+      formRules: {
+        singleFields: new Set([options.headerNames.deadline, options.headerNames.requestId]),
+      },
       limits: () => this.limits,
       memory: protocolMemory,
       onRequest: (request) => {
@@ -314,6 +317,10 @@
       case 'too-large':
         this.answerLocally(parsed, 413, bodyTooLongDetail);
         return;
+      case 'trailers':
+        this.options.onClientFault(ClientFault.Trailers);
+        this.answerLocally(parsed, 400, 'fields follow the body');
+        return;
       case 'no-memory': {
         const fields = retryAfterHeader(noMemoryRetryAfterMilliseconds);
         this.answerLocally(parsed, 503, 'no memory for the body', fields);
--- a/packages/callers/tests/message-forms.test.ts
+++ b/packages/callers/tests/message-forms.test.ts
@@ -53,4 +53,34 @@
   assert.equal({ authorization, type }, { authorization: ['c', 'd'], type: ['a', 'b'] });
 });
 
+/** Name, status, fields beside the usual ones, body, and the fault that is counted. */
+const refused = [
+  ['two hosts', '400', ['Host: other', lengthField], 'abcd', 'conflicting-hosts'],
+  [
+    'two tenants',
+    '400',
+    ['Peridotspring-Tenant: a', 'Peridotspring-Tenant: b'],
+    '',
+    'repeated-field',
+  ],
+  ['a field that objects can not have', '400', ['__proto__: a', lengthField], 'abcd', 'malformed'],
+  [
+    'another transfer coding',
+    '501',
+    ['Transfer-Encoding: gzip, chunked'],
+    '4\r\nabcd\r\n0\r\n\r\n',
+    'transfer-coding',
+  ],
+  ['trailers', '400', [chunkedField], '4\r\nabcd\r\n0\r\nX-T: 1\r\n\r\n', 'trailers'],
+] as const;
+
+for (const [name, expected, fields, body, fault] of refused) {
+  test(`refused, and not passed on: ${name}`, async () => {
+    const [status, server] = await send([...usualFields, key, ...fields], body);
+    assert.is(status, expected);
+    assert.equal(server.requests, []);
+    assert.equal(server.faults, [fault]);
+  });
+}
+
 test.run();
--- a/packages/http-server/src/guarded-http-server.ts
+++ b/packages/http-server/src/guarded-http-server.ts
@@ -4,7 +4,8 @@
 import type { Server as Listener } from 'node:net';
 import type { Duplex } from 'node:stream';
 
-import { ClientFault } from '@peridotspring/mesh-core';
+import { ClientFault, findFormFault } from '@peridotspring/mesh-core';
+import type { RequestFormRules } from '@peridotspring/mesh-core';
 
 import { ClientStream } from './client-stream.js';
 import type { ClientHandlers, ClientStreamOptions } from './client-stream.js';
@@ -14,6 +15,7 @@
 const defaultParserHeaderBytes = 1_048_576;
 /** A socket that is paused reads once more and keeps what it has read, but not a list of short chunks. */
 const socketBufferBytes = 1;
+const noFormRules: RequestFormRules = { refusedFields: new Set(), singleFields: new Set() };
 /** Interval of the checks on the time that clients take. */
 const checkMilliseconds = 1_000;
 
@@ -29,6 +31,7 @@
   readonly bindPort: number;
   /** The parser's own limit on names and values of a head, for servers whose limit never changes. */
   readonly parserHeaderBytes?: number;
+  readonly formRules?: Partial<RequestFormRules>;
   /** Returns who decides about a new connection; undefined if it is to be closed. */
   readonly accept: (stream: ClientStream) => ClientHandlers | undefined;
   /** Must call `beginRequest` of the stream. */
@@ -55,7 +58,11 @@
     this.http.maxHeadersCount = 0;
     this.http.on('request', (message, response) => {
       const stream = this.streams.get(message.socket);
-      if (stream !== undefined) options.onRequest({ message, response, stream });
+      if (stream === undefined) return;
+      const { rawHeaders, url = '' } = message;
+      const fault = findFormFault(rawHeaders, url, { ...noFormRules, ...options.formRules });
+      if (fault === undefined) options.onRequest({ message, response, stream });
+      else stream.reject(fault);
     });
     this.http.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       const stream = this.streams.get(socket);
--- a/packages/http-server/src/sequential-request.ts
+++ b/packages/http-server/src/sequential-request.ts
@@ -13,7 +13,7 @@
 export type RequestBody =
   { readonly kind: 'whole'; readonly text: string } | { readonly kind: 'too-long' };
 
-type CollectedBody = RequestBody | { readonly kind: 'cut' | 'no-memory' };
+type CollectedBody = RequestBody | { readonly kind: 'cut' | 'no-memory' | 'trailers' };
 
 /** The one request in progress on a connection. */
 export class SequentialRequest {
@@ -43,6 +43,13 @@
       case 'no-memory':
         this.fail(ClientFault.NoMemory);
         return undefined;
+      case 'trailers':
+        this.respond(
+          statusOfClientFault(ClientFault.Trailers) ?? 0,
+          faultFields(ClientFault.Trailers),
+          `${ClientFault.Trailers}\n`,
+        );
+        return undefined;
       case 'too-long':
       case 'whole':
         return body;
@@ -90,7 +97,8 @@
         else chunks.push(chunk);
       });
       message.on('end', () => {
-        if (message.complete)
+        if (message.rawTrailers.length > 0) resolve({ kind: 'trailers' });
+        else if (message.complete)
           resolve({ kind: 'whole', text: Buffer.concat(chunks).toString('utf8') });
         else resolve({ kind: 'cut' });
       });
--- a/packages/mesh-core/src/clients/client-fault.ts
+++ b/packages/mesh-core/src/clients/client-fault.ts
@@ -4,6 +4,8 @@
   AnswerNotRead: 'answer-not-read',
   /** The framing of a chunked body takes far more bytes than the body. */
   BodyMostlyFraming: 'body-mostly-framing',
+  /** `Host` is repeated, is named by `Connection`, or differs from the request target. */
+  ConflictingHosts: 'conflicting-hosts',
   /** `Content-Length` and `Transfer-Encoding` do not state one length of the body. */
   ConflictingLengths: 'conflicting-lengths',
   /** A whole head did not come within its time. */
@@ -16,10 +18,16 @@
   Malformed: 'malformed',
   /** There is no memory for what the client sends. */
   NoMemory: 'no-memory',
+  /** A field that states one value is repeated. */
+  RepeatedField: 'repeated-field',
   /** A whole request did not come within its time. */
   RequestLate: 'request-late',
   /** There are as many connections as the process may have. */
   TooManyConnections: 'too-many-connections',
+  /** Fields follow a chunked body; they are not passed on. */
+  Trailers: 'trailers',
+  /** The body has a transfer coding other than `chunked`. */
+  TransferCoding: 'transfer-coding',
 } as const;
 export type ClientFault = (typeof ClientFault)[keyof typeof ClientFault];
 
@@ -27,7 +35,7 @@
  * Status of the response to what was not passed on because of a fault; undefined if the connection closes without one. 408 and
  * 503 state that nothing has run.
  */
-export function statusOfClientFault(fault: ClientFault): 400 | 408 | 431 | 503 | undefined {
+export function statusOfClientFault(fault: ClientFault): 400 | 408 | 431 | 501 | 503 | undefined {
   switch (fault) {
     case ClientFault.HeadTooLong:
       return 431;
@@ -36,9 +44,14 @@
       return 408;
     case ClientFault.NoMemory:
       return 503;
+    case ClientFault.TransferCoding:
+      return 501;
     case ClientFault.BodyMostlyFraming:
+    case ClientFault.ConflictingHosts:
     case ClientFault.ConflictingLengths:
     case ClientFault.Malformed:
+    case ClientFault.RepeatedField:
+    case ClientFault.Trailers:
       return 400;
     case ClientFault.AnswerNotRead:
     case ClientFault.Idle:
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -23,6 +23,8 @@
   peerConnectionBytes,
   requestBytes,
 } from './clients/message-memory.js';
+export { findFormFault } from './clients/request-form.js';
+export type { RequestFormRules } from './clients/request-form.js';
 export { ProcessingAllowance } from './clients/processing-allowance.js';
 export type { ProcessingAllowanceOptions } from './clients/processing-allowance.js';
 export { UnproductiveInput } from './clients/unproductive-input.js';
