--- a/packages/daemon/src/mesh/departure-synchronizer.ts
+++ b/packages/daemon/src/mesh/departure-synchronizer.ts
@@ -76,7 +76,7 @@
 
   /** Starts to read the store as soon as a server names itself. */
   public prepare(incarnation: EndedServer): void {
-    if (this.isUnverified(incarnation)) this.await(incarnation.instanceId);
+    if (this.isUnverified(incarnation)) this.waitFor(incarnation.instanceId);
   }
 
   /** The incarnation sent a report to an address that only this process has named. */
@@ -117,7 +117,7 @@
         this.reject(report, ServerEvidence.Report, now);
         return;
       case IncarnationStatus.Unverified: {
-        const waiting = this.await(report.instanceId);
+        const waiting = this.waitFor(report.instanceId);
         if (waiting === undefined) return;
         waiting.report = report;
         if (now - waiting.since >= usualReadMilliseconds)
@@ -136,7 +136,7 @@
         this.reject(incarnation, ServerEvidence.HealthCheck, now);
         return;
       case IncarnationStatus.Unverified: {
-        const waiting = this.await(instanceId);
+        const waiting = this.waitFor(instanceId);
         if (waiting !== undefined) waiting.health = { checkedAt: now, slots };
       }
     }
@@ -164,7 +164,7 @@
   }
 
   /** Returns undefined if too many instances wait already. */
-  private await(instanceId: string): WaitingInstance | undefined {
+  private waitFor(instanceId: string): WaitingInstance | undefined {
     const existing = this.waiting.get(instanceId);
     if (existing !== undefined) return existing;
     if (this.waiting.size >= maximumWaitingInstances) return undefined;
