--- a/packages/callers/src/caller-server.ts
+++ b/packages/callers/src/caller-server.ts
@@ -74,7 +74,7 @@
         headerTimeoutMilliseconds: headersTimeoutMilliseconds,
         idleTimeoutMilliseconds,
       }),
-      // Objects can't have a property of the name of the second field, so it would be lost on its way.
+      // Fields are kept as properties of objects, where one named `__proto__` would be lost.
       formRules: {
         refusedFields: new Set(['__proto__']),
         singleFields: new Set([HeaderName.Tenant]),
--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -74,7 +74,7 @@
       else if (length === 0 && !memory.tryHold(bytes.heldBytesAfter(chunk.length)))
         giveUp('no-memory');
       else bytes.append(chunk);
-      // For a short body of known length, the parser has reached its end before the stream emits its only chunk.
+      // For a short body, the parser has reached its end before the stream emits its only chunk.
       if (length > 0 && request.complete && request.readableLength === 0)
         end({ bytes: bytes.take(), kind: 'whole' });
     });
--- a/packages/daemon/src/mesh/departure-synchronizer.ts
+++ b/packages/daemon/src/mesh/departure-synchronizer.ts
@@ -6,7 +6,6 @@
   ServerNotUsedReason,
 } from '@peridotspring/mesh-core';
 import type { EndedServer, ServerGate, ServerReport } from '@peridotspring/mesh-core';
-
 import type { DepartureRead } from '@peridotspring/platform/key-values';
 
 import { MeshEvent } from './mesh-event.js';
@@ -51,7 +50,7 @@
 /** What is known of an instance while the store is read. */
 interface WaitingInstance {
   readonly since: number;
-  /** Settles when the store has answered, conclusively or not. */
+  /** Settles when the store has answered. If it may have lost records, the instance goes on waiting. */
   readonly isRead: Promise<void>;
   report: ServerReport | undefined;
   health: { readonly slots: number; readonly checkedAt: number } | undefined;
@@ -88,7 +87,7 @@
     this.options.store().coverDepartures();
   }
 
-  /** Whether it stays open if an incarnation has left, until it proves that it is running. */
+  /** Resolves to true if the store can't tell whether an incarnation has left, so that the server has to prove that it has not. */
   public async requiresProof(incarnation: EndedServer): Promise<boolean> {
     const waiting = this.waiting.get(incarnation.instanceId);
     if (waiting !== undefined && this.isUnverified(incarnation)) {
--- a/packages/http-server/src/guarded-http-server.ts
+++ b/packages/http-server/src/guarded-http-server.ts
@@ -31,6 +31,7 @@
   readonly bindPort: number;
   /** The parser's own limit on names and values of a head, for servers whose limit never changes. */
   readonly parserHeaderBytes?: number;
+  /** Fields that the owner reads or can't pass on; requests that are ambiguous in them are refused. */
   readonly formRules?: Partial<RequestFormRules>;
   /** Returns who decides about a new connection; undefined if it is to be closed. */
   readonly accept: (stream: ClientStream) => ClientHandlers | undefined;
@@ -54,13 +55,14 @@
       maxHeaderSize: options.parserHeaderBytes ?? defaultParserHeaderBytes,
       requestTimeout: 0,
     });
+    const formRules = { ...noFormRules, ...options.formRules };
     // By default, fields after the thousandth are dropped without an error, also those that tell of a body.
     this.http.maxHeadersCount = 0;
     this.http.on('request', (message, response) => {
       const stream = this.streams.get(message.socket);
       if (stream === undefined) return;
       const { rawHeaders, url = '' } = message;
-      const fault = findFormFault(rawHeaders, url, { ...noFormRules, ...options.formRules });
+      const fault = findFormFault(rawHeaders, url, formRules);
       if (fault === undefined) options.onRequest({ message, response, stream });
       else stream.reject(fault);
     });
--- a/packages/http-server/src/sequential-request.ts
+++ b/packages/http-server/src/sequential-request.ts
@@ -23,6 +23,7 @@
     private readonly stream: ClientStream,
     private readonly hold: MemoryHold,
     private readonly clock: () => number,
+    private readonly onFault: (fault: ClientFault) => void,
   ) {}
 
   /** Counts processor time that the request takes beside its parsing. */
@@ -44,6 +45,7 @@
         this.fail(ClientFault.NoMemory);
         return undefined;
       case 'trailers':
+        this.onFault(ClientFault.Trailers);
         this.respond(
           statusOfClientFault(ClientFault.Trailers) ?? 0,
           faultFields(ClientFault.Trailers),
--- a/packages/http-server/src/sequential-server.ts
+++ b/packages/http-server/src/sequential-server.ts
@@ -124,13 +124,13 @@
   }
 
   private handleRequest({ message, response, stream }: ReceivedRequest): void {
-    const { clock, onRequest, requestTimeoutMilliseconds } = this.options;
+    const { clock, onClientFault, onRequest, requestTimeoutMilliseconds } = this.options;
     const hold = stream.beginRequest(message, () => {
       this.refuse(stream, ClientFault.NoMemory, true);
     });
     const client = this.clients.get(stream);
     if (client === undefined) return;
-    const request = new SequentialRequest(message, response, stream, hold, clock);
+    const request = new SequentialRequest(message, response, stream, hold, clock, onClientFault);
     client.request = request;
     const timer = setTimeout(() => {
       if (!message.complete) this.refuse(stream, ClientFault.RequestLate, true);
