--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -296,7 +296,7 @@
     for (let reread = 0; !this.isClosed; reread += 1) {
       await this.delays.sleep(rereads[reread] ?? directoryReadIntervalMilliseconds);
       await this.refreshDirectory();
-      await this.removeExpiredDepartures();
+      if (reread >= rereads.length) await this.removeExpiredDepartures();
     }
   }
 
