Read the diff: what a server hears of a message is judged in one place

- The driver of the node took messages of the server apart to ask the departures about them.
DepartureSynchronizer judges a message now; the driver passes it on.
- The removal of expired records was a condition in the loop that reads the directory.
It is a loop of its own.
A request that was read whole and is refused for them has its own path beside `fail`, which answers only requests that were not read whole.
- Tests: the round trip of a directory entry had lost its plain form to a new parameter; it is checked with and without an era, and that the era comes back.
Nothing was loosened.

--- a/packages/callers/src/request-body.ts
+++ b/packages/callers/src/request-body.ts
@@ -2,6 +2,7 @@
 import { Readable } from 'node:stream';
 
 import { ByteAccumulator } from '@peridotspring/core';
+import { hasTrailers } from '@peridotspring/http-server';
 
 /** The result of reading a request's body; `cut` means that the connection closed before the end of the body. */
 export type CollectedBody =
@@ -167,7 +168,3 @@
     throw new Error('request body truncated by the caller');
   }
 }
-
-function hasTrailers({ rawTrailers }: IncomingMessage): boolean {
-  return rawTrailers.length > 0;
-}
--- a/packages/daemon/src/mesh/departure-synchronizer.ts
+++ b/packages/daemon/src/mesh/departure-synchronizer.ts
@@ -7,6 +7,7 @@
 } from '@peridotspring/mesh-core';
 import type { EndedServer, ServerGate, ServerReport } from '@peridotspring/mesh-core';
 import type { DepartureRead } from '@peridotspring/platform/key-values';
+import type { MessageVerdict, ServerMessage } from '@peridotspring/upstreams/mesh';
 
 import { MeshEvent } from './mesh-event.js';
 import {
@@ -40,7 +41,10 @@
   readonly clock: () => number;
   readonly schedule: Schedule;
   readonly wallClock: () => number;
-  readonly gate: Pick<ServerGate, 'onHealthCheckPassed' | 'onServerEndReported' | 'onServerReport'>;
+  readonly gate: Pick<
+    ServerGate,
+    'incarnationOf' | 'onHealthCheckPassed' | 'onServerEndReported' | 'onServerReport'
+  >;
   readonly store: () => DepartureStore;
   readonly log: (event: string, fields: Readonly<Record<string, string>>) => void;
 }
@@ -73,33 +77,34 @@
     return this.waiting.size > 0;
   }
 
-  /** Starts to read the store as soon as a server names itself. */
-  public prepare(incarnation: EndedServer): void {
-    if (this.isUnverified(incarnation)) this.waitFor(incarnation.instanceId);
+  /**
+   * Handles a message before it takes effect. The store is read as soon as a server names itself. `isFresh` says that the message
+   * was sent to an address that only this process has named.
+   */
+  public onMessage(message: ServerMessage, isFresh: boolean): void {
+    if (message.kind !== 'report' || message.report.draining) return;
+    const { report } = message;
+    if (isFresh) this.onPresenceProven(report);
+    if (this.isUnverified(report)) this.waitFor(report.instanceId);
   }
 
-  /** The incarnation sent a report to an address that only this process has named. */
-  public onPresenceProven({ instanceId, startedAt }: EndedServer): void {
-    this.ledger.onPresenceProven({ instanceId, startedAt });
-    if (!this.waiting.has(instanceId)) return;
-    // The others ended before this one began.
-    this.waiting.clear();
-    this.options.store().coverDepartures();
-  }
-
-  /** Resolves to true if the store can't tell whether an incarnation has left, so that the server has to prove that it has not. */
-  public async requiresProof(incarnation: EndedServer): Promise<boolean> {
-    const waiting = this.waiting.get(incarnation.instanceId);
-    if (waiting !== undefined && this.isUnverified(incarnation)) {
-      await new Promise<void>((resolve) => {
-        const cancel = this.options.schedule(resolve, usualReadMilliseconds);
-        void waiting.isRead.then(() => {
-          cancel();
-          resolve();
-        });
-      });
+  /** Resolves to what the server hears of a message, which has taken effect. */
+  public async judge(message: ServerMessage): Promise<MessageVerdict> {
+    switch (message.kind) {
+      case 'invalid':
+        return { isBinding: true, requiresFreshReport: false };
+      case 'leave': {
+        const departure = this.options.gate.incarnationOf(message.instanceId);
+        return { isBinding: await this.confirm(departure), requiresFreshReport: false };
+      }
+      case 'report': {
+        const { draining, instanceId, startedAt } = message.report;
+        const incarnation = { instanceId, startedAt };
+        return draining
+          ? { isBinding: await this.confirm(incarnation), requiresFreshReport: false }
+          : { isBinding: true, requiresFreshReport: await this.requiresProof(incarnation) };
+      }
     }
-    return this.isUnverified(incarnation);
   }
 
   public onReport(report: ServerReport, now: number): void {
@@ -141,8 +146,31 @@
     }
   }
 
-  /** The server drains or has left. Resolves to whether this may be confirmed to it, because it binds all later processes. */
-  public async confirm(departure: EndedServer): Promise<boolean> {
+  private onPresenceProven({ instanceId, startedAt }: EndedServer): void {
+    this.ledger.onPresenceProven({ instanceId, startedAt });
+    if (!this.waiting.has(instanceId)) return;
+    // The others ended before this one began.
+    this.waiting.clear();
+    this.options.store().coverDepartures();
+  }
+
+  /** Resolves to true if the store can't tell whether an incarnation has left, so that the server has to prove that it has not. */
+  private async requiresProof(incarnation: EndedServer): Promise<boolean> {
+    const waiting = this.waiting.get(incarnation.instanceId);
+    if (waiting !== undefined && this.isUnverified(incarnation)) {
+      await new Promise<void>((resolve) => {
+        const cancel = this.options.schedule(resolve, usualReadMilliseconds);
+        void waiting.isRead.then(() => {
+          cancel();
+          resolve();
+        });
+      });
+    }
+    return this.isUnverified(incarnation);
+  }
+
+  /** Resolves to whether a departure may be confirmed to the server, because it binds all later processes. */
+  private async confirm(departure: EndedServer): Promise<boolean> {
     const { log, nodeName, store, wallClock } = this.options;
     this.ledger.onAnnounced(departure);
     const name = departureName(departure);
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -16,7 +16,6 @@
 } from '@peridotspring/mesh-core';
 import type {
   ColdStartTolerance,
-  EndedServer,
   EntryRequest,
   EvacuationRead,
   Execution,
@@ -411,31 +410,10 @@
    * node too, so it must be in the store before it is confirmed, and peers must have acknowledged it.
    */
   public async onServerMessage(message: ServerMessage, isFresh: boolean): Promise<MessageVerdict> {
-    const departure = this.departureIn(message);
-    if (departure === undefined && message.kind === 'report') {
-      if (isFresh) this.departures.onPresenceProven(message.report);
-      this.departures.prepare(message.report);
-    }
+    this.departures.onMessage(message, isFresh);
     this.serverMessages.receive(message);
-    const isBinding = departure === undefined || this.departures.confirm(departure);
-    await this.endAcknowledged;
-    const requiresFreshReport =
-      message.kind === 'report' && (await this.departures.requiresProof(message.report));
-    return { isBinding: await isBinding, requiresFreshReport };
-  }
-
-  /** The incarnation that drains or leaves according to a message. */
-  private departureIn(message: ServerMessage): EndedServer | undefined {
-    switch (message.kind) {
-      case 'leave':
-        return this.gate.incarnationOf(message.instanceId);
-      case 'report': {
-        const { draining, instanceId, startedAt } = message.report;
-        return draining ? { instanceId, startedAt } : undefined;
-      }
-      case 'invalid':
-        return undefined;
-    }
+    const [verdict] = await Promise.all([this.departures.judge(message), this.endAcknowledged]);
+    return verdict;
   }
 
   public onConfigurationRead(content: Uint8Array): void {
--- a/packages/daemon/tests/departure-synchronizer.test.ts
+++ b/packages/daemon/tests/departure-synchronizer.test.ts
@@ -1,10 +1,12 @@
 import { createServerReport } from '@peridotspring/mesh-core/fixtures';
 import type { DepartureRead } from '@peridotspring/platform/key-values';
+import type { MessageVerdict, ServerMessage } from '@peridotspring/upstreams/mesh';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import { DepartureSynchronizer } from '../src/mesh/departure-synchronizer.js';
 
+const confirmed: MessageVerdict = { isBinding: true, requiresFreshReport: false };
 const none: DepartureRead = { isComplete: true, values: [] };
 
 /** A synchronizer with a store that answers when the test says so, and recorded output. */
@@ -20,6 +22,7 @@
     this.synchronizer = new DepartureSynchronizer({
       clock: () => this.now,
       gate: {
+        incarnationOf: (instanceId) => ({ instanceId, startedAt: undefined }),
         onHealthCheckPassed: (instance) => this.events.push(`passed ${instance}`),
         onServerEndReported: ({ instanceId }) => this.events.push(`ended ${instanceId}`),
         onServerReport: ({ instanceId }) => this.events.push(`report ${instanceId}`),
@@ -72,7 +75,8 @@
 // Regression (DRAIN): a report or a health check made the next process use a server again that had left.
 test('a server whose departure an earlier process recorded is not used, whatever names it', async () => {
   const earlier = new SynchronizerFixture();
-  assert.ok(await earlier.synchronizer.confirm({ instanceId: 'i-1', startedAt: 1_000 }));
+  const draining: ServerMessage = { kind: 'report', report: { ...report, draining: true } };
+  assert.equal(await earlier.synchronizer.judge(draining), confirmed);
   const later = new SynchronizerFixture();
   later.synchronizer.onHealthCheckPassed('i-1', 4, 0);
   later.synchronizer.onReport(report, 0);
@@ -87,11 +91,12 @@
 test('a departure is recorded once, and confirmed only if the store has acknowledged it', async () => {
   const fixture = new SynchronizerFixture();
   fixture.isWritable = false;
-  assert.not(await fixture.synchronizer.confirm({ instanceId: 'i/1' }));
+  const leave: ServerMessage = { instanceId: 'i/1', kind: 'leave' };
+  assert.equal(await fixture.synchronizer.judge(leave), { ...confirmed, isBinding: false });
   assert.equal(fixture.takeEvents(), ['write i%2F1/any', 'server-departure-unconfirmed i/1']);
   fixture.isWritable = true;
   for (let count = 0; count < 2; count += 1)
-    assert.ok(await fixture.synchronizer.confirm({ instanceId: 'i/1' }));
+    assert.equal(await fixture.synchronizer.judge(leave), confirmed);
   assert.equal(fixture.takeEvents(), ['write i%2F1/any']);
 });
 
@@ -106,14 +111,16 @@
 
 test('a store that may have lost records leaves a server unused until it proves that it is running', async () => {
   const fixture = new SynchronizerFixture();
+  const message: ServerMessage = { kind: 'report', report };
+  fixture.synchronizer.onMessage(message, false);
   fixture.synchronizer.onReport(report, 0);
-  const requiresProof = fixture.synchronizer.requiresProof(report);
+  const verdict = fixture.synchronizer.judge(message);
   await fixture.answerReads({ ...none, isComplete: false });
-  assert.ok(await requiresProof);
+  assert.equal(await verdict, { ...confirmed, requiresFreshReport: true });
   assert.equal(fixture.takeEvents(), ['read i-1']);
-  fixture.synchronizer.onPresenceProven(report);
+  fixture.synchronizer.onMessage(message, true);
   fixture.synchronizer.onReport(report, 5);
-  assert.not(await fixture.synchronizer.requiresProof(report));
+  assert.equal(await fixture.synchronizer.judge(message), confirmed);
   assert.equal(fixture.takeEvents(), ['covered', 'report i-1']);
 });
 
--- a/packages/daemon/tests/mesh-parts.test.ts
+++ b/packages/daemon/tests/mesh-parts.test.ts
@@ -1,7 +1,11 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { decodeDirectoryEntry, encodeDirectoryEntry } from '../src/mesh/mesh-directory-entry.js';
+import {
+  decodeDirectoryEntry,
+  encodeDirectoryEntry,
+  readRecordsEra,
+} from '../src/mesh/mesh-directory-entry.js';
 import { GracefulShutdown } from '../src/mesh/graceful-shutdown.js';
 
 /** Milliseconds since the stop signal, requests in progress, and whether the process may exit. */
@@ -64,7 +68,11 @@
 });
 
 test('a directory entry is decoded to the node that was encoded', () => {
-  assert.equal(decodeDirectoryEntry(encodeDirectoryEntry(node, undefined), latestBoot), node);
+  for (const era of [undefined, 3]) {
+    const entry = encodeDirectoryEntry(node, era);
+    assert.equal(decodeDirectoryEntry(entry, latestBoot), node);
+    assert.is(readRecordsEra(entry), era);
+  }
 });
 
 /** Values that other programs may write to the directory; none is a valid entry. */
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -5,6 +5,7 @@
 export { faultFields, writeFaultResponse } from './fault-response.js';
 export { GuardedHttpServer } from './guarded-http-server.js';
 export type { GuardedHttpServerOptions, ReceivedRequest } from './guarded-http-server.js';
+export { hasTrailers } from './sequential-request.js';
 export type { RequestBody, SequentialRequest } from './sequential-request.js';
 export { SequentialServer } from './sequential-server.js';
 export type { SequentialServerOptions, SharedServerOptions } from './sequential-server.js';
--- a/packages/http-server/src/sequential-request.ts
+++ b/packages/http-server/src/sequential-request.ts
@@ -46,11 +46,7 @@
         return undefined;
       case 'trailers':
         this.onFault(ClientFault.Trailers);
-        this.respond(
-          statusOfClientFault(ClientFault.Trailers) ?? 0,
-          faultFields(ClientFault.Trailers),
-          `${ClientFault.Trailers}\n`,
-        );
+        this.refuse(ClientFault.Trailers);
         return undefined;
       case 'too-long':
       case 'whole':
@@ -74,9 +70,8 @@
 
   /** Responds to a request that was not read as a whole, or closes the connection if it was. */
   public fail(fault: ClientFault): void {
-    const status = statusOfClientFault(fault);
-    if (status === undefined || this.message.complete) this.close();
-    else this.respond(status, faultFields(fault), `${fault}\n`);
+    if (this.message.complete) this.close();
+    else this.refuse(fault);
   }
 
   /** Closes the connection without a response. */
@@ -84,6 +79,12 @@
     this.stream.destroy();
   }
 
+  private refuse(fault: ClientFault): void {
+    const status = statusOfClientFault(fault);
+    if (status === undefined) this.close();
+    else this.respond(status, faultFields(fault), `${fault}\n`);
+  }
+
   private async collectBody(maximumBytes: number): Promise<CollectedBody> {
     const { clock, hold, message } = this;
     const headBytes = hold.bytes;
@@ -99,7 +100,7 @@
         else chunks.push(chunk);
       });
       message.on('end', () => {
-        if (message.rawTrailers.length > 0) resolve({ kind: 'trailers' });
+        if (hasTrailers(message)) resolve({ kind: 'trailers' });
         else if (message.complete)
           resolve({ kind: 'whole', text: Buffer.concat(chunks).toString('utf8') });
         else resolve({ kind: 'cut' });
@@ -112,6 +113,11 @@
   }
 }
 
+/** Whether fields follow the body of a request that has been read to its end; nothing passes them on. */
+export function hasTrailers({ rawTrailers }: IncomingMessage): boolean {
+  return rawTrailers.length > 0;
+}
+
 function hasBody({ headers }: IncomingMessage): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
--- a/packages/platform/src/key-values/store-session.ts
+++ b/packages/platform/src/key-values/store-session.ts
@@ -17,6 +17,8 @@
 const startupRereadDelaysMilliseconds: readonly number[] = [1_500, 5_000];
 /** Interval of later directory reads. It can be long, since new nodes connect to the existing ones themselves. */
 const directoryReadIntervalMilliseconds = 300_000;
+/** Interval of checks for records of departures that are no longer needed. */
+const expiryCheckIntervalMilliseconds = 300_000;
 /**
  * Interval of checks whether the store responds while this node watches the configuration, as a share of the time within
  * which a change must be in force everywhere. A watch that was open during an outage may never be answered, and nodes
@@ -189,6 +191,7 @@
     void this.maintainEntry();
     void this.operatorReader.run();
     void this.checkPeriodically();
+    void this.removeExpiredDepartures();
   }
 
   /** Keeps a record for nodes that start later; it replaces an earlier one with this name. */
@@ -296,14 +299,18 @@
     for (let reread = 0; !this.isClosed; reread += 1) {
       await this.delays.sleep(rereads[reread] ?? directoryReadIntervalMilliseconds);
       await this.refreshDirectory();
-      if (reread >= rereads.length) await this.removeExpiredDepartures();
     }
   }
 
-  /** Only the first node that watches does this, since each removal is billed. */
+  /** Only the first node that watches removes records, since each removal is billed. */
   private async removeExpiredDepartures(): Promise<void> {
-    if (this.isClosed || !this.isWatching || this.options.watchTurn().index > 0) return;
-    await this.departureRecords.removeExpired(this.options.isDepartureExpired);
+    const { isDepartureExpired, watchTurn } = this.options;
+    for (;;) {
+      await this.delays.sleep(expiryCheckIntervalMilliseconds);
+      if (this.isClosed) return;
+      if (this.isWatching && watchTurn().index === 0)
+        await this.departureRecords.removeExpired(isDepartureExpired);
+    }
   }
 
   /** Reads the other entries first, so that requests can be served early, and writes the entry unless it is current. */
