Departures: one comparison of incarnations, one bounded map

Whether a departure binds an incarnation was written twice, for the gate's tracker and for the records, with the cases of unknown starts in different words; `isSameOrEarlier` says it for both. The rule that a full map forgets its oldest entry was written three times beside the records; `BoundedMap` has it.

Nothing that is checked or bounded changes.

--- a/packages/daemon/src/mesh/departure-synchronizer.ts
+++ b/packages/daemon/src/mesh/departure-synchronizer.ts
@@ -1,4 +1,5 @@
 import {
+  BoundedMap,
   DepartureLedger,
   GateEventName,
   IncarnationStatus,
@@ -68,7 +69,7 @@
   private readonly ledger = new DepartureLedger();
   private readonly waiting = new Map<string, WaitingInstance>();
   /** Writes in progress and done, by the name of the record. */
-  private readonly recorded = new Map<string, Promise<boolean>>();
+  private readonly recorded = new BoundedMap<string, Promise<boolean>>(maximumRecordedDepartures);
 
   public constructor(private readonly options: DepartureSynchronizerOptions) {}
 
@@ -179,9 +180,6 @@
     const value = encodeStoredDeparture(departure, nodeName, wallClock());
     const written = store().writeDeparture(name, value);
     this.recorded.set(name, written);
-    const [oldest] = this.recorded.keys();
-    if (this.recorded.size > maximumRecordedDepartures && oldest !== undefined)
-      this.recorded.delete(oldest);
     const isRecorded = await written;
     if (!isRecorded) {
       this.recorded.delete(name);
--- a/packages/mesh-core/src/departures/departure-ledger.ts
+++ b/packages/mesh-core/src/departures/departure-ledger.ts
@@ -1,4 +1,6 @@
 import type { EndedServer } from '../messages/mesh-frames.js';
+import { BoundedMap } from '../shared/bounded-map.js';
+import { isSameOrEarlier } from './same-or-earlier.js';
 
 /** Whether an incarnation of the server beside the node may get requests. */
 export const IncarnationStatus = {
@@ -28,11 +30,11 @@
  */
 export class DepartureLedger {
   /** Departures announced to this process, by instance identifier. */
-  private readonly announced = new Map<string, readonly EndedServer[]>();
+  private readonly announced = new BoundedMap<string, readonly EndedServer[]>(maximumInstances);
   /** What the store holds, by instance identifier. */
-  private readonly read = new Map<string, DepartureRecords>();
+  private readonly read = new BoundedMap<string, DepartureRecords>(maximumInstances);
   /** Incarnations that have proved that they are running, by instance identifier. */
-  private readonly proven = new Map<string, EndedServer>();
+  private readonly proven = new BoundedMap<string, EndedServer>(maximumInstances);
 
   public statusOf(incarnation: EndedServer): IncarnationStatus {
     const { instanceId } = incarnation;
@@ -41,7 +43,7 @@
       return IncarnationStatus.Departed;
     if (read?.isComplete === true) return IncarnationStatus.Present;
     const proven = this.proven.get(instanceId);
-    const isProven = proven !== undefined && isSameOrLater(incarnation, proven);
+    const isProven = proven !== undefined && isSameOrEarlier(proven, incarnation);
     return isProven ? IncarnationStatus.Present : IncarnationStatus.Unverified;
   }
 
@@ -52,7 +54,7 @@
 
   /** The store was read in the lifetime of this process. */
   public onRecordsRead(instanceId: string, records: DepartureRecords): void {
-    setBounded(this.read, instanceId, records);
+    this.read.set(instanceId, records);
   }
 
   /** The server announced to this process that the incarnation drains or leaves. */
@@ -61,7 +63,7 @@
     const known = this.announced.get(instanceId) ?? [];
     if (known.some(({ startedAt }) => startedAt === departure.startedAt)) return;
     // Without its announcement, an instance must be read from the store again.
-    const forgotten = setBounded(this.announced, instanceId, [...known, departure]);
+    const forgotten = this.announced.set(instanceId, [...known, departure]);
     if (forgotten === undefined) return;
     this.read.delete(forgotten);
     this.proven.delete(forgotten);
@@ -69,7 +71,7 @@
 
   /** The incarnation sent a report after the start of this process. Those that the store may have lost ended before it. */
   public onPresenceProven(incarnation: EndedServer): void {
-    setBounded(this.proven, incarnation.instanceId, incarnation);
+    this.proven.set(incarnation.instanceId, incarnation);
     for (const [instanceId, { isComplete }] of this.read)
       if (!isComplete) this.read.delete(instanceId);
   }
@@ -79,25 +81,5 @@
   incarnation: EndedServer,
   departures: readonly EndedServer[] | undefined,
 ): boolean {
-  return departures?.some((departure) => isSameOrLater(departure, incarnation)) === true;
-}
-
-/**
- * Whether an incarnation is the other one or a later one under the same identifier. If a start is unknown, both may be the
- * same incarnation.
- */
-function isSameOrLater(incarnation: EndedServer, other: EndedServer): boolean {
-  if (incarnation.instanceId !== other.instanceId) return false;
-  if (incarnation.startedAt === undefined || other.startedAt === undefined) return true;
-  return incarnation.startedAt >= other.startedAt;
-}
-
-/** Returns the key that was removed to make room, if any. */
-function setBounded<Value>(map: Map<string, Value>, key: string, value: Value): string | undefined {
-  map.delete(key);
-  map.set(key, value);
-  if (map.size <= maximumInstances) return undefined;
-  const [oldest] = map.keys();
-  if (oldest !== undefined) map.delete(oldest);
-  return oldest;
+  return departures?.some((departure) => isSameOrEarlier(incarnation, departure)) === true;
 }
--- a/packages/mesh-core/src/gate/server-incarnation-tracker.ts
+++ b/packages/mesh-core/src/gate/server-incarnation-tracker.ts
@@ -1,3 +1,4 @@
+import { isSameOrEarlier } from '../departures/same-or-earlier.js';
 import { ServerState } from '../messages/mesh-frames.js';
 import type { EndedServer } from '../messages/mesh-frames.js';
 import type { ServerReport } from './gate-contract.js';
@@ -130,12 +131,11 @@
    * Handles the report that an earlier incarnation of this process confirmed the drain or end of a server.
    * Returns whether it was the current incarnation, and in use.
    */
-  public onEndReported({ instanceId, startedAt }: EndedServer): boolean {
+  public onEndReported(ended: EndedServer): boolean {
     const { current } = this;
-    const isCurrent =
-      current?.instanceId === instanceId && (current.startedAt ?? 0) <= (startedAt ?? Infinity);
+    const isCurrent = current !== undefined && isSameOrEarlier(current, ended);
     if (isCurrent && current.state === ServerState.Draining) return false;
-    this.recordEnded(instanceId, startedAt);
+    this.recordEnded(ended.instanceId, ended.startedAt);
     if (!isCurrent) return false;
     this.current = undefined;
     return true;
@@ -159,10 +159,10 @@
     return report.draining ? ReportEffect.Draining : ReportEffect.Started;
   }
 
-  private hasEnded({ instanceId, startedAt }: ServerReport): boolean {
+  private hasEnded(report: ServerReport): boolean {
+    const { instanceId } = report;
     if (!this.endedStarts.has(instanceId)) return false;
-    const endedStart = this.endedStarts.get(instanceId);
-    return startedAt === undefined || endedStart === undefined || startedAt <= endedStart;
+    return isSameOrEarlier(report, { instanceId, startedAt: this.endedStarts.get(instanceId) });
   }
 
   /**
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -42,6 +42,7 @@
 export type { RequestForwarderOptions } from './entry/request-forwarder.js';
 export { stoppingRetryAfterMilliseconds } from './entry/stop-admission.js';
 export type { StopSchedule } from './entry/stop-admission.js';
+export { BoundedMap } from './shared/bounded-map.js';
 export { DepartureLedger, IncarnationStatus } from './departures/departure-ledger.js';
 export type { DepartureRecords } from './departures/departure-ledger.js';
 export { GateEventName, ServerEvidence, ServerNotUsedReason } from './gate/gate-contract.js';
--- a/packages/platform/src/key-values/confirmed-records.ts
+++ b/packages/platform/src/key-values/confirmed-records.ts
@@ -1,3 +1,5 @@
+import { BoundedMap } from '@peridotspring/mesh-core';
+
 import type { CancellableDelays } from './cancellable-delays.js';
 import type { StoreCallCodec } from './key-value-store.js';
 import type { StoreClient } from './store-client.js';
@@ -30,7 +32,7 @@
  * Records are never changed, so a write may be repeated.
  */
 export class ConfirmedRecords {
-  private readonly written = new Map<string, WrittenRecord>();
+  private readonly written = new BoundedMap<string, WrittenRecord>(maximumRewrites);
   private isClosed = false;
 
   public constructor(private readonly options: ConfirmedRecordsOptions) {}
@@ -100,10 +102,7 @@
     const call = codec.write(`${prefix}${name}`, value);
     const { kind } = await storeClient.call({ ...call, responseTimeoutMilliseconds: timeout });
     if (kind !== 'ok') return false;
-    this.written.delete(name);
     this.written.set(name, { value, writtenAt: clock() });
-    const [oldest] = this.written.keys();
-    if (this.written.size > maximumRewrites && oldest !== undefined) this.written.delete(oldest);
     return true;
   }
 }
