Departures: answer a server in its time when the store does not acknowledge

Cause: the back-off between two attempts could run past the 850 ms of a write. The 503 came after the server had given up, and a repeated message joined the write that was about to fail.

Change: the back-off of a write ends with its time.

--- a/packages/platform/src/key-values/cancellable-delays.ts
+++ b/packages/platform/src/key-values/cancellable-delays.ts
@@ -26,10 +26,11 @@
     await this.sleep(milliseconds * this.random());
   }
 
-  /** Exponential back-off with jitter after a call that has failed this many times in a row. */
-  public async backOff(failures: number): Promise<void> {
+  /** Exponential back-off with jitter after a call that has failed this many times in a row, for a limited time. */
+  public async backOff(failures: number, limitMilliseconds = Infinity): Promise<void> {
     const delay = minimumBackOffMilliseconds * 2 ** Math.min(failures - 1, 5);
-    await this.sleep(Math.min(maximumBackOffMilliseconds, delay) * (0.5 + this.random()));
+    const jittered = Math.min(maximumBackOffMilliseconds, delay) * (0.5 + this.random());
+    await this.sleep(Math.min(jittered, limitMilliseconds));
   }
 
   public close(): void {
--- a/packages/platform/src/key-values/confirmed-records.ts
+++ b/packages/platform/src/key-values/confirmed-records.ts
@@ -42,7 +42,7 @@
     const { clock, delays } = this.options;
     const dueAt = clock() + writeTimeoutMilliseconds;
     for (let failures = 0; !this.isClosed; failures += 1) {
-      if (failures > 0) await delays.backOff(failures);
+      if (failures > 0) await delays.backOff(failures, dueAt - clock());
       const remaining = dueAt - clock();
       if (remaining <= 0) return false;
       if (await this.tryWrite(name, value, Math.min(remaining, responseTimeoutMilliseconds)))
--- a/packages/platform/tests/confirmed-records.test.ts
+++ b/packages/platform/tests/confirmed-records.test.ts
@@ -8,7 +8,11 @@
 const value = Buffer.from('record');
 
 /** Records in a store that does not answer the first calls; each call and each delay takes 100 ms. */
-function createHarness(failures: number): {
+function createHarness(
+  failures: number,
+  backOffMilliseconds = 100,
+): {
+  readonly clock: () => number;
   readonly calls: string[];
   readonly records: ConfirmedRecords;
 } {
@@ -31,8 +35,8 @@
       write: (key: string) => createCall(`write ${key}`),
     } as unknown as StoreCallCodec,
     delays: {
-      backOff: () => {
-        now += 100;
+      backOff: (_failures, limitMilliseconds?: number) => {
+        now += Math.min(backOffMilliseconds, limitMilliseconds ?? Infinity);
         return Promise.resolve();
       },
     },
@@ -43,7 +47,7 @@
         Promise.resolve(call(`list ${prefix}${isStaleAllowed ? ' stale' : ''}`, page)),
     },
   });
-  return { calls, records };
+  return { calls, clock: () => now, records };
 }
 
 test('a write is repeated until the store acknowledges it, as long as the server waits', async () => {
@@ -58,6 +62,13 @@
   assert.is(long.calls.length, 5);
 });
 
+// Regression: the back-off ran past the time, so the server had given up before it heard that its departure was not recorded.
+test('a write that is not acknowledged ends in time, however long the back-off is', async () => {
+  const { clock, records } = createHarness(100, 400);
+  assert.not(await records.write('i-1/any', value));
+  assert.is(clock(), 850);
+});
+
 test('a read is up to date, and repeated until the store answers', async () => {
   const { calls, records } = createHarness(20);
   assert.equal(await records.read('i-1'), [value]);
