Build the program from its sources or none, and tell which code a process runs

Cause, as far as shown: the build left or made a program of older sources, in two ways. A build that failed kept the older target/peridotspring-mesh.cjs, which the case then plays. Which of the two happened on the users' machines can't be told: nothing in the logs named the code.

Change: the build first removes the program, bundles the sources directly (nothing compiled earlier takes part), starts the result and compares what it says it is made of, and puts the launcher in place last; the bundle's name holds the digest of its sources, so files of two builds can't be combined. Dependencies are installed unless node_modules holds exactly what the lock file lists for this machine. Processes log `program-started` with the digest and the commit, the gauge build_info and `--version` show them, and `peridotctl explain-server` names them.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -18,6 +18,7 @@
 
 /** Lower layers may not import higher ones: every dependency points towards the core. */
 const allowedDependencies = {
+  'build-identity': [],
   core: [],
   'mesh-core': ['core'],
   language: ['core'],
@@ -28,6 +29,7 @@
   platform: ['core', 'mesh-core'],
   operators: ['core', 'language', 'mesh-core', 'http-server'],
   daemon: [
+    'build-identity',
     'core',
     'mesh-core',
     'http-server',
@@ -38,7 +40,7 @@
     'operators',
     'language',
   ],
-  ctl: ['language'],
+  ctl: ['build-identity', 'language'],
   'stand-ins': ['core'],
   'virtual-time': ['core', 'mesh-core', 'nodes', 'operators'],
   measure: ['mesh-core', 'nodes', 'stand-ins'],
--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -12,24 +12,37 @@
   parseDurationFlag,
 } from './connection-options.js';
 import { ExitCode } from './exit-code.js';
-import { explainRequest } from './explain.js';
+import { explainRequest, explainServer } from './explain.js';
 import { parseOrReport, runText, type Session } from './session.js';
 import type { Terminal } from './terminal.js';
 import { watch } from './watch.js';
 
 type Work = (session: Session, statement: Statement) => Promise<ExitCode>;
 
+/** A command that reads the logs of nodes. */
+interface LogCommand {
+  readonly name: string;
+  readonly description: string;
+  /** What the identifier names. */
+  readonly subject: string;
+  readonly explain: (identifier: string, logs: readonly string[]) => readonly string[];
+}
+
 /** Builds the command line; the exit code of the command that ran is kept in `exitCode`. */
 class Program {
   public exitCode: ExitCode = ExitCode.Done;
   private readonly command = new Command('peridotctl');
 
-  public constructor(private readonly terminal: Terminal) {
+  public constructor(
+    private readonly terminal: Terminal,
+    version: string,
+  ) {
     const write = (text: string): void => {
       terminal.error(text.trimEnd());
     };
     this.command
       .description('Asks and changes a peridotspring system through the operator port of any node.')
+      .version(version, '--version', 'print which code this is')
       .exitOverride()
       .configureOutput({
         writeErr: write,
@@ -147,22 +160,38 @@
   }
 
   private addExplain(): void {
+    this.addLogCommand({
+      description: 'print what the logs of nodes say of a request, in order of time',
+      explain: explainRequest,
+      name: 'explain',
+      subject: 'request',
+    });
+    this.addLogCommand({
+      description:
+        'print what the logs of nodes say of a server, and which code they ran, in order of time',
+      explain: explainServer,
+      name: 'explain-server',
+      subject: 'instance',
+    });
+  }
+
+  private addLogCommand({ description, explain, name, subject }: LogCommand): void {
     this.command
-      .command('explain')
-      .description('print what the logs of nodes say of a request, in order of time')
-      .argument('<request>', 'the identifier of the request')
+      .command(name)
+      .description(description)
+      .argument(`<${subject}>`, `the identifier of the ${subject}`)
       .argument('<file...>', 'log files of any number of nodes; - for standard input')
-      .action(async (request: string, files: readonly string[]) => {
+      .action(async (identifier: string, files: readonly string[]) => {
         const logs: string[] = [];
         for (const file of files) {
           const log = await this.readFile(file);
           if (log === undefined) return;
           logs.push(log);
         }
-        const lines = explainRequest(request, logs);
+        const lines = explain(identifier, logs);
         for (const line of lines) this.terminal.out(line);
         if (lines.length > 0) return;
-        this.terminal.error(`no line speaks of the request ${request}`);
+        this.terminal.error(`no line speaks of the ${subject} ${identifier}`);
         this.exitCode = ExitCode.Partial;
       });
   }
@@ -213,9 +242,10 @@
 export async function runProgram(
   argumentList: readonly string[],
   terminal: Terminal,
+  version = 'unknown',
 ): Promise<ExitCode> {
   try {
-    return await new Program(terminal).run(argumentList);
+    return await new Program(terminal, version).run(argumentList);
   } catch (error) {
     if (!(error instanceof CommanderError)) throw error;
     // Commander has written its message already.
--- a/packages/ctl/tests/explain.test.ts
+++ b/packages/ctl/tests/explain.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { explainRequest } from '../src/explain.js';
+import { explainRequest, explainServer } from '../src/explain.js';
 
 const entry = [
   'time=2026-12-04T10:00:00.010Z level=info event=request-moved node=n1 request=abc reason=busy',
@@ -29,4 +29,15 @@
   assert.equal(explainRequest('xyz', [entry, gate, '']), []);
 });
 
+test('the lines of a server come with those that say which code ran', () => {
+  const log = [
+    'time=2026-12-04T10:00:02.000Z level=info event=server-not-used node=n1 evidence=report instance=i-1 reason=left',
+    'time=2026-12-04T10:00:01.000Z level=info event=program-started node=n1 sources=0123456789abcdef',
+    'time=2026-12-04T10:00:01.500Z level=info event=server-ready node=n1 instance=i-12 evidence=report',
+  ].join('\n');
+  const events = explainServer('i-1', [log]).map((line) => /event=(\S+)/.exec(line)?.[1]);
+  assert.equal(events, ['program-started', 'server-not-used']);
+  assert.equal(explainServer('i-3', [log]), []);
+});
+
 test.run();
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,6 @@
 #!/usr/bin/env -S node --max-semi-space-size=2
+import { readBuildIdentity } from '@peridotspring/build-identity';
+
 import { LogEvent } from './logging/log-event.js';
 import { installLogWriter, Logger } from './logging/logger.js';
 import type { Settings } from './settings/settings.js';
@@ -62,8 +64,10 @@
   for (const variable of unknownVariables) {
     log.warn(LogEvent.SettingUnknown, { variable });
   }
-  log.info(LogEvent.NodeStarting, { server: settings.serverName });
+  const build = await readBuildIdentity();
+  log.info(LogEvent.NodeStarting, { server: settings.serverName, ...build });
   const nodePromise = startNode({
+    build,
     settings,
     onStopped: () => {
       void nodePromise.then((node) => node.close()).then(() => process.exit(0));
--- a/packages/daemon/src/mesh/index.ts
+++ b/packages/daemon/src/mesh/index.ts
@@ -1,3 +1,5 @@
+export { formatBuildIdentity, readBuildIdentity } from '@peridotspring/build-identity';
+export type { BuildIdentity } from '@peridotspring/build-identity';
 export { LineWriter } from '../logging/line-writer.js';
 export { installLogWriter, Logger } from '../logging/logger.js';
 export { MeshEvent } from './mesh-event.js';
--- a/packages/daemon/src/mesh/mesh-event.ts
+++ b/packages/daemon/src/mesh/mesh-event.ts
@@ -31,6 +31,7 @@
   NodeStopping: 'node-stopping',
   NodesKnown: 'nodes-known',
   OtherInstance: 'server-is-another',
+  ProgramStarted: 'program-started',
   RequestAnsweredLocally: 'request-answered-locally',
   RequestQuarantined: 'request-quarantined',
   RequestReleased: 'request-released',
--- a/packages/daemon/src/mesh/mesh-wiring.ts
+++ b/packages/daemon/src/mesh/mesh-wiring.ts
@@ -1,3 +1,4 @@
+import type { BuildIdentity } from '@peridotspring/build-identity';
 import { RouteServer } from '@peridotspring/callers';
 import { SeededRandomSource } from '@peridotspring/core';
 import { DeferredInput } from '@peridotspring/http-server';
@@ -10,6 +11,7 @@
 import { Metrics } from '@peridotspring/operators/metrics';
 
 import { Logger } from '../logging/logger.js';
+import { registerBuildIdentity } from '../operators/build-information.js';
 import { EventRecorder } from './event-recorder.js';
 import {
   decodeDirectoryEntry,
@@ -54,6 +56,7 @@
 }
 
 export interface MeshWiringOptions {
+  readonly build: BuildIdentity;
   readonly settings: MeshSettings;
   readonly adapter: PlatformAdapter;
   readonly readSettings: () => Promise<SettingsResult>;
@@ -65,7 +68,9 @@
   const { adapter, settings, onStopped } = options;
   const clock = (): number => performance.now();
   const metrics = new Metrics();
+  registerBuildIdentity(metrics, options.build);
   const events = createEventRecorder(settings, metrics, clock);
+  events.record(MeshEvent.ProgramStarted, { ...options.build });
   const createAccount = createMemoryAccounts(settings, clock, events);
   const memory = createAccount(settings.heldMemoryBytes);
   const protocolMemory = createAccount(settings.protocolMemoryBytes);
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,3 +1,4 @@
+import type { BuildIdentity } from '@peridotspring/build-identity';
 import { CallerServer } from '@peridotspring/callers';
 import type { FinishedRequest } from '@peridotspring/callers';
 import { DeferredInput } from '@peridotspring/http-server';
@@ -35,6 +36,7 @@
 import { createIdentity, formatHostAndPort, requestIdPrefix } from './node-identity.js';
 import { Logger } from './logging/logger.js';
 import { LogEvent } from './logging/log-event.js';
+import { registerBuildIdentity } from './operators/build-information.js';
 import { registerMemoryGauges } from './mesh/memory-gauges.js';
 import { ClientFaultRecorder } from './operators/client-fault-recorder.js';
 import { registerGauges } from './operators/gauges.js';
@@ -62,12 +64,13 @@
 }
 
 export interface NodeOptions {
+  readonly build: BuildIdentity;
   readonly settings: Settings;
   readonly onStopped: () => void;
 }
 
 /** Creates and connects all parts of a node and starts listening. No other module wires them. */
-export async function startNode({ settings, onStopped }: NodeOptions): Promise<RunningNode> {
+export async function startNode({ build, settings, onStopped }: NodeOptions): Promise<RunningNode> {
   const clock = (): ClockReading => ({ monotonic: performance.now(), wall: Date.now() });
   const log = new Logger(settings.logLevel);
   const identity = createIdentity(settings, clock().wall);
@@ -92,6 +95,7 @@
     clock,
     () => networkParts,
   );
+  registerBuildIdentity(operatorParts.metrics, build);
   const upstream = new UpstreamClient((message) => {
     networkParts.driver.deliver(message);
   });
--- a/packages/operators/src/observation/metrics.ts
+++ b/packages/operators/src/observation/metrics.ts
@@ -39,6 +39,14 @@
   read(): Iterable<readonly [string, number]>;
 }
 
+/** A gauge that is always 1, whose labels hold the information. */
+export interface InformationDefinition {
+  /** Without the prefix `peridotspring_`. */
+  readonly name: string;
+  readonly help: string;
+  readonly labels: Labels;
+}
+
 /** Replaces characters that Prometheus does not allow in label names, such as the hyphens of the core. */
 function sanitizeLabels(labels: Labels): Labels {
   return Object.fromEntries(
@@ -126,6 +134,16 @@
     });
   }
 
+  public addInformation({ help, labels, name }: InformationDefinition): void {
+    const gauge = new Gauge({
+      help,
+      labelNames: Object.keys(labels),
+      name: `${prefix}${name}`,
+      registers: [this.registry],
+    });
+    gauge.set({ ...labels }, 1);
+  }
+
   /** All metrics in the Prometheus text format. */
   public async text(): Promise<string> {
     this.flushPendingCounts();
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,9 +3,7 @@
 # With --platform the nodes run as on the users' platform: routes from its store, no operators' language.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-if [ ! -d node_modules ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
-  npm ci --no-audit --no-fund --prefer-offline >/dev/null
-fi
+node scripts/install-dependencies.mjs
 npx tsc -b
 program=packages/stand-ins/dist/src/fleet/demo.js
 if [ "${1:-}" = --platform ]; then
