--- a/packages/platform/src/key-values/http-store-transport.ts
+++ b/packages/platform/src/key-values/http-store-transport.ts
@@ -42,6 +42,7 @@
   ): Promise<StoreResponse<Value>> {
     const { clock, onCallCompleted } = this.options;
     const startedAt = clock();
+    if (call.isRepeat === true) this.closeIdleConnections();
     const outcome = await this.send(call, signal);
     onCallCompleted(call.name, outcome.kind, clock() - startedAt);
     return outcome;
--- a/packages/platform/src/key-values/index.ts
+++ b/packages/platform/src/key-values/index.ts
@@ -6,6 +6,7 @@
   StoreResponse,
   StoreCall,
   StoreCallCodec,
+  StoreCallOptions,
   StoredItem,
   StoreOutcome,
   StoreTransport,
--- a/packages/platform/src/key-values/key-value-store.ts
+++ b/packages/platform/src/key-values/key-value-store.ts
@@ -36,8 +36,16 @@
 /** An outcome with the era of the store that the response reported, if any. */
 export type StoreResponse<Value> = StoreOutcome<Value> & { readonly era?: number | undefined };
 
+/** How a call is made, apart from what it says. */
+export interface StoreCallOptions {
+  /** Time to wait for the response, in addition to `holdMilliseconds`, if it differs from that of other calls. */
+  readonly responseTimeoutMilliseconds?: number;
+  /** An earlier call has failed or is late, so connections that were open before may be dead. */
+  readonly isRepeat?: boolean;
+}
+
 /** One HTTP call in the protocol of the store. */
-export interface StoreCall<Value> {
+export interface StoreCall<Value> extends StoreCallOptions {
   /** Identifies the kind of call in logs and metrics. */
   readonly name: string;
   readonly method: 'DELETE' | 'GET' | 'POST';
@@ -45,8 +53,6 @@
   readonly body?: string;
   /** Time for which the store may hold the call open before it responds (long polling). */
   readonly holdMilliseconds?: number;
-  /** Time to wait for the response, in addition to `holdMilliseconds`, if it differs from that of other calls. */
-  readonly responseTimeoutMilliseconds?: number;
   parse(status: number, body: string): StoreOutcome<Value>;
 }
 
--- a/packages/platform/src/key-values/store-client.ts
+++ b/packages/platform/src/key-values/store-client.ts
@@ -2,6 +2,7 @@
   ItemPage,
   StoreCall,
   StoreCallCodec,
+  StoreCallOptions,
   StoredItem,
   StoreOutcome,
   StoreTransport,
@@ -62,20 +63,18 @@
     return response;
   }
 
-  /** Reads all pages of the keys with a prefix. The time-out is that of each page, if it differs from that of other calls. */
+  /** Reads all pages of the keys with a prefix. The options are those of the call for each page. */
   public async list(
     prefix: string,
     isStaleAllowed: boolean,
-    responseTimeoutMilliseconds?: number,
+    options: StoreCallOptions = {},
   ): Promise<StoreClientOutcome<ItemPage>> {
     const items: StoredItem[] = [];
     let after: string | undefined;
     let eraOfFirstPage: number | undefined;
     for (;;) {
       const page = this.options.codec.list(prefix, after, isStaleAllowed);
-      const outcome = await this.call(
-        responseTimeoutMilliseconds === undefined ? page : { ...page, responseTimeoutMilliseconds },
-      );
+      const outcome = await this.call({ ...page, ...options });
       if (outcome.kind !== 'ok') return outcome;
       eraOfFirstPage ??= this.eraTracker.current;
       // Pages of two different copies of the store must not be combined.
