Departures: have a peer record them where the store refuses the node

Callers saw a leave answered with 503 by a node that the store refuses, or does not answer, while the nodes beside it reach the store; the server ends anyway, and the processes that start afterwards know nothing of it.

Cause: only the node of the server wrote the record.

The request and its answer are optional fields of the version frame, which older nodes ignore. The name and size of a record from a peer are checked. Events say by whom a departure was recorded, and what proved that a server that was waited for has not left.

--- a/packages/daemon/src/mesh/configuration-synchronizer.ts
+++ b/packages/daemon/src/mesh/configuration-synchronizer.ts
@@ -94,6 +94,11 @@
     return this.storeWatchElection.isStoreReachable;
   }
 
+  /** Connected peers that reach the store, those of the own zone first. */
+  public get peersReachingStore(): readonly string[] {
+    return this.storeWatchElection.nodesReachingStore;
+  }
+
   /** Whether this node watches the configuration in the store. */
   public get isWatching(): boolean {
     return this.storeWatchElection.isWatching;
--- a/packages/daemon/src/mesh/departure-synchronizer.ts
+++ b/packages/daemon/src/mesh/departure-synchronizer.ts
@@ -6,10 +6,16 @@
   ServerEvidence,
   ServerNotUsedReason,
 } from '@peridotspring/mesh-core';
-import type { EndedServer, ServerGate, ServerReport } from '@peridotspring/mesh-core';
+import type {
+  EndedServer,
+  RecordRequest,
+  ServerGate,
+  ServerReport,
+} from '@peridotspring/mesh-core';
 import type { DepartureRead } from '@peridotspring/platform/key-values';
 import type { MessageVerdict, ServerMessage } from '@peridotspring/upstreams/mesh';
 
+import type { DepartureRelay } from './departure-relay.js';
 import { MeshEvent } from './mesh-event.js';
 import {
   decodeStoredDeparture,
@@ -47,9 +53,39 @@
     'incarnationOf' | 'onHealthCheckPassed' | 'onServerEndReported' | 'onServerReport'
   >;
   readonly store: () => DepartureStore;
-  readonly log: (event: string, fields: Readonly<Record<string, string>>) => void;
+  readonly relay: Pick<DepartureRelay, 'request'>;
+  readonly log: (event: string, fields: Readonly<Record<string, string | number>>) => void;
 }
 
+/** Who has acknowledged the record of a departure. */
+const RecordedBy = {
+  /** A peer, for a node that the store does not answer. */
+  Peer: 'peer',
+  Store: 'store',
+} as const;
+type RecordedBy = (typeof RecordedBy)[keyof typeof RecordedBy];
+
+const UnconfirmedReason = {
+  /** Neither the store nor a peer has acknowledged the record in time. */
+  NotRecorded: 'not-recorded',
+} as const;
+
+/** The message that announced a departure. */
+const DepartureMessage = {
+  Draining: 'draining',
+  Leave: 'leave',
+} as const;
+type DepartureMessage = (typeof DepartureMessage)[keyof typeof DepartureMessage];
+
+/** What shows that a server has not left. */
+const PresenceProof = {
+  /** The server has sent a report to an address that only this process has named. */
+  FreshReport: 'fresh-report',
+  /** The store holds no record of its departure. */
+  NoRecord: 'no-record',
+} as const;
+type PresenceProof = (typeof PresenceProof)[keyof typeof PresenceProof];
+
 type Schedule = (action: () => void, milliseconds: number) => () => void;
 
 /** What is known of an instance while the store is read. */
@@ -69,7 +105,9 @@
   private readonly ledger = new DepartureLedger();
   private readonly waiting = new Map<string, WaitingInstance>();
   /** Writes in progress and done, by the name of the record. */
-  private readonly recorded = new BoundedMap<string, Promise<boolean>>(maximumRecordedDepartures);
+  private readonly recorded = new BoundedMap<string, Promise<RecordedBy | undefined>>(
+    maximumRecordedDepartures,
+  );
 
   public constructor(private readonly options: DepartureSynchronizerOptions) {}
 
@@ -96,13 +134,19 @@
         return { isBinding: true, requiresFreshReport: false };
       case 'leave': {
         const departure = this.options.gate.incarnationOf(message.instanceId);
-        return { isBinding: await this.confirm(departure), requiresFreshReport: false };
+        return {
+          isBinding: await this.confirm(departure, DepartureMessage.Leave),
+          requiresFreshReport: false,
+        };
       }
       case 'report': {
         const { draining, instanceId, startedAt } = message.report;
         const incarnation = { instanceId, startedAt };
         return draining
-          ? { isBinding: await this.confirm(incarnation), requiresFreshReport: false }
+          ? {
+              isBinding: await this.confirm(incarnation, DepartureMessage.Draining),
+              requiresFreshReport: false,
+            }
           : { isBinding: true, requiresFreshReport: await this.requiresProof(incarnation) };
       }
     }
@@ -149,7 +193,9 @@
 
   private onPresenceProven({ instanceId, startedAt }: EndedServer): void {
     this.ledger.onPresenceProven({ instanceId, startedAt });
-    if (!this.waiting.has(instanceId)) return;
+    const waiting = this.waiting.get(instanceId);
+    if (waiting === undefined) return;
+    this.logVerified(instanceId, PresenceProof.FreshReport, waiting.since);
     // The others ended before this one began.
     this.waiting.clear();
     this.options.store().coverDepartures();
@@ -171,21 +217,46 @@
   }
 
   /** Resolves to whether a departure may be confirmed to the server, because it binds all later processes. */
-  private async confirm(departure: EndedServer): Promise<boolean> {
-    const { log, nodeName, store, wallClock } = this.options;
+  private async confirm(departure: EndedServer, message: DepartureMessage): Promise<boolean> {
+    const { clock, log } = this.options;
+    const { instanceId: instance, startedAt = 'any' } = departure;
     this.ledger.onAnnounced(departure);
+    const since = clock();
+    const by = await this.record(departure);
+    const fields = { instance, message, milliseconds: Math.round(clock() - since), startedAt };
+    if (by === undefined)
+      log(MeshEvent.DepartureUnconfirmed, { ...fields, reason: UnconfirmedReason.NotRecorded });
+    else log(MeshEvent.DepartureConfirmed, { ...fields, by });
+    return by !== undefined;
+  }
+
+  /** Resolves to undefined if nobody has acknowledged the record in time. */
+  private async record(departure: EndedServer): Promise<RecordedBy | undefined> {
+    const { nodeName, wallClock } = this.options;
     const name = departureName(departure);
     const earlier = this.recorded.get(name);
     if (earlier !== undefined) return earlier;
     const value = encodeStoredDeparture(departure, nodeName, wallClock());
-    const written = store().writeDeparture(name, value);
-    this.recorded.set(name, written);
-    const isRecorded = await written;
-    if (!isRecorded) {
-      this.recorded.delete(name);
-      log(MeshEvent.DepartureUnconfirmed, { instance: departure.instanceId });
-    }
-    return isRecorded;
+    const recording = this.write({ name, value });
+    this.recorded.set(name, recording);
+    const by = await recording;
+    if (by === undefined) this.recorded.delete(name);
+    return by;
+  }
+
+  private async write(request: RecordRequest): Promise<RecordedBy | undefined> {
+    const { relay, store } = this.options;
+    return new Promise((resolve) => {
+      const endRelay = relay.request(request, () => {
+        resolve(RecordedBy.Peer);
+      });
+      void store()
+        .writeDeparture(request.name, request.value)
+        .then((isWritten) => {
+          endRelay();
+          resolve(isWritten ? RecordedBy.Store : undefined);
+        });
+    });
   }
 
   /** Returns undefined if too many instances wait already. */
@@ -210,10 +281,13 @@
     const { isComplete, values } = read;
     const departures = values.map((value) => decodeStoredDeparture(value, instanceId));
     this.ledger.onRecordsRead(instanceId, { departures, isComplete });
-    const { health, report } = this.waiting.get(instanceId) ?? {};
-    if (this.isUnverified(report ?? { instanceId })) return;
+    const { health, report, since } = this.waiting.get(instanceId) ?? {};
+    const status = this.ledger.statusOf(report ?? { instanceId });
+    if (status === IncarnationStatus.Unverified) return;
     this.waiting.delete(instanceId);
     const now = clock();
+    if (status === IncarnationStatus.Present && since !== undefined)
+      this.logVerified(instanceId, PresenceProof.NoRecord, since);
     if (report !== undefined) this.onReport(report, now);
     else if (health !== undefined && now - health.checkedAt <= healthCheckMilliseconds)
       this.onHealthCheckPassed(instanceId, health.slots, now);
@@ -228,6 +302,11 @@
     this.options.gate.onServerEndReported({ instanceId, startedAt }, now);
   }
 
+  private logVerified(instance: string, proof: PresenceProof, since: number): void {
+    const milliseconds = Math.round(this.options.clock() - since);
+    this.options.log(MeshEvent.ServerVerified, { instance, milliseconds, proof });
+  }
+
   private logNotUsed(
     instance: string,
     evidence: ServerEvidence,
--- a/packages/daemon/src/mesh/event-recorder.ts
+++ b/packages/daemon/src/mesh/event-recorder.ts
@@ -49,10 +49,13 @@
   [GateEventName.RequestFinished]: ['outcome'],
   [GateEventName.ServerNotUsed]: ['evidence', 'reason'],
   [MeshEvent.ClientFaulty]: ['fault', 'port'],
+  [MeshEvent.DepartureConfirmed]: ['by', 'message'],
+  [MeshEvent.DepartureUnconfirmed]: ['message', 'reason'],
   [MeshEvent.ErrorContained]: ['place'],
   [MeshEvent.MemoryExhausted]: ['place'],
   [MeshEvent.MemoryReclaimed]: ['place'],
   [MeshEvent.RequestAnsweredLocally]: ['status'],
+  [MeshEvent.ServerVerified]: ['proof'],
   [MeshEvent.StoreCalled]: ['call', 'outcome'],
 };
 
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -35,6 +35,7 @@
 
 import { AllotmentSynchronizer } from './allotment-synchronizer.js';
 import { ConfigurationSynchronizer, storeSource } from './configuration-synchronizer.js';
+import { DepartureRelay } from './departure-relay.js';
 import { DepartureSynchronizer } from './departure-synchronizer.js';
 import { DirectorySynchronizer } from './directory-synchronizer.js';
 import { waitForAcknowledgement } from './end-acknowledgement.js';
@@ -78,6 +79,7 @@
   private readonly healthChecks: ServerHealthChecks;
   private readonly loadAnnouncer = new LoadAnnouncer();
   private readonly endedServers = new EndedServers();
+  private readonly departureRelay: DepartureRelay;
   private readonly departures: DepartureSynchronizer;
   private readonly serverMessages: ServerMessageBuffer;
   /** Settles when peers have acknowledged that the last server is draining or has left. */
@@ -212,11 +214,20 @@
       },
       service: self.service,
     });
+    this.departureRelay = new DepartureRelay({
+      configurationVersion: () => this.configuration.version,
+      connections: () => options.ports().connections,
+      peersReachingStore: () => this.configuration.peersReachingStore,
+      reachesStore: () => this.configuration.reachesStore,
+      schedule: options.schedule,
+      writeDeparture: (name, value) => options.ports().store.writeDeparture(name, value),
+    });
     this.departures = new DepartureSynchronizer({
       clock,
       gate: this.gate,
       log,
       nodeName: self.name,
+      relay: this.departureRelay,
       schedule: options.schedule,
       store: () => options.ports().store,
       wallClock: options.wallClock,
@@ -592,6 +603,8 @@
         this.configuration.onPeerEra(frame.storeEra);
         this.evacuations.onPeerSnapshot(frame.evacuations, from.name, now);
         this.quarantines.onPeerRecords(frame.crashRecords, now);
+        void this.departureRelay.onRequested(from.name, frame.recordRequest);
+        this.departureRelay.onRecorded(frame.recordedName);
         return;
       case 'store-reach':
         this.configuration.onPeerStoreReachability(from.name, frame.reachesStore);
--- a/packages/daemon/src/mesh/stored-departure.ts
+++ b/packages/daemon/src/mesh/stored-departure.ts
@@ -5,9 +5,10 @@
 import { parseStoredJson } from './stored-json.js';
 
 /** Larger than any record that a node writes. */
-const maximumRecordBytes = 4_096;
+export const maximumRecordBytes = 4_096;
 /** The platform limits the length of keys; longer identifiers are replaced by their digest. */
 const maximumNameLength = 128;
+const departureNamePattern = new RegExp(`^[^/]{1,${maximumNameLength}}/(any|\\d{1,16})$`);
 /** Servers that have left go on serving for seconds, so a record that is this old binds nobody any more. */
 const retentionMilliseconds = 86_400_000;
 
@@ -23,6 +24,11 @@
   return `${departureGroup(instanceId)}/${startedAt ?? 'any'}`;
 }
 
+/** Whether a text is the name of a record. */
+export function isDepartureName(name: string): boolean {
+  return departureNamePattern.test(name);
+}
+
 export function encodeStoredDeparture(
   { instanceId, startedAt }: EndedServer,
   node: string,
--- a/packages/daemon/tests/departure-synchronizer.test.ts
+++ b/packages/daemon/tests/departure-synchronizer.test.ts
@@ -13,8 +13,10 @@
 class SynchronizerFixture {
   public readonly events: string[] = [];
   public readonly stored = new Map<string, Uint8Array>();
+  public isAnswering = true;
   public isWritable = true;
   public now = 0;
+  public onRelayed: () => void = () => undefined;
   public readonly synchronizer: DepartureSynchronizer;
   private readonly reads: ((read: DepartureRead | undefined) => void)[] = [];
 
@@ -27,9 +29,15 @@
         onServerEndReported: ({ instanceId }) => this.events.push(`ended ${instanceId}`),
         onServerReport: ({ instanceId }) => this.events.push(`report ${instanceId}`),
       },
-      log: (event, { instance, reason }) =>
-        this.events.push([event, instance, reason].filter(Boolean).join(' ')),
+      log: (event, { by, instance, proof, reason }) =>
+        this.events.push([event, instance, by, proof, reason].filter(Boolean).join(' ')),
       nodeName: 'a',
+      relay: {
+        request: (_request, onRecorded) => {
+          this.onRelayed = onRecorded;
+          return () => undefined;
+        },
+      },
       schedule: () => () => undefined,
       store: () => ({
         coverDepartures: () => this.events.push('covered'),
@@ -40,6 +48,7 @@
           }),
         writeDeparture: (name, value) => {
           this.events.push(`write ${name}`);
+          if (!this.isAnswering) return new Promise(() => undefined);
           if (this.isWritable) this.stored.set(name, value);
           return Promise.resolve(this.isWritable);
         },
@@ -68,7 +77,8 @@
   assert.ok(fixture.synchronizer.isWaiting);
   await fixture.answerReads(none);
   fixture.synchronizer.onReport(report, 2);
-  assert.equal(fixture.takeEvents(), ['report i-1', 'report i-1']);
+  const verified = 'server-verified i-1 no-record';
+  assert.equal(fixture.takeEvents(), [verified, 'report i-1', 'report i-1']);
   assert.not(fixture.synchronizer.isWaiting);
 });
 
@@ -93,11 +103,25 @@
   fixture.isWritable = false;
   const leave: ServerMessage = { instanceId: 'i/1', kind: 'leave' };
   assert.equal(await fixture.synchronizer.judge(leave), { ...confirmed, isBinding: false });
-  assert.equal(fixture.takeEvents(), ['write i%2F1/any', 'server-departure-unconfirmed i/1']);
+  assert.equal(fixture.takeEvents(), [
+    'write i%2F1/any',
+    'server-departure-unconfirmed i/1 not-recorded',
+  ]);
   fixture.isWritable = true;
   for (let count = 0; count < 2; count += 1)
     assert.equal(await fixture.synchronizer.judge(leave), confirmed);
-  assert.equal(fixture.takeEvents(), ['write i%2F1/any']);
+  const confirmation = 'server-departure-confirmed i/1 store';
+  assert.equal(fixture.takeEvents(), ['write i%2F1/any', confirmation, confirmation]);
+});
+
+// Regression: a node that the store refused did not confirm a departure, although its peers reached the store.
+test('a departure that a peer has recorded is confirmed', async () => {
+  const fixture = new SynchronizerFixture();
+  fixture.isAnswering = false;
+  const verdict = fixture.synchronizer.judge({ instanceId: 'i-1', kind: 'leave' });
+  fixture.onRelayed();
+  assert.equal(await verdict, confirmed);
+  assert.equal(fixture.takeEvents(), ['write i-1/any', 'server-departure-confirmed i-1 peer']);
 });
 
 test('an early report, a passed health check or a second late report prove nothing while the store does not answer', () => {
@@ -121,7 +145,8 @@
   fixture.synchronizer.onMessage(message, true);
   fixture.synchronizer.onReport(report, 5);
   assert.equal(await fixture.synchronizer.judge(message), confirmed);
-  assert.equal(fixture.takeEvents(), ['covered', 'report i-1']);
+  const verified = 'server-verified i-1 fresh-report';
+  assert.equal(fixture.takeEvents(), [verified, 'covered', 'report i-1']);
 });
 
 test.run();
--- a/packages/mesh-core/src/configuration/store-watch-election.ts
+++ b/packages/mesh-core/src/configuration/store-watch-election.ts
@@ -52,6 +52,15 @@
     return this.isElected;
   }
 
+  /** Names of the connected nodes that reach the store, those of the own zone first. */
+  public get nodesReachingStore(): readonly string[] {
+    const reaching = [...this.peers].filter(([, { isStoreReachable }]) => isStoreReachable);
+    const isNear = ([, { zone }]: (typeof reaching)[number]): boolean => zone === this.zone;
+    const near = reaching.filter(isNear);
+    const far = reaching.filter((peer) => !isNear(peer));
+    return [...near, ...far].map(([name]) => name);
+  }
+
   public onNodeConnected(node: MeshNode, isStoreReachable: boolean): void {
     this.peers.set(node.name, { isStoreReachable, rank: zoneRank(node), zone: zoneKey(node) });
   }
--- a/packages/mesh-core/src/index.ts
+++ b/packages/mesh-core/src/index.ts
@@ -84,6 +84,7 @@
   CrashReport,
   DeclinedFrame,
   EndedServer,
+  RecordRequest,
   EvacuatedZone,
   EvacuationSnapshot,
   FailedFrame,
--- a/packages/mesh-core/src/messages/mesh-frames.ts
+++ b/packages/mesh-core/src/messages/mesh-frames.ts
@@ -204,6 +204,12 @@
   readonly crashes: readonly CrashReport[];
 }
 
+/** A record that a node that does not reach the store has another node write. */
+export interface RecordRequest {
+  readonly name: string;
+  readonly value: Uint8Array;
+}
+
 /** Reports the version of the configuration that is in force at the sender. */
 export interface VersionFrame {
   readonly kind: 'version';
@@ -218,6 +224,10 @@
   readonly evacuations?: EvacuationSnapshot | undefined;
   /** News of requests that were running on servers that crashed. */
   readonly crashRecords?: readonly CrashRecord[] | undefined;
+  /** The departure of a server that the receiver is to record in the store. */
+  readonly recordRequest?: RecordRequest | undefined;
+  /** Name of the record that the store has acknowledged to the sender. */
+  readonly recordedName?: string | undefined;
 }
 
 /** Reports whether the sender can reach the store. */
