Departures: a node does not confirm that the server of another node leaves

Callers saw requests run at a server after its leave was confirmed: it had sent the leave to the port of another node, whose 200 bound nobody, as its own node went on using it.

Cause: a leave for an identifier that the node doesn't know was recorded and confirmed like one of its own server.

A node that knows no server yet still takes the leave for its own, as a restarted node must.

Ruled out: telling the other nodes.

--- a/packages/daemon/src/mesh/departure-synchronizer.ts
+++ b/packages/daemon/src/mesh/departure-synchronizer.ts
@@ -68,6 +68,8 @@
 const UnconfirmedReason = {
   /** Neither the store nor a peer has acknowledged the record in time. */
   NotRecorded: 'not-recorded',
+  /** Another server is beside the node. */
+  OtherServer: 'other-server',
 } as const;
 
 /** The message that announced a departure. */
@@ -152,6 +154,16 @@
     }
   }
 
+  /** Does not confirm the departure of a server that is not beside this node. */
+  public refuse(instance: string): MessageVerdict {
+    this.options.log(MeshEvent.DepartureUnconfirmed, {
+      instance,
+      message: DepartureMessage.Leave,
+      reason: UnconfirmedReason.OtherServer,
+    });
+    return { isBinding: false, requiresFreshReport: false };
+  }
+
   public onReport(report: ServerReport, now: number): void {
     const { gate } = this.options;
     if (report.draining) {
--- a/packages/mesh-core/src/gate/server-gate.ts
+++ b/packages/mesh-core/src/gate/server-gate.ts
@@ -393,6 +393,11 @@
     return this.serverTracker.incarnationOf(instanceId);
   }
 
+  /** Whether a server with this identifier may be the one beside the node, or an earlier one. */
+  public mayBeOwnServer(instanceId: string): boolean {
+    return this.serverTracker.mayBeOwn(instanceId);
+  }
+
   /**
    * Handles the report of another node that an earlier incarnation of this gate stopped sending requests to a
    * server because it drained or left.
--- a/packages/mesh-core/src/gate/server-incarnation-tracker.ts
+++ b/packages/mesh-core/src/gate/server-incarnation-tracker.ts
@@ -67,6 +67,14 @@
     return { instanceId, startedAt };
   }
 
+  /** Whether a server with this identifier may be beside the node, or have been: it is or was the current one, or there is none. */
+  public mayBeOwn(instanceId: string): boolean {
+    const { current } = this;
+    return (
+      current === undefined || current.instanceId === instanceId || this.endedStarts.has(instanceId)
+    );
+  }
+
   public get slots(): number {
     return this.current?.slots ?? 0;
   }
--- a/packages/mesh-core/tests/gate/server-incarnation-tracker.test.ts
+++ b/packages/mesh-core/tests/gate/server-incarnation-tracker.test.ts
@@ -178,4 +178,15 @@
   assert.is(tracker.onReport(draining), ReportEffect.Draining);
 });
 
+test('only a server that is or was beside the node, or may be, is taken for its own', () => {
+  const tracker = new ServerIncarnationTracker();
+  assert.ok(tracker.mayBeOwn('i-2'));
+  tracker.onReport(createServerReport({ instanceId: 'i-1' }));
+  assert.equal([tracker.mayBeOwn('i-1'), tracker.mayBeOwn('i-2')], [true, false]);
+  tracker.onReport(createServerReport({ instanceId: 'i-2' }));
+  assert.equal([tracker.mayBeOwn('i-1'), tracker.mayBeOwn('i-2')], [true, true]);
+  tracker.onLeaving('i-2');
+  assert.ok(tracker.mayBeOwn('i-3'));
+});
+
 test.run();
