OPERATIONS: the gauge of the code is checked against the metrics that exist

metrics-page.test failed, 0 of 1, since it does not collect gauges that only carry information; it collects them now, and still compares the page with all metrics.

--- a/packages/daemon/tests/operators/metrics-page.test.ts
+++ b/packages/daemon/tests/operators/metrics-page.test.ts
@@ -9,6 +9,7 @@
 import { registerMemoryGauges } from '../../src/mesh/memory-gauges.js';
 import { registerMeshGauges } from '../../src/mesh/mesh-gauges.js';
 import type { MeshGaugeValues, MeshServiceGaugeValues } from '../../src/mesh/mesh-gauges.js';
+import { registerBuildIdentity } from '../../src/operators/build-information.js';
 import { registerGauges } from '../../src/operators/gauges.js';
 import type { GaugeSources } from '../../src/operators/gauges.js';
 
@@ -43,7 +44,9 @@
   const gauges: string[] = [];
   metrics.addGauge = ({ name }) => gauges.push(name);
   metrics.addLabelledGauge = ({ name }) => gauges.push(name);
+  metrics.addInformation = ({ name }) => gauges.push(name);
   // Only the names are collected. The gauges are never read, so they need no sources.
+  registerBuildIdentity(metrics, { architecture: '', commit: '', runtime: '', sources: '' });
   registerGauges(metrics, {} as GaugeSources);
   registerMemoryGauges(metrics, [{ heldByPlace: new Map() }]);
   registerMeshGauges(metrics, {
