--- a/packages/platform/tests/confirmed-records.test.ts
+++ b/packages/platform/tests/confirmed-records.test.ts
@@ -89,9 +89,15 @@
 });
 
 // Regression: the back-off ran past the time, so the server had given up before it heard that its departure was not recorded.
-test('a write that is not acknowledged ends in time', async () => {
-  const fixture = new RecordsFixture(() => quickFailure);
-  assert.equal(await fixture.run(fixture.records.write('i-1/any', value)), [false, 850]);
+test('a write that is not acknowledged ends in time, however long the back-off is', async () => {
+  for (const [backOffMilliseconds, calls] of [
+    [100, 5],
+    [400, 2],
+  ] as const) {
+    const fixture = new RecordsFixture(() => quickFailure, backOffMilliseconds);
+    assert.equal(await fixture.run(fixture.records.write('i-1/any', value)), [false, 850]);
+    assert.is(fixture.calls.length, calls);
+  }
 });
 
 // Regression: each call was ended after 500 ms, so a store that took longer never acknowledged a departure.
