Judge a departure of another node's server where departures are judged

Found by reading the change: the driver of the node asked the gate whether a server that leaves is its own, and passed the answer on beside the judgement of the message, so that one decision was taken in two places.

Change: DepartureSynchronizer.judge asks the gate. It runs in the same turn, after the message has taken effect; the answer is the same before and after, since a departure of another server leaves the current one in place, and without a current one every server may be the own.

No test or bound was changed.

--- a/packages/daemon/src/mesh/departure-synchronizer.ts
+++ b/packages/daemon/src/mesh/departure-synchronizer.ts
@@ -50,7 +50,11 @@
   readonly wallClock: () => number;
   readonly gate: Pick<
     ServerGate,
-    'incarnationOf' | 'onHealthCheckPassed' | 'onServerEndReported' | 'onServerReport'
+    | 'incarnationOf'
+    | 'mayBeOwnServer'
+    | 'onHealthCheckPassed'
+    | 'onServerEndReported'
+    | 'onServerReport'
   >;
   readonly store: () => DepartureStore;
   readonly relay: Pick<DepartureRelay, 'request'>;
@@ -135,7 +139,9 @@
       case 'invalid':
         return { isBinding: true, requiresFreshReport: false };
       case 'leave': {
-        const departure = this.options.gate.incarnationOf(message.instanceId);
+        const { gate } = this.options;
+        if (!gate.mayBeOwnServer(message.instanceId)) return this.refuse(message.instanceId);
+        const departure = gate.incarnationOf(message.instanceId);
         return {
           isBinding: await this.confirm(departure, DepartureMessage.Leave),
           requiresFreshReport: false,
@@ -154,16 +160,6 @@
     }
   }
 
-  /** Does not confirm the departure of a server that is not beside this node. */
-  public refuse(instance: string): MessageVerdict {
-    this.options.log(MeshEvent.DepartureUnconfirmed, {
-      instance,
-      message: DepartureMessage.Leave,
-      reason: UnconfirmedReason.OtherServer,
-    });
-    return { isBinding: false, requiresFreshReport: false };
-  }
-
   public onReport(report: ServerReport, now: number): void {
     const { gate } = this.options;
     if (report.draining) {
@@ -242,6 +238,16 @@
     return by !== undefined;
   }
 
+  /** Does not confirm the departure of another node's server: that node could go on using it. */
+  private refuse(instance: string): MessageVerdict {
+    this.options.log(MeshEvent.DepartureUnconfirmed, {
+      instance,
+      message: DepartureMessage.Leave,
+      reason: UnconfirmedReason.OtherServer,
+    });
+    return { isBinding: false, requiresFreshReport: false };
+  }
+
   /** Resolves to undefined if nobody has acknowledged the record in time. */
   private async record(departure: EndedServer): Promise<RecordedBy | undefined> {
     const { nodeName, wallClock } = this.options;
--- a/packages/daemon/src/mesh/mesh-node.ts
+++ b/packages/daemon/src/mesh/mesh-node.ts
@@ -422,10 +422,7 @@
    */
   public async onServerMessage(message: ServerMessage, isFresh: boolean): Promise<MessageVerdict> {
     this.departures.onMessage(message, isFresh);
-    // The node of another server could go on using it, so only that node may confirm that it leaves.
-    const isOfOther = message.kind === 'leave' && !this.gate.mayBeOwnServer(message.instanceId);
     this.serverMessages.receive(message);
-    if (isOfOther) return this.departures.refuse(message.instanceId);
     const [verdict] = await Promise.all([this.departures.judge(message), this.endAcknowledged]);
     return verdict;
   }
--- a/packages/daemon/tests/departure-synchronizer.test.ts
+++ b/packages/daemon/tests/departure-synchronizer.test.ts
@@ -25,6 +25,7 @@
       clock: () => this.now,
       gate: {
         incarnationOf: (instanceId) => ({ instanceId, startedAt: undefined }),
+        mayBeOwnServer: (instanceId) => instanceId !== 'i-other',
         onHealthCheckPassed: (instance) => this.events.push(`passed ${instance}`),
         onServerEndReported: ({ instanceId }) => this.events.push(`ended ${instanceId}`),
         onServerReport: ({ instanceId }) => this.events.push(`report ${instanceId}`),
@@ -114,6 +115,13 @@
   assert.equal(fixture.takeEvents(), ['write i%2F1/any', confirmation, confirmation]);
 });
 
+test("a departure of another node's server is neither recorded nor confirmed", async () => {
+  const fixture = new SynchronizerFixture();
+  const leave: ServerMessage = { instanceId: 'i-other', kind: 'leave' };
+  assert.equal(await fixture.synchronizer.judge(leave), { ...confirmed, isBinding: false });
+  assert.equal(fixture.takeEvents(), ['server-departure-unconfirmed i-other other-server']);
+});
+
 // Regression: a node that the store refused did not confirm a departure, although its peers reached the store.
 test('a departure that a peer has recorded is confirmed', async () => {
   const fixture = new SynchronizerFixture();
